Add error table, topology, platform and backend interfaces, routing plan and health deciders

Cause: empty repository; the whole path needs its vocabulary first. Change: apierror (closed list and table), topology (objects, selectors, layer ranges, routes), platform and backend interfaces with one HTTP adapter each, fleet state, routing (max-flow bound, balanced weights, choice), health.

--- /dev/null
+++ b/apierror/kind.go
@@ -0,0 +1,120 @@
+// Package apierror holds the closed list of error kinds that a caller can
+// receive and the one table that maps a kind to its answer: the HTTP status,
+// whether the request ran, and whether the caller may send it again.
+package apierror
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Kind names one entry of the closed list.
+type Kind string
+
+// The closed list. Every kind has exactly one row in the table.
+const (
+	BadRequest         Kind = "bad_request"
+	BodyTooLarge       Kind = "body_too_large"
+	BadEventID         Kind = "bad_event_id"
+	StaleEventID       Kind = "stale_event_id"
+	BadKey             Kind = "bad_idempotency_key"
+	KeyExpired         Kind = "idempotency_key_expired"
+	KeyReused          Kind = "idempotency_key_reused"
+	Unauthorized       Kind = "unauthorized"
+	Forbidden          Kind = "forbidden"
+	UnknownModel       Kind = "unknown_model"
+	UnknownService     Kind = "unknown_service"
+	UnknownRequest     Kind = "unknown_request"
+	NoRoute            Kind = "no_route"
+	DeadlinePassed     Kind = "deadline_passed"
+	DeadlineUnlikely   Kind = "deadline_unlikely"
+	Overloaded         Kind = "overloaded"
+	WorkspaceLimit     Kind = "workspace_limit"
+	Draining           Kind = "draining"
+	StoreUnavailable   Kind = "store_unavailable"
+	BackendUnreachable Kind = "backend_unreachable"
+	BackendRefused     Kind = "backend_refused"
+	BackendFailed      Kind = "backend_failed"
+	OutcomeUnknown     Kind = "outcome_unknown"
+	AlreadyRan         Kind = "already_ran"
+	InProgress         Kind = "in_progress"
+	DeadlineRunning    Kind = "deadline_while_running"
+	SlowReader         Kind = "slow_reader"
+	Internal           Kind = "internal"
+)
+
+// Ran says whether any part of the request was executed by a backend server.
+type Ran string
+
+// The three truthful statements about execution.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// Answer is a row of the table.
+type Answer struct {
+	Kind       Kind
+	Status     int           // HTTP status code
+	Ran        Ran           // whether the request ran
+	MayRetry   bool          // whether the caller may send the same request again
+	RetryAfter time.Duration // default Retry-After; zero for none
+	Meaning    string        // one sentence for people
+}
+
+// Error is an error that has a Kind and so an answer.
+type Error struct {
+	Kind       Kind
+	Detail     string
+	RetryAfter time.Duration // overrides the table when positive
+	Err        error
+}
+
+// New returns an Error of kind k with a formatted detail.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an Error of kind k that wraps err.
+func Wrap(k Kind, err error) *Error {
+	return &Error{Kind: k, Detail: err.Error(), Err: err}
+}
+
+// WithRetryAfter returns a copy of e that tells the caller to come back after d.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// Error implements error.
+func (e *Error) Error() string { return string(e.Kind) + ": " + e.Detail }
+
+// Unwrap returns the wrapped error, if any.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Answer returns the table row of e, with the error's own Retry-After.
+func (e *Error) Answer() Answer {
+	a := Lookup(e.Kind)
+	if e.RetryAfter > 0 {
+		a.RetryAfter = e.RetryAfter
+	}
+	return a
+}
+
+// From returns err as an *Error; an error without a kind becomes Internal.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(Internal, err)
+}
+
+// Is reports whether err carries kind k.
+func Is(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
--- /dev/null
+++ b/backend/engine.go
@@ -0,0 +1,196 @@
+// Package backend defines what the system needs of model engines and plain
+// services. Wire formats live in the adapters below this package.
+package backend
+
+import (
+	"context"
+	"errors"
+
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// Sentinel errors of engine and service calls. Each says what is known about
+// execution; an adapter must choose the weakest statement that is certain.
+var (
+	// ErrNotSent says that no byte was handed to a connection.
+	ErrNotSent = errors.New("backend: not sent")
+	// ErrRefused says that the backend server answered that it did not run.
+	ErrRefused = errors.New("backend: refused, not run")
+	// ErrLost says that contact was lost after sending; it may have run.
+	ErrLost = errors.New("backend: contact lost")
+	// ErrGone says that the engine no longer keeps the stream.
+	ErrGone = errors.New("backend: stream not kept")
+	// ErrFenced says that an order carried an old fencing number.
+	ErrFenced = errors.New("backend: order carries an old fencing number")
+	// ErrUnsupported says that the engine lacks the operation.
+	ErrUnsupported = errors.New("backend: not supported")
+)
+
+// Message is one turn of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Sampling holds the parameters that shape the answer.
+type Sampling struct {
+	Temperature *float64 `json:"temperature,omitempty"`
+	TopP        *float64 `json:"top_p,omitempty"`
+	Seed        *int64   `json:"seed,omitempty"`
+	Stop        []string `json:"stop,omitempty"`
+}
+
+// Generate asks the first hop's engine to run a request along a route.
+type Generate struct {
+	RequestID string
+	Attempt   int
+	Model     string
+	Version   string
+	Adapter   string
+	Layers    int // layer count of the model, so that the engine can check the route
+	Route     topology.Route
+	Prompt    string
+	Messages  []Message
+	Prior     []int32 // tokens already delivered; the first event has index len(Prior)
+	KV        string  // handle of an imported KV cache, "" for none
+	MaxTokens int
+	Priority  int
+	Sampling  Sampling
+}
+
+// EventType tells the events of a stream apart.
+type EventType string
+
+// The event types. A cut connection is none of them.
+const (
+	EventToken   EventType = "token"
+	EventDone    EventType = "done"
+	EventRefused EventType = "refused" // not run
+	EventFailed  EventType = "failed"  // a stage failed while running
+)
+
+// Event is one event of a stream.
+type Event struct {
+	Type         EventType `json:"type"`
+	RequestID    string    `json:"request"`
+	Attempt      int       `json:"attempt"`
+	Index        int       `json:"index"` // of the token; for done, the token count
+	Token        int32     `json:"token"`
+	Text         string    `json:"text"`
+	FinishReason string    `json:"finish,omitempty"`
+	Reason       string    `json:"reason,omitempty"`
+	Failed       string    `json:"failed,omitempty"` // backend server that failed
+	Loads        []HopLoad `json:"loads,omitempty"`
+}
+
+// HopLoad is the load of one hop, carried on some events.
+type HopLoad struct {
+	BackendServer string  `json:"server"`
+	InFlight      int     `json:"inFlight"` // requests on the backend server, of all daemons
+	TokenSeconds  float64 `json:"tokenSec"` // last time of one token in this hop, seconds
+	LinkSeconds   float64 `json:"linkSec"`  // last time of one token on the link to the next hop
+	Capacity      float64 `json:"capacity"` // measured tokens per second, 0 when unknown
+	AgeSeconds    float64 `json:"ageSec"`   // age of the report
+	NextHop       string  `json:"next"`     // backend server that LinkSeconds leads to
+}
+
+// Stream yields the events of a request. Next blocks; it returns ErrLost when
+// the connection ends without a final event.
+type Stream interface {
+	Next() (Event, error)
+	Close() error
+}
+
+// Target names the engine that a call goes to.
+type Target struct {
+	BackendServer string
+	Address       string // host:port
+}
+
+// Engine is a model engine.
+type Engine interface {
+	Generate(ctx context.Context, t Target, g *Generate) (Stream, error)
+	// Resume continues a stream of the same attempt from an index, without
+	// running any token again. It returns ErrGone when it is no longer kept.
+	Resume(ctx context.Context, t Target, requestID string, attempt, from int) (Stream, error)
+	// Cancel ends an attempt and fences it: the engine refuses the attempt and
+	// every older one of the request from then on.
+	Cancel(ctx context.Context, t Target, requestID string, attempt int) error
+	Status(ctx context.Context, t Target) (Status, error)
+	// ExportKV moves the request's KV cache of some layers to another backend
+	// server and returns the handle it is imported under.
+	ExportKV(ctx context.Context, t Target, e ExportKV) (handle string, err error)
+	Order(ctx context.Context, t Target, o Order) error
+	// CacheEvents calls fn for each event until ctx ends or the stream breaks.
+	CacheEvents(ctx context.Context, t Target, fn func(CacheEvent)) error
+}
+
+// Role is what an engine serves.
+type Role string
+
+// The roles.
+const (
+	RoleMixed   Role = "mixed"
+	RolePrefill Role = "prefill"
+	RoleDecode  Role = "decode"
+)
+
+// Holding is a range of layers of a model version that an engine holds.
+type Holding struct {
+	Model    string              `json:"model"`
+	Version  string              `json:"version"`
+	Layers   topology.LayerRange `json:"layers"`
+	Adapters []string            `json:"adapters,omitempty"`
+	Loading  bool                `json:"loading,omitempty"` // ordered, not yet usable
+}
+
+// Status is an engine's report of itself.
+type Status struct {
+	BackendServer string    `json:"server"`
+	Boot          uint64    `json:"boot"` // changes when the engine restarts
+	Seq           uint64    `json:"seq"`  // grows with each change of holdings, role or leaving
+	Holdings      []Holding `json:"holdings"`
+	Role          Role      `json:"role"`
+	Leaving       bool      `json:"leaving"`
+	InFlight      int       `json:"inFlight"`
+	Capacity      float64   `json:"capacity"` // measured tokens per second, 0 when unknown
+	Fencing       uint64    `json:"fencing"`  // highest fencing number seen
+	LoadAge       float64   `json:"loadAge"`  // seconds since the load was measured
+}
+
+// OrderType names what an order asks for.
+type OrderType string
+
+// The order types. All are declarative and idempotent.
+const (
+	OrderLoad   OrderType = "load"
+	OrderUnload OrderType = "unload"
+	OrderRole   OrderType = "role"
+)
+
+// Order asks an engine to change what it holds or its role.
+type Order struct {
+	ID      string    `json:"id"`
+	Type    OrderType `json:"type"`
+	Fencing uint64    `json:"fencing"`
+	Holding Holding   `json:"holding"`
+	Role    Role      `json:"role,omitempty"`
+}
+
+// ExportKV moves the KV cache of a request.
+type ExportKV struct {
+	RequestID string              `json:"request"`
+	Attempt   int                 `json:"attempt"`
+	Layers    topology.LayerRange `json:"layers"`
+	Tokens    int                 `json:"tokens"` // leading tokens to move
+	To        string              `json:"to"`     // address of the importing engine
+}
+
+// CacheEvent tells that a prompt prefix entered or left an engine's cache.
+// Events come late and with gaps; Seq shows the gaps.
+type CacheEvent struct {
+	BackendServer string `json:"server"`
+	Seq           uint64 `json:"seq"`
+	Prefix        uint64 `json:"prefix"` // hash of the prefix
+	Evicted       bool   `json:"evicted"`
+}
--- /dev/null
+++ b/backend/httpbackend/service.go
@@ -0,0 +1,58 @@
+package httpbackend
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/snowspoke/snowspoke/backend"
+)
+
+// Services implements backend.Services over HTTP.
+type Services struct {
+	http   *http.Client
+	scheme string
+}
+
+// NewServices returns an adapter; scheme is "http" or "https".
+func NewServices(hc *http.Client, scheme string) *Services {
+	return &Services{http: hc, scheme: scheme}
+}
+
+// hopHeaders are not passed between connections (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// Call implements backend.Services. A status of the service itself is an
+// answer, whatever it is; only the explicit word that it did not run is a refusal.
+func (s *Services) Call(ctx context.Context, t backend.Target, c *backend.ServiceCall) (*backend.ServiceReply, error) {
+	req, err := http.NewRequestWithContext(ctx, c.Method, s.scheme+"://"+t.Address+c.Path, bytes.NewReader(c.Body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", backend.ErrNotSent, err)
+	}
+	req.Header = c.Header.Clone()
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	req.Header.Set(HeaderRequestID, c.RequestID)
+	stripHopHeaders(req.Header)
+	resp, err := sendOnce(s.http, req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode >= 500 && resp.Header.Get(HeaderRan) == RanNo {
+		resp.Body.Close()
+		return nil, fmt.Errorf("%w: status %d", backend.ErrRefused, resp.StatusCode)
+	}
+	stripHopHeaders(resp.Header)
+	return &backend.ServiceReply{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+}
+
+func stripHopHeaders(h http.Header) {
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/backend/httpbackend/wire.go
@@ -0,0 +1,60 @@
+// Package httpbackend is the HTTP adapter of model engines and plain services.
+// The wire formats are known here and in the test fakes alone.
+package httpbackend
+
+import (
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// Paths of the engine's HTTP interface.
+const (
+	PathGenerate = "/v1/generate"
+	PathResume   = "/v1/resume"
+	PathCancel   = "/v1/cancel"
+	PathStatus   = "/v1/status"
+	PathExport   = "/v1/kv/export"
+	PathImport   = "/v1/kv/import"
+	PathOrder    = "/v1/order"
+	PathCache    = "/v1/cache-events"
+)
+
+// HeaderRan carries the engine's or service's explicit word on execution. An
+// error answer without "no" proves nothing.
+const HeaderRan = "X-Ran"
+
+// RanNo is the value of HeaderRan that makes an error answer a refusal.
+const RanNo = "no"
+
+// HeaderRequestID carries the request ID to plain services.
+const HeaderRequestID = "X-Request-Id"
+
+// GenerateBody is the body of PathGenerate.
+type GenerateBody struct {
+	RequestID string            `json:"request"`
+	Attempt   int               `json:"attempt"`
+	Model     string            `json:"model"`
+	Version   string            `json:"version"`
+	Adapter   string            `json:"adapter,omitempty"`
+	Layers    int               `json:"layers"`
+	Route     topology.Route    `json:"route"`
+	Prompt    string            `json:"prompt,omitempty"`
+	Messages  []backend.Message `json:"messages,omitempty"`
+	Prior     []int32           `json:"prior,omitempty"`
+	KV        string            `json:"kv,omitempty"`
+	MaxTokens int               `json:"maxTokens"`
+	Priority  int               `json:"priority"`
+	Sampling  backend.Sampling  `json:"sampling"`
+}
+
+// AttemptBody is the body of PathResume and PathCancel.
+type AttemptBody struct {
+	RequestID string `json:"request"`
+	Attempt   int    `json:"attempt"`
+	From      int    `json:"from"`
+}
+
+// HandleBody is the answer of PathExport.
+type HandleBody struct {
+	Handle string `json:"handle"`
+}
--- /dev/null
+++ b/health/detector.go
@@ -0,0 +1,281 @@
+// Package health decides which backend servers and links are fit for new work.
+// It is pure: observations and a clock in, transitions and reasons out.
+package health
+
+import (
+	"time"
+)
+
+// State is the health of one backend server.
+type State uint8
+
+// The states.
+const (
+	Healthy State = iota // full weight
+	Suspect              // one strong sign of failure; no new work until a probe
+	Ejected              // no new work until EjectFor has passed and a probe succeeds
+	Ramping              // back, with a growing weight
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	return [...]string{"healthy", "suspect", "ejected", "ramping"}[s]
+}
+
+// legal lists the transitions; everything else is a fault of the detector.
+var legal = map[State][]State{
+	Healthy: {Suspect, Ejected},
+	Suspect: {Healthy, Ramping, Ejected},
+	Ejected: {Ramping},
+	Ramping: {Healthy, Suspect, Ejected},
+}
+
+// Legal reports whether a backend server may go from one state to another.
+func Legal(from, to State) bool {
+	for _, s := range legal[from] {
+		if s == to {
+			return true
+		}
+	}
+	return false
+}
+
+// Signal is one observation of a backend server.
+type Signal uint8
+
+// The signals.
+const (
+	Success     Signal = iota // a request was served
+	Unreachable               // a connection could not be made
+	Lost                      // a connection broke while a request ran
+	Failed                    // the engine said that the backend server failed
+	Stalled                   // no token came within the adaptive bound
+	Refused                   // the engine refused without running: busy, not ill
+	ProbeOK
+	ProbeFailed
+)
+
+// String returns the signal's name.
+func (s Signal) String() string {
+	return [...]string{"success", "unreachable", "lost", "failed", "stalled", "refused", "probe_ok", "probe_failed"}[s]
+}
+
+func (s Signal) bad() bool {
+	return s == Unreachable || s == Lost || s == Failed || s == Stalled || s == ProbeFailed
+}
+
+// Config holds the detector's limits.
+type Config struct {
+	FailuresToEject int           // failures in a row, probes aside, that eject
+	EjectFor        time.Duration // first ejection; doubles with each one
+	MaxEjectFor     time.Duration
+	ProbeEvery      time.Duration // of suspect and ejected backend servers
+	RampFor         time.Duration // from least to full weight
+	LeastWeight     float64       // where the ramp begins
+}
+
+// DefaultConfig returns limits for engines that answer within milliseconds.
+func DefaultConfig() Config {
+	return Config{
+		FailuresToEject: 3, EjectFor: 2 * time.Second, MaxEjectFor: time.Minute,
+		ProbeEvery: 250 * time.Millisecond, RampFor: 3 * time.Second, LeastWeight: 0.2,
+	}
+}
+
+// Transition is a change of a backend server's state, with its reason.
+type Transition struct {
+	BackendServer string
+	From, To      State
+	Signal        Signal
+	KeptInService bool // unfit, but the last capacity of some layers
+}
+
+// record is what the detector keeps of one backend server.
+type record struct {
+	state     State
+	failures  int // in a row
+	ejections int
+	until     time.Time // end of the ejection
+	since     time.Time // start of the ramp
+	probed    time.Time
+	kept      bool
+}
+
+// Detector keeps the health of all backend servers. It is not safe for
+// concurrent use.
+type Detector struct {
+	cfg Config
+	// last reports whether a backend server is the last capacity of something;
+	// such a one stays in service, however ill.
+	last    func(server string) bool
+	records map[string]*record
+}
+
+// NewDetector returns a detector in which all backend servers are healthy.
+func NewDetector(cfg Config, last func(server string) bool) *Detector {
+	return &Detector{cfg: cfg, last: last, records: map[string]*record{}}
+}
+
+func (d *Detector) record(server string) *record {
+	r := d.records[server]
+	if r == nil {
+		r = &record{}
+		d.records[server] = r
+	}
+	return r
+}
+
+// Forget drops a backend server that has left the configuration.
+func (d *Detector) Forget(server string) { delete(d.records, server) }
+
+// State returns the backend server's state.
+func (d *Detector) State(server string) State {
+	if r := d.records[server]; r != nil {
+		return r.state
+	}
+	return Healthy
+}
+
+// InService reports whether new work may go to the backend server.
+func (d *Detector) InService(server string) bool {
+	r := d.records[server]
+	if r == nil || r.state == Healthy || r.state == Ramping {
+		return true
+	}
+	return r.kept
+}
+
+// Weight returns the share of its capacity that the backend server should get.
+func (d *Detector) Weight(server string, now time.Time) float64 {
+	r := d.records[server]
+	if r == nil || r.state != Ramping {
+		return 1
+	}
+	done := float64(now.Sub(r.since)) / float64(d.cfg.RampFor)
+	return min(1, d.cfg.LeastWeight+(1-d.cfg.LeastWeight)*done)
+}
+
+// Observe takes a signal and returns the transition it causes, if any.
+func (d *Detector) Observe(server string, s Signal, now time.Time) (Transition, bool) {
+	r := d.record(server)
+	from := r.state
+	to := d.next(r, s, now)
+	if s.bad() && to != Healthy && to != Ramping {
+		r.kept = d.last(server)
+	}
+	if to == from {
+		return Transition{}, false
+	}
+	d.enter(r, to, now)
+	return Transition{BackendServer: server, From: from, To: to, Signal: s, KeptInService: r.kept}, true
+}
+
+// next returns the state that follows from a signal.
+func (d *Detector) next(r *record, s Signal, now time.Time) State {
+	switch s {
+	case Success:
+		return d.afterSuccess(r, now)
+	case ProbeOK:
+		return d.afterProbe(r, now)
+	case Refused:
+		return r.state
+	case ProbeFailed:
+		return d.afterProbeFailure(r)
+	}
+	r.failures++
+	if r.state == Ejected {
+		return Ejected
+	}
+	if r.failures >= d.cfg.FailuresToEject {
+		return Ejected
+	}
+	return Suspect
+}
+
+func (d *Detector) afterSuccess(r *record, now time.Time) State {
+	r.failures = 0
+	if r.state == Ramping && now.Sub(r.since) >= d.cfg.RampFor {
+		return Healthy
+	}
+	return r.state
+}
+
+// afterProbe lets a suspect back that answers at once, and an ejected one when
+// its time is over. A probe says that the process lives, not that it serves:
+// the count of failures is kept until a request succeeds.
+func (d *Detector) afterProbe(r *record, now time.Time) State {
+	switch r.state {
+	case Suspect:
+		return Ramping
+	case Ejected:
+		if now.Before(r.until) {
+			return Ejected
+		}
+		return Ramping
+	}
+	return r.state
+}
+
+func (d *Detector) afterProbeFailure(r *record) State {
+	if r.state == Suspect || r.state == Ejected {
+		return Ejected
+	}
+	return Suspect
+}
+
+func (d *Detector) enter(r *record, to State, now time.Time) {
+	r.state = to
+	switch to {
+	case Ejected:
+		r.until = now.Add(d.ejection(r.ejections))
+		r.ejections++
+	case Ramping:
+		r.since = now
+		r.kept = false
+	case Healthy:
+		r.ejections = 0
+		r.kept = false
+	}
+}
+
+func (d *Detector) ejection(n int) time.Duration {
+	e := d.cfg.EjectFor
+	for range n {
+		e *= 2
+		if e >= d.cfg.MaxEjectFor {
+			return d.cfg.MaxEjectFor
+		}
+	}
+	return e
+}
+
+// DueProbes returns the backend servers to probe now and marks them probed.
+func (d *Detector) DueProbes(now time.Time) []string {
+	var due []string
+	for name, r := range d.records {
+		if r.state != Suspect && r.state != Ejected {
+			continue
+		}
+		if now.Sub(r.probed) >= d.cfg.ProbeEvery {
+			r.probed = now
+			due = append(due, name)
+		}
+	}
+	return due
+}
+
+// Ramping returns the backend servers whose weight is still growing and moves
+// those that have finished to Healthy.
+func (d *Detector) Ramping(now time.Time) []string {
+	var out []string
+	for name, r := range d.records {
+		if r.state != Ramping {
+			continue
+		}
+		out = append(out, name)
+		if now.Sub(r.since) >= d.cfg.RampFor {
+			d.enter(r, Healthy, now)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/health/gap.go
@@ -0,0 +1,46 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+// Gap estimates the time between events as a mean and a mean deviation, in the
+// way that TCP estimates round trips (RFC 6298), and bounds the next one.
+type Gap struct {
+	mean, dev float64 // seconds
+	n         int
+}
+
+// Weights and factors of the estimate.
+const (
+	gapGain    = 0.125
+	gapDevGain = 0.25
+	gapDevs    = 8.0 // deviations above the mean that are still waited for
+	gapWarmUp  = 8   // observations before the bound is trusted
+)
+
+// Observe takes one gap.
+func (g *Gap) Observe(d time.Duration) {
+	x := d.Seconds()
+	g.n++
+	if g.n == 1 {
+		g.mean = x
+		g.dev = x / 2
+		return
+	}
+	g.dev += gapDevGain * (math.Abs(x-g.mean) - g.dev)
+	g.mean += gapGain * (x - g.mean)
+}
+
+// Bound returns how long to wait for the next event, within [floor, ceil].
+func (g *Gap) Bound(floor, ceil time.Duration) time.Duration {
+	if g.n < gapWarmUp {
+		return ceil
+	}
+	b := time.Duration((2*g.mean + gapDevs*g.dev) * float64(time.Second))
+	return min(ceil, max(floor, b))
+}
+
+// Mean returns the mean gap.
+func (g *Gap) Mean() time.Duration { return time.Duration(g.mean * float64(time.Second)) }
--- /dev/null
+++ b/health/link.go
@@ -0,0 +1,117 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+// LinkConfig holds the limits of the link detector.
+type LinkConfig struct {
+	Degraded   float64       // ratio to the baseline from which a link is degraded
+	Restored   float64       // ratio below which it is restored; lower, against flapping
+	Samples    int           // samples in a row that change the verdict
+	HoldFor    time.Duration // least time a link stays degraded before it is tried again
+	TrialShare float64       // share of its capacity that a tried link gets
+}
+
+// DefaultLinkConfig returns limits for links that differ a hundredfold.
+func DefaultLinkConfig() LinkConfig {
+	return LinkConfig{Degraded: 4, Restored: 2, Samples: 3, HoldFor: 5 * time.Second, TrialShare: 0.05}
+}
+
+// Link detects that one link between two hops has become slow. It compares the
+// time on the link with the link's own baseline, so a slow backend server,
+// whose token time is reported apart, does not make its links look slow.
+type Link struct {
+	baseline float64 // seconds, follows improvements at once and slowness not at all while degraded
+	slow     int     // samples in a row above the limit
+	fast     int
+	degraded bool
+	ratio    float64
+	since    time.Time
+	trial    bool
+}
+
+// baselineGain is the weight of a sample in a healthy link's baseline.
+const baselineGain = 0.02
+
+// Observe takes the time of one transfer and reports whether the factor changed.
+func (l *Link) Observe(cfg LinkConfig, d time.Duration, now time.Time) (changed bool) {
+	x := d.Seconds()
+	if x <= 0 {
+		return false
+	}
+	if l.baseline == 0 {
+		l.baseline = x
+		return false
+	}
+	ratio := x / l.baseline
+	if !l.degraded {
+		return l.observeHealthy(cfg, x, ratio, now)
+	}
+	return l.observeDegraded(cfg, ratio, now)
+}
+
+func (l *Link) observeHealthy(cfg LinkConfig, x, ratio float64, now time.Time) bool {
+	if ratio < cfg.Degraded {
+		l.slow = 0
+		l.baseline = math.Min(x, l.baseline+baselineGain*(x-l.baseline))
+		return false
+	}
+	l.slow++
+	if l.slow < cfg.Samples {
+		return false
+	}
+	l.degraded = true
+	l.trial = false
+	l.ratio = ratio
+	l.since = now
+	l.fast = 0
+	return true
+}
+
+func (l *Link) observeDegraded(cfg LinkConfig, ratio float64, now time.Time) bool {
+	if ratio >= cfg.Restored {
+		l.fast = 0
+		l.ratio = ratio
+		if l.trial {
+			l.trial = false
+			l.since = now
+			return true
+		}
+		return false
+	}
+	l.fast++
+	if l.fast < cfg.Samples {
+		return false
+	}
+	l.degraded = false
+	l.trial = false
+	l.slow = 0
+	return true
+}
+
+// Tick begins a trial when the link has been degraded long enough, and reports
+// whether the factor changed.
+func (l *Link) Tick(cfg LinkConfig, now time.Time) (changed bool) {
+	if !l.degraded || l.trial || now.Sub(l.since) < cfg.HoldFor {
+		return false
+	}
+	l.trial = true
+	return true
+}
+
+// Factor returns the share of its capacity that the link should count for.
+func (l *Link) Factor(cfg LinkConfig) float64 {
+	if !l.degraded {
+		return 1
+	}
+	f := 1 / math.Max(1, l.ratio)
+	if l.trial {
+		return math.Max(f, cfg.TrialShare)
+	}
+	return f
+}
+
+// Degraded reports whether the link is degraded.
+func (l *Link) Degraded() bool { return l.degraded }
--- /dev/null
+++ b/invariant/invariant.go
@@ -0,0 +1,90 @@
+// Package invariant asserts the promises of the system inside the running
+// program. A violated promise is counted, reported and returned as an error
+// that stops the request; in tests the reporter fails the run.
+package invariant
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/snowspoke/snowspoke/apierror"
+)
+
+// Promise names one property that must always hold.
+type Promise string
+
+// The promises, in the order of the users' brief.
+const (
+	LayersOnceInOrder  Promise = "layers_once_in_order"
+	WholeOwnAnswer     Promise = "whole_own_answer"
+	NotRunIsTrue       Promise = "not_run_is_true"
+	AtMostOnce         Promise = "at_most_once"
+	NoWorkAfterLeave   Promise = "no_work_after_leave"
+	PlannedStopCutsOff Promise = "planned_stop_cuts_off_nothing"
+	ConfigMonotonic    Promise = "configuration_monotonic"
+	FencingMonotonic   Promise = "fencing_monotonic"
+)
+
+// All lists the promises.
+var All = []Promise{
+	LayersOnceInOrder, WholeOwnAnswer, NotRunIsTrue, AtMostOnce,
+	NoWorkAfterLeave, PlannedStopCutsOff, ConfigMonotonic, FencingMonotonic,
+}
+
+// Reporter receives every violation; it must be safe for concurrent use.
+type Reporter func(p Promise, detail string)
+
+var (
+	mu       sync.RWMutex
+	reporter Reporter
+	counts   = func() map[Promise]*atomic.Int64 {
+		m := make(map[Promise]*atomic.Int64, len(All))
+		for _, p := range All {
+			m[p] = new(atomic.Int64)
+		}
+		return m
+	}()
+)
+
+// SetReporter installs r and returns a function that restores the previous one.
+func SetReporter(r Reporter) (restore func()) {
+	mu.Lock()
+	defer mu.Unlock()
+	old := reporter
+	reporter = r
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		reporter = old
+	}
+}
+
+// Check returns nil when ok holds. Otherwise it counts and reports a violation
+// of p and returns an error of kind Internal that stops the request.
+func Check(ok bool, p Promise, format string, args ...any) error {
+	if ok {
+		return nil
+	}
+	detail := fmt.Sprintf(format, args...)
+	counts[p].Add(1)
+	mu.RLock()
+	r := reporter
+	mu.RUnlock()
+	if r != nil {
+		r(p, detail)
+	}
+	return apierror.New(apierror.Internal, "invariant %s violated: %s", p, detail)
+}
+
+// Count returns how often p was violated since the process started.
+func Count(p Promise) int64 { return counts[p].Load() }
+
+// Total returns the violations of all promises.
+func Total() int64 {
+	var n int64
+	for _, c := range counts {
+		n += c.Load()
+	}
+	return n
+}
--- /dev/null
+++ b/routing/plan.go
@@ -0,0 +1,310 @@
+// Package routing decides which pipeline a request takes. Build computes, on
+// change, the throughput bound of a model and balanced weights for its
+// pipelines; Choose picks a pipeline for each request from those weights and
+// fresh knowledge of load. Both are pure: state in, decision out.
+package routing
+
+import (
+	"math"
+	"slices"
+
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// unlimited stands in for a link whose capacity is not known, in tokens per second.
+const unlimited = 1e12
+
+// defaultCapacity is assumed, in tokens per second, of a backend server that
+// neither declares nor reports a capacity.
+const defaultCapacity = 100.0
+
+// Candidate is a backend server that may serve parts of a model.
+type Candidate struct {
+	Name          string
+	Address       string
+	FailureDomain string
+	Capacity      float64 // tokens per second through its layers
+	Ranges        []topology.LayerRange
+}
+
+// Input is all that a plan depends on.
+type Input struct {
+	Layers  int
+	Servers []Candidate
+	// Link returns the capacity of a link in tokens per second; 0 or a nil
+	// function mean that it is not known to limit.
+	Link func(from, to int) float64
+}
+
+// Node is a backend server with one contiguous range of layers.
+type Node struct {
+	Server int // index into Plan.Servers
+	Layers topology.LayerRange
+	Cap    float64 // tokens per second
+	next   []edge  // admissible next hops; empty for a last hop
+	cum    []float64
+	final  bool
+}
+
+type edge struct {
+	to   int32
+	cap  float64
+	flow float64
+}
+
+// Plan is an immutable routing plan of a model for one class of requests.
+type Plan struct {
+	Layers  int
+	Servers []Candidate
+	Nodes   []Node
+	Bound   float64 // max flow, tokens per second
+	Cut     []CutItem
+	heads   []edge
+	headCum []float64
+	order   []int32 // node indices, last layers first
+}
+
+// CutItem is a backend server or link that limits the bound.
+type CutItem struct {
+	BackendServer string  `json:"server"`
+	Next          string  `json:"next,omitempty"` // set for a link
+	Capacity      float64 `json:"tokensPerSecond"`
+}
+
+// Routable reports whether some pipeline tiles all layers.
+func (p *Plan) Routable() bool { return len(p.heads) > 0 }
+
+// Build makes a plan. A hop always runs to the end of what its backend server
+// holds: any tiling can be shortened to such a one, so nothing is lost.
+func Build(in Input) *Plan {
+	p := &Plan{Layers: in.Layers, Servers: in.Servers}
+	p.addNodes()
+	p.connect(in.Link)
+	p.prune()
+	if !p.Routable() {
+		return p
+	}
+	p.solve()
+	p.balance()
+	p.accumulate()
+	return p
+}
+
+// addNodes splits a server's capacity over its disjoint ranges.
+func (p *Plan) addNodes() {
+	for i := range p.Servers {
+		s := &p.Servers[i]
+		if s.Capacity <= 0 {
+			s.Capacity = defaultCapacity
+		}
+		for _, r := range s.Ranges {
+			r = r.Intersect(topology.LayerRange{Lo: 0, Hi: p.Layers})
+			if r.Empty() {
+				continue
+			}
+			p.Nodes = append(p.Nodes, Node{
+				Server: i, Layers: r, Cap: s.Capacity / float64(len(s.Ranges)), final: r.Hi == p.Layers,
+			})
+		}
+	}
+	p.order = make([]int32, len(p.Nodes))
+	for i := range p.order {
+		p.order[i] = int32(i)
+	}
+	slices.SortFunc(p.order, func(a, b int32) int { return p.Nodes[b].Layers.Hi - p.Nodes[a].Layers.Hi })
+}
+
+func (p *Plan) connect(link func(from, to int) float64) {
+	for i := range p.Nodes {
+		u := &p.Nodes[i]
+		if u.Layers.Lo == 0 {
+			p.heads = append(p.heads, edge{to: int32(i), cap: unlimited})
+		}
+		if u.final {
+			continue
+		}
+		for j := range p.Nodes {
+			v := &p.Nodes[j]
+			if v.Server == u.Server || v.Layers.Lo > u.Layers.Hi || v.Layers.Hi <= u.Layers.Hi {
+				continue
+			}
+			u.next = append(u.next, edge{to: int32(j), cap: linkCapacity(link, u.Server, v.Server)})
+		}
+	}
+}
+
+func linkCapacity(link func(from, to int) float64, from, to int) float64 {
+	if link == nil {
+		return unlimited
+	}
+	c := link(from, to)
+	if c <= 0 {
+		return unlimited
+	}
+	return c
+}
+
+// prune drops edges to nodes from which the last layer cannot be reached.
+func (p *Plan) prune() {
+	alive := make([]bool, len(p.Nodes))
+	for _, i := range p.order {
+		n := &p.Nodes[i]
+		n.next = slices.DeleteFunc(n.next, func(e edge) bool { return !alive[e.to] })
+		alive[i] = n.final || len(n.next) > 0
+	}
+	p.heads = slices.DeleteFunc(p.heads, func(e edge) bool { return !alive[e.to] })
+}
+
+// solve computes the bound and the cut that limits it.
+func (p *Plan) solve() {
+	source := 2 * len(p.Nodes)
+	sink := source + 1
+	net := newNetwork(sink + 1)
+	for i := range p.Nodes {
+		n := &p.Nodes[i]
+		net.add(2*i, 2*i+1, n.Cap)
+		if n.final {
+			net.add(2*i+1, sink, unlimited)
+		}
+		for _, e := range n.next {
+			net.add(2*i+1, 2*int(e.to), e.cap)
+		}
+	}
+	for _, e := range p.heads {
+		net.add(source, 2*int(e.to), unlimited)
+	}
+	p.Bound = net.maxFlow(source, sink)
+	p.findCut(net)
+}
+
+func (p *Plan) findCut(net *network) {
+	for i := range p.Nodes {
+		n := &p.Nodes[i]
+		name := p.Servers[n.Server].Name
+		if net.reachable(2*i) && !net.reachable(2*i+1) {
+			p.Cut = append(p.Cut, CutItem{BackendServer: name, Capacity: n.Cap})
+		}
+		if !net.reachable(2*i + 1) {
+			continue
+		}
+		for _, e := range n.next {
+			if !net.reachable(2 * int(e.to)) {
+				next := p.Servers[p.Nodes[e.to].Server].Name
+				p.Cut = append(p.Cut, CutItem{BackendServer: name, Next: next, Capacity: e.cap})
+			}
+		}
+	}
+}
+
+// Limits of the balancing pass: at least minPushes, and as many as keep the
+// edge visits of one plan below visitBudget.
+const (
+	minPushes   = 48
+	maxPushes   = 768
+	visitBudget = 4_000_000
+)
+
+// steepness shapes the cost of utilisation in the balancing pass: high values
+// come near the maximum flow, low ones spread more evenly.
+const steepness = 12.0
+
+// balance routes the bound in small equal parts, each along the pipeline whose
+// hops and links are least utilised (after Garg and Koenemann, "Faster and
+// simpler algorithms for multicommodity flow", 1998). A plain maximum flow
+// would load few backend servers of a wide stage fully and leave others idle.
+func (p *Plan) balance() {
+	pushes := min(maxPushes, max(minPushes, visitBudget/max(1, p.edgeCount())))
+	part := p.Bound / float64(pushes)
+	b := newBalancer(p)
+	for range pushes {
+		b.pushOne(part)
+	}
+}
+
+func (p *Plan) edgeCount() int {
+	n := len(p.heads)
+	for i := range p.Nodes {
+		n += len(p.Nodes[i].next)
+	}
+	return n
+}
+
+// balancer keeps the utilisation of nodes and the cheapest way on from each.
+type balancer struct {
+	p    *Plan
+	flow []float64 // by node
+	cost []float64 // of the cheapest way from the node to the end
+	via  []int32   // index into next of that way, -1 at the end
+}
+
+func newBalancer(p *Plan) *balancer {
+	n := len(p.Nodes)
+	return &balancer{p: p, flow: make([]float64, n), cost: make([]float64, n), via: make([]int32, n)}
+}
+
+func (b *balancer) pushOne(part float64) {
+	b.price(part)
+	best := 0
+	for i, e := range b.p.heads {
+		if b.cost[e.to] < b.cost[b.p.heads[best].to] {
+			best = i
+		}
+	}
+	e := &b.p.heads[best]
+	for {
+		e.flow += part
+		at := e.to
+		b.flow[at] += part
+		if b.via[at] < 0 {
+			return
+		}
+		e = &b.p.Nodes[at].next[b.via[at]]
+	}
+}
+
+// price computes the cheapest way on from every node, last layers first.
+func (b *balancer) price(part float64) {
+	for _, i := range b.p.order {
+		n := &b.p.Nodes[i]
+		b.via[i] = -1
+		onward := 0.0
+		if !n.final {
+			onward = math.Inf(1)
+		}
+		for j := range n.next {
+			e := &n.next[j]
+			c := b.cost[e.to]
+			if e.cap < unlimited {
+				c += utilisationCost((e.flow + part) / e.cap)
+			}
+			if c < onward {
+				onward = c
+				b.via[i] = int32(j)
+			}
+		}
+		b.cost[i] = onward + utilisationCost((b.flow[i]+part)/n.Cap)
+	}
+}
+
+func utilisationCost(u float64) float64 { return math.Exp(steepness*math.Min(u, 4)) - 1 }
+
+// accumulate prepares the weighted sampling of heads and next hops.
+func (p *Plan) accumulate() {
+	p.headCum = cumulate(p.heads)
+	for i := range p.Nodes {
+		p.Nodes[i].cum = cumulate(p.Nodes[i].next)
+	}
+}
+
+func cumulate(edges []edge) []float64 {
+	if len(edges) == 0 {
+		return nil
+	}
+	cum := make([]float64, len(edges))
+	sum := 0.0
+	for i, e := range edges {
+		sum += e.flow
+		cum[i] = sum
+	}
+	return cum
+}
