--- /dev/null
+++ b/admission/bucket.go
@@ -0,0 +1,59 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// Bucket is a token bucket: a daemon's share of a workspace's limit. It is not
+// safe for concurrent use.
+type Bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// Take takes one request out of a bucket that refills with rate per second up
+// to burst. When it is empty, wait is the time until the next one.
+func (b *Bucket) Take(rate, burst float64, now time.Time) (ok bool, wait time.Duration) {
+	if rate <= 0 {
+		return true, 0
+	}
+	burst = math.Max(1, burst)
+	if b.at.IsZero() {
+		b.tokens = burst
+	} else {
+		b.tokens = math.Min(burst, b.tokens+rate*now.Sub(b.at).Seconds())
+	}
+	b.at = now
+	if b.tokens >= 1 {
+		b.tokens--
+		return true, 0
+	}
+	return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
+}
+
+// Budget limits retries to a share of successful requests, so that retries
+// cannot multiply the load when many backend servers fail. It is not safe for
+// concurrent use.
+type Budget struct {
+	ratio float64
+	max   float64
+	left  float64
+}
+
+// NewBudget returns a full budget that earns ratio retries for each success.
+func NewBudget(ratio, reserve float64) *Budget {
+	return &Budget{ratio: ratio, max: reserve, left: reserve}
+}
+
+// Earn counts a success.
+func (b *Budget) Earn() { b.left = math.Min(b.max, b.left+b.ratio) }
+
+// Spend takes one retry out of the budget; false means that none is left.
+func (b *Budget) Spend() bool {
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
--- /dev/null
+++ b/api/callers.go
@@ -0,0 +1,129 @@
+// Package api is what callers and operators talk to over HTTP: the
+// OpenAI-style endpoints, plain services, metrics, health and inspection.
+package api
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/dispatch"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderRequestID  = "Snowspoke-Request-Id"
+	HeaderRepeatable = "Snowspoke-Repeatable" // "false" forbids a second execution
+	HeaderDeadline   = "Snowspoke-Deadline"   // a duration such as 30s, or an RFC 3339 time
+	HeaderPriority   = "Snowspoke-Priority"   // an integer, at most the workspace's
+	HeaderLabels     = "Snowspoke-Labels"     // key=value pairs, comma-separated
+	HeaderKey        = "Idempotency-Key"
+	HeaderEventID    = "Last-Event-ID"
+	HeaderRan        = "Snowspoke-Ran"  // no, yes or unknown, on errors
+	HeaderKind       = "Snowspoke-Kind" // error kind
+)
+
+// Models runs requests for models.
+type Models interface {
+	Do(ctx context.Context, r *dispatch.Request, s dispatch.Sink) (dispatch.Outcome, error)
+	Resume(ctx context.Context, r *dispatch.Request, p *dispatch.Place, s dispatch.Sink) (dispatch.Outcome, error)
+}
+
+// PlainServices runs calls of plain services.
+type PlainServices interface {
+	Do(ctx context.Context, r *dispatch.ServiceRequest) (*backend.ServiceReply, error)
+}
+
+// Configuration gives the configuration in force.
+type Configuration interface {
+	Snapshot() *topology.Snapshot
+}
+
+// CallerOptions are the limits of the callers' interface.
+type CallerOptions struct {
+	BodyBytes       int64
+	BodyTimeout     time.Duration
+	WriteTimeout    time.Duration
+	DefaultDeadline time.Duration
+	MaxDeadline     time.Duration
+}
+
+// Callers serves the callers' interface.
+type Callers struct {
+	opts     CallerOptions
+	config   Configuration
+	models   Models
+	services PlainServices
+	sealer   *dispatch.Sealer
+	claims   Claimer
+	clock    func() time.Time
+	mux      *http.ServeMux
+}
+
+// NewCallers returns the handler of the callers' interface.
+func NewCallers(o CallerOptions, c Configuration, m Models, s PlainServices, sealer *dispatch.Sealer, claims Claimer, clock func() time.Time) *Callers {
+	h := &Callers{
+		opts: o, config: c, models: m, services: s, sealer: sealer, claims: claims, clock: clock, mux: http.NewServeMux(),
+	}
+	h.mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { h.complete(w, r, textForm) })
+	h.mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { h.complete(w, r, chatForm) })
+	h.mux.HandleFunc("GET /v1/models", h.listModels)
+	h.mux.HandleFunc("/services/{name}/{path...}", h.service)
+	h.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, apierror.New(apierror.BadRequest, "no such path: %s %s", r.Method, r.URL.Path))
+	})
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, newRequestID())
+	h.mux.ServeHTTP(w, r)
+}
+
+func newRequestID() string { return uuid.Must(uuid.NewV7()).String() }
+
+// workspace finds the caller's workspace by its token.
+func (h *Callers) workspace(r *http.Request) (*topology.Workspace, error) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return nil, apierror.New(apierror.Unauthorized, "no bearer token")
+	}
+	w := h.config.Snapshot().WorkspaceOf(token)
+	if w == nil {
+		return nil, apierror.New(apierror.Unauthorized, "the token belongs to no workspace")
+	}
+	return w, nil
+}
+
+// readBody reads a bounded body within a bounded time.
+func (h *Callers) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(h.opts.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.opts.BodyBytes))
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, apierror.New(apierror.BodyTooLarge, "more than %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, apierror.New(apierror.BadRequest, "body: %v", err)
+	}
+	return body, nil
+}
+
+func (h *Callers) listModels(w http.ResponseWriter, r *http.Request) {
+	if _, err := h.workspace(r); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeModels(w, h.config.Snapshot())
+}
--- /dev/null
+++ b/api/completions.go
@@ -0,0 +1,185 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/dispatch"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// form says which of the two OpenAI-style shapes a request and answer have.
+type form uint8
+
+const (
+	textForm form = iota
+	chatForm
+)
+
+// prefixBytes is how much of a prompt identifies its cached prefix.
+const prefixBytes = 512
+
+// completionBody is the body of both endpoints.
+type completionBody struct {
+	Model       string            `json:"model"`
+	Adapter     string            `json:"adapter"`
+	Prompt      string            `json:"prompt"`
+	Messages    []backend.Message `json:"messages"`
+	MaxTokens   int               `json:"max_tokens"`
+	Stream      bool              `json:"stream"`
+	Temperature *float64          `json:"temperature"`
+	TopP        *float64          `json:"top_p"`
+	Seed        *int64            `json:"seed"`
+	Stop        stopList          `json:"stop"`
+}
+
+// stopList reads one string or a list of strings.
+type stopList []string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *stopList) UnmarshalJSON(data []byte) error {
+	var one string
+	if json.Unmarshal(data, &one) == nil {
+		*s = stopList{one}
+		return nil
+	}
+	var many []string
+	if err := json.Unmarshal(data, &many); err != nil {
+		return err
+	}
+	*s = many
+	return nil
+}
+
+// parseCompletion checks a body and turns it into a request.
+func parseCompletion(body []byte, f form) (*completionBody, error) {
+	var b completionBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return nil, apierror.New(apierror.BadRequest, "body: %v", err)
+	}
+	switch {
+	case b.Model == "":
+		return nil, apierror.New(apierror.BadRequest, "model: missing")
+	case b.MaxTokens < 0:
+		return nil, apierror.New(apierror.BadRequest, "max_tokens: write a number from 0")
+	case f == textForm && b.Prompt == "":
+		return nil, apierror.New(apierror.BadRequest, "prompt: missing")
+	case f == chatForm && len(b.Messages) == 0:
+		return nil, apierror.New(apierror.BadRequest, "messages: missing")
+	}
+	return &b, nil
+}
+
+// cacheKey hashes the start of the prompt with all that decides its KV cache.
+func (b *completionBody) cacheKey() uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(b.Model + "\x00" + b.Adapter + "\x00")
+	text := b.Prompt
+	if len(b.Messages) > 0 {
+		text = b.Messages[0].Role + "\x00" + b.Messages[0].Content
+	}
+	_, _ = d.WriteString(text[:min(len(text), prefixBytes)])
+	return d.Sum64()
+}
+
+// complete serves both endpoints.
+func (h *Callers) complete(w http.ResponseWriter, r *http.Request, f form) {
+	req, b, err := h.readCompletion(w, r, f)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
+	if id := r.Header.Get(HeaderEventID); id != "" {
+		h.resume(ctx, w, req, f, id)
+		return
+	}
+	if key := r.Header.Get(HeaderKey); key != "" && !req.Repeatable {
+		h.completeOnce(ctx, w, req, b, f, key)
+		return
+	}
+	if b.Stream {
+		h.stream(w, req, f, func(s dispatch.Sink) (dispatch.Outcome, error) { return h.models.Do(ctx, req, s) })
+		return
+	}
+	h.whole(w, req, f, func(s dispatch.Sink) (dispatch.Outcome, error) { return h.models.Do(ctx, req, s) })
+}
+
+func (h *Callers) readCompletion(w http.ResponseWriter, r *http.Request, f form) (*dispatch.Request, *completionBody, error) {
+	ws, err := h.workspace(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	p, err := h.particulars(r, ws)
+	if err != nil {
+		return nil, nil, err
+	}
+	raw, err := h.readBody(w, r)
+	if err != nil {
+		return nil, nil, err
+	}
+	b, err := parseCompletion(raw, f)
+	if err != nil {
+		return nil, nil, err
+	}
+	return newRequest(w.Header().Get(HeaderRequestID), ws, p, b, xxhash.Sum64(raw)), b, nil
+}
+
+func newRequest(id string, ws *topology.Workspace, p particulars, b *completionBody, hash uint64) *dispatch.Request {
+	return &dispatch.Request{
+		ID: id, Workspace: ws, Model: b.Model, Adapter: b.Adapter, Prompt: b.Prompt, Messages: b.Messages,
+		MaxTokens: b.MaxTokens, Priority: p.priority, Labels: p.labels, Repeatable: p.repeatable,
+		Deadline: p.deadline, BodyHash: hash, CacheKey: b.cacheKey(),
+		Sampling: backend.Sampling{Temperature: b.Temperature, TopP: b.TopP, Seed: b.Seed, Stop: b.Stop},
+	}
+}
+
+// resume continues the stream that an event ID names.
+func (h *Callers) resume(ctx context.Context, w http.ResponseWriter, req *dispatch.Request, f form, id string) {
+	place, err := h.sealer.Open(id)
+	if err != nil || place.Workspace != req.Workspace.Name || place.BodyHash != req.BodyHash {
+		writeError(w, apierror.New(apierror.BadEventID, "not issued for this workspace and body"))
+		return
+	}
+	req.ID = place.RequestID
+	w.Header().Set(HeaderRequestID, req.ID)
+	h.stream(w, req, f, func(s dispatch.Sink) (dispatch.Outcome, error) { return h.models.Resume(ctx, req, place, s) })
+}
+
+// runFunc runs a request towards a sink.
+type runFunc func(dispatch.Sink) (dispatch.Outcome, error)
+
+// whole collects the answer and sends it when it is whole.
+func (h *Callers) whole(w http.ResponseWriter, req *dispatch.Request, f form, run runFunc) {
+	var s textSink
+	out, err := run(&s)
+	writeDeadline(w, h.opts.WriteTimeout)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, answerOf(req, f, s.text.String(), &out, h.clock()))
+}
+
+func answerOf(req *dispatch.Request, f form, text string, out *dispatch.Outcome, now time.Time) *completion {
+	c := &completion{
+		ID: req.ID, Object: "text_completion", Created: now.Unix(), Model: req.Model, Whole: true,
+		Usage: &usage{CompletionTokens: out.Tokens}, Version: out.Version,
+	}
+	ch := choice{FinishReason: &out.FinishReason}
+	if f == chatForm {
+		c.Object = "chat.completion"
+		ch.Message = &backend.Message{Role: "assistant", Content: text}
+	} else {
+		ch.Text = &text
+	}
+	c.Choices = []choice{ch}
+	return c
+}
--- /dev/null
+++ b/api/operators.go
@@ -0,0 +1,149 @@
+package api
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/catalog"
+	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/routing"
+)
+
+// Status is what one daemon says of itself.
+type Status struct {
+	Daemon         string                `json:"daemon"`
+	FailureDomain  string                `json:"failureDomain"`
+	Ready          bool                  `json:"ready"`
+	Revision       uint64                `json:"revision"`
+	Digest         string                `json:"digest"`
+	StoreBehind    bool                  `json:"storeBehind,omitempty"`
+	Rejected       []catalog.Verdict     `json:"rejected,omitempty"`
+	Running        int                   `json:"running"`
+	Waiting        int                   `json:"waiting"`
+	Violations     int64                 `json:"invariantViolations"`
+	BackendServers []BackendServerStatus `json:"backendServers"`
+	Models         []ModelStatus         `json:"models"`
+	Peers          []PeerStatus          `json:"peers,omitempty"`
+	Leases         []LeaseStatus         `json:"leases,omitempty"`
+}
+
+// BackendServerStatus is one backend server as a daemon sees it.
+type BackendServerStatus struct {
+	Name          string   `json:"name"`
+	FailureDomain string   `json:"failureDomain"`
+	Accelerator   string   `json:"accelerator"`
+	Usable        bool     `json:"usable"`
+	Leaving       bool     `json:"leaving"`
+	Capacity      float64  `json:"tokensPerSecond"`
+	InFlight      int64    `json:"inFlight"`
+	Load          float64  `json:"load"`
+	Weight        float64  `json:"weight"`
+	Holdings      []string `json:"holdings"`
+}
+
+// ModelStatus is the bound of one model and what limits it.
+type ModelStatus struct {
+	Model   string            `json:"model"`
+	Version string            `json:"version"`
+	Bound   float64           `json:"boundTokensPerSecond"`
+	Cut     []routing.CutItem `json:"cut,omitempty"`
+}
+
+// PeerStatus is another daemon as this one sees it.
+type PeerStatus struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain"`
+	State         string `json:"state"`
+	Incarnation   uint64 `json:"incarnation"`
+	Revision      uint64 `json:"revision"`
+	Digest        string `json:"digest"`
+}
+
+// LeaseStatus is a lease as this daemon knows it.
+type LeaseStatus struct {
+	Name    string `json:"name"`
+	Holder  string `json:"holder"`
+	Fencing uint64 `json:"fencing"`
+	Mine    bool   `json:"mine"`
+}
+
+// Inspector answers the operators' questions.
+type Inspector interface {
+	Status() Status
+	Ready() error
+	Explain(id string) []decision.Record
+	Verdict(kind, name string) (catalog.Verdict, bool)
+}
+
+// Operators serves the operators' interface.
+type Operators struct {
+	inspect   Inspector
+	tokenHash []byte // empty allows anybody
+	mux       *http.ServeMux
+}
+
+// NewOperators returns the handler of the operators' interface. Health and
+// readiness need no token, as the balancer has none.
+func NewOperators(i Inspector, metrics http.Handler, tokenHash string) *Operators {
+	raw, _ := hex.DecodeString(tokenHash)
+	h := &Operators{inspect: i, tokenHash: raw, mux: http.NewServeMux()}
+	h.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	h.mux.HandleFunc("GET /readyz", h.ready)
+	h.mux.Handle("GET /metrics", h.authorized(metrics))
+	h.mux.Handle("GET /v1/status", h.authorized(http.HandlerFunc(h.status)))
+	h.mux.Handle("GET /v1/explain/{id}", h.authorized(http.HandlerFunc(h.explain)))
+	h.mux.Handle("GET /v1/verdict/{kind}/{name}", h.authorized(http.HandlerFunc(h.verdict)))
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Operators) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+func (h *Operators) authorized(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if len(h.tokenHash) > 0 {
+			token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+			sum := sha256.Sum256([]byte(token))
+			if subtle.ConstantTimeCompare(sum[:], h.tokenHash) != 1 {
+				writeError(w, apierror.New(apierror.Unauthorized, "the operators' token is missing or wrong"))
+				return
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (h *Operators) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := h.inspect.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (h *Operators) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, h.inspect.Status())
+}
+
+func (h *Operators) explain(w http.ResponseWriter, r *http.Request) {
+	records := h.inspect.Explain(r.PathValue("id"))
+	if len(records) == 0 {
+		writeError(w, apierror.New(apierror.UnknownRequest, "no decision about %q is remembered here", r.PathValue("id")))
+		return
+	}
+	writeJSON(w, http.StatusOK, records)
+}
+
+func (h *Operators) verdict(w http.ResponseWriter, r *http.Request) {
+	v, ok := h.inspect.Verdict(r.PathValue("kind"), r.PathValue("name"))
+	if !ok {
+		writeError(w, apierror.New(apierror.UnknownRequest, "no such object is known here"))
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
--- /dev/null
+++ b/api/stream.go
@@ -0,0 +1,177 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/dispatch"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// completion is the OpenAI-style answer; Whole and Version are additions.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+	Whole   bool     `json:"whole,omitempty"`
+	Version string   `json:"modelVersion,omitempty"`
+}
+
+type choice struct {
+	Index        int              `json:"index"`
+	Text         *string          `json:"text,omitempty"`
+	Delta        *delta           `json:"delta,omitempty"`
+	Message      *backend.Message `json:"message,omitempty"`
+	FinishReason *string          `json:"finish_reason"`
+}
+
+type delta struct {
+	Content string `json:"content"`
+}
+
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// textSink collects an answer.
+type textSink struct{ text strings.Builder }
+
+// Token implements dispatch.Sink.
+func (s *textSink) Token(t dispatch.Token) error {
+	s.text.WriteString(t.Text)
+	return nil
+}
+
+// eventSink writes an answer as server-sent events. The header goes out with
+// the first token, so that a refusal before it still has its own status.
+type eventSink struct {
+	h       *Callers
+	w       http.ResponseWriter
+	rc      *http.ResponseController
+	req     *dispatch.Request
+	form    form
+	started bool
+	created int64
+	buf     bytes.Buffer
+	enc     *json.Encoder
+}
+
+func newEventSink(h *Callers, w http.ResponseWriter, req *dispatch.Request, f form) *eventSink {
+	s := &eventSink{h: h, w: w, rc: http.NewResponseController(w), req: req, form: f, created: h.clock().Unix()}
+	s.enc = json.NewEncoder(&s.buf)
+	s.enc.SetEscapeHTML(false)
+	return s
+}
+
+func (s *eventSink) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	hd := s.w.Header()
+	hd.Set("Content-Type", "text/event-stream")
+	hd.Set("Cache-Control", "no-store")
+	s.w.WriteHeader(http.StatusOK)
+}
+
+// Token implements dispatch.Sink.
+func (s *eventSink) Token(t dispatch.Token) error {
+	s.start()
+	s.buf.Reset()
+	s.buf.WriteString("id: ")
+	s.buf.WriteString(t.EventID)
+	s.buf.WriteString("\ndata: ")
+	if err := s.enc.Encode(s.chunk(t.Text, nil)); err != nil {
+		return err
+	}
+	s.buf.WriteByte('\n')
+	return s.flush()
+}
+
+func (s *eventSink) chunk(text string, finish *string) *completion {
+	c := &completion{ID: s.req.ID, Object: "text_completion", Created: s.created, Model: s.req.Model}
+	ch := choice{FinishReason: finish}
+	if s.form == chatForm {
+		c.Object = "chat.completion.chunk"
+		ch.Delta = &delta{Content: text}
+	} else {
+		ch.Text = &text
+	}
+	c.Choices = []choice{ch}
+	return c
+}
+
+// flush sends what is buffered. A caller that does not take it in time ends the
+// stream, so a slow reader never holds more than this buffer.
+func (s *eventSink) flush() error {
+	writeDeadline(s.w, s.h.opts.WriteTimeout)
+	if _, err := s.w.Write(s.buf.Bytes()); err != nil {
+		return apierror.Wrap(apierror.SlowReader, err)
+	}
+	if err := s.rc.Flush(); err != nil {
+		return apierror.Wrap(apierror.SlowReader, err)
+	}
+	return nil
+}
+
+// end writes the completion marker: only a whole answer has it.
+func (s *eventSink) end(out *dispatch.Outcome) {
+	s.start()
+	s.buf.Reset()
+	s.buf.WriteString("data: ")
+	c := s.chunk("", &out.FinishReason)
+	c.Whole, c.Usage, c.Version = true, &usage{CompletionTokens: out.Tokens}, out.Version
+	_ = s.enc.Encode(c)
+	s.buf.WriteString("\ndata: [DONE]\n\n")
+	_ = s.flush()
+}
+
+// fail says in the stream that the answer is broken and what is known.
+func (s *eventSink) fail(err error) {
+	d, _ := detailOf(err)
+	s.buf.Reset()
+	s.buf.WriteString("event: error\ndata: ")
+	_ = s.enc.Encode(errorBody{Error: d})
+	s.buf.WriteByte('\n')
+	_ = s.flush()
+}
+
+// stream runs a request and streams its answer.
+func (h *Callers) stream(w http.ResponseWriter, req *dispatch.Request, f form, run runFunc) {
+	s := newEventSink(h, w, req, f)
+	out, err := run(s)
+	switch {
+	case err == nil:
+		s.end(&out)
+	case s.started:
+		s.fail(err)
+	default:
+		writeError(w, err)
+	}
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Version string `json:"version"`
+}
+
+func writeModels(w http.ResponseWriter, snap *topology.Snapshot) {
+	l := modelList{Object: "list", Data: []modelEntry{}}
+	for name, m := range snap.Models {
+		l.Data = append(l.Data, modelEntry{ID: name, Object: "model", Version: m.Version})
+	}
+	writeJSON(w, http.StatusOK, l)
+}
--- a/apierror/kind.go
+++ b/apierror/kind.go
@@ -41,6 +41,7 @@
 	InProgress         Kind = "in_progress"
 	DeadlineRunning    Kind = "deadline_while_running"
 	SlowReader         Kind = "slow_reader"
+	CallerGone         Kind = "caller_gone"
 	Internal           Kind = "internal"
 )
 
--- a/apierror/table.go
+++ b/apierror/table.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// statusClientClosed is the customary status for a caller that went away; it is
+// only ever seen in logs and metrics.
+const statusClientClosed = 499
+
 // table is ordered as the list of kinds is; docs/ERRORS.md is printed from it.
 var table = []Answer{
 	{BadRequest, http.StatusBadRequest, RanNo, false, 0, "the request could not be parsed or a field is invalid"},
@@ -36,6 +40,7 @@
 	{InProgress, http.StatusConflict, RanUnknown, false, 0, "a request with this key was sent by a daemon that cannot be reached"},
 	{DeadlineRunning, http.StatusGatewayTimeout, RanYes, false, 0, "the deadline passed while the request ran"},
 	{SlowReader, http.StatusRequestTimeout, RanYes, false, 0, "the caller read too slowly and the stream was ended"},
+	{CallerGone, statusClientClosed, RanUnknown, false, 0, "the caller closed the connection; the work was cancelled"},
 	{Internal, http.StatusInternalServerError, RanUnknown, false, 0, "a fault of snowspoke itself"},
 }
 
--- a/backend/engine.go
+++ b/backend/engine.go
@@ -56,6 +56,7 @@
 	MaxTokens int
 	Priority  int
 	Sampling  Sampling
+	CacheKey  uint64 // hash of the prompt's prefix, named again in cache events
 }
 
 // EventType tells the events of a stream apart.
--- a/backend/httpbackend/engine.go
+++ b/backend/httpbackend/engine.go
@@ -37,7 +37,7 @@
 	return e.stream(ctx, t, PathGenerate, &GenerateBody{
 		RequestID: g.RequestID, Attempt: g.Attempt, Model: g.Model, Version: g.Version, Adapter: g.Adapter,
 		Layers: g.Layers, Route: g.Route, Prompt: g.Prompt, Messages: g.Messages, Prior: g.Prior, KV: g.KV,
-		MaxTokens: g.MaxTokens, Priority: g.Priority, Sampling: g.Sampling,
+		MaxTokens: g.MaxTokens, Priority: g.Priority, Sampling: g.Sampling, CacheKey: g.CacheKey,
 	})
 }
 
--- a/backend/httpbackend/wire.go
+++ b/backend/httpbackend/wire.go
@@ -45,6 +45,7 @@
 	MaxTokens int               `json:"maxTokens"`
 	Priority  int               `json:"priority"`
 	Sampling  backend.Sampling  `json:"sampling"`
+	CacheKey  uint64            `json:"cacheKey,omitempty"`
 }
 
 // AttemptBody is the body of PathResume and PathCancel.
--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,277 @@
+// Package catalog holds the configuration in force. It takes objects from any
+// source, in any order, repeated or stale, and only ever moves an object to a
+// newer version. An invalid version leaves the last valid one in force.
+package catalog
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/snowspoke/snowspoke/invariant"
+	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// Verdict says what became of the newest version seen of an object.
+type Verdict struct {
+	Kind     string `json:"kind"`
+	Name     string `json:"name"`
+	Seen     uint64 `json:"seen"`    // newest version seen
+	InForce  uint64 `json:"inForce"` // version in force, 0 for none
+	Deleted  bool   `json:"deleted,omitempty"`
+	Rejected string `json:"rejected,omitempty"` // why Seen is not in force
+}
+
+// Accepted reports whether the newest version seen is in force.
+func (v *Verdict) Accepted() bool { return v.Rejected == "" }
+
+// record is what the catalog keeps of one object.
+type record struct {
+	newest  platform.Object // newest version seen, tombstones included
+	parsed  any             // object in force, nil when deleted or never valid
+	verdict Verdict
+}
+
+// Mark sums up a catalog: two catalogs with equal marks hold the same versions.
+type Mark struct {
+	Revision uint64 // highest version seen
+	Digest   uint64 // over the newest versions of all objects that exist
+}
+
+// Catalog is safe for concurrent use. Readers take the snapshot without a lock.
+type Catalog struct {
+	snapshot atomic.Pointer[topology.Snapshot]
+
+	mu      sync.Mutex
+	records map[platform.ID]*record
+	mark    Mark
+	lists   listState
+	notify  chan struct{}
+}
+
+// New returns an empty catalog.
+func New() *Catalog {
+	c := &Catalog{records: map[platform.ID]*record{}, notify: make(chan struct{})}
+	c.snapshot.Store(topology.NewSnapshot())
+	return c
+}
+
+// Snapshot returns the configuration in force.
+func (c *Catalog) Snapshot() *topology.Snapshot { return c.snapshot.Load() }
+
+// Mark returns the catalog's mark.
+func (c *Catalog) Mark() Mark {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mark
+}
+
+// Changed returns a channel that is closed at the next change.
+func (c *Catalog) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.notify
+}
+
+// Apply takes objects from any source and returns the verdicts of those that
+// were newer than what was known.
+func (c *Catalog) Apply(objects ...platform.Object) []Verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.apply(objects)
+}
+
+func (c *Catalog) apply(objects []platform.Object) []Verdict {
+	var out []Verdict
+	touched := map[topology.Kind]bool{}
+	for _, o := range objects {
+		if r := c.take(o); r != nil {
+			out = append(out, r.verdict)
+			touched[topology.Kind(o.Kind)] = true
+		}
+	}
+	if len(touched) > 0 {
+		c.publish(touched)
+	}
+	return out
+}
+
+// take records an object if it is newer; nil means that it was not.
+func (c *Catalog) take(o platform.Object) *record {
+	kind := topology.Kind(o.Kind)
+	if !slices.Contains(topology.ConfigKinds, kind) {
+		return nil
+	}
+	id := o.ID()
+	r := c.records[id]
+	if r != nil && o.Version <= r.newest.Version {
+		return nil
+	}
+	if r == nil {
+		r = &record{verdict: Verdict{Kind: o.Kind, Name: o.Name}}
+		c.records[id] = r
+	} else {
+		c.mark.Digest ^= digest(&r.newest)
+	}
+	before := r.verdict.InForce
+	r.newest = o
+	r.judge(kind)
+	c.mark.Digest ^= digest(&o)
+	c.mark.Revision = max(c.mark.Revision, o.Version)
+	// A lower version in force would revert accepted configuration. The check
+	// reports a fault of this package; the object stays as it is.
+	_ = invariant.Check(r.verdict.InForce >= before, invariant.ConfigMonotonic,
+		"%s %s went from version %d to %d", o.Kind, o.Name, before, r.verdict.InForce)
+	return r
+}
+
+// judge parses the newest version and decides what is in force. It depends on
+// the object alone, so every daemon comes to the same verdict.
+func (r *record) judge(kind topology.Kind) {
+	r.verdict.Seen = r.newest.Version
+	if r.newest.Deleted {
+		r.parsed = nil
+		r.verdict.InForce = r.newest.Version
+		r.verdict.Deleted = true
+		r.verdict.Rejected = ""
+		return
+	}
+	parsed, err := topology.Parse(kind, r.newest.Name, r.newest.Spec)
+	if err != nil {
+		r.verdict.Rejected = err.Error()
+		return
+	}
+	r.parsed = parsed
+	r.verdict.InForce = r.newest.Version
+	r.verdict.Deleted = false
+	r.verdict.Rejected = ""
+}
+
+// digest returns an object's part of the mark. A deleted object has none, so
+// that it does not matter when and how a daemon learnt of the deletion.
+func digest(o *platform.Object) uint64 {
+	if o.Deleted {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(o.Kind)
+	_, _ = d.WriteString("\x00" + o.Name + "\x00")
+	var v [8]byte
+	binary.LittleEndian.PutUint64(v[:], o.Version)
+	_, _ = d.Write(v[:])
+	return d.Sum64()
+}
+
+// publish builds a snapshot that shares what did not change with the last one.
+func (c *Catalog) publish(touched map[topology.Kind]bool) {
+	old := c.snapshot.Load()
+	s := *old
+	s.Revision = c.mark.Revision
+	for kind := range touched {
+		c.rebuild(&s, kind)
+	}
+	if touched[topology.KindWorkspace] {
+		s.IndexTokens()
+	}
+	c.snapshot.Store(&s)
+	close(c.notify)
+	c.notify = make(chan struct{})
+}
+
+func (c *Catalog) rebuild(s *topology.Snapshot, kind topology.Kind) {
+	switch kind {
+	case topology.KindBackendServer:
+		s.BackendServers = collect[*topology.BackendServer](c, kind)
+	case topology.KindModel:
+		s.Models = collect[*topology.Model](c, kind)
+	case topology.KindWorkspace:
+		s.Workspaces = collect[*topology.Workspace](c, kind)
+	case topology.KindService:
+		s.Services = collect[*topology.Service](c, kind)
+	case topology.KindStage:
+		s.Stages = byModel(collect[*topology.Stage](c, kind))
+	case topology.KindRoutingRule:
+		s.Rules = byName(collect[*topology.RoutingRule](c, kind))
+	}
+}
+
+func collect[T any](c *Catalog, kind topology.Kind) map[string]T {
+	out := map[string]T{}
+	for id, r := range c.records {
+		if id.Kind != string(kind) {
+			continue
+		}
+		if v, ok := r.parsed.(T); ok {
+			out[id.Name] = v
+		}
+	}
+	return out
+}
+
+func byModel(stages map[string]*topology.Stage) map[string][]*topology.Stage {
+	out := map[string][]*topology.Stage{}
+	for _, st := range stages {
+		out[st.Model] = append(out[st.Model], st)
+	}
+	for _, list := range out {
+		topology.SortStages(list)
+	}
+	return out
+}
+
+func byName(rules map[string]*topology.RoutingRule) []*topology.RoutingRule {
+	out := slices.Collect(maps.Values(rules))
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Verdict returns what became of an object.
+func (c *Catalog) Verdict(kind, name string) (Verdict, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.records[platform.ID{Kind: kind, Name: name}]
+	if r == nil {
+		return Verdict{}, false
+	}
+	return r.verdict, true
+}
+
+// Rejected returns the verdicts of objects whose newest version is not in force.
+func (c *Catalog) Rejected() []Verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []Verdict
+	for _, r := range c.records {
+		if !r.verdict.Accepted() {
+			out = append(out, r.verdict)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Kind+out[i].Name < out[j].Kind+out[j].Name })
+	return out
+}
+
+// Since returns the newest versions above a revision, oldest first, tombstones
+// included.
+func (c *Catalog) Since(revision uint64) []platform.Object {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []platform.Object
+	for _, r := range c.records {
+		if r.newest.Version > revision {
+			out = append(out, r.newest)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Version < out[j].Version })
+	return out
+}
+
+// String describes the mark.
+func (m Mark) String() string { return fmt.Sprintf("%d/%016x", m.Revision, m.Digest) }
--- /dev/null
+++ b/catalog/follower.go
@@ -0,0 +1,121 @@
+package catalog
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// Follower keeps a catalog up to date from the store: one full read, then a
+// watch, with a full read again from time to time and after every break.
+type Follower struct {
+	catalog *Catalog
+	store   platform.Store
+	resync  time.Duration
+	logger  log.Logger
+	synced  chan struct{}
+	done    bool
+}
+
+// Bounds of the pause between two tries when the store does not answer. The
+// pauses are jittered, so that a fleet does not fall on a store that returns.
+const (
+	firstPause = 100 * time.Millisecond
+	longPause  = 10 * time.Second
+)
+
+// NewFollower returns a follower; Run must be called to start it.
+func NewFollower(c *Catalog, store platform.Store, resync time.Duration, logger log.Logger) *Follower {
+	return &Follower{catalog: c, store: store, resync: resync, logger: logger, synced: make(chan struct{})}
+}
+
+// Synced is closed after the first full read.
+func (f *Follower) Synced() <-chan struct{} { return f.synced }
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstPause
+	pause.MaxInterval = longPause
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := f.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if time.Since(began) > longPause {
+			pause.Reset()
+		}
+		wait := pause.NextBackOff()
+		if err != nil {
+			_ = level.Warn(f.logger).Log("msg", "store not followed", "retry_in", wait, "err", err)
+		}
+		sleep(ctx, wait)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// follow reads everything once and watches until the next full read is due.
+func (f *Follower) follow(ctx context.Context) error {
+	since, err := f.read(ctx)
+	if err != nil {
+		return err
+	}
+	if !f.done {
+		f.done = true
+		close(f.synced)
+	}
+	watch, cancel := context.WithTimeout(ctx, f.resync)
+	defer cancel()
+	kinds := make([]string, len(topology.ConfigKinds))
+	for i, k := range topology.ConfigKinds {
+		kinds[i] = string(k)
+	}
+	err = f.store.Watch(watch, kinds, since, func(o platform.Object) { f.report(f.catalog.Apply(o)) })
+	if watch.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// read takes every kind and returns the lowest revision read, from which a
+// watch misses nothing.
+func (f *Follower) read(ctx context.Context) (uint64, error) {
+	var since uint64
+	for i, kind := range topology.ConfigKinds {
+		objects, rev, err := f.store.List(ctx, string(kind))
+		if err != nil {
+			return 0, err
+		}
+		f.report(f.catalog.ApplyList(kind, objects, rev))
+		if i == 0 || rev < since {
+			since = rev
+		}
+	}
+	return since, nil
+}
+
+func (f *Follower) report(verdicts []Verdict) {
+	for _, v := range verdicts {
+		if v.Accepted() {
+			_ = level.Debug(f.logger).Log("msg", "object in force", "kind", v.Kind, "name", v.Name, "version", v.InForce, "deleted", v.Deleted)
+			continue
+		}
+		_ = level.Warn(f.logger).Log("msg", "object rejected", "kind", v.Kind, "name", v.Name,
+			"version", v.Seen, "in_force", v.InForce, "err", v.Rejected)
+	}
+}
--- /dev/null
+++ b/cmd/snowspoke/try.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/snowspoke/snowspoke/logging"
+	"github.com/snowspoke/snowspoke/trial"
+)
+
+// onceTimeout bounds a run of try --once.
+const onceTimeout = 28 * time.Second
+
+type tryCmd struct {
+	Once    bool   `help:"Send a few hundred mixed requests under faults, print what they showed, and exit."`
+	Daemons int    `help:"Daemons to run." default:"3"`
+	Log     string `help:"File for the daemons' logs; - for standard error." default:""`
+}
+
+// errBroken says that a promise did not hold.
+var errBroken = errors.New("a promise did not hold")
+
+// Run tries the system out.
+func (t *tryCmd) Run() error {
+	logs, err := t.logs()
+	if err != nil {
+		return err
+	}
+	w, err := trial.NewWorld(t.Daemons, logging.New(logs, "info"))
+	if err != nil {
+		return err
+	}
+	if t.Once {
+		return t.once(w)
+	}
+	defer w.Close()
+	t.greet(w)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	<-ctx.Done()
+	return nil
+}
+
+func (t *tryCmd) logs() (io.Writer, error) {
+	switch t.Log {
+	case "":
+		return io.Discard, nil
+	case "-":
+		return os.Stderr, nil
+	}
+	return os.Create(t.Log)
+}
+
+func (t *tryCmd) greet(w *trial.World) {
+	for _, p := range w.Daemons {
+		fmt.Printf("%s: callers %s operators %s\n", p.Name, p.CallersURL(), p.OperatorsURL())
+	}
+	fmt.Printf("platform: %s\n\n", w.Platform.URL())
+	fmt.Printf("curl -N -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"prompt\":\"truck 7 is warm\",\"max_tokens\":12,\"stream\":true}' %s/v1/completions\n",
+		trial.Token, trial.Model, w.Daemons[0].CallersURL())
+	fmt.Println("\nend with Ctrl-C")
+}
+
+func (t *tryCmd) once(w *trial.World) error {
+	ctx, cancel := context.WithTimeout(context.Background(), onceTimeout)
+	defer cancel()
+	report := trial.Once(ctx, w, func(s string) { fmt.Println("try:", s) })
+	for _, p := range report.Problems {
+		fmt.Println("try: problem:", p)
+	}
+	w.Close()
+	fmt.Println(report)
+	if !report.OK() {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,254 @@
+// Package daemon wires the packages into one daemon that can run as a process
+// of its own or inside another program, as the try command and tests do.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/net/netutil"
+
+	"github.com/snowspoke/snowspoke/admission"
+	"github.com/snowspoke/snowspoke/api"
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/backend/httpbackend"
+	"github.com/snowspoke/snowspoke/catalog"
+	"github.com/snowspoke/snowspoke/config"
+	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/dispatch"
+	"github.com/snowspoke/snowspoke/fleet"
+	"github.com/snowspoke/snowspoke/health"
+	"github.com/snowspoke/snowspoke/invariant"
+	"github.com/snowspoke/snowspoke/metrics"
+	"github.com/snowspoke/snowspoke/monitor"
+	"github.com/snowspoke/snowspoke/platform/httpplatform"
+	"github.com/snowspoke/snowspoke/routing"
+)
+
+// Daemon is one daemon of the fleet.
+type Daemon struct {
+	cfg     config.Config
+	logger  log.Logger
+	metrics *metrics.Metrics
+
+	catalog   *catalog.Catalog
+	follower  *catalog.Follower
+	table     *fleet.Table
+	planner   *routing.Planner
+	gate      *dispatch.Gate
+	monitor   *monitor.Monitor
+	decisions *decision.Log
+	sealer    *dispatch.Sealer
+
+	callers   *http.Server
+	operators *http.Server
+	listeners [2]net.Listener
+	stopping  atomic.Bool
+}
+
+// Attempts and waits of one request that need no setting.
+const (
+	maxAttempts = 8
+	recoverWait = 10 * time.Second
+	moveAfter   = 5 * time.Second
+)
+
+// New builds a daemon and opens its listeners; Run starts it.
+func New(cfg config.Config, logger log.Logger) (*Daemon, error) {
+	d := &Daemon{cfg: cfg, logger: log.With(logger, "daemon", cfg.Daemon.Name)}
+	m, err := metrics.New()
+	if err != nil {
+		return nil, err
+	}
+	d.metrics = m
+	if d.sealer, err = newSealer(cfg.Security.FleetKeyFile, d.logger); err != nil {
+		return nil, err
+	}
+	d.buildState()
+	d.buildServers()
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// newSealer reads the fleet's key, or makes one that only this daemon knows.
+func newSealer(path string, logger log.Logger) (*dispatch.Sealer, error) {
+	if path != "" {
+		key, err := dispatch.LoadKey(path)
+		if err != nil {
+			return nil, err
+		}
+		return dispatch.NewSealer(key)
+	}
+	_ = level.Warn(logger).Log("msg", "no fleet key is set, streams cannot be resumed on another daemon")
+	key := make([]byte, dispatch.KeyBytes)
+	if _, err := rand.Read(key); err != nil {
+		return nil, fmt.Errorf("fleet key: %w", err)
+	}
+	return dispatch.NewSealer(key)
+}
+
+func (d *Daemon) buildState() {
+	d.catalog = catalog.New()
+	d.table = fleet.NewTable()
+	d.planner = routing.NewPlanner(d.table, time.Now)
+	d.decisions = decision.New(d.logger, d.cfg.Log.Decisions)
+	d.gate = dispatch.NewGate(dispatch.GateOptions{
+		MaxStreams: d.cfg.Limits.Streams, QueueLimit: d.cfg.Limits.QueueLength,
+		RetryRatio: d.cfg.Limits.RetryRatio, Limit: admission.DefaultLimitConfig(),
+	}, d.table, time.Now)
+}
+
+func (d *Daemon) buildServers() {
+	store := httpplatform.New(d.cfg.Platform.URL, platformClient())
+	d.follower = catalog.NewFollower(d.catalog, store, d.cfg.Platform.Resync, d.logger)
+	scheme := "http"
+	if d.cfg.Security.BackendTLS {
+		scheme = "https"
+	}
+	engines := httpbackend.NewEngines(backendClient(), scheme)
+	d.monitor = monitor.New(monitor.Options{
+		StatusPoll: d.cfg.Health.StatusPoll, VMPoll: d.cfg.Platform.VMPoll, GapFloor: d.cfg.Health.GapFloor,
+		GapCeiling: d.cfg.Health.GapCeiling, Health: health.DefaultConfig(), Link: health.DefaultLinkConfig(),
+	}, monitor.Parts{
+		Engine: engines, VMs: store, Table: d.table, Log: d.decisions, Logger: d.logger,
+		Owner: monitor.OwnsAll{}, Wake: d.gate.Wake, Clock: time.Now,
+	})
+	disp := d.dispatcher(engines)
+	services := dispatch.NewServices(disp, httpbackend.NewServices(backendClient(), scheme))
+	l := d.cfg.Limits
+	callers := api.NewCallers(api.CallerOptions{
+		BodyBytes: l.BodyBytes, BodyTimeout: l.BodyTimeout, WriteTimeout: l.WriteTimeout,
+		DefaultDeadline: l.DefaultDeadline, MaxDeadline: l.MaxDeadline,
+	}, d.catalog, disp, services, d.sealer, noClaims{}, time.Now)
+	d.callers = d.newServer(callers)
+	d.operators = d.newServer(api.NewOperators(d, d.metrics.Handler(), d.cfg.Security.OperatorTokenHash))
+}
+
+func (d *Daemon) dispatcher(engine backend.Engine) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Options{
+		FailureDomain: d.cfg.Daemon.FailureDomain, FirstToken: d.cfg.Health.FirstToken,
+		MaxAttempts: maxAttempts, RecoverWait: recoverWait, MoveAfter: moveAfter,
+	}, dispatch.Parts{
+		Engine: engine, Catalog: d.catalog, Table: d.table, Planner: d.planner, Gate: d.gate,
+		Health: d.monitor, Alive: d.monitor, Warm: routing.NewPrefixes(), Sealer: d.sealer, Log: d.decisions,
+		Observer: d.metrics, Clock: time.Now,
+	})
+}
+
+func (d *Daemon) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: d.cfg.Limits.HeaderTimeout, MaxHeaderBytes: d.cfg.Limits.HeaderBytes,
+		IdleTimeout: 2 * time.Minute, ErrorLog: nil,
+	}
+}
+
+func (d *Daemon) listen() error {
+	for i, address := range []string{d.cfg.Listen.Callers, d.cfg.Listen.Operators} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", address, err)
+		}
+		d.listeners[i] = l
+	}
+	d.listeners[0] = netutil.LimitListener(d.listeners[0], d.cfg.Limits.Connections)
+	return nil
+}
+
+// CallersAddr returns the address that callers reach.
+func (d *Daemon) CallersAddr() string { return d.listeners[0].Addr().String() }
+
+// OperatorsAddr returns the address that operators reach.
+func (d *Daemon) OperatorsAddr() string { return d.listeners[1].Addr().String() }
+
+// Run serves until ctx ends, then stops without cutting off a request: it fails
+// readiness, waits until the balancer has moved, refuses new work, lets what
+// runs finish, and returns.
+func (d *Daemon) Run(ctx context.Context) error {
+	restore := invariant.SetReporter(d.reportViolation)
+	defer restore()
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	var wg sync.WaitGroup
+	wg.Go(func() { d.follower.Run(work) })
+	wg.Go(func() { d.followCatalog(work) })
+	wg.Go(func() { d.monitor.Run(work) })
+	failed := make(chan error, 2)
+	wg.Go(func() { failed <- d.callers.Serve(d.listeners[0]) })
+	wg.Go(func() { failed <- d.operators.Serve(d.listeners[1]) })
+	_ = level.Info(d.logger).Log("msg", "started", "callers", d.CallersAddr(), "operators", d.OperatorsAddr())
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		err = d.drain()
+	}
+	stopWork()
+	_ = d.callers.Close()
+	_ = d.operators.Close()
+	wg.Wait()
+	_ = d.metrics.Close()
+	_ = level.Info(d.logger).Log("msg", "stopped", "err", err)
+	return err
+}
+
+// drain is the planned stop.
+func (d *Daemon) drain() error {
+	d.stopping.Store(true)
+	_ = level.Info(d.logger).Log("msg", "stopping", "balancer_delay", d.cfg.Stop.BalancerDelay)
+	time.Sleep(d.cfg.Stop.BalancerDelay)
+	d.gate.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.Stop.DrainTimeout)
+	defer cancel()
+	err := d.callers.Shutdown(ctx)
+	running, waiting := d.gate.InFlight()
+	if err != nil {
+		return errors.Join(fmt.Errorf("drain: %d requests were cut off: %w", running+waiting, err),
+			invariant.Check(false, invariant.PlannedStopCutsOff, "%d requests outlived the drain timeout", running+waiting))
+	}
+	return nil
+}
+
+// followCatalog hands changes of the configuration to the fleet table.
+func (d *Daemon) followCatalog(ctx context.Context) {
+	for {
+		changed := d.catalog.Changed()
+		d.table.SetConfig(d.catalog.Snapshot().BackendServers)
+		d.gate.Wake()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (d *Daemon) reportViolation(p invariant.Promise, detail string) {
+	_ = level.Error(d.logger).Log("msg", "invariant violated", "promise", string(p), "detail", detail)
+}
+
+func platformClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, ResponseHeaderTimeout: 5 * time.Second,
+		DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+	}}
+}
+
+// backendClient keeps idle connections for a shorter time than servers usually
+// do, so that a request is seldom sent on a connection that is being closed.
+func backendClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 256, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}).DialContext,
+	}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
--- /dev/null
+++ b/daemon/inspect.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/snowspoke/snowspoke/api"
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/catalog"
+	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/invariant"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// Reasons for not being ready.
+var (
+	errStopping  = errors.New("stopping")
+	errNotSynced = errors.New("no configuration yet")
+)
+
+// Ready implements api.Inspector.
+func (d *Daemon) Ready() error {
+	if d.stopping.Load() {
+		return errStopping
+	}
+	if d.catalog.Mark().Revision == 0 {
+		return errNotSynced
+	}
+	return nil
+}
+
+// Status implements api.Inspector.
+func (d *Daemon) Status() api.Status {
+	mark := d.catalog.Mark()
+	running, waiting := d.gate.InFlight()
+	s := api.Status{
+		Daemon: d.cfg.Daemon.Name, FailureDomain: d.cfg.Daemon.FailureDomain, Ready: d.Ready() == nil,
+		Revision: mark.Revision, Digest: fmt.Sprintf("%016x", mark.Digest), StoreBehind: d.catalog.Behind(),
+		Rejected: d.catalog.Rejected(), Running: running, Waiting: waiting, Violations: invariant.Total(),
+	}
+	now := time.Now()
+	for _, info := range d.table.View().Servers {
+		b := api.BackendServerStatus{
+			Name: info.Config.Name, FailureDomain: info.Config.FailureDomain, Accelerator: info.Config.Accelerator,
+			Usable: info.Usable, Leaving: d.table.Leaving(info.Config.Name), Capacity: info.Capacity,
+			InFlight: info.Live.InFlight(), Load: info.Live.Load(now), Weight: info.Live.Weight(),
+		}
+		for _, h := range info.Holdings {
+			b.Holdings = append(b.Holdings, h.Model+"/"+h.Version+h.Layers.String())
+		}
+		s.BackendServers = append(s.BackendServers, b)
+	}
+	s.Models = d.models()
+	return s
+}
+
+// models returns the bound of each model for unrestricted requests.
+func (d *Daemon) models() []api.ModelStatus {
+	snap := d.catalog.Snapshot()
+	var out []api.ModelStatus
+	for name, m := range snap.Models {
+		p := d.planner.Plan(snap, topology.Class{}, m, "").Plan
+		out = append(out, api.ModelStatus{Model: name, Version: m.Version, Bound: p.Bound, Cut: p.Cut})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Model < out[j].Model })
+	return out
+}
+
+// Explain implements api.Inspector. id is a request ID, or the name of a
+// backend server or model.
+func (d *Daemon) Explain(id string) []decision.Record {
+	return d.decisions.Find(func(r *decision.Record) bool { return r.RequestID == id || r.Subject == id })
+}
+
+// Verdict implements api.Inspector.
+func (d *Daemon) Verdict(kind, name string) (catalog.Verdict, bool) {
+	return d.catalog.Verdict(kind, name)
+}
+
+// noClaims refuses keyed requests: nothing may run on a claim that is not kept.
+type noClaims struct{}
+
+// Once implements api.Claimer.
+func (noClaims) Once(context.Context, api.Claim, func() (*api.Answer, error)) (*api.Answer, error) {
+	return nil, apierror.New(apierror.StoreUnavailable, "no claims are kept")
+}
--- /dev/null
+++ b/dispatch/delivery.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/invariant"
+)
+
+// maxHeld bounds the events of one stream that wait for an earlier index.
+const maxHeld = 64
+
+// Drops counts the events that did not reach the caller, by reason.
+type Drops struct {
+	Foreign  int // of another request
+	Stale    int // of a superseded attempt
+	Repeated int // of an index already delivered
+	Overflow int // too far ahead to be held
+}
+
+// Delivery puts the token events of one request in order and drops what is
+// late, repeated or foreign. Index n is handed on once, and only after n-1.
+type Delivery struct {
+	requestID string
+	attempt   int
+	next      int // index of the next token
+	held      map[int]backend.Event
+	drops     Drops
+	ready     []backend.Event // reused between calls
+}
+
+// NewDelivery returns a Delivery that expects index next first.
+func NewDelivery(requestID string, next int) *Delivery {
+	return &Delivery{requestID: requestID, next: next}
+}
+
+// Begin starts an attempt; events of earlier ones are dropped from now on.
+func (d *Delivery) Begin(attempt int) {
+	d.attempt = attempt
+	clear(d.held)
+}
+
+// Next returns the index of the next token.
+func (d *Delivery) Next() int { return d.next }
+
+// Mine reports whether an event belongs to the current attempt, and counts it
+// as dropped when it does not.
+func (d *Delivery) Mine(ev *backend.Event) bool {
+	if ev.RequestID != d.requestID {
+		d.drops.Foreign++
+		return false
+	}
+	if ev.Attempt != d.attempt {
+		d.drops.Stale++
+		return false
+	}
+	return true
+}
+
+// Accept takes a token event and returns the events that can be handed on now,
+// in order. The slice is valid until the next call.
+func (d *Delivery) Accept(ev backend.Event) []backend.Event {
+	d.ready = d.ready[:0]
+	if !d.Mine(&ev) {
+		return nil
+	}
+	if ev.Index < d.next {
+		d.drops.Repeated++
+		return nil
+	}
+	if ev.Index > d.next {
+		d.hold(ev)
+		return nil
+	}
+	d.ready = append(d.ready, ev)
+	d.next++
+	for len(d.held) > 0 {
+		h, ok := d.held[d.next]
+		if !ok {
+			break
+		}
+		delete(d.held, d.next)
+		d.ready = append(d.ready, h)
+		d.next++
+	}
+	return d.ready
+}
+
+func (d *Delivery) hold(ev backend.Event) {
+	if d.held == nil {
+		d.held = map[int]backend.Event{}
+	}
+	if _, again := d.held[ev.Index]; again {
+		d.drops.Repeated++
+		return
+	}
+	if len(d.held) >= maxHeld {
+		d.drops.Overflow++
+		return
+	}
+	d.held[ev.Index] = ev
+}
+
+// Whole reports whether an answer of count tokens was handed on completely.
+func (d *Delivery) Whole(count int) bool { return d.next == count && len(d.held) == 0 }
+
+// checkWhole asserts that what is called whole is whole.
+func (d *Delivery) checkWhole(count int) error {
+	return invariant.Check(d.Whole(count), invariant.WholeOwnAnswer,
+		"request %s ended whole with %d of %d tokens", d.requestID, d.next, count)
+}
--- /dev/null
+++ b/dispatch/gate.go
@@ -0,0 +1,494 @@
+package dispatch
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/snowspoke/snowspoke/admission"
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/fleet"
+	"github.com/snowspoke/snowspoke/routing"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// Gate admits requests: it finds a route whose backend servers are below their
+// limits, or makes the request wait its turn, or refuses it early.
+type Gate struct {
+	table      *fleet.Table
+	clock      Clock
+	maxStreams int
+	queueLimit int
+	shares     Shares
+
+	mu       sync.Mutex
+	queues   map[routing.Key]*line
+	limits   map[string]*admission.Limit
+	buckets  map[string]*admission.Bucket
+	budgets  map[budgetKey]*admission.Budget
+	limitCfg admission.LimitConfig
+	retry    float64
+	inFlight int
+	waiting  int
+	draining bool
+	rng      *rand.Rand
+}
+
+// Shares tells which share of a workspace's limit this daemon has.
+type Shares interface {
+	Share(workspace string) float64
+}
+
+// WholeShare is the share of a daemon that is alone.
+type WholeShare struct{}
+
+// Share implements Shares.
+func (WholeShare) Share(string) float64 { return 1 }
+
+type budgetKey struct{ workspace, model string }
+
+// line is the queue of one routing plan with its measured service.
+type line struct {
+	queue   *admission.Queue
+	rate    float64 // requests that leave the plan's servers, per second, smoothed
+	last    time.Time
+	service float64 // seconds that a request takes once admitted, smoothed
+}
+
+// Gains of the service estimates.
+const (
+	rateGain    = 0.05
+	serviceGain = 0.1
+)
+
+// retryReserve is the number of retries a workspace may spend on a model before
+// it has earned any.
+const retryReserve = 10
+
+// GateOptions are the settings of a gate.
+type GateOptions struct {
+	MaxStreams int // requests in flight at once
+	QueueLimit int // requests that wait for one model, unless the model says otherwise
+	RetryRatio float64
+	Limit      admission.LimitConfig
+	Shares     Shares
+}
+
+// NewGate returns an open gate.
+func NewGate(o GateOptions, table *fleet.Table, clock Clock) *Gate {
+	if o.Shares == nil {
+		o.Shares = WholeShare{}
+	}
+	return &Gate{
+		table: table, clock: clock, maxStreams: o.MaxStreams, queueLimit: o.QueueLimit, shares: o.Shares,
+		queues: map[routing.Key]*line{}, limits: map[string]*admission.Limit{},
+		buckets: map[string]*admission.Bucket{}, budgets: map[budgetKey]*admission.Budget{},
+		limitCfg: o.Limit, retry: o.RetryRatio,
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// ticket is the right to run along a route; it must be released once.
+type ticket struct {
+	choice  routing.Choice
+	servers []*fleet.Server
+	began   time.Time
+	key     routing.Key
+	waited  time.Duration
+}
+
+// chooseFunc picks a route; it is called with the gate locked.
+type chooseFunc func(r *rand.Rand) (routing.Choice, error)
+
+// pending is a queued request.
+type pending struct {
+	admission.Waiting
+	choose  chooseFunc
+	granted chan grant // capacity 1
+}
+
+type grant struct {
+	t   *ticket
+	err error
+}
+
+// Admit waits until a route is free and returns its ticket.
+func (g *Gate) Admit(ctx context.Context, r *Request, m *topology.Model, key routing.Key, choose chooseFunc) (*ticket, error) {
+	now := g.clock()
+	g.mu.Lock()
+	if err := g.check(r, now); err != nil {
+		g.mu.Unlock()
+		return nil, err
+	}
+	l := g.line(key)
+	if l.queue.Len() == 0 {
+		t, err := g.grant(key, choose)
+		if err == nil {
+			g.mu.Unlock()
+			return t, nil
+		}
+		if err != routing.ErrFull {
+			g.mu.Unlock()
+			return nil, routeError(m.Name, err)
+		}
+	}
+	if err := g.refuseEarly(l, r, m, now); err != nil {
+		g.mu.Unlock()
+		return nil, err
+	}
+	p := g.enqueue(l, r, choose)
+	g.pump()
+	g.mu.Unlock()
+	return g.wait(ctx, l, p, r, now)
+}
+
+func routeError(model string, err error) *apierror.Error {
+	return apierror.New(apierror.NoRoute, "model %s: %v", model, err)
+}
+
+// check refuses what needs no look at the queue.
+func (g *Gate) check(r *Request, now time.Time) error {
+	if g.draining {
+		return apierror.New(apierror.Draining, "the daemon is stopping")
+	}
+	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+		return apierror.New(apierror.DeadlinePassed, "the deadline passed %s ago", now.Sub(r.Deadline))
+	}
+	return g.takeShare(r.Workspace, now)
+}
+
+// CheckService refuses a service call when the daemon is stopping or the
+// workspace has used its limit.
+func (g *Gate) CheckService(w *topology.Workspace) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.check(&Request{Workspace: w}, g.clock())
+}
+
+func (g *Gate) takeShare(w *topology.Workspace, now time.Time) error {
+	if w.RequestsPerSecond <= 0 {
+		return nil
+	}
+	b := g.buckets[w.Name]
+	if b == nil {
+		b = &admission.Bucket{}
+		g.buckets[w.Name] = b
+	}
+	share := g.shares.Share(w.Name)
+	ok, wait := b.Take(w.RequestsPerSecond*share, float64(w.Burst)*share, now)
+	if ok {
+		return nil
+	}
+	return apierror.New(apierror.WorkspaceLimit, "workspace %s: %g requests a second", w.Name, w.RequestsPerSecond).WithRetryAfter(wait)
+}
+
+func (g *Gate) line(key routing.Key) *line {
+	l := g.queues[key]
+	if l == nil {
+		l = &line{queue: admission.NewQueue()}
+		g.queues[key] = l
+	}
+	return l
+}
+
+// refuseEarly refuses a request that would wait beyond its deadline or whose
+// queue is full. It tells the caller when to come back.
+func (g *Gate) refuseEarly(l *line, r *Request, m *topology.Model, now time.Time) error {
+	limit := g.queueLimit
+	if m.QueueLimit > 0 {
+		limit = m.QueueLimit
+	}
+	drain := time.Second
+	if l.rate > 0 {
+		drain = seconds(float64(l.queue.Len()) / l.rate)
+	}
+	if l.queue.Len() >= limit {
+		return apierror.New(apierror.Overloaded, "model %s: %d requests wait", m.Name, l.queue.Len()).WithRetryAfter(drain)
+	}
+	if r.Deadline.IsZero() || l.rate <= 0 {
+		return nil
+	}
+	ahead := l.queue.Ahead(r.Workspace.Name, r.Workspace.FairWeight(), r.Priority)
+	wait := seconds(float64(ahead+1) / l.rate)
+	left := r.Deadline.Sub(now)
+	need := wait + seconds(l.service)
+	if need <= left {
+		return nil
+	}
+	return apierror.New(apierror.DeadlineUnlikely, "model %s: expected wait %s and service %s exceed %s",
+		m.Name, wait.Round(time.Millisecond), seconds(l.service).Round(time.Millisecond), left.Round(time.Millisecond)).
+		WithRetryAfter(max(need-left, drain/2))
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(math.Min(s, 3600) * float64(time.Second))
+}
+
+func (g *Gate) enqueue(l *line, r *Request, choose chooseFunc) *pending {
+	p := &pending{choose: choose, granted: make(chan grant, 1)}
+	p.Workspace = r.Workspace.Name
+	p.Weight = r.Workspace.FairWeight()
+	p.Priority = r.Priority
+	p.Deadline = r.Deadline
+	p.Cost = float64(max(1, r.MaxTokens))
+	p.Owner = p
+	l.queue.Push(&p.Waiting)
+	g.waiting++
+	return p
+}
+
+// wait blocks until the request is granted a ticket, its deadline can no longer
+// be met, or the caller goes away.
+func (g *Gate) wait(ctx context.Context, l *line, p *pending, r *Request, since time.Time) (*ticket, error) {
+	var hopeless <-chan time.Time
+	if !r.Deadline.IsZero() {
+		g.mu.Lock()
+		latest := r.Deadline.Add(-seconds(l.service))
+		g.mu.Unlock()
+		timer := time.NewTimer(max(0, latest.Sub(since)))
+		defer timer.Stop()
+		hopeless = timer.C
+	}
+	select {
+	case gr := <-p.granted:
+		return g.granted(gr, since)
+	case <-hopeless:
+		return g.leave(l, p, since, apierror.New(apierror.DeadlineUnlikely, "waited %s, too little is left to run", g.clock().Sub(since).Round(time.Millisecond)))
+	case <-ctx.Done():
+		return g.leave(l, p, since, apierror.Wrap(apierror.DeadlinePassed, context.Cause(ctx)))
+	}
+}
+
+func (g *Gate) granted(gr grant, since time.Time) (*ticket, error) {
+	if gr.err != nil {
+		return nil, gr.err
+	}
+	gr.t.waited = g.clock().Sub(since)
+	return gr.t, nil
+}
+
+// leave takes a request out of the queue. A ticket granted at the same moment
+// is used all the same.
+func (g *Gate) leave(l *line, p *pending, since time.Time, err *apierror.Error) (*ticket, error) {
+	g.mu.Lock()
+	removed := l.queue.Remove(&p.Waiting)
+	if removed {
+		g.waiting--
+	}
+	if l.rate > 0 {
+		err = err.WithRetryAfter(max(time.Second, seconds(float64(l.queue.Len())/l.rate)))
+	}
+	g.mu.Unlock()
+	if removed {
+		return nil, err
+	}
+	return g.granted(<-p.granted, since)
+}
+
+// grant picks a route and counts the request in. The caller holds the lock.
+func (g *Gate) grant(key routing.Key, choose chooseFunc) (*ticket, error) {
+	if g.inFlight >= g.maxStreams {
+		return nil, routing.ErrFull
+	}
+	c, err := choose(g.rng)
+	if err != nil {
+		return nil, err
+	}
+	t := &ticket{choice: c, key: key}
+	g.take(t)
+	g.inFlight++
+	return t, nil
+}
+
+func (g *Gate) take(t *ticket) {
+	t.began = g.clock()
+	t.servers = make([]*fleet.Server, 0, len(t.choice.Route))
+	for _, h := range t.choice.Route {
+		if s := g.table.Server(h.BackendServer); s != nil {
+			s.Acquire()
+			g.ensureLimit(s)
+			t.servers = append(t.servers, s)
+		}
+	}
+}
+
+func (g *Gate) ensureLimit(s *fleet.Server) {
+	if g.limits[s.Name()] == nil {
+		l := admission.NewLimit(g.limitCfg)
+		g.limits[s.Name()] = l
+		s.SetLimit(int64(l.Value()))
+	}
+}
+
+// pump grants tickets to waiting requests, the highest priority first, until no
+// queue's next request finds a route. The caller holds the lock.
+func (g *Gate) pump() {
+	stuck := map[routing.Key]bool{}
+	for g.waiting > 0 {
+		key, l := g.nextLine(stuck)
+		if l == nil {
+			return
+		}
+		p := l.queue.Peek().Owner.(*pending)
+		t, err := g.grant(key, p.choose)
+		if err == routing.ErrFull {
+			stuck[key] = true
+			continue
+		}
+		l.queue.Pop()
+		g.waiting--
+		if err != nil {
+			p.granted <- grant{err: routeError(key.Model, err)}
+			continue
+		}
+		p.granted <- grant{t: t}
+	}
+}
+
+func (g *Gate) nextLine(stuck map[routing.Key]bool) (routing.Key, *line) {
+	var bestKey routing.Key
+	var best *line
+	for key, l := range g.queues {
+		w := l.queue.Peek()
+		if w == nil || stuck[key] {
+			continue
+		}
+		if best == nil || w.Priority > best.queue.Peek().Priority {
+			bestKey, best = key, l
+		}
+	}
+	return bestKey, best
+}
+
+// Release ends a ticket. served says that the request got its whole answer.
+func (g *Gate) Release(t *ticket, served bool) {
+	now := g.clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.putBack(t)
+	g.inFlight--
+	if served {
+		g.line(t.key).observe(now.Sub(t.began), now)
+	}
+	g.pump()
+}
+
+func (g *Gate) putBack(t *ticket) {
+	for _, s := range t.servers {
+		s.Release()
+	}
+	t.servers = nil
+}
+
+// Adopt counts in a request that already runs, as a resumed stream does.
+func (g *Gate) Adopt(key routing.Key, c routing.Choice) *ticket {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := &ticket{choice: c, key: key}
+	g.take(t)
+	g.inFlight++
+	return t
+}
+
+// Swap moves a ticket to another route, as recovery does; it never waits.
+func (g *Gate) Swap(t *ticket, c routing.Choice) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	began := t.began
+	g.putBack(t)
+	t.choice = c
+	g.take(t)
+	t.began = began
+	g.pump()
+}
+
+// observe updates the service time, and the rate while requests wait.
+func (l *line) observe(d time.Duration, now time.Time) {
+	if l.service == 0 {
+		l.service = d.Seconds()
+	}
+	l.service += serviceGain * (d.Seconds() - l.service)
+	if l.queue.Len() > 0 && !l.last.IsZero() {
+		l.observeRate(now.Sub(l.last).Seconds())
+	}
+	l.last = now
+}
+
+func (l *line) observeRate(gap float64) {
+	x := 1 / math.Max(gap, 1e-6)
+	if l.rate == 0 {
+		l.rate = x
+		return
+	}
+	// Smooth the gaps, not the rates: the mean of rates is biased by bursts.
+	l.rate = 1 / (1/l.rate + rateGain*(gap-1/l.rate))
+}
+
+// ObserveHop feeds the token time of a hop to the backend server's limit.
+func (g *Gate) ObserveHop(h backend.HopLoad) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.limits[h.BackendServer]
+	s := g.table.Server(h.BackendServer)
+	if l == nil || s == nil {
+		return
+	}
+	s.SetLimit(int64(l.Observe(seconds(h.TokenSeconds), int(s.InFlight()))))
+}
+
+// Shrink lowers the limit of a backend server that refused.
+func (g *Gate) Shrink(server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l, s := g.limits[server], g.table.Server(server); l != nil && s != nil {
+		s.SetLimit(int64(l.Shrink()))
+	}
+}
+
+// SpendRetry takes one retry out of the budget of a workspace and model.
+func (g *Gate) SpendRetry(workspace, model string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(workspace, model).Spend()
+}
+
+// EarnRetry counts a success for the budget.
+func (g *Gate) EarnRetry(workspace, model string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(workspace, model).Earn()
+}
+
+func (g *Gate) budget(workspace, model string) *admission.Budget {
+	k := budgetKey{workspace, model}
+	b := g.budgets[k]
+	if b == nil {
+		b = admission.NewBudget(g.retry, retryReserve)
+		g.budgets[k] = b
+	}
+	return b
+}
+
+// Wake lets waiting requests try again after the fleet or its limits changed.
+func (g *Gate) Wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pump()
+}
+
+// Drain refuses new requests; those admitted or waiting go on.
+func (g *Gate) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+}
+
+// InFlight returns the requests admitted and waiting.
+func (g *Gate) InFlight() (running, waiting int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight, g.waiting
+}
--- /dev/null
+++ b/dispatch/recovery.go
@@ -0,0 +1,309 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/health"
+	"github.com/snowspoke/snowspoke/routing"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// resumeTimeout bounds the opening of a resumed stream. Behind a dead host it
+// is what recovery waits at most before it computes elsewhere.
+const resumeTimeout = 250 * time.Millisecond
+
+// recover continues a repeatable request as the next attempt, on the route that
+// keeps most of the hops that survived.
+func (r *run) recover(ctx context.Context, res result) error {
+	r.findFailed(ctx, &res)
+	r.cancelAttempt(r.attempt)
+	return r.reroute(ctx, res, "recover")
+}
+
+// findFailed adds the hops that do not answer to those to avoid.
+func (r *run) findFailed(ctx context.Context, res *result) {
+	if res.failed != "" {
+		r.avoid[res.failed] = true
+		return
+	}
+	silent := r.d.alive.Silent(ctx, r.route)
+	for _, name := range silent {
+		r.avoid[name] = true
+		r.d.health.Signal(name, health.Unreachable)
+	}
+	if len(silent) > 0 {
+		return
+	}
+	// Every hop answers, yet no token came: the whole route is suspect.
+	for _, h := range r.route {
+		r.avoid[h.BackendServer] = true
+		r.d.health.Signal(h.BackendServer, health.Stalled)
+	}
+}
+
+// reroute finds another route for the request, waiting a while when there is
+// none, and prepares the next attempt.
+func (r *run) reroute(ctx context.Context, res result, why string) error {
+	deadline := r.d.clock().Add(r.d.opts.RecoverWait)
+	for {
+		changed := r.d.table.Changed()
+		c, err := r.repair()
+		if err == nil {
+			r.startAnother(c, decision.Recover, why+" after "+res.err.Error())
+			return nil
+		}
+		left := deadline.Sub(r.d.clock())
+		if left <= 0 {
+			return r.noRouteLeft(res, err)
+		}
+		// What failed may be back, and nothing else is there.
+		clear(r.avoid)
+		if !waitFor(ctx, changed, min(left, retryPause)) {
+			return r.finalError(ctx, context.Cause(ctx))
+		}
+	}
+}
+
+// retryPause is the longest pause before a route is looked for again.
+const retryPause = 100 * time.Millisecond
+
+func waitFor(ctx context.Context, ch <-chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ch:
+	case <-t.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+func (r *run) repair() (routing.Choice, error) {
+	if err := r.resolve(); err != nil {
+		return routing.Choice{}, err
+	}
+	b := r.binding()
+	return routing.Repair(b.Plan, b.At(r.d.clock()), r.routeOptions(), r.route)
+}
+
+func (r *run) noRouteLeft(res result, err error) error {
+	if r.notRun() {
+		return routeError(r.model.Name, err)
+	}
+	return r.unknownOutcome(res)
+}
+
+// resumeOnly handles a request that may not be sent again. A stream that only
+// stalls is waited for while every hop answers; otherwise the answer says what
+// is known.
+func (r *run) resumeOnly(ctx context.Context, res result) (whole bool, err error) {
+	for errors.Is(res.err, errStalled) && len(r.d.alive.Silent(ctx, r.route)) == 0 {
+		res = r.resume(ctx, r.delivery.Next(), res)
+		if res.err == nil {
+			return true, nil
+		}
+		if res.final {
+			r.abandon()
+			return false, r.finalError(ctx, res.err)
+		}
+	}
+	r.cancelAttempt(r.attempt)
+	return false, r.unknownOutcome(res)
+}
+
+// resume reads on in the stream of the present attempt. The read may break
+// again; it is resumed until the engine no longer has the stream or does not
+// answer. A stream that cannot be opened returns the failure that led here.
+func (r *run) resume(ctx context.Context, from int, cause result) result {
+	for {
+		s, err := r.openResume(ctx, from)
+		if err != nil {
+			cause.err = errors.Join(cause.err, err)
+			return cause
+		}
+		before := r.delivery.Next()
+		res := r.readResumed(ctx, s)
+		connectionBroke := errors.Is(res.err, backend.ErrLost) && res.failed == r.route[0].BackendServer
+		if res.err == nil || res.final || !connectionBroke || r.delivery.Next() == before {
+			return res
+		}
+		from, cause = r.delivery.Next(), res
+	}
+}
+
+func (r *run) readResumed(ctx context.Context, s backend.Stream) result {
+	actx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newWatchdog(cancel)
+	defer watch.stop()
+	stop := context.AfterFunc(actx, func() { _ = s.Close() })
+	defer func() {
+		stop()
+		_ = s.Close()
+	}()
+	return r.read(ctx, actx, s, watch)
+}
+
+// openResume asks the head for the stream; only the opening is bounded.
+func (r *run) openResume(ctx context.Context, from int) (backend.Stream, error) {
+	rctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(resumeTimeout, cancel)
+	s, err := r.d.engine.Resume(rctx, r.head(), r.req.ID, r.attempt, from)
+	if err != nil || !timer.Stop() {
+		cancel()
+		if err == nil {
+			_ = s.Close()
+			err = backend.ErrLost
+		}
+		return nil, err
+	}
+	return &cancelStream{Stream: s, cancel: cancel}, nil
+}
+
+// cancelStream ends its context when it is closed.
+type cancelStream struct {
+	backend.Stream
+	cancel context.CancelFunc
+}
+
+// Close implements backend.Stream.
+func (c *cancelStream) Close() error {
+	c.cancel()
+	return c.Stream.Close()
+}
+
+// Resume continues, on this daemon, a stream that another one had begun. The
+// caller has everything up to place.Index.
+func (d *Dispatcher) Resume(ctx context.Context, req *Request, place *Place, sink Sink) (Outcome, error) {
+	req.Model, req.Adapter, req.Repeatable = place.Model, place.Adapter, place.Repeatable
+	r := d.newRun(req, sink)
+	r.adopt(place)
+	return r.runAndFinish(ctx, r.runResumed)
+}
+
+// adopt takes over the state that an event ID seals.
+func (r *run) adopt(p *Place) {
+	r.state, r.ran, r.sends = Unknown, true, 1
+	r.attempt, r.route, r.version = p.Attempt, p.Route, p.Version
+	r.skipTo = p.Index + 1
+}
+
+// runResumed reads the stream from its first token, so that the tokens are at
+// hand should a stage fail later; the caller gets only those it lacks.
+func (r *run) runResumed(ctx context.Context) error {
+	if err := r.resolve(); err != nil {
+		return apierror.New(apierror.StaleEventID, "%v", err)
+	}
+	r.boundTokens()
+	if err := r.beginAttempt(); err != nil {
+		return err
+	}
+	r.d.log.Add(decision.Record{
+		Time: r.d.clock(), Kind: decision.Resume, RequestID: r.req.ID, Attempt: r.attempt,
+		Workspace: r.req.Workspace.Name, Subject: r.model.Name, Chosen: r.route.String(), Reason: "caller came back with an event ID",
+	})
+	r.ticket = r.d.gate.Adopt(r.key(), routing.Choice{Route: r.route})
+	res := r.resume(ctx, 0, result{err: backend.ErrLost, failed: r.route[0].BackendServer})
+	if res.err == nil {
+		return nil
+	}
+	if res.final {
+		r.abandon()
+		return r.finalError(ctx, res.err)
+	}
+	if r.delivery.Next() < r.skipTo {
+		// Tokens that the caller has are not known here: going on elsewhere could
+		// join two different answers.
+		return apierror.New(apierror.StaleEventID, "%v", res.err)
+	}
+	whole, err := r.next(ctx, res)
+	if whole || err != nil {
+		return err
+	}
+	return r.attempts(ctx)
+}
+
+// moveTarget returns where the stream should go on, or nil to stay: a hop is
+// leaving, the rest of the stream is long, the request may be sent again, and
+// there is another route. It is looked at once for each change of the fleet.
+func (r *run) moveTarget() *routing.Choice {
+	version := r.d.table.Version()
+	if !r.repeatable || r.moveSeen == version {
+		return nil
+	}
+	leaving := r.leavingHop()
+	if leaving == "" {
+		r.moveSeen = version
+		return nil
+	}
+	if len(r.prior) < 2 || r.lastAt == r.firstAt {
+		return nil
+	}
+	r.moveSeen = version
+	perToken := r.lastAt.Sub(r.firstAt) / time.Duration(len(r.prior)-1)
+	rest := perToken * time.Duration(r.req.MaxTokens-len(r.prior))
+	if rest <= r.d.opts.MoveAfter {
+		return nil
+	}
+	c, err := r.repair()
+	if err != nil {
+		return nil
+	}
+	return &c
+}
+
+// moveAway takes a stream off a leaving backend server: the KV cache of the
+// leaving hops goes to the new route where the engines can do that, otherwise
+// the tokens are computed again there.
+func (r *run) moveAway(ctx context.Context, res result) {
+	r.kv = r.exportKV(ctx, r.route, res.move.Route)
+	r.cancelAttempt(r.attempt)
+	r.startAnother(*res.move, decision.Move, "backend server "+res.failed+" is leaving, kv "+orNone(r.kv))
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+// exportKV copies the KV cache of the layers that change their backend server
+// and returns the handle under which the new ones have it, or "".
+func (r *run) exportKV(ctx context.Context, old, fresh topology.Route) string {
+	handle := ""
+	for _, h := range old {
+		if fresh.Uses(h.BackendServer) {
+			continue
+		}
+		to := holderOf(fresh, h.Layers)
+		if to == nil {
+			return ""
+		}
+		t := backend.Target{BackendServer: h.BackendServer, Address: h.Address}
+		got, err := r.d.engine.ExportKV(ctx, t, backend.ExportKV{
+			RequestID: r.req.ID, Attempt: r.attempt, Layers: h.Layers, Tokens: len(r.prior), To: to.Address,
+		})
+		if err != nil {
+			return ""
+		}
+		handle = got
+	}
+	return handle
+}
+
+// holderOf returns the hop that runs all of the layers, or nil.
+func holderOf(route topology.Route, layers topology.LayerRange) *topology.Hop {
+	for i := range route {
+		if route[i].Layers.Contains(layers) {
+			return &route[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/dispatch/service.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/fleet"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// ServiceRequest is a caller's call of a plain service.
+type ServiceRequest struct {
+	Workspace  *topology.Workspace
+	Service    string
+	Repeatable bool // the caller does not forbid sending it again
+	Call       backend.ServiceCall
+}
+
+// serviceAttempts is the most endpoints that one call is sent to.
+const serviceAttempts = 3
+
+// endpointCooldown is how long an endpoint that failed is used only when no
+// other is left.
+const endpointCooldown = time.Second
+
+// Services carries calls of plain services. It is safe for concurrent use.
+type Services struct {
+	opts    Options
+	client  backend.Services
+	catalog Catalog
+	table   *fleet.Table
+	gate    *Gate
+	log     *decision.Log
+	observe Observer
+	clock   Clock
+
+	mu    sync.Mutex
+	state map[endpointKey]*endpointState
+}
+
+type endpointKey struct{ service, endpoint string }
+
+type endpointState struct {
+	inFlight int
+	failedAt time.Time
+}
+
+// NewServices returns a Services that works with the same parts as d.
+func NewServices(d *Dispatcher, client backend.Services) *Services {
+	return &Services{
+		opts: d.opts, client: client, catalog: d.catalog, table: d.table, gate: d.gate, log: d.log,
+		observe: d.observe, clock: d.clock, state: map[endpointKey]*endpointState{},
+	}
+}
+
+// Do sends a call. The caller must close the reply's body; a read error before
+// io.EOF means that the answer is not whole.
+func (s *Services) Do(ctx context.Context, req *ServiceRequest) (*backend.ServiceReply, error) {
+	began := s.clock()
+	c := &call{s: s, req: req, tried: map[string]bool{}}
+	reply, err := c.run(ctx)
+	kind := "whole"
+	if err != nil {
+		e := c.life.answer(apierror.From(err))
+		if verr := c.life.checkAnswer(e); verr != nil {
+			e = apierror.From(verr)
+		}
+		kind, err = string(e.Kind), e
+		s.log.Add(decision.Record{
+			Time: s.clock(), Kind: decision.Refuse, RequestID: req.Call.RequestID, Attempt: c.attempt,
+			Workspace: req.Workspace.Name, Subject: req.Service, Reason: e.Error(),
+		})
+	}
+	s.observe.Finished(kind, s.clock().Sub(began))
+	return reply, err
+}
+
+// call is one call on its way.
+type call struct {
+	life
+	s       *Services
+	req     *ServiceRequest
+	tried   map[string]bool
+	attempt int
+}
+
+func (c *call) run(ctx context.Context) (*backend.ServiceReply, error) {
+	svc := c.s.catalog.Snapshot().Services[c.req.Service]
+	if svc == nil {
+		return nil, apierror.New(apierror.UnknownService, "service %q", c.req.Service)
+	}
+	if err := c.s.gate.CheckService(c.req.Workspace); err != nil {
+		return nil, err
+	}
+	c.repeatable = c.req.Repeatable && svc.IsRepeatable(c.req.Call.Method, pathOnly(c.req.Call.Path))
+	for ; ; c.attempt++ {
+		e := c.s.pick(svc, c.tried)
+		if e == nil {
+			return nil, apierror.New(apierror.NoRoute, "service %s has no endpoint in service", svc.Name)
+		}
+		reply, err := c.send(ctx, svc, e)
+		if err == nil {
+			return reply, nil
+		}
+		c.tried[e.Name] = true
+		if done := c.mayRetry(ctx, svc, err); done != nil {
+			return nil, done
+		}
+	}
+}
+
+func pathOnly(path string) string {
+	for i := range len(path) {
+		if path[i] == '?' {
+			return path[:i]
+		}
+	}
+	return path
+}
+
+// send makes one attempt at an endpoint.
+func (c *call) send(ctx context.Context, svc *topology.Service, e *topology.Endpoint) (*backend.ServiceReply, error) {
+	c.s.log.Add(decision.Record{
+		Time: c.s.clock(), Kind: decision.Route, RequestID: c.req.Call.RequestID, Attempt: c.attempt,
+		Workspace: c.req.Workspace.Name, Subject: svc.Name, Chosen: e.Name, Reason: "least in flight",
+	})
+	if err := c.move(Sent); err != nil {
+		return nil, err
+	}
+	st := c.s.enter(svc.Name, e.Name)
+	reply, err := c.s.client.Call(ctx, backend.Target{BackendServer: e.Name, Address: e.Address}, &c.req.Call)
+	if err == nil {
+		c.ran = true
+		reply.Body = &countedBody{body: reply.Body, done: func(whole bool) { c.s.leave(st, whole) }}
+		return reply, c.move(Delivered)
+	}
+	c.s.leave(st, errors.Is(err, backend.ErrRefused))
+	to := Unknown
+	if errors.Is(err, backend.ErrNotSent) {
+		to = NotSent
+	}
+	if errors.Is(err, backend.ErrRefused) {
+		to = Refused
+	}
+	if verr := c.move(to); verr != nil {
+		return nil, verr
+	}
+	return nil, err
+}
+
+// mayRetry returns nil when the call may be sent to another endpoint, and the
+// answer otherwise.
+func (c *call) mayRetry(ctx context.Context, svc *topology.Service, err error) error {
+	if ctx.Err() != nil {
+		return c.endedByCaller(ctx)
+	}
+	if !c.state.NotRun() && !c.repeatable {
+		return apierror.New(apierror.OutcomeUnknown, "service %s: %v", svc.Name, err)
+	}
+	if c.attempt+1 < serviceAttempts && c.s.gate.SpendRetry(c.req.Workspace.Name, svc.Name) {
+		if c.s.pick(svc, c.tried) != nil {
+			return nil
+		}
+	}
+	kind := apierror.OutcomeUnknown
+	switch c.state {
+	case NotSent:
+		kind = apierror.BackendUnreachable
+	case Refused:
+		kind = apierror.BackendRefused
+	}
+	return apierror.New(kind, "service %s: %v", svc.Name, err)
+}
+
+func (c *call) endedByCaller(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		if c.notRun() {
+			return apierror.New(apierror.DeadlinePassed, "before the call was sent")
+		}
+		return apierror.New(apierror.OutcomeUnknown, "the deadline passed before the service answered")
+	}
+	return apierror.New(apierror.CallerGone, "before the service answered")
+}
+
+// pick returns the endpoint with the least calls in flight, those that failed
+// lately last.
+func (s *Services) pick(svc *topology.Service, tried map[string]bool) *topology.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	var best *topology.Endpoint
+	bestCost := 0
+	for i := range svc.Endpoints {
+		e := &svc.Endpoints[i]
+		if e.Drain || tried[e.Name] || s.table.VMLeaving(e.Name) {
+			continue
+		}
+		st := s.endpoint(svc.Name, e.Name)
+		cost := 2 * st.inFlight
+		if e.FailureDomain != s.opts.FailureDomain {
+			cost++
+		}
+		if now.Sub(st.failedAt) < endpointCooldown {
+			cost += 1 << 20
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+func (s *Services) endpoint(service, name string) *endpointState {
+	k := endpointKey{service, name}
+	st := s.state[k]
+	if st == nil {
+		st = &endpointState{}
+		s.state[k] = st
+	}
+	return st
+}
+
+func (s *Services) enter(service, name string) *endpointState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.endpoint(service, name)
+	st.inFlight++
+	return st
+}
+
+func (s *Services) leave(st *endpointState, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st.inFlight--
+	if !ok {
+		st.failedAt = s.clock()
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -332,6 +332,13 @@
 	return t.vmLeft[server]
 }
 
+// VMLeaving reports whether the platform's VM list says that a VM leaves.
+func (t *Table) VMLeaving(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.vmLeft[name]
+}
+
 // Fencing returns the highest fencing number that the engine reported.
 func (t *Table) Fencing(server string) uint64 {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,277 @@
+package standin
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/backend/httpbackend"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// Fleet is a set of engines that forward tokens to each other.
+type Fleet struct {
+	Ledger *Ledger
+
+	mu      sync.Mutex
+	engines map[string]*Engine
+	links   map[[2]string]time.Duration
+}
+
+// NewFleet returns a fleet without engines.
+func NewFleet() *Fleet {
+	return &Fleet{Ledger: NewLedger(), engines: map[string]*Engine{}, links: map[[2]string]time.Duration{}}
+}
+
+// SetLink sets the time that a token takes between two engines.
+func (f *Fleet) SetLink(from, to string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.links[[2]string{from, to}] = d
+}
+
+func (f *Fleet) link(from, to string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.links[[2]string{from, to}]
+}
+
+// Engine returns an engine by name, or nil.
+func (f *Fleet) Engine(name string) *Engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engines[name]
+}
+
+// Engine is a fake model engine with a service time for each token.
+type Engine struct {
+	server
+	Name string
+	// Faults.
+	DieAfter      atomic.Int64 // tokens after which the engine dies, 0 for never
+	Frozen        atomic.Bool  // accepts everything, answers nothing
+	RefuseAll     atomic.Bool
+	Shuffle       atomic.Bool // reorders and repeats token events
+	IgnoreFencing atomic.Bool
+	LoadAge       atomic.Int64 // nanoseconds by which load reports are late
+
+	fleet *Fleet
+	rate  float64       // tokens per second
+	delay time.Duration // of one token, beside queueing
+	dead  atomic.Bool
+
+	state    sync.Mutex
+	nextFree time.Time
+	streams  map[string]*stream
+	fenced   map[string]int // highest cancelled attempt
+	kv       map[string]int // tokens in the KV cache, by request
+	status   backend.Status
+	inFlight int
+}
+
+// Add starts an engine that holds the given parts.
+func (f *Fleet) Add(name string, rate float64, delay time.Duration, holdings ...backend.Holding) (*Engine, error) {
+	e := &Engine{
+		Name: name, fleet: f, rate: rate, delay: delay, streams: map[string]*stream{},
+		fenced: map[string]int{}, kv: map[string]int{},
+		status: backend.Status{BackendServer: name, Boot: 1, Seq: 1, Holdings: holdings, Role: backend.RoleMixed},
+	}
+	e.handler = e.routes()
+	f.mu.Lock()
+	f.engines[name] = e
+	f.mu.Unlock()
+	return e, e.start()
+}
+
+// Kill ends the engine as a crash does.
+func (e *Engine) Kill() {
+	e.dead.Store(true)
+	e.Close()
+}
+
+// Restart starts a killed engine again, with nothing of its former state.
+func (e *Engine) Restart() error {
+	e.state.Lock()
+	e.streams, e.kv, e.inFlight = map[string]*stream{}, map[string]int{}, 0
+	e.status.Boot++
+	e.state.Unlock()
+	e.DieAfter.Store(0)
+	e.Frozen.Store(false)
+	e.dead.Store(false)
+	return e.start()
+}
+
+// Leave makes the engine report that it is leaving.
+func (e *Engine) Leave(on bool) {
+	e.state.Lock()
+	defer e.state.Unlock()
+	e.status.Leaving = on
+	e.status.Seq++
+}
+
+// InFlight returns the requests that run through the engine.
+func (e *Engine) InFlight() int {
+	e.state.Lock()
+	defer e.state.Unlock()
+	return e.inFlight
+}
+
+func (e *Engine) enter(d int) {
+	e.state.Lock()
+	defer e.state.Unlock()
+	e.inFlight += d
+}
+
+// step runs one token through the engine's layers, from time at on, and returns
+// when it is done; false means that the engine is dead.
+func (e *Engine) step(p pass, layers topology.LayerRange, at time.Time) (time.Time, bool) {
+	if n := e.DieAfter.Load(); n > 0 && e.DieAfter.Add(-1) == 0 {
+		e.Kill()
+	}
+	for e.Frozen.Load() && !e.dead.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	if e.dead.Load() {
+		return at, false
+	}
+	e.fleet.Ledger.ran(p, layers)
+	e.state.Lock()
+	defer e.state.Unlock()
+	e.kv[p.request] = p.index + 1
+	if e.nextFree.Before(at) {
+		e.nextFree = at
+	}
+	e.nextFree = e.nextFree.Add(time.Duration(float64(time.Second) / e.rate))
+	return e.nextFree.Add(e.delay), true
+}
+
+// prefill counts the layer-tokens of known tokens that are not in the KV cache.
+func (e *Engine) prefill(request string, tokens int, layers topology.LayerRange) {
+	e.state.Lock()
+	missing := tokens - e.kv[request]
+	e.kv[request] = max(tokens, e.kv[request])
+	e.state.Unlock()
+	if missing > 0 {
+		e.fleet.Ledger.again(missing * (layers.Hi - layers.Lo))
+	}
+}
+
+func (e *Engine) holds(model, version string, layers topology.LayerRange) bool {
+	e.state.Lock()
+	defer e.state.Unlock()
+	for _, h := range e.status.Holdings {
+		if h.Model == model && h.Version == version && h.Layers.Contains(layers) && !h.Loading {
+			return true
+		}
+	}
+	return false
+}
+
+// stream is one attempt on its head engine; events are kept for resuming.
+type stream struct {
+	mu        sync.Mutex
+	attempt   int
+	events    []backend.Event
+	final     bool
+	cancelled bool
+	changed   chan struct{}
+}
+
+func newStream(attempt int) *stream { return &stream{attempt: attempt, changed: make(chan struct{})} }
+
+func (s *stream) add(final bool, evs ...backend.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, evs...)
+	s.final = s.final || final
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *stream) cancel() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancelled = true
+}
+
+func (s *stream) isCancelled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cancelled
+}
+
+// from returns the events at and after position n and a channel for more.
+func (s *stream) from(n int) ([]backend.Event, bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.events[min(n, len(s.events)):], s.final, s.changed
+}
+
+// loadEvery is how many tokens pass between two load reports of a stream.
+const loadEvery = 8
+
+// produce runs all tokens of an attempt through its route.
+func (e *Engine) produce(g *httpbackend.GenerateBody, s *stream) {
+	hops := make([]*Engine, len(g.Route))
+	for i, h := range g.Route {
+		hops[i] = e.fleet.Engine(h.BackendServer)
+		hops[i].enter(1)
+		defer hops[i].enter(-1)
+		hops[i].prefill(g.RequestID, len(g.Prior), h.Layers)
+	}
+	for index := len(g.Prior); index < g.MaxTokens; index++ {
+		if s.isCancelled() || e.dead.Load() {
+			return
+		}
+		failed, loads, done := e.runToken(g, hops, index)
+		if failed != "" {
+			s.add(true, backend.Event{
+				Type: backend.EventFailed, RequestID: g.RequestID, Attempt: g.Attempt, Index: index, Failed: failed, Reason: "stage died",
+			})
+			return
+		}
+		time.Sleep(time.Until(done))
+		ev := backend.Event{
+			Type: backend.EventToken, RequestID: g.RequestID, Attempt: g.Attempt, Index: index,
+			Token: int32(index), Text: Word(promptOf(g), index),
+		}
+		if (index-len(g.Prior))%loadEvery == 0 {
+			ev.Loads = loads
+		}
+		s.add(false, ev)
+	}
+	s.add(true, backend.Event{
+		Type: backend.EventDone, RequestID: g.RequestID, Attempt: g.Attempt, Index: g.MaxTokens, FinishReason: "length",
+	})
+}
+
+func (e *Engine) runToken(g *httpbackend.GenerateBody, hops []*Engine, index int) (failed string, loads []backend.HopLoad, at time.Time) {
+	at = time.Now()
+	for i, h := range g.Route {
+		began := at
+		var ok bool
+		at, ok = hops[i].step(pass{g.RequestID, g.Attempt, index}, h.Layers, at)
+		if !ok {
+			return h.BackendServer, nil, at
+		}
+		l := backend.HopLoad{
+			BackendServer: h.BackendServer, InFlight: hops[i].InFlight(), TokenSeconds: at.Sub(began).Seconds(),
+			Capacity: hops[i].rate, AgeSeconds: time.Duration(hops[i].LoadAge.Load()).Seconds(),
+		}
+		if i+1 < len(g.Route) {
+			d := e.fleet.link(h.BackendServer, g.Route[i+1].BackendServer)
+			l.NextHop, l.LinkSeconds = g.Route[i+1].BackendServer, d.Seconds()
+			at = at.Add(d)
+		}
+		loads = append(loads, l)
+	}
+	return "", loads, at
+}
+
+func promptOf(g *httpbackend.GenerateBody) string {
+	if len(g.Messages) > 0 {
+		return g.Messages[len(g.Messages)-1].Content
+	}
+	return g.Prompt
+}
--- /dev/null
+++ b/internal/standin/enginehttp.go
@@ -0,0 +1,225 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/backend/httpbackend"
+)
+
+func (e *Engine) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+httpbackend.PathGenerate, e.generate)
+	mux.HandleFunc("POST "+httpbackend.PathResume, e.resume)
+	mux.HandleFunc("POST "+httpbackend.PathCancel, e.cancel)
+	mux.HandleFunc("GET "+httpbackend.PathStatus, e.report)
+	mux.HandleFunc("POST "+httpbackend.PathOrder, e.order)
+	mux.HandleFunc("POST "+httpbackend.PathExport, e.export)
+	mux.HandleFunc("POST "+httpbackend.PathImport, e.importKV)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for e.Frozen.Load() && !e.dead.Load() && r.Context().Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func refuse(w http.ResponseWriter, status int, why string) {
+	w.Header().Set(httpbackend.HeaderRan, httpbackend.RanNo)
+	http.Error(w, why, status)
+}
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	var g httpbackend.GenerateBody
+	if err := json.NewDecoder(r.Body).Decode(&g); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if why := e.refusal(&g); why != "" {
+		refuse(w, http.StatusServiceUnavailable, why)
+		return
+	}
+	s := newStream(g.Attempt)
+	e.state.Lock()
+	if g.Attempt <= e.fencedAttempt(g.RequestID) {
+		e.state.Unlock()
+		refuse(w, http.StatusServiceUnavailable, "attempt is fenced")
+		return
+	}
+	e.streams[g.RequestID] = s
+	e.state.Unlock()
+	e.fleet.Ledger.begin(g.RequestID)
+	go e.produce(&g, s)
+	e.send(w, r, s, 0)
+}
+
+// fencedAttempt returns the highest cancelled attempt, -1 for none.
+func (e *Engine) fencedAttempt(request string) int {
+	if n, ok := e.fenced[request]; ok {
+		return n
+	}
+	return -1
+}
+
+func (e *Engine) refusal(g *httpbackend.GenerateBody) string {
+	if e.RefuseAll.Load() {
+		return "busy"
+	}
+	if err := g.Route.CheckTiling(g.Layers); err != nil {
+		return err.Error()
+	}
+	for _, h := range g.Route {
+		hop := e.fleet.Engine(h.BackendServer)
+		if hop == nil || hop.dead.Load() || !hop.holds(g.Model, g.Version, h.Layers) {
+			return h.BackendServer + " does not hold " + h.Layers.String()
+		}
+	}
+	return ""
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	var b httpbackend.AttemptBody
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.state.Lock()
+	s := e.streams[b.RequestID]
+	e.state.Unlock()
+	if s == nil || s.attempt != b.Attempt || s.isCancelled() {
+		http.Error(w, "stream is not kept", http.StatusGone)
+		return
+	}
+	evs, _, _ := s.from(0)
+	skip := slices.IndexFunc(evs, func(ev backend.Event) bool { return ev.Index >= b.From })
+	if skip < 0 {
+		skip = len(evs)
+	}
+	e.send(w, r, s, skip)
+}
+
+// send writes the events from position n on until the last one.
+func (e *Engine) send(w http.ResponseWriter, r *http.Request, s *stream, n int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	rc := http.NewResponseController(w)
+	for {
+		evs, final, changed := s.from(n)
+		n += len(evs)
+		for _, ev := range e.disturb(evs) {
+			data, _ := json.Marshal(ev)
+			_, _ = w.Write(append(append([]byte("data: "), data...), '\n', '\n'))
+		}
+		if rc.Flush() != nil || e.dead.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		if final {
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// disturb repeats and reorders events and adds a foreign and a stale one.
+func (e *Engine) disturb(evs []backend.Event) []backend.Event {
+	if !e.Shuffle.Load() || len(evs) == 0 || evs[0].Type != backend.EventToken {
+		return evs
+	}
+	foreign, stale := evs[0], evs[0]
+	foreign.RequestID, foreign.Text = "another", "foreign"
+	stale.Attempt, stale.Text = -1, "stale"
+	out := []backend.Event{foreign, stale}
+	for i := range evs {
+		out = append(out, evs[i], evs[i])
+	}
+	if n := len(evs); n > 2 && evs[n-1].Type == backend.EventToken {
+		slices.Reverse(out)
+	}
+	return out
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	var b httpbackend.AttemptBody
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.state.Lock()
+	defer e.state.Unlock()
+	e.fenced[b.RequestID] = max(b.Attempt, e.fencedAttempt(b.RequestID))
+	if s := e.streams[b.RequestID]; s != nil && s.attempt <= b.Attempt {
+		s.cancel()
+	}
+}
+
+func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
+	e.state.Lock()
+	st := e.status
+	st.Holdings = slices.Clone(st.Holdings)
+	st.InFlight, st.Capacity = e.inFlight, e.rate
+	st.LoadAge = time.Duration(e.LoadAge.Load()).Seconds()
+	e.state.Unlock()
+	_ = json.NewEncoder(w).Encode(st)
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o backend.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.state.Lock()
+	defer e.state.Unlock()
+	if o.Fencing < e.status.Fencing && !e.IgnoreFencing.Load() {
+		refuse(w, http.StatusPreconditionFailed, "old fencing number")
+		return
+	}
+	e.status.Fencing = max(o.Fencing, e.status.Fencing)
+	i := slices.IndexFunc(e.status.Holdings, func(h backend.Holding) bool {
+		return h.Model == o.Holding.Model && h.Version == o.Holding.Version && h.Layers == o.Holding.Layers
+	})
+	hs := slices.Clone(e.status.Holdings)
+	switch {
+	case o.Type == backend.OrderLoad && i < 0:
+		hs = append(hs, o.Holding)
+	case o.Type == backend.OrderUnload && i >= 0:
+		hs = slices.Delete(hs, i, i+1)
+	case o.Type == backend.OrderRole:
+		e.status.Role = o.Role
+	}
+	e.status.Holdings = hs
+	e.status.Seq++
+}
+
+func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
+	var x backend.ExportKV
+	if err := json.NewDecoder(r.Body).Decode(&x); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	resp, err := http.Post("http://"+x.To+httpbackend.PathImport, "application/json", encode(x))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	_ = resp.Body.Close()
+	_ = json.NewEncoder(w).Encode(httpbackend.HandleBody{Handle: x.RequestID})
+}
+
+func (e *Engine) importKV(_ http.ResponseWriter, r *http.Request) {
+	var x backend.ExportKV
+	if json.NewDecoder(r.Body).Decode(&x) != nil {
+		return
+	}
+	e.state.Lock()
+	defer e.state.Unlock()
+	e.kv[x.RequestID] = max(x.Tokens, e.kv[x.RequestID])
+}
--- /dev/null
+++ b/internal/standin/ledger.go
@@ -0,0 +1,101 @@
+// Package standin holds small fakes of what the system meets: the platform's
+// store and VM list, model engines and plain services. They talk over real
+// sockets and have switches for the faults that users report.
+package standin
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// pass is one token of one attempt.
+type pass struct {
+	request string
+	attempt int
+	index   int
+}
+
+// Ledger records which layers ran for which token, so that exactly-once can be
+// asserted from outside the system.
+type Ledger struct {
+	mu         sync.Mutex
+	layers     map[pass][]topology.LayerRange
+	executions map[string]int // starts of a request on an engine or service
+	prompts    map[string]string
+	recomputed int // layer-tokens of delivered tokens that were computed again
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{layers: map[pass][]topology.LayerRange{}, executions: map[string]int{}, prompts: map[string]string{}}
+}
+
+func (l *Ledger) ran(p pass, r topology.LayerRange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.layers[p] = append(l.layers[p], r)
+}
+
+func (l *Ledger) begin(request string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.executions[request]++
+}
+
+func (l *Ledger) again(layerTokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recomputed += layerTokens
+}
+
+// Executions returns how often a request began to run anywhere.
+func (l *Ledger) Executions(request string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.executions[request]
+}
+
+// Recomputed returns the layer-tokens of delivered tokens that were computed again.
+func (l *Ledger) Recomputed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.recomputed
+}
+
+// Check returns an error unless every recorded token went through its layers
+// at most once and in order, without a gap.
+func (l *Ledger) Check() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p, ranges := range l.layers {
+		at := 0
+		for _, r := range ranges {
+			if r.Lo != at {
+				return fmt.Errorf("request %s attempt %d token %d ran layers %v", p.request, p.attempt, p.index, ranges)
+			}
+			at = r.Hi
+		}
+	}
+	return nil
+}
+
+// Word returns the text of a token, which depends on the prompt and the index
+// alone, so that a foreign, lost or repeated token shows in the answer.
+func Word(prompt string, index int) string {
+	h := uint32(2166136261)
+	for i := range len(prompt) {
+		h = (h ^ uint32(prompt[i])) * 16777619
+	}
+	return fmt.Sprintf("%x.%d ", h, index)
+}
+
+// Answer returns the whole answer of n tokens to a prompt.
+func Answer(prompt string, n int) string {
+	var b []byte
+	for i := range n {
+		b = append(b, Word(prompt, i)...)
+	}
+	return string(b)
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,52 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/snowspoke/snowspoke/backend/httpbackend"
+)
+
+// Service is a fake of a plain service. It answers with the body it got.
+type Service struct {
+	server
+	Ledger    *Ledger
+	RefuseAll atomic.Bool  // refuses without running
+	CutAfter  atomic.Int64 // cuts the next answers after the call ran
+	Delay     atomic.Int64 // nanoseconds that a call takes
+}
+
+// NewService starts a service.
+func NewService(l *Ledger) (*Service, error) {
+	s := &Service{Ledger: l}
+	s.handler = http.HandlerFunc(s.serve)
+	return s, s.start()
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || s.RefuseAll.Load() {
+		refuse(w, http.StatusServiceUnavailable, "refused")
+		return
+	}
+	s.Ledger.begin(r.Header.Get(httpbackend.HeaderRequestID))
+	time.Sleep(time.Duration(s.Delay.Load()))
+	if s.CutAfter.Add(-1) >= 0 {
+		panic(http.ErrAbortHandler)
+	}
+	s.CutAfter.Store(0)
+	w.Header().Set("Content-Type", "text/plain")
+	_, _ = w.Write(append([]byte(r.Method+" "+r.URL.Path+" "), body...))
+}
+
+func encode(v any) io.Reader {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return bytes.NewReader(data)
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,90 @@
+// Package metrics counts with tally and serves the Prometheus text format.
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/snowspoke/snowspoke/dispatch"
+	"github.com/snowspoke/snowspoke/invariant"
+)
+
+// reportEvery is the period at which counters reach the served registry.
+const reportEvery = time.Second
+
+// Metrics holds the daemon's counters. It implements dispatch.Observer.
+type Metrics struct {
+	scope    tally.Scope
+	reporter promreporter.Reporter
+	closer   io.Closer
+	dropped  [4]tally.Counter
+	first    tally.Histogram
+	recovery tally.Histogram
+}
+
+// secondsBuckets suit requests from milliseconds to minutes.
+var secondsBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 18)
+
+// New returns metrics under the prefix "snowspoke".
+func New() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry,
+		OnRegisterError: func(error) {}})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "snowspoke", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	m := &Metrics{scope: scope, reporter: reporter, closer: closer}
+	for i, reason := range []string{"foreign", "stale", "repeated", "overflow"} {
+		m.dropped[i] = scope.Tagged(map[string]string{"reason": reason}).Counter("events_dropped_total")
+	}
+	m.first = scope.Histogram("first_token_seconds", secondsBuckets)
+	m.recovery = scope.Histogram("recovery_gap_seconds", secondsBuckets)
+	for _, p := range invariant.All {
+		err := registry.Register(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "snowspoke_invariant_violations_total", Help: "Violated promises.",
+			ConstLabels: prometheus.Labels{"promise": string(p)},
+		}, func() float64 { return float64(invariant.Count(p)) }))
+		if err != nil {
+			return nil, fmt.Errorf("metrics: %w", err)
+		}
+	}
+	return m, nil
+}
+
+// Finished implements dispatch.Observer; kind is an error kind or "whole".
+func (m *Metrics) Finished(kind string, d time.Duration) {
+	s := m.scope.Tagged(map[string]string{"result": kind})
+	s.Counter("requests_total").Inc(1)
+	s.Histogram("request_seconds", secondsBuckets).RecordDuration(d)
+}
+
+// FirstToken implements dispatch.Observer.
+func (m *Metrics) FirstToken(d time.Duration) { m.first.RecordDuration(d) }
+
+// Recovered implements dispatch.Observer.
+func (m *Metrics) Recovered(gap time.Duration) { m.recovery.RecordDuration(gap) }
+
+// Dropped implements dispatch.Observer.
+func (m *Metrics) Dropped(d dispatch.Drops) {
+	for i, n := range []int{d.Foreign, d.Stale, d.Repeated, d.Overflow} {
+		if n > 0 {
+			m.dropped[i].Inc(int64(n))
+		}
+	}
+}
+
+// Gauge sets a gauge; the name must end in its unit.
+func (m *Metrics) Gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Close stops reporting.
+func (m *Metrics) Close() error { return m.closer.Close() }
--- /dev/null
+++ b/monitor/monitor.go
@@ -0,0 +1,310 @@
+// Package monitor feeds the live state of the backend servers: it reads their
+// status, the platform's VM list and what requests show about them, lets
+// package health decide, and puts the verdicts into package fleet.
+package monitor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/fleet"
+	"github.com/snowspoke/snowspoke/health"
+	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// Options are the settings of a monitor.
+type Options struct {
+	StatusPoll time.Duration
+	VMPoll     time.Duration
+	GapFloor   time.Duration
+	GapCeiling time.Duration
+	Health     health.Config
+	Link       health.LinkConfig
+}
+
+// Owner says which backend servers this daemon reads the status of. The others
+// come from daemons that own them.
+type Owner interface {
+	Owns(server string) bool
+}
+
+// OwnsAll is the owner of a daemon that is alone.
+type OwnsAll struct{}
+
+// Owns implements Owner.
+func (OwnsAll) Owns(string) bool { return true }
+
+// Publisher passes on the reports that this daemon has read itself.
+type Publisher interface {
+	PublishStatus(st backend.Status)
+}
+
+// Parts are what a monitor works with.
+type Parts struct {
+	Engine    backend.Engine
+	VMs       platform.VMLister
+	Table     *fleet.Table
+	Log       *decision.Log
+	Logger    log.Logger
+	Owner     Owner
+	Publisher Publisher // may be nil
+	Wake      func()    // called after backend servers came into service
+	Clock     func() time.Time
+}
+
+// Monitor is safe for concurrent use.
+type Monitor struct {
+	opts Options
+	Parts
+
+	mu       sync.Mutex
+	detector *health.Detector
+	links    map[linkKey]*health.Link
+	hops     map[string]*health.Gap
+	linkGaps map[linkKey]*health.Gap
+}
+
+type linkKey struct{ from, to string }
+
+// silentTimeout bounds the question whether a backend server answers at all.
+const silentTimeout = 150 * time.Millisecond
+
+// probeTimeout bounds a probe of an ejected backend server.
+const probeTimeout = time.Second
+
+// tick is the period of probes, ramps and link trials.
+const tick = 100 * time.Millisecond
+
+// New returns a monitor; Run must be called to start it.
+func New(o Options, p Parts) *Monitor {
+	m := &Monitor{
+		opts: o, Parts: p, links: map[linkKey]*health.Link{}, hops: map[string]*health.Gap{},
+		linkGaps: map[linkKey]*health.Gap{},
+	}
+	m.detector = health.NewDetector(o.Health, m.lastCapacity)
+	return m
+}
+
+// Run reads statuses and the VM list until ctx ends.
+func (m *Monitor) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { m.every(ctx, m.opts.VMPoll, m.readVMs) })
+	wg.Go(func() { m.every(ctx, m.opts.StatusPoll, m.pollOwned) })
+	wg.Go(func() { m.every(ctx, tick, m.onTick) })
+	wg.Wait()
+}
+
+func (m *Monitor) every(ctx context.Context, period time.Duration, fn func(context.Context)) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	fn(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			fn(ctx)
+		}
+	}
+}
+
+func (m *Monitor) readVMs(ctx context.Context) {
+	vms, err := m.VMs.ListVMs(ctx)
+	if err != nil {
+		_ = level.Debug(m.Logger).Log("msg", "vm list not read", "err", err)
+		return // the last list stays in force
+	}
+	m.Table.SetVMs(vms)
+}
+
+// pollOwned reads the status of the backend servers that this daemon owns.
+func (m *Monitor) pollOwned(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, info := range m.Table.View().Servers {
+		if !m.Owner.Owns(info.Config.Name) {
+			continue
+		}
+		wg.Go(func() { m.readStatus(ctx, info.Config) })
+	}
+	wg.Wait()
+}
+
+func (m *Monitor) readStatus(ctx context.Context, b *topology.BackendServer) {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.StatusPoll)
+	defer cancel()
+	st, err := m.Engine.Status(ctx, backend.Target{BackendServer: b.Name, Address: b.Address})
+	if err != nil {
+		if ctx.Err() == nil {
+			m.Signal(b.Name, health.ProbeFailed)
+		}
+		return
+	}
+	st.BackendServer = b.Name
+	m.Take(st)
+	if m.Publisher != nil {
+		m.Publisher.PublishStatus(st)
+	}
+}
+
+// Take applies a status, read here or by the daemon that owns the backend server.
+func (m *Monitor) Take(st backend.Status) {
+	if m.Table.ApplyStatus(st, m.Clock()) {
+		m.Log.Add(decision.Record{
+			Time: m.Clock(), Kind: decision.Health, Subject: st.BackendServer,
+			Reason: "status", Chosen: describe(st),
+		})
+		m.Wake()
+	}
+}
+
+func describe(st backend.Status) string {
+	text := ""
+	for _, h := range st.Holdings {
+		text += h.Model + "/" + h.Version + h.Layers.String() + " "
+	}
+	if st.Leaving {
+		text += "leaving"
+	}
+	return text
+}
+
+// Signal takes what a request or a probe shows about a backend server.
+func (m *Monitor) Signal(server string, s health.Signal) {
+	now := m.Clock()
+	m.mu.Lock()
+	tr, changed := m.detector.Observe(server, s, now)
+	inService, weight := m.detector.InService(server), m.detector.Weight(server, now)
+	m.mu.Unlock()
+	if !changed {
+		return
+	}
+	m.Table.SetHealth(server, !inService, weight)
+	reason := "signal " + tr.Signal.String()
+	if tr.KeptInService {
+		reason += ", kept in service as the last capacity of some layers"
+	}
+	m.Log.Add(decision.Record{
+		Time: now, Kind: decision.Health, Subject: server, Chosen: tr.To.String(), Reason: reason, Rejected: tr.From.String(),
+	})
+	if inService {
+		m.Wake()
+	}
+}
+
+// lastCapacity reports whether some layers that the backend server holds are
+// held by no other one in service. The detector calls it with the lock held.
+func (m *Monitor) lastCapacity(server string) bool {
+	view := m.Table.View()
+	var mine []backend.Holding
+	for _, info := range view.Servers {
+		if info.Config.Name == server {
+			mine = info.Holdings
+		}
+	}
+	for _, h := range mine {
+		if !m.coveredByOthers(view, server, h) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Monitor) coveredByOthers(view *fleet.View, server string, h backend.Holding) bool {
+	at := h.Layers.Lo
+	for at < h.Layers.Hi {
+		reach := at
+		for _, info := range view.Servers {
+			if info.Config.Name == server || !info.Usable {
+				continue
+			}
+			for _, o := range info.Holdings {
+				if !o.Loading && o.Model == h.Model && o.Version == h.Version && o.Layers.Lo <= at {
+					reach = max(reach, o.Layers.Hi)
+				}
+			}
+		}
+		if reach == at {
+			return false
+		}
+		at = reach
+	}
+	return true
+}
+
+// onTick probes, ramps and tries links again.
+func (m *Monitor) onTick(ctx context.Context) {
+	now := m.Clock()
+	m.mu.Lock()
+	due := m.detector.DueProbes(now)
+	ramping := m.detector.Ramping(now)
+	weights := make([]float64, len(ramping))
+	for i, name := range ramping {
+		weights[i] = m.detector.Weight(name, now)
+	}
+	m.tickLinks(now)
+	m.mu.Unlock()
+	for i, name := range ramping {
+		m.Table.SetHealth(name, false, weights[i])
+	}
+	for _, name := range due {
+		go m.probe(ctx, name)
+	}
+}
+
+func (m *Monitor) probe(ctx context.Context, name string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	t, ok := m.target(name)
+	if !ok {
+		m.mu.Lock()
+		m.detector.Forget(name)
+		m.mu.Unlock()
+		return
+	}
+	st, err := m.Engine.Status(ctx, t)
+	if err != nil {
+		m.Signal(name, health.ProbeFailed)
+		return
+	}
+	st.BackendServer = name
+	m.Take(st)
+	m.Signal(name, health.ProbeOK)
+}
+
+func (m *Monitor) target(name string) (backend.Target, bool) {
+	for _, info := range m.Table.View().Servers {
+		if info.Config.Name == name {
+			return backend.Target{BackendServer: name, Address: info.Config.Address}, true
+		}
+	}
+	return backend.Target{}, false
+}
+
+// Silent returns the backend servers of a route that do not answer soon.
+func (m *Monitor) Silent(ctx context.Context, r topology.Route) []string {
+	ctx, cancel := context.WithTimeout(ctx, silentTimeout)
+	defer cancel()
+	silent := make([]bool, len(r))
+	var wg sync.WaitGroup
+	for i, h := range r {
+		wg.Go(func() {
+			_, err := m.Engine.Status(ctx, backend.Target{BackendServer: h.BackendServer, Address: h.Address})
+			silent[i] = err != nil
+		})
+	}
+	wg.Wait()
+	var out []string
+	for i, h := range r {
+		if silent[i] {
+			out = append(out, h.BackendServer)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/trial/once.go
@@ -0,0 +1,210 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/client"
+	"github.com/snowspoke/snowspoke/internal/standin"
+)
+
+// Report is what a run of mixed requests showed.
+type Report struct {
+	Requests int
+	Whole    int
+	Refused  int // truly not run
+	Unknown  int // told so
+	Lost     int // no explicit answer, or a whole one that is not
+	Repeated int // not repeatable, and ran more than once
+	Foreign  int // not the caller's own answer
+	Untrue   int // called not run, but ran
+	Recovery time.Duration
+	Problems []string
+}
+
+// OK reports whether every promise held.
+func (r *Report) OK() bool {
+	return r.Lost == 0 && r.Repeated == 0 && r.Foreign == 0 && r.Untrue == 0 && len(r.Problems) == 0
+}
+
+// String is the last line of a run.
+func (r *Report) String() string {
+	return fmt.Sprintf("try: requests=%d whole=%d refused=%d unknown=%d lost=%d repeated=%d foreign=%d recovery_p99_ms=%d",
+		r.Requests, r.Whole, r.Refused, r.Unknown, r.Lost, r.Repeated, r.Foreign, r.Recovery.Milliseconds())
+}
+
+// mix is one run of requests against a world.
+type mix struct {
+	w      *World
+	http   *http.Client
+	mu     sync.Mutex
+	report Report
+	gaps   []time.Duration
+	next   atomic.Int64
+}
+
+// Sizes of a run.
+const (
+	mixRequests = 300
+	mixParallel = 24
+	mixTokens   = 40
+	longTokens  = 400
+)
+
+// Once sends a few hundred mixed requests, kills a stage in mid-stream, drains a
+// backend server and restarts a daemon while they run.
+func Once(ctx context.Context, w *World, say func(string)) *Report {
+	m := &mix{w: w, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	defer m.http.CloseIdleConnections()
+	jobs := make(chan int)
+	var wg sync.WaitGroup
+	for range mixParallel {
+		wg.Go(func() {
+			for i := range jobs {
+				m.one(ctx, i)
+			}
+		})
+	}
+	events := m.events(say)
+	for i := range mixRequests {
+		if event := events[i]; event != nil {
+			wg.Go(event)
+		}
+		jobs <- i
+	}
+	close(jobs)
+	wg.Wait()
+	m.settle()
+	return &m.report
+}
+
+// events are the faults, by the number of the request before which they begin.
+func (m *mix) events(say func(string)) map[int]func() {
+	return map[int]func(){
+		60: func() {
+			say("engine-3 dies in mid-stream")
+			m.w.Fleet.Engine("engine-3").DieAfter.Store(20)
+		},
+		120: func() {
+			say("engine-3 is back")
+			m.check(m.w.Fleet.Engine("engine-3").Restart())
+		},
+		150: func() {
+			say("engine-2 is leaving by the VM list")
+			m.w.SetLeaving("engine-2")
+		},
+		200: func() {
+			say("daemon-2 stops and starts again")
+			m.check(m.w.Daemons[1].Stop())
+			m.check(m.w.Daemons[1].Start())
+		},
+	}
+}
+
+func (m *mix) check(err error) {
+	if err == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.report.Problems = append(m.report.Problems, err.Error())
+}
+
+// balance is the platform's balancer: the next ready daemon.
+func (m *mix) balance() *client.Client {
+	for range 200 {
+		n := int(m.next.Add(1))
+		p := m.w.Daemons[n%len(m.w.Daemons)]
+		if p.Ready() {
+			return client.New(p.CallersURL(), Token, m.http)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return client.New(m.w.Daemons[0].CallersURL(), Token, m.http)
+}
+
+// one sends the i-th request and judges its answer.
+func (m *mix) one(ctx context.Context, i int) {
+	prompt := fmt.Sprintf("truck %d is warm", i)
+	switch i % 6 {
+	case 0, 1, 2:
+		m.stream(ctx, prompt, mixTokens)
+	case 3:
+		m.complete(ctx, client.Request{Model: Model, Prompt: prompt, MaxTokens: mixTokens, Repeatable: true})
+	case 4:
+		m.complete(ctx, client.Request{Model: Model, Prompt: prompt, MaxTokens: mixTokens, Stream: true})
+	case 5:
+		m.call(ctx, prompt, i%4 == 1)
+	}
+	if i%50 == 10 {
+		m.stream(ctx, prompt+" for long", longTokens)
+	}
+}
+
+func (m *mix) stream(ctx context.Context, prompt string, tokens int) {
+	r := client.Request{Model: Model, Prompt: prompt, MaxTokens: tokens, Stream: true, Repeatable: true}
+	reply, err := client.CompleteThrough(ctx, m.balance, r, 3)
+	m.judge(&r, &reply, err, standin.Answer(prompt, tokens))
+}
+
+func (m *mix) complete(ctx context.Context, r client.Request) {
+	reply, err := m.balance().Complete(ctx, r)
+	m.judge(&r, &reply, err, standin.Answer(r.Prompt, r.MaxTokens))
+}
+
+func (m *mix) call(ctx context.Context, payload string, read bool) {
+	method := http.MethodPost
+	if read {
+		method = http.MethodGet
+	}
+	reply, err := m.balance().Call(ctx, method, Service, "/cards", []byte(payload), "")
+	m.judge(&client.Request{Prompt: payload, Repeatable: read}, &reply, err, method+" /cards "+payload)
+}
+
+// judge compares an answer with what the caller must get and with what ran.
+func (m *mix) judge(r *client.Request, reply *client.Reply, err error, want string) {
+	runs := m.w.Fleet.Ledger.Executions(reply.RequestID)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.report.Requests++
+	m.gaps = append(m.gaps, reply.Gaps...)
+	if !r.Repeatable && runs > 1 {
+		m.report.Repeated++
+	}
+	switch {
+	case err != nil:
+		m.report.Lost++
+		m.report.Problems = append(m.report.Problems, fmt.Sprintf("%q: %v", r.Prompt, err))
+	case reply.Whole && reply.Text == want:
+		m.report.Whole++
+	case reply.Whole:
+		m.report.Foreign++
+		m.report.Problems = append(m.report.Problems, fmt.Sprintf("%q got %.80q", r.Prompt, reply.Text))
+	case reply.Ran == apierror.RanNo:
+		m.report.Refused++
+		if runs > 0 {
+			m.report.Untrue++
+		}
+	default:
+		m.report.Unknown++
+		if !strings.HasPrefix(want, reply.Text) {
+			m.report.Foreign++
+		}
+	}
+}
+
+// settle checks the engines' ledger and finds the longest gaps.
+func (m *mix) settle() {
+	m.check(m.w.Fleet.Ledger.Check())
+	slices.Sort(m.gaps)
+	if n := len(m.gaps); n > 0 {
+		m.report.Recovery = m.gaps[n*99/100]
+	}
+}
--- /dev/null
+++ b/trial/world.go
@@ -0,0 +1,268 @@
+// Package trial runs stand-ins and daemons in one process on loopback, for
+// trying the system out and for checking its promises under faults.
+package trial
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/config"
+	"github.com/snowspoke/snowspoke/daemon"
+	"github.com/snowspoke/snowspoke/internal/standin"
+	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// Names of what a world holds.
+const (
+	Model   = "excursion-7b"
+	Service = "status-cards"
+	Token   = "try-token"
+	layers  = 24
+	version = "v1"
+)
+
+// engineSpec describes one stand-in engine.
+type engineSpec struct {
+	name        string
+	accelerator string
+	domain      string
+	rate        float64 // tokens per second
+	delay       time.Duration
+	holds       topology.LayerRange
+}
+
+// engines holds three stages, each on two of four kinds of accelerator.
+var engines = []engineSpec{
+	{"engine-1", "h100", "bogota-1", 4000, 400 * time.Microsecond, topology.LayerRange{Lo: 0, Hi: 8}},
+	{"engine-2", "a100", "bogota-2", 2000, 700 * time.Microsecond, topology.LayerRange{Lo: 0, Hi: 8}},
+	{"engine-3", "h100", "bogota-1", 4000, 400 * time.Microsecond, topology.LayerRange{Lo: 8, Hi: 16}},
+	{"engine-4", "l40s", "bogota-3", 1500, 900 * time.Microsecond, topology.LayerRange{Lo: 8, Hi: 16}},
+	{"engine-5", "mi300", "bogota-2", 3000, 500 * time.Microsecond, topology.LayerRange{Lo: 16, Hi: 24}},
+	{"engine-6", "a100", "bogota-3", 2000, 700 * time.Microsecond, topology.LayerRange{Lo: 16, Hi: 24}},
+}
+
+// World is the stand-ins and the daemons.
+type World struct {
+	Platform *standin.Platform
+	Fleet    *standin.Fleet
+	Services []*standin.Service
+	Daemons  []*Process
+
+	logger  log.Logger
+	keyFile string
+	dir     string
+}
+
+// Process is one daemon that can be stopped and started again.
+type Process struct {
+	Name   string
+	world  *World
+	cfg    config.Config
+	mu     sync.Mutex
+	daemon *daemon.Daemon
+	stop   context.CancelFunc
+	done   chan error
+}
+
+// NewWorld starts stand-ins, and n daemons that log to logger.
+func NewWorld(n int, logger log.Logger) (*World, error) {
+	w := &World{Fleet: standin.NewFleet(), logger: logger}
+	var err error
+	if w.Platform, err = standin.NewPlatform(); err != nil {
+		return nil, err
+	}
+	if err := w.addBackends(); err != nil {
+		return nil, err
+	}
+	if err := w.writeKey(); err != nil {
+		return nil, err
+	}
+	for i := range n {
+		if err := w.addDaemon(i); err != nil {
+			return nil, err
+		}
+	}
+	return w, w.waitReady()
+}
+
+func (w *World) addBackends() error {
+	for _, s := range engines {
+		e, err := w.Fleet.Add(s.name, s.rate, s.delay, backend.Holding{Model: Model, Version: version, Layers: s.holds})
+		if err != nil {
+			return err
+		}
+		w.Platform.Set(string(topology.KindBackendServer), s.name, &topology.BackendServer{
+			Address: e.Address(), FailureDomain: s.domain, Region: "bogota", Accelerator: s.accelerator,
+			TokensPerSecond: s.rate, ChecksFencing: true, Labels: topology.Labels{"accelerator": s.accelerator, "name": s.name},
+		})
+	}
+	w.linkEngines()
+	w.Platform.Set(string(topology.KindModel), Model, &topology.Model{Layers: layers, Version: version, MaxTokens: 4096})
+	for i, lo := range []int{0, 8, 16} {
+		w.Platform.Set(string(topology.KindStage), fmt.Sprintf("stage-%d", i+1), &topology.Stage{
+			Model: Model, Layers: topology.LayerRange{Lo: lo, Hi: lo + 8},
+		})
+	}
+	w.Platform.Set(string(topology.KindWorkspace), "dispatch", &topology.Workspace{
+		TokenHashes: []string{topology.HashToken(Token)}, Weight: 1, Priority: 10,
+	})
+	return w.addService()
+}
+
+// linkEngines makes the links between failure domains slower.
+func (w *World) linkEngines() {
+	for _, a := range engines {
+		for _, b := range engines {
+			d := 50 * time.Microsecond
+			if a.domain != b.domain {
+				d = 300 * time.Microsecond
+			}
+			w.Fleet.SetLink(a.name, b.name, d)
+		}
+	}
+}
+
+func (w *World) addService() error {
+	spec := &topology.Service{Repeatable: []topology.CallPattern{{Method: "GET"}}}
+	for i := range 2 {
+		s, err := standin.NewService(w.Fleet.Ledger)
+		if err != nil {
+			return err
+		}
+		w.Services = append(w.Services, s)
+		spec.Endpoints = append(spec.Endpoints, topology.Endpoint{
+			Name: fmt.Sprintf("cards-%d", i+1), Address: s.Address(), FailureDomain: fmt.Sprintf("bogota-%d", i+1),
+		})
+	}
+	w.Platform.Set(string(topology.KindService), Service, spec)
+	return nil
+}
+
+func (w *World) writeKey() error {
+	dir, err := os.MkdirTemp("", "snowspoke-try-")
+	if err != nil {
+		return fmt.Errorf("trial: %w", err)
+	}
+	w.dir = dir
+	w.keyFile = filepath.Join(dir, "fleet.key")
+	key := make([]byte, 32)
+	for i := range key {
+		key[i] = byte(i)
+	}
+	return os.WriteFile(w.keyFile, []byte(hex.EncodeToString(key)), 0o600)
+}
+
+// Settings returns the settings of the i-th daemon.
+func (w *World) Settings(i int) config.Config {
+	cfg := config.Default()
+	cfg.Daemon = config.Daemon{Name: fmt.Sprintf("daemon-%d", i+1), FailureDomain: fmt.Sprintf("bogota-%d", i%3+1), Region: "bogota"}
+	cfg.Listen = config.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+	cfg.Platform.URL = w.Platform.URL()
+	cfg.Platform.VMPoll = 200 * time.Millisecond
+	cfg.Security.FleetKeyFile = w.keyFile
+	cfg.Stop = config.Stop{BalancerDelay: 200 * time.Millisecond, DrainTimeout: 20 * time.Second}
+	cfg.Health.StatusPoll = 200 * time.Millisecond
+	return cfg
+}
+
+func (w *World) addDaemon(i int) error {
+	p := &Process{Name: fmt.Sprintf("daemon-%d", i+1), world: w, cfg: w.Settings(i)}
+	w.Daemons = append(w.Daemons, p)
+	return p.Start()
+}
+
+// Start runs the daemon.
+func (p *Process) Start() error {
+	d, err := daemon.New(p.cfg, p.world.logger)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	p.daemon, p.stop, p.done = d, cancel, make(chan error, 1)
+	// A restarted daemon is found at the address that it had.
+	p.cfg.Listen = config.Listen{Callers: d.CallersAddr(), Operators: d.OperatorsAddr(), Peers: p.cfg.Listen.Peers}
+	go func(done chan error) { done <- d.Run(ctx) }(p.done)
+	return nil
+}
+
+// Stop ends the daemon as a planned stop does.
+func (p *Process) Stop() error {
+	p.mu.Lock()
+	stop, done := p.stop, p.done
+	p.mu.Unlock()
+	stop()
+	return <-done
+}
+
+// Ready reports whether the balancer would send callers to the daemon.
+func (p *Process) Ready() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.daemon.Ready() == nil
+}
+
+// CallersURL returns the base URL of the callers' interface.
+func (p *Process) CallersURL() string { return "http://" + p.cfg.Listen.Callers }
+
+// OperatorsURL returns the base URL of the operators' interface.
+func (p *Process) OperatorsURL() string { return "http://" + p.cfg.Listen.Operators }
+
+// readyTimeout bounds the start of a world.
+const readyTimeout = 10 * time.Second
+
+// waitReady waits until every daemon can serve the model.
+func (w *World) waitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, p := range w.Daemons {
+		for !p.serves() {
+			if time.Now().After(deadline) {
+				return errors.New("trial: the daemons did not become ready")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (p *Process) serves() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.daemon.Status().Models {
+		if m.Model == Model && m.Bound > 0 {
+			return p.daemon.Ready() == nil
+		}
+	}
+	return false
+}
+
+// SetLeaving marks a backend server's VM as leaving in the platform's list.
+func (w *World) SetLeaving(name string) {
+	w.Platform.SetVMs([]platform.VM{{Name: name, State: platform.VMLeaving, Role: "backend"}})
+}
+
+// Close ends everything that the world started.
+func (w *World) Close() {
+	for _, p := range w.Daemons {
+		_ = p.Stop()
+	}
+	for _, s := range engines {
+		w.Fleet.Engine(s.name).Kill()
+	}
+	for _, s := range w.Services {
+		s.Close()
+	}
+	w.Platform.Close()
+	_ = os.RemoveAll(w.dir)
+}
