--- a/backend/httpbackend/wire.go
+++ b/backend/httpbackend/wire.go
@@ -14,7 +14,6 @@
 	PathCancel   = "/v1/cancel"
 	PathStatus   = "/v1/status"
 	PathExport   = "/v1/kv/export"
-	PathImport   = "/v1/kv/import"
 	PathOrder    = "/v1/order"
 	PathCache    = "/v1/cache-events"
 )
--- a/cmd/snowspoke/try.go
+++ b/cmd/snowspoke/try.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	w, err := trial.NewWorld(t.Daemons, logging.New(logs, "info"))
+	w, err := trial.NewWorld(t.Daemons, trial.Loopback, logging.New(logs, "info"))
 	if err != nil {
 		return err
 	}
--- a/cmd/snowspoked/main.go
+++ b/cmd/snowspoked/main.go
@@ -7,12 +7,14 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/snowspoke/snowspoke/config"
 	"github.com/snowspoke/snowspoke/daemon"
 	"github.com/snowspoke/snowspoke/logging"
+	"github.com/snowspoke/snowspoke/network"
 )
 
 // Exit codes.
@@ -21,6 +23,9 @@
 	exitSettings = 2
 )
 
+// dialTimeout bounds the making of a connection.
+const dialTimeout = time.Second
+
 type flags struct {
 	Settings string `help:"INI file with the settings." default:"/etc/snowspoke/snowspoked.ini" type:"path"`
 	Check    bool   `help:"Check the settings and exit: 0 if they are fine, 2 if not."`
@@ -49,7 +54,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	d, err := daemon.New(cfg, logging.New(os.Stderr, cfg.Log.Level))
+	d, err := daemon.New(cfg, network.NewSystem(dialTimeout), logging.New(os.Stderr, cfg.Log.Level))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/snowspoke/snowspoke/invariant"
 	"github.com/snowspoke/snowspoke/metrics"
 	"github.com/snowspoke/snowspoke/monitor"
+	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/platform/httpplatform"
 	"github.com/snowspoke/snowspoke/routing"
 )
@@ -37,6 +38,7 @@
 // Daemon is one daemon of the fleet.
 type Daemon struct {
 	cfg     config.Config
+	net     network.Network
 	logger  log.Logger
 	metrics *metrics.Metrics
 
@@ -52,6 +54,7 @@
 	callers   *http.Server
 	operators *http.Server
 	listeners [2]net.Listener
+	clients   []*http.Client
 	stopping  atomic.Bool
 }
 
@@ -63,8 +66,8 @@
 )
 
 // New builds a daemon and opens its listeners; Run starts it.
-func New(cfg config.Config, logger log.Logger) (*Daemon, error) {
-	d := &Daemon{cfg: cfg, logger: log.With(logger, "daemon", cfg.Daemon.Name)}
+func New(cfg config.Config, n network.Network, logger log.Logger) (*Daemon, error) {
+	d := &Daemon{cfg: cfg, net: n, logger: log.With(logger, "daemon", cfg.Daemon.Name)}
 	m, err := metrics.New()
 	if err != nil {
 		return nil, err
@@ -110,13 +113,13 @@
 }
 
 func (d *Daemon) buildServers() {
-	store := httpplatform.New(d.cfg.Platform.URL, platformClient())
+	store := httpplatform.New(d.cfg.Platform.URL, d.client(platformConns))
 	d.follower = catalog.NewFollower(d.catalog, store, d.cfg.Platform.Resync, d.logger)
 	scheme := "http"
 	if d.cfg.Security.BackendTLS {
 		scheme = "https"
 	}
-	engines := httpbackend.NewEngines(backendClient(), scheme)
+	engines := httpbackend.NewEngines(d.client(backendConns), scheme)
 	d.monitor = monitor.New(monitor.Options{
 		StatusPoll: d.cfg.Health.StatusPoll, VMPoll: d.cfg.Platform.VMPoll, GapFloor: d.cfg.Health.GapFloor,
 		GapCeiling: d.cfg.Health.GapCeiling, Health: health.DefaultConfig(), Link: health.DefaultLinkConfig(),
@@ -125,7 +128,7 @@
 		Owner: monitor.OwnsAll{}, Wake: d.gate.Wake, Clock: time.Now,
 	})
 	disp := d.dispatcher(engines)
-	services := dispatch.NewServices(disp, httpbackend.NewServices(backendClient(), scheme))
+	services := dispatch.NewServices(disp, httpbackend.NewServices(d.client(backendConns), scheme))
 	l := d.cfg.Limits
 	callers := api.NewCallers(api.CallerOptions{
 		BodyBytes: l.BodyBytes, BodyTimeout: l.BodyTimeout, WriteTimeout: l.WriteTimeout,
@@ -146,6 +149,19 @@
 	})
 }
 
+// Idle connections kept to each host.
+const (
+	platformConns = 8
+	backendConns  = 256
+)
+
+// client returns an HTTP client whose idle connections end with the daemon.
+func (d *Daemon) client(perHost int) *http.Client {
+	c := network.Client(d.net, perHost)
+	d.clients = append(d.clients, c)
+	return c
+}
+
 func (d *Daemon) newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: d.cfg.Limits.HeaderTimeout, MaxHeaderBytes: d.cfg.Limits.HeaderBytes,
@@ -155,7 +171,7 @@
 
 func (d *Daemon) listen() error {
 	for i, address := range []string{d.cfg.Listen.Callers, d.cfg.Listen.Operators} {
-		l, err := net.Listen("tcp", address)
+		l, err := d.net.Listen(address)
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", address, err)
 		}
@@ -197,6 +213,9 @@
 	_ = d.callers.Close()
 	_ = d.operators.Close()
 	wg.Wait()
+	for _, c := range d.clients {
+		c.CloseIdleConnections()
+	}
 	_ = d.metrics.Close()
 	_ = level.Info(d.logger).Log("msg", "stopped", "err", err)
 	return err
@@ -236,19 +255,3 @@
 func (d *Daemon) reportViolation(p invariant.Promise, detail string) {
 	_ = level.Error(d.logger).Log("msg", "invariant violated", "promise", string(p), "detail", detail)
 }
-
-func platformClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, ResponseHeaderTimeout: 5 * time.Second,
-		DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-	}}
-}
-
-// backendClient keeps idle connections for a shorter time than servers usually
-// do, so that a request is seldom sent on a connection that is being closed.
-func backendClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 256, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}).DialContext,
-	}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
-}
--- a/daemon/inspect.go
+++ b/daemon/inspect.go
@@ -19,6 +19,7 @@
 var (
 	errStopping  = errors.New("stopping")
 	errNotSynced = errors.New("no configuration yet")
+	errNotPolled = errors.New("backend servers not asked yet")
 )
 
 // Ready implements api.Inspector.
@@ -29,6 +30,9 @@
 	if d.catalog.Mark().Revision == 0 {
 		return errNotSynced
 	}
+	if !d.monitor.Polled() {
+		return errNotPolled
+	}
 	return nil
 }
 
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -55,7 +55,8 @@
 	queue   *admission.Queue
 	rate    float64 // requests that leave the plan's servers, per second, smoothed
 	last    time.Time
-	service float64 // seconds that a request takes once admitted, smoothed
+	service float64   // seconds that a request takes once admitted, smoothed
+	routed  time.Time // last time a route was found
 }
 
 // Gains of the service estimates.
@@ -130,7 +131,7 @@
 			g.mu.Unlock()
 			return t, nil
 		}
-		if err != routing.ErrFull {
+		if err != routing.ErrFull && !l.buffers(now) {
 			g.mu.Unlock()
 			return nil, routeError(m.Name, err)
 		}
@@ -252,13 +253,21 @@
 		defer timer.Stop()
 		hopeless = timer.C
 	}
-	select {
-	case gr := <-p.granted:
-		return g.granted(gr, since)
-	case <-hopeless:
-		return g.leave(l, p, since, apierror.New(apierror.DeadlineUnlikely, "waited %s, too little is left to run", g.clock().Sub(since).Round(time.Millisecond)))
-	case <-ctx.Done():
-		return g.leave(l, p, since, apierror.Wrap(apierror.DeadlinePassed, context.Cause(ctx)))
+	recheck := time.NewTimer(bufferFor + bufferSlack)
+	defer recheck.Stop()
+	for {
+		select {
+		case <-recheck.C:
+			g.Wake() // refuses what was buffered for too long
+			continue
+		case gr := <-p.granted:
+			return g.granted(gr, since)
+		case <-hopeless:
+			return g.leave(l, p, since, apierror.New(apierror.DeadlineUnlikely,
+				"waited %s, too little is left to run", g.clock().Sub(since).Round(time.Millisecond)))
+		case <-ctx.Done():
+			return g.leave(l, p, since, apierror.Wrap(apierror.DeadlinePassed, context.Cause(ctx)))
+		}
 	}
 }
 
@@ -300,6 +309,7 @@
 	t := &ticket{choice: c, key: key}
 	g.take(t)
 	g.inFlight++
+	g.line(key).routed = t.began
 	return t, nil
 }
 
@@ -334,7 +344,7 @@
 		}
 		p := l.queue.Peek().Owner.(*pending)
 		t, err := g.grant(key, p.choose)
-		if err == routing.ErrFull {
+		if err == routing.ErrFull || err != nil && l.buffers(g.clock()) {
 			stuck[key] = true
 			continue
 		}
@@ -405,6 +415,16 @@
 	g.pump()
 }
 
+// bufferFor is how long requests wait when a model that had a route has none,
+// as in the moment of a restart or a move. A model that stays without a route
+// refuses at once.
+const bufferFor = 2 * time.Second
+
+// bufferSlack makes sure that a recheck comes after the end of bufferFor.
+const bufferSlack = 10 * time.Millisecond
+
+func (l *line) buffers(now time.Time) bool { return now.Sub(l.routed) < bufferFor }
+
 // observe updates the service time, and the rate while requests wait.
 func (l *line) observe(d time.Duration, now time.Time) {
 	if l.service == 0 {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/backend/httpbackend"
+	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -44,6 +45,18 @@
 	return f.engines[name]
 }
 
+// at returns the engine at an address, or nil.
+func (f *Fleet) at(address string) *Engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.engines {
+		if e.Address() == address {
+			return e
+		}
+	}
+	return nil
+}
+
 // Engine is a fake model engine with a service time for each token.
 type Engine struct {
 	server
@@ -71,9 +84,9 @@
 }
 
 // Add starts an engine that holds the given parts.
-func (f *Fleet) Add(name string, rate float64, delay time.Duration, holdings ...backend.Holding) (*Engine, error) {
+func (f *Fleet) Add(n network.Network, name string, rate float64, delay time.Duration, holdings ...backend.Holding) (*Engine, error) {
 	e := &Engine{
-		Name: name, fleet: f, rate: rate, delay: delay, streams: map[string]*stream{},
+		server: server{net: n}, Name: name, fleet: f, rate: rate, delay: delay, streams: map[string]*stream{},
 		fenced: map[string]int{}, kv: map[string]int{},
 		status: backend.Status{BackendServer: name, Boot: 1, Seq: 1, Holdings: holdings, Role: backend.RoleMixed},
 	}
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -18,7 +18,6 @@
 	mux.HandleFunc("GET "+httpbackend.PathStatus, e.report)
 	mux.HandleFunc("POST "+httpbackend.PathOrder, e.order)
 	mux.HandleFunc("POST "+httpbackend.PathExport, e.export)
-	mux.HandleFunc("POST "+httpbackend.PathImport, e.importKV)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		for e.Frozen.Load() && !e.dead.Load() && r.Context().Err() == nil {
 			time.Sleep(time.Millisecond)
@@ -205,20 +204,16 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	resp, err := http.Post("http://"+x.To+httpbackend.PathImport, "application/json", encode(x))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadGateway)
+	to := e.fleet.at(x.To)
+	if to == nil || to.dead.Load() {
+		http.Error(w, "cannot reach "+x.To, http.StatusBadGateway)
 		return
 	}
-	_ = resp.Body.Close()
+	to.importKV(x)
 	_ = json.NewEncoder(w).Encode(httpbackend.HandleBody{Handle: x.RequestID})
 }
 
-func (e *Engine) importKV(_ http.ResponseWriter, r *http.Request) {
-	var x backend.ExportKV
-	if json.NewDecoder(r.Body).Decode(&x) != nil {
-		return
-	}
+func (e *Engine) importKV(x backend.ExportKV) {
 	e.state.Lock()
 	defer e.state.Unlock()
 	e.kv[x.RequestID] = max(x.Tokens, e.kv[x.RequestID])
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -2,14 +2,16 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
+
+	"github.com/snowspoke/snowspoke/network"
 )
 
 // server is an HTTP server that can be killed and started again on its address.
 type server struct {
 	mu      sync.Mutex
+	net     network.Network
 	handler http.Handler
 	address string
 	http    *http.Server
@@ -23,7 +25,7 @@
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := s.net.Listen(address)
 	if err != nil {
 		return fmt.Errorf("standin: %w", err)
 	}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -1,14 +1,13 @@
 package standin
 
 import (
-	"bytes"
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/snowspoke/snowspoke/backend/httpbackend"
+	"github.com/snowspoke/snowspoke/network"
 )
 
 // Service is a fake of a plain service. It answers with the body it got.
@@ -21,8 +20,8 @@
 }
 
 // NewService starts a service.
-func NewService(l *Ledger) (*Service, error) {
-	s := &Service{Ledger: l}
+func NewService(n network.Network, l *Ledger) (*Service, error) {
+	s := &Service{server: server{net: n}, Ledger: l}
 	s.handler = http.HandlerFunc(s.serve)
 	return s, s.start()
 }
@@ -42,11 +41,3 @@
 	w.Header().Set("Content-Type", "text/plain")
 	_, _ = w.Write(append([]byte(r.Method+" "+r.URL.Path+" "), body...))
 }
-
-func encode(v any) io.Reader {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return bytes.NewReader(data)
-}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/platform"
 	"github.com/snowspoke/snowspoke/platform/httpplatform"
 )
@@ -28,8 +29,8 @@
 }
 
 // NewPlatform starts an empty platform.
-func NewPlatform() (*Platform, error) {
-	p := &Platform{objects: map[platform.ID]platform.Object{}, changed: make(chan struct{})}
+func NewPlatform(n network.Network) (*Platform, error) {
+	p := &Platform{server: server{net: n}, objects: map[platform.ID]platform.Object{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/objects/{kind}/{name}", p.get)
 	mux.HandleFunc("GET /v1/objects/{kind}", p.list)
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -69,6 +69,7 @@
 	links    map[linkKey]*health.Link
 	hops     map[string]*health.Gap
 	linkGaps map[linkKey]*health.Gap
+	polled   bool // every owned backend server was asked once
 }
 
 type linkKey struct{ from, to string }
@@ -96,7 +97,7 @@
 func (m *Monitor) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { m.every(ctx, m.opts.VMPoll, m.readVMs) })
-	wg.Go(func() { m.every(ctx, m.opts.StatusPoll, m.pollOwned) })
+	wg.Go(func() { m.pollStatuses(ctx) })
 	wg.Go(func() { m.every(ctx, tick, m.onTick) })
 	wg.Wait()
 }
@@ -115,6 +116,23 @@
 	}
 }
 
+// pollStatuses polls on time, and at once while no poll has met a configuration.
+func (m *Monitor) pollStatuses(ctx context.Context) {
+	for !m.Polled() {
+		changed := m.Table.Changed()
+		m.pollOwned(ctx)
+		if m.Polled() {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+	m.every(ctx, m.opts.StatusPoll, m.pollOwned)
+}
+
 func (m *Monitor) readVMs(ctx context.Context) {
 	vms, err := m.VMs.ListVMs(ctx)
 	if err != nil {
@@ -134,6 +152,17 @@
 		wg.Go(func() { m.readStatus(ctx, info.Config) })
 	}
 	wg.Wait()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.polled = m.polled || len(m.Table.View().Servers) > 0
+}
+
+// Polled reports whether every backend server that this daemon owns was asked
+// once, so that a lack of routes is real.
+func (m *Monitor) Polled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.polled
 }
 
 func (m *Monitor) readStatus(ctx context.Context, b *topology.BackendServer) {
--- /dev/null
+++ b/network/network.go
@@ -0,0 +1,48 @@
+// Package network is the seam between the daemon and the sockets of its
+// machine, so that tests can run many daemons on a network in memory.
+package network
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Network opens listeners and connections.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// System is the machine's own network.
+type System struct{ dialer net.Dialer }
+
+// NewSystem returns the machine's network; a connection that is not made within
+// the timeout fails.
+func NewSystem(timeout time.Duration) *System {
+	return &System{dialer: net.Dialer{Timeout: timeout, KeepAlive: 5 * time.Second}}
+}
+
+// Listen implements Network.
+func (s *System) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// DialContext implements Network.
+func (s *System) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return s.dialer.DialContext(ctx, network, address)
+}
+
+// idleTimeout is shorter than that of usual servers, so that a request is
+// seldom sent on a connection that is being closed.
+const idleTimeout = 20 * time.Second
+
+// Client returns an HTTP client over the network that keeps up to perHost idle
+// connections to each host and follows no redirect.
+func Client(n Network, perHost int) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: n.DialContext, MaxIdleConnsPerHost: perHost, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
--- a/trial/once.go
+++ b/trial/once.go
@@ -13,6 +13,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/client"
 	"github.com/snowspoke/snowspoke/internal/standin"
+	"github.com/snowspoke/snowspoke/network"
 )
 
 // Report is what a run of mixed requests showed.
@@ -46,7 +47,7 @@
 	http   *http.Client
 	mu     sync.Mutex
 	report Report
-	gaps   []time.Duration
+	gaps   []time.Duration // the longest of each stream
 	next   atomic.Int64
 }
 
@@ -61,7 +62,7 @@
 // Once sends a few hundred mixed requests, kills a stage in mid-stream, drains a
 // backend server and restarts a daemon while they run.
 func Once(ctx context.Context, w *World, say func(string)) *Report {
-	m := &mix{w: w, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	m := &mix{w: w, http: network.Client(w.hosts(callersIP), mixParallel)}
 	defer m.http.CloseIdleConnections()
 	jobs := make(chan int)
 	var wg sync.WaitGroup
@@ -174,7 +175,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.report.Requests++
-	m.gaps = append(m.gaps, reply.Gaps...)
+	if len(reply.Gaps) > 0 {
+		m.gaps = append(m.gaps, slices.Max(reply.Gaps))
+	}
 	if !r.Repeatable && runs > 1 {
 		m.report.Repeated++
 	}
@@ -200,7 +203,7 @@
 	}
 }
 
-// settle checks the engines' ledger and finds the longest gaps.
+// settle checks the engines' ledger and finds the recovery time.
 func (m *mix) settle() {
 	m.check(m.w.Fleet.Ledger.Check())
 	slices.Sort(m.gaps)
--- a/trial/world.go
+++ b/trial/world.go
@@ -18,6 +18,7 @@
 	"github.com/snowspoke/snowspoke/config"
 	"github.com/snowspoke/snowspoke/daemon"
 	"github.com/snowspoke/snowspoke/internal/standin"
+	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/platform"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -58,16 +59,33 @@
 	Services []*standin.Service
 	Daemons  []*Process
 
+	hosts   Hosts
 	logger  log.Logger
 	keyFile string
 	dir     string
 }
 
+// Hosts gives each process of a world the network of its host, by IP number.
+type Hosts func(ip string) network.Network
+
+// Loopback puts every process on the machine's own network.
+func Loopback(string) network.Network { return network.NewSystem(time.Second) }
+
+// IP numbers of a world's hosts on a network in memory.
+const (
+	platformIP = "10.0.0.1"
+	callersIP  = "10.0.0.2"
+	engineIP   = "10.0.1.%d"
+	serviceIP  = "10.0.2.%d"
+	daemonIP   = "10.0.3.%d"
+)
+
 // Process is one daemon that can be stopped and started again.
 type Process struct {
 	Name   string
 	world  *World
 	cfg    config.Config
+	net    network.Network
 	mu     sync.Mutex
 	daemon *daemon.Daemon
 	stop   context.CancelFunc
@@ -75,10 +93,10 @@
 }
 
 // NewWorld starts stand-ins, and n daemons that log to logger.
-func NewWorld(n int, logger log.Logger) (*World, error) {
-	w := &World{Fleet: standin.NewFleet(), logger: logger}
+func NewWorld(n int, hosts Hosts, logger log.Logger) (*World, error) {
+	w := &World{Fleet: standin.NewFleet(), hosts: hosts, logger: logger}
 	var err error
-	if w.Platform, err = standin.NewPlatform(); err != nil {
+	if w.Platform, err = standin.NewPlatform(hosts(platformIP)); err != nil {
 		return nil, err
 	}
 	if err := w.addBackends(); err != nil {
@@ -96,8 +114,8 @@
 }
 
 func (w *World) addBackends() error {
-	for _, s := range engines {
-		e, err := w.Fleet.Add(s.name, s.rate, s.delay, backend.Holding{Model: Model, Version: version, Layers: s.holds})
+	for i, s := range engines {
+		e, err := w.Fleet.Add(w.hosts(fmt.Sprintf(engineIP, i+1)), s.name, s.rate, s.delay, backend.Holding{Model: Model, Version: version, Layers: s.holds})
 		if err != nil {
 			return err
 		}
@@ -135,7 +153,7 @@
 func (w *World) addService() error {
 	spec := &topology.Service{Repeatable: []topology.CallPattern{{Method: "GET"}}}
 	for i := range 2 {
-		s, err := standin.NewService(w.Fleet.Ledger)
+		s, err := standin.NewService(w.hosts(fmt.Sprintf(serviceIP, i+1)), w.Fleet.Ledger)
 		if err != nil {
 			return err
 		}
@@ -176,14 +194,14 @@
 }
 
 func (w *World) addDaemon(i int) error {
-	p := &Process{Name: fmt.Sprintf("daemon-%d", i+1), world: w, cfg: w.Settings(i)}
+	p := &Process{Name: fmt.Sprintf("daemon-%d", i+1), world: w, cfg: w.Settings(i), net: w.hosts(fmt.Sprintf(daemonIP, i+1))}
 	w.Daemons = append(w.Daemons, p)
 	return p.Start()
 }
 
 // Start runs the daemon.
 func (p *Process) Start() error {
-	d, err := daemon.New(p.cfg, p.world.logger)
+	d, err := daemon.New(p.cfg, p.net, p.world.logger)
 	if err != nil {
 		return err
 	}
