Survive the loss of a whole failure domain in mid-stream

Change: a refusal names the hop it is about (backend.HopError); a stream that has begun does not spend the retry budget; pauses are jittered and grow.

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -26,6 +26,19 @@
 	ErrUnsupported = errors.New("backend: not supported")
 )
 
+// HopError says which backend server of a route an error is about, when that is
+// not the one that was called.
+type HopError struct {
+	BackendServer string
+	Err           error
+}
+
+// Error implements error.
+func (e *HopError) Error() string { return e.BackendServer + ": " + e.Err.Error() }
+
+// Unwrap returns the error itself.
+func (e *HopError) Unwrap() error { return e.Err }
+
 // Message is one turn of a chat.
 type Message struct {
 	Role    string `json:"role"`
--- a/backend/httpbackend/engine.go
+++ b/backend/httpbackend/engine.go
@@ -175,7 +175,11 @@
 		if resp.StatusCode == http.StatusPreconditionFailed {
 			return backend.ErrFenced
 		}
-		return fmt.Errorf("%w: status %d", backend.ErrRefused, resp.StatusCode)
+		err := fmt.Errorf("%w: status %d", backend.ErrRefused, resp.StatusCode)
+		if hop := resp.Header.Get(HeaderHop); hop != "" {
+			return &backend.HopError{BackendServer: hop, Err: err}
+		}
+		return err
 	}
 	switch resp.StatusCode {
 	case http.StatusGone, http.StatusNotFound:
--- a/backend/httpbackend/wire.go
+++ b/backend/httpbackend/wire.go
@@ -25,6 +25,10 @@
 // RanNo is the value of HeaderRan that makes an error answer a refusal.
 const RanNo = "no"
 
+// HeaderHop names the backend server that a head's refusal is about, when the
+// head could not reach it or it does not hold its layers.
+const HeaderHop = "X-Hop"
+
 // HeaderRequestID carries the request ID to plain services.
 const HeaderRequestID = "X-Request-Id"
 
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -104,7 +104,7 @@
 		r.d.health.Signal(head, health.Unreachable)
 		return result{err: err, failed: head}
 	case errors.Is(err, backend.ErrRefused):
-		return r.refused(err, head)
+		return r.refused(err, refusedBy(err, head))
 	}
 	_ = r.move(Unknown)
 	if errors.Is(context.Cause(actx), errStalled) {
@@ -114,11 +114,25 @@
 	return result{err: err, failed: head}
 }
 
-// refused notes that this attempt surely did not run.
+// refusedBy returns the backend server that a refusal is about.
+func refusedBy(err error, head string) string {
+	var hop *backend.HopError
+	if errors.As(err, &hop) {
+		return hop.BackendServer
+	}
+	return head
+}
+
+// refused notes that this attempt surely did not run. A head that refuses is
+// busy; a hop that the head could not use is looked at as unreachable.
 func (r *run) refused(err error, server string) result {
 	if verr := r.move(Refused); verr != nil {
 		return result{err: verr, final: true}
 	}
+	if server != r.route[0].BackendServer {
+		r.d.health.Signal(server, health.Unreachable)
+		return result{err: err, failed: server}
+	}
 	r.d.health.Signal(server, health.Refused)
 	r.d.gate.Shrink(server)
 	return result{err: err, failed: server}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/decision"
@@ -150,6 +152,7 @@
 	produced bool   // the present attempt has produced a token
 	moveSeen uint64 // fleet version at which a move was last considered
 	gap      health.Gap
+	pause    *backoff.ExponentialBackOff // between two looks for a route
 	firstAt  time.Time
 	lastAt   time.Time // of the last token handed on
 	failedAt time.Time // set while the stream is interrupted
@@ -366,18 +369,19 @@
 	return &apierror.Error{Kind: kind, Detail: res.err.Error(), Err: res.err}
 }
 
-// elsewhere sends a request that surely did not run to another route. Each such
-// retry is taken out of the budget.
+// elsewhere sends an attempt that surely did not run to another route. A new
+// request takes each such retry out of the budget; a stream that has begun, or a
+// route that began to leave at the last moment, does not.
 func (r *run) elsewhere(ctx context.Context, res result) error {
 	if res.failed != "" {
 		r.avoid[res.failed] = true
 	}
+	if r.ran {
+		return r.reroute(ctx, res, "recover")
+	}
 	if !errors.Is(res.err, errLeaving) && !r.d.gate.SpendRetry(r.req.Workspace.Name, r.model.Name) {
 		return r.giveUp(res)
 	}
-	if len(r.prior) > 0 {
-		return r.reroute(ctx, res, "retry")
-	}
 	b := r.binding()
 	c, err := routing.Choose(b.Plan, b.At(r.d.clock()), r.routeOptions(), rand.New(rand.NewPCG(rand.Uint64(), 1)))
 	if err != nil {
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/decision"
@@ -63,14 +65,26 @@
 		}
 		// What failed may be back, and nothing else is there.
 		clear(r.avoid)
-		if !waitFor(ctx, changed, min(left, retryPause)) {
+		if !waitFor(ctx, changed, min(left, r.nextPause())) {
 			return r.finalError(ctx, context.Cause(ctx))
 		}
 	}
 }
 
-// retryPause is the longest pause before a route is looked for again.
-const retryPause = 100 * time.Millisecond
+// Bounds of the jittered pause before a route is looked for again.
+const (
+	firstRetryPause = 50 * time.Millisecond
+	longRetryPause  = 500 * time.Millisecond
+)
+
+func (r *run) nextPause() time.Duration {
+	if r.pause == nil {
+		r.pause = backoff.NewExponentialBackOff()
+		r.pause.InitialInterval = firstRetryPause
+		r.pause.MaxInterval = longRetryPause
+	}
+	return r.pause.NextBackOff()
+}
 
 func waitFor(ctx context.Context, ch <-chan struct{}, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -37,7 +37,8 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	if why := e.refusal(&g); why != "" {
+	if why, hop := e.refusal(&g); why != "" {
+		w.Header().Set(httpbackend.HeaderHop, hop)
 		refuse(w, http.StatusServiceUnavailable, why)
 		return
 	}
@@ -63,20 +64,22 @@
 	return -1
 }
 
-func (e *Engine) refusal(g *httpbackend.GenerateBody) string {
+// refusal returns why a request is refused, and the hop that is the cause when
+// it is another one.
+func (e *Engine) refusal(g *httpbackend.GenerateBody) (why, hop string) {
 	if e.RefuseAll.Load() {
-		return "busy"
+		return "busy", ""
 	}
 	if err := g.Route.CheckTiling(g.Layers); err != nil {
-		return err.Error()
+		return err.Error(), ""
 	}
 	for _, h := range g.Route {
 		hop := e.fleet.Engine(h.BackendServer)
 		if hop == nil || hop.dead.Load() || !hop.holds(g.Model, g.Version, h.Layers) {
-			return h.BackendServer + " does not hold " + h.Layers.String()
+			return "does not hold " + h.Layers.String(), h.BackendServer
 		}
 	}
-	return ""
+	return "", ""
 }
 
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/trial/faults_test.go
@@ -0,0 +1,418 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/api"
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/client"
+	"github.com/snowspoke/snowspoke/internal/memnet"
+	"github.com/snowspoke/snowspoke/internal/standin"
+	"github.com/snowspoke/snowspoke/invariant"
+	"github.com/snowspoke/snowspoke/network"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// inWorld runs fn in a world of n daemons in virtual time and checks the ledger
+// and the program's own assertions afterwards.
+func inWorld(t *testing.T, n int, fn func(w *World, hc *http.Client, net *memnet.Net)) {
+	synctest.Test(t, func(t *testing.T) {
+		net := memnet.New()
+		before := invariant.Total()
+		w, err := NewWorld(n, func(ip string) network.Network { return net.Host(ip) }, log.NewNopLogger())
+		require.NoError(t, err)
+		hc := network.Client(w.hosts(callersIP), 64)
+		defer func() {
+			hc.CloseIdleConnections()
+			net.Heal()
+			w.Close()
+			time.Sleep(time.Minute) // lets what still runs come to its end
+			assert.NoError(t, w.Fleet.Ledger.Check())
+			assert.Equal(t, before, invariant.Total(), "invariants violated")
+		}()
+		fn(w, hc, net)
+	})
+}
+
+func (w *World) clientOf(i int, hc *http.Client) *client.Client {
+	return client.New(w.Daemons[i].CallersURL(), Token, hc)
+}
+
+func TestBadInput(t *testing.T) {
+	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+		w.Platform.Set(string(topology.KindModel), "unheld", &topology.Model{Layers: 4, Version: "v1"})
+		w.Platform.Set(string(topology.KindWorkspace), "ruled", &topology.Workspace{
+			TokenHashes: []string{topology.HashToken("ruled")}, Labels: topology.Labels{"team": "night"}})
+		rule, err := topology.ParseSelector("team=night")
+		require.NoError(t, err)
+		alerts, err := topology.ParseSelector("use=alert")
+		require.NoError(t, err)
+		w.Platform.Set(string(topology.KindRoutingRule), "r", &topology.RoutingRule{Workspaces: rule, Requests: alerts})
+		time.Sleep(time.Second)
+		good := `{"model":"` + Model + `","prompt":"p","max_tokens":3}`
+		cases := []struct {
+			name, token, path, body string
+			header                  map[string]string
+			kind                    apierror.Kind
+		}{
+			{"json", Token, "/v1/completions", "{", nil, apierror.BadRequest},
+			{"prompt", Token, "/v1/completions", `{"model":"m"}`, nil, apierror.BadRequest},
+			{"messages", Token, "/v1/chat/completions", `{"model":"m"}`, nil, apierror.BadRequest},
+			{"path", Token, "/v1/nothing", good, nil, apierror.BadRequest},
+			{"no token", "", "/v1/completions", good, nil, apierror.Unauthorized},
+			{"token", "wrong", "/v1/completions", good, nil, apierror.Unauthorized},
+			{"model", Token, "/v1/completions", `{"model":"none","prompt":"p"}`, nil, apierror.UnknownModel},
+			{"adapter", Token, "/v1/completions", `{"model":"` + Model + `","adapter":"x","prompt":"p"}`, nil, apierror.UnknownModel},
+			{"service", Token, "/services/none/x", "", nil, apierror.UnknownService},
+			{"route", Token, "/v1/completions", `{"model":"unheld","prompt":"p"}`, nil, apierror.NoRoute},
+			{"rule", "ruled", "/v1/completions", good, nil, apierror.Forbidden},
+			{"long", Token, "/v1/completions", `{"prompt":"` + strings.Repeat("x", 2<<20) + `"}`, nil, apierror.BodyTooLarge},
+			{"past", Token, "/v1/completions", good, map[string]string{api.HeaderDeadline: "1999-01-01T00:00:00Z"}, apierror.DeadlinePassed},
+			{"deadline", Token, "/v1/completions", good, map[string]string{api.HeaderDeadline: "soon"}, apierror.BadRequest},
+			{"priority", Token, "/v1/completions", good, map[string]string{api.HeaderPriority: "high"}, apierror.BadRequest},
+			{"labels", Token, "/v1/completions", good, map[string]string{api.HeaderLabels: "a=b,=="}, apierror.BadRequest},
+			{"repeatable", Token, "/v1/completions", good, map[string]string{api.HeaderRepeatable: "maybe"}, apierror.BadRequest},
+			{"event id", Token, "/v1/completions", good, map[string]string{api.HeaderEventID: "forged"}, apierror.BadEventID},
+		}
+		for _, c := range cases {
+			req, err := http.NewRequest(http.MethodPost, w.Daemons[0].CallersURL()+c.path, strings.NewReader(c.body))
+			require.NoError(t, err)
+			req.Header.Set("Authorization", "Bearer "+c.token)
+			for k, v := range c.header {
+				req.Header.Set(k, v)
+			}
+			resp, err := hc.Do(req)
+			require.NoError(t, err, c.name)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, string(c.kind), resp.Header.Get(api.HeaderKind), c.name)
+			require.Equal(t, string(apierror.RanNo), resp.Header.Get(api.HeaderRan), c.name)
+			require.Zero(t, w.Fleet.Ledger.Executions(resp.Header.Get(api.HeaderRequestID)), c.name)
+		}
+	})
+}
+
+func TestRuleRestrictsBackendServers(t *testing.T) {
+	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+		only, err := topology.ParseSelector("accelerator in (a100, l40s)")
+		require.NoError(t, err)
+		w.Platform.Set(string(topology.KindRoutingRule), "slow", &topology.RoutingRule{BackendServers: only})
+		time.Sleep(time.Second)
+		for range 20 {
+			reply, err := w.clientOf(0, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "p", MaxTokens: 2, Repeatable: true})
+			require.NoError(t, err)
+			require.True(t, reply.Whole)
+			for _, d := range w.Daemons[0].daemon.Explain(reply.RequestID) {
+				require.NotRegexp(t, "engine-(1|3|5)", d.Chosen)
+			}
+		}
+	})
+}
+
+// Late, repeated, reordered and foreign events never reach a caller.
+func TestDisturbedEvents(t *testing.T) {
+	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+		w.Fleet.Engine("engine-1").Shuffle.Store(true)
+		w.Fleet.Engine("engine-2").Shuffle.Store(true)
+		for i := range 10 {
+			prompt := fmt.Sprint("p", i)
+			reply, err := w.clientOf(0, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: prompt, MaxTokens: 50, Stream: true, Repeatable: true})
+			require.NoError(t, err)
+			require.True(t, reply.Whole)
+			require.True(t, reply.Text == standin.Answer(prompt, 50), "not the whole own answer")
+		}
+	})
+}
+
+// faultCases are faults that a repeatable stream must survive.
+var faultCases = map[string]func(w *World){
+	"last stage dies": func(w *World) { w.Fleet.Engine("engine-5").DieAfter.Store(30) },
+	"head dies":       func(w *World) { w.Fleet.Engine("engine-1").DieAfter.Store(30) },
+	"head freezes":    func(w *World) { freezeSoon(w, "engine-1") },
+	"middle freezes":  func(w *World) { freezeSoon(w, "engine-3") },
+	"domain dies":     func(w *World) { w.killDomainSoon("bogota-1") },
+	"two die": func(w *World) {
+		w.Fleet.Engine("engine-1").DieAfter.Store(10)
+		w.Fleet.Engine("engine-5").DieAfter.Store(40)
+	},
+}
+
+func freezeSoon(w *World, name string) {
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		w.Fleet.Engine(name).Frozen.Store(true)
+	}()
+}
+
+func (w *World) killDomainSoon(domain string) {
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		for _, s := range engines {
+			if s.domain == domain {
+				w.Fleet.Engine(s.name).Kill()
+			}
+		}
+	}()
+}
+
+func refuseFor(w *World, d time.Duration) {
+	for _, name := range []string{"engine-1", "engine-2"} {
+		w.Fleet.Engine(name).RefuseAll.Store(true)
+		time.AfterFunc(d, func() { w.Fleet.Engine(name).RefuseAll.Store(false) })
+	}
+}
+
+func TestRepeatableStreamsSurvive(t *testing.T) {
+	for name, fault := range faultCases {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+				fault(w)
+				var wg sync.WaitGroup
+				for i := range 8 {
+					wg.Go(func() {
+						prompt := fmt.Sprint("p", i)
+						reply, err := w.clientOf(0, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: prompt, MaxTokens: 80, Stream: true, Repeatable: true})
+						assert.NoError(t, err)
+						if !assert.True(t, reply.Whole, reply.Kind) {
+							t.Logf("%+v", w.Daemons[0].daemon.Explain(reply.RequestID))
+						}
+						assert.True(t, reply.Text == standin.Answer(prompt, 80), "not the whole own answer")
+					})
+				}
+				wg.Wait()
+			})
+		})
+	}
+}
+
+// While every head refuses, a request is sent again within the retry budget.
+// Beyond it requests are refused as not run, which is true, and told when to
+// come back.
+func TestEveryHeadRefuses(t *testing.T) {
+	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+		r := client.Request{Model: Model, Prompt: "p", MaxTokens: 80, Stream: true}
+		refuseFor(w, 100*time.Millisecond)
+		reply, err := w.clientOf(0, hc).Complete(context.Background(), r)
+		require.NoError(t, err)
+		require.True(t, reply.Whole, reply.Kind)
+		refuseFor(w, 300*time.Millisecond)
+		var wg sync.WaitGroup
+		for range 12 {
+			wg.Go(func() {
+				reply, err := w.clientOf(0, hc).Complete(context.Background(), r)
+				assert.NoError(t, err)
+				if reply.Whole {
+					return
+				}
+				assert.Equal(t, apierror.RanNo, reply.Ran)
+				assert.Positive(t, reply.RetryAfter)
+				assert.Zero(t, w.Fleet.Ledger.Executions(reply.RequestID))
+			})
+		}
+		wg.Wait()
+	})
+}
+
+// A request that is not repeatable runs at most once, whatever fails, and its
+// answer says truly what is known.
+func TestNotRepeatableRunsAtMostOnce(t *testing.T) {
+	for name, fault := range faultCases {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+				fault(w)
+				var wg sync.WaitGroup
+				for i := range 8 {
+					wg.Go(func() {
+						prompt := fmt.Sprint("p", i)
+						reply, err := w.clientOf(0, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: prompt, MaxTokens: 80, Stream: true})
+						assert.NoError(t, err)
+						runs := w.Fleet.Ledger.Executions(reply.RequestID)
+						assert.LessOrEqual(t, runs, 1)
+						if reply.Whole {
+							assert.True(t, reply.Text == standin.Answer(prompt, 80), "not the whole own answer")
+							return
+						}
+						assert.NotEmpty(t, reply.Kind)
+						if reply.Ran == apierror.RanNo {
+							assert.Zero(t, runs)
+						}
+					})
+				}
+				wg.Wait()
+			})
+		})
+	}
+}
+
+// A caller of a daemon that dies gets the rest of its stream from another one,
+// and nothing is computed again.
+func TestResumeOnAnotherDaemon(t *testing.T) {
+	inWorld(t, 3, func(w *World, hc *http.Client, net *memnet.Net) {
+		go func() {
+			time.Sleep(40 * time.Millisecond)
+			net.Cut(callersIP, "10.0.3.1")
+			net.Cut("10.0.1.1", "10.0.3.1")
+			net.Cut("10.0.1.2", "10.0.3.1")
+		}()
+		i := -1
+		next := func() *client.Client { i++; return w.clientOf(i, hc) }
+		reply, err := client.CompleteThrough(context.Background(), next, client.Request{Model: Model, Prompt: "p", MaxTokens: 60, Stream: true, Repeatable: true}, 3)
+		require.NoError(t, err)
+		require.True(t, reply.Whole, reply.Kind)
+		require.True(t, reply.Text == standin.Answer("p", 60), "not the whole own answer")
+		require.Positive(t, i, "the stream was not interrupted")
+		require.Zero(t, w.Fleet.Ledger.Recomputed())
+		require.Equal(t, 1, w.Fleet.Ledger.Executions(reply.RequestID))
+	})
+}
+
+func TestEventIDOfAnotherWorkspaceOrBody(t *testing.T) {
+	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+		w.Platform.Set(string(topology.KindWorkspace), "other", &topology.Workspace{TokenHashes: []string{topology.HashToken("other")}})
+		time.Sleep(time.Second)
+		r := client.Request{Model: Model, Prompt: "p", MaxTokens: 5, Stream: true, Repeatable: true}
+		reply, err := w.clientOf(0, hc).Complete(context.Background(), r)
+		require.NoError(t, err)
+		r.EventID = reply.EventID
+		stolen, err := client.New(w.Daemons[0].CallersURL(), "other", hc).Complete(context.Background(), r)
+		require.NoError(t, err)
+		require.Equal(t, apierror.BadEventID, stolen.Kind)
+		r.Prompt = "q"
+		changed, err := w.clientOf(0, hc).Complete(context.Background(), r)
+		require.NoError(t, err)
+		require.Equal(t, apierror.BadEventID, changed.Kind)
+	})
+}
+
+// A caller that goes away cancels its work at every stage.
+func TestCallerGoesAway(t *testing.T) {
+	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := w.clientOf(0, hc).Complete(ctx, client.Request{Model: Model, Prompt: "p", MaxTokens: 4000, Stream: true, Repeatable: true})
+		require.Error(t, err)
+		time.Sleep(200 * time.Millisecond)
+		for _, s := range engines {
+			require.Zero(t, w.Fleet.Engine(s.name).InFlight(), s.name)
+		}
+		running, waiting := w.Daemons[0].daemon.Status().Running, w.Daemons[0].daemon.Status().Waiting
+		require.Zero(t, running+waiting)
+	})
+}
+
+// A caller that stops reading is cut off and costs bounded memory meanwhile.
+func TestSlowReader(t *testing.T) {
+	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+		body := `{"model":"` + Model + `","prompt":"p","max_tokens":4000,"stream":true}`
+		req, err := http.NewRequest(http.MethodPost, w.Daemons[0].CallersURL()+"/v1/completions", strings.NewReader(body))
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer "+Token)
+		resp, err := hc.Do(req)
+		require.NoError(t, err)
+		time.Sleep(15 * time.Second)
+		require.Zero(t, w.Daemons[0].daemon.Status().Running)
+		require.NoError(t, resp.Body.Close())
+	})
+}
+
+// An invalid object leaves the last valid version in force and says why.
+func TestInvalidObject(t *testing.T) {
+	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+		v := w.Platform.Set(string(topology.KindModel), Model, &topology.Model{Layers: -1})
+		time.Sleep(time.Second)
+		verdict, ok := w.Daemons[0].daemon.Verdict(string(topology.KindModel), Model)
+		require.True(t, ok)
+		require.Equal(t, v, verdict.Seen)
+		require.Less(t, verdict.InForce, v)
+		require.Contains(t, verdict.Rejected, "layers: -1, write a number from 1")
+		reply, err := w.clientOf(0, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "p", MaxTokens: 3, Repeatable: true})
+		require.NoError(t, err)
+		require.True(t, reply.Whole)
+	})
+}
+
+// leaveTokens makes a stream last longer than the leaving takes.
+const leaveTokens = 2000
+
+// A backend server that leaves, by VM list, label or its own word, gets no new
+// work within 3 s, and streams on it are not cut off.
+func TestLeaving(t *testing.T) {
+	ways := map[string]func(w *World){
+		"vm list": func(w *World) { w.SetLeaving("engine-1") },
+		"status":  func(w *World) { w.Fleet.Engine("engine-1").Leave(true) },
+		"label": func(w *World) {
+			w.Platform.Set(string(topology.KindBackendServer), "engine-1", &topology.BackendServer{
+				Address: w.Fleet.Engine("engine-1").Address(), FailureDomain: "bogota-1", Labels: topology.Labels{topology.LabelDrain: "true"}})
+		},
+	}
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 2, func(w *World, hc *http.Client, _ *memnet.Net) {
+				var wg sync.WaitGroup
+				for i := range 6 {
+					wg.Go(func() {
+						reply, err := w.clientOf(i%2, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "p", MaxTokens: leaveTokens, Stream: true, Repeatable: i%4 == 0})
+						assert.NoError(t, err)
+						assert.True(t, reply.Text == standin.Answer("p", leaveTokens), "not the whole own answer")
+					})
+				}
+				time.Sleep(100 * time.Millisecond)
+				leave(w)
+				time.Sleep(3 * time.Second)
+				for i := range 30 {
+					reply, err := w.clientOf(i%2, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "q", MaxTokens: 2, Repeatable: true})
+					require.NoError(t, err)
+					for _, d := range w.Daemons[i%2].daemon.Explain(reply.RequestID) {
+						require.NotContains(t, d.Chosen, "engine-1[")
+					}
+				}
+				wg.Wait()
+			})
+		})
+	}
+}
+
+// A plain service: repeatable calls survive a broken answer, others say that
+// the outcome is unknown and are not sent again; a refusal is sent elsewhere.
+func TestPlainService(t *testing.T) {
+	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+		c := w.clientOf(0, hc)
+		ctx := context.Background()
+		w.Services[0].CutAfter.Store(1)
+		w.Services[1].CutAfter.Store(1)
+		get, err := c.Call(ctx, http.MethodGet, Service, "/cards", nil, "")
+		require.NoError(t, err)
+		require.Equal(t, apierror.OutcomeUnknown, get.Kind, "both endpoints cut it")
+		w.Services[0].CutAfter.Store(1)
+		get, err = c.Call(ctx, http.MethodGet, Service, "/cards", nil, "")
+		require.NoError(t, err)
+		require.True(t, get.Whole)
+		w.Services[0].CutAfter.Store(1)
+		w.Services[1].CutAfter.Store(1)
+		post, err := c.Call(ctx, http.MethodPost, Service, "/cards", []byte("x"), "")
+		require.NoError(t, err)
+		require.Equal(t, apierror.OutcomeUnknown, post.Kind)
+		require.Equal(t, 1, w.Fleet.Ledger.Executions(post.RequestID))
+		w.Services[0].CutAfter.Store(0)
+		w.Services[1].CutAfter.Store(0)
+		w.Services[0].RefuseAll.Store(true)
+		post, err = c.Call(ctx, http.MethodPost, Service, "/cards", []byte("x"), "")
+		require.NoError(t, err)
+		require.True(t, post.Whole)
+		w.Services[1].RefuseAll.Store(true)
+		post, err = c.Call(ctx, http.MethodPost, Service, "/cards", []byte("x"), "")
+		require.NoError(t, err)
+		require.Equal(t, apierror.BackendRefused, post.Kind)
+		require.Zero(t, w.Fleet.Ledger.Executions(post.RequestID))
+	})
+}
