--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -12,6 +12,9 @@
 	at     time.Time
 }
 
+// bucketEps absorbs the rounding of the refill.
+const bucketEps = 1e-9
+
 // Take takes one request out of a bucket that refills with rate per second up
 // to burst. When it is empty, wait is the time until the next one.
 func (b *Bucket) Take(rate, burst float64, now time.Time) (ok bool, wait time.Duration) {
@@ -25,11 +28,11 @@
 		b.tokens = math.Min(burst, b.tokens+rate*now.Sub(b.at).Seconds())
 	}
 	b.at = now
-	if b.tokens >= 1 {
+	if b.tokens >= 1-bucketEps {
 		b.tokens--
 		return true, 0
 	}
-	return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
+	return false, time.Duration(math.Ceil((1 - b.tokens) / rate * float64(time.Second)))
 }
 
 // Budget limits retries to a share of successful requests, so that retries
--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,129 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// While workspaces have work waiting, they are served in proportion to their
+// weights, however much one of them asks for.
+func TestFairByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue()
+		weights := map[string]float64{"greedy": 1, "small": float64(rapid.IntRange(1, 4).Draw(t, "weight"))}
+		counts := map[string]int{"greedy": rapid.IntRange(200, 1000).Draw(t, "greedy"), "small": 100}
+		for name, n := range counts {
+			for range n {
+				q.Push(&Waiting{Workspace: name, Weight: weights[name]})
+			}
+		}
+		served := map[string]int{}
+		for range 100 {
+			served[q.Pop().Workspace]++
+		}
+		want := 100 * weights["small"] / (1 + weights["small"])
+		require.InDelta(t, want, served["small"], 2)
+	})
+}
+
+func TestPriorityThenDeadline(t *testing.T) {
+	q := NewQueue()
+	now := time.Now()
+	late := &Waiting{Workspace: "w", Weight: 1, Deadline: now.Add(time.Hour)}
+	early := &Waiting{Workspace: "w", Weight: 1, Deadline: now.Add(time.Minute)}
+	alert := &Waiting{Workspace: "v", Weight: 1, Priority: 5, Deadline: now.Add(2 * time.Hour)}
+	gone := &Waiting{Workspace: "v", Weight: 1, Priority: 9}
+	for _, w := range []*Waiting{late, early, alert, gone} {
+		q.Push(w)
+	}
+	require.Equal(t, 4, q.Ahead("x", 1, -1))
+	require.True(t, q.Remove(gone))
+	require.False(t, q.Remove(gone))
+	require.Same(t, alert, q.Pop())
+	require.Same(t, early, q.Pop())
+	require.Same(t, late, q.Pop())
+	require.Nil(t, q.Pop())
+	require.Zero(t, q.Len())
+}
+
+// Every pushed request comes out once, by Pop or by Remove, and an idle
+// workspace earns no credit.
+func TestQueueLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue()
+		in := map[*Waiting]bool{}
+		for i := range rapid.IntRange(0, 300).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			case 0, 1:
+				w := &Waiting{Workspace: fmt.Sprint(i % 7), Weight: 1 + float64(i%3), Priority: i % 2}
+				in[w] = true
+				q.Push(w)
+			case 2:
+				if w := q.Pop(); w != nil {
+					require.True(t, in[w])
+					delete(in, w)
+				}
+			case 3:
+				for w := range in {
+					require.True(t, q.Remove(w))
+					delete(in, w)
+					break
+				}
+			}
+			require.Equal(t, len(in), q.Len())
+		}
+	})
+}
+
+func TestBucketAndBudget(t *testing.T) {
+	var b Bucket
+	now := time.Now()
+	taken := 0
+	for i := range 1000 {
+		if ok, wait := b.Take(10, 5, now.Add(time.Duration(i)*10*time.Millisecond)); ok {
+			taken++
+		} else {
+			require.Positive(t, wait)
+			require.LessOrEqual(t, wait, 100*time.Millisecond)
+		}
+	}
+	require.InDelta(t, 105, taken, 1)
+	r := NewBudget(0.1, 10)
+	spent := 0
+	for range 1000 {
+		r.Earn()
+		for r.Spend() {
+			spent++
+		}
+	}
+	require.InDelta(t, 110, spent, 1)
+}
+
+// The limit falls when latency rises under load and grows back when it is low.
+func TestLimitAdapts(t *testing.T) {
+	l := NewLimit(DefaultLimitConfig())
+	for range 300 {
+		l.Observe(10*time.Millisecond, l.Value())
+	}
+	high := l.Value()
+	require.Greater(t, high, 64)
+	for range 300 {
+		l.Observe(100*time.Millisecond, l.Value())
+	}
+	require.Less(t, l.Value(), high/2)
+}
+
+func BenchmarkPolicyQueue(b *testing.B) {
+	q := NewQueue()
+	for i := range 10000 {
+		q.Push(&Waiting{Workspace: fmt.Sprint(i % 1000), Weight: 1})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Push(q.Pop())
+	}
+}
--- a/api/stream.go
+++ b/api/stream.go
@@ -2,10 +2,11 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"net/http"
 	"strings"
 
+	"github.com/goccy/go-json"
+
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/dispatch"
--- a/backend/httpbackend/engine.go
+++ b/backend/httpbackend/engine.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	fastjson "github.com/goccy/go-json"
+
 	"github.com/snowspoke/snowspoke/backend"
 )
 
@@ -205,7 +207,7 @@
 		}
 		return ev, fmt.Errorf("%w: %v", backend.ErrLost, err)
 	}
-	if err := json.Unmarshal(data, &ev); err != nil {
+	if err := fastjson.Unmarshal(data, &ev); err != nil {
 		return ev, fmt.Errorf("%w: event: %v", backend.ErrLost, err)
 	}
 	return ev, nil
--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,117 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+func modelObject(name string, version uint64, layers int) platform.Object {
+	spec, _ := json.Marshal(&topology.Model{Layers: layers, Version: fmt.Sprint("v", version)})
+	return platform.Object{Kind: string(topology.KindModel), Name: name, Version: version, Spec: spec}
+}
+
+// Objects in any order, repeated and stale, from any source: the version in
+// force never falls, an invalid version leaves the last valid one, and catalogs
+// that saw the same objects are alike.
+func TestMonotonicWhateverTheSource(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []platform.Object
+		for v := uint64(1); v <= uint64(rapid.IntRange(1, 30).Draw(t, "versions")); v++ {
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			o := modelObject(name, v, rapid.SampledFrom([]int{8, -1}).Draw(t, "layers"))
+			o.Deleted = rapid.IntRange(0, 5).Draw(t, "deleted") == 0
+			history = append(history, o)
+		}
+		shuffled := append(rapid.Permutation(history).Draw(t, "order"), history...)
+		one, two := New(), New()
+		inForce := map[string]uint64{}
+		for _, o := range shuffled {
+			one.Apply(o)
+			v, ok := one.Verdict(o.Kind, o.Name)
+			require.True(t, ok)
+			require.GreaterOrEqual(t, v.InForce, inForce[o.Name])
+			inForce[o.Name] = v.InForce
+		}
+		two.Apply(history...)
+		require.Equal(t, two.Mark(), one.Mark())
+	})
+}
+
+func TestInvalidKeepsLastValid(t *testing.T) {
+	c := New()
+	c.Apply(modelObject("a", 1, 8))
+	verdicts := c.Apply(modelObject("a", 2, 0))
+	require.Len(t, verdicts, 1)
+	require.False(t, verdicts[0].Accepted())
+	require.Equal(t, 8, c.Snapshot().Models["a"].Layers)
+	require.Len(t, c.Rejected(), 1)
+	c.Apply(modelObject("a", 3, 9))
+	require.Equal(t, 9, c.Snapshot().Models["a"].Layers)
+	require.Empty(t, c.Rejected())
+}
+
+func TestListDeletesWhatIsAbsent(t *testing.T) {
+	c := New()
+	c.ApplyList(topology.KindModel, []platform.Object{modelObject("a", 1, 8), modelObject("b", 2, 8)}, 2)
+	c.ApplyList(topology.KindModel, []platform.Object{modelObject("b", 2, 8)}, 5)
+	require.NotContains(t, c.Snapshot().Models, "a")
+	require.Contains(t, c.Snapshot().Models, "b")
+	// A watch that repeats the past does not bring it back.
+	c.Apply(modelObject("a", 1, 8))
+	require.NotContains(t, c.Snapshot().Models, "a")
+}
+
+// A store restored from an older copy lacks accepted objects; they stay.
+func TestStoreRestoredBehind(t *testing.T) {
+	c := New()
+	old := modelObject("a", 3, 8)
+	c.ApplyList(topology.KindModel, []platform.Object{old, modelObject("new", 90, 8)}, 100)
+	for rev := uint64(50); rev < 120; rev += 10 {
+		c.ApplyList(topology.KindModel, []platform.Object{old}, rev)
+	}
+	require.True(t, c.Behind())
+	require.Contains(t, c.Snapshot().Models, "new")
+}
+
+// One stale read is not a restore, and deletes nothing either.
+func TestStaleRead(t *testing.T) {
+	c := New()
+	a := modelObject("a", 3, 8)
+	c.ApplyList(topology.KindModel, []platform.Object{a, modelObject("b", 90, 8)}, 100)
+	c.ApplyList(topology.KindModel, []platform.Object{a}, 80)
+	require.Contains(t, c.Snapshot().Models, "b")
+	require.False(t, c.Behind())
+	c.ApplyList(topology.KindModel, []platform.Object{a}, 110)
+	require.NotContains(t, c.Snapshot().Models, "b")
+}
+
+func BenchmarkApply(b *testing.B) {
+	for _, n := range []int{1000, 5000, 19000} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			c := New()
+			var objects []platform.Object
+			for i := range n {
+				objects = append(objects, workspaceObject(i, uint64(i+1)))
+			}
+			c.Apply(objects...)
+			version := uint64(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				version++
+				c.Apply(workspaceObject(int(version)%n, version))
+			}
+		})
+	}
+}
+
+func workspaceObject(i int, version uint64) platform.Object {
+	spec, _ := json.Marshal(&topology.Workspace{TokenHashes: []string{topology.HashToken(fmt.Sprint(i))}, Weight: 1})
+	return platform.Object{Kind: string(topology.KindWorkspace), Name: fmt.Sprint("w", i), Version: version, Spec: spec}
+}
--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,179 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/admission"
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/fleet"
+	"github.com/snowspoke/snowspoke/health"
+	"github.com/snowspoke/snowspoke/routing"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// instant is an engine that answers at once, for the daemon's own cost.
+type instant struct {
+	backend.Engine
+	hold chan struct{} // streams wait for it after the first token, if set
+}
+
+func (e *instant) Generate(_ context.Context, _ backend.Target, g *backend.Generate) (backend.Stream, error) {
+	return &instantStream{e: e, g: g}, nil
+}
+
+type instantStream struct {
+	e *instant
+	g *backend.Generate
+	n int
+}
+
+func (s *instantStream) Next() (backend.Event, error) {
+	ev := backend.Event{Type: backend.EventToken, RequestID: s.g.RequestID, Attempt: s.g.Attempt, Index: s.n, Text: "word "}
+	if s.n == 1 && s.e.hold != nil {
+		<-s.e.hold
+	}
+	if s.n == s.g.MaxTokens {
+		ev.Type, ev.FinishReason = backend.EventDone, "length"
+	}
+	s.n++
+	return ev, nil
+}
+
+func (*instantStream) Close() error { return nil }
+
+type quiet struct{}
+
+func (quiet) Signal(string, health.Signal) {}
+func (quiet) Load(backend.HopLoad)         {}
+func (quiet) GapBound(topology.Route, *health.Gap) time.Duration {
+	return time.Minute
+}
+func (quiet) Silent(context.Context, topology.Route) []string { return nil }
+func (quiet) Finished(string, time.Duration)                  {}
+func (quiet) FirstToken(time.Duration)                        {}
+func (quiet) Recovered(time.Duration)                         {}
+func (quiet) Dropped(Drops)                                   {}
+
+type fixed struct{ snap *topology.Snapshot }
+
+func (f fixed) Snapshot() *topology.Snapshot { return f.snap }
+
+const benchModel = "m"
+
+// benchDispatcher has three stages with servers/3 backend servers each.
+func benchDispatcher(b testing.TB, servers int, e backend.Engine) (*Dispatcher, *topology.Workspace) {
+	snap := topology.NewSnapshot()
+	snap.Revision = 1
+	snap.Models[benchModel] = &topology.Model{Name: benchModel, Layers: 24, Version: "v1", MaxTokens: 1 << 20}
+	table := fleet.NewTable()
+	var statuses []backend.Status
+	for i := range servers {
+		name := fmt.Sprintf("engine-%d", i)
+		lo := i % 3 * 8
+		snap.BackendServers[name] = &topology.BackendServer{Name: name, Address: "127.0.0.1:1", FailureDomain: "d", TokensPerSecond: 1000}
+		statuses = append(statuses, backend.Status{BackendServer: name, Boot: 1, Seq: 1, Holdings: []backend.Holding{
+			{Model: benchModel, Version: "v1", Layers: topology.LayerRange{Lo: lo, Hi: lo + 8}}}})
+	}
+	for lo := 0; lo < 24; lo += 8 {
+		snap.Stages[benchModel] = append(snap.Stages[benchModel], &topology.Stage{Name: fmt.Sprint(lo), Model: benchModel, Layers: topology.LayerRange{Lo: lo, Hi: lo + 8}})
+	}
+	table.SetConfig(snap.BackendServers)
+	for _, st := range statuses {
+		table.ApplyStatus(st, time.Now())
+	}
+	key := make([]byte, KeyBytes)
+	_, _ = rand.Read(key)
+	sealer, err := NewSealer(key)
+	require.NoError(b, err)
+	limit := admission.DefaultLimitConfig()
+	limit.Initial = limit.Max
+	d := New(Options{FirstToken: time.Minute, MaxAttempts: 4}, Parts{
+		Engine: e, Catalog: fixed{snap}, Table: table, Planner: routing.NewPlanner(table, time.Now),
+		Gate:   NewGate(GateOptions{MaxStreams: 1 << 20, QueueLimit: 10, Limit: limit}, table, time.Now),
+		Health: quiet{}, Alive: quiet{}, Warm: routing.NewPrefixes(), Sealer: sealer,
+		Log: decision.New(log.NewLogfmtLogger(io.Discard), 4096), Observer: quiet{}, Clock: time.Now,
+	})
+	return d, &topology.Workspace{Name: "w"}
+}
+
+type countSink struct{ n int }
+
+func (s *countSink) Token(Token) error { s.n++; return nil }
+
+func benchRequest(w *topology.Workspace, id string, tokens int) *Request {
+	return &Request{ID: id, Workspace: w, Model: benchModel, Prompt: "p", MaxTokens: tokens, Repeatable: true, CacheKey: 7}
+}
+
+// BenchmarkRequest is the daemon's own cost of a request of one token.
+func BenchmarkRequest(b *testing.B) {
+	for _, servers := range []int{40, 150, 600} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			d, w := benchDispatcher(b, servers, &instant{})
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := d.Do(context.Background(), benchRequest(w, "r", 1), &countSink{}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkToken is the daemon's own cost of a token event beside the sockets.
+func BenchmarkToken(b *testing.B) {
+	d, w := benchDispatcher(b, 40, &instant{})
+	b.ReportAllocs()
+	s := &countSink{}
+	_, err := d.Do(context.Background(), benchRequest(w, "r", b.N), s)
+	require.NoError(b, err)
+	require.Equal(b, b.N, s.n)
+}
+
+// BenchmarkOpenStreams reports the memory that an open stream holds in dispatch.
+func BenchmarkOpenStreams(b *testing.B) {
+	for _, streams := range []int{1000, 4000} {
+		b.Run(fmt.Sprintf("streams=%d", streams), func(b *testing.B) {
+			for b.Loop() {
+				e := &instant{hold: make(chan struct{})}
+				d, w := benchDispatcher(b, 40, e)
+				before := heap()
+				var wg sync.WaitGroup
+				for i := range streams {
+					wg.Go(func() {
+						_, _ = d.Do(context.Background(), benchRequest(w, strings.Repeat("r", 36)+fmt.Sprint(i), 2), &countSink{})
+					})
+				}
+				for {
+					if running, _ := d.gate.InFlight(); running == streams {
+						break
+					}
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(50 * time.Millisecond)
+				b.ReportMetric(float64(heap()-before)/float64(streams), "bytes/stream")
+				close(e.hold)
+				wg.Wait()
+			}
+		})
+	}
+}
+
+// heap returns the bytes in use by heap and stacks.
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
--- /dev/null
+++ b/dispatch/state_test.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/invariant"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// Whatever happens, a request that is not repeatable is under way at most once,
+// and an answer as not run is given only when nothing ran.
+func TestLifeNeverLies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := life{repeatable: rapid.Bool().Draw(t, "repeatable")}
+		executions := 0 // that may have begun
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			to := State(rapid.IntRange(int(NotSent), int(Unknown)).Draw(t, "to"))
+			if !Legal(l.state, to, l.repeatable) {
+				continue
+			}
+			if to == Sent {
+				executions++
+			}
+			if to == NotSent || to == Refused {
+				executions--
+			}
+			require.NoError(t, l.move(to))
+			l.ran = l.ran || to == Delivered
+			if !l.repeatable && executions > 1 {
+				t.Fatalf("%d executions", executions)
+			}
+			e := l.answer(apierror.New(apierror.Overloaded, "x"))
+			if executions > 0 && apierror.Lookup(e.Kind).Ran == apierror.RanNo {
+				t.Fatalf("answered %s with %d executions under way", e.Kind, executions)
+			}
+			require.NoError(t, l.checkAnswer(e))
+		}
+	})
+}
+
+func TestIllegalMoveFires(t *testing.T) {
+	before := invariant.Count(invariant.AtMostOnce)
+	l := life{state: Unknown, sends: 1}
+	require.Error(t, l.move(Sent))
+	require.Equal(t, before+1, invariant.Count(invariant.AtMostOnce))
+	before = invariant.Count(invariant.NotRunIsTrue)
+	require.Error(t, l.checkAnswer(apierror.New(apierror.Overloaded, "x")))
+	require.Equal(t, before+1, invariant.Count(invariant.NotRunIsTrue))
+}
+
+// Events in any order, repeated, foreign and stale, come out once and in order.
+func TestDeliveryOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 40).Draw(t, "n")
+		var events []backend.Event
+		for i := range n {
+			ev := backend.Event{Type: backend.EventToken, RequestID: "r", Attempt: 1, Index: i, Text: fmt.Sprint(i)}
+			events = append(events, ev, ev)
+			foreign, stale := ev, ev
+			foreign.RequestID, foreign.Text = "x", "foreign"
+			stale.Attempt, stale.Text = 0, "stale"
+			events = append(events, foreign, stale)
+		}
+		events = rapid.Permutation(events).Draw(t, "order")
+		d := NewDelivery("r", 0)
+		d.Begin(1)
+		out := 0
+		for _, ev := range events {
+			for _, e := range d.Accept(ev) {
+				require.Equal(t, fmt.Sprint(out), e.Text)
+				out++
+			}
+		}
+		require.Equal(t, n, out)
+		require.True(t, d.Whole(n))
+		require.False(t, d.Whole(n+1))
+		require.NoError(t, d.checkWhole(n))
+	})
+}
+
+func TestBrokenAnswerIsNotWhole(t *testing.T) {
+	before := invariant.Count(invariant.WholeOwnAnswer)
+	d := NewDelivery("r", 0)
+	require.Error(t, d.checkWhole(1))
+	require.Equal(t, before+1, invariant.Count(invariant.WholeOwnAnswer))
+}
+
+func TestEventIDs(t *testing.T) {
+	s, err := NewSealer(make([]byte, KeyBytes))
+	require.NoError(t, err)
+	other, err := NewSealer(append(make([]byte, KeyBytes-1), 1))
+	require.NoError(t, err)
+	p := &Place{Workspace: "w", RequestID: "r", Attempt: 3, Model: "m", Version: "v", BodyHash: 9, Repeatable: true,
+		Route: topology.Route{{BackendServer: "b", Address: "a:1", Layers: topology.LayerRange{Lo: 0, Hi: 4}}}}
+	a, err := s.Attempt(p)
+	require.NoError(t, err)
+	seen := map[string]bool{}
+	for i := range 100 {
+		id := a.Seal(i)
+		require.False(t, seen[id])
+		seen[id] = true
+		got, err := s.Open(id)
+		require.NoError(t, err)
+		want := *p
+		want.Index = i
+		require.Equal(t, &want, got)
+		_, err = other.Open(id)
+		require.ErrorIs(t, err, ErrBadEventID)
+		_, err = s.Open(id[:len(id)-2] + "AA")
+		require.ErrorIs(t, err, ErrBadEventID)
+	}
+}
+
+func FuzzEventID(f *testing.F) {
+	s, err := NewSealer(make([]byte, KeyBytes))
+	require.NoError(f, err)
+	a, err := s.Attempt(&Place{Workspace: "w"})
+	require.NoError(f, err)
+	f.Add(a.Seal(1))
+	f.Add("")
+	f.Fuzz(func(t *testing.T, id string) {
+		if p, err := s.Open(id); err == nil {
+			require.Equal(t, "w", p.Workspace)
+		}
+	})
+}
--- /dev/null
+++ b/internal/layout/layout_test.go
@@ -0,0 +1,72 @@
+// Package layout holds the rule by which the packages import each other.
+package layout
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// rank orders the packages: a package imports only those of a lower rank.
+// Packages that are not listed are leaves that anybody may import.
+var rank = map[string]int{
+	"topology": 1, "fleet": 2, "catalog": 2,
+	"routing": 3, "admission": 3, "health": 3, "placement": 3, "claims": 3, "lease": 3,
+	"monitor": 4, "peer": 4, "dispatch": 4,
+	"metrics": 5, "api": 5, "control": 5,
+	"daemon": 6, "client": 6, "trial": 7, "load": 7, "cmd": 8,
+}
+
+// wire lists who may know a wire format.
+var wire = map[string][]string{
+	"backend/httpbackend":   {"daemon", "internal/standin", "backend/httpbackend"},
+	"platform/httpplatform": {"daemon", "cmd", "internal/standin", "platform/httpplatform"},
+}
+
+const module = "github.com/snowspoke/snowspoke/"
+
+func TestImportsRunOneWay(t *testing.T) {
+	files := 0
+	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		files++
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		require.NoError(t, err)
+		from := strings.TrimPrefix(filepath.ToSlash(filepath.Dir(path)), "../../")
+		for _, spec := range f.Imports {
+			name, err := strconv.Unquote(spec.Path.Value)
+			require.NoError(t, err)
+			if to, ok := strings.CutPrefix(name, module); ok {
+				checkImport(t, from, to)
+			}
+		}
+		return nil
+	})
+	require.NoError(t, err)
+	require.Greater(t, files, 40)
+}
+
+func checkImport(t *testing.T, from, to string) {
+	top := func(p string) string { return strings.SplitN(p, "/", 2)[0] }
+	if rank[top(from)] > 0 && rank[top(to)] > 0 {
+		require.Greater(t, rank[top(from)], rank[top(to)], "%s imports %s", from, to)
+	}
+	allowed, isWire := wire[to]
+	if !isWire {
+		return
+	}
+	for _, a := range allowed {
+		if from == a || strings.HasPrefix(from, a+"/") {
+			return
+		}
+	}
+	t.Errorf("%s imports the wire format %s", from, to)
+}
