--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -64,6 +64,7 @@
 	log     *decision.Log
 	observe Observer
 	clock   Clock
+	policy  Policy
 }
 
 // Parts are what a dispatcher works with.
@@ -80,14 +81,21 @@
 	Log      *decision.Log
 	Observer Observer
 	Clock    Clock
+	Choose   Policy // nil for routing.Choose
 }
 
+// Policy picks a route for a new request.
+type Policy func(p *routing.Plan, l routing.Loads, o routing.Options, r *rand.Rand) (routing.Choice, error)
+
 // New returns a dispatcher.
 func New(o Options, p Parts) *Dispatcher {
+	if p.Choose == nil {
+		p.Choose = routing.Choose
+	}
 	return &Dispatcher{
 		opts: o, engine: p.Engine, catalog: p.Catalog, table: p.Table, planner: p.Planner, gate: p.Gate,
 		health: p.Health, alive: p.Alive, warm: p.Warm, sealer: p.Sealer, log: p.Log, observe: p.Observer,
-		clock: p.Clock,
+		clock: p.Clock, policy: p.Choose,
 	}
 }
 
@@ -243,7 +251,7 @@
 		return routing.Choice{}, routing.ErrNoRoute
 	}
 	b := r.binding()
-	return routing.Choose(b.Plan, b.At(r.d.clock()), r.routeOptions(), rng)
+	return r.d.policy(b.Plan, b.At(r.d.clock()), r.routeOptions(), rng)
 }
 
 func (r *run) routeOptions() routing.Options {
@@ -383,7 +391,7 @@
 		return r.giveUp(res)
 	}
 	b := r.binding()
-	c, err := routing.Choose(b.Plan, b.At(r.d.clock()), r.routeOptions(), rand.New(rand.NewPCG(rand.Uint64(), 1)))
+	c, err := r.d.policy(b.Plan, b.At(r.d.clock()), r.routeOptions(), rand.New(rand.NewPCG(rand.Uint64(), 1)))
 	if err != nil {
 		return r.reroute(ctx, res, "retry")
 	}
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -96,6 +96,7 @@
 type ticket struct {
 	choice  routing.Choice
 	servers []*fleet.Server
+	links   []*fleet.Link
 	began   time.Time
 	key     routing.Key
 	waited  time.Duration
@@ -323,6 +324,18 @@
 			t.servers = append(t.servers, s)
 		}
 	}
+	g.takeLinks(t)
+}
+
+// takeLinks counts the request in on the links that are tracked.
+func (g *Gate) takeLinks(t *ticket) {
+	for i := 1; i < len(t.choice.Route); i++ {
+		l := g.table.Link(t.choice.Route[i-1].BackendServer, t.choice.Route[i].BackendServer)
+		if l != nil {
+			l.Acquire()
+			t.links = append(t.links, l)
+		}
+	}
 }
 
 func (g *Gate) ensureLimit(s *fleet.Server) {
@@ -390,7 +403,10 @@
 	for _, s := range t.servers {
 		s.Release()
 	}
-	t.servers = nil
+	for _, l := range t.links {
+		l.Release()
+	}
+	t.servers, t.links = nil, nil
 }
 
 // Adopt counts in a request that already runs, as a resumed stream does.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -34,6 +34,20 @@
 	learnt   atomic.Uint64 // float64 bits, tokens per second, 0 when unknown
 }
 
+// Link is the live state of one link with a limited capacity.
+type Link struct {
+	inFlight atomic.Int64 // requests of this daemon
+}
+
+// InFlight returns the requests that this daemon has on the link.
+func (l *Link) InFlight() int64 { return l.inFlight.Load() }
+
+// Acquire counts a request of this daemon in; Release counts it out.
+func (l *Link) Acquire() { l.inFlight.Add(1) }
+
+// Release ends what Acquire began.
+func (l *Link) Release() { l.inFlight.Add(-1) }
+
 // loadReport is the part of a load report that routing uses.
 type loadReport struct {
 	others float64 // requests in flight of the other daemons when measured
@@ -136,6 +150,7 @@
 	vmLeft   map[string]bool // leaving by the VM list
 	ejected  map[string]bool
 	links    map[linkKey]float64
+	live     map[linkKey]*Link
 	notify   chan struct{}
 }
 
@@ -148,6 +163,7 @@
 		vmLeft:   map[string]bool{},
 		ejected:  map[string]bool{},
 		links:    map[linkKey]float64{},
+		live:     map[linkKey]*Link{},
 		notify:   make(chan struct{}),
 	}
 	t.view.Store(&View{})
@@ -296,6 +312,24 @@
 	t.publish()
 }
 
+// TrackLink returns the live state of a link and counts its requests from now on.
+func (t *Table) TrackLink(from, to string) *Link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := linkKey{from, to}
+	if t.live[k] == nil {
+		t.live[k] = &Link{}
+	}
+	return t.live[k]
+}
+
+// Link returns the live state of a link, or nil when it is not tracked.
+func (t *Table) Link(from, to string) *Link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.live[linkKey{from, to}]
+}
+
 // SetLinkFactor takes the share of its capacity that a link has now.
 func (t *Table) SetLinkFactor(from, to string, factor float64) {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/baseline/baseline.go
@@ -0,0 +1,83 @@
+// Package baseline holds the usual ways to pick a pipeline, which measurements
+// put beside the policy of package routing.
+package baseline
+
+import (
+	"math/rand/v2"
+
+	"github.com/snowspoke/snowspoke/routing"
+)
+
+// pick returns one of the admissible nodes.
+type pick func(nodes []int32, l routing.Loads, p *routing.Plan, r *rand.Rand) int32
+
+// walk builds a route hop by hop.
+func walk(p *routing.Plan, l routing.Loads, o routing.Options, r *rand.Rand, choose pick) (routing.Choice, error) {
+	if !p.Routable() {
+		return routing.Choice{}, routing.ErrNoRoute
+	}
+	var nodes []int32
+	for next := p.Heads(); len(next) > 0; {
+		ok := admissible(next, p, l, o)
+		if len(ok) == 0 {
+			return routing.Choice{}, routing.ErrFull
+		}
+		node := choose(ok, l, p, r)
+		nodes = append(nodes, node)
+		next = p.Next(node)
+	}
+	return routing.Choice{Route: p.RouteOf(nodes)}, nil
+}
+
+func admissible(nodes []int32, p *routing.Plan, l routing.Loads, o routing.Options) []int32 {
+	var out []int32
+	for _, n := range nodes {
+		s := p.Nodes[n].Server
+		if l.Usable(s) && !o.Avoid[p.Servers[s].Name] && (o.IgnoreLimits || !l.Full(s)) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Random picks each hop at random.
+func Random(p *routing.Plan, l routing.Loads, o routing.Options, r *rand.Rand) (routing.Choice, error) {
+	return walk(p, l, o, r, func(nodes []int32, _ routing.Loads, _ *routing.Plan, r *rand.Rand) int32 {
+		return nodes[r.IntN(len(nodes))]
+	})
+}
+
+// NewRoundRobin returns a policy that takes the hops in turn.
+func NewRoundRobin() func(*routing.Plan, routing.Loads, routing.Options, *rand.Rand) (routing.Choice, error) {
+	turn := map[int32]int{}
+	return func(p *routing.Plan, l routing.Loads, o routing.Options, r *rand.Rand) (routing.Choice, error) {
+		return walk(p, l, o, r, func(nodes []int32, _ routing.Loads, _ *routing.Plan, _ *rand.Rand) int32 {
+			turn[nodes[0]]++
+			return nodes[turn[nodes[0]]%len(nodes)]
+		})
+	}
+}
+
+// LeastInFlight picks the hop with the fewest expected requests in flight.
+func LeastInFlight(p *routing.Plan, l routing.Loads, o routing.Options, r *rand.Rand) (routing.Choice, error) {
+	return walk(p, l, o, r, func(nodes []int32, l routing.Loads, p *routing.Plan, r *rand.Rand) int32 {
+		best := nodes[r.IntN(len(nodes))]
+		for _, n := range nodes {
+			if l.Load(p.Nodes[n].Server) < l.Load(p.Nodes[best].Server) {
+				best = n
+			}
+		}
+		return best
+	})
+}
+
+// First is the first version of this project's own policy: it did not know how
+// loaded a link is.
+func First(p *routing.Plan, l routing.Loads, o routing.Options, r *rand.Rand) (routing.Choice, error) {
+	return routing.Choose(p, noLinks{l}, o, r)
+}
+
+type noLinks struct{ routing.Loads }
+
+// LinkLoad implements routing.Loads.
+func (noLinks) LinkLoad(int) float64 { return 0 }
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -28,6 +28,8 @@
 	Full(server int) bool
 	// Weight returns the health weight in [0,1].
 	Weight(server int) float64
+	// LinkLoad returns the expected requests in flight on a link of Plan.Links.
+	LinkLoad(link int) float64
 }
 
 // Options are the particulars of one request.
@@ -97,9 +99,18 @@
 	return (c.l.Load(n.Server) + 1) / (n.Cap * w)
 }
 
-func (c *chooser) headScore(node int32) float64 {
-	s := c.score(node)
-	if c.p.Servers[c.p.Nodes[node].Server].FailureDomain != c.o.FailureDomain {
+// edgeScore adds the expected work on the link to that on the node.
+func (c *chooser) edgeScore(e edge) float64 {
+	s := c.score(e.to)
+	if e.id >= 0 {
+		s += (c.l.LinkLoad(int(e.id)) + 1) / e.cap
+	}
+	return s
+}
+
+func (c *chooser) headScore(e edge) float64 {
+	s := c.score(e.to)
+	if c.p.Servers[c.p.Nodes[e.to].Server].FailureDomain != c.o.FailureDomain {
 		s *= remotePenalty
 	}
 	return s
@@ -123,7 +134,7 @@
 	route := make(topology.Route, 0, 8)
 	lo := 0
 	for {
-		route = append(route, c.hop(at, lo))
+		route = append(route, c.p.hop(at, lo))
 		choice.Load = math.Max(choice.Load, c.l.Load(c.p.Nodes[at].Server))
 		n := &c.p.Nodes[at]
 		if n.final {
@@ -131,7 +142,7 @@
 			return choice, true
 		}
 		lo = n.Layers.Hi
-		at, _ = c.pick(n.next, n.cum, c.score)
+		at, _ = c.pick(n.next, n.cum, c.edgeScore)
 		if at < 0 {
 			return choice, false
 		}
@@ -140,16 +151,8 @@
 
 func (c *chooser) name(node int32) string { return c.p.Servers[c.p.Nodes[node].Server].Name }
 
-func (c *chooser) hop(node int32, lo int) topology.Hop {
-	n := &c.p.Nodes[node]
-	s := &c.p.Servers[n.Server]
-	return topology.Hop{
-		BackendServer: s.Name, Address: s.Address, Layers: topology.LayerRange{Lo: lo, Hi: n.Layers.Hi},
-	}
-}
-
 // pick samples edges by weight and returns the best and the next best node.
-func (c *chooser) pick(edges []edge, cum []float64, score func(int32) float64) (best, second int32) {
+func (c *chooser) pick(edges []edge, cum []float64, score func(edge) float64) (best, second int32) {
 	best, second = -1, -1
 	total := cum[len(cum)-1]
 	if total <= 0 {
@@ -158,11 +161,12 @@
 	bestScore := math.Inf(1)
 	for range samples + 2 {
 		i := sort.SearchFloat64s(cum, c.r.Float64()*total)
-		node := edges[min(i, len(edges)-1)].to
+		e := edges[min(i, len(edges)-1)]
+		node := e.to
 		if node == best || node == second || !c.admissible(node) {
 			continue
 		}
-		if s := score(node); s < bestScore {
+		if s := score(e); s < bestScore {
 			best, second, bestScore = node, best, s
 		} else {
 			second = node
@@ -180,7 +184,7 @@
 	if len(c.o.Warm) == 0 {
 		return -1
 	}
-	limit := c.headScore(cold)*warmSlack + warmSlackBase/c.p.Nodes[cold].Cap
+	limit := c.headScore(edge{to: cold})*warmSlack + warmSlackBase/c.p.Nodes[cold].Cap
 	best := int32(-1)
 	for _, e := range c.p.heads {
 		if !c.isWarm(c.name(e.to)) || !c.admissible(e.to) {
@@ -263,19 +267,18 @@
 	return w
 }
 
-// linkCost keeps the slow way off links that the bound can hardly use.
 func (c *chooser) linkCost(e edge) float64 {
-	if e.cap >= unlimited {
+	if e.id < 0 {
 		return 0
 	}
-	return 1 / e.cap
+	return (c.l.LinkLoad(int(e.id)) + 1) / e.cap
 }
 
 func (c *chooser) follow(w ways) Choice {
 	var choice Choice
 	lo := 0
 	for at := w.head; at >= 0; at = w.via[at] {
-		choice.Route = append(choice.Route, c.hop(at, lo))
+		choice.Route = append(choice.Route, c.p.hop(at, lo))
 		choice.Load = math.Max(choice.Load, c.l.Load(c.p.Nodes[at].Server))
 		lo = c.p.Nodes[at].Layers.Hi
 	}
--- a/routing/plan.go
+++ b/routing/plan.go
@@ -48,6 +48,7 @@
 
 type edge struct {
 	to   int32
+	id   int32 // index into Plan.Links, -1 for a link that is not known to limit
 	cap  float64
 	flow float64
 }
@@ -59,11 +60,15 @@
 	Nodes   []Node
 	Bound   float64 // max flow, tokens per second
 	Cut     []CutItem
+	Links   []PlanLink
 	heads   []edge
 	headCum []float64
 	order   []int32 // node indices, last layers first
 }
 
+// PlanLink is a link with a limited capacity.
+type PlanLink struct{ From, To int } // indices into Plan.Servers
+
 // CutItem is a backend server or link that limits the bound.
 type CutItem struct {
 	BackendServer string  `json:"server"`
@@ -71,6 +76,44 @@
 	Capacity      float64 `json:"tokensPerSecond"`
 }
 
+// Heads returns the nodes that may run the first layers.
+func (p *Plan) Heads() []int32 { return targets(p.heads) }
+
+// Next returns the nodes that may follow a node; none follow a last hop.
+func (p *Plan) Next(node int32) []int32 {
+	if p.Nodes[node].final {
+		return nil
+	}
+	return targets(p.Nodes[node].next)
+}
+
+func targets(edges []edge) []int32 {
+	out := make([]int32, len(edges))
+	for i, e := range edges {
+		out[i] = e.to
+	}
+	return out
+}
+
+// RouteOf returns the route through the nodes.
+func (p *Plan) RouteOf(nodes []int32) topology.Route {
+	route := make(topology.Route, 0, len(nodes))
+	lo := 0
+	for _, i := range nodes {
+		route = append(route, p.hop(i, lo))
+		lo = p.Nodes[i].Layers.Hi
+	}
+	return route
+}
+
+func (p *Plan) hop(node int32, lo int) topology.Hop {
+	n := &p.Nodes[node]
+	s := &p.Servers[n.Server]
+	return topology.Hop{
+		BackendServer: s.Name, Address: s.Address, Layers: topology.LayerRange{Lo: lo, Hi: n.Layers.Hi},
+	}
+}
+
 // Routable reports whether some pipeline tiles all layers.
 func (p *Plan) Routable() bool { return len(p.heads) > 0 }
 
@@ -118,7 +161,7 @@
 	for i := range p.Nodes {
 		u := &p.Nodes[i]
 		if u.Layers.Lo == 0 {
-			p.heads = append(p.heads, edge{to: int32(i), cap: unlimited})
+			p.heads = append(p.heads, edge{to: int32(i), id: -1, cap: unlimited})
 		}
 		if u.final {
 			continue
@@ -128,7 +171,12 @@
 			if v.Server == u.Server || v.Layers.Lo > u.Layers.Hi || v.Layers.Hi <= u.Layers.Hi {
 				continue
 			}
-			u.next = append(u.next, edge{to: int32(j), cap: linkCapacity(link, u.Server, v.Server)})
+			e := edge{to: int32(j), id: -1, cap: linkCapacity(link, u.Server, v.Server)}
+			if e.cap < unlimited {
+				e.id = int32(len(p.Links))
+				p.Links = append(p.Links, PlanLink{u.Server, v.Server})
+			}
+			u.next = append(u.next, e)
 		}
 	}
 }
@@ -206,7 +254,7 @@
 
 // steepness shapes the cost of utilisation in the balancing pass: high values
 // come near the maximum flow, low ones spread more evenly.
-const steepness = 12.0
+const steepness = 30.0
 
 // balance routes the bound in small equal parts, each along the pipeline whose
 // hops and links are least utilised (after Garg and Koenemann, "Faster and
--- a/routing/planner.go
+++ b/routing/planner.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,8 +24,9 @@
 type Binding struct {
 	Plan     *Plan
 	servers  []*fleet.Server
-	revision uint64 // of the configuration
-	version  uint64 // of the fleet view
+	links    []*fleet.Link // of Plan.Links
+	revision uint64        // of the configuration
+	version  uint64        // of the fleet view
 	built    time.Time
 }
 
@@ -49,6 +51,17 @@
 // Weight implements Loads.
 func (s Snapshot) Weight(i int) float64 { return s.b.servers[i].Weight() }
 
+// LinkLoad implements Loads. Of a link only this daemon's requests are known;
+// those of others are taken to be in proportion to the loads of its sender.
+func (s Snapshot) LinkLoad(i int) float64 {
+	own := float64(s.b.links[i].InFlight())
+	from := s.b.servers[s.b.Plan.Links[i].From]
+	if mine := float64(from.InFlight()); mine > 0 {
+		own *= math.Max(1, from.Load(s.now)/mine)
+	}
+	return own
+}
+
 // Limits of the plan cache.
 const (
 	maxPlans     = 4096
@@ -141,6 +154,9 @@
 	}
 	in.Link = func(from, to int) float64 { return linkRate(view, infos[from], infos[to]) }
 	b.Plan = Build(in)
+	for _, l := range b.Plan.Links {
+		b.links = append(b.links, p.table.TrackLink(in.Servers[l.From].Name, in.Servers[l.To].Name))
+	}
 	return b
 }
 
