--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -196,7 +196,7 @@
 func (r *run) runAndFinish(ctx context.Context, begin func(context.Context) error) (Outcome, error) {
 	err := begin(ctx)
 	if r.ticket != nil {
-		r.d.gate.Release(r.ticket, err == nil)
+		r.d.gate.Release(r.ticket, r.delivery.Next(), r.req.MaxTokens)
 	}
 	r.d.observe.Dropped(r.delivery.drops)
 	if err != nil {
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -52,11 +52,12 @@
 
 // line is the queue of one routing plan with its measured service.
 type line struct {
-	queue   *admission.Queue
-	rate    float64 // requests that leave the plan's servers, per second, smoothed
-	last    time.Time
-	service float64   // seconds that a request takes once admitted, smoothed
-	routed  time.Time // last time a route was found
+	queue    *admission.Queue
+	rate     float64 // requests that leave the plan's servers, per second, smoothed
+	last     time.Time
+	perToken float64   // seconds that a token takes once admitted, smoothed
+	used     float64   // tokens of an answer as a share of those asked for, smoothed
+	routed   time.Time // last time a route was found
 }
 
 // Gains of the service estimates.
@@ -108,6 +109,7 @@
 // pending is a queued request.
 type pending struct {
 	admission.Waiting
+	req     *Request
 	choose  chooseFunc
 	granted chan grant // capacity 1
 }
@@ -203,10 +205,7 @@
 	if m.QueueLimit > 0 {
 		limit = m.QueueLimit
 	}
-	drain := time.Second
-	if l.rate > 0 {
-		drain = seconds(float64(l.queue.Len()) / l.rate)
-	}
+	drain := l.drain()
 	if l.queue.Len() >= limit {
 		return apierror.New(apierror.Overloaded, "model %s: %d requests wait", m.Name, l.queue.Len()).WithRetryAfter(drain)
 	}
@@ -214,23 +213,52 @@
 		return nil
 	}
 	ahead := l.queue.Ahead(r.Workspace.Name, r.Workspace.FairWeight(), r.Priority)
-	wait := seconds(float64(ahead+1) / l.rate)
+	wait := seconds(waitMargin * float64(ahead+1) / l.rate)
 	left := r.Deadline.Sub(now)
-	need := wait + seconds(l.service)
+	need := wait + l.service(r)
 	if need <= left {
 		return nil
 	}
 	return apierror.New(apierror.DeadlineUnlikely, "model %s: expected wait %s and service %s exceed %s",
-		m.Name, wait.Round(time.Millisecond), seconds(l.service).Round(time.Millisecond), left.Round(time.Millisecond)).
+		m.Name, wait.Round(time.Millisecond), l.service(r).Round(time.Millisecond), left.Round(time.Millisecond)).
 		WithRetryAfter(max(need-left, drain/2))
 }
 
+// Margins of the estimates by which a request is refused early. Work on a
+// request that then misses its deadline is lost to all others.
+const (
+	waitMargin    = 4.0
+	serviceMargin = 1.3
+)
+
+// service returns how long a request will probably take once admitted.
+func (l *line) service(r *Request) time.Duration {
+	return seconds(serviceMargin * l.perToken * max(1, l.used*float64(r.MaxTokens)))
+}
+
+// tooLate returns the refusal of a request whose deadline can no longer be met.
+func (l *line) tooLate(r *Request, now time.Time) *apierror.Error {
+	if r.Deadline.IsZero() || now.Add(l.service(r)).Before(r.Deadline) {
+		return nil
+	}
+	return apierror.New(apierror.DeadlineUnlikely, "%s are left, %s are needed",
+		r.Deadline.Sub(now).Round(time.Millisecond), l.service(r).Round(time.Millisecond)).WithRetryAfter(l.drain())
+}
+
+// drain returns how long the queue needs at its present pace.
+func (l *line) drain() time.Duration {
+	if l.rate <= 0 {
+		return time.Second
+	}
+	return max(time.Second, seconds(float64(l.queue.Len())/l.rate))
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(math.Min(s, 3600) * float64(time.Second))
 }
 
 func (g *Gate) enqueue(l *line, r *Request, choose chooseFunc) *pending {
-	p := &pending{choose: choose, granted: make(chan grant, 1)}
+	p := &pending{req: r, choose: choose, granted: make(chan grant, 1)}
 	p.Workspace = r.Workspace.Name
 	p.Weight = r.Workspace.FairWeight()
 	p.Priority = r.Priority
@@ -248,7 +276,7 @@
 	var hopeless <-chan time.Time
 	if !r.Deadline.IsZero() {
 		g.mu.Lock()
-		latest := r.Deadline.Add(-seconds(l.service))
+		latest := r.Deadline.Add(-l.service(r))
 		g.mu.Unlock()
 		timer := time.NewTimer(max(0, latest.Sub(since)))
 		defer timer.Stop()
@@ -288,9 +316,7 @@
 	if removed {
 		g.waiting--
 	}
-	if l.rate > 0 {
-		err = err.WithRetryAfter(max(time.Second, seconds(float64(l.queue.Len())/l.rate)))
-	}
+	err = err.WithRetryAfter(l.drain())
 	g.mu.Unlock()
 	if removed {
 		return nil, err
@@ -356,21 +382,35 @@
 			return
 		}
 		p := l.queue.Peek().Owner.(*pending)
+		if err := l.tooLate(p.req, g.clock()); err != nil {
+			g.dequeue(l, p, grant{err: err})
+			continue
+		}
 		t, err := g.grant(key, p.choose)
 		if err == routing.ErrFull || err != nil && l.buffers(g.clock()) {
 			stuck[key] = true
 			continue
 		}
-		l.queue.Pop()
-		g.waiting--
 		if err != nil {
-			p.granted <- grant{err: routeError(key.Model, err)}
+			g.dequeue(l, p, grant{err: routeError(key.Model, err)})
 			continue
 		}
-		p.granted <- grant{t: t}
+		g.dequeue(l, p, grant{t: t})
 	}
 }
 
+// dequeue takes a request out of the queue with its answer. Only one that runs
+// counts against its workspace's share.
+func (g *Gate) dequeue(l *line, p *pending, gr grant) {
+	if gr.t != nil {
+		l.queue.Pop()
+	} else {
+		l.queue.Remove(&p.Waiting)
+	}
+	g.waiting--
+	p.granted <- gr
+}
+
 func (g *Gate) nextLine(stuck map[routing.Key]bool) (routing.Key, *line) {
 	var bestKey routing.Key
 	var best *line
@@ -386,16 +426,14 @@
 	return bestKey, best
 }
 
-// Release ends a ticket. served says that the request got its whole answer.
-func (g *Gate) Release(t *ticket, served bool) {
+// Release ends a ticket after tokens of at most asked were produced.
+func (g *Gate) Release(t *ticket, tokens, asked int) {
 	now := g.clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.putBack(t)
 	g.inFlight--
-	if served {
-		g.line(t.key).observe(now.Sub(t.began), now)
-	}
+	g.line(t.key).observe(now.Sub(t.began), tokens, asked, now)
 	g.pump()
 }
 
@@ -442,17 +480,24 @@
 func (l *line) buffers(now time.Time) bool { return now.Sub(l.routed) < bufferFor }
 
 // observe updates the service time, and the rate while requests wait.
-func (l *line) observe(d time.Duration, now time.Time) {
-	if l.service == 0 {
-		l.service = d.Seconds()
+func (l *line) observe(d time.Duration, tokens, asked int, now time.Time) {
+	if tokens > 0 {
+		smooth(&l.perToken, d.Seconds()/float64(tokens))
+		smooth(&l.used, float64(tokens)/float64(max(1, asked)))
 	}
-	l.service += serviceGain * (d.Seconds() - l.service)
 	if l.queue.Len() > 0 && !l.last.IsZero() {
 		l.observeRate(now.Sub(l.last).Seconds())
 	}
 	l.last = now
 }
 
+func smooth(v *float64, x float64) {
+	if *v == 0 {
+		*v = x
+	}
+	*v += serviceGain * (x - *v)
+}
+
 func (l *line) observeRate(gap float64) {
 	x := 1 / math.Max(gap, 1e-6)
 	if l.rate == 0 {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,6 +72,9 @@
 // SetLimit sets this daemon's concurrency limit for the backend server.
 func (s *Server) SetLimit(n int64) { s.limit.Store(n) }
 
+// Limit returns the concurrency limit of this daemon, 0 for none yet.
+func (s *Server) Limit() int64 { return s.limit.Load() }
+
 // Full reports whether this daemon's limit for the backend server is reached.
 func (s *Server) Full() bool {
 	l := s.limit.Load()
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -104,6 +104,22 @@
 	require.Equal(t, 1.0, l.Factor(cfg))
 }
 
+// A slight slowness is believed only when it stays, a great one at once.
+func TestLinkEvidence(t *testing.T) {
+	cfg := DefaultLinkConfig()
+	var slight, great Link
+	for range 20 {
+		slight.Observe(cfg, time.Millisecond, t0)
+		great.Observe(cfg, time.Millisecond, t0)
+	}
+	require.True(t, great.Observe(cfg, 100*time.Millisecond, t0))
+	require.False(t, slight.Observe(cfg, 4*time.Millisecond, t0))
+	require.False(t, slight.Observe(cfg, time.Millisecond, t0))
+	require.False(t, slight.Observe(cfg, 4*time.Millisecond, t0))
+	require.False(t, slight.Observe(cfg, 4*time.Millisecond, t0))
+	require.True(t, slight.Observe(cfg, 5*time.Millisecond, t0))
+}
+
 func BenchmarkPolicyDetector(b *testing.B) {
 	d := NewDetector(DefaultConfig(), func(string) bool { return false })
 	b.ReportAllocs()
--- a/health/link.go
+++ b/health/link.go
@@ -9,14 +9,15 @@
 type LinkConfig struct {
 	Degraded   float64       // ratio to the baseline from which a link is degraded
 	Restored   float64       // ratio below which it is restored; lower, against flapping
-	Samples    int           // samples in a row that change the verdict
+	Evidence   float64       // sum of the logarithms of slow samples that makes a link degraded
+	Samples    int           // fast samples in a row that restore a link
 	HoldFor    time.Duration // least time a link stays degraded before it is tried again
 	TrialShare float64       // share of its capacity that a tried link gets
 }
 
 // DefaultLinkConfig returns limits for links that differ a hundredfold.
 func DefaultLinkConfig() LinkConfig {
-	return LinkConfig{Degraded: 4, Restored: 2, Samples: 3, HoldFor: 5 * time.Second, TrialShare: 0.05}
+	return LinkConfig{Degraded: 4, Restored: 2, Evidence: 3, Samples: 3, HoldFor: 5 * time.Second, TrialShare: 0.05}
 }
 
 // Link detects that one link between two hops has become slow. It compares the
@@ -24,7 +25,7 @@
 // whose token time is reported apart, does not make its links look slow.
 type Link struct {
 	baseline float64 // seconds, follows improvements at once and slowness not at all while degraded
-	slow     int     // samples in a row above the limit
+	slow     float64 // evidence of slowness
 	fast     int
 	degraded bool
 	ratio    float64
@@ -58,8 +59,10 @@
 		l.baseline = math.Min(x, l.baseline+baselineGain*(x-l.baseline))
 		return false
 	}
-	l.slow++
-	if l.slow < cfg.Samples {
+	// A sample at the limit counts for 1, one a hundred times the baseline for
+	// more than 5: great slowness is believed at once, slight only when it stays.
+	l.slow += 1 + math.Log2(ratio/cfg.Degraded)
+	if l.slow < cfg.Evidence {
 		return false
 	}
 	l.degraded = true
--- a/routing/plan.go
+++ b/routing/plan.go
@@ -51,6 +51,7 @@
 	id   int32 // index into Plan.Links, -1 for a link that is not known to limit
 	cap  float64
 	flow float64
+	cost float64 // of the link in the balancing pass
 }
 
 // Plan is an immutable routing plan of a model for one class of requests.
@@ -262,10 +263,9 @@
 // would load few backend servers of a wide stage fully and leave others idle.
 func (p *Plan) balance() {
 	pushes := min(maxPushes, max(minPushes, visitBudget/max(1, p.edgeCount())))
-	part := p.Bound / float64(pushes)
-	b := newBalancer(p)
+	b := newBalancer(p, p.Bound/float64(pushes))
 	for range pushes {
-		b.pushOne(part)
+		b.pushOne()
 	}
 }
 
@@ -277,32 +277,55 @@
 	return n
 }
 
-// balancer keeps the utilisation of nodes and the cheapest way on from each.
+// balancer keeps the flow and cost of nodes and the cheapest way on from each.
+// Costs change only along the way that was pushed last, so they are kept.
 type balancer struct {
-	p    *Plan
-	flow []float64 // by node
-	cost []float64 // of the cheapest way from the node to the end
-	via  []int32   // index into next of that way, -1 at the end
+	p     *Plan
+	part  float64
+	flow  []float64 // by node
+	price []float64 // of the node itself
+	total []float64 // of the cheapest way from the node to the end
+	via   []int32   // index into next of that way, -1 at the end
 }
 
-func newBalancer(p *Plan) *balancer {
+func newBalancer(p *Plan, part float64) *balancer {
 	n := len(p.Nodes)
-	return &balancer{p: p, flow: make([]float64, n), cost: make([]float64, n), via: make([]int32, n)}
+	b := &balancer{p: p, part: part, flow: make([]float64, n), price: make([]float64, n), total: make([]float64, n), via: make([]int32, n)}
+	for i := range p.Nodes {
+		b.priceNode(int32(i))
+		for j := range p.Nodes[i].next {
+			b.priceEdge(&p.Nodes[i].next[j])
+		}
+	}
+	return b
+}
+
+func (b *balancer) priceNode(i int32) {
+	b.price[i] = utilisationCost((b.flow[i] + b.part) / b.p.Nodes[i].Cap)
 }
 
-func (b *balancer) pushOne(part float64) {
-	b.price(part)
+func (b *balancer) priceEdge(e *edge) {
+	if e.id >= 0 {
+		e.cost = utilisationCost((e.flow + b.part) / e.cap)
+	}
+}
+
+// pushOne routes one part along the cheapest pipeline.
+func (b *balancer) pushOne() {
+	b.findWays()
 	best := 0
 	for i, e := range b.p.heads {
-		if b.cost[e.to] < b.cost[b.p.heads[best].to] {
+		if b.total[e.to] < b.total[b.p.heads[best].to] {
 			best = i
 		}
 	}
 	e := &b.p.heads[best]
 	for {
-		e.flow += part
+		e.flow += b.part
+		b.priceEdge(e)
 		at := e.to
-		b.flow[at] += part
+		b.flow[at] += b.part
+		b.priceNode(at)
 		if b.via[at] < 0 {
 			return
 		}
@@ -310,8 +333,8 @@
 	}
 }
 
-// price computes the cheapest way on from every node, last layers first.
-func (b *balancer) price(part float64) {
+// findWays computes the cheapest way on from every node, last layers first.
+func (b *balancer) findWays() {
 	for _, i := range b.p.order {
 		n := &b.p.Nodes[i]
 		b.via[i] = -1
@@ -321,16 +344,12 @@
 		}
 		for j := range n.next {
 			e := &n.next[j]
-			c := b.cost[e.to]
-			if e.cap < unlimited {
-				c += utilisationCost((e.flow + part) / e.cap)
-			}
-			if c < onward {
+			if c := b.total[e.to] + e.cost; c < onward {
 				onward = c
 				b.via[i] = int32(j)
 			}
 		}
-		b.cost[i] = onward + utilisationCost((b.flow[i]+part)/n.Cap)
+		b.total[i] = onward + b.price[i]
 	}
 }
 
