Watch all links of a port as a group

Cause: two seconds after the links of the fastest engine slowed a hundredfold, 0.88 of the traffic was left: links without traffic had given no samples and drew the flow (trace: five of six links at 0.01, the sixth at 1). Change: links of one sender, and of one receiver, are also judged together.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -124,12 +124,19 @@
 
 type linkKey struct{ from, to string }
 
-// LinkFactor returns the share of its capacity that a link has now, in (0,1].
+// AnyServer stands for all backend servers at one end of a link.
+const AnyServer = ""
+
+// LinkFactor returns the share of its capacity that a link has now, in (0,1]:
+// the least of its own, that of all links of its sender, and of its receiver.
 func (v *View) LinkFactor(from, to string) float64 {
-	if f, ok := v.links[linkKey{from, to}]; ok {
-		return f
+	factor := 1.0
+	for _, k := range [...]linkKey{{from, to}, {from, AnyServer}, {AnyServer, to}} {
+		if f, ok := v.links[k]; ok {
+			factor = min(factor, f)
+		}
 	}
-	return 1
+	return factor
 }
 
 // reported is what an engine last said, ordered by boot and sequence.
--- a/health/link.go
+++ b/health/link.go
@@ -116,5 +116,21 @@
 	return f
 }
 
+// Ratio returns how slow a transfer is against the baseline.
+func (l *Link) Ratio(d time.Duration) float64 {
+	if l.baseline == 0 {
+		return 1
+	}
+	return d.Seconds() / l.baseline
+}
+
+// GroupLinkConfig returns limits for all links at one end: they count as slow
+// together only on much evidence, as one slow link among them must not do it.
+func GroupLinkConfig() LinkConfig {
+	c := DefaultLinkConfig()
+	c.Evidence = 12
+	return c
+}
+
 // Degraded reports whether the link is degraded.
 func (l *Link) Degraded() bool { return l.degraded }
--- a/monitor/hops.go
+++ b/monitor/hops.go
@@ -5,6 +5,7 @@
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -20,10 +21,10 @@
 	}
 	m.mu.Lock()
 	gapOf(m.hops, l.BackendServer).Observe(seconds(l.TokenSeconds))
-	changed, factor := m.observeLink(l, now)
+	changes := m.observeLink(l, now)
 	m.mu.Unlock()
-	if changed {
-		m.setLink(linkKey{l.BackendServer, l.NextHop}, factor)
+	for _, c := range changes {
+		m.setLink(c.key, c.factor)
 	}
 }
 
@@ -38,27 +39,70 @@
 	return g
 }
 
-func (m *Monitor) observeLink(l backend.HopLoad, now time.Time) (changed bool, factor float64) {
+// linkChange is a new factor of a link, or of all links at one end.
+type linkChange struct {
+	key    linkKey
+	factor float64
+}
+
+// observeLink takes the time on one link. All links of a sender, and all of a
+// receiver, are watched as a group too: a port that slows is seen on the links
+// that carry traffic, before the others have any. The caller holds the lock.
+func (m *Monitor) observeLink(l backend.HopLoad, now time.Time) []linkChange {
 	if l.NextHop == "" || l.LinkSeconds <= 0 {
-		return false, 1
+		return nil
 	}
+	d := seconds(l.LinkSeconds)
 	k := linkKey{l.BackendServer, l.NextHop}
-	gapOf(m.linkGaps, k).Observe(seconds(l.LinkSeconds))
+	gapOf(m.linkGaps, k).Observe(d)
+	link := m.linkOf(k)
+	var out []linkChange
+	if link.Observe(m.opts.Link, d, now) {
+		out = append(out, linkChange{k, link.Factor(m.opts.Link)})
+	}
+	ratio := time.Duration(link.Ratio(d) * float64(time.Millisecond))
+	for _, g := range []linkKey{{k.from, fleet.AnyServer}, {fleet.AnyServer, k.to}} {
+		group := m.linkOf(g)
+		was := group.Degraded()
+		changed := group.Observe(m.group, ratio, now)
+		if changed && (was || m.degradedIn(g) > 1) {
+			out = append(out, linkChange{g, group.Factor(m.group)})
+		}
+	}
+	return out
+}
+
+func (m *Monitor) linkOf(k linkKey) *health.Link {
 	link := m.links[k]
 	if link == nil {
 		link = &health.Link{}
 		m.links[k] = link
 	}
-	changed = link.Observe(m.opts.Link, seconds(l.LinkSeconds), now)
-	return changed, link.Factor(m.opts.Link)
+	return link
+}
+
+// degradedIn counts the degraded links of a group.
+func (m *Monitor) degradedIn(g linkKey) int {
+	n := 0
+	for k, link := range m.links {
+		single := k.from != fleet.AnyServer && k.to != fleet.AnyServer
+		if single && link.Degraded() && (k.from == g.from || k.to == g.to) {
+			n++
+		}
+	}
+	return n
 }
 
 // tickLinks lets links that were degraded long enough be tried again. The
 // caller holds the lock.
 func (m *Monitor) tickLinks(now time.Time) {
 	for k, link := range m.links {
-		if link.Tick(m.opts.Link, now) {
-			go m.setLink(k, link.Factor(m.opts.Link))
+		cfg := m.opts.Link
+		if k.from == fleet.AnyServer || k.to == fleet.AnyServer {
+			cfg = m.group
+		}
+		if link.Tick(cfg, now) {
+			go m.setLink(k, link.Factor(cfg))
 		}
 	}
 }
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -69,6 +69,7 @@
 	links    map[linkKey]*health.Link
 	hops     map[string]*health.Gap
 	linkGaps map[linkKey]*health.Gap
+	group    health.LinkConfig
 	polled   bool // every owned backend server was asked once
 }
 
@@ -87,7 +88,7 @@
 func New(o Options, p Parts) *Monitor {
 	m := &Monitor{
 		opts: o, Parts: p, links: map[linkKey]*health.Link{}, hops: map[string]*health.Gap{},
-		linkGaps: map[linkKey]*health.Gap{},
+		linkGaps: map[linkKey]*health.Gap{}, group: health.GroupLinkConfig(),
 	}
 	m.detector = health.NewDetector(o.Health, m.lastCapacity)
 	return m
