Daemons act as a fleet: membership, dissemination, claims across daemons

Cause: each daemon followed the store and polled every backend server alone. Connections of the test network did not buffer, two hellos blocked each other.

--- a/api/operators.go
+++ b/api/operators.go
@@ -57,11 +57,10 @@
 type PeerStatus struct {
 	Name          string `json:"name"`
 	Address       string `json:"address"`
+	Operators     string `json:"operators"`
 	FailureDomain string `json:"failureDomain"`
 	State         string `json:"state"`
 	Incarnation   uint64 `json:"incarnation"`
-	Revision      uint64 `json:"revision"`
-	Digest        string `json:"digest"`
 }
 
 // LeaseStatus is a lease as this daemon knows it.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -258,6 +258,19 @@
 	return out
 }
 
+// Newest returns the newest versions of the objects that verdicts are about.
+func (c *Catalog) Newest(verdicts []Verdict) []platform.Object {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]platform.Object, 0, len(verdicts))
+	for _, v := range verdicts {
+		if r := c.records[platform.ID{Kind: v.Kind, Name: v.Name}]; r != nil {
+			out = append(out, r.newest)
+		}
+	}
+	return out
+}
+
 // Since returns the newest versions above a revision, oldest first, tombstones
 // included.
 func (c *Catalog) Since(revision uint64) []platform.Object {
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -19,8 +19,7 @@
 	store   platform.Store
 	resync  time.Duration
 	logger  log.Logger
-	synced  chan struct{}
-	done    bool
+	publish func([]platform.Object) // passes on what was new; may be nil
 }
 
 // Bounds of the pause between two tries when the store does not answer. The
@@ -30,14 +29,12 @@
 	longPause  = 10 * time.Second
 )
 
-// NewFollower returns a follower; Run must be called to start it.
-func NewFollower(c *Catalog, store platform.Store, resync time.Duration, logger log.Logger) *Follower {
-	return &Follower{catalog: c, store: store, resync: resync, logger: logger, synced: make(chan struct{})}
+// NewFollower returns a follower; Run must be called to start it. It hands what
+// was new to publish.
+func NewFollower(c *Catalog, store platform.Store, resync time.Duration, publish func([]platform.Object), logger log.Logger) *Follower {
+	return &Follower{catalog: c, store: store, resync: resync, publish: publish, logger: logger}
 }
 
-// Synced is closed after the first full read.
-func (f *Follower) Synced() <-chan struct{} { return f.synced }
-
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff()
@@ -75,10 +72,6 @@
 	if err != nil {
 		return err
 	}
-	if !f.done {
-		f.done = true
-		close(f.synced)
-	}
 	watch, cancel := context.WithTimeout(ctx, f.resync)
 	defer cancel()
 	kinds := make([]string, len(topology.ConfigKinds))
@@ -110,6 +103,9 @@
 }
 
 func (f *Follower) report(verdicts []Verdict) {
+	if f.publish != nil && len(verdicts) > 0 {
+		f.publish(f.catalog.Newest(verdicts))
+	}
 	for _, v := range verdicts {
 		if v.Accepted() {
 			_ = level.Debug(f.logger).Log("msg", "object in force", "kind", v.Kind, "name", v.Name, "version", v.InForce, "deleted", v.Deleted)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/snowspoke/snowspoke/metrics"
 	"github.com/snowspoke/snowspoke/monitor"
 	"github.com/snowspoke/snowspoke/network"
+	"github.com/snowspoke/snowspoke/peer"
 	"github.com/snowspoke/snowspoke/platform/httpplatform"
 	"github.com/snowspoke/snowspoke/routing"
 )
@@ -44,18 +45,21 @@
 	metrics *metrics.Metrics
 
 	catalog   *catalog.Catalog
-	follower  *catalog.Follower
+	store     *httpplatform.Client
+	node      *peer.Node
 	table     *fleet.Table
 	planner   *routing.Planner
 	gate      *dispatch.Gate
 	monitor   *monitor.Monitor
 	decisions *decision.Log
+	key       []byte
 	sealer    *dispatch.Sealer
 	book      *claims.Book
 
 	callers   *http.Server
 	operators *http.Server
-	listeners [2]net.Listener
+	peers     *http.Server
+	listeners [3]net.Listener
 	clients   []*http.Client
 	stopping  atomic.Bool
 }
@@ -75,7 +79,10 @@
 		return nil, err
 	}
 	d.metrics = m
-	if d.sealer, err = newSealer(cfg.Security.FleetKeyFile, d.logger); err != nil {
+	if d.key, err = fleetKey(cfg.Security.FleetKeyFile, d.logger); err != nil {
+		return nil, err
+	}
+	if d.sealer, err = dispatch.NewSealer(d.key); err != nil {
 		return nil, err
 	}
 	d.buildState()
@@ -83,24 +90,21 @@
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
+	d.buildNode()
 	return d, nil
 }
 
-// newSealer reads the fleet's key, or makes one that only this daemon knows.
-func newSealer(path string, logger log.Logger) (*dispatch.Sealer, error) {
+// fleetKey reads the fleet's key, or makes one that only this daemon knows.
+func fleetKey(path string, logger log.Logger) ([]byte, error) {
 	if path != "" {
-		key, err := dispatch.LoadKey(path)
-		if err != nil {
-			return nil, err
-		}
-		return dispatch.NewSealer(key)
+		return dispatch.LoadKey(path)
 	}
-	_ = level.Warn(logger).Log("msg", "no fleet key is set, streams cannot be resumed on another daemon")
+	_ = level.Warn(logger).Log("msg", "no fleet key is set, this daemon stays alone")
 	key := make([]byte, dispatch.KeyBytes)
 	if _, err := rand.Read(key); err != nil {
 		return nil, fmt.Errorf("fleet key: %w", err)
 	}
-	return dispatch.NewSealer(key)
+	return key, nil
 }
 
 func (d *Daemon) buildState() {
@@ -110,17 +114,17 @@
 	d.decisions = decision.New(d.logger, d.cfg.Log.Decisions)
 	d.gate = dispatch.NewGate(dispatch.GateOptions{
 		MaxStreams: d.cfg.Limits.Streams, QueueLimit: d.cfg.Limits.QueueLength,
-		RetryRatio: d.cfg.Limits.RetryRatio, Limit: admission.DefaultLimitConfig(),
+		RetryRatio: d.cfg.Limits.RetryRatio, Limit: admission.DefaultLimitConfig(), Shares: peersOf{d},
 	}, d.table, time.Now)
 }
 
 func (d *Daemon) buildServers() {
 	store := httpplatform.New(d.cfg.Platform.URL, d.client(platformConns))
-	d.follower = catalog.NewFollower(d.catalog, store, d.cfg.Platform.Resync, d.logger)
+	d.store = store
 	d.book = claims.NewBook(claims.Options{
 		Self: d.cfg.Daemon.Name, Shards: d.cfg.Claims.Shards, KeepBytes: d.cfg.Claims.KeepBytes,
 		Window: claims.Window{Retention: d.cfg.Claims.Retention, Skew: d.cfg.Claims.Skew},
-	}, store, claims.Alone{}, time.Now)
+	}, store, peersOf{d}, time.Now)
 	scheme := "http"
 	if d.cfg.Security.BackendTLS {
 		scheme = "https"
@@ -131,7 +135,7 @@
 		GapCeiling: d.cfg.Health.GapCeiling, Health: health.DefaultConfig(), Link: health.DefaultLinkConfig(),
 	}, monitor.Parts{
 		Engine: engines, VMs: store, Table: d.table, Log: d.decisions, Logger: d.logger,
-		Owner: monitor.OwnsAll{}, Wake: d.gate.Wake, Clock: time.Now,
+		Owner: peersOf{d}, Publisher: peersOf{d}, Wake: d.gate.Wake, Clock: time.Now,
 	})
 	disp := d.dispatcher(engines)
 	services := dispatch.NewServices(disp, httpbackend.NewServices(d.client(backendConns), scheme))
@@ -176,7 +180,7 @@
 }
 
 func (d *Daemon) listen() error {
-	for i, address := range []string{d.cfg.Listen.Callers, d.cfg.Listen.Operators} {
+	for i, address := range []string{d.cfg.Listen.Callers, d.cfg.Listen.Operators, d.cfg.Listen.Peers} {
 		l, err := d.net.Listen(address)
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", address, err)
@@ -193,6 +197,9 @@
 // OperatorsAddr returns the address that operators reach.
 func (d *Daemon) OperatorsAddr() string { return d.listeners[1].Addr().String() }
 
+// PeersAddr returns the address that other daemons reach.
+func (d *Daemon) PeersAddr() string { return d.listeners[2].Addr().String() }
+
 // Run serves until ctx ends, then stops without cutting off a request: it fails
 // readiness, waits until the balancer has moved, refuses new work, lets what
 // runs finish, and returns.
@@ -202,10 +209,14 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	var wg sync.WaitGroup
-	wg.Go(func() { d.follower.Run(work) })
+	wg.Go(func() { d.followStore(work) })
 	wg.Go(func() { d.followCatalog(work) })
 	wg.Go(func() { d.monitor.Run(work) })
-	failed := make(chan error, 2)
+	wg.Go(func() { d.node.Run(work) })
+	wg.Go(func() { d.findPeers(work) })
+	d.peers = d.newServer(d.peersHandler(work))
+	failed := make(chan error, 3)
+	wg.Go(func() { failed <- d.peers.Serve(d.listeners[2]) })
 	wg.Go(func() { failed <- d.callers.Serve(d.listeners[0]) })
 	wg.Go(func() { failed <- d.operators.Serve(d.listeners[1]) })
 	_ = level.Info(d.logger).Log("msg", "started", "callers", d.CallersAddr(), "operators", d.OperatorsAddr())
@@ -218,6 +229,7 @@
 	stopWork()
 	_ = d.callers.Close()
 	_ = d.operators.Close()
+	_ = d.peers.Close()
 	wg.Wait()
 	for _, c := range d.clients {
 		c.CloseIdleConnections()
@@ -231,6 +243,7 @@
 func (d *Daemon) drain() error {
 	d.stopping.Store(true)
 	_ = level.Info(d.logger).Log("msg", "stopping", "balancer_delay", d.cfg.Stop.BalancerDelay)
+	d.node.Leave()
 	time.Sleep(d.cfg.Stop.BalancerDelay)
 	d.gate.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.Stop.DrainTimeout)
--- a/daemon/inspect.go
+++ b/daemon/inspect.go
@@ -17,6 +17,7 @@
 var (
 	errStopping  = errors.New("stopping")
 	errNotSynced = errors.New("no configuration yet")
+	errNotJoined = errors.New("no other daemon heard yet")
 	errNotPolled = errors.New("backend servers not asked yet")
 )
 
@@ -28,6 +29,9 @@
 	if d.catalog.Mark().Revision == 0 {
 		return errNotSynced
 	}
+	if !d.node.Joined() {
+		return errNotJoined
+	}
 	if !d.monitor.Polled() {
 		return errNotPolled
 	}
@@ -56,6 +60,12 @@
 		s.BackendServers = append(s.BackendServers, b)
 	}
 	s.Models = d.models()
+	for _, m := range d.node.Members() {
+		s.Peers = append(s.Peers, api.PeerStatus{
+			Name: m.Name, Address: m.Address, Operators: m.Operators, FailureDomain: m.FailureDomain,
+			State: m.State.String(), Incarnation: m.Incarnation,
+		})
+	}
 	return s
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,9 @@
 // loadHalfLife is the age at which a load report counts for half.
 const loadHalfLife = 2 * time.Second
 
+// maxReported bounds the reports kept of backend servers, configured or not.
+const maxReported = 10000
+
 // capacityChange is the relative change of a learnt capacity that makes plans old.
 const capacityChange = 0.1
 
@@ -231,12 +234,15 @@
 func (t *Table) ApplyStatus(st backend.Status, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	changed := false
 	s := t.servers[st.BackendServer]
-	if s == nil {
+	if s != nil {
+		s.Report(st.InFlight, now.Add(-time.Duration(st.LoadAge*float64(time.Second))))
+		changed = t.learn(s, st.Capacity)
+	} else if len(t.reported) >= maxReported {
 		return false
 	}
-	s.Report(st.InFlight, now.Add(-time.Duration(st.LoadAge*float64(time.Second))))
-	changed := t.learn(s, st.Capacity)
+	// A report may arrive before the configuration that names its backend server.
 	old, known := t.reported[st.BackendServer]
 	newer := !known || st.Boot > old.boot || st.Boot == old.boot && st.Seq > old.seq
 	if newer {
@@ -376,6 +382,19 @@
 	return t.vmLeft[server]
 }
 
+// Reports returns the structure that the engines last reported, without loads.
+func (t *Table) Reports() []backend.Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]backend.Status, 0, len(t.reported))
+	for name, r := range t.reported {
+		out = append(out, backend.Status{
+			BackendServer: name, Boot: r.boot, Seq: r.seq, Holdings: r.holdings, Role: r.role, Leaving: r.leaving, Fencing: r.fencing,
+		})
+	}
+	return out
+}
+
 // VMLeaving reports whether the platform's VM list says that a VM leaves.
 func (t *Table) VMLeaving(name string) bool {
 	t.mu.Lock()
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -8,8 +8,11 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // Errors of connections.
@@ -102,13 +105,15 @@
 
 func (n *Net) connect(ctx context.Context, from, to string, l *listener) (net.Conn, error) {
 	near, far := net.Pipe()
-	a := &conn{Conn: near, net: n, pair: pair(from, to), local: addr(from + ":1"), remote: addr(l.address)}
-	b := &conn{Conn: far, net: n, pair: a.pair, local: a.remote, remote: a.local}
+	a := newConn(n, near, pair(from, to), addr(from+":1"), addr(l.address))
+	b := newConn(n, far, a.pair, a.remote, a.local)
 	select {
 	case l.accept <- b:
 	case <-l.closed:
+		_, _ = a.Close(), b.Close()
 		return nil, errRefused
 	case <-ctx.Done():
+		_, _ = a.Close(), b.Close()
 		return nil, ctx.Err()
 	}
 	n.mu.Lock()
@@ -144,11 +149,94 @@
 	n.healed = make(chan struct{})
 }
 
+// conn is one end of a connection. What is written waits in a bounded queue, as
+// in the buffers of sockets.
 type conn struct {
 	net.Conn
 	net           *Net
 	pair          [2]string
 	local, remote addr
+
+	out      chan []byte
+	closed   chan struct{}
+	once     sync.Once
+	deadline atomic.Int64 // of writes, Unix nanoseconds, 0 for none
+}
+
+// Sizes of the queue of a connection.
+const (
+	queueChunks = 16
+	lingerFor   = time.Second // for what is queued when a connection is closed
+)
+
+func newConn(n *Net, pipe net.Conn, p [2]string, local, remote addr) *conn {
+	c := &conn{Conn: pipe, net: n, pair: p, local: local, remote: remote, out: make(chan []byte, queueChunks), closed: make(chan struct{})}
+	go c.pump()
+	return c
+}
+
+// pump moves the queue into the pipe; after Close it lingers for what is left.
+func (c *conn) pump() {
+	defer c.Conn.Close()
+	for {
+		select {
+		case data := <-c.out:
+			if _, err := c.Conn.Write(data); err != nil {
+				return
+			}
+			continue
+		default:
+		}
+		select {
+		case data := <-c.out:
+			if _, err := c.Conn.Write(data); err != nil {
+				return
+			}
+		case <-c.closed:
+			if len(c.out) == 0 {
+				return
+			}
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	var timeout <-chan time.Time
+	if d := c.deadline.Load(); d != 0 {
+		t := time.NewTimer(time.Until(time.Unix(0, d)))
+		defer t.Stop()
+		timeout = t.C
+	}
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	default:
+	}
+	select {
+	case c.out <- append([]byte(nil), p...):
+		return len(p), nil
+	case <-c.closed:
+		return 0, net.ErrClosed
+	case <-timeout:
+		return 0, os.ErrDeadlineExceeded
+	}
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() {
+		c.deadline.Store(0)
+		return nil
+	}
+	c.deadline.Store(t.UnixNano())
+	return nil
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	_ = c.SetWriteDeadline(t)
+	return c.SetReadDeadline(t)
 }
 
 // Close implements net.Conn.
@@ -156,7 +244,12 @@
 	c.net.mu.Lock()
 	delete(c.net.conns, c)
 	c.net.mu.Unlock()
-	return c.Conn.Close()
+	c.once.Do(func() {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerFor))
+		_ = c.Conn.SetReadDeadline(time.Now())
+		close(c.closed)
+	})
+	return nil
 }
 
 // LocalAddr implements net.Conn.
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -194,6 +194,9 @@
 	}
 }
 
+// Known returns the reports that this daemon holds, to bring others up to date.
+func (m *Monitor) Known() []backend.Status { return m.Table.Reports() }
+
 func describe(st backend.Status) string {
 	text := ""
 	for _, h := range st.Holdings {
--- /dev/null
+++ b/peer/member_test.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// News in any order and repeated leads every daemon to the same view.
+func TestNewsCommute(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var news []Member
+		for range rapid.IntRange(0, 20).Draw(t, "n") {
+			news = append(news, Member{
+				Name:        rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"),
+				Incarnation: uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")),
+				State:       State(rapid.IntRange(0, int(Suspect)).Draw(t, "state")),
+			})
+		}
+		one := NewMembers(Member{Name: "x"}, time.Hour, time.Hour)
+		two := NewMembers(Member{Name: "x"}, time.Hour, time.Hour)
+		now := time.Now()
+		for _, m := range news {
+			one.Apply(m, now)
+		}
+		for _, m := range append(rapid.Permutation(news).Draw(t, "order"), news...) {
+			two.Apply(m, now)
+		}
+		require.Equal(t, one.All(), two.All())
+	})
+}
+
+func TestDenial(t *testing.T) {
+	m := NewMembers(Member{Name: "x", Incarnation: 5}, time.Second, time.Hour)
+	pass, changed := m.Apply(Member{Name: "x", Incarnation: 5, State: Dead}, time.Now())
+	require.True(t, changed)
+	require.Equal(t, Member{Name: "x", Incarnation: 6}, pass)
+	_, changed = m.Apply(Member{Name: "x", Incarnation: 5, State: Dead}, time.Now())
+	require.False(t, changed)
+}
+
+// The links reach every daemon in few steps, and nobody has many.
+func TestNeighbours(t *testing.T) {
+	for _, n := range []int{1, 2, 8, 32, 128, 380} {
+		var members []Member
+		for i := range n {
+			members = append(members, Member{Name: fmt.Sprint("d", i)})
+		}
+		links := map[string][]string{}
+		for _, m := range members {
+			for _, o := range Neighbours(m.Name, members, 4) {
+				links[m.Name] = append(links[m.Name], o.Name)
+				links[o.Name] = append(links[o.Name], m.Name)
+			}
+		}
+		steps := map[string]int{"d0": 0}
+		far := 0
+		for queue := []string{"d0"}; len(queue) > 0; queue = queue[1:] {
+			require.LessOrEqual(t, len(links[queue[0]]), 8)
+			for _, o := range links[queue[0]] {
+				if _, seen := steps[o]; !seen {
+					steps[o] = steps[queue[0]] + 1
+					far = max(far, steps[o])
+					queue = append(queue, o)
+				}
+			}
+		}
+		require.Len(t, steps, n)
+		require.LessOrEqual(t, far, 10)
+	}
+}
+
+func BenchmarkOwns(b *testing.B) {
+	for _, n := range []int{8, 128, 380} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			var members []Member
+			for i := range n {
+				members = append(members, Member{Name: fmt.Sprint("d", i)})
+			}
+			for b.Loop() {
+				onDuty("d0", "status engine", members, ownersOfServer)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/peer/rpc.go
@@ -0,0 +1,150 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/claims"
+)
+
+// Paths of the calls between daemons.
+const (
+	PathPropose = "/peer/v1/claims/propose"
+	PathAnswer  = "/peer/v1/claims/answer"
+)
+
+// maxCallBytes bounds the body of a call and its answer.
+const maxCallBytes = 32 << 20
+
+// answerCall asks for a kept answer.
+type answerCall struct {
+	Key       claims.KeyHash `cbor:"1,keyasint"`
+	RequestID string         `cbor:"2,keyasint"`
+}
+
+// answerReply is a kept answer or the error that stands for it.
+type answerReply struct {
+	Answer *claims.Answer `cbor:"1,keyasint,omitempty"`
+	Kind   apierror.Kind  `cbor:"2,keyasint,omitempty"`
+	Detail string         `cbor:"3,keyasint,omitempty"`
+}
+
+var errUnknownPeer = errors.New("peer: no such daemon")
+
+// call posts a CBOR body to another daemon. Links carry news; what needs an
+// answer goes by one HTTP call to the daemon itself.
+func (n *Node) call(ctx context.Context, daemon, path string, in, out any) error {
+	address, ok := n.Address(daemon)
+	if !ok {
+		return errUnknownPeer
+	}
+	data, err := encode(in)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, n.opts.Scheme+"://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+n.opts.Token)
+	resp, err := n.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCallBytes))
+	if err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("peer: %s answered %d", daemon, resp.StatusCode)
+	}
+	if err := decMode.Unmarshal(body, out); err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	return nil
+}
+
+// Propose implements claims.Peers.
+func (n *Node) Propose(ctx context.Context, daemon string, r claims.Record) (claims.Verdict, error) {
+	var v claims.Verdict
+	err := n.call(ctx, daemon, PathPropose, r, &v)
+	return v, err
+}
+
+// Answer implements claims.Peers.
+func (n *Node) Answer(ctx context.Context, daemon string, key claims.KeyHash, requestID string) (*claims.Answer, error) {
+	var a answerReply
+	if err := n.call(ctx, daemon, PathAnswer, answerCall{key, requestID}, &a); err != nil {
+		return nil, err
+	}
+	if a.Kind != "" {
+		return nil, apierror.New(a.Kind, "%s", a.Detail)
+	}
+	return a.Answer, nil
+}
+
+// Book is the part of claims that serves other daemons.
+type Book interface {
+	Serve(ctx context.Context, r claims.Record) (claims.Verdict, error)
+	ServeAnswer(ctx context.Context, k claims.KeyHash, requestID string) (*claims.Answer, error)
+}
+
+// ServeClaims adds the handlers of the calls on claims.
+func (n *Node) ServeClaims(mux *http.ServeMux, b Book) {
+	mux.HandleFunc("POST "+PathPropose, func(w http.ResponseWriter, r *http.Request) {
+		var in claims.Record
+		if !n.readCall(w, r, &in) {
+			return
+		}
+		v, err := b.Serve(r.Context(), in)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		n.writeCall(w, v)
+	})
+	mux.HandleFunc("POST "+PathAnswer, func(w http.ResponseWriter, r *http.Request) {
+		var in answerCall
+		if !n.readCall(w, r, &in) {
+			return
+		}
+		a, err := b.ServeAnswer(r.Context(), in.Key, in.RequestID)
+		out := answerReply{Answer: a}
+		if err != nil {
+			e := apierror.From(err)
+			out.Kind, out.Detail = e.Kind, e.Detail
+		}
+		n.writeCall(w, out)
+	})
+}
+
+func (n *Node) readCall(w http.ResponseWriter, r *http.Request, in any) bool {
+	if !n.Authorized(r) {
+		http.Error(w, "wrong token", http.StatusUnauthorized)
+		return false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
+	if err == nil {
+		err = decMode.Unmarshal(body, in)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (n *Node) writeCall(w http.ResponseWriter, out any) {
+	data, err := encode(out)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/peer/wire.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+	"math"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/catalog"
+	"github.com/snowspoke/snowspoke/platform"
+)
+
+// Frame is one message on a link. Only the parts that are set travel.
+type Frame struct {
+	Hello    *Hello            `cbor:"1,keyasint,omitempty"`
+	Beat     *Beat             `cbor:"2,keyasint,omitempty"`
+	Members  []Member          `cbor:"3,keyasint,omitempty"`
+	Objects  []platform.Object `cbor:"4,keyasint,omitempty"`
+	Statuses []backend.Status  `cbor:"5,keyasint,omitempty"`
+	Want     *Want             `cbor:"6,keyasint,omitempty"`
+	Snapshot []byte            `cbor:"7,keyasint,omitempty"` // gzip of CBOR of objects
+}
+
+// Hello opens a link, in both directions.
+type Hello struct {
+	Self Member `cbor:"1,keyasint"`
+}
+
+// Beat is a heartbeat.
+type Beat struct {
+	Mark catalog.Mark `cbor:"1,keyasint"`
+}
+
+// Want asks for the configuration that the sender lacks.
+type Want struct {
+	Mark catalog.Mark `cbor:"1,keyasint"` // of the sender
+}
+
+// Limits of what a link accepts.
+const (
+	maxFrameBytes    = 64 << 20
+	maxSnapshotBytes = 256 << 20
+)
+
+// decMode bounds what a peer can make this daemon build.
+var decMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16, MaxNestedLevels: 16}.DecMode()
+	if err != nil {
+		panic(err) // constant options
+	}
+	return m
+}()
+
+func encode(v any) ([]byte, error) {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	return data, nil
+}
+
+// decodeFrame reads a frame.
+func decodeFrame(data []byte) (*Frame, error) {
+	var f Frame
+	if err := decMode.Unmarshal(data, &f); err != nil {
+		return nil, fmt.Errorf("peer: frame: %w", err)
+	}
+	return &f, nil
+}
+
+// packObjects compresses a snapshot.
+func packObjects(objects []platform.Object) ([]byte, error) {
+	data, err := encode(objects)
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(data); err != nil {
+		return nil, fmt.Errorf("peer: snapshot: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("peer: snapshot: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+func unpackObjects(data []byte) ([]platform.Object, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("peer: snapshot: %w", err)
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, maxSnapshotBytes))
+	if err != nil {
+		return nil, fmt.Errorf("peer: snapshot: %w", err)
+	}
+	var objects []platform.Object
+	if err := decMode.Unmarshal(raw, &objects); err != nil {
+		return nil, fmt.Errorf("peer: snapshot: %w", err)
+	}
+	return objects, nil
+}
+
+// stride is the i-th of degree steps around a ring of n.
+func stride(n, i, degree int) int {
+	return max(1, int(math.Round(math.Pow(float64(n), float64(i)/float64(degree)))))
+}
--- a/trial/world.go
+++ b/trial/world.go
@@ -195,6 +195,9 @@
 
 func (w *World) addDaemon(i int) error {
 	p := &Process{Name: fmt.Sprintf("daemon-%d", i+1), world: w, cfg: w.Settings(i), net: w.hosts(fmt.Sprintf(daemonIP, i+1))}
+	for _, other := range w.Daemons {
+		p.cfg.Peers.Seeds = append(p.cfg.Peers.Seeds, other.cfg.Listen.Peers)
+	}
 	w.Daemons = append(w.Daemons, p)
 	return p.Start()
 }
@@ -210,7 +213,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.daemon, p.stop, p.done = d, cancel, make(chan error, 1)
 	// A restarted daemon is found at the address that it had.
-	p.cfg.Listen = config.Listen{Callers: d.CallersAddr(), Operators: d.OperatorsAddr(), Peers: p.cfg.Listen.Peers}
+	p.cfg.Listen = config.Listen{Callers: d.CallersAddr(), Operators: d.OperatorsAddr(), Peers: d.PeersAddr()}
 	go func(done chan error) { done <- d.Run(ctx) }(p.done)
 	return nil
 }
