Placement of weights by the holder of a lease

Cause: orders to engines were nobody's duty. Change: placement (pure: holders by failure domain, budget of the weight store, idle backend servers to the tightest stage, old versions unloaded last), control (orders stored before they are sent, fenced, taken over by the next holder), Model.previousVersion serves while no route holds the new version. Demand per model and role changes are not fed in yet.

--- a/config/config.go
+++ b/config/config.go
@@ -24,6 +24,7 @@
 	Security Security
 	Peers    Peers
 	Claims   Claims
+	Place    Placement
 	Log      Log
 }
 
@@ -105,6 +106,16 @@
 	KeepBytes int64         // memory for kept answers
 }
 
+// Placement says how weights are placed.
+type Placement struct {
+	Enabled      bool
+	Period       time.Duration // between two decisions
+	LeaseTTL     time.Duration // period of the lease that one daemon holds
+	OrderTimeout time.Duration // of one order to an engine
+	OrderExpiry  time.Duration // after which an order without effect is given again
+	BudgetBytes  int64         // under way from the weight store at once
+}
+
 // Log says what is logged.
 type Log struct {
 	Level     string // debug, info, warn or error
@@ -130,7 +141,11 @@
 			Degree: 4, Watchers: 2,
 		},
 		Claims: Claims{Shards: 16, Retention: time.Hour, Skew: time.Minute, KeepBytes: 16 << 20},
-		Log:    Log{Level: "info", Decisions: 4096},
+		Place: Placement{
+			Enabled: true, Period: 2 * time.Second, LeaseTTL: 6 * time.Second, OrderTimeout: 5 * time.Second,
+			OrderExpiry: 15 * time.Minute, BudgetBytes: 512 << 30,
+		},
+		Log: Log{Level: "info", Decisions: 4096},
 	}
 }
 
--- a/config/fields.go
+++ b/config/fields.go
@@ -62,6 +62,12 @@
 		{"claims", "retention", &c.Claims.Retention, "age at which an idempotency key expires"},
 		{"claims", "skew", &c.Claims.Skew, "how far in the future a key may lie"},
 		{"claims", "keep_bytes", &c.Claims.KeepBytes, "memory for kept answers"},
+		{"placement", "enabled", &c.Place.Enabled, "let this daemon hold the lease for placement"},
+		{"placement", "period", &c.Place.Period, "time between two decisions on placement"},
+		{"placement", "lease_ttl", &c.Place.LeaseTTL, "period of the lease for placement"},
+		{"placement", "order_timeout", &c.Place.OrderTimeout, "time for an engine to take an order"},
+		{"placement", "order_expiry", &c.Place.OrderExpiry, "time after which an order without effect is given again"},
+		{"placement", "budget_bytes", &c.Place.BudgetBytes, "bytes under way from the weight store at once"},
 		{"log", "level", &c.Log.Level, "debug, info, warn or error"},
 		{"log", "decisions", &c.Log.Decisions, "decisions remembered for explain"},
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,11 +24,13 @@
 	"github.com/snowspoke/snowspoke/catalog"
 	"github.com/snowspoke/snowspoke/claims"
 	"github.com/snowspoke/snowspoke/config"
+	"github.com/snowspoke/snowspoke/control"
 	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/dispatch"
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/invariant"
+	"github.com/snowspoke/snowspoke/lease"
 	"github.com/snowspoke/snowspoke/metrics"
 	"github.com/snowspoke/snowspoke/monitor"
 	"github.com/snowspoke/snowspoke/network"
@@ -47,6 +49,8 @@
 	catalog   *catalog.Catalog
 	store     *httpplatform.Client
 	node      *peer.Node
+	keeper    *lease.Keeper
+	control   *control.Controller
 	table     *fleet.Table
 	planner   *routing.Planner
 	gate      *dispatch.Gate
@@ -130,6 +134,7 @@
 		scheme = "https"
 	}
 	engines := httpbackend.NewEngines(d.client(backendConns), scheme)
+	d.buildControl(engines)
 	d.monitor = monitor.New(monitor.Options{
 		StatusPoll: d.cfg.Health.StatusPoll, VMPoll: d.cfg.Platform.VMPoll, GapFloor: d.cfg.Health.GapFloor,
 		GapCeiling: d.cfg.Health.GapCeiling, Health: health.DefaultConfig(), Link: health.DefaultLinkConfig(),
@@ -214,6 +219,7 @@
 	wg.Go(func() { d.monitor.Run(work) })
 	wg.Go(func() { d.node.Run(work) })
 	wg.Go(func() { d.findPeers(work) })
+	wg.Go(func() { d.placeWeights(work) })
 	d.peers = d.newServer(d.peersHandler(work))
 	failed := make(chan error, 3)
 	wg.Go(func() { failed <- d.peers.Serve(d.listeners[2]) })
--- a/daemon/inspect.go
+++ b/daemon/inspect.go
@@ -60,6 +60,10 @@
 		s.BackendServers = append(s.BackendServers, b)
 	}
 	s.Models = d.models()
+	if h := d.keeper.Holder(); h.Fencing > 0 {
+		_, mine := d.keeper.Held()
+		s.Leases = append(s.Leases, api.LeaseStatus{Name: leasePlacement, Holder: h.Holder, Fencing: h.Fencing, Mine: mine})
+	}
 	for _, m := range d.node.Members() {
 		s.Peers = append(s.Peers, api.PeerStatus{
 			Name: m.Name, Address: m.Address, Operators: m.Operators, FailureDomain: m.FailureDomain,
@@ -74,8 +78,8 @@
 	snap := d.catalog.Snapshot()
 	var out []api.ModelStatus
 	for name, m := range snap.Models {
-		p := d.planner.Plan(snap, topology.Class{}, m, "").Plan
-		out = append(out, api.ModelStatus{Model: name, Version: m.Version, Bound: p.Bound, Cut: p.Cut})
+		b, version := d.planner.Serving(snap, topology.Class{}, m, "")
+		out = append(out, api.ModelStatus{Model: name, Version: version, Bound: b.Plan.Bound, Cut: b.Plan.Cut})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Model < out[j].Model })
 	return out
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -182,11 +182,14 @@
 		return apierror.New(apierror.Forbidden, "no rule of workspace %s admits labels %v", r.req.Workspace.Name, r.req.Labels)
 	}
 	r.snap, r.class = snap, class
-	if r.version != "" && r.version != m.Version {
-		// A stream stays on the version that it began with.
-		old := *m
-		old.Version = r.version
-		m = &old
+	version := r.version // a stream stays on the version that it began with
+	if version == "" {
+		_, version = r.d.planner.Serving(snap, class, m, r.req.Adapter)
+	}
+	if version != m.Version {
+		other := *m
+		other.Version = version
+		m = &other
 	}
 	r.model = m
 	return nil
--- /dev/null
+++ b/peer/bench_test.go
@@ -0,0 +1,166 @@
+package peer
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+func virtual(b *testing.B, fn func()) {
+	done := testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{{
+		Name: b.Name(), F: func(t *testing.T) { synctest.Test(t, func(*testing.T) { fn() }) },
+	}})
+	if !done {
+		b.Fatal("failed in virtual time")
+	}
+}
+
+// settle waits until the members agree.
+func (f *testFleet) settle() {
+	if _, ok := within(time.Minute, f.agree); !ok {
+		panic("no agreement")
+	}
+}
+
+// BenchmarkInForce reports the time until a change is in force everywhere, in
+// virtual time with links of no delay: what is left is waiting and steps.
+func BenchmarkInForce(b *testing.B) {
+	for _, n := range []int{8, 32, 128} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				var took []time.Duration
+				virtual(b, func() {
+					f := newFleet(n)
+					f.settle()
+					time.Sleep(5 * time.Second)
+					for i := range 30 {
+						time.Sleep(137 * time.Millisecond)
+						v := f.setModel(i + 1)
+						d, ok := within(10*time.Second, func() bool { return f.inForce(v) })
+						if !ok {
+							panic("not in force")
+						}
+						took = append(took, d)
+					}
+					f.close()
+				})
+				slices.Sort(took)
+				b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "p50_ms")
+				b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "max_ms")
+			}
+		})
+	}
+}
+
+// cpu returns the processor time that this process has used.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkControl reports what one daemon spends on control in a virtual
+// second: bytes sent, processor time, and store calls of the whole fleet; idle,
+// or with five and a half changes a second.
+func BenchmarkControl(b *testing.B) {
+	for _, n := range []int{8, 32, 128} {
+		for _, changes := range []int{0, controlChanges} {
+			b.Run(fmt.Sprintf("daemons=%d/changes=%d", n, changes), func(b *testing.B) {
+				for b.Loop() {
+					var r controlCost
+					virtual(b, func() { r = control(n, changes, 200) })
+					r.report(b)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkWorkspaces is the same over the number of workspaces.
+func BenchmarkWorkspaces(b *testing.B) {
+	for _, w := range []int{1000, 5000, 19000} {
+		b.Run(fmt.Sprintf("workspaces=%d", w), func(b *testing.B) {
+			for b.Loop() {
+				var r controlCost
+				virtual(b, func() { r = control(3, 20, w) })
+				r.report(b)
+			}
+		})
+	}
+}
+
+// A day has 1,100 changes; within controlLength there are controlChanges.
+const (
+	controlLength  = 20
+	controlChanges = 110
+)
+
+type controlCost struct {
+	sent, cpu, calls, heap float64
+}
+
+func (r controlCost) report(b *testing.B) {
+	b.ReportMetric(r.sent, "bytes/s")
+	b.ReportMetric(r.cpu*1e6, "cpu_us/s")
+	b.ReportMetric(r.calls, "store_calls/s")
+	b.ReportMetric(r.heap/1e6, "heap_MB")
+}
+
+// control runs a fleet for a while and returns the cost of one daemon; store calls
+// are the fleet's.
+func control(n, changes, workspaces int) controlCost {
+	const length = controlLength
+	f := newFleet(n)
+	for i := range workspaces {
+		f.setWorkspace(i, 1)
+	}
+	f.settle()
+	time.Sleep(10 * time.Second)
+	runtime.GC()
+	sentBefore, callsBefore, cpuBefore := f.sent(), f.calls(), cpu()
+	for i := range length * 10 {
+		for range changes*(i+1)/(length*10) - changes*i/(length*10) {
+			f.setWorkspace(i%workspaces, float64(2+i))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	used := cpu() - cpuBefore
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	out := controlCost{
+		sent: float64(f.sent()-sentBefore) / length / float64(n), cpu: used.Seconds() / length / float64(n),
+		calls: float64(f.calls()-callsBefore) / length, heap: float64(m.HeapInuse) / float64(n),
+	}
+	f.close()
+	return out
+}
+
+func (f *testFleet) setWorkspace(i int, weight float64) {
+	spec, err := json.Marshal(&topology.Workspace{TokenHashes: []string{topology.HashToken(fmt.Sprint(i))}, Weight: weight, Labels: topology.Labels{"team": "night"}})
+	if err != nil {
+		panic(err)
+	}
+	f.store.Set(string(topology.KindWorkspace), fmt.Sprint("w", i), spec)
+}
+
+func (f *testFleet) sent() int64 {
+	var n int64
+	for _, d := range f.daemons {
+		s, _ := d.node.Traffic()
+		n += s
+	}
+	return n
+}
+
+func (f *testFleet) calls() int64 {
+	n, _ := f.store.Calls()
+	return n
+}
--- a/routing/planner.go
+++ b/routing/planner.go
@@ -89,6 +89,21 @@
 	return &Planner{table: table, now: now, plans: map[Key]*entry{}}
 }
 
+// Serving returns the plan of the model's version, or of the previous one while
+// no pipeline holds the new, and the version that it is for.
+func (p *Planner) Serving(snap *topology.Snapshot, c topology.Class, m *topology.Model, adapter string) (*Binding, string) {
+	b := p.Plan(snap, c, m, adapter)
+	if b.Plan.Routable() || m.Previous == "" {
+		return b, m.Version
+	}
+	old := *m
+	old.Version = m.Previous
+	if ob := p.Plan(snap, c, &old, adapter); ob.Plan.Routable() {
+		return ob, old.Version
+	}
+	return b, m.Version
+}
+
 // Plan returns the plan for a class, model and adapter under the configuration.
 func (p *Planner) Plan(snap *topology.Snapshot, c topology.Class, m *topology.Model, adapter string) *Binding {
 	e := p.entry(Key{Class: c.Key, Model: m.Name, Version: m.Version, Adapter: adapter})
--- a/topology/objects.go
+++ b/topology/objects.go
@@ -71,14 +71,18 @@
 type Model struct {
 	Name          string   `json:"-"`
 	Layers        int      `json:"layers"`
-	Version       string   `json:"version"`     // the version new requests get
-	Adapters      []string `json:"adapters"`    // adapters that may be asked for
-	BytesPerLayer int64    `json:"layerBytes"`  // weight size of one layer
-	QueueLimit    int      `json:"queueLimit"`  // requests that may wait at one daemon
-	MaxTokens     int      `json:"maxTokens"`   // longest answer
-	KVTokenBytes  int64    `json:"kvTokenByte"` // KV cache bytes of one token and layer
+	Version       string   `json:"version"`         // the version new requests get
+	Previous      string   `json:"previousVersion"` // served while no route holds Version
+	Adapters      []string `json:"adapters"`        // adapters that may be asked for
+	BytesPerLayer int64    `json:"layerBytes"`      // weight size of one layer
+	QueueLimit    int      `json:"queueLimit"`      // requests that may wait at one daemon
+	MaxTokens     int      `json:"maxTokens"`       // longest answer
+	KVTokenBytes  int64    `json:"kvTokenByte"`     // KV cache bytes of one token and layer
 }
 
+// Weight returns the bytes of the weights of some layers.
+func (m *Model) Weight(layers LayerRange) int64 { return m.BytesPerLayer * int64(layers.Hi-layers.Lo) }
+
 // HasAdapter reports whether the adapter may be asked for; "" always may.
 func (m *Model) HasAdapter(name string) bool {
 	if name == "" {
