--- a/client/client.go
+++ b/client/client.go
@@ -260,7 +260,9 @@
 	}
 	r.Kind = apierror.Kind(resp.Header.Get(api.HeaderKind))
 	r.Ran = apierror.Ran(resp.Header.Get(api.HeaderRan))
-	r.Whole = r.Kind == ""
-	r.Text = string(data)
+	if r.Kind == "" {
+		r.Whole = true
+		r.Text = string(data)
+	}
 	return r, nil
 }
--- a/cmd/snowspoke/try.go
+++ b/cmd/snowspoke/try.go
@@ -19,6 +19,7 @@
 
 type tryCmd struct {
 	Once    bool   `help:"Send a few hundred mixed requests under faults, print what they showed, and exit."`
+	Faults  bool   `help:"With --once: let the store fail and an engine freeze as well."`
 	Daemons int    `help:"Daemons to run." default:"3"`
 	Log     string `help:"File for the daemons' logs; - for standard error." default:""`
 }
@@ -70,7 +71,7 @@
 func (t *tryCmd) once(w *trial.World) error {
 	ctx, cancel := context.WithTimeout(context.Background(), onceTimeout)
 	defer cancel()
-	report := trial.Once(ctx, w, func(s string) { fmt.Println("try:", s) })
+	report := trial.Once(ctx, w, t.Faults, func(s string) { fmt.Println("try:", s) })
 	for _, p := range report.Problems {
 		fmt.Println("try: problem:", p)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,6 +66,8 @@
 	listeners [3]net.Listener
 	clients   []*http.Client
 	stopping  atomic.Bool
+	killed    chan struct{}
+	killOnce  sync.Once
 }
 
 // Attempts and waits of one request that need no setting.
@@ -77,7 +79,7 @@
 
 // New builds a daemon and opens its listeners; Run starts it.
 func New(cfg config.Config, n network.Network, logger log.Logger) (*Daemon, error) {
-	d := &Daemon{cfg: cfg, net: n, logger: log.With(logger, "daemon", cfg.Daemon.Name)}
+	d := &Daemon{cfg: cfg, net: n, killed: make(chan struct{}), logger: log.With(logger, "daemon", cfg.Daemon.Name)}
 	m, err := metrics.New()
 	if err != nil {
 		return nil, err
@@ -229,6 +231,7 @@
 	var err error
 	select {
 	case err = <-failed:
+	case <-d.killed:
 	case <-ctx.Done():
 		err = d.drain()
 	}
@@ -245,6 +248,10 @@
 	return err
 }
 
+// Kill ends the daemon at once, as a crash does: nothing is finished, announced
+// or handed over.
+func (d *Daemon) Kill() { d.killOnce.Do(func() { close(d.killed) }) }
+
 // drain is the planned stop.
 func (d *Daemon) drain() error {
 	d.stopping.Store(true)
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -23,13 +23,13 @@
 	mu         sync.Mutex
 	layers     map[pass][]topology.LayerRange
 	executions map[string]int // starts of a request on an engine or service
-	prompts    map[string]string
-	recomputed int // layer-tokens of delivered tokens that were computed again
+	calls      map[string]int // of plain services, by body
+	recomputed int            // layer-tokens of delivered tokens that were computed again
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{layers: map[pass][]topology.LayerRange{}, executions: map[string]int{}, prompts: map[string]string{}}
+	return &Ledger{layers: map[pass][]topology.LayerRange{}, executions: map[string]int{}, calls: map[string]int{}}
 }
 
 func (l *Ledger) ran(p pass, r topology.LayerRange) {
@@ -50,6 +50,19 @@
 	l.recomputed += layerTokens
 }
 
+func (l *Ledger) called(body string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls[body]++
+}
+
+// Calls returns how often a plain service ran a call with a body.
+func (l *Ledger) Calls(body string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls[body]
+}
+
 // Executions returns how often a request began to run anywhere.
 func (l *Ledger) Executions(request string) int {
 	l.mu.Lock()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -33,6 +33,7 @@
 		return
 	}
 	s.Ledger.begin(r.Header.Get(httpbackend.HeaderRequestID))
+	s.Ledger.called(string(body))
 	time.Sleep(time.Duration(s.Delay.Load()))
 	if s.CutAfter.Add(-1) >= 0 {
 		panic(http.ErrAbortHandler)
--- a/trial/once.go
+++ b/trial/once.go
@@ -12,6 +12,7 @@
 
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/client"
+	"github.com/snowspoke/snowspoke/internal/memstore"
 	"github.com/snowspoke/snowspoke/internal/standin"
 	"github.com/snowspoke/snowspoke/network"
 )
@@ -26,6 +27,7 @@
 	Repeated int // not repeatable, and ran more than once
 	Foreign  int // not the caller's own answer
 	Untrue   int // called not run, but ran
+	Broken   int // the connection broke although the caller may expect that
 	Recovery time.Duration
 	Problems []string
 }
@@ -44,6 +46,7 @@
 // mix is one run of requests against a world.
 type mix struct {
 	w      *World
+	crash  bool // connections may break: daemons are killed or cut off
 	http   *http.Client
 	mu     sync.Mutex
 	report Report
@@ -60,9 +63,26 @@
 )
 
 // Once sends a few hundred mixed requests, kills a stage in mid-stream, drains a
-// backend server and restarts a daemon while they run.
-func Once(ctx context.Context, w *World, say func(string)) *Report {
-	m := &mix{w: w, http: network.Client(w.hosts(callersIP), mixParallel)}
+// backend server and restarts a daemon while they run; with faults the store
+// fails too.
+func Once(ctx context.Context, w *World, faults bool, say func(string)) *Report {
+	m := newMix(w)
+	events := m.events(say)
+	if faults {
+		m.addPlatformFaults(events, say)
+	}
+	m.run(ctx, mixRequests, func(i int, wg *sync.WaitGroup) {
+		if event := events[i]; event != nil {
+			wg.Go(event)
+		}
+	})
+	return &m.report
+}
+
+func newMix(w *World) *mix { return &mix{w: w, http: network.Client(w.hosts(callersIP), mixParallel)} }
+
+// run sends n requests, calling before for each.
+func (m *mix) run(ctx context.Context, n int, before func(i int, wg *sync.WaitGroup)) {
 	defer m.http.CloseIdleConnections()
 	jobs := make(chan int)
 	var wg sync.WaitGroup
@@ -73,17 +93,37 @@
 			}
 		})
 	}
-	events := m.events(say)
-	for i := range mixRequests {
-		if event := events[i]; event != nil {
-			wg.Go(event)
-		}
+	for i := range n {
+		before(i, &wg)
 		jobs <- i
 	}
 	close(jobs)
 	wg.Wait()
 	m.settle()
-	return &m.report
+}
+
+// addPlatformFaults adds an outage of the store, lost answers and a frozen
+// engine to the events.
+func (m *mix) addPlatformFaults(events map[int]func(), say func(string)) {
+	store := m.w.Platform.Store
+	events[20] = func() {
+		say("answers of the store are lost")
+		store.SetFaults(memstore.Faults{LoseAnswer: 0.5})
+	}
+	events[90] = func() {
+		say("the store is down")
+		store.SetFaults(memstore.Faults{Outage: true})
+	}
+	events[100] = func() {
+		say("engine-5 freezes for a second")
+		m.w.Fleet.Engine("engine-5").Frozen.Store(true)
+		time.Sleep(time.Second)
+		m.w.Fleet.Engine("engine-5").Frozen.Store(false)
+	}
+	events[140] = func() {
+		say("the store is back")
+		store.SetFaults(memstore.Faults{})
+	}
 }
 
 // events are the faults, by the number of the request before which they begin.
@@ -103,8 +143,7 @@
 		},
 		200: func() {
 			say("daemon-2 stops and starts again")
-			m.check(m.w.Daemons[1].Stop())
-			m.check(m.w.Daemons[1].Start())
+			m.check(m.w.Daemons[1].Cycle(false, time.Millisecond))
 		},
 	}
 }
@@ -134,7 +173,9 @@
 // one sends the i-th request and judges its answer.
 func (m *mix) one(ctx context.Context, i int) {
 	prompt := fmt.Sprintf("truck %d is warm", i)
-	switch i % 6 {
+	switch i % 7 {
+	case 6:
+		m.keyed(ctx, prompt, fmt.Sprint("key-", i))
 	case 0, 1, 2:
 		m.stream(ctx, prompt, mixTokens)
 	case 3:
@@ -169,6 +210,27 @@
 	m.judge(&client.Request{Prompt: payload, Repeatable: read}, &reply, err, method+" /cards "+payload)
 }
 
+// keyed sends a call that must not be repeated under a key, twice at once and
+// once more later, on whatever daemons the balancer picks: it must run once, and
+// every whole answer must be that of the one run.
+func (m *mix) keyed(ctx context.Context, payload, key string) {
+	before := m.w.Fleet.Ledger.Calls(payload)
+	var wg sync.WaitGroup
+	send := func() {
+		reply, err := m.balance().Call(ctx, http.MethodPost, Service, "/cards", []byte(payload), key)
+		m.judge(&client.Request{Prompt: payload, Repeatable: true}, &reply, err, "POST /cards "+payload)
+	}
+	wg.Go(send)
+	wg.Go(send)
+	wg.Wait()
+	send()
+	if m.w.Fleet.Ledger.Calls(payload)-before > 1 {
+		m.mu.Lock()
+		m.report.Repeated++
+		m.mu.Unlock()
+	}
+}
+
 // judge compares an answer with what the caller must get and with what ran.
 func (m *mix) judge(r *client.Request, reply *client.Reply, err error, want string) {
 	runs := m.w.Fleet.Ledger.Executions(reply.RequestID)
@@ -182,6 +244,8 @@
 		m.report.Repeated++
 	}
 	switch {
+	case err != nil && m.crash && !reply.Whole:
+		m.report.Broken++
 	case err != nil:
 		m.report.Lost++
 		m.report.Problems = append(m.report.Problems, fmt.Sprintf("%q: %v", r.Prompt, err))
--- a/trial/once_test.go
+++ b/trial/once_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
@@ -12,16 +13,26 @@
 	"github.com/snowspoke/snowspoke/network"
 )
 
-// The same run as `snowspoke try --once`, in virtual time.
+// The same runs as `snowspoke try --once`, in virtual time.
 func TestOnce(t *testing.T) {
+	t.Run("plain", func(t *testing.T) { testOnce(t, 3, false) })
+	t.Run("faults", func(t *testing.T) { testOnce(t, 8, true) })
+}
+
+func testOnce(t *testing.T, daemons int, faults bool) {
 	synctest.Test(t, func(t *testing.T) {
 		n := memnet.New()
-		w, err := NewWorld(3, func(ip string) network.Network { return n.Host(ip) }, log.NewNopLogger())
+		w, err := NewWorld(daemons, func(ip string) network.Network { return n.Host(ip) }, log.NewNopLogger())
 		require.NoError(t, err)
-		defer w.Close()
-		r := Once(context.Background(), w, func(string) {})
+		defer func() {
+			w.Close()
+			time.Sleep(time.Minute)
+		}()
+		r := Once(context.Background(), w, faults, func(string) {})
 		require.Empty(t, r.Problems)
 		require.True(t, r.OK(), r.String())
-		require.Zero(t, r.Refused, r.String())
+		if !faults {
+			require.Zero(t, r.Refused, r.String())
+		}
 	})
 }
--- /dev/null
+++ b/trial/soak_test.go
@@ -0,0 +1,246 @@
+package trial
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/internal/memnet"
+	"github.com/snowspoke/snowspoke/internal/memstore"
+	"github.com/snowspoke/snowspoke/invariant"
+	"github.com/snowspoke/snowspoke/network"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+var (
+	seeds     = flag.Int("seeds", 6, "seeds that TestSoak runs")
+	firstSeed = flag.Int("first-seed", 1, "first seed of TestSoak")
+)
+
+// soak is one randomised run: the seed decides which faults come when.
+type soak struct {
+	w   *World
+	net *memnet.Net
+	mix *mix
+	rng *rand.Rand
+	mu  sync.Mutex
+	// afterLeave are attempts that began on an engine that had left.
+	afterLeave int64
+	leaving    map[string]bool
+	log        []string
+}
+
+const (
+	soakRequests = 150
+	soakPace     = 60 * time.Millisecond // mean time between two requests
+)
+
+// soakFaults begin something and end it again.
+var soakFaults = map[string]func(s *soak, r *rand.Rand){
+	"engine dies": func(s *soak, r *rand.Rand) {
+		e := s.w.Fleet.Engine(engines[r.IntN(len(engines))].name)
+		e.DieAfter.Store(1 + r.Int64N(60))
+		time.Sleep(pause(r, 3*time.Second))
+		e.Kill()
+		s.mix.check(e.Restart())
+	},
+	"engine freezes": func(s *soak, r *rand.Rand) {
+		e := s.w.Fleet.Engine(engines[r.IntN(len(engines))].name)
+		e.Frozen.Store(true)
+		time.Sleep(pause(r, 4*time.Second))
+		e.Frozen.Store(false)
+	},
+	"engine refuses": func(s *soak, r *rand.Rand) {
+		e := s.w.Fleet.Engine(engines[r.IntN(len(engines))].name)
+		e.RefuseAll.Store(true)
+		time.Sleep(pause(r, time.Second))
+		e.RefuseAll.Store(false)
+	},
+	"events disturbed": func(s *soak, r *rand.Rand) {
+		e := s.w.Fleet.Engine(engines[r.IntN(2)].name)
+		e.Shuffle.Store(true)
+		time.Sleep(pause(r, 3*time.Second))
+		e.Shuffle.Store(false)
+	},
+	"engine leaves": func(s *soak, r *rand.Rand) {
+		e := s.w.Fleet.Engine(engines[r.IntN(len(engines))].name)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.leaving[e.Name] {
+			return // it leaves already
+		}
+		s.leaving[e.Name] = true
+		e.Leave(true)
+		s.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		begun := e.Begun.Load()
+		time.Sleep(pause(r, 2*time.Second))
+		s.mu.Lock()
+		s.afterLeave += e.Begun.Load() - begun
+		s.leaving[e.Name] = false
+		e.Leave(false)
+	},
+	"slow links": func(s *soak, r *rand.Rand) {
+		a, b := engines[r.IntN(len(engines))].name, engines[r.IntN(len(engines))].name
+		s.w.Fleet.SetLink(a, b, 30*time.Millisecond)
+		time.Sleep(pause(r, 5*time.Second))
+		s.w.Fleet.SetLink(a, b, 300*time.Microsecond)
+	},
+	"store down": func(s *soak, r *rand.Rand) {
+		s.w.Platform.Store.SetFaults(memstore.Faults{Outage: true})
+		time.Sleep(pause(r, 5*time.Second))
+		s.w.Platform.Store.SetFaults(memstore.Faults{})
+	},
+	"store loses": func(s *soak, r *rand.Rand) {
+		s.w.Platform.Store.SetFaults(memstore.Faults{LoseAnswer: 0.4, LoseWrite: 0.2, Late: 0.2, Delay: 20 * time.Millisecond})
+		time.Sleep(pause(r, 5*time.Second))
+		s.w.Platform.Store.SetFaults(memstore.Faults{})
+	},
+	"daemon killed": func(s *soak, r *rand.Rand) {
+		p := s.w.Daemons[r.IntN(len(s.w.Daemons))]
+		s.mix.check(p.Cycle(true, pause(r, time.Second)))
+	},
+	"daemon restarts": func(s *soak, r *rand.Rand) {
+		p := s.w.Daemons[r.IntN(len(s.w.Daemons))]
+		s.mix.check(p.Cycle(false, time.Millisecond))
+	},
+	"daemon cut off": func(s *soak, r *rand.Rand) {
+		d := fmt.Sprintf(daemonIP, 1+r.IntN(len(s.w.Daemons)))
+		s.net.Cut(d, fmt.Sprintf(engineIP, 1+r.IntN(len(engines))))
+		s.net.Cut(d, platformIP)
+		s.net.Cut(d, fmt.Sprintf(daemonIP, 1+r.IntN(len(s.w.Daemons))))
+		time.Sleep(pause(r, 5*time.Second))
+		s.net.Heal()
+	},
+	"caller cut off": func(s *soak, r *rand.Rand) {
+		s.net.Cut(callersIP, fmt.Sprintf(daemonIP, 1+r.IntN(len(s.w.Daemons))))
+		time.Sleep(pause(r, time.Second))
+		s.net.Heal()
+	},
+	"service breaks": func(s *soak, r *rand.Rand) {
+		s.w.Services[r.IntN(len(s.w.Services))].CutAfter.Store(r.Int64N(4))
+	},
+	"operators race": func(s *soak, r *rand.Rand) {
+		for i := range 6 {
+			m := &topology.Model{Layers: layers, Version: version, MaxTokens: 4096, QueueLimit: 100 + i}
+			if r.IntN(3) == 0 {
+				m.Layers = -1
+			}
+			s.w.Platform.Set(string(topology.KindModel), Model, m)
+			time.Sleep(pause(r, 200*time.Millisecond))
+		}
+		s.w.Platform.Set(string(topology.KindModel), Model, &topology.Model{Layers: layers, Version: version, MaxTokens: 4096})
+	},
+}
+
+func pause(r *rand.Rand, most time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(most))) + time.Millisecond
+}
+
+// faultNames is sorted, so that a seed means the same on every run.
+var faultNames = []string{
+	"caller cut off", "daemon cut off", "daemon killed", "daemon restarts", "engine dies", "engine freezes",
+	"engine leaves", "engine refuses", "events disturbed", "operators race", "service breaks", "slow links",
+	"store down", "store loses",
+}
+
+// TestSoak runs the daemons' real code under random faults in virtual time and
+// checks every promise. The seed fixes the faults and their times; the order in
+// which goroutines run is the scheduler's.
+func TestSoak(t *testing.T) {
+	require.Len(t, faultNames, len(soakFaults))
+	total := &Report{}
+	var mu sync.Mutex
+	t.Run("seeds", func(t *testing.T) {
+		for i := range *seeds {
+			seed := uint64(*firstSeed + i)
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					r := runSoak(t, seed)
+					mu.Lock()
+					defer mu.Unlock()
+					total.add(r)
+				})
+			})
+		}
+	})
+	t.Logf("%d seeds, %s broken=%d", *seeds, total, total.Broken)
+}
+
+func (r *Report) add(o *Report) {
+	r.Requests += o.Requests
+	r.Whole += o.Whole
+	r.Refused += o.Refused
+	r.Unknown += o.Unknown
+	r.Broken += o.Broken
+	r.Recovery = max(r.Recovery, o.Recovery)
+}
+
+func runSoak(t *testing.T, seed uint64) *Report {
+	before := invariant.Total()
+	net := memnet.New()
+	w, err := NewWorld(3, func(ip string) network.Network { return net.Host(ip) }, log.NewNopLogger())
+	require.NoError(t, err)
+	s := &soak{w: w, net: net, mix: newMix(w), leaving: map[string]bool{}, rng: rand.New(rand.NewPCG(seed, 9))}
+	s.mix.crash = true
+	var faults sync.WaitGroup
+	ctx, cancel := context.WithCancel(context.Background())
+	faults.Go(func() { s.disturb(ctx, &faults) })
+	rng := rand.New(rand.NewPCG(seed, 10))
+	s.mix.run(context.Background(), soakRequests, func(int, *sync.WaitGroup) {
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(soakPace)))
+	})
+	cancel()
+	faults.Wait()
+	net.Heal()
+	s.settle(t)
+	w.Close()
+	time.Sleep(2 * time.Minute)
+	r := &s.mix.report
+	require.True(t, r.OK(), "seed %d: %s untrue=%d %v\nfaults %v", seed, r, r.Untrue, r.Problems, s.log)
+	require.Zero(t, s.afterLeave, "seed %d: new work on an engine that had left\nfaults %v", seed, s.log)
+	require.Equal(t, before, invariant.Total(), "seed %d: invariants violated", seed)
+	require.Greater(t, r.Whole, r.Requests/3, "seed %d: %s", seed, r)
+	return r
+}
+
+// disturb begins faults at random moments; several may be there at once, also
+// the same one twice.
+func (s *soak) disturb(ctx context.Context, wg *sync.WaitGroup) {
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(s.rng.ExpFloat64() * float64(1200*time.Millisecond)))
+		name := faultNames[s.rng.IntN(len(faultNames))]
+		r := rand.New(rand.NewPCG(s.rng.Uint64(), 11))
+		s.log = append(s.log, name)
+		wg.Go(func() { soakFaults[name](s, r) })
+	}
+}
+
+// settle waits until every daemon has the same configuration in force.
+func (s *soak) settle(t *testing.T) {
+	same := func() bool {
+		first := s.w.Daemons[0].daemon.Status()
+		for _, p := range s.w.Daemons {
+			if st := p.daemon.Status(); st.Digest != first.Digest || st.Revision != first.Revision {
+				return false
+			}
+		}
+		return true
+	}
+	for range 3000 {
+		if same() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Fail(t, "the daemons did not come to the same configuration")
+}
--- a/trial/world.go
+++ b/trial/world.go
@@ -86,6 +86,7 @@
 	world  *World
 	cfg    config.Config
 	net    network.Network
+	cycle  chan struct{} // full while the daemon is replaced
 	mu     sync.Mutex
 	daemon *daemon.Daemon
 	stop   context.CancelFunc
@@ -194,7 +195,7 @@
 }
 
 func (w *World) addDaemon(i int) error {
-	p := &Process{Name: fmt.Sprintf("daemon-%d", i+1), world: w, cfg: w.Settings(i), net: w.hosts(fmt.Sprintf(daemonIP, i+1))}
+	p := &Process{Name: fmt.Sprintf("daemon-%d", i+1), world: w, cycle: make(chan struct{}, 1), cfg: w.Settings(i), net: w.hosts(fmt.Sprintf(daemonIP, i+1))}
 	for _, other := range w.Daemons {
 		p.cfg.Peers.Seeds = append(p.cfg.Peers.Seeds, other.cfg.Listen.Peers)
 	}
@@ -227,6 +228,29 @@
 	return <-done
 }
 
+// Kill ends the daemon as a crash does.
+func (p *Process) Kill() {
+	p.mu.Lock()
+	d, done := p.daemon, p.done
+	p.mu.Unlock()
+	d.Kill()
+	<-done
+}
+
+// Cycle ends the daemon, as a crash or as a planned stop, and starts it again
+// after a pause. Two cycles of one daemon follow each other.
+func (p *Process) Cycle(crash bool, pause time.Duration) error {
+	p.cycle <- struct{}{}
+	defer func() { <-p.cycle }()
+	if crash {
+		p.Kill()
+	} else if err := p.Stop(); err != nil {
+		return err
+	}
+	time.Sleep(pause)
+	return p.Start()
+}
+
 // Ready reports whether the balancer would send callers to the daemon.
 func (p *Process) Ready() bool {
 	p.mu.Lock()
