--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -22,6 +22,9 @@
 		for e.Frozen.Load() && !e.dead.Load() && r.Context().Err() == nil {
 			time.Sleep(time.Millisecond)
 		}
+		if r.Context().Err() != nil {
+			return // the caller hung up while the engine was frozen
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -167,9 +167,9 @@
 }
 
 func (m *Monitor) readStatus(ctx context.Context, b *topology.BackendServer) {
-	ctx, cancel := context.WithTimeout(ctx, m.opts.StatusPoll)
+	pctx, cancel := context.WithTimeout(ctx, max(m.opts.StatusPoll, probeTimeout))
 	defer cancel()
-	st, err := m.Engine.Status(ctx, backend.Target{BackendServer: b.Name, Address: b.Address})
+	st, err := m.Engine.Status(pctx, backend.Target{BackendServer: b.Name, Address: b.Address})
 	if err != nil {
 		if ctx.Err() == nil {
 			m.Signal(b.Name, health.ProbeFailed)
--- /dev/null
+++ b/monitor/monitor_test.go
@@ -0,0 +1,59 @@
+package monitor
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/fleet"
+	"github.com/snowspoke/snowspoke/health"
+	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// frozen answers for one backend server only.
+type frozen struct{ backend.Engine }
+
+func (frozen) Status(ctx context.Context, t backend.Target) (backend.Status, error) {
+	if t.BackendServer == "frozen" {
+		<-ctx.Done()
+		return backend.Status{}, backend.ErrLost
+	}
+	return backend.Status{Boot: 1, Seq: 1, Holdings: []backend.Holding{{Model: "m", Version: "v", Layers: topology.LayerRange{Lo: 0, Hi: 4}}}}, nil
+}
+
+type noVMs struct{}
+
+func (noVMs) ListVMs(context.Context) ([]platform.VM, error) { return nil, nil }
+
+// A backend server that accepts a status read and never answers is taken out of
+// service by the reads alone.
+func TestFrozenServerIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := fleet.NewTable()
+		table.SetConfig(map[string]*topology.BackendServer{"frozen": {Name: "frozen"}, "fine": {Name: "fine"}})
+		for _, name := range []string{"frozen", "fine"} {
+			st, _ := frozen{}.Status(context.Background(), backend.Target{})
+			st.BackendServer = name
+			table.ApplyStatus(st, time.Now())
+		}
+		m := New(Options{StatusPoll: 500 * time.Millisecond, VMPoll: time.Second, Health: health.DefaultConfig(), Link: health.DefaultLinkConfig()}, Parts{
+			Engine: frozen{}, VMs: noVMs{}, Table: table, Log: decision.New(log.NewNopLogger(), 10), Logger: log.NewNopLogger(),
+			Owner: OwnsAll{}, Wake: func() {}, Clock: time.Now,
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go m.Run(ctx)
+		time.Sleep(2500 * time.Millisecond)
+		require.False(t, table.Server("frozen").Usable())
+		require.True(t, table.Server("fine").Usable())
+		require.Equal(t, []string{"frozen"}, m.Silent(ctx, topology.Route{{BackendServer: "fine"}, {BackendServer: "frozen"}}))
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
