--- /dev/null
+++ b/cmd/snowspoke/fleet.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/snowspoke/snowspoke/api"
+	"github.com/snowspoke/snowspoke/network"
+	"github.com/snowspoke/snowspoke/platform/httpplatform"
+)
+
+// Errors that decide the exit code.
+var (
+	errUsage      = errors.New("wrong usage")
+	errInvalid    = errors.New("invalid")
+	errUnknown    = errors.New("not known")
+	errDaemon     = errors.New("daemon does not answer")
+	errNotInForce = errors.New("not in force in time")
+)
+
+// Time-outs of calls to the platform and to daemons.
+const (
+	dialTimeout = 2 * time.Second
+	callTimeout = 5 * time.Second
+)
+
+// httpClient returns a client that trusts the authority, if one is given.
+func (c *cli) httpClient() (*http.Client, error) {
+	var conf *tls.Config
+	if c.CA != "" {
+		pem, err := os.ReadFile(c.CA)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %v", errUsage, err)
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return nil, fmt.Errorf("%w: %s holds no certificate", errUsage, c.CA)
+		}
+		conf = &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}
+	}
+	hc := network.TLSClient(network.NewSystem(dialTimeout), 4, conf)
+	hc.Timeout = callTimeout
+	return hc, nil
+}
+
+func (c *cli) scheme() string {
+	if c.CA != "" {
+		return "https://"
+	}
+	return "http://"
+}
+
+// store returns the platform's store.
+func (c *cli) store() (*httpplatform.Client, error) {
+	if c.Platform == "" {
+		return nil, fmt.Errorf("%w: give --platform URL or set SNOWSPOKE_PLATFORM", errUsage)
+	}
+	hc, err := c.httpClient()
+	if err != nil {
+		return nil, err
+	}
+	return httpplatform.New(c.Platform, hc), nil
+}
+
+// ask reads a JSON answer of one daemon's operators' interface.
+func (c *cli) ask(address, path string, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	hc, err := c.httpClient()
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.scheme()+address+path, nil)
+	if err != nil {
+		return fmt.Errorf("%w: %v", errUsage, err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Token)
+	resp, err := hc.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %s: %v", errDaemon, address, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Errorf("%w: %s: %v", errDaemon, address, err)
+	}
+	if resp.StatusCode == http.StatusNotFound {
+		return fmt.Errorf("%w: %s: %s", errUnknown, address, data)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%w: %s: %s", errDaemon, address, data)
+	}
+	return json.Unmarshal(data, out)
+}
+
+// anyStatus returns the status of the first daemon that answers.
+func (c *cli) anyStatus() (*api.Status, error) {
+	if len(c.Daemon) == 0 {
+		return nil, fmt.Errorf("%w: give --daemon IP:PORT or set SNOWSPOKE_DAEMONS", errUsage)
+	}
+	var errs []error
+	for _, d := range c.Daemon {
+		var s api.Status
+		err := c.ask(d, "/v1/status", &s)
+		if err == nil {
+			return &s, nil
+		}
+		errs = append(errs, err)
+	}
+	return nil, errors.Join(errs...)
+}
+
+// fleet returns the operators' addresses of all daemons that are alive, by name.
+func (c *cli) fleet() (map[string]string, error) {
+	s, err := c.anyStatus()
+	if err != nil {
+		return nil, err
+	}
+	out := map[string]string{}
+	for _, p := range s.Peers {
+		if p.State == "alive" || p.State == "suspect" {
+			out[p.Name] = p.Operators
+		}
+	}
+	return out, nil
+}
+
+// show prints a value as JSON, or by fn as a table.
+func (c *cli) show(v any, fn func(w io.Writer)) error {
+	if c.Output == "json" {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fn(tw)
+	return tw.Flush()
+}
+
+func escape(s string) string { return url.PathEscape(s) }
--- /dev/null
+++ b/cmd/snowspoke/inspect.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+	"time"
+
+	"github.com/snowspoke/snowspoke/api"
+	"github.com/snowspoke/snowspoke/decision"
+)
+
+type statusCmd struct{}
+
+// Run shows one daemon's view of the fleet, and how each daemon is.
+func (statusCmd) Run(c *cli) error {
+	s, err := c.anyStatus()
+	if err != nil {
+		return err
+	}
+	return c.show(s, func(w io.Writer) {
+		fmt.Fprintf(w, "as seen by %s, configuration %d/%s\n\n", s.Daemon, s.Revision, s.Digest)
+		fmt.Fprintln(w, "DAEMON\tDOMAIN\tSTATE\tOPERATORS")
+		for _, p := range s.Peers {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", p.Name, p.FailureDomain, p.State, p.Operators)
+		}
+		for _, l := range s.Leases {
+			fmt.Fprintf(w, "\nlease %s: held by %s, fencing %d\n", l.Name, l.Holder, l.Fencing)
+		}
+		writeServers(w, s)
+		writeModels(w, s.Models)
+		for _, v := range s.Rejected {
+			fmt.Fprintf(w, "\nrejected: %s %s version %d, %d stays in force: %s\n", v.Kind, v.Name, v.Seen, v.InForce, v.Rejected)
+		}
+	})
+}
+
+func writeServers(w io.Writer, s *api.Status) {
+	fmt.Fprintln(w, "\nBACKEND SERVER\tDOMAIN\tACCELERATOR\tUSABLE\tLEAVING\tTOKENS/S\tLOAD\tHOLDS")
+	for _, b := range s.BackendServers {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%v\t%.0f\t%.1f\t%v\n", b.Name, b.FailureDomain, b.Accelerator, b.Usable, b.Leaving, b.Capacity, b.Load, b.Holdings)
+	}
+}
+
+func writeModels(w io.Writer, models []api.ModelStatus) {
+	fmt.Fprintln(w, "\nMODEL\tVERSION\tBOUND TOKENS/S\tLIMITED BY")
+	for _, m := range models {
+		fmt.Fprintf(w, "%s\t%s\t%.0f\t%s\n", m.Model, m.Version, m.Bound, cutText(&m))
+	}
+}
+
+func cutText(m *api.ModelStatus) string {
+	if m.Bound == 0 {
+		return "no route holds all layers"
+	}
+	text := ""
+	for i, c := range m.Cut {
+		if i > 0 {
+			text += ", "
+		}
+		text += c.BackendServer
+		if c.Next != "" {
+			text += ">" + c.Next
+		}
+		text += fmt.Sprintf(" (%.0f)", c.Capacity)
+	}
+	return text
+}
+
+type boundCmd struct {
+	Model string `arg:"" optional:"" help:"Model; all when left out."`
+}
+
+// Run shows the bound of a model and the cut that limits it.
+func (b *boundCmd) Run(c *cli) error {
+	s, err := c.anyStatus()
+	if err != nil {
+		return err
+	}
+	var models []api.ModelStatus
+	for _, m := range s.Models {
+		if b.Model == "" || b.Model == m.Model {
+			models = append(models, m)
+		}
+	}
+	if len(models) == 0 {
+		return fmt.Errorf("%w: model %q", errUnknown, b.Model)
+	}
+	return c.show(models, func(w io.Writer) { writeModels(w, models) })
+}
+
+type explainCmd struct {
+	ID string `arg:"" help:"Request ID, or name of a backend server or model."`
+}
+
+// Run shows the decisions about something from every daemon that knows it.
+func (e *explainCmd) Run(c *cli) error {
+	fleet, err := c.fleet()
+	if err != nil {
+		return err
+	}
+	var all []decision.Record
+	for _, address := range fleet {
+		var part []decision.Record
+		err := c.ask(address, "/v1/explain/"+escape(e.ID), &part)
+		if err != nil && !errors.Is(err, errUnknown) {
+			return err
+		}
+		all = append(all, part...)
+	}
+	if len(all) == 0 {
+		return fmt.Errorf("%w: no daemon remembers a decision about %q", errUnknown, e.ID)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Time.Before(all[j].Time) })
+	return c.show(all, func(w io.Writer) {
+		fmt.Fprintln(w, "TIME\tKIND\tATTEMPT\tSUBJECT\tCHOSEN\tREASON\tREJECTED\tBOUND\tLOAD")
+		for _, r := range all {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%.0f\t%.1f\n",
+				r.Time.Format(time.RFC3339Nano), r.Kind, r.Attempt, r.Subject, r.Chosen, r.Reason, r.Rejected, r.Bound, r.Load)
+		}
+	})
+}
--- /dev/null
+++ b/cmd/snowspoke/objects.go
@@ -0,0 +1,248 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/snowspoke/snowspoke/catalog"
+	"github.com/snowspoke/snowspoke/config"
+	"github.com/snowspoke/snowspoke/edit"
+	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// kindOf accepts a kind in any case.
+func kindOf(text string) (topology.Kind, error) {
+	for _, k := range topology.ConfigKinds {
+		if strings.EqualFold(string(k), text) {
+			return k, nil
+		}
+	}
+	return "", fmt.Errorf("%w: kind %q is not one of %v", errUsage, text, topology.ConfigKinds)
+}
+
+type getCmd struct {
+	Kind string `arg:"" help:"Kind, such as BackendServer or Workspace."`
+	Name string `arg:"" optional:"" help:"Name; all objects of the kind when left out."`
+}
+
+// Run shows objects.
+func (g *getCmd) Run(c *cli) error {
+	kind, err := kindOf(g.Kind)
+	if err != nil {
+		return err
+	}
+	s, err := c.store()
+	if err != nil {
+		return err
+	}
+	var objects []platform.Object
+	if g.Name == "" {
+		objects, _, err = s.List(context.Background(), string(kind))
+	} else {
+		var o platform.Object
+		o, err = s.Get(context.Background(), string(kind), g.Name)
+		objects = []platform.Object{o}
+	}
+	if err != nil {
+		return err
+	}
+	sort.Slice(objects, func(i, j int) bool { return objects[i].Name < objects[j].Name })
+	return c.show(shown(objects), func(w io.Writer) {
+		fmt.Fprintln(w, "NAME\tVERSION\tSPEC")
+		for _, o := range objects {
+			fmt.Fprintf(w, "%s\t%d\t%s\n", o.Name, o.Version, o.Spec)
+		}
+	})
+}
+
+// shownObject is an object whose spec is shown as the JSON that it is.
+type shownObject struct {
+	Kind    string          `json:"kind"`
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`
+	Spec    json.RawMessage `json:"spec"`
+}
+
+func shown(objects []platform.Object) []shownObject {
+	out := make([]shownObject, len(objects))
+	for i, o := range objects {
+		out[i] = shownObject{o.Kind, o.Name, o.Version, o.Spec}
+	}
+	return out
+}
+
+type labelCmd struct {
+	Kind  string `arg:"" help:"Kind: BackendServer, Stage, Workspace or Service."`
+	Name  string `arg:"" help:"Name of the object."`
+	Label string `arg:"" help:"KEY=VALUE to set, KEY- to remove."`
+}
+
+// Run edits one label.
+func (l *labelCmd) Run(c *cli) error {
+	key, value, set := strings.Cut(l.Label, "=")
+	if !set {
+		var remove bool
+		if key, remove = strings.CutSuffix(l.Label, "-"); !remove {
+			return fmt.Errorf("%w: label %q: write KEY=VALUE or KEY-", errUsage, l.Label)
+		}
+	}
+	return c.edit(l.Kind, l.Name, edit.Label{Key: key}, value)
+}
+
+type selectorCmd struct {
+	Kind  string `arg:"" help:"Kind: Stage or RoutingRule."`
+	Name  string `arg:"" help:"Name of the object."`
+	Field string `arg:"" help:"workspaces, requests, stages or backendServers."`
+	Value string `arg:"" help:"Selector in the Kubernetes syntax, such as 'team=night,accelerator in (h100,a100)'; '' selects everything."`
+}
+
+// Run edits one selector.
+func (s *selectorCmd) Run(c *cli) error {
+	return c.edit(s.Kind, s.Name, edit.Selector{Name: s.Field}, s.Value)
+}
+
+type drainCmd struct {
+	Name string `arg:"" help:"Name of the backend server."`
+	Undo bool   `help:"Put it back into service."`
+}
+
+// Run sets or removes the drain label.
+func (d *drainCmd) Run(c *cli) error {
+	value := "true"
+	if d.Undo {
+		value = ""
+	}
+	return c.edit(string(topology.KindBackendServer), d.Name, edit.Label{Key: topology.LabelDrain}, value)
+}
+
+func (c *cli) edit(kindText, name string, f edit.Field, value string) error {
+	kind, err := kindOf(kindText)
+	if err != nil {
+		return err
+	}
+	s, err := c.store()
+	if err != nil {
+		return err
+	}
+	r, err := edit.Apply(context.Background(), s, kind, name, f, value)
+	if err != nil {
+		return err
+	}
+	return c.show(r, func(w io.Writer) {
+		fmt.Fprintf(w, "%s %s: version %d, %q -> %q\n", kind, name, r.Version, r.Before, r.After)
+	})
+}
+
+type waitCmd struct {
+	Kind    string        `arg:"" help:"Kind of the object."`
+	Name    string        `arg:"" help:"Name of the object."`
+	Timeout time.Duration `help:"How long to wait." default:"10s"`
+}
+
+// waitPause is the time between two looks at the daemons.
+const waitPause = 200 * time.Millisecond
+
+// Run waits until all daemons have the object's newest version in force.
+func (w *waitCmd) Run(c *cli) error {
+	kind, err := kindOf(w.Kind)
+	if err != nil {
+		return err
+	}
+	s, err := c.store()
+	if err != nil {
+		return err
+	}
+	o, err := s.Get(context.Background(), string(kind), w.Name)
+	if err != nil {
+		return err
+	}
+	deadline := time.Now().Add(w.Timeout)
+	for {
+		lagging, err := c.lagging(kind, w.Name, o.Version)
+		if err != nil {
+			return err
+		}
+		if len(lagging) == 0 {
+			fmt.Printf("%s %s: version %d is in force on all daemons\n", kind, w.Name, o.Version)
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%w: version %d of %s %s: %s", errNotInForce, o.Version, kind, w.Name, strings.Join(lagging, "; "))
+		}
+		time.Sleep(waitPause)
+	}
+}
+
+// lagging returns the daemons that do not have a version in force, and why.
+func (c *cli) lagging(kind topology.Kind, name string, version uint64) ([]string, error) {
+	fleet, err := c.fleet()
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for daemon, address := range fleet {
+		var v catalog.Verdict
+		err := c.ask(address, "/v1/verdict/"+escape(string(kind))+"/"+escape(name), &v)
+		switch {
+		case err != nil:
+			out = append(out, daemon+": "+err.Error())
+		case v.Seen >= version && !v.Accepted():
+			return nil, fmt.Errorf("%w: %s rejects version %d: %s", errInvalid, daemon, v.Seen, v.Rejected)
+		case v.InForce < version:
+			out = append(out, fmt.Sprintf("%s has version %d", daemon, v.InForce))
+		}
+	}
+	sort.Strings(out)
+	return out, nil
+}
+
+type checkCmd struct {
+	Files []string `arg:"" type:"existingfile" help:"INI files with settings, or JSON files with objects: {\"kind\":..., \"name\":..., \"spec\":{...}}."`
+}
+
+// Run checks files and reports every fault at once.
+func (k *checkCmd) Run() error {
+	var faults []error
+	for _, file := range k.Files {
+		if err := checkFile(file); err != nil {
+			faults = append(faults, fmt.Errorf("%w: %s: %w", errInvalid, file, err))
+			continue
+		}
+		fmt.Printf("%s: fine\n", file)
+	}
+	return errors.Join(faults...)
+}
+
+func checkFile(file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if filepath.Ext(file) == ".ini" {
+		_, err := config.Parse(data)
+		return err
+	}
+	var o struct {
+		Kind string          `json:"kind"`
+		Name string          `json:"name"`
+		Spec json.RawMessage `json:"spec"`
+	}
+	if err := json.Unmarshal(data, &o); err != nil {
+		return err
+	}
+	kind, err := kindOf(o.Kind)
+	if err != nil {
+		return err
+	}
+	_, err = topology.Parse(kind, o.Name, o.Spec)
+	return err
+}
--- a/cmd/snowspoke/try.go
+++ b/cmd/snowspoke/try.go
@@ -18,10 +18,11 @@
 const onceTimeout = 28 * time.Second
 
 type tryCmd struct {
-	Once    bool   `help:"Send a few hundred mixed requests under faults, print what they showed, and exit."`
-	Faults  bool   `help:"With --once: let the store fail and an engine freeze as well."`
-	Daemons int    `help:"Daemons to run." default:"3"`
-	Log     string `help:"File for the daemons' logs; - for standard error." default:""`
+	Once     bool   `help:"Send a few hundred mixed requests under faults, print what they showed, and exit."`
+	Faults   bool   `help:"With --once: let the store fail and an engine freeze as well."`
+	Daemons  int    `help:"Daemons to run." default:"3"`
+	Settings string `help:"Write settings for one more daemon, to run as snowspoked --settings FILE." placeholder:"FILE"`
+	Log      string `help:"File for the daemons' logs; - for standard error." default:""`
 }
 
 // errBroken says that a promise did not hold.
@@ -42,6 +43,11 @@
 	}
 	defer w.Close()
 	t.greet(w)
+	if t.Settings != "" {
+		if err := w.WriteSettings(t.Settings); err != nil {
+			return err
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	<-ctx.Done()
--- a/config/fields.go
+++ b/config/fields.go
@@ -74,8 +74,10 @@
 }
 
 // Sample returns an INI file with every key, its meaning and its default.
-func Sample() string {
-	c := Default()
+func Sample() string { return Format(Default()) }
+
+// Format returns the INI file of a configuration.
+func Format(c Config) string {
 	var b strings.Builder
 	section := ""
 	for _, f := range fields(&c) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -37,6 +38,7 @@
 	"github.com/snowspoke/snowspoke/peer"
 	"github.com/snowspoke/snowspoke/platform/httpplatform"
 	"github.com/snowspoke/snowspoke/routing"
+	"github.com/snowspoke/snowspoke/tlsconf"
 )
 
 // Daemon is one daemon of the fleet.
@@ -45,6 +47,7 @@
 	net     network.Network
 	logger  log.Logger
 	metrics *metrics.Metrics
+	tls     *tlsconf.Reloader // nil without certificates
 
 	catalog   *catalog.Catalog
 	store     *httpplatform.Client
@@ -85,6 +88,12 @@
 		return nil, err
 	}
 	d.metrics = m
+	if cfg.Security.CertFile != "" {
+		files := tlsconf.Files{Cert: cfg.Security.CertFile, Key: cfg.Security.KeyFile, CA: cfg.Security.CAFile}
+		if d.tls, err = tlsconf.New(files, time.Now); err != nil {
+			return nil, err
+		}
+	}
 	if d.key, err = fleetKey(cfg.Security.FleetKeyFile, d.logger); err != nil {
 		return nil, err
 	}
@@ -174,7 +183,11 @@
 
 // client returns an HTTP client whose idle connections end with the daemon.
 func (d *Daemon) client(perHost int) *http.Client {
-	c := network.Client(d.net, perHost)
+	var conf *tls.Config
+	if d.tls != nil {
+		conf = d.tls.Client()
+	}
+	c := network.TLSClient(d.net, perHost, conf)
 	d.clients = append(d.clients, c)
 	return c
 }
@@ -195,9 +208,36 @@
 		d.listeners[i] = l
 	}
 	d.listeners[0] = netutil.LimitListener(d.listeners[0], d.cfg.Limits.Connections)
+	d.secure()
 	return nil
 }
 
+// secure puts TLS on the listeners if there are certificates. Between daemons it
+// is mutual when an authority is set.
+func (d *Daemon) secure() {
+	if d.tls == nil {
+		return
+	}
+	for i := range d.listeners {
+		conf := d.tls.Server()
+		if i == peersListener && d.cfg.Security.CAFile != "" {
+			conf = d.tls.Mutual()
+		}
+		d.listeners[i] = tls.NewListener(d.listeners[i], conf)
+	}
+}
+
+// peersListener is the index of the listener for other daemons.
+const peersListener = 2
+
+// peerScheme is the scheme between daemons.
+func (d *Daemon) peerScheme() string {
+	if d.tls != nil {
+		return "https"
+	}
+	return "http"
+}
+
 // CallersAddr returns the address that callers reach.
 func (d *Daemon) CallersAddr() string { return d.listeners[0].Addr().String() }
 
@@ -205,7 +245,7 @@
 func (d *Daemon) OperatorsAddr() string { return d.listeners[1].Addr().String() }
 
 // PeersAddr returns the address that other daemons reach.
-func (d *Daemon) PeersAddr() string { return d.listeners[2].Addr().String() }
+func (d *Daemon) PeersAddr() string { return d.listeners[peersListener].Addr().String() }
 
 // Run serves until ctx ends, then stops without cutting off a request: it fails
 // readiness, waits until the balancer has moved, refuses new work, lets what
@@ -224,7 +264,7 @@
 	wg.Go(func() { d.placeWeights(work) })
 	d.peers = d.newServer(d.peersHandler(work))
 	failed := make(chan error, 3)
-	wg.Go(func() { failed <- d.peers.Serve(d.listeners[2]) })
+	wg.Go(func() { failed <- d.peers.Serve(d.listeners[peersListener]) })
 	wg.Go(func() { failed <- d.callers.Serve(d.listeners[0]) })
 	wg.Go(func() { failed <- d.operators.Serve(d.listeners[1]) })
 	_ = level.Info(d.logger).Log("msg", "started", "callers", d.CallersAddr(), "operators", d.OperatorsAddr())
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -28,7 +28,7 @@
 	p := d.cfg.Peers
 	d.node = peer.New(peer.Options{
 		Self: self, Seeds: p.Seeds, Heartbeat: p.Heartbeat, Suspect: p.Suspect, Dead: p.Dead,
-		Degree: p.Degree, Watchers: p.Watchers, Token: d.peerToken(), Scheme: "http",
+		Degree: p.Degree, Watchers: p.Watchers, Token: d.peerToken(), Scheme: d.peerScheme(),
 	}, d.client(peerConns), d.catalog, d.monitor, d.logger)
 }
 
--- /dev/null
+++ b/edit/edit_test.go
@@ -0,0 +1,101 @@
+package edit
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/internal/memstore"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+func storeWithServer(t *testing.T) *memstore.Store {
+	s := memstore.New()
+	spec, err := json.Marshal(&topology.BackendServer{Address: "a:1", FailureDomain: "d", Labels: topology.Labels{"kind": "h100"}})
+	require.NoError(t, err)
+	s.Set(string(topology.KindBackendServer), "b", spec)
+	return s
+}
+
+func labelsOf(t *testing.T, s *memstore.Store) topology.Labels {
+	_, obj, err := read(context.Background(), s, topology.KindBackendServer, "b")
+	require.NoError(t, err)
+	return obj.(*topology.BackendServer).Labels
+}
+
+// Many operators edit different labels of one object while writes and answers
+// are lost: every edit that is said to be done stands.
+func TestRacingEditsMerge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := storeWithServer(t)
+		s.SetFaults(memstore.Faults{LoseAnswer: 0.3, LoseWrite: 0.1, Delay: time.Millisecond})
+		var mu sync.Mutex
+		done := map[string]string{}
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Go(func() {
+				key := fmt.Sprint("label-", i)
+				for n := range 5 {
+					value := fmt.Sprint("v", n)
+					if _, err := Apply(context.Background(), s, topology.KindBackendServer, "b", Label{key}, value); err == nil {
+						mu.Lock()
+						done[key] = value
+						mu.Unlock()
+					}
+				}
+			})
+		}
+		wg.Wait()
+		s.SetFaults(memstore.Faults{})
+		require.Len(t, done, 8)
+		have := labelsOf(t, s)
+		for k, v := range done {
+			require.Equal(t, v, have[k])
+		}
+		require.Equal(t, "h100", have["kind"])
+	})
+}
+
+// interferer changes the same label right before the first write.
+type interferer struct {
+	*memstore.Store
+	once sync.Once
+}
+
+func (i *interferer) Put(ctx context.Context, kind, name string, spec []byte, v uint64) (uint64, error) {
+	i.once.Do(func() {
+		_, _ = Apply(ctx, i.Store, topology.KindBackendServer, "b", Label{"kind"}, "a100")
+	})
+	return i.Store.Put(ctx, kind, name, spec, v)
+}
+
+func TestSameFieldConflicts(t *testing.T) {
+	s := &interferer{Store: storeWithServer(t)}
+	_, err := Apply(context.Background(), s, topology.KindBackendServer, "b", Label{"kind"}, "l40s")
+	require.ErrorIs(t, err, ErrRaced)
+	require.Equal(t, "a100", labelsOf(t, s.Store)["kind"])
+}
+
+func TestFields(t *testing.T) {
+	s := storeWithServer(t)
+	ctx := context.Background()
+	r, err := Apply(ctx, s, topology.KindBackendServer, "b", Label{"kind"}, "")
+	require.NoError(t, err)
+	require.Equal(t, Result{Version: 2, Before: "h100", Changed: true}, r)
+	r, err = Apply(ctx, s, topology.KindBackendServer, "b", Label{"kind"}, "")
+	require.NoError(t, err)
+	require.False(t, r.Changed)
+	_, err = Apply(ctx, s, topology.KindBackendServer, "b", Selector{"stages"}, "a=b")
+	require.ErrorIs(t, err, ErrNoField)
+	s.Set(string(topology.KindRoutingRule), "r", []byte(`{}`))
+	_, err = Apply(ctx, s, topology.KindRoutingRule, "r", Selector{"stages"}, "a in (")
+	require.ErrorContains(t, err, "selector")
+	_, err = Apply(ctx, s, topology.KindRoutingRule, "r", Selector{"stages"}, "a in (b,c)")
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,133 @@
+// Package load sends an open-loop load to the callers' interface and measures
+// what callers see: time to the first token, gaps between tokens, goodput.
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/client"
+)
+
+// Spec describes a load.
+type Spec struct {
+	Rate     float64 // requests per second, Poisson arrivals
+	Length   time.Duration
+	Model    string
+	Tokens   int // mean length of an answer; uniform from 1 to twice that
+	Deadline time.Duration
+	Priority int
+	Seed     uint64
+	Timeout  time.Duration // for requests that are still running at the end
+}
+
+// Result is what a load showed.
+type Result struct {
+	Sent     int
+	Whole    int
+	Errors   map[apierror.Kind]int // explicit answers that are not whole
+	Broken   int                   // no explicit answer
+	Tokens   int                   // of whole answers
+	Elapsed  time.Duration
+	First    *hdrhistogram.Histogram // microseconds
+	Gap      *hdrhistogram.Histogram // microseconds
+	Refusal  *hdrhistogram.Histogram // microseconds until a refusal
+	Timeline []Second
+}
+
+// Second is one second of a load.
+type Second struct {
+	Tokens int // delivered in whole answers that ended in this second
+	Errors int
+}
+
+// Bounds and precision of the histograms, in microseconds.
+const (
+	histMax    = int64(10 * time.Minute / time.Microsecond)
+	histDigits = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, histMax, histDigits) }
+
+// runner is one load under way.
+type runner struct {
+	spec    Spec
+	clients []*client.Client
+	began   time.Time
+	mu      sync.Mutex
+	result  Result
+}
+
+// Run sends the load over the clients in turn and waits for the answers.
+func Run(ctx context.Context, s Spec, clients []*client.Client) *Result {
+	r := &runner{spec: s, clients: clients, began: time.Now(), result: Result{
+		Errors: map[apierror.Kind]int{}, First: newHistogram(), Gap: newHistogram(), Refusal: newHistogram(),
+	}}
+	rng := rand.New(rand.NewPCG(s.Seed, 0))
+	ctx, cancel := context.WithTimeout(ctx, s.Length+s.Timeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	next := r.began
+	for n := 0; ctx.Err() == nil; n++ {
+		next = next.Add(time.Duration(rng.ExpFloat64() / s.Rate * float64(time.Second)))
+		if next.Sub(r.began) >= s.Length {
+			break
+		}
+		time.Sleep(time.Until(next))
+		tokens := 1 + rng.IntN(max(1, 2*s.Tokens-1))
+		wg.Go(func() { r.one(ctx, n, tokens) })
+	}
+	wg.Wait()
+	r.result.Elapsed = time.Since(r.began)
+	return &r.result
+}
+
+func (r *runner) one(ctx context.Context, n, tokens int) {
+	req := client.Request{
+		Model: r.spec.Model, Prompt: fmt.Sprintf("load %d of seed %d", n, r.spec.Seed), MaxTokens: tokens,
+		Stream: true, Repeatable: true, Deadline: r.spec.Deadline, Priority: r.spec.Priority,
+	}
+	reply, err := r.clients[n%len(r.clients)].Complete(ctx, req)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.take(&reply, err, time.Since(r.began))
+}
+
+// take adds one answer, which ended at a time since the beginning.
+func (t *Result) take(reply *client.Reply, err error, at time.Duration) {
+	t.Sent++
+	for len(t.Timeline) <= int(at.Seconds()) {
+		t.Timeline = append(t.Timeline, Second{})
+	}
+	second := &t.Timeline[int(at.Seconds())]
+	if reply.First > 0 {
+		_ = t.First.RecordValue(reply.First.Microseconds())
+	}
+	for _, g := range reply.Gaps {
+		_ = t.Gap.RecordValue(max(1, g.Microseconds()))
+	}
+	switch {
+	case err != nil:
+		t.Broken++
+		second.Errors++
+	case reply.Whole:
+		t.Whole++
+		t.Tokens += reply.Tokens
+		second.Tokens += reply.Tokens
+	default:
+		t.Errors[reply.Kind]++
+		second.Errors++
+		if reply.Ran == apierror.RanNo {
+			_ = t.Refusal.RecordValue(max(1, reply.Took.Microseconds()))
+		}
+	}
+}
+
+// Goodput returns the tokens a second in whole answers.
+func (t *Result) Goodput() float64 { return float64(t.Tokens) / t.Elapsed.Seconds() }
--- a/network/network.go
+++ b/network/network.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -38,10 +39,14 @@
 
 // Client returns an HTTP client over the network that keeps up to perHost idle
 // connections to each host and follows no redirect.
-func Client(n Network, perHost int) *http.Client {
+func Client(n Network, perHost int) *http.Client { return TLSClient(n, perHost, nil) }
+
+// TLSClient is Client with a TLS configuration for https; nil is the default.
+func TLSClient(n Network, perHost int, c *tls.Config) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: n.DialContext, MaxIdleConnsPerHost: perHost, IdleConnTimeout: idleTimeout, DisableCompression: true,
+			TLSClientConfig: c,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/topology/selector.go
+++ b/topology/selector.go
@@ -21,7 +21,7 @@
 func ParseSelector(text string) (Selector, error) {
 	sel, err := labels.Parse(text)
 	if err != nil {
-		return Selector{}, fmt.Errorf("selector %q: %w", text, err)
+		return Selector{}, fmt.Errorf("%w: selector %q: %w", ErrInvalid, text, err)
 	}
 	return Selector{text: text, sel: sel}, nil
 }
--- a/trial/world.go
+++ b/trial/world.go
@@ -194,6 +194,16 @@
 	return cfg
 }
 
+// WriteSettings writes settings with which one more daemon can be run as a
+// process of its own.
+func (w *World) WriteSettings(path string) error {
+	cfg := w.Settings(len(w.Daemons))
+	for _, p := range w.Daemons {
+		cfg.Peers.Seeds = append(cfg.Peers.Seeds, p.cfg.Listen.Peers)
+	}
+	return os.WriteFile(path, []byte(config.Format(cfg)), 0o600)
+}
+
 func (w *World) addDaemon(i int) error {
 	p := &Process{Name: fmt.Sprintf("daemon-%d", i+1), world: w, cycle: make(chan struct{}, 1), cfg: w.Settings(i), net: w.hosts(fmt.Sprintf(daemonIP, i+1))}
 	for _, other := range w.Daemons {
