Every promise has an assertion in the program and a test that makes it fire

Cause: no work after a leave, planned stops and monotonic configuration were checked from outside only.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/snowspoke/snowspoke/invariant"
 	"github.com/snowspoke/snowspoke/platform"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -92,6 +93,16 @@
 	require.NotContains(t, c.Snapshot().Models, "b")
 }
 
+// A version in force that falls fires.
+func TestRevertFires(t *testing.T) {
+	c := New()
+	c.Apply(modelObject("a", 1, 8))
+	c.records[platform.ID{Kind: string(topology.KindModel), Name: "a"}].verdict.InForce = 100
+	before := invariant.Count(invariant.ConfigMonotonic)
+	c.Apply(modelObject("a", 2, 8))
+	require.Equal(t, before+1, invariant.Count(invariant.ConfigMonotonic))
+}
+
 func BenchmarkApply(b *testing.B) {
 	for _, n := range []int{1000, 5000, 19000} {
 		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/health"
+	"github.com/snowspoke/snowspoke/invariant"
 )
 
 // errStalled ends an attempt that has produced no token within the bound.
@@ -38,6 +39,10 @@
 	if err := r.move(Sent); err != nil {
 		return result{err: err, final: true}
 	}
+	if err := r.checkNoLeaving(); err != nil {
+		_ = r.move(NotSent)
+		return result{err: err, final: true}
+	}
 	watch.arm(r.d.opts.FirstToken)
 	s, err := r.d.engine.Generate(actx, r.head(), r.generate())
 	watch.disarm()
@@ -61,6 +66,23 @@
 	return nil
 }
 
+// leaveGrace is how long after a backend server is known to leave new work may
+// still be on its way to it.
+const leaveGrace = 3 * time.Second
+
+// checkNoLeaving asserts, right before the send, that no hop has long been known
+// to leave.
+func (r *run) checkNoLeaving() error {
+	for _, h := range r.route {
+		d := r.d.table.LeavingFor(h.BackendServer)
+		if err := invariant.Check(d <= leaveGrace, invariant.NoWorkAfterLeave,
+			"request %s goes to %s, which leaves since %s", r.req.ID, h.BackendServer, d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (r *run) beginAttempt() error {
 	r.delivery.Begin(r.attempt)
 	r.produced = false
--- a/dispatch/state_test.go
+++ b/dispatch/state_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/invariant"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -91,6 +94,20 @@
 	require.Equal(t, before+1, invariant.Count(invariant.WholeOwnAnswer))
 }
 
+// New work for a backend server that has long been known to leave fires.
+func TestWorkAfterLeaveFires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := fleet.NewTable()
+		table.SetConfig(map[string]*topology.BackendServer{"b": {Name: "b", Labels: topology.Labels{topology.LabelDrain: "true"}}})
+		r := &run{d: &Dispatcher{table: table}, req: &Request{ID: "r"}, route: topology.Route{{BackendServer: "b"}}}
+		require.NoError(t, r.checkNoLeaving())
+		before := invariant.Count(invariant.NoWorkAfterLeave)
+		time.Sleep(leaveGrace + time.Second)
+		require.Error(t, r.checkNoLeaving())
+		require.Equal(t, before+1, invariant.Count(invariant.NoWorkAfterLeave))
+	})
+}
+
 func TestEventIDs(t *testing.T) {
 	s, err := NewSealer(make([]byte, KeyBytes))
 	require.NoError(t, err)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -162,6 +162,7 @@
 	reported map[string]reported
 	vmLeft   map[string]bool // leaving by the VM list
 	ejected  map[string]bool
+	leftAt   map[string]time.Time // since when a backend server is known to leave
 	links    map[linkKey]float64
 	live     map[linkKey]*Link
 	notify   chan struct{}
@@ -175,6 +176,7 @@
 		reported: map[string]reported{},
 		vmLeft:   map[string]bool{},
 		ejected:  map[string]bool{},
+		leftAt:   map[string]time.Time{},
 		links:    map[linkKey]float64{},
 		live:     map[linkKey]*Link{},
 		notify:   make(chan struct{}),
@@ -382,6 +384,29 @@
 	return t.vmLeft[server]
 }
 
+// noteLeaving reports whether a backend server leaves and notes since when.
+func (t *Table) noteLeaving(name string) bool {
+	if !t.leaving(name) {
+		delete(t.leftAt, name)
+		return false
+	}
+	if t.leftAt[name].IsZero() {
+		t.leftAt[name] = time.Now()
+	}
+	return true
+}
+
+// LeavingFor returns how long a backend server is known to leave, 0 if it does not.
+func (t *Table) LeavingFor(name string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, leaves := t.leftAt[name]
+	if !leaves {
+		return 0
+	}
+	return max(time.Since(at), 1)
+}
+
 // Reports returns the structure that the engines last reported, without loads.
 func (t *Table) Reports() []backend.Status {
 	t.mu.Lock()
@@ -420,7 +445,7 @@
 	v := &View{Version: t.version.Load() + 1, links: links}
 	for name, s := range t.servers {
 		c := t.config[name]
-		usable := c != nil && !t.leaving(name) && !t.ejected[name]
+		usable := c != nil && !t.noteLeaving(name) && !t.ejected[name]
 		s.usable.Store(usable)
 		if c == nil {
 			continue
--- a/trial/faults_test.go
+++ b/trial/faults_test.go
@@ -341,6 +341,46 @@
 	})
 }
 
+// A planned stop that has to cut off a request, because it outlives the time for
+// draining, fires; the same stop with enough time cuts off nothing.
+func TestPlannedStop(t *testing.T) {
+	for _, drain := range []time.Duration{time.Second, time.Minute} {
+		synctest.Test(t, func(t *testing.T) {
+			net := memnet.New()
+			w, err := NewWorld(1, func(ip string) network.Network { return net.Host(ip) }, log.NewNopLogger())
+			require.NoError(t, err)
+			p := w.Daemons[0]
+			p.cfg.Stop.DrainTimeout = drain
+			require.NoError(t, p.Cycle(false, time.Millisecond))
+			require.NoError(t, w.waitReady())
+			before := invariant.Count(invariant.PlannedStopCutsOff)
+			hc := network.Client(w.hosts(callersIP), 4)
+			var reply client.Reply
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				reply, err = w.clientOf(0, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "p", MaxTokens: 1500, Stream: true})
+			})
+			time.Sleep(100 * time.Millisecond)
+			stopped := p.Stop()
+			wg.Wait()
+			fired := invariant.Count(invariant.PlannedStopCutsOff) - before
+			if drain == time.Second {
+				assert.Error(t, stopped)
+				assert.EqualValues(t, 1, fired)
+			} else {
+				assert.NoError(t, stopped)
+				assert.NoError(t, err)
+				assert.True(t, reply.Whole)
+				assert.Zero(t, fired)
+			}
+			hc.CloseIdleConnections()
+			assert.NoError(t, p.Start())
+			w.Close()
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
 // leaveTokens makes a stream last longer than the leaving takes.
 const leaveTokens = 2000
 
