The VM list travels over the peers; links used first in a slow spell

Cause: every daemon read the VM list every 2 s, 190 calls a second at 380 daemons, so store calls grew with the fleet. A link used for the first time while its sender was slow took the slow time for its usual one and lifted the verdict (trace: factor 1 while still slow). Change: watchers read the list and pass changes on; such links start from the least usual time of the sender's links.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -147,10 +147,10 @@
 	engines := httpbackend.NewEngines(d.client(backendConns), scheme)
 	d.buildControl(engines)
 	d.monitor = monitor.New(monitor.Options{
-		StatusPoll: d.cfg.Health.StatusPoll, VMPoll: d.cfg.Platform.VMPoll, GapFloor: d.cfg.Health.GapFloor,
+		StatusPoll: d.cfg.Health.StatusPoll, GapFloor: d.cfg.Health.GapFloor,
 		GapCeiling: d.cfg.Health.GapCeiling, Health: health.DefaultConfig(), Link: health.DefaultLinkConfig(),
 	}, monitor.Parts{
-		Engine: engines, VMs: store, Table: d.table, Log: d.decisions, Logger: d.logger,
+		Engine: engines, Table: d.table, Log: d.decisions, Logger: d.logger,
 		Owner: peersOf{d}, Publisher: peersOf{d}, Wake: d.gate.Wake, Clock: time.Now,
 	})
 	disp := d.dispatcher(engines)
@@ -260,7 +260,7 @@
 	wg.Go(func() { d.followCatalog(work) })
 	wg.Go(func() { d.monitor.Run(work) })
 	wg.Go(func() { d.node.Run(work) })
-	wg.Go(func() { d.findPeers(work) })
+	wg.Go(func() { d.readVMs(work) })
 	wg.Go(func() { d.placeWeights(work) })
 	d.peers = d.newServer(d.peersHandler(work))
 	failed := make(chan error, 3)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -30,6 +30,7 @@
 		Self: self, Seeds: p.Seeds, Heartbeat: p.Heartbeat, Suspect: p.Suspect, Dead: p.Dead,
 		Degree: p.Degree, Watchers: p.Watchers, Token: d.peerToken(), Scheme: d.peerScheme(),
 	}, d.client(peerConns), d.catalog, d.monitor, d.logger)
+	d.node.OnVMs(d.takeVMs)
 }
 
 // peerConns is the number of idle connections kept to each other daemon.
@@ -56,24 +57,32 @@
 	})
 }
 
-// findPeers adds the entry VMs of the platform's list to the seeds. Daemons
-// listen for each other on the same port everywhere.
-func (d *Daemon) findPeers(ctx context.Context) {
-	_, port, err := net.SplitHostPort(d.PeersAddr())
-	if err != nil {
-		return
-	}
-	t := time.NewTicker(d.cfg.Platform.VMPoll)
-	defer t.Stop()
-	for {
-		if vms, err := d.store.ListVMs(ctx); err == nil {
-			d.node.SetSeeds(append(entrySeeds(vms, port), d.cfg.Peers.Seeds...))
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
+// readVMs reads the platform's VM list while this daemon is due to follow the
+// store; the others get it from their neighbours.
+func (d *Daemon) readVMs(ctx context.Context) {
+	d.node.Follow(ctx, func(ctx context.Context) {
+		t := time.NewTicker(d.cfg.Platform.VMPoll)
+		defer t.Stop()
+		for {
+			if vms, err := d.store.ListVMs(ctx); err == nil {
+				d.node.PublishVMs(vms)
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
 		}
+	})
+}
+
+// takeVMs puts a VM list into use: leaving VMs get no new work, and the entry
+// VMs are where other daemons may be found. Daemons listen for each other on the
+// same port everywhere.
+func (d *Daemon) takeVMs(vms []platform.VM) {
+	d.table.SetVMs(vms)
+	if _, port, err := net.SplitHostPort(d.PeersAddr()); err == nil {
+		d.node.SetSeeds(append(entrySeeds(vms, port), d.cfg.Peers.Seeds...))
 	}
 }
 
--- a/dispatch/lab_test.go
+++ b/dispatch/lab_test.go
@@ -21,7 +21,6 @@
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/monitor"
-	"github.com/snowspoke/snowspoke/platform"
 	"github.com/snowspoke/snowspoke/routing"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -151,10 +150,6 @@
 
 func (c labCatalog) Snapshot() *topology.Snapshot { return c.snap }
 
-type noVMs struct{}
-
-func (noVMs) ListVMs(context.Context) ([]platform.VM, error) { return nil, nil }
-
 type labObserver struct{ lab *lab }
 
 func (labObserver) Finished(string, time.Duration) {}
@@ -178,9 +173,9 @@
 	gate := dispatch.NewGate(dispatch.GateOptions{MaxStreams: 1 << 20, QueueLimit: 1 << 20, RetryRatio: l.spec.retry, Limit: limit}, table, time.Now)
 	decisions := decision.New(log.NewNopLogger(), 0)
 	m := monitor.New(monitor.Options{
-		StatusPoll: 500 * time.Millisecond, VMPoll: time.Minute, GapFloor: 250 * time.Millisecond, GapCeiling: 2 * time.Second,
+		StatusPoll: 500 * time.Millisecond, GapFloor: 250 * time.Millisecond, GapCeiling: 2 * time.Second,
 		Health: health.DefaultConfig(), Link: health.DefaultLinkConfig(),
-	}, monitor.Parts{Engine: l, VMs: noVMs{}, Table: table, Log: decisions, Logger: log.NewNopLogger(), Owner: monitor.OwnsAll{}, Wake: gate.Wake, Clock: time.Now})
+	}, monitor.Parts{Engine: l, Table: table, Log: decisions, Logger: log.NewNopLogger(), Owner: monitor.OwnsAll{}, Wake: gate.Wake, Clock: time.Now})
 	go m.Run(ctx)
 	sealer, _ := dispatch.NewSealer(make([]byte, dispatch.KeyBytes))
 	var policy dispatch.Policy
--- a/health/link.go
+++ b/health/link.go
@@ -116,6 +116,16 @@
 	return f
 }
 
+// Baseline returns the link's usual time, 0 when nothing is known yet.
+func (l *Link) Baseline() time.Duration { return time.Duration(l.baseline * float64(time.Second)) }
+
+// Seed sets the usual time of a link that has carried nothing yet.
+func (l *Link) Seed(d time.Duration) {
+	if l.baseline == 0 {
+		l.baseline = d.Seconds()
+	}
+}
+
 // Ratio returns how slow a transfer is against the baseline.
 func (l *Link) Ratio(d time.Duration) float64 {
 	if l.baseline == 0 {
--- a/monitor/hops.go
+++ b/monitor/hops.go
@@ -56,6 +56,9 @@
 	k := linkKey{l.BackendServer, l.NextHop}
 	gapOf(m.linkGaps, k).Observe(d)
 	link := m.linkOf(k)
+	if link.Baseline() == 0 {
+		m.seed(link, k)
+	}
 	var out []linkChange
 	if link.Observe(m.opts.Link, d, now) {
 		out = append(out, linkChange{k, link.Factor(m.opts.Link)})
@@ -72,6 +75,24 @@
 	return out
 }
 
+// seed gives a link that is used for the first time, while the links of its
+// sender are slow, the least of their usual times: what it shows now is not
+// what is usual.
+func (m *Monitor) seed(link *health.Link, k linkKey) {
+	if !m.linkOf(linkKey{k.from, fleet.AnyServer}).Degraded() {
+		return
+	}
+	least := time.Duration(0)
+	for other, l := range m.links {
+		if other.from == k.from && other.to != fleet.AnyServer && l.Baseline() > 0 && (least == 0 || l.Baseline() < least) {
+			least = l.Baseline()
+		}
+	}
+	if least > 0 {
+		link.Seed(least)
+	}
+}
+
 func (m *Monitor) linkOf(k linkKey) *health.Link {
 	link := m.links[k]
 	if link == nil {
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -1,6 +1,5 @@
 // Package monitor feeds the live state of the backend servers: it reads their
-// status, the platform's VM list and what requests show about them, lets
-// package health decide, and puts the verdicts into package fleet.
+// status and what requests show about them, lets package health decide, and puts the verdicts into package fleet.
 package monitor
 
 import (
@@ -9,20 +8,17 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/health"
-	"github.com/snowspoke/snowspoke/platform"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
 // Options are the settings of a monitor.
 type Options struct {
 	StatusPoll time.Duration
-	VMPoll     time.Duration
 	GapFloor   time.Duration
 	GapCeiling time.Duration
 	Health     health.Config
@@ -49,7 +45,6 @@
 // Parts are what a monitor works with.
 type Parts struct {
 	Engine    backend.Engine
-	VMs       platform.VMLister
 	Table     *fleet.Table
 	Log       *decision.Log
 	Logger    log.Logger
@@ -94,10 +89,9 @@
 	return m
 }
 
-// Run reads statuses and the VM list until ctx ends.
+// Run reads statuses until ctx ends.
 func (m *Monitor) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { m.every(ctx, m.opts.VMPoll, m.readVMs) })
 	wg.Go(func() { m.pollStatuses(ctx) })
 	wg.Go(func() { m.every(ctx, tick, m.onTick) })
 	wg.Wait()
@@ -134,15 +128,6 @@
 	m.every(ctx, m.opts.StatusPoll, m.pollOwned)
 }
 
-func (m *Monitor) readVMs(ctx context.Context) {
-	vms, err := m.VMs.ListVMs(ctx)
-	if err != nil {
-		_ = level.Debug(m.Logger).Log("msg", "vm list not read", "err", err)
-		return // the last list stays in force
-	}
-	m.Table.SetVMs(vms)
-}
-
 // pollOwned reads the status of the backend servers that this daemon owns.
 func (m *Monitor) pollOwned(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/monitor/monitor_test.go
+++ b/monitor/monitor_test.go
@@ -13,7 +13,6 @@
 	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/health"
-	"github.com/snowspoke/snowspoke/platform"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -28,10 +27,6 @@
 	return backend.Status{Boot: 1, Seq: 1, Holdings: []backend.Holding{{Model: "m", Version: "v", Layers: topology.LayerRange{Lo: 0, Hi: 4}}}}, nil
 }
 
-type noVMs struct{}
-
-func (noVMs) ListVMs(context.Context) ([]platform.VM, error) { return nil, nil }
-
 // A backend server that accepts a status read and never answers is taken out of
 // service by the reads alone.
 func TestFrozenServerIsNoticed(t *testing.T) {
@@ -43,8 +38,8 @@
 			st.BackendServer = name
 			table.ApplyStatus(st, time.Now())
 		}
-		m := New(Options{StatusPoll: 500 * time.Millisecond, VMPoll: time.Second, Health: health.DefaultConfig(), Link: health.DefaultLinkConfig()}, Parts{
-			Engine: frozen{}, VMs: noVMs{}, Table: table, Log: decision.New(log.NewNopLogger(), 10), Logger: log.NewNopLogger(),
+		m := New(Options{StatusPoll: 500 * time.Millisecond, Health: health.DefaultConfig(), Link: health.DefaultLinkConfig()}, Parts{
+			Engine: frozen{}, Table: table, Log: decision.New(log.NewNopLogger(), 10), Logger: log.NewNopLogger(),
 			Owner: OwnsAll{}, Wake: func() {}, Clock: time.Now,
 		})
 		ctx, cancel := context.WithCancel(context.Background())
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -310,6 +310,38 @@
 	})
 }
 
+// A changed VM list that one watcher read reaches everybody; a watcher whose
+// list lags does not bring the old one back.
+func TestVMListSpreads(t *testing.T) {
+	inFleet(t, 9, func(f *testFleet) {
+		var mu sync.Mutex
+		have := map[string]platform.VMState{}
+		for name, d := range f.daemons {
+			d.node.OnVMs(func(vms []platform.VM) {
+				mu.Lock()
+				defer mu.Unlock()
+				have[name] = vms[0].State
+			})
+		}
+		live := []platform.VM{{Name: "b", State: platform.VMLive}}
+		leaving := []platform.VM{{Name: "b", State: platform.VMLeaving}}
+		early, late := f.daemons["daemon-001"].node, f.daemons["daemon-005"].node
+		early.PublishVMs(live)
+		late.PublishVMs(live)
+		time.Sleep(time.Second)
+		early.PublishVMs(leaving)
+		time.Sleep(time.Second)
+		late.PublishVMs(live) // still the old list
+		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		require.Len(t, have, 9)
+		for name, state := range have {
+			require.Equal(t, platform.VMLeaving, state, name)
+		}
+	})
+}
+
 func FuzzFrame(f *testing.F) {
 	data, err := encode(&Frame{Hello: &Hello{Self: Member{Name: "a"}}, Members: []Member{{Name: "b"}}, Objects: []platform.Object{{Kind: "Model"}}})
 	require.NoError(f, err)
--- a/peer/link.go
+++ b/peer/link.go
@@ -135,9 +135,13 @@
 // heartbeats will tell whether it needs configuration.
 func (n *Node) welcome(l *link) {
 	n.mu.Lock()
-	members := n.members.All()
+	f := &Frame{Members: n.members.All(), Beat: &Beat{Mark: n.catalog.Mark()}}
+	if vms := n.vms; vms.ReadAt > 0 {
+		f.VMs = &vms
+	}
 	n.mu.Unlock()
-	n.sendTo(l, &Frame{Members: members, Statuses: n.statuses.Known(), Beat: &Beat{Mark: n.catalog.Mark()}})
+	f.Statuses = n.statuses.Known()
+	n.sendTo(l, f)
 }
 
 func (n *Node) sendTo(l *link, f *Frame) {
@@ -199,6 +203,9 @@
 	for _, st := range f.Statuses {
 		n.takeStatus(st, l.peer.Name)
 	}
+	if f.VMs != nil {
+		n.takeVMs(*f.VMs, l.peer.Name)
+	}
 	if f.Want != nil {
 		n.answer(l, f.Want)
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -67,6 +67,9 @@
 	owned     map[string]bool  // cached answers of Owns
 	ownedAt   uint64           // version of the membership that they hold for
 	changed   chan struct{}
+	vms       VMList        // newest known
+	polled    []platform.VM // as this daemon read it last
+	onVMs     func([]platform.VM)
 }
 
 // stamp orders the reports of one engine.
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -23,6 +23,13 @@
 	Statuses []backend.Status  `cbor:"5,keyasint,omitempty"`
 	Want     *Want             `cbor:"6,keyasint,omitempty"`
 	Snapshot []byte            `cbor:"7,keyasint,omitempty"` // gzip of CBOR of objects
+	VMs      *VMList           `cbor:"8,keyasint,omitempty"`
+}
+
+// VMList is the platform's VM list as a watcher read it.
+type VMList struct {
+	ReadAt int64         `cbor:"1,keyasint"` // Unix milliseconds; the newer list counts
+	VMs    []platform.VM `cbor:"2,keyasint"`
 }
 
 // Hello opens a link, in both directions.
