--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -78,13 +79,41 @@
 	for i, k := range topology.ConfigKinds {
 		kinds[i] = string(k)
 	}
-	err = f.store.Watch(watch, kinds, since, func(o platform.Object) { f.report(f.catalog.Apply(o)) })
+	changes := make(chan platform.Object, watchBuffer)
+	var applying sync.WaitGroup
+	applying.Go(func() { f.applyBatches(changes) })
+	err = f.store.Watch(watch, kinds, since, func(o platform.Object) { changes <- o })
+	close(changes)
+	applying.Wait()
 	if watch.Err() != nil {
 		return nil
 	}
 	return err
 }
 
+// watchBuffer is how many changes may wait while others are applied.
+const watchBuffer = 4096
+
+// applyBatches applies changes together that came while others were applied, so
+// that a bulk change of n objects does not build n snapshots.
+func (f *Follower) applyBatches(changes <-chan platform.Object) {
+	for o := range changes {
+		batch := []platform.Object{o}
+		for len(batch) < watchBuffer {
+			select {
+			case more, ok := <-changes:
+				if ok {
+					batch = append(batch, more)
+					continue
+				}
+			default:
+			}
+			break
+		}
+		f.report(f.catalog.Apply(batch...))
+	}
+}
+
 // read takes every kind and returns the lowest revision read, from which a
 // watch misses nothing.
 func (f *Follower) read(ctx context.Context) (uint64, error) {
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -117,10 +117,13 @@
 // are the fleet's.
 func control(n, changes, workspaces int) controlCost {
 	const length = controlLength
-	f := newFleet(n)
+	f := newFleet(0)
 	for i := range workspaces {
 		f.setWorkspace(i, 1)
 	}
+	for range n {
+		f.add()
+	}
 	f.settle()
 	time.Sleep(10 * time.Second)
 	runtime.GC()
