--- a/cmd/snowspoke/main.go
+++ b/cmd/snowspoke/main.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/capacity"
 	"github.com/snowspoke/snowspoke/edit"
 	"github.com/snowspoke/snowspoke/platform"
 	"github.com/snowspoke/snowspoke/topology"
@@ -54,6 +55,7 @@
 	Load     loadCmd     `cmd:"" help:"Send an open-loop load and show what callers see."`
 	Try      tryCmd      `cmd:"" help:"Run stand-ins and daemons on loopback, to try the system out or to check its promises."`
 	Errors   errorsCmd   `cmd:"" help:"Print the table of errors as Markdown, as in docs/ERRORS.md."`
+	Capacity capacityCmd `cmd:"" help:"Print the capacity page as Markdown, as in docs/CAPACITY.md."`
 }
 
 func main() {
@@ -93,6 +95,14 @@
 	return exitFailed
 }
 
+type capacityCmd struct{}
+
+// Run prints the page.
+func (capacityCmd) Run() error {
+	fmt.Print(capacity.Markdown())
+	return nil
+}
+
 type errorsCmd struct{}
 
 // Run prints the table.
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -9,7 +9,6 @@
 
 	"github.com/snowspoke/snowspoke/admission"
 	"github.com/snowspoke/snowspoke/apierror"
-	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/routing"
 	"github.com/snowspoke/snowspoke/topology"
@@ -50,22 +49,6 @@
 
 type budgetKey struct{ workspace, model string }
 
-// line is the queue of one routing plan with its measured service.
-type line struct {
-	queue    *admission.Queue
-	rate     float64 // requests that leave the plan's servers, per second, smoothed
-	last     time.Time
-	perToken float64   // seconds that a token takes once admitted, smoothed
-	used     float64   // tokens of an answer as a share of those asked for, smoothed
-	routed   time.Time // last time a route was found
-}
-
-// Gains of the service estimates.
-const (
-	rateGain    = 0.05
-	serviceGain = 0.1
-)
-
 // retryReserve is the number of retries a workspace may spend on a model before
 // it has earned any.
 const retryReserve = 10
@@ -172,23 +155,6 @@
 	return g.check(&Request{Workspace: w}, g.clock())
 }
 
-func (g *Gate) takeShare(w *topology.Workspace, now time.Time) error {
-	if w.RequestsPerSecond <= 0 {
-		return nil
-	}
-	b := g.buckets[w.Name]
-	if b == nil {
-		b = &admission.Bucket{}
-		g.buckets[w.Name] = b
-	}
-	share := g.shares.Share(w.Name)
-	ok, wait := b.Take(w.RequestsPerSecond*share, float64(w.Burst)*share, now)
-	if ok {
-		return nil
-	}
-	return apierror.New(apierror.WorkspaceLimit, "workspace %s: %g requests a second", w.Name, w.RequestsPerSecond).WithRetryAfter(wait)
-}
-
 func (g *Gate) line(key routing.Key) *line {
 	l := g.queues[key]
 	if l == nil {
@@ -224,35 +190,6 @@
 		WithRetryAfter(max(need-left, drain/2))
 }
 
-// Margins of the estimates by which a request is refused early. Work on a
-// request that then misses its deadline is lost to all others.
-const (
-	waitMargin    = 4.0
-	serviceMargin = 1.3
-)
-
-// service returns how long a request will probably take once admitted.
-func (l *line) service(r *Request) time.Duration {
-	return seconds(serviceMargin * l.perToken * max(1, l.used*float64(r.MaxTokens)))
-}
-
-// tooLate returns the refusal of a request whose deadline can no longer be met.
-func (l *line) tooLate(r *Request, now time.Time) *apierror.Error {
-	if r.Deadline.IsZero() || now.Add(l.service(r)).Before(r.Deadline) {
-		return nil
-	}
-	return apierror.New(apierror.DeadlineUnlikely, "%s are left, %s are needed",
-		r.Deadline.Sub(now).Round(time.Millisecond), l.service(r).Round(time.Millisecond)).WithRetryAfter(l.drain())
-}
-
-// drain returns how long the queue needs at its present pace.
-func (l *line) drain() time.Duration {
-	if l.rate <= 0 {
-		return time.Second
-	}
-	return max(time.Second, seconds(float64(l.queue.Len())/l.rate))
-}
-
 func seconds(s float64) time.Duration {
 	return time.Duration(math.Min(s, 3600) * float64(time.Second))
 }
@@ -364,14 +301,6 @@
 	}
 }
 
-func (g *Gate) ensureLimit(s *fleet.Server) {
-	if g.limits[s.Name()] == nil {
-		l := admission.NewLimit(g.limitCfg)
-		g.limits[s.Name()] = l
-		s.SetLimit(int64(l.Value()))
-	}
-}
-
 // pump grants tickets to waiting requests, the highest priority first, until no
 // queue's next request finds a route. The caller holds the lock.
 func (g *Gate) pump() {
@@ -469,90 +398,6 @@
 	g.pump()
 }
 
-// bufferFor is how long requests wait when a model that had a route has none,
-// as in the moment of a restart or a move. A model that stays without a route
-// refuses at once.
-const bufferFor = 2 * time.Second
-
-// bufferSlack makes sure that a recheck comes after the end of bufferFor.
-const bufferSlack = 10 * time.Millisecond
-
-func (l *line) buffers(now time.Time) bool { return now.Sub(l.routed) < bufferFor }
-
-// observe updates the service time, and the rate while requests wait.
-func (l *line) observe(d time.Duration, tokens, asked int, now time.Time) {
-	if tokens > 0 {
-		smooth(&l.perToken, d.Seconds()/float64(tokens))
-		smooth(&l.used, float64(tokens)/float64(max(1, asked)))
-	}
-	if l.queue.Len() > 0 && !l.last.IsZero() {
-		l.observeRate(now.Sub(l.last).Seconds())
-	}
-	l.last = now
-}
-
-func smooth(v *float64, x float64) {
-	if *v == 0 {
-		*v = x
-	}
-	*v += serviceGain * (x - *v)
-}
-
-func (l *line) observeRate(gap float64) {
-	x := 1 / math.Max(gap, 1e-6)
-	if l.rate == 0 {
-		l.rate = x
-		return
-	}
-	// Smooth the gaps, not the rates: the mean of rates is biased by bursts.
-	l.rate = 1 / (1/l.rate + rateGain*(gap-1/l.rate))
-}
-
-// ObserveHop feeds the token time of a hop to the backend server's limit.
-func (g *Gate) ObserveHop(h backend.HopLoad) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	l := g.limits[h.BackendServer]
-	s := g.table.Server(h.BackendServer)
-	if l == nil || s == nil {
-		return
-	}
-	s.SetLimit(int64(l.Observe(seconds(h.TokenSeconds), int(s.InFlight()))))
-}
-
-// Shrink lowers the limit of a backend server that refused.
-func (g *Gate) Shrink(server string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if l, s := g.limits[server], g.table.Server(server); l != nil && s != nil {
-		s.SetLimit(int64(l.Shrink()))
-	}
-}
-
-// SpendRetry takes one retry out of the budget of a workspace and model.
-func (g *Gate) SpendRetry(workspace, model string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget(workspace, model).Spend()
-}
-
-// EarnRetry counts a success for the budget.
-func (g *Gate) EarnRetry(workspace, model string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.budget(workspace, model).Earn()
-}
-
-func (g *Gate) budget(workspace, model string) *admission.Budget {
-	k := budgetKey{workspace, model}
-	b := g.budgets[k]
-	if b == nil {
-		b = admission.NewBudget(g.retry, retryReserve)
-		g.budgets[k] = b
-	}
-	return b
-}
-
 // Wake lets waiting requests try again after the fleet or its limits changed.
 func (g *Gate) Wake() {
 	g.mu.Lock()
--- a/dispatch/lab_test.go
+++ b/dispatch/lab_test.go
@@ -40,7 +40,6 @@
 	mu         sync.Mutex
 	recomputed int // layer-tokens computed again
 	steps      int // hop passes of all tokens
-	history    []int
 }
 
 // labSpec describes a lab.
@@ -77,7 +76,6 @@
 	past     []sample // for late reports
 	dead     bool
 	kv       map[string]int
-	seq      uint64
 }
 
 type sample struct {
--- /dev/null
+++ b/dispatch/limits.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/snowspoke/snowspoke/admission"
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/fleet"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+func (g *Gate) takeShare(w *topology.Workspace, now time.Time) error {
+	if w.RequestsPerSecond <= 0 {
+		return nil
+	}
+	b := g.buckets[w.Name]
+	if b == nil {
+		b = &admission.Bucket{}
+		g.buckets[w.Name] = b
+	}
+	share := g.shares.Share(w.Name)
+	ok, wait := b.Take(w.RequestsPerSecond*share, float64(w.Burst)*share, now)
+	if ok {
+		return nil
+	}
+	return apierror.New(apierror.WorkspaceLimit, "workspace %s: %g requests a second", w.Name, w.RequestsPerSecond).WithRetryAfter(wait)
+}
+
+func (g *Gate) ensureLimit(s *fleet.Server) {
+	if g.limits[s.Name()] == nil {
+		l := admission.NewLimit(g.limitCfg)
+		g.limits[s.Name()] = l
+		s.SetLimit(int64(l.Value()))
+	}
+}
+
+// ObserveHop feeds the token time of a hop to the backend server's limit.
+func (g *Gate) ObserveHop(h backend.HopLoad) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.limits[h.BackendServer]
+	s := g.table.Server(h.BackendServer)
+	if l == nil || s == nil {
+		return
+	}
+	s.SetLimit(int64(l.Observe(seconds(h.TokenSeconds), int(s.InFlight()))))
+}
+
+// Shrink lowers the limit of a backend server that refused.
+func (g *Gate) Shrink(server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l, s := g.limits[server], g.table.Server(server); l != nil && s != nil {
+		s.SetLimit(int64(l.Shrink()))
+	}
+}
+
+// SpendRetry takes one retry out of the budget of a workspace and model.
+func (g *Gate) SpendRetry(workspace, model string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(workspace, model).Spend()
+}
+
+// EarnRetry counts a success for the budget.
+func (g *Gate) EarnRetry(workspace, model string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(workspace, model).Earn()
+}
+
+func (g *Gate) budget(workspace, model string) *admission.Budget {
+	k := budgetKey{workspace, model}
+	b := g.budgets[k]
+	if b == nil {
+		b = admission.NewBudget(g.retry, retryReserve)
+		g.budgets[k] = b
+	}
+	return b
+}
--- /dev/null
+++ b/fleet/server.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// loadHalfLife is the age at which a load report counts for half.
+const loadHalfLife = 2 * time.Second
+
+// Server is the live state of one backend server.
+type Server struct {
+	name     string
+	inFlight atomic.Int64 // requests of this daemon
+	report   atomic.Pointer[loadReport]
+	usable   atomic.Bool
+	weight   atomic.Uint64 // float64 bits in [0,1], from health
+	limit    atomic.Int64  // concurrency limit of this daemon, from admission
+	learnt   atomic.Uint64 // float64 bits, tokens per second, 0 when unknown
+}
+
+// Link is the live state of one link with a limited capacity.
+type Link struct {
+	inFlight atomic.Int64 // requests of this daemon
+}
+
+// InFlight returns the requests that this daemon has on the link.
+func (l *Link) InFlight() int64 { return l.inFlight.Load() }
+
+// Acquire counts a request of this daemon in; Release counts it out.
+func (l *Link) Acquire() { l.inFlight.Add(1) }
+
+// Release ends what Acquire began.
+func (l *Link) Release() { l.inFlight.Add(-1) }
+
+// loadReport is the part of a load report that routing uses.
+type loadReport struct {
+	others float64 // requests in flight of the other daemons when measured
+	at     time.Time
+}
+
+// Name returns the backend server's name.
+func (s *Server) Name() string { return s.name }
+
+// InFlight returns the requests that this daemon has on the backend server.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Acquire counts a request of this daemon in; Release counts it out.
+func (s *Server) Acquire() { s.inFlight.Add(1) }
+
+// Release ends what Acquire began.
+func (s *Server) Release() { s.inFlight.Add(-1) }
+
+// Usable reports whether new work may go to the backend server.
+func (s *Server) Usable() bool { return s.usable.Load() }
+
+// SetLimit sets this daemon's concurrency limit for the backend server.
+func (s *Server) SetLimit(n int64) { s.limit.Store(n) }
+
+// Limit returns the concurrency limit of this daemon, 0 for none yet.
+func (s *Server) Limit() int64 { return s.limit.Load() }
+
+// Full reports whether this daemon's limit for the backend server is reached.
+func (s *Server) Full() bool {
+	l := s.limit.Load()
+	return l > 0 && s.inFlight.Load() >= l
+}
+
+// Weight returns the health weight in [0,1]; below 1 while it ramps up.
+func (s *Server) Weight() float64 { return math.Float64frombits(s.weight.Load()) }
+
+// Report stores a load report. inFlight is of all daemons and was measured at.
+func (s *Server) Report(inFlight int, at time.Time) {
+	if old := s.report.Load(); old != nil && !at.After(old.at) {
+		return
+	}
+	others := math.Max(0, float64(inFlight)-float64(s.inFlight.Load()))
+	s.report.Store(&loadReport{others: others, at: at})
+}
+
+// Load returns the expected requests in flight: this daemon's own, which are
+// exact, and those of others as last reported, discounted by age.
+func (s *Server) Load(now time.Time) float64 {
+	own := float64(s.inFlight.Load())
+	r := s.report.Load()
+	if r == nil {
+		return own
+	}
+	age := now.Sub(r.at).Seconds()
+	return own + r.others*math.Exp2(-age/loadHalfLife.Seconds())
+}
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -34,10 +34,18 @@
 	http.Error(w, why, status)
 }
 
+// decode reads a body, or refuses it.
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	err := json.NewDecoder(r.Body).Decode(v)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+	}
+	return err == nil
+}
+
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
 	var g httpbackend.GenerateBody
-	if err := json.NewDecoder(r.Body).Decode(&g); err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
+	if !decode(w, r, &g) {
 		return
 	}
 	if why, hop := e.refusal(&g); why != "" {
@@ -54,7 +62,7 @@
 	}
 	e.streams[g.RequestID] = s
 	e.state.Unlock()
-	e.fleet.Ledger.begin(g.RequestID)
+	e.fleet.Ledger.begin(g.RequestID, "")
 	go e.produce(&g, s)
 	e.send(w, r, s, 0)
 }
@@ -87,8 +95,7 @@
 
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
 	var b httpbackend.AttemptBody
-	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
+	if !decode(w, r, &b) {
 		return
 	}
 	e.state.Lock()
@@ -153,8 +160,7 @@
 
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
 	var b httpbackend.AttemptBody
-	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
+	if !decode(w, r, &b) {
 		return
 	}
 	e.state.Lock()
@@ -177,8 +183,7 @@
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
 	var o backend.Order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
+	if !decode(w, r, &o) {
 		return
 	}
 	e.state.Lock()
@@ -206,8 +211,7 @@
 
 func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
 	var x backend.ExportKV
-	if err := json.NewDecoder(r.Body).Decode(&x); err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
+	if !decode(w, r, &x) {
 		return
 	}
 	to := e.fleet.at(x.To)
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -38,10 +40,12 @@
 	l.layers[p] = append(l.layers[p], r)
 }
 
-func (l *Ledger) begin(request string) {
+// begin counts the start of a request, and of a call with a body.
+func (l *Ledger) begin(request, body string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.executions[request]++
+	l.calls[body]++
 }
 
 func (l *Ledger) again(layerTokens int) {
@@ -50,12 +54,6 @@
 	l.recomputed += layerTokens
 }
 
-func (l *Ledger) called(body string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.calls[body]++
-}
-
 // Calls returns how often a plain service ran a call with a body.
 func (l *Ledger) Calls(body string) int {
 	l.mu.Lock()
@@ -97,11 +95,7 @@
 // Word returns the text of a token, which depends on the prompt and the index
 // alone, so that a foreign, lost or repeated token shows in the answer.
 func Word(prompt string, index int) string {
-	h := uint32(2166136261)
-	for i := range len(prompt) {
-		h = (h ^ uint32(prompt[i])) * 16777619
-	}
-	return fmt.Sprintf("%x.%d ", h, index)
+	return fmt.Sprintf("%x.%d ", xxhash.Sum64String(prompt), index)
 }
 
 // Answer returns the whole answer of n tokens to a prompt.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -32,8 +32,7 @@
 		refuse(w, http.StatusServiceUnavailable, "refused")
 		return
 	}
-	s.Ledger.begin(r.Header.Get(httpbackend.HeaderRequestID))
-	s.Ledger.called(string(body))
+	s.Ledger.begin(r.Header.Get(httpbackend.HeaderRequestID), string(body))
 	time.Sleep(time.Duration(s.Delay.Load()))
 	if s.CutAfter.Add(-1) >= 0 {
 		panic(http.ErrAbortHandler)
