--- a/api/callers.go
+++ b/api/callers.go
@@ -109,7 +109,13 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(h.opts.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.opts.BodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+	} else {
+		// The deadline stays: the server reads the rest of a body that was given
+		// up on, and a caller that sends it slowly must not hold the connection.
+		w.Header().Set("Connection", "close")
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, apierror.New(apierror.BodyTooLarge, "more than %d bytes", tooLarge.Limit)
--- a/trial/faults_test.go
+++ b/trial/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/snowspoke/snowspoke/api"
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/client"
+	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/internal/memnet"
 	"github.com/snowspoke/snowspoke/internal/standin"
 	"github.com/snowspoke/snowspoke/invariant"
@@ -456,3 +458,54 @@
 		require.Zero(t, w.Fleet.Ledger.Executions(post.RequestID))
 	})
 }
+
+// A long stream leaves a leaving backend server with its KV cache: nothing is
+// computed again, and the caller notices nothing.
+func TestPlannedMove(t *testing.T) {
+	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+		var reply client.Reply
+		var err error
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			reply, err = w.clientOf(0, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "p", MaxTokens: 4000, Stream: true, Repeatable: true})
+		})
+		time.Sleep(500 * time.Millisecond)
+		var first string
+		for _, d := range w.Daemons[0].daemon.Explain(Model) {
+			first = d.Chosen
+		}
+		leaving, _, _ := strings.Cut(first, "[")
+		w.Fleet.Engine(leaving).Leave(true)
+		time.Sleep(time.Second)
+		require.Zero(t, w.Fleet.Engine(leaving).InFlight(), "the stream stayed")
+		wg.Wait()
+		require.NoError(t, err)
+		require.True(t, reply.Text == standin.Answer("p", 4000), "not the whole own answer")
+		require.Zero(t, w.Fleet.Ledger.Recomputed())
+		moved := false
+		for _, d := range w.Daemons[0].daemon.Explain(reply.RequestID) {
+			moved = moved || d.Kind == decision.Move && strings.Contains(d.Reason, "kv "+reply.RequestID)
+		}
+		require.True(t, moved)
+	})
+}
+
+// A caller that sends its header or body a byte at a time is cut off in bounded
+// time.
+func TestSlowSender(t *testing.T) {
+	inWorld(t, 1, func(w *World, _ *http.Client, _ *memnet.Net) {
+		address := strings.TrimPrefix(w.Daemons[0].CallersURL(), "http://")
+		header := "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Token + "\r\nContent-Length: 10000\r\n"
+		for _, sent := range []string{"POST /v1/comp", header, header + "\r\n{"} {
+			c, err := w.hosts(callersIP).DialContext(context.Background(), "tcp", address)
+			require.NoError(t, err)
+			_, err = c.Write([]byte(sent))
+			require.NoError(t, err)
+			began := time.Now()
+			_, err = io.Copy(io.Discard, c)
+			require.NoError(t, err)
+			require.LessOrEqual(t, time.Since(began), 40*time.Second)
+			require.NoError(t, c.Close())
+		}
+	})
+}
