A workspace's limit is divided by demand

Cause: each daemon had an even share of a limit, so a workspace whose callers reach one daemon of eight got an eighth. A first daemon also stopped following the store for 2 s as soon as another linked to it (a change was not in force within 1 s in a test). Change: quota (owner by rendezvous, a fifth split evenly, grants that never add up to more than the whole), reported every 5 s over the peers; the pause at the start is only for daemons that know others to ask.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -261,6 +261,7 @@
 	wg.Go(func() { d.monitor.Run(work) })
 	wg.Go(func() { d.node.Run(work) })
 	wg.Go(func() { d.readVMs(work) })
+	wg.Go(func() { d.node.ReportQuotas(work) })
 	wg.Go(func() { d.placeWeights(work) })
 	d.peers = d.newServer(d.peersHandler(work))
 	failed := make(chan error, 3)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -47,6 +47,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.PathLink, d.node.Handler(ctx))
 	d.node.ServeClaims(mux, d.book)
+	d.node.ServeQuotas(mux)
 	return mux
 }
 
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -17,7 +17,7 @@
 // Packages that are not listed are leaves that anybody may import.
 var rank = map[string]int{
 	"topology": 1, "fleet": 2, "catalog": 2,
-	"routing": 3, "admission": 3, "health": 3, "placement": 3, "claims": 3, "lease": 3,
+	"routing": 3, "admission": 3, "health": 3, "placement": 3, "claims": 3, "lease": 3, "quota": 3,
 	"monitor": 4, "peer": 4, "dispatch": 4,
 	"metrics": 5, "api": 5, "control": 5,
 	"daemon": 6, "client": 6, "trial": 7, "load": 7, "cmd": 8,
--- a/peer/duties.go
+++ b/peer/duties.go
@@ -55,18 +55,13 @@
 	return m.Address, ok && m.State != Dead
 }
 
-// Share returns this daemon's share of a limit of the whole fleet. While
-// daemons disagree on who is there, the shares add up to at most 1 + d/(N-d)
-// for d daemons that some count as gone.
-func (n *Node) Share(string) float64 { return 1 / float64(max(1, len(n.working()))) }
-
 // ShouldFollow reports whether this daemon should follow the store itself: it is
 // one of its failure domain's watchers, or it has heard from nobody for a while.
 func (n *Node) ShouldFollow() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	if now.Sub(n.started) < joinGrace && (len(n.opts.Seeds) > 0 || len(n.links) > 0) {
+	if now.Sub(n.started) < joinGrace && len(n.opts.Seeds) > 0 {
 		return false // others may have a snapshot
 	}
 	if len(n.links) == 0 && now.Sub(n.lastHeard) > silence {
--- a/peer/node.go
+++ b/peer/node.go
@@ -70,6 +70,7 @@
 	vms       VMList        // newest known
 	polled    []platform.VM // as this daemon read it last
 	onVMs     func([]platform.VM)
+	quotas    *quotas
 }
 
 // stamp orders the reports of one engine.
@@ -91,7 +92,7 @@
 	return &Node{
 		opts: o, http: hc, catalog: c, statuses: s, logger: logger, started: time.Now(),
 		members: NewMembers(o.Self, o.Dead-o.Suspect, forgetAfter), links: map[string]*link{}, dialing: map[string]bool{},
-		differs: map[string]int{}, seen: map[string]stamp{}, owned: map[string]bool{}, changed: make(chan struct{}),
+		differs: map[string]int{}, seen: map[string]stamp{}, owned: map[string]bool{}, quotas: newQuotas(), changed: make(chan struct{}),
 	}
 }
 
--- a/trial/faults_test.go
+++ b/trial/faults_test.go
@@ -509,3 +509,30 @@
 		}
 	})
 }
+
+// A workspace's limit is that of the fleet: with all its requests at one of
+// three daemons it gets most of it, and never more than the whole plus a burst.
+func TestWorkspaceLimit(t *testing.T) {
+	inWorld(t, 3, func(w *World, hc *http.Client, _ *memnet.Net) {
+		const limit = 20
+		w.Platform.Set(string(topology.KindWorkspace), "limited", &topology.Workspace{
+			TokenHashes: []string{topology.HashToken("limited")}, RequestsPerSecond: limit, Burst: 10})
+		time.Sleep(time.Second)
+		c := client.New(w.Daemons[0].CallersURL(), "limited", hc)
+		whole := 0
+		const seconds = 40
+		for i := range seconds * 2 * limit {
+			reply, err := c.Call(context.Background(), http.MethodGet, Service, "/cards", nil, "")
+			require.NoError(t, err)
+			if reply.Whole && i >= seconds*limit {
+				whole++
+			}
+			if !reply.Whole {
+				require.Equal(t, apierror.WorkspaceLimit, reply.Kind)
+			}
+			time.Sleep(time.Second / (2 * limit))
+		}
+		perSecond := float64(whole) / (seconds / 2)
+		require.InDelta(t, (0.8+0.2/3)*limit, perSecond, 1)
+	})
+}
