Cache events feed the prefix hints

Cause: only a daemon's own requests told which backend servers cache a prefix. Change: owners of a backend server follow its cache events; streams that break and gaps are survived. Figures: TestCacheEvents; none on hit rates, the stand-ins have no cache.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -208,6 +208,5 @@
 - An open request holds 80 KB resident (target 64 KB): two HTTP connections with their buffers and goroutines, and the
   garbage collector's reserve.
 - Demand per model is not passed between daemons, so placement treats all models alike.
-- A workspace's limit is split evenly over the daemons, not by demand.
 - The state of links and of ejected backend servers stays with the daemon that saw it.
 `
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,6 +56,7 @@
 	control   *control.Controller
 	table     *fleet.Table
 	planner   *routing.Planner
+	prefixes  *routing.Prefixes
 	gate      *dispatch.Gate
 	monitor   *monitor.Monitor
 	decisions *decision.Log
@@ -126,6 +127,7 @@
 	d.catalog = catalog.New()
 	d.table = fleet.NewTable()
 	d.planner = routing.NewPlanner(d.table, time.Now)
+	d.prefixes = routing.NewPrefixes()
 	d.decisions = decision.New(d.logger, d.cfg.Log.Decisions)
 	d.gate = dispatch.NewGate(dispatch.GateOptions{
 		MaxStreams: d.cfg.Limits.Streams, QueueLimit: d.cfg.Limits.QueueLength,
@@ -151,7 +153,7 @@
 		GapCeiling: d.cfg.Health.GapCeiling, Health: health.DefaultConfig(), Link: health.DefaultLinkConfig(),
 	}, monitor.Parts{
 		Engine: engines, Table: d.table, Log: d.decisions, Logger: d.logger,
-		Owner: peersOf{d}, Publisher: peersOf{d}, Wake: d.gate.Wake, Clock: time.Now,
+		Owner: peersOf{d}, Publisher: peersOf{d}, Cache: d.prefixes, Wake: d.gate.Wake, Clock: time.Now,
 	})
 	disp := d.dispatcher(engines)
 	services := dispatch.NewServices(disp, httpbackend.NewServices(d.client(backendConns), scheme))
@@ -170,7 +172,7 @@
 		MaxAttempts: maxAttempts, RecoverWait: recoverWait, MoveAfter: moveAfter,
 	}, dispatch.Parts{
 		Engine: engine, Catalog: d.catalog, Table: d.table, Planner: d.planner, Gate: d.gate,
-		Health: d.monitor, Alive: d.monitor, Warm: routing.NewPrefixes(), Sealer: d.sealer, Log: d.decisions,
+		Health: d.monitor, Alive: d.monitor, Warm: d.prefixes, Sealer: d.sealer, Log: d.decisions,
 		Observer: d.metrics, Clock: time.Now,
 	})
 }
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -50,6 +50,7 @@
 	Logger    log.Logger
 	Owner     Owner
 	Publisher Publisher // may be nil
+	Cache     Cache     // may be nil
 	Wake      func()    // called after backend servers came into service
 	Clock     func() time.Time
 }
@@ -94,6 +95,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { m.pollStatuses(ctx) })
 	wg.Go(func() { m.every(ctx, tick, m.onTick) })
+	wg.Go(func() { m.followCaches(ctx) })
 	wg.Wait()
 }
 
--- a/monitor/monitor_test.go
+++ b/monitor/monitor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/health"
+	"github.com/snowspoke/snowspoke/routing"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -27,6 +29,47 @@
 	return backend.Status{Boot: 1, Seq: 1, Holdings: []backend.Holding{{Model: "m", Version: "v", Layers: topology.LayerRange{Lo: 0, Hi: 4}}}}, nil
 }
 
+// gossip is an engine whose cache events repeat, come late and have gaps.
+type gossip struct {
+	frozen
+	calls atomic.Int64
+}
+
+func (g *gossip) CacheEvents(_ context.Context, _ backend.Target, fn func(backend.CacheEvent)) error {
+	if g.calls.Add(1) == 1 {
+		fn(backend.CacheEvent{Seq: 1, Prefix: 7})
+		fn(backend.CacheEvent{Seq: 1, Prefix: 7})
+		fn(backend.CacheEvent{Seq: 9, Prefix: 8})
+		return backend.ErrLost // the stream breaks, events 10 and 11 are missed
+	}
+	fn(backend.CacheEvent{Seq: 12, Prefix: 8, Evicted: true})
+	fn(backend.CacheEvent{Seq: 13, Prefix: 99, Evicted: true})
+	return backend.ErrLost
+}
+
+// Cache events become hints, across broken streams and gaps.
+func TestCacheEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := fleet.NewTable()
+		table.SetConfig(map[string]*topology.BackendServer{"b": {Name: "b"}})
+		prefixes := routing.NewPrefixes()
+		m := New(Options{StatusPoll: time.Second, Health: health.DefaultConfig(), Link: health.DefaultLinkConfig()}, Parts{
+			Engine: &gossip{}, Table: table, Log: decision.New(log.NewNopLogger(), 10), Logger: log.NewNopLogger(),
+			Owner: OwnsAll{}, Cache: prefixes, Wake: func() {}, Clock: time.Now,
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go m.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, []string{"b"}, prefixes.Servers(7))
+		require.Equal(t, []string{"b"}, prefixes.Servers(8))
+		time.Sleep(10 * time.Second)
+		require.Equal(t, []string{"b"}, prefixes.Servers(7))
+		require.NotContains(t, prefixes.Servers(8), "b")
+		cancel()
+		time.Sleep(2 * time.Minute)
+	})
+}
+
 // A backend server that accepts a status read and never answers is taken out of
 // service by the reads alone.
 func TestFrozenServerIsNoticed(t *testing.T) {
