--- a/admission/queue.go
+++ b/admission/queue.go
@@ -38,7 +38,7 @@
 type band struct {
 	priority int
 	flows    map[string]*flow
-	active   flowHeap
+	active   minHeap[*flow]
 	virtual  float64 // start of the flow served last
 }
 
@@ -48,7 +48,7 @@
 	workspace string
 	start     float64
 	weight    float64
-	items     itemHeap
+	items     minHeap[*Waiting]
 	index     int
 }
 
@@ -194,57 +194,3 @@
 	}
 	return int(n)
 }
-
-type itemHeap []*Waiting
-
-func (h itemHeap) Len() int { return len(h) }
-func (h itemHeap) Less(i, j int) bool {
-	if !h[i].Deadline.Equal(h[j].Deadline) {
-		return h[i].Deadline.Before(h[j].Deadline)
-	}
-	return h[i].seq < h[j].seq
-}
-func (h itemHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *itemHeap) Push(x any) {
-	w := x.(*Waiting)
-	w.index = len(*h)
-	*h = append(*h, w)
-}
-func (h *itemHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	w.index = -1
-	return w
-}
-
-type flowHeap []*flow
-
-func (h flowHeap) Len() int { return len(h) }
-func (h flowHeap) Less(i, j int) bool {
-	if h[i].start != h[j].start {
-		return h[i].start < h[j].start
-	}
-	return h[i].workspace < h[j].workspace
-}
-func (h flowHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *flowHeap) Push(x any) {
-	f := x.(*flow)
-	f.index = len(*h)
-	*h = append(*h, f)
-}
-func (h *flowHeap) Pop() any {
-	old := *h
-	f := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	f.index = -1
-	return f
-}
--- a/cmd/snowspoke/inspect.go
+++ b/cmd/snowspoke/inspect.go
@@ -11,10 +11,15 @@
 	"github.com/snowspoke/snowspoke/decision"
 )
 
-type statusCmd struct{}
+type statusCmd struct {
+	Each bool `help:"Ask every daemon and show what each has in force and carries."`
+}
 
-// Run shows one daemon's view of the fleet, and how each daemon is.
-func (statusCmd) Run(c *cli) error {
+// Run shows one daemon's view of the fleet, or how each daemon is.
+func (k *statusCmd) Run(c *cli) error {
+	if k.Each {
+		return c.showEach()
+	}
 	s, err := c.anyStatus()
 	if err != nil {
 		return err
@@ -36,6 +41,29 @@
 	})
 }
 
+// showEach asks every daemon for its own status.
+func (c *cli) showEach() error {
+	fleet, err := c.fleet()
+	if err != nil {
+		return err
+	}
+	var all []api.Status
+	for _, address := range fleet {
+		var s api.Status
+		if err := c.ask(address, "/v1/status", &s); err != nil {
+			return err
+		}
+		all = append(all, s)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Daemon < all[j].Daemon })
+	return c.show(all, func(w io.Writer) {
+		fmt.Fprintln(w, "DAEMON\tDOMAIN\tREADY\tCONFIGURATION\tRUNNING\tWAITING\tVIOLATIONS")
+		for _, s := range all {
+			fmt.Fprintf(w, "%s\t%s\t%v\t%d/%s\t%d\t%d\t%d\n", s.Daemon, s.FailureDomain, s.Ready, s.Revision, s.Digest, s.Running, s.Waiting, s.Violations)
+		}
+	})
+}
+
 func writeServers(w io.Writer, s *api.Status) {
 	fmt.Fprintln(w, "\nBACKEND SERVER\tDOMAIN\tACCELERATOR\tUSABLE\tLEAVING\tTOKENS/S\tLOAD\tHOLDS")
 	for _, b := range s.BackendServers {
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -167,3 +167,30 @@
 	n, _ := f.store.Calls()
 	return n
 }
+
+// BenchmarkTakeover reports the time until a killed daemon's duties are all with
+// others, in virtual time.
+func BenchmarkTakeover(b *testing.B) {
+	for b.Loop() {
+		var took []time.Duration
+		virtual(b, func() {
+			f := newFleet(8)
+			f.settle()
+			for i := range 6 {
+				time.Sleep(5 * time.Second)
+				f.kill(fmt.Sprintf("daemon-%03d", i))
+				d, ok := within(30*time.Second, f.agree)
+				if !ok {
+					panic("no agreement")
+				}
+				took = append(took, d)
+				f.add()
+				f.settle()
+			}
+			f.close()
+		})
+		slices.Sort(took)
+		b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "p50_ms")
+		b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "max_ms")
+	}
+}
--- a/tlsconf/tlsconf_test.go
+++ b/tlsconf/tlsconf_test.go
@@ -1,15 +1,9 @@
-package tlsconf
+package tlsconf_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"encoding/pem"
 	"io"
-	"math/big"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -17,46 +11,20 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-)
 
-// authority issues certificates for loopback.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	der  []byte
-}
+	"github.com/snowspoke/snowspoke/internal/testcert"
+	"github.com/snowspoke/snowspoke/tlsconf"
+)
 
-func newAuthority(t *testing.T) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	tmpl := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true}
-	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
-	require.NoError(t, err)
-	cert, err := x509.ParseCertificate(der)
+func authority(t *testing.T) *testcert.Authority {
+	a, err := testcert.NewAuthority()
 	require.NoError(t, err)
-	return &authority{cert, key, der}
+	return a
 }
 
-func writePEM(t *testing.T, path, kind string, der []byte) {
-	require.NoError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
-}
-
-// issue writes a certificate with a serial number, its key and the authority.
-func (a *authority) issue(t *testing.T, dir string, serial int64) Files {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	tmpl := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
-	require.NoError(t, err)
-	raw, err := x509.MarshalECPrivateKey(key)
+func issue(t *testing.T, a *testcert.Authority, dir string, serial int64) tlsconf.Files {
+	f, err := a.Issue(dir, "127.0.0.1", serial)
 	require.NoError(t, err)
-	f := Files{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem")}
-	writePEM(t, f.Cert, "CERTIFICATE", der)
-	writePEM(t, f.Key, "EC PRIVATE KEY", raw)
-	writePEM(t, f.CA, "CERTIFICATE", a.der)
 	return f
 }
 
@@ -80,10 +48,10 @@
 }
 
 func TestMutualAndReload(t *testing.T) {
-	ours, theirs := newAuthority(t), newAuthority(t)
+	ours, theirs := authority(t), authority(t)
 	dir := t.TempDir()
 	now := time.Now()
-	r, err := New(ours.issue(t, dir, 10), func() time.Time { return now })
+	r, err := tlsconf.New(issue(t, ours, dir, 10), func() time.Time { return now })
 	require.NoError(t, err)
 	url := serve(t, r.Mutual())
 	cert, err := get(r.Client(), url)
@@ -92,7 +60,7 @@
 
 	// A client without a certificate, of another authority, or with an older
 	// version of TLS is turned away; so is a server of another authority.
-	stranger, err := New(theirs.issue(t, t.TempDir(), 20), time.Now)
+	stranger, err := tlsconf.New(issue(t, theirs, t.TempDir(), 20), time.Now)
 	require.NoError(t, err)
 	_, err = get(stranger.Client(), url)
 	require.Error(t, err)
@@ -107,13 +75,13 @@
 	require.Error(t, err)
 
 	// A changed file is in use after the next look; a broken one is not.
-	ours.issue(t, dir, 11)
-	now = now.Add(checkEvery)
+	issue(t, ours, dir, 11)
+	now = now.Add(10 * time.Second)
 	cert, err = get(r.Client(), url)
 	require.NoError(t, err)
 	require.Equal(t, int64(11), cert.SerialNumber.Int64())
 	require.NoError(t, os.WriteFile(filepath.Join(dir, "cert.pem"), []byte("half"), 0o600))
-	now = now.Add(checkEvery)
+	now = now.Add(10 * time.Second)
 	cert, err = get(r.Client(), url)
 	require.NoError(t, err)
 	require.Equal(t, int64(11), cert.SerialNumber.Int64())
--- a/trial/world.go
+++ b/trial/world.go
@@ -205,7 +205,11 @@
 }
 
 func (w *World) addDaemon(i int) error {
-	p := &Process{Name: fmt.Sprintf("daemon-%d", i+1), world: w, cycle: make(chan struct{}, 1), cfg: w.Settings(i), net: w.hosts(fmt.Sprintf(daemonIP, i+1))}
+	return w.startDaemon(i, w.Settings(i))
+}
+
+func (w *World) startDaemon(i int, cfg config.Config) error {
+	p := &Process{Name: cfg.Daemon.Name, world: w, cycle: make(chan struct{}, 1), cfg: cfg, net: w.hosts(fmt.Sprintf(daemonIP, i+1))}
 	for _, other := range w.Daemons {
 		p.cfg.Peers.Seeds = append(p.cfg.Peers.Seeds, other.cfg.Listen.Peers)
 	}
