Plans are rebuilt beside the requests; the platform's fake moves to memstore

Cause: the first request after any change of configuration, a workspace's too, built its plan itself (26 ms at 600 backend servers); buckets and budgets were never dropped; the stand-ins of back ends and platform stood in one package. Change: plans follow the revision of what routes depend on and are built in the background; full buckets and budgets are dropped from 4,096 on; fakes split.

--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -10,6 +10,7 @@
 type Bucket struct {
 	tokens float64
 	at     time.Time
+	fullAt time.Time
 }
 
 // bucketEps absorbs the rounding of the refill.
@@ -28,13 +29,21 @@
 		b.tokens = math.Min(burst, b.tokens+rate*now.Sub(b.at).Seconds())
 	}
 	b.at = now
-	if b.tokens >= 1-bucketEps {
+	ok = b.tokens >= 1-bucketEps
+	if ok {
 		b.tokens--
+	}
+	b.fullAt = now.Add(time.Duration(math.Ceil((burst - b.tokens) / rate * float64(time.Second))))
+	if ok {
 		return true, 0
 	}
 	return false, time.Duration(math.Ceil((1 - b.tokens) / rate * float64(time.Second)))
 }
 
+// Idle reports whether a bucket is full again, so that a new one would be no
+// different.
+func (b *Bucket) Idle(now time.Time) bool { return !now.Before(b.fullAt) }
+
 // Budget limits retries to a share of successful requests, so that retries
 // cannot multiply the load when many backend servers fail. It is not safe for
 // concurrent use.
@@ -49,6 +58,9 @@
 	return &Budget{ratio: ratio, max: reserve, left: reserve}
 }
 
+// Full reports whether the budget is as good as a new one.
+func (b *Budget) Full() bool { return b.left >= b.max }
+
 // Earn counts a success.
 func (b *Budget) Earn() { b.left = math.Min(b.max, b.left+b.ratio) }
 
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -177,6 +177,9 @@
 	s.Revision = c.mark.Revision
 	for kind := range touched {
 		c.rebuild(&s, kind)
+		if kind != topology.KindWorkspace && kind != topology.KindService {
+			s.Routing = s.Revision
+		}
 	}
 	if touched[topology.KindWorkspace] {
 		s.IndexTokens()
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/snowspoke/snowspoke/admission"
@@ -16,6 +17,9 @@
 	}
 	b := g.buckets[w.Name]
 	if b == nil {
+		if len(g.buckets) >= maxIdle {
+			maps.DeleteFunc(g.buckets, func(_ string, b *admission.Bucket) bool { return b.Idle(now) })
+		}
 		b = &admission.Bucket{}
 		g.buckets[w.Name] = b
 	}
@@ -70,10 +74,17 @@
 	g.budget(workspace, model).Earn()
 }
 
+// maxIdle is the number of buckets or budgets from which the full ones, which
+// are as good as new, are dropped.
+const maxIdle = 4096
+
 func (g *Gate) budget(workspace, model string) *admission.Budget {
 	k := budgetKey{workspace, model}
 	b := g.budgets[k]
 	if b == nil {
+		if len(g.budgets) >= maxIdle {
+			maps.DeleteFunc(g.budgets, func(_ budgetKey, b *admission.Budget) bool { return b.Full() })
+		}
 		b = admission.NewBudget(g.retry, retryReserve)
 		g.budgets[k] = b
 	}
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -26,7 +26,7 @@
 // wire lists who may know a wire format.
 var wire = map[string][]string{
 	"backend/httpbackend":   {"daemon", "internal/standin", "backend/httpbackend"},
-	"platform/httpplatform": {"daemon", "cmd", "internal/standin", "platform/httpplatform"},
+	"platform/httpplatform": {"daemon", "cmd", "internal/memstore", "platform/httpplatform"},
 }
 
 const module = "github.com/snowspoke/snowspoke/"
--- a/internal/standin/store.go
+++ b/internal/memstore/http.go
@@ -1,4 +1,4 @@
-package standin
+package memstore
 
 import (
 	"encoding/json"
@@ -8,7 +8,7 @@
 	"strconv"
 	"sync"
 
-	"github.com/snowspoke/snowspoke/internal/memstore"
+	"github.com/snowspoke/snowspoke/internal/memnet"
 	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/platform"
 	"github.com/snowspoke/snowspoke/platform/httpplatform"
@@ -17,8 +17,8 @@
 // Platform is a fake of the platform's object interface and VM list. Its faults
 // are those of Store.
 type Platform struct {
-	server
-	Store *memstore.Store
+	memnet.Server
+	Store *Store
 
 	vmMu sync.Mutex
 	vms  []platform.VM
@@ -26,7 +26,7 @@
 
 // NewPlatform starts an empty platform.
 func NewPlatform(n network.Network) (*Platform, error) {
-	p := &Platform{server: server{net: n}, Store: memstore.New()}
+	p := &Platform{Server: memnet.Server{Net: n}, Store: New()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/objects/{kind}/{name}", p.get)
 	mux.HandleFunc("GET /v1/objects/{kind}", p.list)
@@ -34,8 +34,8 @@
 	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", p.write)
 	mux.HandleFunc("GET /v1/watch", p.watch)
 	mux.HandleFunc("GET /v1/vms", p.listVMs)
-	p.handler = mux
-	return p, p.start()
+	p.Handler = mux
+	return p, p.Start()
 }
 
 // URL returns the base URL of the platform.
--- a/internal/memstore/memstore.go
+++ b/internal/memstore/memstore.go
@@ -1,6 +1,7 @@
 // Package memstore is a platform store in memory with the faults that users
 // report: outages, answers lost after the write took effect, and writes that
-// take effect late. Tests use it directly; the stand-in serves it over HTTP.
+// take effect late. Tests use it directly; Platform serves it over HTTP, together
+// with a VM list.
 package memstore
 
 import (
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/backend/httpbackend"
+	"github.com/snowspoke/snowspoke/internal/memnet"
 	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -59,7 +60,7 @@
 
 // Engine is a fake model engine with a service time for each token.
 type Engine struct {
-	server
+	memnet.Server
 	Name string
 	// Faults.
 	DieAfter      atomic.Int64 // tokens after which the engine dies, 0 for never
@@ -88,15 +89,15 @@
 // Add starts an engine that holds the given parts.
 func (f *Fleet) Add(n network.Network, name string, rate float64, delay time.Duration, holdings ...backend.Holding) (*Engine, error) {
 	e := &Engine{
-		server: server{net: n}, Name: name, fleet: f, rate: rate, delay: delay, streams: map[string]*stream{},
+		Server: memnet.Server{Net: n}, Name: name, fleet: f, rate: rate, delay: delay, streams: map[string]*stream{},
 		fenced: map[string]int{}, kv: map[string]int{},
 		status: backend.Status{BackendServer: name, Boot: 1, Seq: 1, Holdings: holdings, Role: backend.RoleMixed},
 	}
-	e.handler = e.routes()
+	e.Handler = e.routes()
 	f.mu.Lock()
 	f.engines[name] = e
 	f.mu.Unlock()
-	return e, e.start()
+	return e, e.Start()
 }
 
 // Kill ends the engine as a crash does.
@@ -114,7 +115,7 @@
 	e.DieAfter.Store(0)
 	e.Frozen.Store(false)
 	e.dead.Store(false)
-	return e.start()
+	return e.Start()
 }
 
 // Leave makes the engine report that it is leaving.
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -1,6 +1,6 @@
-// Package standin holds small fakes of what the system meets: the platform's
-// store and VM list, model engines and plain services. They talk over real
-// sockets and have switches for the faults that users report.
+// Package standin holds small fakes of the back ends that the system meets:
+// model engines and plain services. They talk over real sockets and have
+// switches for the faults that users report. The platform's fake is in memstore.
 package standin
 
 import (
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/backend/httpbackend"
+	"github.com/snowspoke/snowspoke/internal/memnet"
 	"github.com/snowspoke/snowspoke/network"
 )
 
 // Service is a fake of a plain service. It answers with the body it got.
 type Service struct {
-	server
+	memnet.Server
 	Ledger    *Ledger
 	RefuseAll atomic.Bool  // refuses without running
 	CutAfter  atomic.Int64 // cuts the next answers after the call ran
@@ -21,9 +22,9 @@
 
 // NewService starts a service.
 func NewService(n network.Network, l *Ledger) (*Service, error) {
-	s := &Service{server: server{net: n}, Ledger: l}
-	s.handler = http.HandlerFunc(s.serve)
-	return s, s.start()
+	s := &Service{Server: memnet.Server{Net: n}, Ledger: l}
+	s.Handler = http.HandlerFunc(s.serve)
+	return s, s.Start()
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
--- a/routing/planner.go
+++ b/routing/planner.go
@@ -105,26 +105,36 @@
 }
 
 // Plan returns the plan for a class, model and adapter under the configuration.
+// An old plan is returned while a new one is built beside the requests.
 func (p *Planner) Plan(snap *topology.Snapshot, c topology.Class, m *topology.Model, adapter string) *Binding {
 	e := p.entry(Key{Class: c.Key, Model: m.Name, Version: m.Version, Adapter: adapter})
-	view := p.table.View()
 	b := e.current.Load()
-	if b != nil && b.revision == snap.Revision && b.version == view.Version {
-		return b
+	if b == nil {
+		return p.first(e, snap, c, m, adapter)
 	}
-	if b != nil && b.revision == snap.Revision && p.now().Sub(b.built) < rebuildPause {
+	version := p.table.Version()
+	fresh := b.revision == snap.Routing && b.version == version
+	tooSoon := b.revision == snap.Routing && p.now().Sub(b.built) < rebuildPause
+	if fresh || tooSoon || !e.building.TryLock() {
 		return b
 	}
-	if b != nil && !e.building.TryLock() {
+	go func() {
+		defer e.building.Unlock()
+		e.current.Store(p.build(snap, p.table.View(), c, m, adapter))
+	}()
+	return b
+}
+
+// first builds a plan that nobody has asked for yet; all who ask wait for it.
+func (p *Planner) first(e *entry, snap *topology.Snapshot, c topology.Class, m *topology.Model, adapter string) *Binding {
+	e.building.Lock()
+	defer e.building.Unlock()
+	if b := e.current.Load(); b != nil {
 		return b
 	}
-	if b == nil {
-		e.building.Lock()
-	}
-	defer e.building.Unlock()
-	fresh := p.build(snap, view, c, m, adapter)
-	e.current.Store(fresh)
-	return fresh
+	b := p.build(snap, p.table.View(), c, m, adapter)
+	e.current.Store(b)
+	return b
 }
 
 func (p *Planner) entry(k Key) *entry {
@@ -151,7 +161,7 @@
 }
 
 func (p *Planner) build(snap *topology.Snapshot, view *fleet.View, c topology.Class, m *topology.Model, adapter string) *Binding {
-	b := &Binding{revision: snap.Revision, version: view.Version, built: p.now()}
+	b := &Binding{revision: snap.Routing, version: view.Version, built: p.now()}
 	in := Input{Layers: m.Layers}
 	var infos []*fleet.Info
 	for i := range view.Servers {
--- a/topology/snapshot.go
+++ b/topology/snapshot.go
@@ -13,6 +13,7 @@
 // not be changed after the snapshot is published.
 type Snapshot struct {
 	Revision       uint64 // highest object version applied
+	Routing        uint64 // the same, when something that routes depend on changed last
 	BackendServers map[string]*BackendServer
 	Models         map[string]*Model
 	Stages         map[string][]*Stage // by model, ordered by first layer and name
--- a/trial/world.go
+++ b/trial/world.go
@@ -17,6 +17,7 @@
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/config"
 	"github.com/snowspoke/snowspoke/daemon"
+	"github.com/snowspoke/snowspoke/internal/memstore"
 	"github.com/snowspoke/snowspoke/internal/standin"
 	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/platform"
@@ -54,7 +55,7 @@
 
 // World is the stand-ins and the daemons.
 type World struct {
-	Platform *standin.Platform
+	Platform *memstore.Platform
 	Fleet    *standin.Fleet
 	Services []*standin.Service
 	Daemons  []*Process
@@ -97,7 +98,7 @@
 func NewWorld(n int, hosts Hosts, logger log.Logger) (*World, error) {
 	w := &World{Fleet: standin.NewFleet(), hosts: hosts, logger: logger}
 	var err error
-	if w.Platform, err = standin.NewPlatform(hosts(platformIP)); err != nil {
+	if w.Platform, err = memstore.NewPlatform(hosts(platformIP)); err != nil {
 		return nil, err
 	}
 	if err := w.addBackends(); err != nil {
