--- a/admission/queue.go
+++ b/admission/queue.go
@@ -169,6 +169,21 @@
 	return ahead
 }
 
+// Modest reports whether a workspace has no more requests waiting at a priority
+// than its weight among those that wait entitles it to.
+func (q *Queue) Modest(workspace string, weight float64, priority int) bool {
+	b := q.bands[priority]
+	if b == nil || b.flows[workspace] == nil {
+		return true
+	}
+	weights := 0.0
+	for _, f := range b.active {
+		weights += f.weight
+	}
+	own := float64(len(b.flows[workspace].items))
+	return own*weights <= float64(b.queued())*weight
+}
+
 func (b *band) queued() int {
 	n := 0
 	for _, f := range b.active {
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -181,7 +181,11 @@
 		return nil
 	}
 	ahead := l.queue.Ahead(r.Workspace.Name, r.Workspace.FairWeight(), r.Priority)
-	wait := seconds(waitMargin * float64(ahead+1) / l.rate)
+	margin := waitMargin
+	if l.queue.Modest(r.Workspace.Name, r.Workspace.FairWeight(), r.Priority) {
+		margin = modestMargin
+	}
+	wait := seconds(margin * float64(ahead+1) / l.rate)
 	left := r.Deadline.Sub(now)
 	need := wait + l.service(r)
 	if need <= left {
--- a/dispatch/line.go
+++ b/dispatch/line.go
@@ -28,6 +28,7 @@
 // request that then misses its deadline is lost to all others.
 const (
 	waitMargin    = 4.0
+	modestMargin  = 2.0 // for a workspace that waits for no more than its share
 	serviceMargin = 1.3
 )
 
