Soak judges leaves by what daemons choose

Change: the check counts routes that daemons choose through an engine that has left, whatever other engines do; it no longer looks at when engines begin.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -70,8 +70,6 @@
 	IgnoreFencing atomic.Bool
 	LoadAge       atomic.Int64 // nanoseconds by which load reports are late
 
-	Begun atomic.Int64 // attempts that began with this engine as a hop
-
 	fleet *Fleet
 	rate  float64       // tokens per second
 	delay time.Duration // of one token, beside queueing
@@ -233,7 +231,6 @@
 	for i, h := range g.Route {
 		hops[i] = e.fleet.Engine(h.BackendServer)
 		hops[i].enter(1)
-		hops[i].Begun.Add(1)
 		defer hops[i].enter(-1)
 		hops[i].prefill(g.RequestID, len(g.Prior), h.Layers)
 	}
--- a/trial/soak_test.go
+++ b/trial/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -32,8 +33,8 @@
 	mix *mix
 	rng *rand.Rand
 	mu  sync.Mutex
-	// afterLeave are attempts that began on an engine that had left.
-	afterLeave int64
+	// afterLeave are routes chosen through an engine that had left.
+	afterLeave int
 	leaving    map[string]bool
 	freezes    map[string]int
 	log        []string
@@ -86,11 +87,11 @@
 		e.Leave(true)
 		s.mu.Unlock()
 		time.Sleep(3 * time.Second)
-		begun := e.Begun.Load()
+		from := time.Now()
 		time.Sleep(pause(r, 2*time.Second))
 		s.mu.Lock()
 		if !frozen && freezes == s.freezes[e.Name] { // a frozen engine cannot say that it leaves
-			s.afterLeave += e.Begun.Load() - begun
+			s.afterLeave += s.w.sentTo(e.Name, from)
 		}
 		s.leaving[e.Name] = false
 		e.Leave(false)
@@ -148,6 +149,21 @@
 	},
 }
 
+// sentTo counts the routes that daemons chose through an engine since a moment.
+// What an engine begins is no measure: a head that was frozen begins late what
+// was sent long before.
+func (w *World) sentTo(engine string, since time.Time) int {
+	n := 0
+	for _, p := range w.Daemons {
+		for _, d := range p.decisions(Model) {
+			if d.Time.After(since) && strings.Contains(d.Chosen, engine+"[") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func pause(r *rand.Rand, most time.Duration) time.Duration {
 	return time.Duration(r.Int64N(int64(most))) + time.Millisecond
 }
--- a/trial/world.go
+++ b/trial/world.go
@@ -17,6 +17,7 @@
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/config"
 	"github.com/snowspoke/snowspoke/daemon"
+	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/internal/memstore"
 	"github.com/snowspoke/snowspoke/internal/standin"
 	"github.com/snowspoke/snowspoke/network"
@@ -273,6 +274,14 @@
 	return p.daemon.Ready() == nil
 }
 
+// decisions returns what the daemon remembers about a request, model or backend
+// server.
+func (p *Process) decisions(about string) []decision.Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.daemon.Explain(about)
+}
+
 // CallersURL returns the base URL of the callers' interface.
 func (p *Process) CallersURL() string { return "http://" + p.cfg.Listen.Callers }
 
