Stalls do not take capacity away; answers have a length

Cause: reading the code: a stall of which no hop is the known cause made every hop of the route suspect, and each came back at a fifth of its weight, so overload could take capacity away; a request and model without a length asked for no tokens at all. Change: stalls eject only in a row; 1,024 tokens where nothing is said; the gate's choices can be seeded, as the measurements are.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -233,10 +233,18 @@
 	return r.attempts(ctx)
 }
 
+// defaultMaxTokens bounds an answer of which neither request nor model says how
+// long it may be.
+const defaultMaxTokens = 1024
+
 // boundTokens keeps the answer within what the model allows.
 func (r *run) boundTokens() {
-	if r.req.MaxTokens <= 0 || r.model.MaxTokens > 0 && r.req.MaxTokens > r.model.MaxTokens {
-		r.req.MaxTokens = r.model.MaxTokens
+	limit := r.model.MaxTokens
+	if limit == 0 && r.req.MaxTokens == 0 {
+		limit = defaultMaxTokens
+	}
+	if r.req.MaxTokens == 0 || limit > 0 && r.req.MaxTokens > limit {
+		r.req.MaxTokens = limit
 	}
 }
 
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -61,19 +61,26 @@
 	RetryRatio float64
 	Limit      admission.LimitConfig
 	Shares     Shares
+	Seed       uint64 // of the choices; 0 for a random one
 }
 
+// gateStream tells the gate's random numbers from others of the same seed.
+const gateStream = 0x67617465
+
 // NewGate returns an open gate.
 func NewGate(o GateOptions, table *fleet.Table, clock Clock) *Gate {
 	if o.Shares == nil {
 		o.Shares = WholeShare{}
 	}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
 	return &Gate{
 		table: table, clock: clock, maxStreams: o.MaxStreams, queueLimit: o.QueueLimit, shares: o.Shares,
 		queues: map[routing.Key]*line{}, limits: map[string]*admission.Limit{},
 		buckets: map[string]*admission.Bucket{}, budgets: map[budgetKey]*admission.Budget{}, demand: map[string]*admission.Rate{},
 		limitCfg: o.Limit, retry: o.RetryRatio,
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rng: rand.New(rand.NewPCG(o.Seed, gateStream)),
 	}
 }
 
--- a/dispatch/lab_test.go
+++ b/dispatch/lab_test.go
@@ -168,7 +168,7 @@
 		limit.Initial, limit.Min = 1e6, 1e6
 		limit.Max = 1e6
 	}
-	gate := dispatch.NewGate(dispatch.GateOptions{MaxStreams: 1 << 20, QueueLimit: 1 << 20, RetryRatio: l.spec.retry, Limit: limit}, table, time.Now)
+	gate := dispatch.NewGate(dispatch.GateOptions{MaxStreams: 1 << 20, QueueLimit: 1 << 20, RetryRatio: l.spec.retry, Limit: limit, Seed: l.spec.seed*100 + uint64(i) + 1}, table, time.Now)
 	decisions := decision.New(log.NewNopLogger(), 0)
 	m := monitor.New(monitor.Options{
 		StatusPoll: 500 * time.Millisecond, GapFloor: 250 * time.Millisecond, GapCeiling: 2 * time.Second,
--- a/health/detector.go
+++ b/health/detector.go
@@ -183,11 +183,14 @@
 		return d.afterProbeFailure(r)
 	}
 	r.failures++
-	if r.state == Ejected {
+	if r.state == Ejected || r.failures >= d.cfg.FailuresToEject {
 		return Ejected
 	}
-	if r.failures >= d.cfg.FailuresToEject {
-		return Ejected
+	if s == Stalled {
+		// Every hop of the route answered, so any of them may be slow, or none
+		// ill: under overload this must not take capacity away. Only stalls in a
+		// row, with no request served between them, eject.
+		return r.state
 	}
 	return Suspect
 }
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -58,6 +58,22 @@
 	require.Empty(t, d.DueProbes(now))
 }
 
+// Stalls count only in a row: overload must not take capacity away, and an engine
+// that answers probes but serves nothing must not keep its place.
+func TestStallsInARowEject(t *testing.T) {
+	d := NewDetector(DefaultConfig(), func(string) bool { return false })
+	for range 20 {
+		d.Observe("b", Stalled, t0)
+		d.Observe("b", Stalled, t0)
+		require.Equal(t, Healthy, d.State("b"))
+		d.Observe("b", Success, t0)
+	}
+	for range 3 {
+		d.Observe("b", Stalled, t0)
+	}
+	require.Equal(t, Ejected, d.State("b"))
+}
+
 func TestGapBoundFollows(t *testing.T) {
 	var g Gap
 	require.Equal(t, time.Second, g.Bound(0, time.Second))
