--- a/trial/faults_test.go
+++ b/trial/faults_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -22,6 +23,7 @@
 	"github.com/snowspoke/snowspoke/internal/memnet"
 	"github.com/snowspoke/snowspoke/internal/standin"
 	"github.com/snowspoke/snowspoke/invariant"
+	"github.com/snowspoke/snowspoke/logging"
 	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -552,3 +554,59 @@
 		require.InDelta(t, 45, most, 30)
 	})
 }
+
+// No token, token hash or key gets into the log or the metrics, whatever a
+// caller sends.
+func TestNoSecretsInLogs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := memnet.New()
+		var logs syncBuffer
+		w, err := NewWorld(2, func(ip string) network.Network { return net.Host(ip) }, logging.New(&logs, "debug"))
+		require.NoError(t, err)
+		hc := network.Client(w.hosts(callersIP), 4)
+		c := w.clientOf(0, hc)
+		ctx := context.Background()
+		_, err = c.Complete(ctx, client.Request{Model: Model, Prompt: "p", MaxTokens: 3, Stream: true, Repeatable: true})
+		require.NoError(t, err)
+		_, err = c.Call(ctx, http.MethodPost, Service, "/cards", []byte("x"), "key-1")
+		require.NoError(t, err)
+		_, err = client.New(w.Daemons[0].CallersURL(), "wrong-token", hc).Complete(ctx, client.Request{Model: Model, Prompt: "p"})
+		require.NoError(t, err)
+		resp, err := hc.Get(w.Daemons[0].OperatorsURL() + "/metrics")
+		require.NoError(t, err)
+		metrics, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		hc.CloseIdleConnections()
+		key, err := os.ReadFile(w.keyFile)
+		require.NoError(t, err)
+		w.Close()
+		time.Sleep(time.Minute)
+		text := logs.String() + string(metrics)
+		require.Contains(t, text, "msg=decision")
+		require.Contains(t, text, "snowspoke_requests_total")
+		for _, secret := range []string{Token, topology.HashToken(Token), "wrong-token", string(key), "key-1"} {
+			require.NotContains(t, text, secret)
+		}
+	})
+}
+
+// syncBuffer is a buffer that many write to.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+// Write implements io.Writer.
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+// String returns what was written.
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
