What runs under a key goes on when its caller goes away

Cause: reading the code: a keyed call was cancelled with its caller's connection, so the retry that the key is there for found 'caller gone, outcome unknown'. A streamed request under a key was sent only when it was whole. Change: such a request runs within its deadline whoever listens; its stream goes to the first caller live and is collected for later ones.

--- a/api/once.go
+++ b/api/once.go
@@ -23,19 +23,59 @@
 	Once(ctx context.Context, u claims.Use, run func() (*claims.Answer, error)) (*claims.Answer, error)
 }
 
+// detach returns a context that a caller who goes away does not end: what was
+// begun under a key is finished within its deadline, so that the caller can come
+// back for the answer.
+func detach(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(context.WithoutCancel(ctx))
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+}
+
+// teeSink streams an answer to the caller as long as it listens, and collects
+// it all the same.
+type teeSink struct {
+	live *eventSink // nil when there is nothing to stream
+	gone bool       // the caller no longer takes tokens
+	text textSink
+}
+
+// Token implements dispatch.Sink.
+func (s *teeSink) Token(t dispatch.Token) error {
+	if s.live != nil && !s.gone {
+		s.gone = s.live.Token(t) != nil
+	}
+	return s.text.Token(t)
+}
+
 // completeOnce runs a request with an idempotency key. The answer is collected,
 // so that a later use of the key can be given the same.
 func (h *Callers) completeOnce(ctx context.Context, w http.ResponseWriter, req *dispatch.Request, b *completionBody, f form, key string) {
 	u := claims.Use{Workspace: req.Workspace.Name, Key: key, BodyHash: req.BodyHash, RequestID: req.ID}
+	sink := &teeSink{}
+	if b.Stream {
+		sink.live = newEventSink(h, w, req, f)
+	}
+	var out dispatch.Outcome
 	a, err := h.claims.Once(ctx, u, func() (*claims.Answer, error) {
-		var s textSink
-		out, err := h.models.Do(ctx, req, &s)
-		if err != nil {
+		rctx, cancel := detach(ctx)
+		defer cancel()
+		var err error
+		if out, err = h.models.Do(rctx, req, sink); err != nil {
 			return nil, err
 		}
-		return completionAnswer(req, b, f, s.text.String(), &out, h.clock())
+		return completionAnswer(req, b, f, sink.text.text.String(), &out, h.clock())
 	})
-	h.writeAnswer(w, a, err)
+	switch {
+	case sink.live == nil || !sink.live.started:
+		h.writeAnswer(w, a, err)
+	case err != nil:
+		sink.live.fail(err)
+	default:
+		sink.live.end(&out)
+	}
 }
 
 func completionAnswer(req *dispatch.Request, b *completionBody, f form, text string, out *dispatch.Outcome, now time.Time) (*claims.Answer, error) {
@@ -55,7 +95,9 @@
 func (h *Callers) callOnce(ctx context.Context, w http.ResponseWriter, call *dispatch.ServiceRequest, key string) {
 	u := claims.Use{Workspace: call.Workspace.Name, Key: key, BodyHash: callHash(call), RequestID: call.Call.RequestID}
 	a, err := h.claims.Once(ctx, u, func() (*claims.Answer, error) {
-		reply, err := h.services.Do(ctx, call)
+		rctx, cancel := detach(ctx)
+		defer cancel()
+		reply, err := h.services.Do(rctx, call)
 		if err != nil {
 			return nil, err
 		}
--- a/trial/faults_test.go
+++ b/trial/faults_test.go
@@ -610,3 +610,35 @@
 	defer s.mu.Unlock()
 	return s.b.String()
 }
+
+// A caller that loses its connection comes back with its key, to any daemon, and
+// gets the answer of the one execution: a call, and a stream.
+func TestComeBackWithKey(t *testing.T) {
+	inWorld(t, 2, func(w *World, hc *http.Client, _ *memnet.Net) {
+		for _, s := range w.Services {
+			s.Delay.Store(int64(2 * time.Second))
+		}
+		gone, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_, err := w.clientOf(0, hc).Call(gone, http.MethodPost, Service, "/cards", []byte("loss 7"), "key-7")
+		require.Error(t, err)
+		for i := range 4 {
+			reply, err := w.clientOf(i%2, hc).Call(context.Background(), http.MethodPost, Service, "/cards", []byte("loss 7"), "key-7")
+			require.NoError(t, err)
+			require.True(t, reply.Whole, reply.Kind)
+		}
+		require.Equal(t, 1, w.Fleet.Ledger.Calls("loss 7"))
+
+		gone, cancel = context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		r := client.Request{Model: Model, Prompt: "p", MaxTokens: 300, Stream: true, Key: "key-8"}
+		first, err := w.clientOf(0, hc).Complete(gone, r)
+		require.Error(t, err)
+		require.NotEmpty(t, first.Text, "a stream under a key is streamed")
+		require.True(t, strings.HasPrefix(standin.Answer("p", 300), first.Text))
+		again, err := w.clientOf(1, hc).Complete(context.Background(), r)
+		require.NoError(t, err)
+		require.True(t, again.Whole && again.Text == standin.Answer("p", 300), again.Kind)
+		require.Equal(t, 1, w.Fleet.Ledger.Executions(first.RequestID))
+	})
+}
