--- a/admission/limit.go
+++ b/admission/limit.go
@@ -16,7 +16,7 @@
 // DefaultLimitConfig returns bounds for continuously batching engines, whose
 // latency grows slowly with the batch until they are saturated.
 func DefaultLimitConfig() LimitConfig {
-	return LimitConfig{Initial: 64, Min: 2, Max: 4096, Tolerance: 2.5, Smoothing: 0.2}
+	return LimitConfig{Initial: 64, Min: 2, Max: 4096, Tolerance: 2.5, Smoothing: 0.12}
 }
 
 // Limit adapts how many requests one daemon keeps on one backend server, by the
