--- a/monitor/hops.go
+++ b/monitor/hops.go
@@ -60,7 +60,8 @@
 		m.seed(link, k)
 	}
 	var out []linkChange
-	if link.Observe(m.opts.Link, d, now) {
+	alone := link.Observe(m.opts.Link, d, now)
+	if alone {
 		out = append(out, linkChange{k, link.Factor(m.opts.Link)})
 	}
 	ratio := time.Duration(link.Ratio(d) * float64(time.Millisecond))
@@ -68,7 +69,10 @@
 		group := m.linkOf(g)
 		was := group.Degraded()
 		changed := group.Observe(m.group, ratio, now)
-		if changed && (was || m.degradedIn(g) > 1) {
+		// A group that looks slow while one link of it is degraded waits for a
+		// second one.
+		several := (changed || alone) && group.Degraded() && m.degradedIn(g) > 1
+		if changed && was || several {
 			out = append(out, linkChange{g, group.Factor(m.group)})
 		}
 	}
--- a/monitor/monitor_test.go
+++ b/monitor/monitor_test.go
@@ -70,6 +70,31 @@
 	})
 }
 
+// All links of a port count as slow once two of them are; one alone is not the
+// port's fault, however often it is seen.
+func TestSlowPort(t *testing.T) {
+	table := fleet.NewTable()
+	table.SetConfig(map[string]*topology.BackendServer{"a": {Name: "a"}, "b": {Name: "b"}, "c": {Name: "c"}})
+	m := New(Options{StatusPoll: time.Second, Health: health.DefaultConfig(), Link: health.DefaultLinkConfig()}, Parts{
+		Engine: frozen{}, Table: table, Log: decision.New(log.NewNopLogger(), 10), Logger: log.NewNopLogger(),
+		Owner: OwnsAll{}, Wake: func() {}, Clock: time.Now,
+	})
+	load := func(to string, d time.Duration) {
+		m.Load(backend.HopLoad{BackendServer: "a", NextHop: to, LinkSeconds: d.Seconds(), TokenSeconds: 0.001})
+	}
+	for range 10 {
+		load("b", time.Millisecond)
+		load("c", time.Millisecond)
+	}
+	for range 10 {
+		load("b", 100*time.Millisecond)
+	}
+	require.Less(t, table.View().LinkFactor("a", "b"), 0.1)
+	require.Equal(t, 1.0, table.View().LinkFactor("a", "d"))
+	load("c", 100*time.Millisecond)
+	require.Less(t, table.View().LinkFactor("a", "d"), 0.1, "a link that has carried nothing yet")
+}
+
 // A backend server that accepts a status read and never answers is taken out of
 // service by the reads alone.
 func TestFrozenServerIsNoticed(t *testing.T) {
