The next order after a lost lease holder, measured

Cause: the time until another daemon orders was worked out, not run. Change: TestNextOrderAfterHolderIsGone with real keepers and controllers.

--- a/control/controller_test.go
+++ b/control/controller_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,8 @@
 	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/internal/memstore"
+	"github.com/snowspoke/snowspoke/lease"
+	"github.com/snowspoke/snowspoke/platform"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -210,3 +214,61 @@
 		require.Len(t, r.depot.orders, 2)
 	})
 }
+
+// cutStore is a store that a crashed daemon no longer reaches.
+type cutStore struct {
+	*memstore.Store
+	cut atomic.Bool
+}
+
+func (s *cutStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	if s.cut.Load() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return s.Store.Get(ctx, kind, name)
+}
+
+func (s *cutStore) Put(ctx context.Context, kind, name string, spec []byte, v uint64) (uint64, error) {
+	if s.cut.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	return s.Store.Put(ctx, kind, name, spec, v)
+}
+
+// When the holder of the lease is gone, the next order comes from another daemon
+// within the lease's period and two rounds.
+func TestNextOrderAfterHolderIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(true)
+		ctx, cancel := context.WithCancel(context.Background())
+		const ttl = 6 * time.Second
+		var stores []*cutStore
+		for i := range 2 {
+			s := &cutStore{Store: r.store}
+			stores = append(stores, s)
+			k := lease.NewKeeper(string(topology.KindLease), "placement", fmt.Sprint("d", i), ttl, s, log.NewNopLogger())
+			c := r.controller(k)
+			c.Store, c.opts.Period, c.opts.LeaseTTL = s, 2*time.Second, ttl
+			go k.Run(ctx)
+			go c.Run(ctx)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(10 * time.Second)
+		r.report()
+		time.Sleep(5 * time.Second)
+		before := len(r.depot.orders)
+		require.Equal(t, 2, before)
+		stores[0].cut.Store(true)
+		for _, st := range r.snap.Stages["m"] {
+			st.Replicas = 2
+		}
+		began := time.Now()
+		for len(r.depot.orders) == before && time.Since(began) < time.Minute {
+			time.Sleep(100 * time.Millisecond)
+		}
+		t.Logf("next order after %s", time.Since(began))
+		require.LessOrEqual(t, time.Since(began), ttl+4*time.Second)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
