Streams leave a slow link; new links do not hide a slow port

Cause: 2 to 6 s after a port slowed a hundredfold 0.2 to 0.5 of its traffic was left. Two causes in the traces: streams under way stayed; and with streams moving, one daemon's links that were used first in that time took the slow time for their usual one (factor 1, 25 to 60 tokens a second over them; bimodal: 0.04 or 0.55).

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -15,7 +15,7 @@
 // errStalled ends an attempt that has produced no token within the bound.
 var errStalled = errors.New("dispatch: no token within the bound")
 
-// errMove ends an attempt whose stream leaves a leaving backend server.
+// errMove ends an attempt whose stream goes on over another route.
 var errMove = errors.New("dispatch: stream moves")
 
 // errLeaving says that a chosen backend server began to leave before the send.
@@ -178,8 +178,9 @@
 			return res
 		}
 		if c := r.moveTarget(); c != nil {
+			hop, _ := r.troubledHop()
 			_ = r.move(Unknown)
-			return result{err: errMove, failed: r.leavingHop(), move: c}
+			return result{err: errMove, failed: hop, move: c}
 		}
 		if len(ev.Loads) > 0 || bound == r.d.opts.FirstToken {
 			bound = r.d.health.GapBound(r.route, &r.gap)
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -120,6 +120,24 @@
 	require.Equal(t, 1.0, l.Factor(cfg))
 }
 
+// A link whose usual time was guessed from others, and that never shows it, is in
+// the end taken as it is.
+func TestSeededLink(t *testing.T) {
+	cfg := DefaultLinkConfig()
+	var l Link
+	l.Seed(time.Millisecond)
+	now := t0
+	require.True(t, l.Observe(cfg, 100*time.Millisecond, now))
+	for range seededTrials {
+		require.True(t, l.Degraded())
+		now = now.Add(cfg.HoldFor)
+		require.True(t, l.Tick(cfg, now))
+		require.True(t, l.Observe(cfg, 100*time.Millisecond, now))
+	}
+	require.False(t, l.Degraded())
+	require.InDelta(t, 100, l.Baseline().Milliseconds(), 1)
+}
+
 // A slight slowness is believed only when it stays, a great one at once.
 func TestLinkEvidence(t *testing.T) {
 	cfg := DefaultLinkConfig()
--- a/health/link.go
+++ b/health/link.go
@@ -31,8 +31,14 @@
 	ratio    float64
 	since    time.Time
 	trial    bool
+	seeded   bool // the baseline was taken from other links
+	failed   int  // trials in a row that found the link still slow
 }
 
+// seededTrials is how often a link with a seeded baseline is found slow until
+// that is taken for its usual time: it may never have been faster.
+const seededTrials = 3
+
 // baselineGain is the weight of a sample in a healthy link's baseline.
 const baselineGain = 0.02
 
@@ -50,7 +56,7 @@
 	if !l.degraded {
 		return l.observeHealthy(cfg, x, ratio, now)
 	}
-	return l.observeDegraded(cfg, ratio, now)
+	return l.observeDegraded(cfg, x, ratio, now)
 }
 
 func (l *Link) observeHealthy(cfg LinkConfig, x, ratio float64, now time.Time) bool {
@@ -73,14 +79,12 @@
 	return true
 }
 
-func (l *Link) observeDegraded(cfg LinkConfig, ratio float64, now time.Time) bool {
+func (l *Link) observeDegraded(cfg LinkConfig, x, ratio float64, now time.Time) bool {
 	if ratio >= cfg.Restored {
 		l.fast = 0
 		l.ratio = ratio
 		if l.trial {
-			l.trial = false
-			l.since = now
-			return true
+			return l.failTrial(x, now)
 		}
 		return false
 	}
@@ -88,9 +92,26 @@
 	if l.fast < cfg.Samples {
 		return false
 	}
-	l.degraded = false
+	l.restore()
+	l.seeded = false // it has shown the time itself
+	return true
+}
+
+func (l *Link) restore() {
+	l.degraded, l.trial = false, false
+	l.slow, l.fast, l.failed = 0, 0, 0
+}
+
+// failTrial ends a trial that found the link still slow.
+func (l *Link) failTrial(x float64, now time.Time) bool {
+	l.failed++
+	if l.seeded && l.failed >= seededTrials {
+		l.baseline, l.seeded = x, false
+		l.restore()
+		return true
+	}
 	l.trial = false
-	l.slow = 0
+	l.since = now
 	return true
 }
 
@@ -122,7 +143,7 @@
 // Seed sets the usual time of a link that has carried nothing yet.
 func (l *Link) Seed(d time.Duration) {
 	if l.baseline == 0 {
-		l.baseline = d.Seconds()
+		l.baseline, l.seeded = d.Seconds(), true
 	}
 }
 
--- a/monitor/hops.go
+++ b/monitor/hops.go
@@ -79,11 +79,11 @@
 	return out
 }
 
-// seed gives a link that is used for the first time, while the links of its
-// sender are slow, the least of their usual times: what it shows now is not
+// seed gives a link that is used for the first time, while another link of its
+// sender is slow, the least of their usual times: what it shows now may not be
 // what is usual.
 func (m *Monitor) seed(link *health.Link, k linkKey) {
-	if !m.linkOf(linkKey{k.from, fleet.AnyServer}).Degraded() {
+	if m.degradedIn(linkKey{k.from, fleet.AnyServer}) == 0 {
 		return
 	}
 	least := time.Duration(0)
