Slow is not dead: a passed gap bound leads to a question first

Change: when the bound passes, the hops are asked while the stream goes on; it ends only if one is silent, else the bound doubles up to the ceiling.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -169,7 +169,7 @@
 
 func (d *Daemon) dispatcher(engine backend.Engine) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
-		FailureDomain: d.cfg.Daemon.FailureDomain, FirstToken: d.cfg.Health.FirstToken,
+		FailureDomain: d.cfg.Daemon.FailureDomain, FirstToken: d.cfg.Health.FirstToken, GapCeiling: d.cfg.Health.GapCeiling,
 		MaxAttempts: maxAttempts, RecoverWait: recoverWait, MoveAfter: moveAfter,
 	}, dispatch.Parts{
 		Engine: engine, Catalog: d.catalog, Table: d.table, Planner: d.planner, Gate: d.gate,
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -34,8 +34,8 @@
 	}
 	actx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatchdog(cancel)
-	defer watch.stop()
+	watch := r.newWatchdog(ctx, cancel)
+	defer watch.disarm()
 	if err := r.move(Sent); err != nil {
 		return result{err: err, final: true}
 	}
@@ -43,7 +43,7 @@
 		_ = r.move(NotSent)
 		return result{err: err, final: true}
 	}
-	watch.arm(r.d.opts.FirstToken)
+	watch.arm(r.d.opts.FirstToken, r.d.opts.FirstToken)
 	s, err := r.d.engine.Generate(actx, r.head(), r.generate())
 	watch.disarm()
 	if err != nil {
@@ -129,8 +129,8 @@
 		return r.refused(err, refusedBy(err, head))
 	}
 	_ = r.move(Unknown)
-	if errors.Is(context.Cause(actx), errStalled) {
-		return result{err: errStalled}
+	if cause := context.Cause(actx); errors.Is(cause, errStalled) {
+		return result{err: cause}
 	}
 	r.d.health.Signal(head, health.Lost)
 	return result{err: err, failed: head}
@@ -162,9 +162,9 @@
 
 // read takes events until the attempt ends.
 func (r *run) read(ctx, actx context.Context, s backend.Stream, watch *watchdog) result {
-	bound := r.d.opts.FirstToken
+	bound, ceil := r.d.opts.FirstToken, r.d.opts.FirstToken
 	for {
-		watch.arm(bound)
+		watch.arm(bound, ceil)
 		ev, err := s.Next()
 		watch.disarm()
 		if err != nil {
@@ -183,7 +183,7 @@
 			return result{err: errMove, failed: hop, move: c}
 		}
 		if len(ev.Loads) > 0 || bound == r.d.opts.FirstToken {
-			bound = r.d.health.GapBound(r.route, &r.gap)
+			bound, ceil = r.d.health.GapBound(r.route, &r.gap), r.d.opts.GapCeiling
 		}
 	}
 }
@@ -285,8 +285,8 @@
 	if ctx.Err() != nil {
 		return result{err: context.Cause(ctx), final: true}
 	}
-	if errors.Is(context.Cause(actx), errStalled) {
-		return result{err: errStalled}
+	if cause := context.Cause(actx); errors.Is(cause, errStalled) {
+		return result{err: cause}
 	}
 	head := r.route[0].BackendServer
 	r.d.health.Signal(head, health.Lost)
@@ -324,17 +324,3 @@
 	}
 	return apierror.New(apierror.OutcomeUnknown, "%v", res.err)
 }
-
-// watchdog cancels an attempt when it is not disarmed in time. The timer is
-// reused, so arming costs no allocation.
-type watchdog struct{ timer *time.Timer }
-
-func newWatchdog(cancel context.CancelCauseFunc) *watchdog {
-	t := time.AfterFunc(time.Hour, func() { cancel(errStalled) })
-	t.Stop()
-	return &watchdog{timer: t}
-}
-
-func (w *watchdog) arm(d time.Duration) { w.timer.Reset(d) }
-func (w *watchdog) disarm()             { w.timer.Stop() }
-func (w *watchdog) stop()               { w.timer.Stop() }
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -99,7 +99,7 @@
 	require.NoError(b, err)
 	limit := admission.DefaultLimitConfig()
 	limit.Initial = limit.Max
-	d := New(Options{FirstToken: time.Minute, MaxAttempts: 4}, Parts{
+	d := New(Options{FirstToken: time.Minute, GapCeiling: time.Minute, MaxAttempts: 4}, Parts{
 		Engine: e, Catalog: fixed{snap}, Table: table, Planner: routing.NewPlanner(table, time.Now),
 		Gate:   NewGate(GateOptions{MaxStreams: 1 << 20, QueueLimit: 10, Limit: limit}, table, time.Now),
 		Health: quiet{}, Alive: quiet{}, Warm: routing.NewPrefixes(), Sealer: sealer,
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -44,6 +44,7 @@
 type Options struct {
 	FailureDomain string
 	FirstToken    time.Duration // most time to the first token of an attempt
+	GapCeiling    time.Duration // most time between two tokens
 	MaxAttempts   int           // attempts of one request in all
 	RecoverWait   time.Duration // most time to wait for a route when a stage has failed
 	MoveAfter     time.Duration // expected rest of a stream from which it leaves a leaving backend server
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -34,7 +34,7 @@
 		r.avoid[res.failed] = true
 		return
 	}
-	silent := r.d.alive.Silent(ctx, r.route)
+	silent := r.silentHops(ctx, res.err)
 	for _, name := range silent {
 		r.avoid[name] = true
 		r.d.health.Signal(name, health.Unreachable)
@@ -49,6 +49,16 @@
 	}
 }
 
+// silentHops returns the hops that do not answer: those that the watchdog found,
+// or those found now.
+func (r *run) silentHops(ctx context.Context, err error) []string {
+	var stall *stallError
+	if errors.As(err, &stall) && len(stall.silent) > 0 {
+		return stall.silent
+	}
+	return r.d.alive.Silent(ctx, r.route)
+}
+
 // reroute finds another route for the request, waiting a while when there is
 // none, and prepares the next attempt.
 func (r *run) reroute(ctx context.Context, res result, why string) error {
@@ -118,7 +128,7 @@
 // stalls is waited for while every hop answers; otherwise the answer says what
 // is known.
 func (r *run) resumeOnly(ctx context.Context, res result) (whole bool, err error) {
-	for errors.Is(res.err, errStalled) && len(r.d.alive.Silent(ctx, r.route)) == 0 {
+	for errors.Is(res.err, errStalled) && len(r.silentHops(ctx, res.err)) == 0 {
 		res = r.resume(ctx, r.delivery.Next(), res)
 		if res.err == nil {
 			return true, nil
@@ -155,8 +165,8 @@
 func (r *run) readResumed(ctx context.Context, s backend.Stream) result {
 	actx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatchdog(cancel)
-	defer watch.stop()
+	watch := r.newWatchdog(ctx, cancel)
+	defer watch.disarm()
 	stop := context.AfterFunc(actx, func() { _ = s.Close() })
 	defer func() {
 		stop()
