--- a/control/controller_test.go
+++ b/control/controller_test.go
@@ -80,6 +80,7 @@
 	snap  *topology.Snapshot
 	table *fleet.Table
 	seq   uint64
+	inUse atomic.Pointer[topology.Snapshot]
 }
 
 func newRig(checks bool) *rig {
@@ -92,12 +93,13 @@
 		r.snap.Stages["m"] = append(r.snap.Stages["m"], &topology.Stage{Name: "s", Model: "m", Layers: topology.LayerRange{Lo: lo, Hi: lo + 4}, Replicas: 1})
 	}
 	r.table.SetConfig(r.snap.BackendServers)
+	r.inUse.Store(r.snap)
 	return r
 }
 
 func (r *rig) controller(l Lease) *Controller {
 	return New(Options{Period: time.Second, LeaseTTL: 3 * time.Second, OrderTimeout: time.Second, OrderExpiry: 30 * time.Second}, Parts{
-		Lease: l, Store: r.store, Engine: r.depot, Config: func() *topology.Snapshot { return r.snap }, Table: r.table,
+		Lease: l, Store: r.store, Engine: r.depot, Config: r.inUse.Load, Table: r.table,
 		Demand: func() map[string]float64 { return nil }, Log: decision.New(log.NewNopLogger(), 10), Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 }
@@ -215,6 +217,26 @@
 	})
 }
 
+func (d *depot) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.orders)
+}
+
+// withReplicas returns the rig's configuration with other replicas.
+func (r *rig) withReplicas(n int) *topology.Snapshot {
+	s := *r.snap
+	s.Stages = map[string][]*topology.Stage{}
+	for model, stages := range r.snap.Stages {
+		for _, st := range stages {
+			changed := *st
+			changed.Replicas = n
+			s.Stages[model] = append(s.Stages[model], &changed)
+		}
+	}
+	return &s
+}
+
 // cutStore is a store that a crashed daemon no longer reaches.
 type cutStore struct {
 	*memstore.Store
@@ -256,14 +278,12 @@
 		time.Sleep(10 * time.Second)
 		r.report()
 		time.Sleep(5 * time.Second)
-		before := len(r.depot.orders)
+		before := r.depot.count()
 		require.Equal(t, 2, before)
 		stores[0].cut.Store(true)
-		for _, st := range r.snap.Stages["m"] {
-			st.Replicas = 2
-		}
+		r.inUse.Store(r.withReplicas(2))
 		began := time.Now()
-		for len(r.depot.orders) == before && time.Since(began) < time.Minute {
+		for r.depot.count() == before && time.Since(began) < time.Minute {
 			time.Sleep(100 * time.Millisecond)
 		}
 		t.Logf("next order after %s", time.Since(began))
