--- a/trial/faults_test.go
+++ b/trial/faults_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -17,16 +15,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/snowspoke/snowspoke/api"
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/client"
-	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/internal/memnet"
 	"github.com/snowspoke/snowspoke/internal/standin"
 	"github.com/snowspoke/snowspoke/invariant"
-	"github.com/snowspoke/snowspoke/logging"
 	"github.com/snowspoke/snowspoke/network"
-	"github.com/snowspoke/snowspoke/topology"
 )
 
 // inWorld runs fn in a world of n daemons in virtual time and checks the ledger
@@ -54,76 +48,6 @@
 	return client.New(w.Daemons[i].CallersURL(), Token, hc)
 }
 
-func TestBadInput(t *testing.T) {
-	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
-		w.Platform.Set(string(topology.KindModel), "unheld", &topology.Model{Layers: 4, Version: "v1"})
-		w.Platform.Set(string(topology.KindWorkspace), "ruled", &topology.Workspace{
-			TokenHashes: []string{topology.HashToken("ruled")}, Labels: topology.Labels{"team": "night"}})
-		rule, err := topology.ParseSelector("team=night")
-		require.NoError(t, err)
-		alerts, err := topology.ParseSelector("use=alert")
-		require.NoError(t, err)
-		w.Platform.Set(string(topology.KindRoutingRule), "r", &topology.RoutingRule{Workspaces: rule, Requests: alerts})
-		time.Sleep(time.Second)
-		good := `{"model":"` + Model + `","prompt":"p","max_tokens":3}`
-		cases := []struct {
-			name, token, path, body string
-			header                  map[string]string
-			kind                    apierror.Kind
-		}{
-			{"json", Token, "/v1/completions", "{", nil, apierror.BadRequest},
-			{"prompt", Token, "/v1/completions", `{"model":"m"}`, nil, apierror.BadRequest},
-			{"messages", Token, "/v1/chat/completions", `{"model":"m"}`, nil, apierror.BadRequest},
-			{"path", Token, "/v1/nothing", good, nil, apierror.BadRequest},
-			{"no token", "", "/v1/completions", good, nil, apierror.Unauthorized},
-			{"token", "wrong", "/v1/completions", good, nil, apierror.Unauthorized},
-			{"model", Token, "/v1/completions", `{"model":"none","prompt":"p"}`, nil, apierror.UnknownModel},
-			{"adapter", Token, "/v1/completions", `{"model":"` + Model + `","adapter":"x","prompt":"p"}`, nil, apierror.UnknownModel},
-			{"service", Token, "/services/none/x", "", nil, apierror.UnknownService},
-			{"route", Token, "/v1/completions", `{"model":"unheld","prompt":"p"}`, nil, apierror.NoRoute},
-			{"rule", "ruled", "/v1/completions", good, nil, apierror.Forbidden},
-			{"long", Token, "/v1/completions", `{"prompt":"` + strings.Repeat("x", 2<<20) + `"}`, nil, apierror.BodyTooLarge},
-			{"past", Token, "/v1/completions", good, map[string]string{api.HeaderDeadline: "1999-01-01T00:00:00Z"}, apierror.DeadlinePassed},
-			{"deadline", Token, "/v1/completions", good, map[string]string{api.HeaderDeadline: "soon"}, apierror.BadRequest},
-			{"priority", Token, "/v1/completions", good, map[string]string{api.HeaderPriority: "high"}, apierror.BadRequest},
-			{"labels", Token, "/v1/completions", good, map[string]string{api.HeaderLabels: "a=b,=="}, apierror.BadRequest},
-			{"repeatable", Token, "/v1/completions", good, map[string]string{api.HeaderRepeatable: "maybe"}, apierror.BadRequest},
-			{"event id", Token, "/v1/completions", good, map[string]string{api.HeaderEventID: "forged"}, apierror.BadEventID},
-		}
-		for _, c := range cases {
-			req, err := http.NewRequest(http.MethodPost, w.Daemons[0].CallersURL()+c.path, strings.NewReader(c.body))
-			require.NoError(t, err)
-			req.Header.Set("Authorization", "Bearer "+c.token)
-			for k, v := range c.header {
-				req.Header.Set(k, v)
-			}
-			resp, err := hc.Do(req)
-			require.NoError(t, err, c.name)
-			require.NoError(t, resp.Body.Close())
-			require.Equal(t, string(c.kind), resp.Header.Get(api.HeaderKind), c.name)
-			require.Equal(t, string(apierror.RanNo), resp.Header.Get(api.HeaderRan), c.name)
-			require.Zero(t, w.Fleet.Ledger.Executions(resp.Header.Get(api.HeaderRequestID)), c.name)
-		}
-	})
-}
-
-func TestRuleRestrictsBackendServers(t *testing.T) {
-	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
-		only, err := topology.ParseSelector("accelerator in (a100, l40s)")
-		require.NoError(t, err)
-		w.Platform.Set(string(topology.KindRoutingRule), "slow", &topology.RoutingRule{BackendServers: only})
-		time.Sleep(time.Second)
-		for range 20 {
-			reply, err := w.clientOf(0, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "p", MaxTokens: 2, Repeatable: true})
-			require.NoError(t, err)
-			require.True(t, reply.Whole)
-			for _, d := range w.Daemons[0].daemon.Explain(reply.RequestID) {
-				require.NotRegexp(t, "engine-(1|3|5)", d.Chosen)
-			}
-		}
-	})
-}
-
 // Late, repeated, reordered and foreign events never reach a caller.
 func TestDisturbedEvents(t *testing.T) {
 	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
@@ -281,24 +205,6 @@
 	})
 }
 
-func TestEventIDOfAnotherWorkspaceOrBody(t *testing.T) {
-	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
-		w.Platform.Set(string(topology.KindWorkspace), "other", &topology.Workspace{TokenHashes: []string{topology.HashToken("other")}})
-		time.Sleep(time.Second)
-		r := client.Request{Model: Model, Prompt: "p", MaxTokens: 5, Stream: true, Repeatable: true}
-		reply, err := w.clientOf(0, hc).Complete(context.Background(), r)
-		require.NoError(t, err)
-		r.EventID = reply.EventID
-		stolen, err := client.New(w.Daemons[0].CallersURL(), "other", hc).Complete(context.Background(), r)
-		require.NoError(t, err)
-		require.Equal(t, apierror.BadEventID, stolen.Kind)
-		r.Prompt = "q"
-		changed, err := w.clientOf(0, hc).Complete(context.Background(), r)
-		require.NoError(t, err)
-		require.Equal(t, apierror.BadEventID, changed.Kind)
-	})
-}
-
 // A caller that goes away cancels its work at every stage.
 func TestCallerGoesAway(t *testing.T) {
 	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
@@ -315,118 +221,6 @@
 	})
 }
 
-// A caller that stops reading is cut off and costs bounded memory meanwhile.
-func TestSlowReader(t *testing.T) {
-	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
-		body := `{"model":"` + Model + `","prompt":"p","max_tokens":4000,"stream":true}`
-		req, err := http.NewRequest(http.MethodPost, w.Daemons[0].CallersURL()+"/v1/completions", strings.NewReader(body))
-		require.NoError(t, err)
-		req.Header.Set("Authorization", "Bearer "+Token)
-		resp, err := hc.Do(req)
-		require.NoError(t, err)
-		time.Sleep(15 * time.Second)
-		require.Zero(t, w.Daemons[0].daemon.Status().Running)
-		require.NoError(t, resp.Body.Close())
-	})
-}
-
-// An invalid object leaves the last valid version in force and says why.
-func TestInvalidObject(t *testing.T) {
-	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
-		v := w.Platform.Set(string(topology.KindModel), Model, &topology.Model{Layers: -1})
-		time.Sleep(time.Second)
-		verdict, ok := w.Daemons[0].daemon.Verdict(string(topology.KindModel), Model)
-		require.True(t, ok)
-		require.Equal(t, v, verdict.Seen)
-		require.Less(t, verdict.InForce, v)
-		require.Contains(t, verdict.Rejected, "layers: -1, write a number from 1")
-		reply, err := w.clientOf(0, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "p", MaxTokens: 3, Repeatable: true})
-		require.NoError(t, err)
-		require.True(t, reply.Whole)
-	})
-}
-
-// A planned stop that has to cut off a request, because it outlives the time for
-// draining, fires; the same stop with enough time cuts off nothing.
-func TestPlannedStop(t *testing.T) {
-	for _, drain := range []time.Duration{time.Second, time.Minute} {
-		synctest.Test(t, func(t *testing.T) {
-			net := memnet.New()
-			w, err := NewWorld(1, func(ip string) network.Network { return net.Host(ip) }, log.NewNopLogger())
-			require.NoError(t, err)
-			p := w.Daemons[0]
-			p.cfg.Stop.DrainTimeout = drain
-			require.NoError(t, p.Cycle(false, time.Millisecond))
-			require.NoError(t, w.waitReady())
-			before := invariant.Count(invariant.PlannedStopCutsOff)
-			hc := network.Client(w.hosts(callersIP), 4)
-			var reply client.Reply
-			var wg sync.WaitGroup
-			wg.Go(func() {
-				reply, err = w.clientOf(0, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "p", MaxTokens: 1500, Stream: true})
-			})
-			time.Sleep(100 * time.Millisecond)
-			stopped := p.Stop()
-			wg.Wait()
-			fired := invariant.Count(invariant.PlannedStopCutsOff) - before
-			if drain == time.Second {
-				assert.Error(t, stopped)
-				assert.EqualValues(t, 1, fired)
-			} else {
-				assert.NoError(t, stopped)
-				assert.NoError(t, err)
-				assert.True(t, reply.Whole)
-				assert.Zero(t, fired)
-			}
-			hc.CloseIdleConnections()
-			assert.NoError(t, p.Start())
-			w.Close()
-			time.Sleep(time.Minute)
-		})
-	}
-}
-
-// leaveTokens makes a stream last longer than the leaving takes.
-const leaveTokens = 2000
-
-// A backend server that leaves, by VM list, label or its own word, gets no new
-// work within 3 s, and streams on it are not cut off.
-func TestLeaving(t *testing.T) {
-	ways := map[string]func(w *World){
-		"vm list": func(w *World) { w.SetLeaving("engine-1") },
-		"status":  func(w *World) { w.Fleet.Engine("engine-1").Leave(true) },
-		"label": func(w *World) {
-			w.Platform.Set(string(topology.KindBackendServer), "engine-1", &topology.BackendServer{
-				Address: w.Fleet.Engine("engine-1").Address(), FailureDomain: "bogota-1", Labels: topology.Labels{topology.LabelDrain: "true"}})
-		},
-	}
-	for name, leave := range ways {
-		t.Run(name, func(t *testing.T) {
-			inWorld(t, 2, func(w *World, hc *http.Client, _ *memnet.Net) {
-				var wg sync.WaitGroup
-				for i := range 6 {
-					wg.Go(func() {
-						reply, err := w.clientOf(i%2, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "p", MaxTokens: leaveTokens, Stream: true, Repeatable: i%4 == 0})
-						assert.NoError(t, err)
-						assert.True(t, reply.Text == standin.Answer("p", leaveTokens), "not the whole own answer")
-					})
-				}
-				time.Sleep(100 * time.Millisecond)
-				leave(w)
-				time.Sleep(3 * time.Second)
-				for i := range 30 {
-					reply, err := w.clientOf(i%2, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "q", MaxTokens: 2, Repeatable: true})
-					require.NoError(t, err)
-					for _, d := range w.Daemons[i%2].daemon.Explain(reply.RequestID) {
-						require.NotContains(t, d.Chosen, "engine-1[")
-					}
-				}
-				wg.Wait()
-			})
-		})
-	}
-}
-
 // A plain service: repeatable calls survive a broken answer, others say that
 // the outcome is unknown and are not sent again; a refusal is sent elsewhere.
 func TestPlainService(t *testing.T) {
@@ -462,156 +256,6 @@
 	})
 }
 
-// A long stream leaves a leaving backend server with its KV cache: nothing is
-// computed again, and the caller notices nothing.
-func TestPlannedMove(t *testing.T) {
-	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
-		var reply client.Reply
-		var err error
-		var wg sync.WaitGroup
-		wg.Go(func() {
-			reply, err = w.clientOf(0, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "p", MaxTokens: 4000, Stream: true, Repeatable: true})
-		})
-		time.Sleep(500 * time.Millisecond)
-		var first string
-		for _, d := range w.Daemons[0].daemon.Explain(Model) {
-			first = d.Chosen
-		}
-		leaving, _, _ := strings.Cut(first, "[")
-		w.Fleet.Engine(leaving).Leave(true)
-		time.Sleep(time.Second)
-		require.Zero(t, w.Fleet.Engine(leaving).InFlight(), "the stream stayed")
-		wg.Wait()
-		require.NoError(t, err)
-		require.True(t, reply.Text == standin.Answer("p", 4000), "not the whole own answer")
-		require.Zero(t, w.Fleet.Ledger.Recomputed())
-		moved := false
-		for _, d := range w.Daemons[0].daemon.Explain(reply.RequestID) {
-			moved = moved || d.Kind == decision.Move && strings.Contains(d.Reason, "kv "+reply.RequestID)
-		}
-		require.True(t, moved)
-	})
-}
-
-// A caller that sends its header or body a byte at a time is cut off in bounded
-// time.
-func TestSlowSender(t *testing.T) {
-	inWorld(t, 1, func(w *World, _ *http.Client, _ *memnet.Net) {
-		address := strings.TrimPrefix(w.Daemons[0].CallersURL(), "http://")
-		header := "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Token + "\r\nContent-Length: 10000\r\n"
-		for _, sent := range []string{"POST /v1/comp", header, header + "\r\n{"} {
-			c, err := w.hosts(callersIP).DialContext(context.Background(), "tcp", address)
-			require.NoError(t, err)
-			_, err = c.Write([]byte(sent))
-			require.NoError(t, err)
-			began := time.Now()
-			_, err = io.Copy(io.Discard, c)
-			require.NoError(t, err)
-			require.LessOrEqual(t, time.Since(began), 40*time.Second)
-			require.NoError(t, c.Close())
-		}
-	})
-}
-
-// A workspace's limit is that of the fleet: with all its requests at one of
-// three daemons it gets most of it, and never more than the whole plus a burst.
-func TestWorkspaceLimit(t *testing.T) {
-	inWorld(t, 3, func(w *World, hc *http.Client, _ *memnet.Net) {
-		const limit = 20
-		w.Platform.Set(string(topology.KindWorkspace), "limited", &topology.Workspace{
-			TokenHashes: []string{topology.HashToken("limited")}, RequestsPerSecond: limit, Burst: 10})
-		time.Sleep(time.Second)
-		c := client.New(w.Daemons[0].CallersURL(), "limited", hc)
-		whole := 0
-		const seconds = 40
-		for i := range seconds * 2 * limit {
-			reply, err := c.Call(context.Background(), http.MethodGet, Service, "/cards", nil, "")
-			require.NoError(t, err)
-			if reply.Whole && i >= seconds*limit {
-				whole++
-			}
-			if !reply.Whole {
-				require.Equal(t, apierror.WorkspaceLimit, reply.Kind)
-			}
-			time.Sleep(time.Second / (2 * limit))
-		}
-		perSecond := float64(whole) / (seconds / 2)
-		require.InDelta(t, (0.8+0.2/3)*limit, perSecond, 1)
-	})
-}
-
-// The demand that all daemons see reaches the holder of the lease for placement.
-func TestDemandIsCollected(t *testing.T) {
-	inWorld(t, 3, func(w *World, hc *http.Client, _ *memnet.Net) {
-		for i := range 200 {
-			_, err := w.clientOf(i%3, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "p", MaxTokens: 10, Repeatable: true})
-			require.NoError(t, err)
-			time.Sleep(100 * time.Millisecond)
-		}
-		most := 0.0
-		for _, p := range w.Daemons {
-			most = max(most, p.daemon.FleetDemand()[Model])
-		}
-		require.InDelta(t, 45, most, 30)
-	})
-}
-
-// No token, token hash or key gets into the log or the metrics, whatever a
-// caller sends.
-func TestNoSecretsInLogs(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		net := memnet.New()
-		var logs syncBuffer
-		w, err := NewWorld(2, func(ip string) network.Network { return net.Host(ip) }, logging.New(&logs, "debug"))
-		require.NoError(t, err)
-		hc := network.Client(w.hosts(callersIP), 4)
-		c := w.clientOf(0, hc)
-		ctx := context.Background()
-		_, err = c.Complete(ctx, client.Request{Model: Model, Prompt: "p", MaxTokens: 3, Stream: true, Repeatable: true})
-		require.NoError(t, err)
-		_, err = c.Call(ctx, http.MethodPost, Service, "/cards", []byte("x"), "key-1")
-		require.NoError(t, err)
-		_, err = client.New(w.Daemons[0].CallersURL(), "wrong-token", hc).Complete(ctx, client.Request{Model: Model, Prompt: "p"})
-		require.NoError(t, err)
-		resp, err := hc.Get(w.Daemons[0].OperatorsURL() + "/metrics")
-		require.NoError(t, err)
-		metrics, err := io.ReadAll(resp.Body)
-		require.NoError(t, err)
-		require.NoError(t, resp.Body.Close())
-		hc.CloseIdleConnections()
-		key, err := os.ReadFile(w.keyFile)
-		require.NoError(t, err)
-		w.Close()
-		time.Sleep(time.Minute)
-		text := logs.String() + string(metrics)
-		require.Contains(t, text, "msg=decision")
-		require.Contains(t, text, "snowspoke_requests_total")
-		for _, secret := range []string{Token, topology.HashToken(Token), "wrong-token", string(key), "key-1"} {
-			require.NotContains(t, text, secret)
-		}
-	})
-}
-
-// syncBuffer is a buffer that many write to.
-type syncBuffer struct {
-	mu sync.Mutex
-	b  strings.Builder
-}
-
-// Write implements io.Writer.
-func (s *syncBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(p)
-}
-
-// String returns what was written.
-func (s *syncBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
-}
-
 // A caller that loses its connection comes back with its key, to any daemon, and
 // gets the answer of the one execution: a call, and a stream.
 func TestComeBackWithKey(t *testing.T) {
--- /dev/null
+++ b/trial/limits_test.go
@@ -0,0 +1,156 @@
+package trial
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/client"
+	"github.com/snowspoke/snowspoke/internal/memnet"
+	"github.com/snowspoke/snowspoke/logging"
+	"github.com/snowspoke/snowspoke/network"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// A caller that stops reading is cut off and costs bounded memory meanwhile.
+func TestSlowReader(t *testing.T) {
+	inWorld(t, 1, func(w *World, hc *http.Client, _ *memnet.Net) {
+		body := `{"model":"` + Model + `","prompt":"p","max_tokens":4000,"stream":true}`
+		req, err := http.NewRequest(http.MethodPost, w.Daemons[0].CallersURL()+"/v1/completions", strings.NewReader(body))
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer "+Token)
+		resp, err := hc.Do(req)
+		require.NoError(t, err)
+		time.Sleep(15 * time.Second)
+		require.Zero(t, w.Daemons[0].daemon.Status().Running)
+		require.NoError(t, resp.Body.Close())
+	})
+}
+
+// A caller that sends its header or body a byte at a time is cut off in bounded
+// time.
+func TestSlowSender(t *testing.T) {
+	inWorld(t, 1, func(w *World, _ *http.Client, _ *memnet.Net) {
+		address := strings.TrimPrefix(w.Daemons[0].CallersURL(), "http://")
+		header := "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Token + "\r\nContent-Length: 10000\r\n"
+		for _, sent := range []string{"POST /v1/comp", header, header + "\r\n{"} {
+			c, err := w.hosts(callersIP).DialContext(context.Background(), "tcp", address)
+			require.NoError(t, err)
+			_, err = c.Write([]byte(sent))
+			require.NoError(t, err)
+			began := time.Now()
+			_, err = io.Copy(io.Discard, c)
+			require.NoError(t, err)
+			require.LessOrEqual(t, time.Since(began), 40*time.Second)
+			require.NoError(t, c.Close())
+		}
+	})
+}
+
+// A workspace's limit is that of the fleet: with all its requests at one of
+// three daemons it gets most of it, and never more than the whole plus a burst.
+func TestWorkspaceLimit(t *testing.T) {
+	inWorld(t, 3, func(w *World, hc *http.Client, _ *memnet.Net) {
+		const limit = 20
+		w.Platform.Set(string(topology.KindWorkspace), "limited", &topology.Workspace{
+			TokenHashes: []string{topology.HashToken("limited")}, RequestsPerSecond: limit, Burst: 10})
+		time.Sleep(time.Second)
+		c := client.New(w.Daemons[0].CallersURL(), "limited", hc)
+		whole := 0
+		const seconds = 40
+		for i := range seconds * 2 * limit {
+			reply, err := c.Call(context.Background(), http.MethodGet, Service, "/cards", nil, "")
+			require.NoError(t, err)
+			if reply.Whole && i >= seconds*limit {
+				whole++
+			}
+			if !reply.Whole {
+				require.Equal(t, apierror.WorkspaceLimit, reply.Kind)
+			}
+			time.Sleep(time.Second / (2 * limit))
+		}
+		perSecond := float64(whole) / (seconds / 2)
+		require.InDelta(t, (0.8+0.2/3)*limit, perSecond, 1)
+	})
+}
+
+// The demand that all daemons see reaches the holder of the lease for placement.
+func TestDemandIsCollected(t *testing.T) {
+	inWorld(t, 3, func(w *World, hc *http.Client, _ *memnet.Net) {
+		for i := range 200 {
+			_, err := w.clientOf(i%3, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: "p", MaxTokens: 10, Repeatable: true})
+			require.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+		}
+		most := 0.0
+		for _, p := range w.Daemons {
+			most = max(most, p.daemon.FleetDemand()[Model])
+		}
+		require.InDelta(t, 45, most, 30)
+	})
+}
+
+// No token, token hash or key gets into the log or the metrics, whatever a
+// caller sends.
+func TestNoSecretsInLogs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := memnet.New()
+		var logs syncBuffer
+		w, err := NewWorld(2, func(ip string) network.Network { return net.Host(ip) }, logging.New(&logs, "debug"))
+		require.NoError(t, err)
+		hc := network.Client(w.hosts(callersIP), 4)
+		c := w.clientOf(0, hc)
+		ctx := context.Background()
+		_, err = c.Complete(ctx, client.Request{Model: Model, Prompt: "p", MaxTokens: 3, Stream: true, Repeatable: true})
+		require.NoError(t, err)
+		_, err = c.Call(ctx, http.MethodPost, Service, "/cards", []byte("x"), "key-1")
+		require.NoError(t, err)
+		_, err = client.New(w.Daemons[0].CallersURL(), "wrong-token", hc).Complete(ctx, client.Request{Model: Model, Prompt: "p"})
+		require.NoError(t, err)
+		resp, err := hc.Get(w.Daemons[0].OperatorsURL() + "/metrics")
+		require.NoError(t, err)
+		metrics, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		hc.CloseIdleConnections()
+		key, err := os.ReadFile(w.keyFile)
+		require.NoError(t, err)
+		w.Close()
+		time.Sleep(time.Minute)
+		text := logs.String() + string(metrics)
+		require.Contains(t, text, "msg=decision")
+		require.Contains(t, text, "snowspoke_requests_total")
+		for _, secret := range []string{Token, topology.HashToken(Token), "wrong-token", string(key), "key-1"} {
+			require.NotContains(t, text, secret)
+		}
+	})
+}
+
+// syncBuffer is a buffer that many write to.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+// Write implements io.Writer.
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+// String returns what was written.
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
