One piece of code where logic stood twice

Change: apierror.Error.NotRun; life.truth; moveTarget returns the hop it leaves; claims derives its kinds from topology's; internal/virtual.Run serves the three test packages; claims.Alone, Shard.commits and topology.KindStatus are gone; settle in control is one level flatter. No test's assertion changed.

--- a/apierror/kind.go
+++ b/apierror/kind.go
@@ -114,6 +114,9 @@
 	return Wrap(Internal, err)
 }
 
+// NotRun reports whether the error says that the request did not run.
+func (e *Error) NotRun() bool { return Lookup(e.Kind).Ran == RanNo }
+
 // Is reports whether err carries kind k.
 func Is(err error, k Kind) bool {
 	var e *Error
--- a/claims/bench_test.go
+++ b/claims/bench_test.go
@@ -7,10 +7,10 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/snowspoke/snowspoke/internal/memstore"
+	"github.com/snowspoke/snowspoke/internal/virtual"
 )
 
 // BenchmarkClaims reports store writes for each claim and the latency added, at
@@ -21,7 +21,7 @@
 			for b.Loop() {
 				var writes float64
 				var took []time.Duration
-				virtual(b, func() { writes, took = claimAt(rate) })
+				virtual.Run(b, func() { writes, took = claimAt(rate) })
 				slices.Sort(took)
 				b.ReportMetric(writes, "writes/claim")
 				b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50_ms")
@@ -31,15 +31,6 @@
 	}
 }
 
-func virtual(b *testing.B, fn func()) {
-	done := testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{{
-		Name: b.Name(), F: func(t *testing.T) { synctest.Test(t, func(*testing.T) { fn() }) },
-	}})
-	if !done {
-		b.Fatal("failed in virtual time")
-	}
-}
-
 func claimAt(rate int) (writesPerClaim float64, took []time.Duration) {
 	store := memstore.New()
 	store.SetFaults(memstore.Faults{Delay: 5 * time.Millisecond})
--- a/claims/book.go
+++ b/claims/book.go
@@ -146,7 +146,7 @@
 		return nil, false, keyError(err)
 	}
 	a, err = run()
-	if err != nil && apierror.Lookup(apierror.From(err).Kind).Ran == apierror.RanNo {
+	if err != nil && apierror.From(err).NotRun() {
 		b.release(r)
 	}
 	return a, true, err
@@ -171,8 +171,8 @@
 // is safe: a record is known by its request ID.
 const forwardTimeout = 2 * time.Second
 
-// releaseTimeout bounds the release of a claim. Until it is released, later
-// uses of the key are told that its outcome is unknown.
+// releaseTimeout bounds the release of a claim, and how long this daemon can say
+// afterwards that the request did not run.
 const releaseTimeout = 30 * time.Second
 
 // release ends a claim whose request surely did not run, or else the retry that
@@ -230,7 +230,7 @@
 	defer b.mu.Unlock()
 	f.answer, f.err = a, err
 	close(f.done)
-	if err != nil && (!ran || apierror.Lookup(apierror.From(err).Kind).Ran == apierror.RanNo) {
+	if err != nil && (!ran || apierror.From(err).NotRun()) {
 		delete(b.flights, k)
 		return
 	}
@@ -272,19 +272,3 @@
 	}
 	return b.attach(ctx, f, f.use)
 }
-
-// Alone is the Peers of a daemon without others.
-type Alone struct{}
-
-// Writer implements Peers.
-func (Alone) Writer(int) string { return "" }
-
-// Propose implements Peers.
-func (Alone) Propose(context.Context, string, Record) (Verdict, error) {
-	return Verdict{}, errors.New("claims: no peers")
-}
-
-// Answer implements Peers.
-func (Alone) Answer(context.Context, string, KeyHash, string) (*Answer, error) {
-	return nil, errors.New("claims: no peers")
-}
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -12,12 +12,13 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/topology"
 )
 
 // Kinds of the objects of the log.
 const (
-	KindHead    = "ClaimHead"
-	KindSegment = "ClaimSegment"
+	KindHead    = string(topology.KindClaimHead)
+	KindSegment = string(topology.KindClaimSegment)
 )
 
 // Verdict is the answer to a proposed claim.
@@ -53,7 +54,6 @@
 	loaded  map[string]bool // segments in the index
 	index   *Index
 	read    bool
-	commits int
 }
 
 type proposal struct {
@@ -276,7 +276,6 @@
 	}
 	_, dropped := s.split(s.head.Segments)
 	s.version, s.head = version, head
-	s.commits++
 	s.deleteSegments(dropped)
 	return nil
 }
--- a/control/controller.go
+++ b/control/controller.go
@@ -136,10 +136,9 @@
 		if !done && c.Clock().Sub(p.sent) < c.opts.OrderExpiry {
 			continue
 		}
-		if _, err := c.Store.Delete(ctx, string(topology.KindOrder), objectName(p.order), p.version); err != nil && !errors.Is(err, platform.ErrNotFound) {
-			if !errors.Is(err, platform.ErrConflict) {
-				continue
-			}
+		_, err := c.Store.Delete(ctx, string(topology.KindOrder), objectName(p.order), p.version)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
+			continue
 		}
 		delete(c.pending, key)
 	}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -177,8 +177,7 @@
 		if done {
 			return res
 		}
-		if c := r.moveTarget(); c != nil {
-			hop, _ := r.troubledHop()
+		if c, hop := r.moveTarget(); c != nil {
 			_ = r.move(Unknown)
 			return result{err: errMove, failed: hop, move: c}
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -127,7 +127,7 @@
 		e := apierror.From(err)
 		kind = string(e.Kind)
 		rec.Kind = decision.Refuse
-		if apierror.Lookup(e.Kind).Ran != apierror.RanNo {
+		if !e.NotRun() {
 			rec.Kind = decision.Finish
 		}
 		rec.Reason = e.Error()
@@ -204,11 +204,7 @@
 	}
 	r.d.observe.Dropped(r.delivery.drops)
 	if err != nil {
-		e := r.life.answer(apierror.From(err))
-		if verr := r.life.checkAnswer(e); verr != nil {
-			e = apierror.From(verr)
-		}
-		err = e
+		err = r.truth(err)
 	} else {
 		r.d.gate.EarnRetry(r.req.Workspace.Name, r.model.Name)
 	}
--- a/dispatch/lab_test.go
+++ b/dispatch/lab_test.go
@@ -7,8 +7,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -535,13 +533,3 @@
 	}
 	return float64(n) / to.Sub(from).Seconds()
 }
-
-// virtual runs fn in virtual time inside a benchmark.
-func virtual(b *testing.B, fn func()) {
-	ok := testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{{
-		Name: b.Name(), F: func(t *testing.T) { synctest.Test(t, func(*testing.T) { fn() }) },
-	}})
-	if !ok {
-		b.Fatal("failed in virtual time")
-	}
-}
--- a/dispatch/policy_test.go
+++ b/dispatch/policy_test.go
@@ -10,6 +10,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/dispatch"
 	"github.com/snowspoke/snowspoke/internal/baseline"
+	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -47,7 +48,7 @@
 				for seed := range uint64(seeds) {
 					s.seed, s.policy = seed+1, p.make
 					var got float64
-					virtual(b, func() { got = saturate(s) })
+					virtual.Run(b, func() { got = saturate(s) })
 					least = min(least, got)
 					sum += got
 				}
@@ -185,8 +186,8 @@
 		for seed := range uint64(seeds) {
 			s.seed = seed + 1
 			var peak, got overloadResult
-			virtual(b, func() { peak = overload(s, 0.9) })
-			virtual(b, func() { got = overload(s, 3) })
+			virtual.Run(b, func() { peak = overload(s, 0.9) })
+			virtual.Run(b, func() { got = overload(s, 3) })
 			ratio = min(ratio, got.goodput/peak.goodput)
 			worst.alerts = min(worst.alerts, got.alerts)
 			worst.fairShare = min(worst.fairShare, got.fairShare)
@@ -219,7 +220,7 @@
 		worstRetry, worstGoodput := 0.0, 1e9
 		for seed := range uint64(seeds) {
 			s.seed = seed + 1
-			virtual(b, func() {
+			virtual.Run(b, func() {
 				retry, goodput := thirdFails(s)
 				worstRetry, worstGoodput = max(worstRetry, retry), min(worstGoodput, goodput)
 			})
@@ -275,7 +276,7 @@
 		lost, recomputed, tokens := 0, 0, 0
 		for seed := range uint64(seeds) {
 			s.seed = seed + 1
-			virtual(b, func() {
+			virtual.Run(b, func() {
 				l := newLab(s)
 				var at time.Time
 				time.AfterFunc(8*time.Second, func() {
@@ -329,7 +330,7 @@
 		worstOff, worstBack := 0.0, 1e9
 		for seed := range uint64(seeds) {
 			s.seed = seed + 1
-			virtual(b, func() {
+			virtual.Run(b, func() {
 				off, back := slowLink(s)
 				worstOff, worstBack = max(worstOff, off), min(worstBack, back)
 			})
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -260,35 +260,36 @@
 // slowRest is the expected rest of a stream from which it leaves a slow link.
 const slowRest = time.Second
 
-// moveTarget returns where the stream should go on, or nil to stay: a hop is
+// moveTarget returns where the stream should go on and which hop it leaves, or
+// nil to stay: a hop is
 // leaving or its link has become slow, enough of the stream is left, the request
 // may be sent again, and there is another route. It is looked at once for each
 // change of the fleet.
-func (r *run) moveTarget() *routing.Choice {
+func (r *run) moveTarget() (c *routing.Choice, leaves string) {
 	version := r.d.table.Version()
 	// The last attempts are kept for failures.
 	if !r.repeatable || r.moveSeen == version || r.attempt+2 >= r.d.opts.MaxAttempts {
-		return nil
+		return nil, ""
 	}
 	hop, least := r.troubledHop()
 	if hop == "" {
 		r.moveSeen = version
-		return nil
+		return nil, ""
 	}
 	if len(r.prior) < 2 || r.lastAt == r.firstAt {
-		return nil
+		return nil, ""
 	}
 	r.moveSeen = version
 	perToken := r.lastAt.Sub(r.firstAt) / time.Duration(len(r.prior)-1)
 	rest := perToken * time.Duration(r.req.MaxTokens-len(r.prior))
 	if rest <= least {
-		return nil
+		return nil, ""
 	}
-	c, err := r.repairWithout(hop)
+	target, err := r.repairWithout(hop)
 	if err != nil {
-		return nil
+		return nil, ""
 	}
-	return &c
+	return &target, hop
 }
 
 // troubledHop returns a hop that the stream had better leave, or "", and the
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -66,10 +66,7 @@
 	reply, err := c.run(ctx)
 	kind := "whole"
 	if err != nil {
-		e := c.life.answer(apierror.From(err))
-		if verr := c.life.checkAnswer(e); verr != nil {
-			e = apierror.From(verr)
-		}
+		e := c.truth(err)
 		kind, err = string(e.Kind), e
 		s.log.Add(decision.Record{
 			Time: s.clock(), Kind: decision.Refuse, RequestID: req.Call.RequestID, Attempt: c.attempt,
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -72,7 +72,7 @@
 
 // answer turns an error into one whose statement about execution is true now.
 func (l *life) answer(e *apierror.Error) *apierror.Error {
-	if l.notRun() || apierror.Lookup(e.Kind).Ran != apierror.RanNo {
+	if l.notRun() || !e.NotRun() {
 		return e
 	}
 	kind := apierror.OutcomeUnknown
@@ -84,9 +84,18 @@
 
 // checkAnswer asserts that an answer as not run is true.
 func (l *life) checkAnswer(e *apierror.Error) error {
-	claimsNotRun := apierror.Lookup(e.Kind).Ran == apierror.RanNo
-	return invariant.Check(!claimsNotRun || l.notRun(), invariant.NotRunIsTrue,
+	return invariant.Check(!e.NotRun() || l.notRun(), invariant.NotRunIsTrue,
 		"%s answered in state %s after %d sends", e.Kind, l.state, l.sends)
 }
 
+// truth turns any error into an answer that is true now, or into the fault of an
+// answer that is not.
+func (l *life) truth(err error) *apierror.Error {
+	e := l.answer(apierror.From(err))
+	if verr := l.checkAnswer(e); verr != nil {
+		return apierror.From(verr)
+	}
+	return e
+}
+
 func (l *life) notRun() bool { return l.state.NotRun() && !l.ran && l.sends == 0 }
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -7,21 +7,12 @@
 	"slices"
 	"syscall"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
-func virtual(b *testing.B, fn func()) {
-	done := testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{{
-		Name: b.Name(), F: func(t *testing.T) { synctest.Test(t, func(*testing.T) { fn() }) },
-	}})
-	if !done {
-		b.Fatal("failed in virtual time")
-	}
-}
-
 // settle waits until the members agree.
 func (f *testFleet) settle() {
 	if _, ok := within(time.Minute, f.agree); !ok {
@@ -36,7 +27,7 @@
 		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
 			for b.Loop() {
 				var took []time.Duration
-				virtual(b, func() {
+				virtual.Run(b, func() {
 					f := newFleet(n)
 					f.settle()
 					time.Sleep(5 * time.Second)
@@ -75,7 +66,7 @@
 			b.Run(fmt.Sprintf("daemons=%d/changes=%d", n, changes), func(b *testing.B) {
 				for b.Loop() {
 					var r controlCost
-					virtual(b, func() { r = control(n, changes, 200) })
+					virtual.Run(b, func() { r = control(n, changes, 200) })
 					r.report(b)
 				}
 			})
@@ -89,7 +80,7 @@
 		b.Run(fmt.Sprintf("workspaces=%d", w), func(b *testing.B) {
 			for b.Loop() {
 				var r controlCost
-				virtual(b, func() { r = control(3, 20, w) })
+				virtual.Run(b, func() { r = control(3, 20, w) })
 				r.report(b)
 			}
 		})
@@ -173,7 +164,7 @@
 func BenchmarkTakeover(b *testing.B) {
 	for b.Loop() {
 		var took []time.Duration
-		virtual(b, func() {
+		virtual.Run(b, func() {
 			f := newFleet(8)
 			f.settle()
 			for i := range 6 {
--- a/topology/objects.go
+++ b/topology/objects.go
@@ -24,7 +24,6 @@
 	KindClaimHead    Kind = "ClaimHead"
 	KindClaimSegment Kind = "ClaimSegment"
 	KindOrder        Kind = "Order"
-	KindStatus       Kind = "Status"
 )
 
 // ConfigKinds lists the kinds that the catalog follows.
