--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -15,7 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/snowspoke/snowspoke/invariant"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -34,8 +34,8 @@
 
 // record is what the catalog keeps of one object.
 type record struct {
-	newest  platform.Object // newest version seen, tombstones included
-	parsed  any             // object in force, nil when deleted or never valid
+	newest  store.Object // newest version seen, tombstones included
+	parsed  any          // object in force, nil when deleted or never valid
 	verdict Verdict
 }
 
@@ -50,7 +50,7 @@
 	snapshot atomic.Pointer[topology.Snapshot]
 
 	mu      sync.Mutex
-	records map[platform.ID]*record
+	records map[store.ID]*record
 	mark    Mark
 	lists   listState
 	notify  chan struct{}
@@ -58,7 +58,7 @@
 
 // New returns an empty catalog.
 func New() *Catalog {
-	c := &Catalog{records: map[platform.ID]*record{}, notify: make(chan struct{})}
+	c := &Catalog{records: map[store.ID]*record{}, notify: make(chan struct{})}
 	c.snapshot.Store(topology.NewSnapshot())
 	return c
 }
@@ -82,13 +82,13 @@
 
 // Apply takes objects from any source and returns the verdicts of those that
 // were newer than what was known.
-func (c *Catalog) Apply(objects ...platform.Object) []Verdict {
+func (c *Catalog) Apply(objects ...store.Object) []Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.apply(objects)
 }
 
-func (c *Catalog) apply(objects []platform.Object) []Verdict {
+func (c *Catalog) apply(objects []store.Object) []Verdict {
 	var out []Verdict
 	touched := map[topology.Kind]bool{}
 	for _, o := range objects {
@@ -104,7 +104,7 @@
 }
 
 // take records an object if it is newer; nil means that it was not.
-func (c *Catalog) take(o platform.Object) *record {
+func (c *Catalog) take(o store.Object) *record {
 	kind := topology.Kind(o.Kind)
 	if !slices.Contains(topology.ConfigKinds, kind) {
 		return nil
@@ -156,7 +156,7 @@
 
 // digest returns an object's part of the mark. A deleted object has none, so
 // that it does not matter when and how a daemon learnt of the deletion.
-func digest(o *platform.Object) uint64 {
+func digest(o *store.Object) uint64 {
 	if o.Deleted {
 		return 0
 	}
@@ -240,7 +240,7 @@
 func (c *Catalog) Verdict(kind, name string) (Verdict, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := c.records[platform.ID{Kind: kind, Name: name}]
+	r := c.records[store.ID{Kind: kind, Name: name}]
 	if r == nil {
 		return Verdict{}, false
 	}
@@ -262,12 +262,12 @@
 }
 
 // Newest returns the newest versions of the objects that verdicts are about.
-func (c *Catalog) Newest(verdicts []Verdict) []platform.Object {
+func (c *Catalog) Newest(verdicts []Verdict) []store.Object {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make([]platform.Object, 0, len(verdicts))
+	out := make([]store.Object, 0, len(verdicts))
 	for _, v := range verdicts {
-		if r := c.records[platform.ID{Kind: v.Kind, Name: v.Name}]; r != nil {
+		if r := c.records[store.ID{Kind: v.Kind, Name: v.Name}]; r != nil {
 			out = append(out, r.newest)
 		}
 	}
@@ -276,10 +276,10 @@
 
 // Since returns the newest versions above a revision, oldest first, tombstones
 // included.
-func (c *Catalog) Since(revision uint64) []platform.Object {
+func (c *Catalog) Since(revision uint64) []store.Object {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []platform.Object
+	var out []store.Object
 	for _, r := range c.records {
 		if r.newest.Version > revision {
 			out = append(out, r.newest)
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -9,13 +9,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/snowspoke/snowspoke/invariant"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
-func modelObject(name string, version uint64, layers int) platform.Object {
+func modelObject(name string, version uint64, layers int) store.Object {
 	spec, _ := json.Marshal(&topology.Model{Layers: layers, Version: fmt.Sprint("v", version)})
-	return platform.Object{Kind: string(topology.KindModel), Name: name, Version: version, Spec: spec}
+	return store.Object{Kind: string(topology.KindModel), Name: name, Version: version, Spec: spec}
 }
 
 // Objects in any order, repeated and stale, from any source: the version in
@@ -23,7 +23,7 @@
 // that saw the same objects are alike.
 func TestMonotonicWhateverTheSource(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var history []platform.Object
+		var history []store.Object
 		for v := uint64(1); v <= uint64(rapid.IntRange(1, 30).Draw(t, "versions")); v++ {
 			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
 			o := modelObject(name, v, rapid.SampledFrom([]int{8, -1}).Draw(t, "layers"))
@@ -60,8 +60,8 @@
 
 func TestListDeletesWhatIsAbsent(t *testing.T) {
 	c := New()
-	c.ApplyList(topology.KindModel, []platform.Object{modelObject("a", 1, 8), modelObject("b", 2, 8)}, 2)
-	c.ApplyList(topology.KindModel, []platform.Object{modelObject("b", 2, 8)}, 5)
+	c.ApplyList(topology.KindModel, []store.Object{modelObject("a", 1, 8), modelObject("b", 2, 8)}, 2)
+	c.ApplyList(topology.KindModel, []store.Object{modelObject("b", 2, 8)}, 5)
 	require.NotContains(t, c.Snapshot().Models, "a")
 	require.Contains(t, c.Snapshot().Models, "b")
 	// A watch that repeats the past does not bring it back.
@@ -73,9 +73,9 @@
 func TestStoreRestoredBehind(t *testing.T) {
 	c := New()
 	old := modelObject("a", 3, 8)
-	c.ApplyList(topology.KindModel, []platform.Object{old, modelObject("new", 90, 8)}, 100)
+	c.ApplyList(topology.KindModel, []store.Object{old, modelObject("new", 90, 8)}, 100)
 	for rev := uint64(50); rev < 120; rev += 10 {
-		c.ApplyList(topology.KindModel, []platform.Object{old}, rev)
+		c.ApplyList(topology.KindModel, []store.Object{old}, rev)
 	}
 	require.True(t, c.Behind())
 	require.Contains(t, c.Snapshot().Models, "new")
@@ -85,11 +85,11 @@
 func TestStaleRead(t *testing.T) {
 	c := New()
 	a := modelObject("a", 3, 8)
-	c.ApplyList(topology.KindModel, []platform.Object{a, modelObject("b", 90, 8)}, 100)
-	c.ApplyList(topology.KindModel, []platform.Object{a}, 80)
+	c.ApplyList(topology.KindModel, []store.Object{a, modelObject("b", 90, 8)}, 100)
+	c.ApplyList(topology.KindModel, []store.Object{a}, 80)
 	require.Contains(t, c.Snapshot().Models, "b")
 	require.False(t, c.Behind())
-	c.ApplyList(topology.KindModel, []platform.Object{a}, 110)
+	c.ApplyList(topology.KindModel, []store.Object{a}, 110)
 	require.NotContains(t, c.Snapshot().Models, "b")
 }
 
@@ -97,7 +97,7 @@
 func TestRevertFires(t *testing.T) {
 	c := New()
 	c.Apply(modelObject("a", 1, 8))
-	c.records[platform.ID{Kind: string(topology.KindModel), Name: "a"}].verdict.InForce = 100
+	c.records[store.ID{Kind: string(topology.KindModel), Name: "a"}].verdict.InForce = 100
 	before := invariant.Count(invariant.ConfigMonotonic)
 	c.Apply(modelObject("a", 2, 8))
 	require.Equal(t, before+1, invariant.Count(invariant.ConfigMonotonic))
@@ -107,7 +107,7 @@
 	for _, n := range []int{1000, 5000, 19000} {
 		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
 			c := New()
-			var objects []platform.Object
+			var objects []store.Object
 			for i := range n {
 				objects = append(objects, workspaceObject(i, uint64(i+1)))
 			}
@@ -122,7 +122,7 @@
 	}
 }
 
-func workspaceObject(i int, version uint64) platform.Object {
+func workspaceObject(i int, version uint64) store.Object {
 	spec, _ := json.Marshal(&topology.Workspace{TokenHashes: []string{topology.HashToken(fmt.Sprint(i))}, Weight: 1})
-	return platform.Object{Kind: string(topology.KindWorkspace), Name: fmt.Sprint("w", i), Version: version, Spec: spec}
+	return store.Object{Kind: string(topology.KindWorkspace), Name: fmt.Sprint("w", i), Version: version, Spec: spec}
 }
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -9,7 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -17,10 +17,10 @@
 // watch, with a full read again from time to time and after every break.
 type Follower struct {
 	catalog *Catalog
-	store   platform.Store
+	store   store.Store
 	resync  time.Duration
 	logger  log.Logger
-	publish func([]platform.Object) // passes on what was new; may be nil
+	publish func([]store.Object) // passes on what was new; may be nil
 }
 
 // Bounds of the pause between two tries when the store does not answer. The
@@ -32,7 +32,7 @@
 
 // NewFollower returns a follower; Run must be called to start it. It hands what
 // was new to publish.
-func NewFollower(c *Catalog, store platform.Store, resync time.Duration, publish func([]platform.Object), logger log.Logger) *Follower {
+func NewFollower(c *Catalog, store store.Store, resync time.Duration, publish func([]store.Object), logger log.Logger) *Follower {
 	return &Follower{catalog: c, store: store, resync: resync, publish: publish, logger: logger}
 }
 
@@ -79,10 +79,10 @@
 	for i, k := range topology.ConfigKinds {
 		kinds[i] = string(k)
 	}
-	changes := make(chan platform.Object, watchBuffer)
+	changes := make(chan store.Object, watchBuffer)
 	var applying sync.WaitGroup
 	applying.Go(func() { f.applyBatches(changes) })
-	err = f.store.Watch(watch, kinds, since, func(o platform.Object) { changes <- o })
+	err = f.store.Watch(watch, kinds, since, func(o store.Object) { changes <- o })
 	close(changes)
 	applying.Wait()
 	if watch.Err() != nil {
@@ -96,9 +96,9 @@
 
 // applyBatches applies changes together that came while others were applied, so
 // that a bulk change of n objects does not build n snapshots.
-func (f *Follower) applyBatches(changes <-chan platform.Object) {
+func (f *Follower) applyBatches(changes <-chan store.Object) {
 	for o := range changes {
-		batch := []platform.Object{o}
+		batch := []store.Object{o}
 		for len(batch) < watchBuffer {
 			select {
 			case more, ok := <-changes:
--- a/catalog/list.go
+++ b/catalog/list.go
@@ -1,7 +1,7 @@
 package catalog
 
 import (
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -21,7 +21,7 @@
 // deleted if the read is newer than the object and the store has not gone
 // behind: a store restored from an older copy lacks accepted objects that
 // nobody deleted, and accepted configuration must not revert.
-func (c *Catalog) ApplyList(kind topology.Kind, objects []platform.Object, revision uint64) []Verdict {
+func (c *Catalog) ApplyList(kind topology.Kind, objects []store.Object, revision uint64) []Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lists.observe(string(kind), revision)
@@ -49,17 +49,17 @@
 
 // absent returns tombstones for the objects that a full read lacks. Their
 // version is the read's revision: no later object can have a lower one.
-func (c *Catalog) absent(kind string, objects []platform.Object, revision uint64) []platform.Object {
+func (c *Catalog) absent(kind string, objects []store.Object, revision uint64) []store.Object {
 	present := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		present[o.Name] = true
 	}
-	var out []platform.Object
+	var out []store.Object
 	for id, r := range c.records {
 		if id.Kind != kind || present[id.Name] || r.newest.Deleted || r.newest.Version >= revision {
 			continue
 		}
-		out = append(out, platform.Object{Kind: kind, Name: id.Name, Version: revision, Deleted: true})
+		out = append(out, store.Object{Kind: kind, Name: id.Name, Version: revision, Deleted: true})
 	}
 	return out
 }
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -11,7 +11,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -29,7 +29,7 @@
 
 // Store is what a shard needs of the platform's store.
 type Store interface {
-	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	Get(ctx context.Context, kind, name string) (store.Object, error)
 	Put(ctx context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error)
 	Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error)
 }
@@ -144,14 +144,14 @@
 		if len(group) == 0 {
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), platform.RequestTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), store.RequestTimeout)
 		err := s.try(ctx, group)
 		cancel()
 		if err == nil {
 			return
 		}
 		s.read = false // whatever happened, look again before the next try
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, store.ErrConflict) {
 			time.Sleep(pause.NextBackOff())
 		}
 	}
@@ -308,7 +308,7 @@
 // do so leaves garbage, not a fault.
 func (s *Shard) deleteSegments(refs []SegmentRef) {
 	for _, r := range refs {
-		ctx, cancel := context.WithTimeout(context.Background(), platform.RequestTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), store.RequestTimeout)
 		if o, err := s.store.Get(ctx, KindSegment, r.Name); err == nil {
 			_, _ = s.store.Delete(ctx, KindSegment, r.Name, o.Version)
 		}
@@ -320,7 +320,7 @@
 // refresh reads the head and the segments that are not in the index yet.
 func (s *Shard) refresh(ctx context.Context) error {
 	o, err := s.store.Get(ctx, KindHead, s.name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
 	head, err := DecodeHead(o.Spec)
--- a/cmd/snowspoke/fleet.go
+++ b/cmd/snowspoke/fleet.go
@@ -16,7 +16,7 @@
 
 	"github.com/snowspoke/snowspoke/api"
 	"github.com/snowspoke/snowspoke/network"
-	"github.com/snowspoke/snowspoke/platform/httpplatform"
+	"github.com/snowspoke/snowspoke/store/httpstore"
 )
 
 // Errors that decide the exit code.
@@ -61,7 +61,7 @@
 }
 
 // store returns the platform's store.
-func (c *cli) store() (*httpplatform.Client, error) {
+func (c *cli) store() (*httpstore.Client, error) {
 	if c.Platform == "" {
 		return nil, fmt.Errorf("%w: give --platform URL or set SNOWSPOKE_PLATFORM", errUsage)
 	}
@@ -69,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return httpplatform.New(c.Platform, hc), nil
+	return httpstore.New(c.Platform, hc), nil
 }
 
 // ask reads a JSON answer of one daemon's operators' interface.
--- a/cmd/snowspoke/main.go
+++ b/cmd/snowspoke/main.go
@@ -12,7 +12,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/capacity"
 	"github.com/snowspoke/snowspoke/edit"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -83,11 +83,11 @@
 		return exitUsage
 	case errors.Is(err, topology.ErrInvalid), errors.Is(err, errInvalid):
 		return exitInvalid
-	case errors.Is(err, edit.ErrRaced), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, edit.ErrRaced), errors.Is(err, store.ErrConflict):
 		return exitConflict
-	case errors.Is(err, platform.ErrNotFound), errors.Is(err, errUnknown):
+	case errors.Is(err, store.ErrNotFound), errors.Is(err, errUnknown):
 		return exitNotFound
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, errDaemon):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, errDaemon):
 		return exitUnavailable
 	case errors.Is(err, errNotInForce), errors.Is(err, context.DeadlineExceeded):
 		return exitTimeout
--- a/cmd/snowspoke/objects.go
+++ b/cmd/snowspoke/objects.go
@@ -15,7 +15,7 @@
 	"github.com/snowspoke/snowspoke/catalog"
 	"github.com/snowspoke/snowspoke/config"
 	"github.com/snowspoke/snowspoke/edit"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -44,13 +44,13 @@
 	if err != nil {
 		return err
 	}
-	var objects []platform.Object
+	var objects []store.Object
 	if g.Name == "" {
 		objects, _, err = s.List(context.Background(), string(kind))
 	} else {
-		var o platform.Object
+		var o store.Object
 		o, err = s.Get(context.Background(), string(kind), g.Name)
-		objects = []platform.Object{o}
+		objects = []store.Object{o}
 	}
 	if err != nil {
 		return err
@@ -72,7 +72,7 @@
 	Spec    json.RawMessage `json:"spec"`
 }
 
-func shown(objects []platform.Object) []shownObject {
+func shown(objects []store.Object) []shownObject {
 	out := make([]shownObject, len(objects))
 	for i, o := range objects {
 		out[i] = shownObject{o.Kind, o.Name, o.Version, o.Spec}
--- a/control/controller.go
+++ b/control/controller.go
@@ -18,7 +18,7 @@
 	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/placement"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -39,7 +39,7 @@
 // Parts are what a controller works with.
 type Parts struct {
 	Lease   Lease
-	Store   platform.Store
+	Store   store.Store
 	Engine  backend.Engine
 	Config  func() *topology.Snapshot
 	Table   *fleet.Table
@@ -137,7 +137,7 @@
 			continue
 		}
 		_, err := c.Store.Delete(ctx, string(topology.KindOrder), objectName(p.order), p.version)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, store.ErrNotFound) && !errors.Is(err, store.ErrConflict) {
 			continue
 		}
 		delete(c.pending, key)
--- a/control/controller_test.go
+++ b/control/controller_test.go
@@ -17,7 +17,7 @@
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/internal/memstore"
 	"github.com/snowspoke/snowspoke/lease"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -243,16 +243,16 @@
 	cut atomic.Bool
 }
 
-func (s *cutStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *cutStore) Get(ctx context.Context, kind, name string) (store.Object, error) {
 	if s.cut.Load() {
-		return platform.Object{}, platform.ErrUnavailable
+		return store.Object{}, store.ErrUnavailable
 	}
 	return s.Store.Get(ctx, kind, name)
 }
 
 func (s *cutStore) Put(ctx context.Context, kind, name string, spec []byte, v uint64) (uint64, error) {
 	if s.cut.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, store.ErrUnavailable
 	}
 	return s.Store.Put(ctx, kind, name, spec, v)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,8 +36,8 @@
 	"github.com/snowspoke/snowspoke/monitor"
 	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/peer"
-	"github.com/snowspoke/snowspoke/platform/httpplatform"
 	"github.com/snowspoke/snowspoke/routing"
+	"github.com/snowspoke/snowspoke/store/httpstore"
 	"github.com/snowspoke/snowspoke/tlsconf"
 )
 
@@ -50,7 +50,7 @@
 	tls     *tlsconf.Reloader // nil without certificates
 
 	catalog   *catalog.Catalog
-	store     *httpplatform.Client
+	store     *httpstore.Client
 	node      *peer.Node
 	keeper    *lease.Keeper
 	control   *control.Controller
@@ -137,7 +137,7 @@
 }
 
 func (d *Daemon) buildServers() {
-	store := httpplatform.New(d.cfg.Platform.URL, d.client(platformConns))
+	store := httpstore.New(d.cfg.Platform.URL, d.client(platformConns))
 	d.store = store
 	d.book = claims.NewBook(claims.Options{
 		Self: d.cfg.Daemon.Name, Shards: d.cfg.Claims.Shards, KeepBytes: d.cfg.Claims.KeepBytes,
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -13,7 +13,7 @@
 	"github.com/snowspoke/snowspoke/catalog"
 	"github.com/snowspoke/snowspoke/claims"
 	"github.com/snowspoke/snowspoke/peer"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // roleEntry marks the VMs that run daemons in the platform's VM list.
@@ -81,17 +81,17 @@
 // takeVMs puts a VM list into use: leaving VMs get no new work, and the entry
 // VMs are where other daemons may be found. Daemons listen for each other on the
 // same port everywhere.
-func (d *Daemon) takeVMs(vms []platform.VM) {
+func (d *Daemon) takeVMs(vms []store.VM) {
 	d.table.SetVMs(vms)
 	if _, port, err := net.SplitHostPort(d.PeersAddr()); err == nil {
 		d.node.SetSeeds(append(entrySeeds(vms, port), d.cfg.Peers.Seeds...))
 	}
 }
 
-func entrySeeds(vms []platform.VM, port string) []string {
+func entrySeeds(vms []store.VM, port string) []string {
 	var out []string
 	for _, v := range vms {
-		if v.Role == roleEntry && v.State == platform.VMLive {
+		if v.Role == roleEntry && v.State == store.VMLive {
 			out = append(out, net.JoinHostPort(v.Address, port))
 		}
 	}
--- a/edit/edit.go
+++ b/edit/edit.go
@@ -10,7 +10,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -42,7 +42,7 @@
 const maxTries = 20
 
 // Apply sets a field of an object.
-func Apply(ctx context.Context, s platform.Store, kind topology.Kind, name string, f Field, value string) (Result, error) {
+func Apply(ctx context.Context, s store.Store, kind topology.Kind, name string, f Field, value string) (Result, error) {
 	var r Result
 	for try := range maxTries {
 		o, obj, err := read(ctx, s, kind, name)
@@ -70,15 +70,15 @@
 		if err == nil {
 			return Result{Version: version, Before: r.Before, After: value, Changed: true}, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrAmbiguous) {
+		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrAmbiguous) {
 			return r, err
 		}
 		// Read again: the write may have taken effect, or another came first.
 	}
-	return r, fmt.Errorf("edit: %s %s: gave up after %d tries: %w", kind, name, maxTries, platform.ErrConflict)
+	return r, fmt.Errorf("edit: %s %s: gave up after %d tries: %w", kind, name, maxTries, store.ErrConflict)
 }
 
-func read(ctx context.Context, s platform.Store, kind topology.Kind, name string) (platform.Object, any, error) {
+func read(ctx context.Context, s store.Store, kind topology.Kind, name string) (store.Object, any, error) {
 	o, err := s.Get(ctx, string(kind), name)
 	if err != nil {
 		return o, nil, fmt.Errorf("%s %s: %w", kind, name, err)
@@ -88,7 +88,7 @@
 }
 
 // write checks the changed object as a daemon will before it stores it.
-func write(ctx context.Context, s platform.Store, kind topology.Kind, name string, obj any, ifVersion uint64) (uint64, error) {
+func write(ctx context.Context, s store.Store, kind topology.Kind, name string, obj any, ifVersion uint64) (uint64, error) {
 	spec, err := json.Marshal(obj)
 	if err != nil {
 		return 0, fmt.Errorf("edit: %w", err)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/backend"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -163,10 +163,10 @@
 
 // SetVMs takes the platform's VM list. A VM stands for the backend server of
 // the same name.
-func (t *Table) SetVMs(vms []platform.VM) {
+func (t *Table) SetVMs(vms []store.VM) {
 	left := map[string]bool{}
 	for _, v := range vms {
-		if v.State == platform.VMLeaving {
+		if v.State == store.VMLeaving {
 			left[v.Name] = true
 		}
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/backend"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -54,11 +54,11 @@
 	require.True(t, tb.Leaving("gone"))
 	require.False(t, tb.Leaving("a"))
 	version := tb.Version()
-	tb.SetVMs([]platform.VM{{Name: "a", State: platform.VMLeaving}})
+	tb.SetVMs([]store.VM{{Name: "a", State: store.VMLeaving}})
 	require.True(t, tb.Leaving("a"))
 	require.Greater(t, tb.Version(), version)
 	version = tb.Version()
-	tb.SetVMs([]platform.VM{{Name: "a", State: platform.VMLeaving}})
+	tb.SetVMs([]store.VM{{Name: "a", State: store.VMLeaving}})
 	require.Equal(t, version, tb.Version(), "nothing changed")
 	tb.SetVMs(nil)
 	tb.SetHealth("a", true, 1)
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -25,8 +25,8 @@
 
 // wire lists who may know a wire format.
 var wire = map[string][]string{
-	"backend/httpbackend":   {"daemon", "internal/standin", "backend/httpbackend"},
-	"platform/httpplatform": {"daemon", "cmd", "internal/memstore", "platform/httpplatform"},
+	"backend/httpbackend": {"daemon", "internal/standin", "backend/httpbackend"},
+	"store/httpstore":  {"daemon", "cmd", "internal/memstore", "store/httpstore"},
 }
 
 const module = "github.com/snowspoke/snowspoke/"
--- a/internal/memstore/http.go
+++ b/internal/memstore/http.go
@@ -10,8 +10,8 @@
 
 	"github.com/snowspoke/snowspoke/internal/memnet"
 	"github.com/snowspoke/snowspoke/network"
-	"github.com/snowspoke/snowspoke/platform"
-	"github.com/snowspoke/snowspoke/platform/httpplatform"
+	"github.com/snowspoke/snowspoke/store"
+	"github.com/snowspoke/snowspoke/store/httpstore"
 )
 
 // Platform is a fake of the platform's object interface and VM list. Its faults
@@ -21,7 +21,7 @@
 	Store *Store
 
 	vmMu sync.Mutex
-	vms  []platform.VM
+	vms  []store.VM
 }
 
 // NewPlatform starts an empty platform.
@@ -42,7 +42,7 @@
 func (p *Platform) URL() string { return "http://" + p.Address() }
 
 // SetVMs replaces the VM list.
-func (p *Platform) SetVMs(vms []platform.VM) {
+func (p *Platform) SetVMs(vms []store.VM) {
 	p.vmMu.Lock()
 	defer p.vmMu.Unlock()
 	p.vms = vms
@@ -62,11 +62,11 @@
 	switch {
 	case err == nil:
 		_ = json.NewEncoder(w).Encode(v)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		http.Error(w, err.Error(), http.StatusPreconditionFailed)
-	case errors.Is(err, platform.ErrAmbiguous):
+	case errors.Is(err, store.ErrAmbiguous):
 		panic(http.ErrAbortHandler)
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -80,18 +80,18 @@
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
 	os, rev, err := p.Store.List(r.Context(), r.PathValue("kind"))
-	w.Header().Set(httpplatform.HeaderRevision, strconv.FormatUint(rev, 10))
+	w.Header().Set(httpstore.HeaderRevision, strconv.FormatUint(rev, 10))
 	answer(w, os, err)
 }
 
 func (p *Platform) write(w http.ResponseWriter, r *http.Request) {
-	spec, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	spec, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValueBytes+1))
 	want, perr := strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
-	if err != nil || perr != nil || len(spec) > platform.MaxValueBytes {
+	if err != nil || perr != nil || len(spec) > store.MaxValueBytes {
 		http.Error(w, "bad write", http.StatusBadRequest)
 		return
 	}
-	o := platform.Object{Kind: r.PathValue("kind"), Name: r.PathValue("name")}
+	o := store.Object{Kind: r.PathValue("kind"), Name: r.PathValue("name")}
 	if r.Method == http.MethodDelete {
 		o.Version, err = p.Store.Delete(r.Context(), o.Kind, o.Name, want)
 	} else {
@@ -106,18 +106,18 @@
 	enc := json.NewEncoder(w)
 	w.WriteHeader(http.StatusOK)
 	_ = rc.Flush()
-	_ = p.Store.Watch(r.Context(), r.URL.Query()["kind"], since, func(o platform.Object) {
+	_ = p.Store.Watch(r.Context(), r.URL.Query()["kind"], since, func(o store.Object) {
 		_ = enc.Encode(o)
 		_ = rc.Flush()
 	})
 }
 
 func (p *Platform) listVMs(w http.ResponseWriter, r *http.Request) {
-	if _, err := p.Store.Get(r.Context(), "VM", "any"); errors.Is(err, platform.ErrUnavailable) {
+	if _, err := p.Store.Get(r.Context(), "VM", "any"); errors.Is(err, store.ErrUnavailable) {
 		answer(w, nil, err)
 		return
 	}
 	p.vmMu.Lock()
 	defer p.vmMu.Unlock()
-	answer(w, append([]platform.VM{}, p.vms...), nil)
+	answer(w, append([]store.VM{}, p.vms...), nil)
 }
--- a/internal/memstore/memstore.go
+++ b/internal/memstore/memstore.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // Faults are probabilities and switches; the zero value has none.
@@ -23,11 +23,11 @@
 	Delay      time.Duration // of each call
 }
 
-// Store implements platform.Store. It is safe for concurrent use.
+// Store implements store.Store. It is safe for concurrent use.
 type Store struct {
 	mu      sync.Mutex
 	faults  Faults
-	objects map[platform.ID]platform.Object
+	objects map[store.ID]store.Object
 	version uint64
 	changed chan struct{}
 	calls   int64
@@ -36,7 +36,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{objects: map[platform.ID]platform.Object{}, changed: make(chan struct{})}
+	return &Store{objects: map[store.ID]store.Object{}, changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults; watches end when an outage begins.
@@ -70,33 +70,33 @@
 	s.mu.Unlock()
 	time.Sleep(f.Delay)
 	if f.Outage {
-		return f, platform.ErrUnavailable
+		return f, store.ErrUnavailable
 	}
 	return f, nil
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, kind, name string) (platform.Object, error) {
+// Get implements store.Store.
+func (s *Store) Get(_ context.Context, kind, name string) (store.Object, error) {
 	if _, err := s.begin(false); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o, ok := s.objects[platform.ID{Kind: kind, Name: name}]
+	o, ok := s.objects[store.ID{Kind: kind, Name: name}]
 	if !ok || o.Deleted {
-		return platform.Object{}, platform.ErrNotFound
+		return store.Object{}, store.ErrNotFound
 	}
 	return o, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(_ context.Context, kind string) ([]platform.Object, uint64, error) {
+// List implements store.Store.
+func (s *Store) List(_ context.Context, kind string) ([]store.Object, uint64, error) {
 	if _, err := s.begin(false); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := []platform.Object{}
+	out := []store.Object{}
 	for id, o := range s.objects {
 		if id.Kind == kind && !o.Deleted {
 			out = append(out, o)
@@ -106,39 +106,39 @@
 	return out, s.version, nil
 }
 
-// Put implements platform.Store.
+// Put implements store.Store.
 func (s *Store) Put(_ context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error) {
-	return s.write(platform.Object{Kind: kind, Name: name, Spec: spec}, ifVersion)
+	return s.write(store.Object{Kind: kind, Name: name, Spec: spec}, ifVersion)
 }
 
-// Delete implements platform.Store.
+// Delete implements store.Store.
 func (s *Store) Delete(_ context.Context, kind, name string, ifVersion uint64) (uint64, error) {
-	return s.write(platform.Object{Kind: kind, Name: name, Deleted: true}, ifVersion)
+	return s.write(store.Object{Kind: kind, Name: name, Deleted: true}, ifVersion)
 }
 
-func (s *Store) write(o platform.Object, ifVersion uint64) (uint64, error) {
+func (s *Store) write(o store.Object, ifVersion uint64) (uint64, error) {
 	f, err := s.begin(true)
 	if err != nil {
 		return 0, err
 	}
 	if rand.Float64() < f.LoseWrite {
-		return 0, platform.ErrAmbiguous
+		return 0, store.ErrAmbiguous
 	}
 	if rand.Float64() < f.Late {
 		go func() {
 			time.Sleep(time.Duration(rand.IntN(300)) * time.Millisecond)
 			_, _ = s.apply(o, ifVersion)
 		}()
-		return 0, platform.ErrAmbiguous
+		return 0, store.ErrAmbiguous
 	}
 	v, err := s.apply(o, ifVersion)
 	if err == nil && rand.Float64() < f.LoseAnswer {
-		return 0, platform.ErrAmbiguous
+		return 0, store.ErrAmbiguous
 	}
 	return v, err
 }
 
-func (s *Store) apply(o platform.Object, ifVersion uint64) (uint64, error) {
+func (s *Store) apply(o store.Object, ifVersion uint64) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.objects[o.ID()]
@@ -147,12 +147,12 @@
 		have = 0
 	}
 	if have != ifVersion {
-		return 0, platform.ErrConflict
+		return 0, store.ErrConflict
 	}
 	return s.set(o).Version, nil
 }
 
-func (s *Store) set(o platform.Object) platform.Object {
+func (s *Store) set(o store.Object) store.Object {
 	s.version++
 	o.Version = s.version
 	s.objects[o.ID()] = o
@@ -164,18 +164,18 @@
 func (s *Store) Set(kind, name string, spec []byte) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.set(platform.Object{Kind: kind, Name: name, Spec: spec}).Version
+	return s.set(store.Object{Kind: kind, Name: name, Spec: spec}).Version
 }
 
 // Remove deletes an object whatever its version.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.set(platform.Object{Kind: kind, Name: name, Deleted: true})
+	s.set(store.Object{Kind: kind, Name: name, Deleted: true})
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, kinds []string, since uint64, fn func(platform.Object)) error {
+// Watch implements store.Store.
+func (s *Store) Watch(ctx context.Context, kinds []string, since uint64, fn func(store.Object)) error {
 	if _, err := s.begin(false); err != nil {
 		return err
 	}
@@ -190,7 +190,7 @@
 			fn(o)
 		}
 		if outage {
-			return platform.ErrUnavailable
+			return store.ErrUnavailable
 		}
 		select {
 		case <-changed:
@@ -200,10 +200,10 @@
 	}
 }
 
-func (s *Store) above(kinds map[string]bool, since uint64) ([]platform.Object, bool, <-chan struct{}) {
+func (s *Store) above(kinds map[string]bool, since uint64) ([]store.Object, bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []platform.Object
+	var out []store.Object
 	for id, o := range s.objects {
 		if kinds[id.Kind] && o.Version > since {
 			out = append(out, o)
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -10,13 +10,13 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // Keeper tries to hold a lease and keeps it. It is safe for concurrent use.
 type Keeper struct {
 	name   string
-	store  platform.Store
+	store  store.Store
 	logger log.Logger
 	kind   string
 
@@ -25,7 +25,7 @@
 }
 
 // NewKeeper returns a keeper of the lease with a name; Run must be called.
-func NewKeeper(kind, name, self string, ttl time.Duration, store platform.Store, logger log.Logger) *Keeper {
+func NewKeeper(kind, name, self string, ttl time.Duration, store store.Store, logger log.Logger) *Keeper {
 	return &Keeper{kind: kind, name: name, store: store, logger: logger, c: New(self, ttl)}
 }
 
@@ -76,7 +76,7 @@
 
 func (k *Keeper) read(ctx context.Context) {
 	o, err := k.store.Get(ctx, k.kind, k.name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return
 	}
 	k.mu.Lock()
@@ -92,7 +92,7 @@
 	k.mu.Unlock()
 	asked := time.Now()
 	version, err := k.store.Put(ctx, k.kind, k.name, spec.Encode(), ifVersion)
-	if errors.Is(err, platform.ErrAmbiguous) {
+	if errors.Is(err, store.ErrAmbiguous) {
 		o, gerr := k.store.Get(ctx, k.kind, k.name)
 		if gerr != nil {
 			return // unknown until a later read; the holder's time runs on
@@ -109,7 +109,7 @@
 		if a == Acquire {
 			_ = level.Info(k.logger).Log("msg", "lease acquired", "lease", k.name, "fencing", spec.Fencing)
 		}
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		k.c.Lost()
 		_ = level.Info(k.logger).Log("msg", "lease lost", "lease", k.name)
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -10,7 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // Spec is the value of a lease object.
@@ -101,7 +101,7 @@
 }
 
 // Seen takes the object as read from the store; a zero object means none.
-func (c *Candidate) Seen(o platform.Object, now time.Time) {
+func (c *Candidate) Seen(o store.Object, now time.Time) {
 	if !c.known || o.Version != c.version {
 		c.seenAt = now
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -12,12 +12,12 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/internal/memstore"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 const ttl = 3 * time.Second
 
-func keepers(store platform.Store, n int) []*Keeper {
+func keepers(store store.Store, n int) []*Keeper {
 	var out []*Keeper
 	for i := range n {
 		out = append(out, NewKeeper("Lease", "placement", fmt.Sprint("d", i), ttl, store, log.NewNopLogger()))
@@ -67,19 +67,19 @@
 func TestPausedHolder(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	a, b := New("a", ttl), New("b", ttl)
-	a.Seen(platform.Object{}, now)
+	a.Seen(store.Object{}, now)
 	require.Equal(t, Acquire, a.Next(now))
 	s, v := a.Propose(Acquire, 1)
 	require.Zero(t, v)
 	a.Written(s, 1, now, now)
 	fa, ok := a.Held(now)
 	require.True(t, ok)
-	b.Seen(platform.Object{Version: 1, Spec: s.Encode()}, now)
+	b.Seen(store.Object{Version: 1, Spec: s.Encode()}, now)
 	require.Equal(t, Wait, b.Next(now))
 	later := now.Add(ttl + time.Millisecond) // a is paused
 	_, ok = a.Held(later)
 	require.False(t, ok)
-	b.Seen(platform.Object{Version: 1, Spec: s.Encode()}, later)
+	b.Seen(store.Object{Version: 1, Spec: s.Encode()}, later)
 	require.Equal(t, Acquire, b.Next(later))
 	s, v = b.Propose(Acquire, 2)
 	require.Equal(t, uint64(1), v)
@@ -126,7 +126,7 @@
 		at := now
 		for c.Next(at) != Acquire {
 			if c.Next(at) == Read {
-				c.Seen(platform.Object{Version: 1, Spec: spec.Encode()}, at)
+				c.Seen(store.Object{Version: 1, Spec: spec.Encode()}, at)
 			}
 			at = at.Add(ttl / 10)
 		}
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -18,7 +18,7 @@
 	"github.com/snowspoke/snowspoke/internal/memnet"
 	"github.com/snowspoke/snowspoke/internal/memstore"
 	"github.com/snowspoke/snowspoke/network"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -315,16 +315,16 @@
 func TestVMListSpreads(t *testing.T) {
 	inFleet(t, 9, func(f *testFleet) {
 		var mu sync.Mutex
-		have := map[string]platform.VMState{}
+		have := map[string]store.VMState{}
 		for name, d := range f.daemons {
-			d.node.OnVMs(func(vms []platform.VM) {
+			d.node.OnVMs(func(vms []store.VM) {
 				mu.Lock()
 				defer mu.Unlock()
 				have[name] = vms[0].State
 			})
 		}
-		live := []platform.VM{{Name: "b", State: platform.VMLive}}
-		leaving := []platform.VM{{Name: "b", State: platform.VMLeaving}}
+		live := []store.VM{{Name: "b", State: store.VMLive}}
+		leaving := []store.VM{{Name: "b", State: store.VMLeaving}}
 		early, late := f.daemons["daemon-001"].node, f.daemons["daemon-005"].node
 		early.PublishVMs(live)
 		late.PublishVMs(live)
@@ -337,16 +337,16 @@
 		defer mu.Unlock()
 		require.Len(t, have, 9)
 		for name, state := range have {
-			require.Equal(t, platform.VMLeaving, state, name)
+			require.Equal(t, store.VMLeaving, state, name)
 		}
 	})
 }
 
 func FuzzFrame(f *testing.F) {
-	data, err := encode(&Frame{Hello: &Hello{Self: Member{Name: "a"}}, Members: []Member{{Name: "b"}}, Objects: []platform.Object{{Kind: "Model"}}})
+	data, err := encode(&Frame{Hello: &Hello{Self: Member{Name: "a"}}, Members: []Member{{Name: "b"}}, Objects: []store.Object{{Kind: "Model"}}})
 	require.NoError(f, err)
 	f.Add(data)
-	snapshot, err := packObjects([]platform.Object{{Kind: "Model", Name: "m"}})
+	snapshot, err := packObjects([]store.Object{{Kind: "Model", Name: "m"}})
 	require.NoError(f, err)
 	f.Add(snapshot)
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/peer/link.go
+++ b/peer/link.go
@@ -10,7 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/snowspoke/snowspoke/backend"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // linkQueue is how many frames may wait on a link. A link that is slower than
@@ -233,12 +233,12 @@
 }
 
 // takeObjects applies configuration from a peer and passes on what was new.
-func (n *Node) takeObjects(objects []platform.Object, from string) {
-	newer := map[platform.ID]uint64{}
+func (n *Node) takeObjects(objects []store.Object, from string) {
+	newer := map[store.ID]uint64{}
 	for _, v := range n.catalog.Apply(objects...) {
-		newer[platform.ID{Kind: v.Kind, Name: v.Name}] = v.Seen
+		newer[store.ID{Kind: v.Kind, Name: v.Name}] = v.Seen
 	}
-	var fresh []platform.Object
+	var fresh []store.Object
 	for _, o := range objects {
 		if newer[o.ID()] == o.Version {
 			fresh = append(fresh, o)
@@ -250,7 +250,7 @@
 }
 
 // PublishObjects passes on configuration that this daemon read from the store.
-func (n *Node) PublishObjects(objects []platform.Object) {
+func (n *Node) PublishObjects(objects []store.Object) {
 	if len(objects) > 0 {
 		n.broadcast(&Frame{Objects: objects}, "")
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -16,7 +16,7 @@
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/catalog"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // Options are the settings of a node.
@@ -35,8 +35,8 @@
 // Catalog is the configuration in force that a node keeps in step with others.
 type Catalog interface {
 	Mark() catalog.Mark
-	Apply(objects ...platform.Object) []catalog.Verdict
-	Since(revision uint64) []platform.Object
+	Apply(objects ...store.Object) []catalog.Verdict
+	Since(revision uint64) []store.Object
 }
 
 // Statuses takes the reports on backend servers that other daemons read.
@@ -67,9 +67,9 @@
 	owned     map[string]bool  // cached answers of Owns
 	ownedAt   uint64           // version of the membership that they hold for
 	changed   chan struct{}
-	vms       VMList        // newest known
-	polled    []platform.VM // as this daemon read it last
-	onVMs     func([]platform.VM)
+	vms       VMList     // newest known
+	polled    []store.VM // as this daemon read it last
+	onVMs     func([]store.VM)
 	quotas    *quotas
 }
 
--- a/peer/vms.go
+++ b/peer/vms.go
@@ -4,17 +4,17 @@
 	"slices"
 	"time"
 
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // OnVMs sets what is called with each newer VM list. It must be called before
 // Run.
-func (n *Node) OnVMs(fn func([]platform.VM)) { n.onVMs = fn }
+func (n *Node) OnVMs(fn func([]store.VM)) { n.onVMs = fn }
 
 // PublishVMs takes the VM list as this daemon read it and passes it on if it
 // changed since its own last read. A list that only differs from what others
 // read may lag behind theirs, and is kept back.
-func (n *Node) PublishVMs(vms []platform.VM) {
+func (n *Node) PublishVMs(vms []store.VM) {
 	n.mu.Lock()
 	same := n.polled != nil && slices.Equal(n.polled, vms)
 	n.polled = vms
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -11,25 +11,25 @@
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/catalog"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // Frame is one message on a link. Only the parts that are set travel.
 type Frame struct {
-	Hello    *Hello            `cbor:"1,keyasint,omitempty"`
-	Beat     *Beat             `cbor:"2,keyasint,omitempty"`
-	Members  []Member          `cbor:"3,keyasint,omitempty"`
-	Objects  []platform.Object `cbor:"4,keyasint,omitempty"`
-	Statuses []backend.Status  `cbor:"5,keyasint,omitempty"`
-	Want     *Want             `cbor:"6,keyasint,omitempty"`
-	Snapshot []byte            `cbor:"7,keyasint,omitempty"` // gzip of CBOR of objects
-	VMs      *VMList           `cbor:"8,keyasint,omitempty"`
+	Hello    *Hello           `cbor:"1,keyasint,omitempty"`
+	Beat     *Beat            `cbor:"2,keyasint,omitempty"`
+	Members  []Member         `cbor:"3,keyasint,omitempty"`
+	Objects  []store.Object   `cbor:"4,keyasint,omitempty"`
+	Statuses []backend.Status `cbor:"5,keyasint,omitempty"`
+	Want     *Want            `cbor:"6,keyasint,omitempty"`
+	Snapshot []byte           `cbor:"7,keyasint,omitempty"` // gzip of CBOR of objects
+	VMs      *VMList          `cbor:"8,keyasint,omitempty"`
 }
 
 // VMList is the platform's VM list as a watcher read it.
 type VMList struct {
-	ReadAt int64         `cbor:"1,keyasint"` // Unix milliseconds; the newer list counts
-	VMs    []platform.VM `cbor:"2,keyasint"`
+	ReadAt int64      `cbor:"1,keyasint"` // Unix milliseconds; the newer list counts
+	VMs    []store.VM `cbor:"2,keyasint"`
 }
 
 // Hello opens a link, in both directions.
@@ -80,7 +80,7 @@
 }
 
 // packObjects compresses a snapshot.
-func packObjects(objects []platform.Object) ([]byte, error) {
+func packObjects(objects []store.Object) ([]byte, error) {
 	data, err := encode(objects)
 	if err != nil {
 		return nil, err
@@ -96,7 +96,7 @@
 	return b.Bytes(), nil
 }
 
-func unpackObjects(data []byte) ([]platform.Object, error) {
+func unpackObjects(data []byte) ([]store.Object, error) {
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return nil, fmt.Errorf("peer: snapshot: %w", err)
@@ -105,7 +105,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer: snapshot: %w", err)
 	}
-	var objects []platform.Object
+	var objects []store.Object
 	if err := decMode.Unmarshal(raw, &objects); err != nil {
 		return nil, fmt.Errorf("peer: snapshot: %w", err)
 	}
--- a/platform/httpplatform/client.go
+++ b/store/httpstore/client.go
@@ -1,6 +1,6 @@
-// Package httpplatform is the HTTP adapter of the platform's object interface
+// Package httpstore is the HTTP adapter of the platform's object interface
 // and VM list. The wire format is known here and in the test fakes alone.
-package httpplatform
+package httpstore
 
 import (
 	"bufio"
@@ -15,19 +15,19 @@
 	"strconv"
 	"strings"
 
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // HeaderRevision carries the store's revision on a list.
 const HeaderRevision = "X-Store-Revision"
 
 // maxObjectBytes bounds one encoded object: a full spec in base64 and the rest.
-const maxObjectBytes = 2 * platform.MaxValueBytes
+const maxObjectBytes = 2 * store.MaxValueBytes
 
 // maxListBytes bounds a list answer.
 const maxListBytes = 256 << 20
 
-// Client implements platform.Store and platform.VMLister.
+// Client implements store.Store and store.VMLister.
 type Client struct {
 	base string
 	http *http.Client
@@ -38,40 +38,40 @@
 	return &Client{base: strings.TrimSuffix(base, "/"), http: hc}
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, kind, name string) (platform.Object, error) {
-	var o platform.Object
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, kind, name string) (store.Object, error) {
+	var o store.Object
 	_, err := c.do(ctx, http.MethodGet, objectPath(kind, name), nil, nil, maxObjectBytes, &o)
 	return o, err
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
-	var os []platform.Object
+// List implements store.Store.
+func (c *Client) List(ctx context.Context, kind string) ([]store.Object, uint64, error) {
+	var os []store.Object
 	h, err := c.do(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(kind), nil, nil, maxListBytes, &os)
 	if err != nil {
 		return nil, 0, err
 	}
 	rev, err := strconv.ParseUint(h.Get(HeaderRevision), 10, 64)
 	if err != nil {
-		return nil, 0, fmt.Errorf("%w: revision header: %v", platform.ErrUnavailable, err)
+		return nil, 0, fmt.Errorf("%w: revision header: %v", store.ErrUnavailable, err)
 	}
 	return os, rev, nil
 }
 
-// Put implements platform.Store.
+// Put implements store.Store.
 func (c *Client) Put(ctx context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error) {
 	return c.write(ctx, http.MethodPut, kind, name, spec, ifVersion)
 }
 
-// Delete implements platform.Store.
+// Delete implements store.Store.
 func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error) {
 	return c.write(ctx, http.MethodDelete, kind, name, nil, ifVersion)
 }
 
 func (c *Client) write(ctx context.Context, method, kind, name string, spec []byte, ifVersion uint64) (uint64, error) {
 	h := http.Header{"If-Match": {strconv.FormatUint(ifVersion, 10)}}
-	var o platform.Object
+	var o store.Object
 	_, err := c.do(ctx, method, objectPath(kind, name), h, spec, maxObjectBytes, &o)
 	return o.Version, err
 }
@@ -79,7 +79,7 @@
 // do sends one bounded call. A write whose answer did not arrive is ambiguous
 // unless the connection could not be made at all.
 func (c *Client) do(ctx context.Context, method, path string, h http.Header, body []byte, limit int64, out any) (http.Header, error) {
-	ctx, cancel := context.WithTimeout(ctx, platform.RequestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, store.RequestTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
@@ -88,9 +88,9 @@
 	for k, v := range h {
 		req.Header[k] = v
 	}
-	lost := platform.ErrUnavailable
+	lost := store.ErrUnavailable
 	if method != http.MethodGet {
-		lost = platform.ErrAmbiguous
+		lost = store.ErrAmbiguous
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -115,19 +115,19 @@
 	case http.StatusOK, http.StatusCreated:
 		return nil
 	case http.StatusNotFound:
-		return platform.ErrNotFound
+		return store.ErrNotFound
 	case http.StatusPreconditionFailed, http.StatusConflict:
-		return platform.ErrConflict
+		return store.ErrConflict
 	case http.StatusGone:
-		return platform.ErrCompacted
+		return store.ErrCompacted
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return fmt.Errorf("%w: status %d", platform.ErrUnavailable, code)
+		return fmt.Errorf("%w: status %d", store.ErrUnavailable, code)
 	}
 	return fmt.Errorf("%w: status %d", lost, code)
 }
 
-// Watch implements platform.Store: a long GET that answers one JSON object a line.
-func (c *Client) Watch(ctx context.Context, kinds []string, since uint64, fn func(platform.Object)) error {
+// Watch implements store.Store: a long GET that answers one JSON object a line.
+func (c *Client) Watch(ctx context.Context, kinds []string, since uint64, fn func(store.Object)) error {
 	q := url.Values{"kind": kinds, "since": {strconv.FormatUint(since, 10)}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/watch?"+q.Encode(), nil)
 	if err != nil {
@@ -135,10 +135,10 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %v", store.ErrUnavailable, err)
 	}
 	defer resp.Body.Close()
-	if err := statusError(resp.StatusCode, platform.ErrUnavailable); err != nil {
+	if err := statusError(resp.StatusCode, store.ErrUnavailable); err != nil {
 		return err
 	}
 	sc := bufio.NewScanner(resp.Body)
@@ -147,18 +147,18 @@
 		if len(sc.Bytes()) == 0 {
 			continue // keep-alive
 		}
-		var o platform.Object
+		var o store.Object
 		if err := json.Unmarshal(sc.Bytes(), &o); err != nil {
-			return fmt.Errorf("%w: watch line: %v", platform.ErrUnavailable, err)
+			return fmt.Errorf("%w: watch line: %v", store.ErrUnavailable, err)
 		}
 		fn(o)
 	}
-	return fmt.Errorf("%w: watch ended: %v", platform.ErrUnavailable, errors.Join(sc.Err(), ctx.Err()))
+	return fmt.Errorf("%w: watch ended: %v", store.ErrUnavailable, errors.Join(sc.Err(), ctx.Err()))
 }
 
-// ListVMs implements platform.VMLister.
-func (c *Client) ListVMs(ctx context.Context) ([]platform.VM, error) {
-	var vms []platform.VM
+// ListVMs implements store.VMLister.
+func (c *Client) ListVMs(ctx context.Context) ([]store.VM, error) {
+	var vms []store.VM
 	_, err := c.do(ctx, http.MethodGet, "/v1/vms", nil, nil, maxListBytes, &vms)
 	return vms, err
 }
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,7 +1,7 @@
-// Package platform defines what the system needs of the platform it runs on:
+// Package store defines what the system needs of the platform it runs on:
 // the object store with versions, conditional updates and watches, and the
 // list of VMs. Wire formats live in the adapters below this package.
-package platform
+package store
 
 import (
 	"context"
@@ -11,13 +11,13 @@
 
 // Sentinel errors of the store.
 var (
-	ErrNotFound    = errors.New("platform: object not found")
-	ErrConflict    = errors.New("platform: version conflict")
-	ErrUnavailable = errors.New("platform: store unavailable")
+	ErrNotFound    = errors.New("store: object not found")
+	ErrConflict    = errors.New("store: version conflict")
+	ErrUnavailable = errors.New("store: store unavailable")
 	// ErrAmbiguous says that a write may have taken effect: the answer was lost.
-	ErrAmbiguous = errors.New("platform: outcome of the write unknown")
+	ErrAmbiguous = errors.New("store: outcome of the write unknown")
 	// ErrCompacted says that a watch asked for changes that are no longer kept.
-	ErrCompacted = errors.New("platform: watch revision compacted")
+	ErrCompacted = errors.New("store: watch revision compacted")
 )
 
 // MaxValueBytes is the largest spec that the store holds.
--- a/trial/world.go
+++ b/trial/world.go
@@ -21,7 +21,7 @@
 	"github.com/snowspoke/snowspoke/internal/memstore"
 	"github.com/snowspoke/snowspoke/internal/standin"
 	"github.com/snowspoke/snowspoke/network"
-	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -318,7 +318,7 @@
 
 // SetLeaving marks a backend server's VM as leaving in the platform's list.
 func (w *World) SetLeaving(name string) {
-	w.Platform.SetVMs([]platform.VM{{Name: name, State: platform.VMLeaving, Role: "backend"}})
+	w.Platform.SetVMs([]store.VM{{Name: name, State: store.VMLeaving, Role: "backend"}})
 }
 
 // Close ends everything that the world started.
