Wait for all cards before the first placement; price crossings by the pipe

Cause: backend servers register one after the other, so the first placement saw nine of 39 cards and scattered the rest; paths then crossed failure domains eight times, and a prompt's activations take 20 ms of a pipe that all requests share: the pipe was eleven times overloaded. Change: a first placement waits until no card has registered for 1.2 s; a crossing costs five times the prompt's time in the pipe.

--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -54,9 +54,12 @@
 	fullFrom = 0.85
 	// fullCostMS is the cost of a hop whose memory is all used.
 	fullCostMS = 200.0
-	// crossCostMS is added to a hop into another failure domain: its pipe is
-	// shared, and bytes between failure domains are paid for.
-	crossCostMS = 6.0
+	// crossWeight multiplies the time that a prompt's activations take through the
+	// pipe between failure domains: all requests share it, one at a time.
+	crossWeight = 5.0
+	// nearCostMS is what a first hop in another failure domain than the caller's
+	// costs: bytes between failure domains are paid for.
+	nearCostMS = 6.0
 )
 
 // Choice is a path with its predicted times.
@@ -153,7 +156,7 @@
 		}
 		cost := hops[i].fixed + hops[i].perLayer*float64(s.Held.Len())
 		if s.FailureDomain != q.Near && q.Near != "" {
-			cost += crossCostMS
+			cost += nearCostMS
 		}
 		add(node{cost: cost, prev: -1, from: 0, cand: i}, s.Held.To)
 	}
@@ -220,7 +223,7 @@
 	prev := cs[from].Server
 	cost += stepsWeight * LinkMS(q.Engine, prev.FailureDomain, s.FailureDomain)
 	if prev.FailureDomain != s.FailureDomain {
-		cost += crossCostMS
+		cost += crossWeight * PipeReadMS(q.Engine, q.Tokens.Prompt)
 	}
 	return cost
 }
@@ -250,6 +253,9 @@
 			link = LinkMS(q.Engine, p[i-1].Server.FailureDomain, h.Server.FailureDomain)
 		}
 		c.StepMS += step + link
+		if i > 0 && p[i-1].Server.FailureDomain != h.Server.FailureDomain {
+			c.FirstMS += PipeReadMS(q.Engine, q.Tokens.Prompt)
+		}
 		c.FirstMS += step + link + max(1, cand.Load.Slow)*HopReadMS(q.Engine, h.Server.Kind, h.Layers.Len(), q.Tokens.Prompt)
 		if _, kept := q.Keep[h.Server.ID]; !kept {
 			c.Fullest = max(c.Fullest, fullness(q, cand, h.Layers.Len()))
--- a/pipeline/cost.go
+++ b/pipeline/cost.go
@@ -60,3 +60,12 @@
 func Usual(e *site.Engine) Tokens {
 	return Tokens{Prompt: float64(e.Prompt), Answer: float64(e.Answer)}
 }
+
+// PipeReadMS predicts how long the activations of a prompt take through the pipe
+// between two failure domains.
+func PipeReadMS(e *site.Engine, prompt float64) float64 {
+	if e.PipeMbps <= 0 {
+		return 0
+	}
+	return prompt * e.ActBytes * 8 / e.PipeMbps / 1000
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -29,6 +29,9 @@
 	// orderShows is how long it may take until a finished order shows in the
 	// record of the backend server, beyond the time of the load.
 	orderShows = 3 * time.Second
+	// settle is how long the set of empty cards must have been the same before a
+	// first placement: backend servers register one after the other.
+	settle = 1200 * time.Millisecond
 	// ordersAtOnce bounds the orders that are sent at the same moment.
 	ordersAtOnce = 8
 )
@@ -61,6 +64,9 @@
 
 	mu      sync.Mutex
 	pending map[string]order // by backend server ID
+
+	empty      int       // cards seen without any layers placed
+	emptySince time.Time // when their number last changed
 }
 
 // order is one that is under way.
@@ -103,10 +109,26 @@
 			continue
 		}
 		cards := p.cards(view, svc)
+		if !p.settled(cards) {
+			continue
+		}
 		p.give(ctx, svc.Engine, pipeline.Place(svc.Engine, cards), fence)
 	}
 }
 
+// settled reports whether a placement may begin: at once when some card holds
+// layers, else when no further card has registered for a while.
+func (p *Placer) settled(cards []pipeline.Card) bool {
+	if slices.ContainsFunc(cards, func(c pipeline.Card) bool { return c.Ordered.Len() > 0 }) {
+		return true
+	}
+	now := time.Now()
+	if len(cards) != p.empty {
+		p.empty, p.emptySince = len(cards), now
+	}
+	return now.Sub(p.emptySince) >= settle
+}
+
 func (p *Placer) cards(view *inventory.View, svc *site.Service) []pipeline.Card {
 	p.mu.Lock()
 	defer p.mu.Unlock()
