Planned stop, reload, freshness and one retry budget on the platform

Change: answers close their connections, resting ones stay open until the end; SIGHUP and changed settings are applied; a watch ends before the proof is too old; every resend is paid for, begun streams have a reserve; a silent stream whose head has requests waiting is not resent.

--- a/cmd/snowspoked/platform.go
+++ b/cmd/snowspoked/platform.go
@@ -10,6 +10,7 @@
 
 	"github.com/snowspoke/snowspoke/gateway"
 	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/site"
 )
 
 // platformCmd runs the daemon on the users' platform.
@@ -23,15 +24,16 @@
 
 // Run implements the command.
 func (c *platformCmd) Run() error {
-	set, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
-	if err != nil {
+	load := func() (site.Settings, error) { return platform.LoadSettings(os.Getenv(platform.SettingsEnv)) }
+	if _, err := load(); err != nil {
 		return settingsError{err}
 	}
 	debug.SetGCPercent(platformGCPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	signal.Ignore(syscall.SIGPIPE)
-	g, err := gateway.New(set, os.Stdout, c.MetricsPort)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	g, err := gateway.New(gateway.Options{Load: load, Reload: reload, MetricsPort: c.MetricsPort}, os.Stdout)
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -31,7 +31,8 @@
 	if !c.NeedsKey(route) {
 		return a, nil
 	}
-	if age := f.inv.Age(time.Now()); f.opts.KeysFreshFor > 0 && age > f.opts.KeysFreshFor {
+	most := time.Duration(f.keysFreshFor.Load())
+	if age := f.inv.Age(time.Now()); most > 0 && age > most {
 		return Admission{}, apierror.New(apierror.ConfigUnavailable, "keys may have been taken away, the configuration was last read %s ago",
 			age.Round(time.Millisecond))
 	}
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -5,14 +5,15 @@
 	"time"
 )
 
-// Shares of the fleet's retry budget that one daemon uses. Daemons do not ask
-// each other: a caller's balancer spreads requests unevenly, so each keeps to a
-// part of what its own requests earn.
+// Shares of the fleet's retry budget. Daemons do not ask each other: each keeps
+// to a part of what its own requests earn and an even part of the slack.
 const (
-	budgetUse = 0.7
-	// slackParts is the number of parts into which the fleet's slack is divided; a
-	// daemon takes one, so that a fleet of that size or smaller stays within it.
-	slackParts = 16
+	// budgetUse is the part of the budget that all daemons together use; the rest
+	// is for daemons that come and go within a window.
+	budgetUse = 0.8
+	// freshUse is the part of a daemon's share that requests may use that have no
+	// event yet: a stream that has begun has more to lose.
+	freshUse = 0.6
 	// budgetSlots divide the window.
 	budgetSlots = 10
 )
@@ -30,13 +31,20 @@
 	slot     int64
 }
 
-// NewBudget returns a budget of ratio retries for each request of a window and
-// a share of the fleet's slack.
+// NewBudget returns a budget of ratio retries for each request of a window, and
+// slack beyond, of which each of the daemons uses an even part.
 func NewBudget(ratio, slack float64, window time.Duration) *Budget {
 	if window <= 0 {
 		window = budgetSlots * time.Second
 	}
-	return &Budget{ratio: ratio * budgetUse, slack: slack / slackParts, window: window}
+	return &Budget{ratio: ratio, slack: slack, window: window}
+}
+
+// Set changes the bounds.
+func (b *Budget) Set(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack = ratio, slack
 }
 
 // advance clears the slots that have left the window. The caller holds the lock.
@@ -56,8 +64,9 @@
 	b.requests[b.slot%budgetSlots]++
 }
 
-// Spend takes one retry; false means that none is left.
-func (b *Budget) Spend(now time.Time) bool {
+// Spend takes one retry; false means that none is left. begun says that the
+// request is a stream of which the caller has events.
+func (b *Budget) Spend(now time.Time, daemons int, begun bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
@@ -66,7 +75,11 @@
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	if float64(retries+1) > b.ratio*float64(requests)+b.slack {
+	allowed := budgetUse * (b.ratio*float64(requests) + b.slack/float64(max(1, daemons)))
+	if !begun {
+		allowed *= freshUse
+	}
+	if float64(retries+1) > allowed {
 		return false
 	}
 	b.retries[b.slot%budgetSlots]++
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
@@ -62,20 +63,30 @@
 	budget   *Budget
 	asker    *asker
 	live     *liveStreams
+
+	keysFreshFor atomic.Int64 // see Options
 }
 
 // New returns a forwarder.
 func New(o Options, p Parts) *Forwarder {
-	return &Forwarder{
+	f := &Forwarder{
 		opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
 		loads: NewLoads(), budget: NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		asker: newAsker(p.Backends), live: newLiveStreams(),
 	}
+	f.keysFreshFor.Store(int64(o.KeysFreshFor))
+	return f
 }
 
 // InFlight returns the requests that are being carried.
 func (f *Forwarder) InFlight() int { return f.loads.InFlight() }
 
+// SetBounds changes the bounds on retries and on the age of keys.
+func (f *Forwarder) SetBounds(ratio, slack float64, keysFreshFor time.Duration) {
+	f.budget.Set(ratio, slack)
+	f.keysFreshFor.Store(int64(keysFreshFor))
+}
+
 // errDeadline ends a request whose time is up.
 var errDeadline = errors.New("forward: deadline passed")
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -84,7 +84,7 @@
 		if v == again && !r.req.Route.Repeatable() {
 			return apierror.Wrap(apierror.OutcomeUnknown, err)
 		}
-		if !r.headSent && !r.f.budget.Spend(time.Now()) {
+		if !r.f.budget.Spend(time.Now(), r.f.fleet.Daemons(), r.headSent) {
 			return r.giveUp(err)
 		}
 		r.f.log.Add("retry", "request", r.req.ID, "attempt", r.sends, "from", t.head().ID, "ran", r.ran, "err", err)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -24,9 +24,10 @@
 	silenceFactor = 3
 	// askAgain is the pause before a head is asked again that knows of no stall.
 	askAgain = 120 * time.Millisecond
-	// silenceMost ends a send that was silent for this long: callers give up after
-	// two seconds, and another path may need half of one.
-	silenceMost = 1300 * time.Millisecond
+	// silenceMost ends a send that was silent for this long while its head has
+	// nothing waiting: callers give up after two seconds, and another path may need
+	// half of one. A head with requests waiting is only busy.
+	silenceMost = 1100 * time.Millisecond
 	// repathTries bounds the paths that are tried for one interruption.
 	repathTries = 4
 )
@@ -232,10 +233,6 @@
 		s.move(ctx, failed)
 		return
 	}
-	if quiet >= silenceMost {
-		s.cancel(errSilent)
-		return
-	}
 	rep, err := s.r.f.asker.ask(ctx, head)
 	if ctx.Err() != nil {
 		return
@@ -254,6 +251,10 @@
 			}
 		}
 	}
+	if quiet >= silenceMost && rep.Waiting == 0 {
+		s.cancel(errSilent)
+		return
+	}
 	s.timer.Reset(askAgain)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"github.com/snowspoke/snowspoke/placer"
 	"github.com/snowspoke/snowspoke/platform"
 	"github.com/snowspoke/snowspoke/site"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // Times of the daemon.
@@ -33,9 +35,9 @@
 	dutyPeriod = 4 * time.Second
 	// headerTimeout bounds the reading of a request's head; callers keep within 3 s.
 	headerTimeout = 4 * time.Second
-	// keyMargin is taken off the bound on revoked keys, for the way of a request to
-	// its backend server.
-	keyMargin = 400 * time.Millisecond
+	// keyMargin is taken off the bound on revoked keys, for clocks of different
+	// speed: the bound itself counts from when the caller sent the request.
+	keyMargin = 150 * time.Millisecond
 )
 
 // The objects that daemons keep in the store.
@@ -47,7 +49,8 @@
 
 // Gateway is one daemon.
 type Gateway struct {
-	set      site.Settings
+	opts     Options
+	set      site.Settings // as the process started with
 	log      *forward.Log
 	store    *platform.Store
 	backends *platform.Backends
@@ -57,33 +60,48 @@
 	keeper   *lease.Keeper
 	placer   *placer.Placer
 	metrics  *metrics.Metrics
-	conns    *idleConns
+	conns    *callerConns
 	callers  *http.Server
 	checks   *http.Server
 	figures  *http.Server
-	stopping atomic.Bool
+	ingress  *platform.Ingress
+	stage    atomic.Int32 // a stage of the planned stop
 }
 
-// New builds a daemon whose decision log goes to out; metricsPort is 0 for none.
-func New(set site.Settings, out io.Writer, metricsPort int) (*Gateway, error) {
+// Options are what a daemon is started with.
+type Options struct {
+	// Load reads the settings. It is called again when they may have changed.
+	Load func() (site.Settings, error)
+	// Reload asks for that, nil for never.
+	Reload      <-chan os.Signal
+	MetricsPort int // 0 for none
+}
+
+// New builds a daemon whose log goes to out.
+func New(o Options, out io.Writer) (*Gateway, error) {
+	set, err := o.Load()
+	if err != nil {
+		return nil, err
+	}
 	m, err := metrics.New()
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{set: set, log: forward.NewLog(out), store: platform.NewStore(set.Store), backends: platform.NewBackends(), metrics: m}
+	g := &Gateway{set: set, opts: o, log: forward.NewLog(out), store: platform.NewStore(set.Store), backends: platform.NewBackends(), metrics: m}
 	g.inv = inventory.New(g.store, g.log)
 	g.members = newMembers(set.Name, g.store, g.log)
 	g.forward = forward.New(forward.Options{
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetrySlack: set.RetrySlack,
 		RetryWindow: set.RetryWindow, KeysFreshFor: keysFreshFor(set),
 	}, forward.Parts{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}})
-	g.keeper = lease.NewKeeper(kindLease, placingDuty, set.Name, dutyPeriod, g.store, g.log)
+	g.keeper = lease.NewKeeper(kindLease, placingDuty, set.Name, dutyPeriod, leaseStore{g.store}, g.log)
 	g.placer = placer.New(g.keeper, g.inv, g.backends, g.log)
-	g.conns = newIdleConns()
-	g.callers = &http.Server{Handler: platform.NewIngress(g.forward), ReadHeaderTimeout: headerTimeout, ConnState: g.conns.note}
+	g.conns = newCallerConns()
+	g.ingress = platform.NewIngress(g.forward)
+	g.callers = &http.Server{Handler: g.refuseLate(g.ingress), ReadHeaderTimeout: headerTimeout, ConnState: g.conns.note}
 	g.checks = &http.Server{Handler: http.HandlerFunc(g.ready)}
-	if metricsPort > 0 {
-		g.figures = &http.Server{Addr: net.JoinHostPort(set.IP, fmt.Sprint(metricsPort)), Handler: m.Handler()}
+	if o.MetricsPort > 0 {
+		g.figures = &http.Server{Addr: net.JoinHostPort(set.IP, fmt.Sprint(o.MetricsPort)), Handler: m.Handler()}
 	}
 	return g, nil
 }
@@ -95,10 +113,19 @@
 	return max(set.RevokeWithin-keyMargin, set.RevokeWithin/2)
 }
 
+// leaseStore reads leases by the cheap reads that may be old: whoever acts on an
+// old one loses the conditional write. It implements lease.Store.
+type leaseStore struct{ *platform.Store }
+
+// Get implements lease.Store.
+func (s leaseStore) Get(ctx context.Context, kind, name string) (store.Object, error) {
+	return s.GetStale(ctx, kind, name)
+}
+
 // ready answers the balancer: a daemon is ready when it knows the configuration
 // and is not stopping.
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || g.inv.View().Config == nil {
+	if stage(g.stage.Load()) != serving || g.inv.View().Config == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -129,11 +156,12 @@
 	wg.Go(func() { g.keeper.Run(duty) })
 	wg.Go(func() { g.placer.Run(duty) })
 	failed := make(chan error, 3)
-	wg.Go(func() { failed <- g.callers.Serve(callers) })
+	wg.Go(func() { failed <- g.callers.Serve(g.conns.listen(callers)) })
 	wg.Go(func() { failed <- g.checks.Serve(checks) })
 	if g.figures != nil {
 		wg.Go(func() { g.serveFigures() })
 	}
+	wg.Go(func() { g.followSettings(work) })
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -15,8 +15,8 @@
 // Periods of membership. Each call to the store is paid for; only the number of
 // daemons is needed, and it may be a little old.
 const (
-	heartbeat   = 5 * time.Second
-	memberTTL   = 3 * heartbeat
+	heartbeat   = 10 * time.Second
+	memberTTL   = 5 * heartbeat / 2
 	leaveWithin = time.Second
 )
 
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -18,10 +18,24 @@
 
 // Periods of following the store.
 const (
-	// watchWait is how long a watch waits for a change. It bounds how old the last
-	// proof of freshness is while nothing changes, so it is well below the bound on
-	// revoked keys (5 s); each call is paid for.
-	watchWait = 2 * time.Second
+	// configWait is how long a watch of the configuration waits for a change, at
+	// most. An answer without one proves that the configuration is fresh; each call
+	// is paid for.
+	configWait = 3 * time.Second
+	// provenWithin is the age of the proof at which a watch shall end: below the
+	// bound on revoked keys (5 s) by the time that another read may take.
+	provenWithin = 3900 * time.Millisecond
+	// leastWait keeps watches from following each other too closely.
+	leastWait = 300 * time.Millisecond
+	// serverWait is the same for backend servers. It is longer, since a lost store
+	// shows at the watch of the configuration first.
+	serverWait = 9 * time.Second
+	// gather is the pause after changes before the next watch of backend servers,
+	// so that changes that come together take one call.
+	gather = 250 * time.Millisecond
+	// watchDoubt is taken off what an answer without changes proves: a store that
+	// is about to drop its history may hold changes back for a second.
+	watchDoubt = time.Second
 	// lapseGrace is how long a record that is missing after an outage of the store
 	// is kept: living backend servers are back within two seconds.
 	lapseGrace = 1800 * time.Millisecond
@@ -55,7 +69,7 @@
 
 	mu      sync.Mutex
 	servers map[string]record
-	fresh   time.Time // when the newest good read of the configuration was sent
+	fresh   time.Time // until when no newer configuration existed, surely
 	notify  chan struct{}
 }
 
@@ -82,8 +96,7 @@
 	return i.notify
 }
 
-// Age returns how old the newest proof is that no newer configuration exists,
-// counted from when the read was sent.
+// Age returns how old the newest proof is that no newer configuration exists.
 func (i *Inventory) Age(now time.Time) time.Duration {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -93,68 +106,115 @@
 // Run follows the store until ctx ends.
 func (i *Inventory) Run(ctx context.Context) {
 	var wg sync.WaitGroup
+	suspect := make(chan struct{}, 1)
 	wg.Go(func() {
 		follow(ctx, &follower[*site.Config]{
-			name: "configuration", logger: i.logger, list: i.feed.Config, watch: i.feed.ConfigChanges,
-			take: func(items []*site.Config, _ bool, sent time.Time) { i.takeConfig(items, sent) },
+			name: "configuration", logger: i.logger, wait: i.configWait, list: i.feed.Config, watch: i.feed.ConfigChanges,
+			take: func(items []*site.Config, _ bool, fresh time.Time) { i.takeConfig(items, fresh) },
+			lost: func() {
+				select {
+				case suspect <- struct{}{}:
+				default: // the other follower knows already
+				}
+			},
 		})
 	})
 	wg.Go(func() {
 		follow(ctx, &follower[ServerRecord]{
-			name: "backend servers", logger: i.logger, list: i.feed.Servers, watch: i.feed.ServerChanges,
+			name: "backend servers", logger: i.logger, wait: func() time.Duration { return serverWait }, gather: gather, suspect: suspect,
+			list: i.feed.Servers, watch: i.feed.ServerChanges, lost: func() {},
 			take: func(items []ServerRecord, full bool, _ time.Time) { i.takeServers(items, full) },
 		})
 	})
 	wg.Wait()
 }
 
+// configWait ends a watch before the proof of freshness is too old.
+func (i *Inventory) configWait() time.Duration {
+	return min(configWait, max(leastWait, provenWithin-i.Age(time.Now())))
+}
+
 // follower lists a kind and then watches it.
 type follower[T any] struct {
-	name   string
-	logger log.Logger
-	list   func(context.Context) (Read[T], error)
-	watch  func(context.Context, uint64, time.Duration) (Read[T], error)
-	take   func(items []T, full bool, sent time.Time)
-	lost   bool
+	name    string
+	logger  log.Logger
+	wait    func() time.Duration // of a watch
+	gather  time.Duration        // pause after changes
+	suspect <-chan struct{}
+	list    func(context.Context) (Read[T], error)
+	watch   func(context.Context, uint64, time.Duration) (Read[T], error)
+	// take applies what was read; nothing newer existed at fresh.
+	take func(items []T, full bool, fresh time.Time)
+	lost func() // called when a read fails
+	away bool
 }
 
-// follow runs a follower until ctx ends. After a failed watch it goes on from
-// the same revision; only when the store no longer has that history, or after
-// repeated failure, does it list again.
+// follow runs a follower until ctx ends. After a failed call it lists again,
+// since entries may have lapsed unseen.
 func follow[T any](ctx context.Context, f *follower[T]) {
 	pause := newPause()
 	revision := uint64(0)
 	for ctx.Err() == nil {
-		sent := time.Now()
 		full := revision == 0
-		var r Read[T]
-		var err error
-		if full {
-			r, err = f.list(ctx)
-		} else {
-			r, err = f.watch(ctx, revision, watchWait)
-		}
+		r, fresh, err := f.read(ctx, revision)
 		if err != nil {
-			revision = 0 // an entry may have lapsed unseen: list again
+			revision = 0
 			f.note(err)
 			sleep(ctx, pause.NextBackOff())
 			continue
 		}
 		f.note(nil)
 		pause.Reset()
-		f.take(r.Items, full, sent)
+		f.take(r.Items, full, fresh)
 		revision = max(revision, r.Revision)
+		if len(r.Items) > 0 {
+			sleep(ctx, f.gather)
+		}
+	}
+}
+
+// errSuspect ends a watch because another read of the store failed.
+var errSuspect = errors.New("inventory: the store may be lost")
+
+// read makes one list or watch. A watch that was answered without changes after
+// its whole wait proves that there were none until then; any other answer only
+// that there were none when it was asked for.
+func (f *follower[T]) read(ctx context.Context, revision uint64) (r Read[T], fresh time.Time, err error) {
+	sent := time.Now()
+	if revision == 0 {
+		r, err = f.list(ctx)
+		return r, sent, err
+	}
+	wctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := make(chan struct{})
+	defer close(stop)
+	if f.suspect != nil {
+		go func() {
+			select {
+			case <-f.suspect:
+				cancel(errSuspect)
+			case <-stop:
+			}
+		}()
+	}
+	wait := f.wait()
+	r, err = f.watch(wctx, revision, wait)
+	if err == nil && len(r.Items) == 0 && wait > watchDoubt && time.Since(sent) >= wait {
+		return r, sent.Add(wait - watchDoubt), nil
 	}
+	return r, sent, err
 }
 
 // note logs when the store is lost and when it is back.
 func (f *follower[T]) note(err error) {
 	switch {
-	case err != nil && !f.lost && !errors.Is(err, store.ErrCompacted):
-		f.lost = true
+	case err != nil && !f.away && !errors.Is(err, store.ErrCompacted):
+		f.away = true
+		f.lost()
 		_ = level.Warn(f.logger).Log("msg", "store lost", "of", f.name, "err", err)
-	case err == nil && f.lost:
-		f.lost = false
+	case err == nil && f.away:
+		f.away = false
 		_ = level.Info(f.logger).Log("msg", "store back", "of", f.name)
 	}
 }
@@ -175,11 +235,11 @@
 	}
 }
 
-func (i *Inventory) takeConfig(items []*site.Config, sent time.Time) {
+func (i *Inventory) takeConfig(items []*site.Config, fresh time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if sent.After(i.fresh) {
-		i.fresh = sent
+	if fresh.After(i.fresh) {
+		i.fresh = fresh
 	}
 	old := i.view.Load()
 	newest := old.Config
