Close holes in a pipeline within its failure domain; probe cards that look dead

The lease of 4 s came back late after an outage. Change: placement works by groups (failure domains that hold whole pipelines): free cards, then the neighbours on both sides, then a new layout close a hole. The duty's holder probes cards that its requests found dead. The lease is 2.5 s.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -87,6 +87,9 @@
 	f.keysFreshFor.Store(int64(keysFreshFor))
 }
 
+// Failed reports whether a backend server looks dead to this daemon's requests.
+func (f *Forwarder) Failed(id string) bool { return f.loads.Dead(id, time.Now()) }
+
 // errDeadline ends a request whose time is up.
 var errDeadline = errors.New("forward: deadline passed")
 
--- a/forward/loads.go
+++ b/forward/loads.go
@@ -114,6 +114,14 @@
 	return s != nil && now.Before(s.badUntil)
 }
 
+// Dead reports whether signs of its death keep a backend server from work now.
+func (l *Loads) Dead(id string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.servers[id]
+	return s != nil && s.failures > 0 && now.Before(s.badUntil)
+}
+
 // Refused notes that a backend server refused work.
 func (l *Loads) Refused(id string, now time.Time) {
 	l.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,7 +32,7 @@
 const (
 	// dutyPeriod is the period of the lease of the placement duty: a lost holder is
 	// replaced within it.
-	dutyPeriod = 4 * time.Second
+	dutyPeriod = 2500 * time.Millisecond
 	// headerTimeout bounds the reading of a request's head; callers keep within 3 s.
 	headerTimeout = 4 * time.Second
 	// keyMargin is taken off the bound on revoked keys, for clocks of different
@@ -95,7 +95,7 @@
 		RetryWindow: set.RetryWindow, KeysFreshFor: keysFreshFor(set),
 	}, forward.Parts{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}})
 	g.keeper = lease.NewKeeper(kindLease, placingDuty, set.Name, dutyPeriod, leaseStore{g.store}, g.log)
-	g.placer = placer.New(g.keeper, g.inv, g.backends, g.log)
+	g.placer = placer.New(g.keeper, g.inv, g.backends, g.forward, g.log)
 	g.conns = newCallerConns()
 	g.ingress = platform.NewIngress(g.forward)
 	g.callers = &http.Server{Handler: g.refuseLate(g.ingress), ReadHeaderTimeout: headerTimeout, ConnState: g.conns.note}
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -28,69 +28,313 @@
 	// chainRoom is how much memory a further pipeline must leave for requests, as a
 	// share of its weights: with less, its cards hold too few requests to matter.
 	chainRoom = 0.5
-	// minCover is the number of cards that each layer should lie on.
+	// leastRoom is the number of usual requests that a card must still hold beside
+	// the layers that it takes over.
+	leastRoom = 12
+	// minCover is the number of cards on which a layer lies in the whole site, if
+	// the cards suffice.
 	minCover = 2
 )
 
 // Place returns the orders that bring the cards closer to covering every layer.
-// Cards that hold layers are left alone unless a layer is in danger: loads are
-// paid for, and requests pass through them.
+// The cards of a failure domain that can hold whole pipelines form a group, the
+// others one more: a path that leaves its failure domain is slow. Cards that
+// hold layers are left alone unless a layer of their group is in danger: loads
+// are paid for, and requests pass through them.
 func Place(e *site.Engine, cards []Card) []Order {
-	cards = slices.Clone(cards)
-	slices.SortFunc(cards, func(a, b Card) int { return cmp.Compare(a.Server.ID, b.Server.ID) })
-	empty, placed := split(e, cards)
-	if len(placed) == 0 {
-		return initial(e, empty)
+	cards = usable(e, cards)
+	var orders []Order
+	var rest []Card
+	for _, d := range domains(cards) {
+		if n := pipelines(e, d); n > 0 {
+			orders = append(orders, placeGroup(e, d, n)...)
+			continue
+		}
+		rest = append(rest, d...)
+	}
+	if n := pipelines(e, rest); n > 0 {
+		return append(orders, placeGroup(e, rest, n)...)
 	}
-	return fill(e, empty, placed)
+	return append(orders, support(e, rest, cards, orders)...)
 }
 
-func split(e *site.Engine, cards []Card) (empty, placed []Card) {
+func usable(e *site.Engine, cards []Card) []Card {
+	var out []Card
 	for _, c := range cards {
-		switch {
-		case c.Server.Draining || e.MaxLayers(c.Server.Kind) == 0:
-		case c.Ordered.Len() > 0:
-			placed = append(placed, c)
-		case !c.Busy:
-			empty = append(empty, c)
+		if !c.Server.Draining && e.MaxLayers(c.Server.Kind) > 0 {
+			out = append(out, c)
 		}
 	}
-	return empty, placed
+	slices.SortFunc(out, func(a, b Card) int { return cmp.Compare(a.Server.ID, b.Server.ID) })
+	return out
 }
 
-// initial places a model on empty cards: within each failure domain as many
-// pipelines as leave room for requests, the remaining cards together.
-func initial(e *site.Engine, cards []Card) []Order {
-	var orders []Order
-	var rest []Card
-	for _, d := range domains(cards) {
-		n := pipelines(e, d)
-		if n == 0 {
-			rest = append(rest, d...)
+// placeGroup places n pipelines on the cards of a group.
+func placeGroup(e *site.Engine, cards []Card, n int) []Order {
+	if !slices.ContainsFunc(cards, placed) {
+		var orders []Order
+		for _, chain := range deal(e, cards, n) {
+			orders = append(orders, layOut(e, chain)...)
+		}
+		return orders
+	}
+	g := &group{e: e, cards: slices.Clone(cards), n: n}
+	g.fillHoles()
+	g.extendIntoHoles()
+	if g.uncovered() && !slices.ContainsFunc(g.cards, busy) {
+		return relayOut(e, cards, n)
+	}
+	g.useSpare()
+	return g.orders
+}
+
+func placed(c Card) bool { return c.Ordered.Len() > 0 }
+
+func busy(c Card) bool { return c.Busy }
+
+// group is the state of placing one group.
+type group struct {
+	e      *site.Engine
+	cards  []Card
+	n      int // pipelines, the number of cards on which each layer shall lie
+	orders []Order
+}
+
+// take orders layers for a card and goes on as if it held them.
+func (g *group) take(i int, r site.Range, reason string) {
+	c := &g.cards[i]
+	g.orders = append(g.orders, Order{Server: c.Server, Layers: r, Reason: reason})
+	c.Ordered, c.Busy = r, true
+}
+
+// holders returns on how many cards each layer lies.
+func (g *group) holders() []int {
+	out := make([]int, g.e.Layers)
+	for i := range g.cards {
+		r := g.cards[i].Ordered
+		for l := max(0, r.From); l < min(g.e.Layers, r.To); l++ {
+			out[l]++
+		}
+	}
+	return out
+}
+
+func (g *group) uncovered() bool { return slices.Contains(g.holders(), 0) }
+
+// holes returns the ranges of layers that lie on fewer cards than there are
+// pipelines.
+func (g *group) holes() []site.Range {
+	var out []site.Range
+	holders := g.holders()
+	for l := 0; l < len(holders); l++ {
+		if holders[l] >= g.n {
 			continue
 		}
-		for _, chain := range deal(e, d, n) {
-			orders = append(orders, layOut(e, chain)...)
+		from := l
+		for l < len(holders) && holders[l] < g.n {
+			l++
 		}
+		out = append(out, site.Range{From: from, To: l})
 	}
-	if n := pipelines(e, rest); n > 0 {
-		for _, chain := range deal(e, rest, n) {
-			orders = append(orders, layOut(e, chain)...)
+	return out
+}
+
+// fillHoles gives empty cards, and cards whose layers others hold as well, to
+// the holes.
+func (g *group) fillHoles() {
+	for _, hole := range g.holes() {
+		for hole.Len() > 0 {
+			i := g.freeCard(hole)
+			if i < 0 {
+				break
+			}
+			n := min(hole.Len(), g.fits(g.cards[i]))
+			r := site.Range{From: hole.From, To: hole.From + n}
+			g.take(i, r, fmt.Sprintf("layers %d-%d lie on too few cards", hole.From, hole.To))
+			hole.From = r.To
+		}
+	}
+}
+
+// fits returns how many layers a card takes beside a fair room for requests.
+func (g *group) fits(c Card) int {
+	n := fit(g.e, []Card{c}, leastRoom*2)[0]
+	return max(1, min(n, g.e.MaxLayers(c.Server.Kind)))
+}
+
+// freeCard returns the free card that suits a hole best: the smallest that covers
+// it, else the largest.
+func (g *group) freeCard(hole site.Range) int {
+	best := -1
+	holders := g.holders()
+	for i := range g.cards {
+		c := g.cards[i]
+		if c.Busy || placed(c) && !g.spare(c, holders) {
+			continue
+		}
+		if best < 0 || suits(g.fits(c), g.fits(g.cards[best]), hole.Len()) {
+			best = i
+		}
+	}
+	return best
+}
+
+func suits(a, b, want int) bool {
+	if a >= want && b >= want {
+		return a < b
+	}
+	return a > b
+}
+
+// spare reports whether all layers of a card lie on enough other cards.
+func (g *group) spare(c Card, holders []int) bool {
+	for l := max(0, c.Ordered.From); l < min(g.e.Layers, c.Ordered.To); l++ {
+		if holders[l] <= g.n {
+			return false
 		}
-		return orders
 	}
-	if len(orders) == 0 {
-		return layOut(e, rest)
+	return true
+}
+
+// extendIntoHoles lets the cards on both sides of a hole take it over.
+func (g *group) extendIntoHoles() {
+	for _, hole := range g.holes() {
+		s, ok := g.bestSplit(hole)
+		if !ok {
+			continue
+		}
+		reason := fmt.Sprintf("layers %d-%d lie on too few cards, taken over by their neighbours", hole.From, hole.To)
+		if s.left >= 0 && s.at > hole.From {
+			g.take(s.left, site.Range{From: g.cards[s.left].Ordered.From, To: s.at}, reason)
+		}
+		if s.right >= 0 && s.at < hole.To {
+			g.take(s.right, site.Range{From: s.at, To: g.cards[s.right].Ordered.To}, reason)
+		}
 	}
-	return append(orders, fill(e, rest, asPlaced(orders))...)
 }
 
-func asPlaced(orders []Order) []Card {
-	out := make([]Card, 0, len(orders))
+// split divides a hole between the card before it and the one behind it; -1
+// stands for none.
+type split struct {
+	left, right, at int
+	room            float64
+}
+
+func (g *group) bestSplit(hole site.Range) (split, bool) {
+	best := split{left: -1, right: -1}
+	lefts, rights := []int{-1}, []int{-1}
+	for i := range g.cards {
+		c := g.cards[i]
+		if c.Busy || !placed(c) {
+			continue
+		}
+		if c.Ordered.From < hole.From && c.Ordered.To >= hole.From && c.Ordered.To < hole.To {
+			lefts = append(lefts, i)
+		}
+		if c.Ordered.To > hole.To && c.Ordered.From <= hole.To && c.Ordered.From > hole.From {
+			rights = append(rights, i)
+		}
+	}
+	for _, l := range lefts {
+		for _, r := range rights {
+			for at := hole.From; at <= hole.To; at++ {
+				if l < 0 && at > hole.From || r < 0 && at < hole.To || l >= 0 && l == r {
+					continue
+				}
+				room := math.Inf(1)
+				if l >= 0 && at > hole.From {
+					room = min(room, g.roomWith(l, at-g.cards[l].Ordered.From))
+				}
+				if r >= 0 && at < hole.To {
+					room = min(room, g.roomWith(r, g.cards[r].Ordered.To-at))
+				}
+				if room > best.room && !math.IsInf(room, 1) {
+					best = split{left: l, right: r, at: at, room: room}
+				}
+			}
+		}
+	}
+	return best, best.room >= leastRoom
+}
+
+// roomWith returns the usual requests that a card holds beside n layers.
+func (g *group) roomWith(i, n int) float64 {
+	if n > g.e.MaxLayers(g.cards[i].Server.Kind) {
+		return 0
+	}
+	return roomOf(g.e, g.cards[i], n)
+}
+
+// useSpare gives the cards that are still empty to the layers with the least
+// room for requests.
+func (g *group) useSpare() {
+	for i := range g.cards {
+		c := g.cards[i]
+		if placed(c) || c.Busy {
+			continue
+		}
+		if r := leastRoomWindow(g.e, c, coverage(g.e, g.cards)); r.Len() > 0 {
+			g.take(i, r, "least room for requests in these layers")
+		}
+	}
+}
+
+// relayOut places the pipelines of a group anew, keeping cards near the layers
+// that they hold.
+func relayOut(e *site.Engine, cards []Card, n int) []Order {
+	var orders []Order
+	for _, chain := range deal(e, cards, n) {
+		slices.SortStableFunc(chain, func(a, b Card) int { return cmp.Compare(position(a), position(b)) })
+		c := counts(e, chain)
+		if c == nil {
+			continue
+		}
+		next := 0
+		for i := range chain {
+			r := site.Range{From: next, To: next + c[i]}
+			next = r.To
+			if r.Len() > 0 && r != chain[i].Ordered {
+				orders = append(orders, Order{Server: chain[i].Server, Layers: r, Reason: "pipeline laid out anew, its cards do not cover all layers"})
+			}
+		}
+	}
+	return orders
+}
+
+// position is where a card lies among the layers; empty cards come last.
+func position(c Card) int {
+	if !placed(c) {
+		return math.MaxInt
+	}
+	return c.Ordered.From
+}
+
+// support uses cards that hold no pipeline by themselves: they take the layers
+// that lie on the fewest cards of the site.
+func support(e *site.Engine, rest, all []Card, orders []Order) []Order {
+	g := &group{e: e, cards: slices.Clone(all), n: minCover}
 	for _, o := range orders {
-		out = append(out, Card{Server: o.Server, Ordered: o.Layers, Busy: true})
+		for i := range g.cards {
+			if g.cards[i].Server.ID == o.Server.ID {
+				g.cards[i].Ordered, g.cards[i].Busy = o.Layers, true
+			}
+		}
 	}
-	return out
+	inRest := func(c Card) bool {
+		return slices.ContainsFunc(rest, func(r Card) bool { return r.Server.ID == c.Server.ID })
+	}
+	for i := range g.cards {
+		if !inRest(g.cards[i]) {
+			g.cards[i].Busy = true // belongs to its group
+		}
+	}
+	if len(rest) == len(all) {
+		g.n = 1
+	}
+	g.fillHoles()
+	g.extendIntoHoles()
+	g.useSpare()
+	return g.orders
 }
 
 func domains(cards []Card) [][]Card {
@@ -243,30 +487,10 @@
 	return na > nb
 }
 
-// fill gives empty cards the layers that are covered worst.
-func fill(e *site.Engine, empty, placed []Card) []Order {
-	cover := coverage(e, placed)
-	slices.SortStableFunc(empty, func(a, b Card) int {
-		return cmp.Compare(e.MaxLayers(b.Server.Kind), e.MaxLayers(a.Server.Kind))
-	})
-	var out []Order
-	for _, c := range empty {
-		r := worstCovered(e, c, cover)
-		if r.Len() == 0 {
-			continue
-		}
-		for l := r.From; l < r.To; l++ {
-			cover[l] += roomOf(e, c, r.Len())
-		}
-		out = append(out, Order{Server: c.Server, Layers: r, Reason: "least room for requests in these layers"})
-	}
-	return append(out, rescue(e, placed, out)...)
-}
-
 // coverage returns for each layer the room for requests that its cards have.
-func coverage(e *site.Engine, placed []Card) []float64 {
+func coverage(e *site.Engine, cards []Card) []float64 {
 	cover := make([]float64, e.Layers)
-	for _, c := range placed {
+	for _, c := range cards {
 		room := roomOf(e, c, c.Ordered.Len())
 		for l := max(0, c.Ordered.From); l < min(e.Layers, c.Ordered.To); l++ {
 			cover[l] += room
@@ -285,91 +509,25 @@
 	return min(float64(max(1, e.Slots)), 1+e.KVRoom(c.Server.Kind, n)/max(1, per))
 }
 
-// worstCovered returns the window of layers for an empty card that has the
+// leastRoomWindow returns the window of layers for an empty card that has the
 // least room now. Its size leaves the card as much room as its neighbours have.
-func worstCovered(e *site.Engine, c Card, cover []float64) site.Range {
+func leastRoomWindow(e *site.Engine, c Card, cover []float64) site.Range {
 	n := fit(e, []Card{c}, float64(max(1, e.Slots)))[0]
 	if n == 0 {
 		n = max(1, e.MaxLayers(c.Server.Kind)/2)
 	}
 	n = min(n, e.Layers)
-	best, bestSum := 0, math.Inf(1)
+	best, bestScore := 0, math.Inf(1)
 	for from := 0; from+n <= e.Layers; from++ {
 		least, sum := math.Inf(1), 0.0
 		for l := from; l < from+n; l++ {
 			least = min(least, cover[l])
 			sum += cover[l]
 		}
-		// A hole counts more than any mean.
-		score := least*float64(e.Layers) + sum/float64(n)
-		if score < bestSum {
-			best, bestSum = from, score
+		// The worst layer counts more than any mean.
+		if score := least*float64(e.Layers) + sum/float64(n); score < bestScore {
+			best, bestScore = from, score
 		}
 	}
 	return site.Range{From: best, To: best + n}
 }
-
-// rescue extends cards into layers that hardly any card holds any more.
-func rescue(e *site.Engine, placed []Card, orders []Order) []Order {
-	holders := make([]int, e.Layers)
-	count := func(r site.Range) {
-		for l := max(0, r.From); l < min(e.Layers, r.To); l++ {
-			holders[l]++
-		}
-	}
-	for _, c := range placed {
-		count(c.Ordered)
-	}
-	for _, o := range orders {
-		count(o.Layers)
-	}
-	var out []Order
-	for l := 0; l < e.Layers; l++ {
-		if holders[l] >= minCover {
-			continue
-		}
-		end := l
-		for end < e.Layers && holders[end] < minCover {
-			end++
-		}
-		if o, ok := extend(e, placed, site.Range{From: l, To: end}, out); ok {
-			count(o.Layers)
-			out = append(out, o)
-		}
-		l = end
-	}
-	return out
-}
-
-// extend lets the neighbouring card with the most memory left take on a hole, or
-// as much of it as fits.
-func extend(e *site.Engine, placed []Card, hole site.Range, taken []Order) (Order, bool) {
-	best, bestLeft := Order{}, -1.0
-	for _, c := range placed {
-		if c.Busy || slices.ContainsFunc(taken, func(o Order) bool { return o.Server.ID == c.Server.ID }) {
-			continue
-		}
-		r := joined(c.Ordered, hole, e.MaxLayers(c.Server.Kind)-c.Ordered.Len())
-		if r == c.Ordered {
-			continue
-		}
-		left := e.KVRoom(c.Server.Kind, r.Len()) / float64(r.Len())
-		if left > bestLeft {
-			best, bestLeft = Order{Server: c.Server, Layers: r, Reason: fmt.Sprintf("layers %d-%d lie on too few cards", hole.From, hole.To)}, left
-		}
-	}
-	return best, bestLeft > 0
-}
-
-// joined returns held extended into the hole by at most n layers.
-func joined(held, hole site.Range, n int) site.Range {
-	switch {
-	case n <= 0:
-		return held
-	case held.From <= hole.From && held.To >= hole.From && held.To < hole.To:
-		held.To = min(hole.To, held.To+n)
-	case held.To >= hole.To && held.From <= hole.To && held.From > hole.From:
-		held.From = max(hole.From, held.From-n)
-	}
-	return held
-}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -29,6 +29,9 @@
 	// orderShows is how long it may take until a finished order shows in the
 	// record of the backend server, beyond the time of the load.
 	orderShows = 3 * time.Second
+	// probeAgain is the pause between two probes of a backend server that did not
+	// answer one.
+	probeAgain = time.Second
 	// settle is how long the set of empty cards must have been the same before a
 	// first placement: backend servers register one after the other.
 	settle = 1200 * time.Millisecond
@@ -55,13 +58,21 @@
 	Changed() <-chan struct{}
 }
 
+// Health tells which backend servers look dead to this daemon's requests.
+type Health interface {
+	Failed(id string) bool
+}
+
 // Placer is one daemon's part in the duty.
 type Placer struct {
 	duty     Duty
 	inv      Inventory
 	backends Backends
+	health   Health
 	logger   log.Logger
 
+	dead map[string]time.Time // by backend server ID, when the probe failed
+
 	mu      sync.Mutex
 	pending map[string]order // by backend server ID
 
@@ -76,8 +87,8 @@
 }
 
 // New returns a placer; Run must be called.
-func New(duty Duty, inv Inventory, b Backends, logger log.Logger) *Placer {
-	return &Placer{duty: duty, inv: inv, backends: b, logger: logger, pending: map[string]order{}}
+func New(duty Duty, inv Inventory, b Backends, h Health, logger log.Logger) *Placer {
+	return &Placer{duty: duty, inv: inv, backends: b, health: h, dead: map[string]time.Time{}, logger: logger, pending: map[string]order{}}
 }
 
 // Run places until ctx ends.
@@ -108,6 +119,7 @@
 		if svc.Engine == nil || svc.Engine.LayerMB <= 0 {
 			continue
 		}
+		p.probe(ctx, view, svc)
 		cards := p.cards(view, svc)
 		if !p.settled(cards) {
 			continue
@@ -116,6 +128,34 @@
 	}
 }
 
+// probe asks the backend servers that look dead for a report. One that does not
+// answer counts as gone, well before its record lapses.
+func (p *Placer) probe(ctx context.Context, view *inventory.View, svc *site.Service) {
+	now := time.Now()
+	for id := range p.dead {
+		if view.Servers[id] == nil {
+			delete(p.dead, id)
+		}
+	}
+	for _, s := range view.OfService(svc.Name) {
+		at, dead := p.dead[s.ID]
+		if !dead && !p.health.Failed(s.ID) || dead && now.Sub(at) < probeAgain {
+			continue
+		}
+		_, err := p.backends.Report(ctx, s)
+		switch {
+		case err == nil && dead:
+			delete(p.dead, s.ID)
+			_ = level.Info(p.logger).Log("msg", "decision", "kind", "probe", "server", s.ID, "state", "answers again")
+		case err != nil:
+			p.dead[s.ID] = time.Now()
+			if !dead {
+				_ = level.Info(p.logger).Log("msg", "decision", "kind", "probe", "server", s.ID, "address", s.Address, "state", "dead", "err", err)
+			}
+		}
+	}
+}
+
 // settled reports whether a placement may begin: at once when some card holds
 // layers, else when no further card has registered for a while.
 func (p *Placer) settled(cards []pipeline.Card) bool {
@@ -135,6 +175,9 @@
 	now := time.Now()
 	var out []pipeline.Card
 	for _, s := range view.OfService(svc.Name) {
+		if _, dead := p.dead[s.ID]; dead {
+			continue
+		}
 		c := pipeline.Card{Server: s, Ordered: s.Held}
 		if o, ok := p.pending[s.ID]; ok {
 			if s.Held == o.layers || now.After(o.until) {
