Relay: one daemon of each failure domain follows the store, the others follow it

Change: package relay (WebSocket, CBOR): sources push changes, answer pings with their freshness, and add up loads; a daemon without a sound source follows the store itself. Membership by records in the store. The choice varies more, since all now see the same loads.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -81,6 +81,9 @@
 // InFlight returns the requests that are being carried.
 func (f *Forwarder) InFlight() int { return f.loads.InFlight() }
 
+// Loads returns the loads that this daemon causes and knows.
+func (f *Forwarder) Loads() *Loads { return f.loads }
+
 // SetBounds changes the bounds on retries and on the age of keys.
 func (f *Forwarder) SetBounds(ratio, slack float64, keysFreshFor time.Duration) {
 	f.budget.Set(ratio, slack)
@@ -139,8 +142,8 @@
 }
 
 // chooseJitter is the share by which costs vary at random: daemons that see the
-// same loads must not all choose the same path.
-const chooseJitter = 0.15
+// same loads, which are up to a second old, must not all choose the same path.
+const chooseJitter = 0.6
 
 func (f *Forwarder) query(req *Request, engine *site.Engine) *pipeline.Query {
 	return &pipeline.Query{Engine: engine, Tokens: tokensOf(req, engine), Near: f.opts.FailureDomain, Jitter: chooseJitter}
--- a/forward/loads.go
+++ b/forward/loads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/pipeline"
+	"github.com/snowspoke/snowspoke/relay"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -25,6 +26,10 @@
 	mu       sync.Mutex
 	servers  map[string]*serverLoad
 	inFlight int
+
+	others        map[string]relay.LoadItem // of the other daemons together
+	othersAt      time.Time
+	othersDaemons int
 }
 
 type serverLoad struct {
@@ -35,6 +40,10 @@
 	failures int // in a row
 }
 
+// othersTTL is how long what the other daemons told counts; after that they are
+// taken to be as busy as this one.
+const othersTTL = 5 * time.Second
+
 // NewLoads returns an empty table.
 func NewLoads() *Loads { return &Loads{servers: map[string]*serverLoad{}} }
 
@@ -66,18 +75,52 @@
 	return s
 }
 
-// Of returns the load of a backend server, taking the other daemons to be as
-// busy as this one.
-func (l *Loads) Of(id string, daemons float64, _ time.Time) pipeline.Load {
+// Of returns the load of a backend server: what the other daemons told, else
+// all daemons are taken to be as busy as this one.
+func (l *Loads) Of(id string, daemons float64, now time.Time) pipeline.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.servers[id]
-	if s == nil {
-		return pipeline.Load{}
+	var own serverLoad
+	if s := l.servers[id]; s != nil {
+		own = *s
 	}
+	if now.Sub(l.othersAt) > othersTTL {
+		return pipeline.Load{
+			Running: float64(own.running) * daemons, KVUsed: own.kv * daemons, Heads: float64(own.heads) * daemons,
+		}
+	}
+	// Daemons that are not among those that told are taken to be like them.
+	unknown := max(1, daemons/float64(1+l.othersDaemons))
+	o := l.others[id]
 	return pipeline.Load{
-		Running: float64(s.running) * daemons, KVUsed: s.kv * daemons, Heads: float64(s.heads) * daemons,
+		Running: float64(own.running) + float64(o.Running)*unknown,
+		KVUsed:  own.kv + o.KV*unknown,
+		Heads:   float64(own.heads) + float64(o.Heads)*unknown,
+	}
+}
+
+// OwnLoads implements relay.LoadBook.
+func (l *Loads) OwnLoads() []relay.LoadItem {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []relay.LoadItem
+	for id, s := range l.servers {
+		if s.running > 0 {
+			out = append(out, relay.LoadItem{Server: id, Running: s.running, Heads: s.heads, KV: s.kv})
+		}
 	}
+	return out
+}
+
+// TakeOthers implements relay.LoadBook.
+func (l *Loads) TakeOthers(loads []relay.LoadItem, daemons int) {
+	others := make(map[string]relay.LoadItem, len(loads))
+	for _, i := range loads {
+		others[i.Server] = i
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.others, l.othersAt, l.othersDaemons = others, time.Now(), daemons
 }
 
 // Enter counts a request in on its path and returns what takes it out again.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/snowspoke/snowspoke/metrics"
 	"github.com/snowspoke/snowspoke/placer"
 	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/relay"
 	"github.com/snowspoke/snowspoke/site"
 	"github.com/snowspoke/snowspoke/store"
 )
@@ -56,6 +57,7 @@
 	backends *platform.Backends
 	inv      *inventory.Inventory
 	members  *members
+	relay    *relay.Node
 	forward  *forward.Forwarder
 	keeper   *lease.Keeper
 	placer   *placer.Placer
@@ -63,6 +65,7 @@
 	conns    *callerConns
 	callers  *http.Server
 	checks   *http.Server
+	links    *http.Server // to other daemons
 	figures  *http.Server
 	ingress  *platform.Ingress
 	stage    atomic.Int32 // a stage of the planned stop
@@ -89,11 +92,14 @@
 	}
 	g := &Gateway{set: set, opts: o, log: forward.NewLog(out), store: platform.NewStore(set.Store), backends: platform.NewBackends(), metrics: m}
 	g.inv = inventory.New(g.store, g.log)
-	g.members = newMembers(set.Name, g.store, g.log)
+	self := relay.Member{Name: set.Name, Domain: set.FailureDomain, Address: net.JoinHostPort(set.IP, fmt.Sprint(set.PeerPort))}
+	g.members = newMembers(self, g.store, g.log)
 	g.forward = forward.New(forward.Options{
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetrySlack: set.RetrySlack,
 		RetryWindow: set.RetryWindow, KeysFreshFor: keysFreshFor(set),
 	}, forward.Parts{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}})
+	g.relay = relay.New(relay.Options{Name: set.Name, Domain: set.FailureDomain}, g.inv, g.forward.Loads(), g.members, g.log)
+	g.links = &http.Server{Addr: self.Address, Handler: g.relay.Handler()}
 	g.keeper = lease.NewKeeper(kindLease, placingDuty, set.Name, dutyPeriod, leaseStore{g.store}, g.log)
 	g.placer = placer.New(g.keeper, g.inv, g.backends, g.forward, g.log)
 	g.conns = newCallerConns()
@@ -149,17 +155,18 @@
 	defer stopDuty()
 	var wg sync.WaitGroup
 	wg.Go(func() { g.log.Run(work.Done()) })
-	wg.Go(func() { g.inv.Run(work) })
+	wg.Go(func() { g.follow(work) })
 	wg.Go(func() { g.backends.Run(work) })
 	wg.Go(func() { g.members.Run(duty) })
 	wg.Go(func() { g.conns.Run(work, g.idleTimeout) })
-	wg.Go(func() { g.keeper.Run(duty) })
+	wg.Go(func() { g.candidate(duty) })
 	wg.Go(func() { g.placer.Run(duty) })
 	failed := make(chan error, 3)
 	wg.Go(func() { failed <- g.callers.Serve(g.conns.listen(callers)) })
 	wg.Go(func() { failed <- g.checks.Serve(checks) })
+	wg.Go(func() { g.serveExtra(g.links, "links to other daemons") })
 	if g.figures != nil {
-		wg.Go(func() { g.serveFigures() })
+		wg.Go(func() { g.serveExtra(g.figures, "metrics") })
 	}
 	wg.Go(func() { g.followSettings(work) })
 	select {
@@ -170,6 +177,7 @@
 	stopWork()
 	_ = g.callers.Close()
 	_ = g.checks.Close()
+	_ = g.links.Close()
 	if g.figures != nil {
 		_ = g.figures.Close()
 	}
@@ -180,9 +188,43 @@
 	return err
 }
 
-func (g *Gateway) serveFigures() {
-	if err := g.figures.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		_ = level.Warn(g.log).Log("msg", "metrics are not served", "err", err)
+// serveExtra runs a server without which the daemon serves callers all the same.
+func (g *Gateway) serveExtra(s *http.Server, what string) {
+	if err := s.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		_ = level.Warn(g.log).Log("msg", "not served", "what", what, "address", s.Addr, "err", err)
+	}
+}
+
+// follow keeps the inventory up to date, over other daemons once they are known.
+func (g *Gateway) follow(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-g.members.Found():
+	}
+	g.relay.Run(ctx)
+}
+
+// candidatePoll is the pause between two looks at whether this daemon is a
+// candidate for the duty.
+const candidatePoll = 500 * time.Millisecond
+
+// candidate tries for the placement duty while this daemon follows the store
+// itself: the duty needs the store, and few candidates cost few calls.
+func (g *Gateway) candidate(ctx context.Context) {
+	for ctx.Err() == nil {
+		if g.relay.Reading() {
+			kctx, cancel := context.WithCancel(ctx)
+			go func() {
+				for kctx.Err() == nil && g.relay.Reading() {
+					pause(kctx, candidatePoll)
+				}
+				cancel()
+			}()
+			g.keeper.Run(kctx)
+			cancel()
+		}
+		pause(ctx, candidatePoll)
 	}
 }
 
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -3,20 +3,26 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/snowspoke/snowspoke/relay"
 	"github.com/snowspoke/snowspoke/store"
 )
 
-// Periods of membership. Each call to the store is paid for; only the number of
-// daemons is needed, and it may be a little old.
+// Periods of membership. Each call to the store is paid for; daemons are found
+// by their records, and one that cannot be reached is passed over, so records
+// may be old.
 const (
-	heartbeat   = 10 * time.Second
+	heartbeat   = 30 * time.Second
 	memberTTL   = 5 * heartbeat / 2
+	listEvery   = 8 * time.Second
+	firstList   = 400 * time.Millisecond // VMs start within 0.3 s of each other
 	leaveWithin = time.Second
 )
 
@@ -25,19 +31,31 @@
 	Get(ctx context.Context, kind, name string) (store.Object, error)
 	Put(ctx context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error)
 	Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error)
-	List(ctx context.Context, kind string) ([]store.Object, error)
+	// List may be seconds old unless it is to be fresh.
+	List(ctx context.Context, kind string, fresh bool) ([]store.Object, error)
 }
 
-// members counts the daemons that are alive: each writes an object every
-// heartbeat, and one that has not changed for a while is dead.
+// memberSpec is a daemon's record.
+type memberSpec struct {
+	Domain  string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"` // of its links to other daemons
+	Beat    uint64 `cbor:"3,keyasint"`
+}
+
+// members finds the other daemons: each writes a record, and one that has not
+// changed for a while is dead. It implements forward.Fleet and relay.Members.
 type members struct {
-	self    string
+	self    relay.Member
 	store   memberStore
 	logger  log.Logger
-	version uint64 // of the own object
-	beats   byte
-	seen    map[string]seenMember
+	version uint64 // of the own record
+	beats   uint64
 	alive   atomic.Int64
+	found   chan struct{} // closed after the first list
+
+	mu   sync.Mutex
+	seen map[string]seenMember
+	all  []relay.Member
 }
 
 type seenMember struct {
@@ -45,8 +63,8 @@
 	at      time.Time
 }
 
-func newMembers(self string, s memberStore, logger log.Logger) *members {
-	m := &members{self: self, store: s, logger: logger, seen: map[string]seenMember{}}
+func newMembers(self relay.Member, s memberStore, logger log.Logger) *members {
+	m := &members{self: self, store: s, logger: logger, seen: map[string]seenMember{}, found: make(chan struct{})}
 	m.alive.Store(1)
 	return m
 }
@@ -54,71 +72,123 @@
 // Daemons implements forward.Fleet.
 func (m *members) Daemons() int { return int(m.alive.Load()) }
 
-// Run beats until ctx ends, then takes the own object away.
+// All implements relay.Members.
+func (m *members) All() []relay.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.all
+}
+
+// Found is closed when the daemons were listed for the first time, or that
+// failed.
+func (m *members) Found() <-chan struct{} { return m.found }
+
+// Run keeps the own record and the list until ctx ends, then takes the record
+// away.
 func (m *members) Run(ctx context.Context) {
-	t := time.NewTicker(heartbeat)
-	defer t.Stop()
+	m.beat(ctx)
+	pause(ctx, firstList)
+	m.list(ctx, true)
+	close(m.found)
+	beats, lists := time.NewTicker(heartbeat), time.NewTicker(listEvery)
+	defer beats.Stop()
+	defer lists.Stop()
 	for {
-		m.beat(ctx)
-		m.count(ctx)
 		select {
 		case <-ctx.Done():
 			m.leave()
 			return
-		case <-t.C:
+		case <-beats.C:
+			m.beat(ctx)
+		case <-lists.C:
+			if m.version == 0 {
+				m.beat(ctx)
+			}
+			m.list(ctx, false)
 		}
 	}
 }
 
-// beat writes the own object. After a lost answer or a restart its version is
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// beat writes the own record. After a lost answer or a restart its version is
 // read again.
 func (m *members) beat(ctx context.Context) {
-	m.beats++
-	v, err := m.store.Put(ctx, kindDaemon, m.self, []byte{m.beats}, m.version)
+	err := m.write(ctx)
 	if err == nil {
-		m.version = v
 		return
 	}
+	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrAmbiguous) {
+		o, gerr := m.store.Get(ctx, kindDaemon, m.self.Name)
+		if gerr == nil {
+			m.version = o.Version
+			err = m.write(ctx)
+		}
+	}
 	if errors.Is(err, store.ErrNotFound) {
 		m.version = 0
-		return
+		err = m.write(ctx)
 	}
-	if o, gerr := m.store.Get(ctx, kindDaemon, m.self); gerr == nil {
-		m.version = o.Version
-		if v, err = m.store.Put(ctx, kindDaemon, m.self, []byte{m.beats}, m.version); err == nil {
-			m.version = v
-			return
-		}
+	if err != nil {
+		_ = level.Warn(m.logger).Log("msg", "own record not written", "err", err)
+	}
+}
+
+func (m *members) write(ctx context.Context) error {
+	m.beats++
+	spec, err := cbor.Marshal(memberSpec{Domain: m.self.Domain, Address: m.self.Address, Beat: m.beats})
+	if err != nil {
+		return err
 	}
-	_ = level.Warn(m.logger).Log("msg", "heartbeat not written", "err", err)
+	v, err := m.store.Put(ctx, kindDaemon, m.self.Name, spec, m.version)
+	if err == nil {
+		m.version = v
+	}
+	return err
 }
 
-func (m *members) count(ctx context.Context) {
-	all, err := m.store.List(ctx, kindDaemon)
+// list reads who is there.
+func (m *members) list(ctx context.Context, fresh bool) {
+	objects, err := m.store.List(ctx, kindDaemon, fresh)
 	if err != nil {
-		return // the last count stays; the loss of the store is logged elsewhere
+		_ = level.Warn(m.logger).Log("msg", "daemons not listed, the last list stays", "err", err)
+		return
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	now := time.Now()
 	seen := map[string]seenMember{}
-	alive := 0
-	for _, o := range all {
+	var all []relay.Member
+	for _, o := range objects {
+		var spec memberSpec
+		if err := cbor.Unmarshal(o.Spec, &spec); err != nil {
+			_ = level.Error(m.logger).Log("msg", "record of daemon ignored", "name", o.Name, "err", err)
+			continue
+		}
 		s, known := m.seen[o.Name]
 		if !known || s.version != o.Version {
 			s = seenMember{version: o.Version, at: now}
 		}
 		seen[o.Name] = s
 		if now.Sub(s.at) < memberTTL {
-			alive++
+			all = append(all, relay.Member{Name: o.Name, Domain: spec.Domain, Address: spec.Address})
 		}
 	}
-	m.seen = seen
-	m.alive.Store(int64(max(1, alive)))
+	m.seen, m.all = seen, all
+	m.alive.Store(int64(max(1, len(all))))
 }
 
 func (m *members) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveWithin)
 	defer cancel()
-	if _, err := m.store.Delete(ctx, kindDaemon, m.self, m.version); err != nil {
+	if _, err := m.store.Delete(ctx, kindDaemon, m.self.Name, m.version); err != nil {
 		_ = level.Warn(m.logger).Log("msg", "own record not deleted", "err", err)
 	}
 }
--- a/inventory/feed.go
+++ b/inventory/feed.go
@@ -17,11 +17,18 @@
 	Revision uint64
 }
 
+// ConfigRecord is one version of the configuration.
+type ConfigRecord struct {
+	Raw    []byte // as it lies in the store
+	Config *site.Config
+}
+
 // ServerRecord is the record of a backend server, or that it is gone.
 type ServerRecord struct {
 	ID       string
 	Revision uint64
 	Gone     bool
+	Raw      []byte              // as it lies in the store
 	Server   *site.BackendServer // nil when gone or invalid
 	Err      error               // why the record is invalid
 }
@@ -30,8 +37,11 @@
 // soon as there is a change, or with none when the wait is over. Errors are the
 // sentinels of package store.
 type Feed interface {
-	Config(ctx context.Context) (Read[*site.Config], error)
-	ConfigChanges(ctx context.Context, since uint64, wait time.Duration) (Read[*site.Config], error)
+	Config(ctx context.Context) (Read[ConfigRecord], error)
+	ConfigChanges(ctx context.Context, since uint64, wait time.Duration) (Read[ConfigRecord], error)
 	Servers(ctx context.Context) (Read[ServerRecord], error)
 	ServerChanges(ctx context.Context, since uint64, wait time.Duration) (Read[ServerRecord], error)
+	// DecodeConfig and DecodeServer decode what lies in the store.
+	DecodeConfig(raw []byte) (*site.Config, error)
+	DecodeServer(id string, raw []byte) (*site.BackendServer, error)
 }
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -18,30 +18,25 @@
 
 // Periods of following the store.
 const (
-	// configWait is how long a watch of the configuration waits for a change, at
-	// most. An answer without one proves that the configuration is fresh; each call
-	// is paid for.
-	configWait = 3 * time.Second
-	// provenWithin is the age of the proof at which a watch shall end: below the
-	// bound on revoked keys (5 s) by the time that another read may take.
-	provenWithin = 3900 * time.Millisecond
-	// leastWait keeps watches from following each other too closely.
-	leastWait = 300 * time.Millisecond
+	// configWait is how long a watch of the configuration waits for a change. An
+	// answer without one shows that the store is in reach and, after watchDoubt,
+	// that the configuration is fresh. Other daemons leave this one when it has not
+	// heard from the store for a little longer than this wait.
+	configWait = 900 * time.Millisecond
 	// serverWait is the same for backend servers. It is longer, since a lost store
 	// shows at the watch of the configuration first.
 	serverWait = 9 * time.Second
 	// gather is the pause after changes before the next watch of backend servers,
 	// so that changes that come together take one call.
 	gather = 250 * time.Millisecond
-	// watchDoubt is taken off what an answer without changes proves: a store that
+	// watchDoubt is taken off the time of an answer without changes: a store that
 	// is about to drop its history may hold changes back for a second.
 	watchDoubt = time.Second
 	// lapseGrace is how long a record that is missing after an outage of the store
 	// is kept: living backend servers are back within two seconds.
 	lapseGrace = 1800 * time.Millisecond
-	// firstPause and lastPause bound the jittered pause after a failed call.
+	// firstPause is the jittered pause after a first failed call.
 	firstPause = 50 * time.Millisecond
-	lastPause  = 400 * time.Millisecond
 )
 
 // View is what is known at one moment. It is immutable.
@@ -70,16 +65,20 @@
 	mu      sync.Mutex
 	servers map[string]record
 	fresh   time.Time // until when no newer configuration existed, surely
+	heard   time.Time // when the store last answered this daemon
 	notify  chan struct{}
+
+	rawConfig []byte // of the configuration in force
 }
 
 type record struct {
 	server   *site.BackendServer
+	raw      []byte
 	revision uint64
 	lapsedAt time.Time // missing since an outage, zero while it is there
 }
 
-// New returns an empty inventory; Run fills it.
+// New returns an empty inventory; Follow fills it, or Apply does.
 func New(feed Feed, logger log.Logger) *Inventory {
 	i := &Inventory{feed: feed, logger: logger, servers: map[string]record{}, notify: make(chan struct{})}
 	i.view.Store(&View{Servers: map[string]*site.BackendServer{}})
@@ -103,15 +102,32 @@
 	return now.Sub(i.fresh)
 }
 
-// Run follows the store until ctx ends.
-func (i *Inventory) Run(ctx context.Context) {
+// Heard returns when the store last answered this daemon; the zero time says that
+// it is lost or not followed.
+func (i *Inventory) Heard() time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.heard
+}
+
+func (i *Inventory) forgetHeard() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.heard = time.Time{}
+}
+
+// Follow follows the store itself until ctx ends, with pauses of at most longest
+// after failed calls.
+func (i *Inventory) Follow(ctx context.Context, longest time.Duration) {
+	defer i.forgetHeard()
 	var wg sync.WaitGroup
 	suspect := make(chan struct{}, 1)
 	wg.Go(func() {
-		follow(ctx, &follower[*site.Config]{
-			name: "configuration", logger: i.logger, wait: i.configWait, list: i.feed.Config, watch: i.feed.ConfigChanges,
-			take: func(items []*site.Config, _ bool, fresh time.Time) { i.takeConfig(items, fresh) },
+		follow(ctx, &follower[ConfigRecord]{
+			name: "configuration", logger: i.logger, pause: longest, wait: configWait, list: i.feed.Config, watch: i.feed.ConfigChanges,
+			take: func(items []ConfigRecord, _ bool, fresh time.Time) { i.takeConfig(items, fresh) },
 			lost: func() {
+				i.forgetHeard()
 				select {
 				case suspect <- struct{}{}:
 				default: // the other follower knows already
@@ -121,7 +137,7 @@
 	})
 	wg.Go(func() {
 		follow(ctx, &follower[ServerRecord]{
-			name: "backend servers", logger: i.logger, wait: func() time.Duration { return serverWait }, gather: gather, suspect: suspect,
+			name: "backend servers", logger: i.logger, pause: longest, wait: serverWait, gather: gather, suspect: suspect,
 			list: i.feed.Servers, watch: i.feed.ServerChanges, lost: func() {},
 			take: func(items []ServerRecord, full bool, _ time.Time) { i.takeServers(items, full) },
 		})
@@ -129,17 +145,13 @@
 	wg.Wait()
 }
 
-// configWait ends a watch before the proof of freshness is too old.
-func (i *Inventory) configWait() time.Duration {
-	return min(configWait, max(leastWait, provenWithin-i.Age(time.Now())))
-}
-
 // follower lists a kind and then watches it.
 type follower[T any] struct {
 	name    string
 	logger  log.Logger
-	wait    func() time.Duration // of a watch
-	gather  time.Duration        // pause after changes
+	wait    time.Duration // of a watch
+	gather  time.Duration // pause after changes
+	pause   time.Duration // longest pause after failed calls
 	suspect <-chan struct{}
 	list    func(context.Context) (Read[T], error)
 	watch   func(context.Context, uint64, time.Duration) (Read[T], error)
@@ -152,7 +164,7 @@
 // follow runs a follower until ctx ends. After a failed call it lists again,
 // since entries may have lapsed unseen.
 func follow[T any](ctx context.Context, f *follower[T]) {
-	pause := newPause()
+	pause := newPause(f.pause)
 	revision := uint64(0)
 	for ctx.Err() == nil {
 		full := revision == 0
@@ -198,10 +210,9 @@
 			}
 		}()
 	}
-	wait := f.wait()
-	r, err = f.watch(wctx, revision, wait)
-	if err == nil && len(r.Items) == 0 && wait > watchDoubt && time.Since(sent) >= wait {
-		return r, sent.Add(wait - watchDoubt), nil
+	r, err = f.watch(wctx, revision, f.wait)
+	if err == nil && len(r.Items) == 0 && time.Since(sent) >= f.wait {
+		return r, sent.Add(f.wait - watchDoubt), nil
 	}
 	return r, sent, err
 }
@@ -219,10 +230,10 @@
 	}
 }
 
-func newPause() *backoff.ExponentialBackOff {
+func newPause(longest time.Duration) *backoff.ExponentialBackOff {
 	p := backoff.NewExponentialBackOff()
 	p.InitialInterval = firstPause
-	p.MaxInterval = lastPause
+	p.MaxInterval = longest
 	return p
 }
 
@@ -235,24 +246,28 @@
 	}
 }
 
-func (i *Inventory) takeConfig(items []*site.Config, fresh time.Time) {
+func (i *Inventory) takeConfig(items []ConfigRecord, fresh time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if fresh.After(i.fresh) {
 		i.fresh = fresh
 	}
+	if !fresh.IsZero() {
+		i.heard = time.Now()
+	}
 	old := i.view.Load()
-	newest := old.Config
+	newest := ConfigRecord{Config: old.Config, Raw: i.rawConfig}
 	for _, c := range items {
-		if newest == nil || c.Version > newest.Version {
+		if newest.Config == nil || c.Config.Version > newest.Config.Version {
 			newest = c
 		}
 	}
-	if newest == old.Config {
+	if newest.Config == old.Config {
 		return
 	}
-	_ = level.Info(i.logger).Log("msg", "configuration in force", "version", newest.Version)
-	i.publish(&View{Config: newest, Servers: old.Servers})
+	i.rawConfig = newest.Raw
+	_ = level.Info(i.logger).Log("msg", "configuration in force", "version", newest.Config.Version)
+	i.publish(&View{Config: newest.Config, Servers: old.Servers})
 }
 
 // takeServers applies records. A full list also tells which records are gone:
@@ -290,7 +305,7 @@
 			_ = level.Info(i.logger).Log("msg", "backend server", "id", r.ID, "address", r.Server.Address,
 				"service", r.Server.Service, "draining", r.Server.Draining, "from", r.Server.Held.From, "to", r.Server.Held.To)
 		}
-		i.servers[r.ID] = record{server: r.Server, revision: r.Revision}
+		i.servers[r.ID] = record{server: r.Server, raw: r.Raw, revision: r.Revision}
 	}
 }
 
--- /dev/null
+++ b/inventory/state.go
@@ -0,0 +1,76 @@
+package inventory
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// Entry is the record of a backend server as it lies in the store.
+type Entry struct {
+	Raw      []byte
+	Revision uint64
+}
+
+// State is what a daemon passes on to another: the configuration in force and
+// the backend servers, undecoded.
+type State struct {
+	ConfigVersion uint64 // 0 for none
+	Config        []byte
+	Servers       map[string]Entry
+}
+
+// State returns what is known now.
+func (i *Inventory) State() State {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	s := State{Config: i.rawConfig, Servers: make(map[string]Entry, len(i.servers))}
+	if c := i.view.Load().Config; c != nil {
+		s.ConfigVersion = c.Version
+	}
+	for id, r := range i.servers {
+		s.Servers[id] = Entry{Raw: r.raw, Revision: r.revision}
+	}
+	return s
+}
+
+// Update is what changed at the daemon that passes its state on.
+type Update struct {
+	Config  []byte // nil when unchanged
+	Servers map[string]Entry
+	Gone    []string
+	Full    bool // Servers are all that exist
+}
+
+// Apply takes an update of another daemon. Nothing goes back: a configuration or
+// a record counts only if it is newer than what is known.
+func (i *Inventory) Apply(u Update) {
+	if u.Config != nil {
+		c, err := i.feed.DecodeConfig(u.Config)
+		if err != nil {
+			_ = level.Error(i.logger).Log("msg", "configuration ignored", "err", err)
+		} else {
+			i.takeConfig([]ConfigRecord{{Raw: u.Config, Config: c}}, time.Time{})
+		}
+	}
+	records := make([]ServerRecord, 0, len(u.Servers)+len(u.Gone))
+	for id, e := range u.Servers {
+		r := ServerRecord{ID: id, Revision: e.Revision, Raw: e.Raw}
+		r.Server, r.Err = i.feed.DecodeServer(id, e.Raw)
+		records = append(records, r)
+	}
+	for _, id := range u.Gone {
+		records = append(records, ServerRecord{ID: id, Gone: true, Revision: ^uint64(0)})
+	}
+	i.takeServers(records, u.Full)
+}
+
+// Vouch says that no newer configuration than the one in force existed at fresh.
+func (i *Inventory) Vouch(version uint64, fresh time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	c := i.view.Load().Config
+	if c != nil && c.Version >= version && fresh.After(i.fresh) {
+		i.fresh = fresh
+	}
+}
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -54,6 +54,9 @@
 	fullFrom = 0.85
 	// fullCostMS is the cost of a hop whose memory is all used.
 	fullCostMS = 200.0
+	// spreadWeight makes a card dearer the more of its memory is used, so that
+	// requests spread before a card is full.
+	spreadWeight = 1.0
 	// crossWeight multiplies the time that a prompt's activations take through the
 	// pipe between failure domains: all requests share it, one at a time.
 	crossWeight = 5.0
@@ -113,6 +116,7 @@
 		slow := max(1, c.Load.Slow)
 		out[i].perLayer = slow * (step*stepsWeight + read) / float64(max(1, n))
 		full := fullness(q, c, n)
+		out[i].perLayer *= 1 + spreadWeight*min(1, full)
 		if full > fullFrom {
 			out[i].fixed = fullCostMS * (full - fullFrom) / (1 - fullFrom)
 		}
--- /dev/null
+++ b/relay/exchange.go
@@ -0,0 +1,131 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/snowspoke/snowspoke/inventory"
+)
+
+// exchangeEvery is the period at which the sources of failure domains tell each
+// other the loads of their domains.
+const exchangeEvery = 1500 * time.Millisecond
+
+// exchange holds the loads that the other domains' sources told.
+type exchange struct {
+	mu   sync.Mutex
+	told map[string]told // by domain
+}
+
+func newExchange() *exchange { return &exchange{told: map[string]told{}} }
+
+func (e *exchange) put(domain string, loads []LoadItem, daemons int, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.told[domain] = told{at: now, loads: loads, daemons: daemons}
+}
+
+func (e *exchange) load(now time.Time) []LoadItem {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := map[string]LoadItem{}
+	for _, t := range e.told {
+		if now.Sub(t.at) <= loadTTL {
+			addLoads(sum, t.loads)
+		}
+	}
+	return list(sum)
+}
+
+func (e *exchange) count(now time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, t := range e.told {
+		if now.Sub(t.at) <= loadTTL {
+			n += t.daemons
+		}
+	}
+	return n
+}
+
+// exchangeLoads asks the sources of the other domains for their loads while this
+// daemon is a source, and takes what its followers need.
+func (n *Node) exchangeLoads(ctx context.Context) {
+	t := time.NewTicker(exchangeEvery)
+	defer t.Stop()
+	links := map[string]*websocket.Conn{}
+	defer func() {
+		for _, c := range links {
+			_ = c.CloseNow()
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for domain, m := range n.otherSources() {
+			n.askDomain(ctx, links, domain, m)
+		}
+		now := time.Now()
+		sum, daemons := n.ledger.total("", func(d string) bool { return d == n.opts.Domain }, now)
+		addLoads(sum, n.otherDomains.load(now))
+		n.book.TakeOthers(list(sum), daemons+n.otherDomains.count(now))
+	}
+}
+
+// otherSources returns the first daemon of each other domain: most likely its
+// source.
+func (n *Node) otherSources() map[string]Member {
+	out := map[string]Member{}
+	for _, m := range n.members.All() {
+		if m.Domain == n.opts.Domain {
+			continue
+		}
+		if first, ok := out[m.Domain]; !ok || m.Name < first.Name {
+			out[m.Domain] = m
+		}
+	}
+	return out
+}
+
+// askDomain makes one exchange with the source of another domain.
+func (n *Node) askDomain(ctx context.Context, links map[string]*websocket.Conn, domain string, m Member) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c := links[domain]
+	if c == nil {
+		var err error
+		if c, err = dial(ctx, m); err != nil {
+			return // tried again at the next exchange; its last loads run out
+		}
+		links[domain] = c
+	}
+	p := &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, LoadsOnly: true}
+	if err := writeFrame(ctx, c, &frame{Ping: p}); err != nil {
+		_ = c.CloseNow()
+		delete(links, domain)
+		return
+	}
+	for {
+		f, err := readFrame(ctx, c)
+		if err != nil {
+			_ = c.CloseNow()
+			delete(links, domain)
+			return
+		}
+		if f.Pong != nil {
+			n.otherDomains.put(domain, f.Pong.Loads, f.Pong.Daemons, time.Now())
+			return
+		}
+	}
+}
+
+func toUpdate(u *update) inventory.Update {
+	return inventory.Update{Config: u.Config, Servers: u.Servers, Gone: u.Gone, Full: u.Full}
+}
--- /dev/null
+++ b/relay/loads.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"sync"
+	"time"
+)
+
+// loadTTL is how long the loads that a daemon told count: a little more than two
+// pings.
+const loadTTL = 3500 * time.Millisecond
+
+// ledger adds up the loads of the daemons that follow this one. It is safe for
+// concurrent use.
+type ledger struct {
+	mu    sync.Mutex
+	byOne map[string]told
+}
+
+type told struct {
+	at      time.Time
+	domain  string
+	loads   []LoadItem
+	daemons int // whose loads these are
+}
+
+func newLedger() *ledger { return &ledger{byOne: map[string]told{}} }
+
+// put takes what a daemon told.
+func (l *ledger) put(daemon, domain string, loads []LoadItem, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.byOne[daemon] = told{at: now, domain: domain, loads: loads, daemons: 1}
+}
+
+// total adds up the loads told by all but one daemon. keep says whose domains
+// count.
+func (l *ledger) total(except string, keep func(domain string) bool, now time.Time) (sum map[string]LoadItem, daemons int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum = map[string]LoadItem{}
+	for name, t := range l.byOne {
+		if now.Sub(t.at) > loadTTL {
+			delete(l.byOne, name)
+			continue
+		}
+		if name == except || !keep(t.domain) {
+			continue
+		}
+		daemons += t.daemons
+		addLoads(sum, t.loads)
+	}
+	return sum, daemons
+}
+
+func addLoads(sum map[string]LoadItem, loads []LoadItem) {
+	for _, i := range loads {
+		s := sum[i.Server]
+		s.Server = i.Server
+		s.Running += i.Running
+		s.Heads += i.Heads
+		s.KV += i.KV
+		sum[i.Server] = s
+	}
+}
+
+func list(sum map[string]LoadItem) []LoadItem {
+	out := make([]LoadItem, 0, len(sum))
+	for _, i := range sum {
+		if i.Running != 0 || i.Heads != 0 {
+			out = append(out, i)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/relay/node.go
@@ -0,0 +1,340 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// Times of following another daemon. A configuration is to be in force within two
+// seconds, also when a source is cut off without a word just before it comes:
+// unheardFor, a ping and a list of the store's take less.
+const (
+	// pingEvery is the period at which a source is asked how fresh it is.
+	pingEvery = 400 * time.Millisecond
+	// silentFor is how long a source may say nothing before it is left.
+	silentFor = 1100 * time.Millisecond
+	// unheardFor is how long a source may not have heard from the store: its watch
+	// waits 0.9 s, and a slow store takes 0.4 s more.
+	unheardFor = 1350 * time.Millisecond
+	// dialTimeout bounds the opening of a link.
+	dialTimeout = 400 * time.Millisecond
+	// tryAgain is the pause after which a daemon looks for a better source.
+	tryAgain = 1500 * time.Millisecond
+	// ownSources is how many daemons of the own domain are tried as a source: the
+	// first follows the store, the second does when the first is lost.
+	ownSources = 2
+	// firstStorePause and laterStorePause bound the pause after failed calls to the
+	// store: while it is away, only the first daemons of a domain look for it often.
+	firstStorePause = 400 * time.Millisecond
+	laterStorePause = 2 * time.Second
+)
+
+var (
+	errStale  = errors.New("relay: source is not fresh")
+	errSilent = errors.New("relay: source is silent")
+)
+
+// Member is another daemon.
+type Member struct {
+	Name    string
+	Domain  string
+	Address string // of its links
+}
+
+// Members lists the daemons, this one included.
+type Members interface{ All() []Member }
+
+// Options are the settings of a node.
+type Options struct {
+	Name   string
+	Domain string
+}
+
+// Node is one daemon's part in the relay.
+type Node struct {
+	opts    Options
+	inv     Inventory
+	book    LoadBook
+	members Members
+	logger  log.Logger
+	ledger  *ledger
+
+	reading      atomic.Bool // this daemon follows the store itself
+	otherDomains *exchange
+
+	mu     sync.Mutex
+	source context.Context // ends when this daemon stops being a source
+}
+
+// New returns a node; Run must be called.
+func New(o Options, inv Inventory, book LoadBook, m Members, logger log.Logger) *Node {
+	return &Node{
+		opts: o, inv: inv, book: book, members: m, logger: logger, ledger: newLedger(),
+		otherDomains: newExchange(), source: context.Background(),
+	}
+}
+
+// Handler serves links to other daemons.
+func (n *Node) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(Path, n.serveLink)
+	return mux
+}
+
+// Reading reports whether this daemon follows the store itself.
+func (n *Node) Reading() bool { return n.reading.Load() }
+
+func (n *Node) sourceContext() context.Context {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.source
+}
+
+// Run keeps the inventory up to date until ctx ends: over a source if there is a
+// sound one, else from the store itself.
+func (n *Node) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n.followSource(ctx) {
+			continue
+		}
+		n.followStore(ctx)
+	}
+}
+
+// sound reports whether this daemon may be a source: it follows the store itself
+// and heard from it just now.
+func (n *Node) sound(now time.Time) bool {
+	return n.reading.Load() && now.Sub(n.inv.Heard()) < unheardFor
+}
+
+// candidates returns the daemons that this one may follow, the best first: the
+// first ones of its domain that come before it in the order of names; then, for
+// all but the first two, the first ones of the other domains. Only a daemon that
+// follows the store is a source, so daemons never follow each other in a circle.
+func (n *Node) candidates() []Member {
+	all := n.members.All()
+	var own []Member
+	for _, m := range all {
+		if m.Domain == n.opts.Domain && m.Name < n.opts.Name {
+			own = append(own, m)
+		}
+	}
+	slices.SortFunc(own, byName)
+	if len(own) < ownSources {
+		return own
+	}
+	out := own[:ownSources:ownSources]
+	others := make([]Member, 0, len(all))
+	for _, m := range n.otherSources() {
+		others = append(others, m)
+	}
+	slices.SortFunc(others, byName)
+	return append(out, others...)
+}
+
+func byName(a, b Member) int { return strings.Compare(a.Name, b.Name) }
+
+// followSource follows the first source that can be reached until it fails. It
+// returns whether one was followed.
+func (n *Node) followSource(ctx context.Context) bool {
+	better := []Member{}
+	for _, m := range n.candidates() {
+		sctx, cancel := context.WithCancel(ctx)
+		go n.lookForBetter(sctx, better, cancel)
+		followed, err := n.session(sctx, m, nil)
+		cancel()
+		if ctx.Err() != nil {
+			return true
+		}
+		if followed {
+			_ = level.Info(n.logger).Log("msg", "source left", "source", m.Name, "address", m.Address, "err", err)
+			return true
+		}
+		better = append(better, m)
+	}
+	return false
+}
+
+// lookForBetter ends the following of a source when a better one is sound again.
+func (n *Node) lookForBetter(ctx context.Context, better []Member, leave func()) {
+	if len(better) == 0 {
+		return
+	}
+	n.awaitAny(ctx, func() []Member { return better })
+	leave()
+}
+
+// followStore follows the store itself until a source is found.
+func (n *Node) followStore(ctx context.Context) {
+	sctx, cancel := context.WithCancel(ctx)
+	n.mu.Lock()
+	n.source = sctx
+	n.mu.Unlock()
+	var wg sync.WaitGroup
+	longest := firstStorePause
+	if len(n.candidates()) >= ownSources {
+		longest = laterStorePause
+	}
+	wg.Go(func() { n.inv.Follow(sctx, longest) })
+	wg.Go(func() { n.exchangeLoads(sctx) })
+	n.reading.Store(true)
+	_ = level.Info(n.logger).Log("msg", "following the store", "domain", n.opts.Domain)
+	n.awaitAny(ctx, n.candidates)
+	n.reading.Store(false)
+	cancel()
+	wg.Wait()
+}
+
+// awaitAny returns when one of the daemons is a sound source, or ctx ends.
+func (n *Node) awaitAny(ctx context.Context, candidates func() []Member) {
+	t := time.NewTicker(tryAgain)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for _, m := range candidates() {
+			if n.probe(ctx, m) {
+				return
+			}
+		}
+	}
+}
+
+// probe reports whether a daemon is a sound source.
+func (n *Node) probe(ctx context.Context, m Member) bool {
+	found := errors.New("found")
+	_, err := n.session(ctx, m, found)
+	return errors.Is(err, found)
+}
+
+// session follows a source until the link fails or its knowledge is not fresh.
+// followed says that it was fresh at first. With a probe error it returns that
+// as soon as the source has shown to be fresh.
+func (n *Node) session(ctx context.Context, m Member, probe error) (followed bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	c, err := dial(ctx, m)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = c.CloseNow() }()
+	s := &session{node: n, conn: c, sent: map[uint64]time.Time{}, probe: probe, cancel: cancel}
+	s.silent = time.AfterFunc(silentFor, func() { cancel(errSilent) })
+	defer s.silent.Stop()
+	go s.pings(ctx)
+	err = s.read(ctx)
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	return s.followed, err
+}
+
+func dial(ctx context.Context, m Member) (*websocket.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, resp, err := websocket.Dial(ctx, "ws://"+m.Address+Path, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		if resp != nil {
+			return nil, fmt.Errorf("relay: %s: status %d", m.Name, resp.StatusCode)
+		}
+		return nil, fmt.Errorf("relay: %s: %w", m.Name, err)
+	}
+	c.SetReadLimit(maxFrameBytes)
+	return c, nil
+}
+
+// session is one link to a source.
+type session struct {
+	node   *Node
+	conn   *websocket.Conn
+	silent *time.Timer
+	probe  error
+	cancel context.CancelCauseFunc
+
+	followed bool // it has shown to be fresh; used by the reader alone
+
+	mu     sync.Mutex
+	number uint64
+	sent   map[uint64]time.Time // of pings without an answer
+}
+
+func (s *session) pings(ctx context.Context) {
+	t := time.NewTicker(pingEvery)
+	defer t.Stop()
+	for {
+		if err := s.ping(ctx); err != nil {
+			s.cancel(err)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (s *session) ping(ctx context.Context) error {
+	s.mu.Lock()
+	s.number++
+	number := s.number
+	s.sent[number] = time.Now()
+	s.mu.Unlock()
+	p := &ping{Number: number, Sender: s.node.opts.Name, Domain: s.node.opts.Domain, Loads: s.node.book.OwnLoads()}
+	return writeFrame(ctx, s.conn, &frame{Ping: p})
+}
+
+func (s *session) read(ctx context.Context) error {
+	for {
+		f, err := readFrame(ctx, s.conn)
+		if err != nil {
+			return err
+		}
+		switch {
+		case f.Update != nil && s.probe == nil:
+			u := f.Update
+			s.node.inv.Apply(toUpdate(u))
+		case f.Pong != nil:
+			if err := s.pong(f.Pong); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// pong takes an answer. What the source knew is as fresh as it says, counted
+// from when it was asked.
+func (s *session) pong(p *pong) error {
+	s.silent.Reset(silentFor)
+	s.mu.Lock()
+	sent, ok := s.sent[p.Number]
+	delete(s.sent, p.Number)
+	s.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	if p.Heard > unheardFor {
+		return errStale
+	}
+	if s.probe != nil {
+		return s.probe
+	}
+	s.followed = true
+	s.node.inv.Vouch(p.Version, sent.Add(-p.Age))
+	s.node.book.TakeOthers(p.Loads, p.Daemons)
+	return nil
+}
--- /dev/null
+++ b/relay/source.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/go-kit/log/level"
+
+	"github.com/snowspoke/snowspoke/inventory"
+)
+
+// Inventory is what is passed on, and where what is received goes.
+type Inventory interface {
+	State() inventory.State
+	Changed() <-chan struct{}
+	Age(now time.Time) time.Duration
+	// Heard returns when the store last answered this daemon itself, the zero time
+	// when it is lost.
+	Heard() time.Time
+	Apply(u inventory.Update)
+	Vouch(version uint64, fresh time.Time)
+	// Follow follows the store itself until ctx ends, with pauses of at most
+	// longest after failed calls.
+	Follow(ctx context.Context, longest time.Duration)
+}
+
+// LoadBook tells this daemon's own loads and takes those of the others.
+type LoadBook interface {
+	OwnLoads() []LoadItem
+	// TakeOthers takes the loads that so many other daemons cause together.
+	TakeOthers(loads []LoadItem, daemons int)
+}
+
+// serveLink serves one follower until the link ends: changes as they come, and
+// an answer to each ping.
+func (n *Node) serveLink(w http.ResponseWriter, r *http.Request) {
+	if !n.sound(time.Now()) {
+		http.Error(w, "not following the store", http.StatusServiceUnavailable)
+		return
+	}
+	c, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		_ = level.Warn(n.logger).Log("msg", "link not accepted", "err", err)
+		return
+	}
+	defer func() { _ = c.CloseNow() }()
+	c.SetReadLimit(maxFrameBytes)
+	ctx, cancel := context.WithCancel(n.sourceContext())
+	defer cancel()
+	go func() {
+		defer cancel()
+		n.answerPings(ctx, c)
+	}()
+	n.pushChanges(ctx, c)
+}
+
+// pushChanges sends the full state and then what changes.
+func (n *Node) pushChanges(ctx context.Context, c *websocket.Conn) {
+	sent := inventory.State{Servers: map[string]inventory.Entry{}}
+	for full := true; ; full = false {
+		changed := n.inv.Changed()
+		now := n.inv.State()
+		if u := diff(sent, now, full); u != nil {
+			if writeFrame(ctx, c, &frame{Update: u}) != nil {
+				return // the follower notices and comes back
+			}
+			sent = now
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// diff returns what changed between two states, nil for nothing.
+func diff(old, now inventory.State, full bool) *update {
+	u := &update{Full: full, Servers: map[string]inventory.Entry{}}
+	if now.ConfigVersion > old.ConfigVersion {
+		u.Config = now.Config
+	}
+	for id, e := range now.Servers {
+		if o, known := old.Servers[id]; !known || o.Revision != e.Revision {
+			u.Servers[id] = e
+		}
+	}
+	for id := range old.Servers {
+		if _, there := now.Servers[id]; !there {
+			u.Gone = append(u.Gone, id)
+		}
+	}
+	if !full && u.Config == nil && len(u.Servers) == 0 && len(u.Gone) == 0 {
+		return nil
+	}
+	return u
+}
+
+// answerPings answers a follower until the link ends.
+func (n *Node) answerPings(ctx context.Context, c *websocket.Conn) {
+	for {
+		f, err := readFrame(ctx, c)
+		if err != nil {
+			return // the link is over
+		}
+		if f.Ping == nil {
+			continue
+		}
+		now := time.Now()
+		p := f.Ping
+		sameDomain := p.Domain == n.opts.Domain
+		if !p.LoadsOnly {
+			n.ledger.put(p.Sender, p.Domain, p.Loads, now)
+		}
+		if !n.sound(now) {
+			return // the follower leaves at once
+		}
+		answer := &pong{
+			Number: p.Number, Age: n.inv.Age(now), Heard: now.Sub(n.inv.Heard()), Version: n.inv.State().ConfigVersion,
+		}
+		answer.Loads, answer.Daemons = n.loadsFor(p.Sender, sameDomain, now)
+		if err := writeFrame(ctx, c, &frame{Pong: answer}); err != nil {
+			return // the link is over
+		}
+	}
+}
+
+// loadsFor adds up the loads for another daemon: for one of this domain all but
+// its own, for the source of another domain those of this domain alone.
+func (n *Node) loadsFor(sender string, sameDomain bool, now time.Time) ([]LoadItem, int) {
+	keep := func(domain string) bool { return sameDomain || domain == n.opts.Domain }
+	sum, daemons := n.ledger.total(sender, keep, now)
+	addLoads(sum, n.book.OwnLoads())
+	if sameDomain {
+		addLoads(sum, n.otherDomains.load(now))
+		daemons += n.otherDomains.count(now)
+	}
+	return list(sum), daemons + 1
+}
--- /dev/null
+++ b/relay/wire.go
@@ -0,0 +1,92 @@
+// Package relay passes on what one daemon reads from the platform's store. In
+// each failure domain one daemon follows the store and the others follow it, so
+// that calls to the store do not grow with the daemons; it also adds up the loads
+// that the daemons cause. Every daemon can do without: one that finds no sound
+// source follows the store itself.
+package relay
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/snowspoke/snowspoke/inventory"
+)
+
+// Path is where a daemon serves its links.
+const Path = "/relay"
+
+// maxFrameBytes bounds a frame: a full state with a large configuration.
+const maxFrameBytes = 16 << 20
+
+// writeTimeout bounds the writing of a frame: a follower that does not read is
+// cut off and comes back.
+const writeTimeout = 2 * time.Second
+
+// frame is one message; exactly one field is set.
+type frame struct {
+	Update *update `cbor:"1,keyasint,omitempty"`
+	Ping   *ping   `cbor:"2,keyasint,omitempty"`
+	Pong   *pong   `cbor:"3,keyasint,omitempty"`
+}
+
+// update carries what changed at the source.
+type update struct {
+	Config  []byte                     `cbor:"1,keyasint,omitempty"`
+	Servers map[string]inventory.Entry `cbor:"2,keyasint,omitempty"`
+	Gone    []string                   `cbor:"3,keyasint,omitempty"`
+	Full    bool                       `cbor:"4,keyasint,omitempty"`
+}
+
+// ping asks how fresh the source's knowledge is, and tells the sender's loads.
+type ping struct {
+	Number uint64     `cbor:"1,keyasint"`
+	Sender string     `cbor:"2,keyasint"`
+	Domain string     `cbor:"3,keyasint"`
+	Loads  []LoadItem `cbor:"4,keyasint,omitempty"`
+	// LoadsOnly asks for nothing but loads: the sender follows the store itself.
+	LoadsOnly bool `cbor:"5,keyasint,omitempty"`
+}
+
+// pong answers a ping of the same number.
+type pong struct {
+	Number  uint64        `cbor:"1,keyasint"`
+	Age     time.Duration `cbor:"2,keyasint"` // of the proof of freshness
+	Heard   time.Duration `cbor:"6,keyasint"` // since the store last answered
+	Version uint64        `cbor:"3,keyasint"` // of the configuration that it is about
+	Loads   []LoadItem    `cbor:"4,keyasint,omitempty"`
+	Daemons int           `cbor:"5,keyasint"` // whose loads are added up
+}
+
+// LoadItem is the load that daemons cause on a backend server.
+type LoadItem struct {
+	Server  string  `cbor:"1,keyasint"`
+	Running int     `cbor:"2,keyasint"` // requests that pass it
+	Heads   int     `cbor:"3,keyasint"` // requests that it runs as the first
+	KV      float64 `cbor:"4,keyasint"` // tokens x layers that they hold
+}
+
+func writeFrame(ctx context.Context, c *websocket.Conn, f *frame) error {
+	data, err := cbor.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("relay: encode: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return c.Write(ctx, websocket.MessageBinary, data)
+}
+
+func readFrame(ctx context.Context, c *websocket.Conn) (*frame, error) {
+	_, data, err := c.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var f frame
+	if err := cbor.Unmarshal(data, &f); err != nil {
+		return nil, fmt.Errorf("relay: decode: %w", err)
+	}
+	return &f, nil
+}
