What is gone is not brought back by an older source

Change: a record that left is remembered with its revision, only one written later counts; records in their grace are passed on as lapsed. Tests in inventory fail without either.

--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -68,9 +68,22 @@
 	heard   time.Time // when the store last answered this daemon
 	notify  chan struct{}
 
-	rawConfig []byte // of the configuration in force
+	rawConfig []byte          // of the configuration in force
+	gone      map[string]tomb // backend servers that left, by ID
 }
 
+// tomb remembers a backend server that left, so that an older word on it does
+// not bring it back. A record written after it counts: one that lapsed in an
+// outage of the store comes back.
+type tomb struct {
+	revision uint64
+	at       time.Time
+}
+
+// tombKept is how long a tomb is kept: longer than any source of old records
+// goes without reading the store.
+const tombKept = 2 * time.Minute
+
 type record struct {
 	server   *site.BackendServer
 	raw      []byte
@@ -80,7 +93,7 @@
 
 // New returns an empty inventory; Follow fills it, or Apply does.
 func New(feed Feed, logger log.Logger) *Inventory {
-	i := &Inventory{feed: feed, logger: logger, servers: map[string]record{}, notify: make(chan struct{})}
+	i := &Inventory{feed: feed, logger: logger, servers: map[string]record{}, gone: map[string]tomb{}, notify: make(chan struct{})}
 	i.view.Store(&View{Servers: map[string]*site.BackendServer{}})
 	return i
 }
@@ -290,12 +303,13 @@
 
 func (i *Inventory) takeRecord(r ServerRecord) {
 	old, known := i.servers[r.ID]
+	left, isGone := i.gone[r.ID]
 	switch {
-	case known && r.Revision < old.revision:
+	case known && r.Revision < old.revision || isGone && !r.Gone && r.Revision <= left.revision:
 		return // an older word on it
 	case r.Gone:
 		if known {
-			delete(i.servers, r.ID)
+			i.bury(r.ID, old)
 			_ = level.Info(i.logger).Log("msg", "backend server gone", "id", r.ID, "address", old.server.Address)
 		}
 	case r.Err != nil:
@@ -309,18 +323,37 @@
 	}
 }
 
+// bury drops a record and remembers that it is gone.
+func (i *Inventory) bury(id string, r record) {
+	delete(i.servers, id)
+	now := time.Now()
+	i.gone[id] = tomb{revision: r.revision, at: now}
+	for other, t := range i.gone {
+		if now.Sub(t.at) > tombKept {
+			delete(i.gone, other)
+		}
+	}
+}
+
 // lapse marks the records that a full list lacks and drops them after a grace.
 func (i *Inventory) lapse(listed map[string]bool, now time.Time) {
-	for id, r := range i.servers {
-		if listed[id] || !r.lapsedAt.IsZero() {
-			continue
+	for id := range i.servers {
+		if !listed[id] {
+			i.lapseOne(id, now)
 		}
-		r.lapsedAt = now
-		i.servers[id] = r
-		time.AfterFunc(lapseGrace, func() { i.dropLapsed(id) })
 	}
 }
 
+func (i *Inventory) lapseOne(id string, now time.Time) {
+	r, known := i.servers[id]
+	if !known || !r.lapsedAt.IsZero() {
+		return
+	}
+	r.lapsedAt = now
+	i.servers[id] = r
+	time.AfterFunc(lapseGrace, func() { i.dropLapsed(id) })
+}
+
 func (i *Inventory) dropLapsed(id string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -328,7 +361,7 @@
 	if !ok || r.lapsedAt.IsZero() {
 		return
 	}
-	delete(i.servers, id)
+	i.bury(id, r)
 	_ = level.Info(i.logger).Log("msg", "backend server gone", "id", id, "address", r.server.Address, "reason", "record not back after an outage")
 	i.publishServers()
 }
--- /dev/null
+++ b/inventory/inventory_test.go
@@ -0,0 +1,135 @@
+package inventory
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// plainFeed decodes records that are the JSON of our own types.
+type plainFeed struct{ Feed }
+
+func (plainFeed) DecodeConfig(raw []byte) (*site.Config, error) {
+	var version uint64
+	err := json.Unmarshal(raw, &version)
+	return site.NewConfig(version, site.Limits{}, nil, nil, nil), err
+}
+
+func (plainFeed) DecodeServer(id string, raw []byte) (*site.BackendServer, error) {
+	s := &site.BackendServer{ID: id}
+	return s, json.Unmarshal(raw, s)
+}
+
+func entry(revision uint64) Entry { return Entry{Raw: []byte(`{"Service":"s"}`), Revision: revision} }
+
+func newTest() *Inventory { return New(plainFeed{}, log.NewNopLogger()) }
+
+func full(servers map[string]Entry) Update { return Update{Full: true, Servers: servers} }
+
+func TestOlderSourceDoesNotBringBackWhatIsGone(t *testing.T) {
+	i := newTest()
+	i.Apply(full(map[string]Entry{"a": entry(5)}))
+	i.Apply(Update{Gone: []string{"a"}})
+	i.Apply(full(map[string]Entry{"a": entry(5)})) // of a source that was cut off meanwhile
+	require.Empty(t, i.View().Servers)
+	i.Apply(full(map[string]Entry{"a": entry(9)})) // written again after an outage
+	require.Contains(t, i.View().Servers, "a")
+}
+
+func TestLapsedRecordIsKeptForAMomentOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newTest()
+		i.Apply(full(map[string]Entry{"a": entry(5), "b": entry(6)}))
+		i.Apply(full(map[string]Entry{"b": entry(6)}))
+		require.Contains(t, i.View().Servers, "a")
+		time.Sleep(lapseGrace + time.Millisecond)
+		synctest.Wait()
+		require.NotContains(t, i.View().Servers, "a")
+	})
+}
+
+func TestLapsedRecordOfASourceIsNotTakenForNew(t *testing.T) {
+	i := newTest()
+	e := entry(5)
+	e.Lapsed = true
+	i.Apply(full(map[string]Entry{"a": e}))
+	require.Empty(t, i.View().Servers)
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	i := newTest()
+	i.Apply(Update{Config: []byte("7")})
+	i.Apply(Update{Config: []byte("5")})
+	require.EqualValues(t, 7, i.View().Config.Version)
+}
+
+func TestVouchNeedsTheSameConfiguration(t *testing.T) {
+	i := newTest()
+	now := time.Now()
+	i.Apply(Update{Config: []byte("7")})
+	i.Vouch(8, now) // the source knows a newer one that has not arrived
+	require.Greater(t, i.Age(now), time.Hour)
+	i.Vouch(7, now)
+	require.Zero(t, i.Age(now))
+}
+
+// scriptFeed answers watches of the configuration as a script says.
+type scriptFeed struct {
+	plainFeed
+	watch func(ctx context.Context, wait time.Duration) (Read[ConfigRecord], error)
+}
+
+func (f *scriptFeed) Config(context.Context) (Read[ConfigRecord], error) {
+	c, err := f.DecodeConfig([]byte("3"))
+	return Read[ConfigRecord]{Revision: 10, Items: []ConfigRecord{{Raw: []byte("3"), Config: c}}}, err
+}
+
+func (f *scriptFeed) ConfigChanges(ctx context.Context, _ uint64, wait time.Duration) (Read[ConfigRecord], error) {
+	return f.watch(ctx, wait)
+}
+
+func (f *scriptFeed) Servers(context.Context) (Read[ServerRecord], error) {
+	return Read[ServerRecord]{Revision: 10}, nil
+}
+
+func (f *scriptFeed) ServerChanges(ctx context.Context, since uint64, wait time.Duration) (Read[ServerRecord], error) {
+	select {
+	case <-ctx.Done():
+		return Read[ServerRecord]{}, ctx.Err()
+	case <-time.After(wait):
+		return Read[ServerRecord]{Revision: since}, nil
+	}
+}
+
+func TestFreshnessIsProvenByWatchesAndEndsWithTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		away := make(chan struct{})
+		f := &scriptFeed{watch: func(ctx context.Context, wait time.Duration) (Read[ConfigRecord], error) {
+			select {
+			case <-away:
+				<-ctx.Done() // a store that says nothing
+				return Read[ConfigRecord]{}, ctx.Err()
+			case <-time.After(wait):
+				return Read[ConfigRecord]{Revision: 10}, nil
+			}
+		}}
+		i := New(f, log.NewNopLogger())
+		ctx, cancel := context.WithCancel(t.Context())
+		go i.Follow(ctx, time.Second)
+		time.Sleep(20 * time.Second)
+		require.Less(t, i.Age(time.Now()), configWait+watchDoubt+100*time.Millisecond)
+		close(away)
+		time.Sleep(10 * time.Second)
+		require.Greater(t, i.Age(time.Now()), 9*time.Second)
+		cancel()
+		synctest.Wait()
+		require.Zero(t, i.Heard())
+	})
+}
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -10,6 +10,7 @@
 type Entry struct {
 	Raw      []byte
 	Revision uint64
+	Lapsed   bool // missing after an outage of the store, and kept for a moment
 }
 
 // State is what a daemon passes on to another: the configuration in force and
@@ -29,7 +30,7 @@
 		s.ConfigVersion = c.Version
 	}
 	for id, r := range i.servers {
-		s.Servers[id] = Entry{Raw: r.raw, Revision: r.revision}
+		s.Servers[id] = Entry{Raw: r.raw, Revision: r.revision, Lapsed: !r.lapsedAt.IsZero()}
 	}
 	return s
 }
@@ -54,7 +55,12 @@
 		}
 	}
 	records := make([]ServerRecord, 0, len(u.Servers)+len(u.Gone))
+	var lapsed []string
 	for id, e := range u.Servers {
+		if e.Lapsed {
+			lapsed = append(lapsed, id)
+			continue
+		}
 		r := ServerRecord{ID: id, Revision: e.Revision, Raw: e.Raw}
 		r.Server, r.Err = i.feed.DecodeServer(id, e.Raw)
 		records = append(records, r)
@@ -63,6 +69,11 @@
 		records = append(records, ServerRecord{ID: id, Gone: true, Revision: ^uint64(0)})
 	}
 	i.takeServers(records, u.Full)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, id := range lapsed {
+		i.lapseOne(id, time.Now())
+	}
 }
 
 // Vouch says that no newer configuration than the one in force existed at fresh.
--- a/relay/source.go
+++ b/relay/source.go
@@ -83,7 +83,7 @@
 		u.Config = now.Config
 	}
 	for id, e := range now.Servers {
-		if o, known := old.Servers[id]; !known || o.Revision != e.Revision {
+		if o, known := old.Servers[id]; !known || o.Revision != e.Revision || o.Lapsed != e.Lapsed {
 			u.Servers[id] = e
 		}
 	}
