Cards that close a hole keep room for requests; pauses in the log

Cards whose range overlapped a hole were ordered to hold what they held, again and again. Change: a card closes a hole with room for 80 requests, takes over with 30; only neighbours that end where a hole begins take over. The finish line tells the time to the first event and the longest pause.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -124,7 +124,8 @@
 	took := time.Since(r.req.Received)
 	f.observe.Finished(kind, took)
 	f.log.Add("finish", "request", r.req.ID, "route", r.req.Route.Name, "service", r.req.Service, "result", kind,
-		"attempts", r.sends, "last_event", r.lastEvent, "took", took.Round(time.Millisecond), "detail", detail)
+		"attempts", r.sends, "last_event", r.lastEvent, "took", took.Round(time.Millisecond),
+		"first_in", r.firstIn.Round(time.Millisecond), "longest_pause", r.longest.Round(time.Millisecond), "detail", detail)
 }
 
 // candidates returns the backend servers of a service that may take work, as
--- a/forward/run.go
+++ b/forward/run.go
@@ -25,6 +25,8 @@
 	headSent  bool   // the caller has the head of the answer
 	lastEvent string // ID of the last event that the caller has
 	lastAt    time.Time
+	firstIn   time.Duration // from the request to its first event
+	longest   time.Duration // longest pause between two events
 	failedAt  time.Time // set while a stream is interrupted
 	cause     string    // of the interruption
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -169,6 +169,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	gap, moved := now.Sub(s.quietAt), s.moved
+	s.r.notePause(now)
 	s.quietAt, s.moved = now, false
 	bound := s.bound
 	s.mu.Unlock()
@@ -189,6 +190,15 @@
 	}
 }
 
+// notePause keeps the longest pause between two events.
+func (r *run) notePause(now time.Time) {
+	if r.lastAt.IsZero() {
+		r.firstIn = now.Sub(r.req.Received)
+		return
+	}
+	r.longest = max(r.longest, now.Sub(r.lastAt))
+}
+
 // resumed notes that events come again after an interruption.
 func (r *run) resumed(now time.Time) {
 	r.lastAt = now
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -28,9 +28,12 @@
 	// chainRoom is how much memory a further pipeline must leave for requests, as a
 	// share of its weights: with less, its cards hold too few requests to matter.
 	chainRoom = 0.5
-	// leastRoom is the number of usual requests that a card must still hold beside
-	// the layers that it takes over.
-	leastRoom = 12
+	// fairRoom is the number of usual requests that a card which closes a hole holds
+	// beside its layers: with a third of that, it limited its whole pipeline and
+	// paths left the failure domain.
+	fairRoom = 80
+	// leastRoom is the same for a card that takes over layers from a neighbour.
+	leastRoom = 30
 	// minCover is the number of cards on which a layer lies in the whole site, if
 	// the cards suffice.
 	minCover = 2
@@ -158,7 +161,7 @@
 
 // fits returns how many layers a card takes beside a fair room for requests.
 func (g *group) fits(c Card) int {
-	n := fit(g.e, []Card{c}, leastRoom*2)[0]
+	n := fit(g.e, []Card{c}, fairRoom)[0]
 	return max(1, min(n, g.e.MaxLayers(c.Server.Kind)))
 }
 
@@ -228,10 +231,10 @@
 		if c.Busy || !placed(c) {
 			continue
 		}
-		if c.Ordered.From < hole.From && c.Ordered.To >= hole.From && c.Ordered.To < hole.To {
+		if c.Ordered.To == hole.From {
 			lefts = append(lefts, i)
 		}
-		if c.Ordered.To > hole.To && c.Ordered.From <= hole.To && c.Ordered.From > hole.From {
+		if c.Ordered.From == hole.To {
 			rights = append(rights, i)
 		}
 	}
