Tests of the platform path on its own wire; no blind wait at the end of a stop

Found by the tests on the way: a safe request refused without a word on execution was not sent elsewhere; when all plain backend servers had refused a moment ago none was asked. Change: platform/standin (store and backend servers with faults), tests of each promise in gateway; listeners open in New; the end of a stop waits 0.2 s at most.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -72,7 +72,7 @@
 	f := &Forwarder{
 		opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
 		loads: NewLoads(), budget: NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
-		asker: newAsker(p.Backends), live: newLiveStreams(),
+		asker: newAsker(p.Backends, p.Log), live: newLiveStreams(),
 	}
 	f.keysFreshFor.Store(int64(o.KeysFreshFor))
 	return f
@@ -134,7 +134,10 @@
 	daemons := float64(max(1, f.fleet.Daemons()))
 	var out []pipeline.Candidate
 	for _, s := range view.OfService(service) {
-		if s.Draining || engine != nil && s.Held.Len() == 0 || f.loads.Failed(s.ID, now) {
+		if s.Draining || engine != nil && s.Held.Len() == 0 || f.loads.Dead(s.ID, now) {
+			continue
+		}
+		if engine != nil && f.loads.Failed(s.ID, now) {
 			continue
 		}
 		out = append(out, pipeline.Candidate{Server: s, Load: f.loads.Of(s.ID, daemons, now)})
--- a/forward/live.go
+++ b/forward/live.go
@@ -46,6 +46,7 @@
 // asker asks heads for reports, one call at a time for each.
 type asker struct {
 	backends Backends
+	log      *Log
 	mu       sync.Mutex
 	heads    map[string]*asked
 }
@@ -57,7 +58,7 @@
 	err    error
 }
 
-func newAsker(b Backends) *asker { return &asker{backends: b, heads: map[string]*asked{}} }
+func newAsker(b Backends, l *Log) *asker { return &asker{backends: b, log: l, heads: map[string]*asked{}} }
 
 // ask returns a report of a head that is at most reportAge old.
 func (a *asker) ask(ctx context.Context, s *site.BackendServer) (Report, error) {
@@ -75,5 +76,8 @@
 	}
 	h.report, h.err = a.backends.Report(context.WithoutCancel(ctx), s)
 	h.at = time.Now()
+	r := &h.report
+	a.log.Add("ask", "server", s.ID, "address", s.Address, "running", r.Running, "waiting", r.Waiting, "pace", r.Pace,
+		"kv_used", int(r.KVUsed), "kv_total", int(r.KVTotal), "stalled", len(r.Stalled), "err", h.err)
 	return h.report, h.err
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -210,9 +210,10 @@
 	full := false
 	for i := range cs {
 		c := &cs[i]
-		if r.tried[c.Server.ID] && len(r.tried) < len(cs) {
-			continue
+		if r.tried[c.Server.ID] {
+			continue // what it refused or failed just now it would again
 		}
+		refused := r.f.loads.Failed(c.Server.ID, time.Now())
 		if c.Server.Slots > 0 && c.Load.Running >= 2*float64(c.Server.Slots) {
 			full = true
 			continue
@@ -221,6 +222,9 @@
 		if c.Server.FailureDomain != r.f.opts.FailureDomain {
 			cost += plainCrossCost
 		}
+		if refused {
+			cost += plainRefusedCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -239,6 +243,10 @@
 // bytes between failure domains are paid for, waiting costs the caller.
 const plainCrossCost = 0.35
 
+// plainRefusedCost is what a refusal a moment ago costs: such a backend server is
+// asked when no other is left.
+const plainRefusedCost = 10
+
 // send makes one send and carries the answer.
 func (r *run) send(ctx context.Context, t *target) (verdict, error) {
 	head := t.head()
@@ -330,13 +338,14 @@
 	if !a.Sealed {
 		return again, errUnsealed
 	}
+	failed := a.Status >= http.StatusInternalServerError || promisesNotRun(a.Status)
+	if failed && r.mayRepeat() {
+		return again, errFailed
+	}
 	if promisesNotRun(a.Status) {
 		// The status would promise the caller that the request did not run.
 		return done, apierror.New(apierror.OutcomeUnknown, "backend server answered %d without saying that it did not run", a.Status)
 	}
-	if a.Status >= http.StatusInternalServerError && r.mayRepeat() {
-		return again, errFailed
-	}
 	if err := r.sink.Whole(a.Status, a.Header, body); err != nil {
 		return done, apierror.Wrap(apierror.CallerGone, err)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -50,25 +49,28 @@
 
 // Gateway is one daemon.
 type Gateway struct {
-	opts     Options
-	set      site.Settings // as the process started with
-	log      *forward.Log
-	store    *platform.Store
-	backends *platform.Backends
-	inv      *inventory.Inventory
-	members  *members
-	relay    *relay.Node
-	forward  *forward.Forwarder
-	keeper   *lease.Keeper
-	placer   *placer.Placer
-	metrics  *metrics.Metrics
-	conns    *callerConns
-	callers  *http.Server
-	checks   *http.Server
-	links    *http.Server // to other daemons
-	figures  *http.Server
-	ingress  *platform.Ingress
-	stage    atomic.Int32 // a stage of the planned stop
+	opts      Options
+	listeners listeners
+	set       site.Settings // as the process started with
+	log       *forward.Log
+	store     *platform.Store
+	backends  *platform.Backends
+	inv       *inventory.Inventory
+	members   *members
+	relay     *relay.Node
+	forward   *forward.Forwarder
+	keeper    *lease.Keeper
+	placer    *placer.Placer
+	metrics   *metrics.Metrics
+	conns     *callerConns
+	callers   *http.Server
+	checks    *http.Server
+	links     *http.Server // to other daemons
+	figures   *http.Server
+	ingress   *platform.Ingress
+	stage     atomic.Int32 // a stage of the planned stop
+	killed    chan struct{}
+	killOnce  sync.Once
 }
 
 // Options are what a daemon is started with.
@@ -90,25 +92,26 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{set: set, opts: o, log: forward.NewLog(out), store: platform.NewStore(set.Store), backends: platform.NewBackends(), metrics: m}
+	g := &Gateway{set: set, opts: o, killed: make(chan struct{}), log: forward.NewLog(out), store: platform.NewStore(set.Store), backends: platform.NewBackends(), metrics: m}
 	g.inv = inventory.New(g.store, g.log)
-	self := relay.Member{Name: set.Name, Domain: set.FailureDomain, Address: net.JoinHostPort(set.IP, fmt.Sprint(set.PeerPort))}
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
+	self := relay.Member{Name: set.Name, Domain: set.FailureDomain, Address: g.listeners.links.Addr().String()}
 	g.members = newMembers(self, g.store, g.log)
 	g.forward = forward.New(forward.Options{
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetrySlack: set.RetrySlack,
 		RetryWindow: set.RetryWindow, KeysFreshFor: keysFreshFor(set),
 	}, forward.Parts{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}})
 	g.relay = relay.New(relay.Options{Name: set.Name, Domain: set.FailureDomain}, g.inv, g.forward.Loads(), g.members, g.log)
-	g.links = &http.Server{Addr: self.Address, Handler: g.relay.Handler()}
+	g.links = &http.Server{Handler: g.relay.Handler()}
 	g.keeper = lease.NewKeeper(kindLease, placingDuty, set.Name, dutyPeriod, leaseStore{g.store}, g.log)
 	g.placer = placer.New(g.keeper, g.inv, g.backends, g.forward, g.log)
 	g.conns = newCallerConns()
 	g.ingress = platform.NewIngress(g.forward)
 	g.callers = &http.Server{Handler: g.refuseLate(g.ingress), ReadHeaderTimeout: headerTimeout, ConnState: g.conns.note}
 	g.checks = &http.Server{Handler: http.HandlerFunc(g.ready)}
-	if o.MetricsPort > 0 {
-		g.figures = &http.Server{Addr: net.JoinHostPort(set.IP, fmt.Sprint(o.MetricsPort)), Handler: m.Handler()}
-	}
+	g.figures = &http.Server{Handler: m.Handler()}
 	return g, nil
 }
 
@@ -140,14 +143,6 @@
 
 // Run serves until ctx ends, then stops.
 func (g *Gateway) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", g.set.Callers)
-	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
-	}
-	checks, err := net.Listen("tcp", g.set.Readiness)
-	if err != nil {
-		return fmt.Errorf("listen for readiness checks: %w", err)
-	}
 	_ = level.Info(g.log).Log("msg", "started", "vm", g.set.Name, "domain", g.set.FailureDomain, "callers", g.set.Callers, "store", g.set.Store)
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
@@ -162,15 +157,17 @@
 	wg.Go(func() { g.candidate(duty) })
 	wg.Go(func() { g.placer.Run(duty) })
 	failed := make(chan error, 3)
-	wg.Go(func() { failed <- g.callers.Serve(g.conns.listen(callers)) })
-	wg.Go(func() { failed <- g.checks.Serve(checks) })
-	wg.Go(func() { g.serveExtra(g.links, "links to other daemons") })
-	if g.figures != nil {
-		wg.Go(func() { g.serveExtra(g.figures, "metrics") })
+	wg.Go(func() { failed <- g.callers.Serve(g.conns.listen(g.listeners.callers)) })
+	wg.Go(func() { failed <- g.checks.Serve(g.listeners.checks) })
+	wg.Go(func() { g.serveExtra(g.links, g.listeners.links, "links to other daemons") })
+	if g.listeners.figures != nil {
+		wg.Go(func() { g.serveExtra(g.figures, g.listeners.figures, "metrics") })
 	}
 	wg.Go(func() { g.followSettings(work) })
+	var err error
 	select {
 	case err = <-failed:
+	case <-g.killed:
 	case <-ctx.Done():
 		g.stop(stopDuty)
 	}
@@ -178,20 +175,38 @@
 	_ = g.callers.Close()
 	_ = g.checks.Close()
 	_ = g.links.Close()
-	if g.figures != nil {
-		_ = g.figures.Close()
-	}
-	wg.Wait()
+	_ = g.figures.Close()
+	waitAtMost(&wg, endsWithin)
 	_ = level.Info(g.log).Log("msg", "stopped", "err", err)
 	g.log.Flush()
 	_ = g.metrics.Close()
 	return err
 }
 
+// endsWithin is how long the parts of a daemon may take to end: the grace of a
+// planned stop is nearly over then, and the store may be away.
+const endsWithin = 200 * time.Millisecond
+
+func waitAtMost(wg *sync.WaitGroup, d time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(d):
+	}
+}
+
+// Kill ends the daemon at once, as a crash does: nothing is finished or handed
+// over.
+func (g *Gateway) Kill() { g.killOnce.Do(func() { close(g.killed) }) }
+
 // serveExtra runs a server without which the daemon serves callers all the same.
-func (g *Gateway) serveExtra(s *http.Server, what string) {
-	if err := s.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		_ = level.Warn(g.log).Log("msg", "not served", "what", what, "address", s.Addr, "err", err)
+func (g *Gateway) serveExtra(s *http.Server, l net.Listener, what string) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		_ = level.Warn(g.log).Log("msg", "not served any more", "what", what, "address", l.Addr().String(), "err", err)
 	}
 }
 
--- /dev/null
+++ b/gateway/requests_test.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/platform/standin"
+)
+
+// plainWorld is a daemon before two plain backend servers.
+func plainWorld(t *testing.T) (*running, []*standin.Server) {
+	t.Parallel()
+	w := newWorld(t)
+	w.putConfig()
+	servers := w.servers("plain", "", "plain-1", "plain-2")
+	return w.daemon("daemon-1", nil).ready(t, 2), servers
+}
+
+func TestRequestIsPassedOnUntouched(t *testing.T) {
+	d, servers := plainWorld(t)
+	a := d.call(t, call{method: "POST", path: "/once/a%20b?x=1&y=%2F", body: "the body",
+		header: map[string]string{"X-Own": "kept", "Snowspoke-Tenant": "forged", "Snowspoke-Hop-Count": "forged", "Connection": "close"}})
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusOK, a.status)
+	require.Equal(t, 1, totalRuns(servers))
+	run := append(servers[0].Runs(), servers[1].Runs()...)[0]
+	require.Equal(t, "/once/a%20b?x=1&y=%2F", run.Target)
+	require.Equal(t, "the body", run.Body)
+	require.Equal(t, "workspace-1", run.Workspace)
+	require.Equal(t, "kept", run.Header.Get("X-Own"))
+	require.Empty(t, run.Header.Get("Authorization"))
+	require.Empty(t, run.Path)
+	require.LessOrEqual(t, run.Deadline, 1500, "the route allows less time than the caller")
+	require.True(t, strings.HasSuffix(a.body, "ran the body"))
+	require.NotEmpty(t, a.header.Get("Snowspoke-Server-Seal"))
+}
+
+func TestRefusalsBeforeSending(t *testing.T) {
+	d, servers := plainWorld(t)
+	for name, c := range map[string]struct {
+		call   call
+		status int
+	}{
+		"unknown key":   {call{method: "GET", path: "/plain/", key: "other"}, http.StatusUnauthorized},
+		"unknown route": {call{method: "GET", path: "/else/"}, http.StatusNotFound},
+		"body too long": {call{method: "POST", path: "/plain/", body: strings.Repeat("x", 1001)}, http.StatusRequestEntityTooLarge},
+	} {
+		require.Equal(t, c.status, d.call(t, c.call).status, name)
+	}
+	require.Zero(t, totalRuns(servers))
+}
+
+func TestBeforeAnyConfigurationRequestsAreRefusedAsNotRun(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	d := w.daemon("daemon-1", nil)
+	require.Eventually(t, func() bool {
+		return d.call(t, call{method: "GET", path: "/plain/"}).status == http.StatusServiceUnavailable
+	}, 2*time.Second, 10*time.Millisecond)
+	resp, err := http.Get("http://" + d.ReadinessAddr() + "/ready")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NoError(t, resp.Body.Close())
+}
+
+func TestFaultsOfBackendServers(t *testing.T) {
+	for name, c := range map[string]struct {
+		path    string
+		fault   standin.Fault
+		status  int
+		runs    int
+		sealed  bool
+		refused bool
+	}{
+		"unsafe, connection reset after it ran":      {"/once/", standin.ResetAfter, http.StatusBadGateway, 1, false, false},
+		"unsafe, answer broken off":                  {"/once/", standin.BreakOff, http.StatusBadGateway, 1, false, false},
+		"unsafe, refused as not run":                 {"/once/", standin.NotRun, http.StatusServiceUnavailable, 0, false, true},
+		"unsafe, refused without saying so":          {"/once/", standin.RefuseNoRun, http.StatusBadGateway, 1, false, false},
+		"unsafe, success without a signature":        {"/once/", standin.Unsealed, http.StatusBadGateway, 1, false, false},
+		"unsafe, its own failure":                    {"/once/", standin.Fail, http.StatusInternalServerError, 1, true, false},
+		"unsafe, answer of another request first":    {"/once/", standin.Foreign, http.StatusOK, 1, true, false},
+		"unsafe, answer of another request follows":  {"/once/", standin.Surplus, http.StatusOK, 1, true, false},
+		"safe, connection reset after it ran":        {"/plain/", standin.ResetAfter, http.StatusOK, 2, true, false},
+		"safe, answer broken off":                    {"/plain/", standin.BreakOff, http.StatusOK, 2, true, false},
+		"safe, refused as not run":                   {"/plain/", standin.NotRun, http.StatusOK, 1, true, false},
+		"safe, refused without saying so":            {"/plain/", standin.RefuseNoRun, http.StatusOK, 2, true, false},
+		"safe, failed at the first backend server":   {"/plain/", standin.Fail, http.StatusOK, 2, true, false},
+		"safe, success without a signature at first": {"/plain/", standin.Unsealed, http.StatusOK, 2, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, servers := plainWorld(t)
+			// Both have the fault once: a request that may run again meets it at each.
+			servers[0].Next(c.fault)
+			servers[1].Next(c.fault)
+			a := d.call(t, call{method: "POST", path: c.path, body: "x"})
+			if c.status == http.StatusOK && a.status != http.StatusOK {
+				require.GreaterOrEqual(t, a.status, 500)
+				a = d.call(t, call{method: "POST", path: c.path, body: "x", id: "req-2"})
+			}
+			require.NoError(t, a.err)
+			require.Equal(t, c.status, a.status)
+			require.Equal(t, c.sealed, a.header.Get("Snowspoke-Server-Seal") != "")
+			require.Equal(t, c.refused, a.header.Get("Retry-After") != "")
+			if c.path == "/once/" {
+				require.Equal(t, c.runs, totalRuns(servers))
+			}
+			if c.status == http.StatusOK {
+				require.Contains(t, a.body, "ran x")
+			}
+			// Bytes that belong to no request never reach the next one.
+			b := d.call(t, call{method: "POST", path: "/once/", body: "y", id: "req-3"})
+			if b.status == http.StatusOK {
+				require.Contains(t, b.body, "ran y")
+			}
+		})
+	}
+}
+
+func TestDeadBackendServerIsPassedOver(t *testing.T) {
+	d, servers := plainWorld(t)
+	servers[0].Kill()
+	for range 6 {
+		a := d.call(t, call{method: "GET", path: "/plain/"})
+		require.Equal(t, http.StatusOK, a.status)
+	}
+	require.Equal(t, 6, len(servers[1].Runs()))
+}
+
+func TestCallerThatLeavesCancelsItsWork(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.putConfig()
+	heads, _ := w.pipeline(1, 1)
+	heads[0].Events, heads[0].EveryGap = 1000, 5*time.Millisecond
+	d := w.daemon("daemon-1", nil).ready(t, 2)
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		for totalRuns(heads) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		leave()
+	}()
+	a := d.call(t, call{method: "POST", path: "/stream/", ctx: ctx})
+	require.Error(t, a.err)
+	require.Eventually(t, func() bool { return d.forward.InFlight() == 0 }, 500*time.Millisecond, 5*time.Millisecond)
+}
+
+func TestTimeoutOfTheRouteIsAnswered(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.config["routes"].([]map[string]any)[2]["timeoutMs"] = 300
+	w.putConfig()
+	heads, _ := w.pipeline(1, 1)
+	heads[0].Events, heads[0].EveryGap = 1000, 10*time.Millisecond
+	d := w.daemon("daemon-1", nil).ready(t, 2)
+	began := time.Now()
+	a := d.call(t, call{method: "POST", path: "/stream/"})
+	require.Error(t, a.err, "a stream that is cut must not look complete")
+	require.Less(t, time.Since(began), 700*time.Millisecond)
+}
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/platform/standin"
+)
+
+func TestStreamIsServedFromEmptyCards(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.putConfig()
+	var cards []*standin.Server
+	for _, id := range []string{"a", "b", "c", "d"} {
+		s := standin.NewServer(id)
+		t.Cleanup(s.Kill)
+		w.store.Set("servers", id, s.Record("model", "domain-1", "card"))
+		cards = append(cards, s)
+	}
+	d := w.daemon("daemon-1", nil).ready(t, 4)
+	// Backend servers write their records when their layers change.
+	require.Eventually(t, func() bool {
+		ordered := 0
+		for _, s := range cards {
+			if len(s.Orders()) > 0 {
+				ordered++
+				w.store.Set("servers", s.ID, s.Record("model", "domain-1", "card"))
+			}
+		}
+		return ordered >= 2
+	}, 8*time.Second, 50*time.Millisecond)
+	require.Eventually(t, func() bool {
+		return d.call(t, call{method: "POST", path: "/stream/"}).status == http.StatusOK
+	}, 3*time.Second, 50*time.Millisecond)
+}
+
+func TestStreamBreaksOffAndGoesOnElsewhere(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.putConfig()
+	heads, _ := w.pipeline(2, 1)
+	for _, h := range heads {
+		h.Events = 20
+	}
+	d := w.daemon("daemon-1", nil).ready(t, 3)
+	heads[0].Next(standin.BreakOff)
+	heads[1].Next(standin.BreakOff)
+	a := d.call(t, call{method: "POST", path: "/stream/"})
+	for a.err != nil { // both broke off, and no third may be tried: the caller goes on
+		a = d.call(t, call{method: "POST", path: "/stream/", id: "req-2"})
+	}
+	require.Equal(t, http.StatusOK, a.status)
+	require.Equal(t, events(1, 20), a.body, "each event once, in order")
+}
+
+func TestStreamGoesOnAfterTheEventThatTheCallerHas(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.putConfig()
+	heads, _ := w.pipeline(1, 1)
+	heads[0].Events = 9
+	d := w.daemon("daemon-1", nil).ready(t, 2)
+	a := d.call(t, call{method: "POST", path: "/stream/", header: map[string]string{"Last-Event-Id": "4"}})
+	require.NoError(t, a.err)
+	require.Equal(t, events(5, 9), a.body)
+}
+
+func TestStreamMovesAwayFromTheHopAtFault(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.putConfig()
+	heads, tails := w.pipeline(1, 2)
+	heads[0].Events = 12
+	d := w.daemon("daemon-1", nil).ready(t, 3)
+	heads[0].Next(standin.StandStill)
+	go func() {
+		for len(heads[0].Runs()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		path := heads[0].Runs()[0].Path
+		for _, tail := range tails {
+			if len(path) > len(tail.Address()) && contains(path, tail.Address()) {
+				heads[0].Stall("req-1", tail.Address())
+			}
+		}
+	}()
+	began := time.Now()
+	a := d.call(t, call{method: "POST", path: "/stream/"})
+	require.NoError(t, a.err)
+	require.Equal(t, events(1, 12), a.body)
+	require.Less(t, time.Since(began), time.Second)
+	require.Len(t, heads[0].Orders(), 1)
+	require.Equal(t, "repath", heads[0].Orders()[0]["op"])
+}
+
+func TestStreamLeavesAHeadThatDies(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.putConfig()
+	heads, _ := w.pipeline(2, 1)
+	for _, h := range heads {
+		h.Events, h.EveryGap = 60, 10*time.Millisecond
+	}
+	d := w.daemon("daemon-1", nil).ready(t, 3)
+	go func() {
+		for totalRuns(heads) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, h := range heads {
+			if len(h.Runs()) > 0 {
+				h.Kill()
+			}
+		}
+	}()
+	a := d.call(t, call{method: "POST", path: "/stream/"})
+	require.NoError(t, a.err)
+	require.Equal(t, events(1, 60), a.body)
+}
+
+func contains(path, address string) bool {
+	for i := 0; i+len(address) <= len(path); i++ {
+		if path[i:i+len(address)] == address {
+			return true
+		}
+	}
+	return false
+}
