--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -76,8 +76,8 @@
 
 type node struct {
 	cost float64
-	prev int // position in nodes, -1 for none
-	from int // layer at which the hop begins
+	prev int        // position in nodes, -1 for none
+	run  site.Range // layers that the hop runs
 	cand int
 }
 
@@ -137,21 +137,46 @@
 	return (c.Load.KVUsed + q.Tokens.Full()*float64(n)) / room
 }
 
-// state of the search: the cheapest way to have run layers [0, at) with the last
-// hop at a candidate.
+// search finds the cheapest way to run all layers: for each layer that a hop may
+// end at, the cheapest ways to get there.
 func search(q *Query, cs []Candidate, hops []hopCost) []site.Hop {
 	layers := q.Engine.Layers
 	ends := map[int][]int{} // layer reached -> nodes
 	nodes := make([]node, 0, 2*len(cs))
-	add := func(n node, end int) {
+	add := func(n node) {
 		nodes = append(nodes, n)
-		ends[end] = append(ends[end], len(nodes)-1)
+		ends[n.run.To] = append(ends[n.run.To], len(nodes)-1)
 	}
+	first(q, cs, hops, add)
+	stops := keptStarts(q)
+	for at := 1; at < layers; at++ {
+		for _, p := range cheapest(nodes, ends[at], cs) {
+			for i := range cs {
+				s := cs[i].Server
+				if !s.Held.Has(at) || visited(nodes, p, i) {
+					continue
+				}
+				for _, to := range endsOf(s, at, stops) {
+					run := site.Range{From: at, To: to}
+					add(node{cost: nodes[p].cost + edge(q, cs, hops, nodes[p].cand, i, run), prev: p, run: run, cand: i})
+				}
+			}
+		}
+	}
+	last := cheapest(nodes, ends[layers], cs)
+	if len(last) == 0 {
+		return nil
+	}
+	return path(cs, nodes, last[0])
+}
+
+// first adds the hops that a path may begin with.
+func first(q *Query, cs []Candidate, hops []hopCost, add func(node)) {
 	for i := range cs {
 		s := cs[i].Server
 		if q.Head != nil {
 			if s.ID == q.Head.ID && q.HeadLayers.Len() > 0 {
-				add(node{cost: 0, prev: -1, from: 0, cand: i}, q.HeadLayers.To)
+				add(node{prev: -1, run: q.HeadLayers, cand: i})
 			}
 			continue
 		}
@@ -162,24 +187,30 @@
 		if s.FailureDomain != q.Near && q.Near != "" {
 			cost += nearCostMS
 		}
-		add(node{cost: cost, prev: -1, from: 0, cand: i}, s.Held.To)
+		add(node{cost: cost, prev: -1, run: site.Range{From: 0, To: s.Held.To}, cand: i})
 	}
-	for at := 1; at < layers; at++ {
-		for _, p := range cheapest(nodes, ends[at], cs) {
-			for i := range cs {
-				s := cs[i].Server
-				if !s.Held.Has(at) || visited(nodes, p, i) {
-					continue
-				}
-				add(node{cost: nodes[p].cost + edge(q, cs, hops, nodes[p].cand, i, at), prev: p, from: at, cand: i}, s.Held.To)
-			}
-		}
+}
+
+// keptStarts returns the layers at which hops begin that keep their memory of
+// the request: another hop may hand over there and leave them as they are.
+func keptStarts(q *Query) []int {
+	var out []int
+	for _, r := range q.Keep {
+		out = append(out, r.From)
 	}
-	last := cheapest(nodes, ends[layers], cs)
-	if len(last) == 0 {
-		return nil
+	slices.Sort(out)
+	return out
+}
+
+// endsOf returns where a hop that begins at a layer may end.
+func endsOf(s *site.BackendServer, at int, stops []int) []int {
+	out := []int{s.Held.To}
+	for _, l := range stops {
+		if l > at && l < s.Held.To {
+			out = append(out, l)
+		}
 	}
-	return path(q, cs, nodes, last[0], layers)
+	return out
 }
 
 // cheapest keeps the best node for each failure domain, cheapest first, so that
@@ -216,28 +247,24 @@
 	return false
 }
 
-// edge is the cost of going on at candidate i from layer at on.
-func edge(q *Query, cs []Candidate, hops []hopCost, from, i, at int) float64 {
-	s := cs[i].Server
-	n := float64(s.Held.To - at)
-	cost := hops[i].fixed + hops[i].perLayer*n
-	if kept, ok := q.Keep[s.ID]; ok && kept.From == at && kept.To == s.Held.To {
-		cost = 0 // nothing is read again, and it is counted in already
+// edge is the cost of going on at candidate i with some layers. A hop that keeps
+// its memory reads nothing again, and is counted in its load already.
+func edge(q *Query, cs []Candidate, hops []hopCost, from, i int, run site.Range) float64 {
+	s, prev := cs[i].Server, cs[from].Server
+	cost := stepsWeight * LinkMS(q.Engine, prev.FailureDomain, s.FailureDomain)
+	if kept, ok := q.Keep[s.ID]; ok && kept == run {
+		return cost
 	}
-	prev := cs[from].Server
-	cost += stepsWeight * LinkMS(q.Engine, prev.FailureDomain, s.FailureDomain)
 	if prev.FailureDomain != s.FailureDomain {
 		cost += crossWeight * PipeReadMS(q.Engine, q.Tokens.Prompt)
 	}
-	return cost
+	return cost + hops[i].fixed + hops[i].perLayer*float64(run.Len())
 }
 
-func path(q *Query, cs []Candidate, nodes []node, at, layers int) []site.Hop {
+func path(cs []Candidate, nodes []node, at int) []site.Hop {
 	var out []site.Hop
-	end := layers
 	for ; at >= 0; at = nodes[at].prev {
-		out = append(out, site.Hop{Server: cs[nodes[at].cand].Server, Layers: site.Range{From: nodes[at].from, To: end}})
-		end = nodes[at].from
+		out = append(out, site.Hop{Server: cs[nodes[at].cand].Server, Layers: nodes[at].run})
 	}
 	slices.Reverse(out)
 	return out
