A stream goes on at another head rather than across failure domains

Cause: after the loss of a middle hop all its streams took a substitute in another failure domain; all tokens of each went through one pipe, 20 ms a stream: recovery took 1.0 s at the median, and streams that waited 1.1 s were resent anyway. Change: where the repaired path has new hops outside the head's failure domain, and attempts and budget allow, the stream goes on at another head, which reads it again within its own failure domain. Repaired paths vary, too.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -64,11 +64,15 @@
 	b.requests[b.slot%budgetSlots]++
 }
 
-// Spend takes one retry; false means that none is left. begun says that the
-// request is a stream of which the caller has events.
-func (b *Budget) Spend(now time.Time, daemons int, begun bool) bool {
+// Allows reports whether a retry is left. begun says that the request is a stream
+// of which the caller has events.
+func (b *Budget) Allows(now time.Time, daemons int, begun bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.allows(now, daemons, begun)
+}
+
+func (b *Budget) allows(now time.Time, daemons int, begun bool) bool {
 	b.advance(now)
 	requests, retries := 0, 0
 	for i := range b.requests {
@@ -79,7 +83,14 @@
 	if !begun {
 		allowed *= freshUse
 	}
-	if float64(retries+1) > allowed {
+	return float64(retries+1) <= allowed
+}
+
+// Spend takes one retry; false means that none is left.
+func (b *Budget) Spend(now time.Time, daemons int, begun bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.allows(now, daemons, begun) {
 		return false
 	}
 	b.retries[b.slot%budgetSlots]++
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -40,9 +40,10 @@
 
 // Causes of the end of a send.
 var (
-	errSilent   = errors.New("forward: stream stands still")
-	errHeadDead = errors.New("forward: first hop does not answer")
-	errBroken   = errors.New("forward: stream broke off")
+	errSilent    = errors.New("forward: stream stands still")
+	errHeadDead  = errors.New("forward: first hop does not answer")
+	errBroken    = errors.New("forward: stream broke off")
+	errElsewhere = errors.New("forward: goes on elsewhere, its repaired path would cross failure domains")
 )
 
 // stream is one send of a stream.
@@ -319,6 +320,10 @@
 		if samePath(p, old) {
 			break
 		}
+		if crosses(p, old) && r.mayResume() {
+			s.cancel(errElsewhere)
+			return
+		}
 		err = r.f.backends.Repath(ctx, old[0].Server, r.req.ID, p)
 		r.f.log.Add("repath", "request", r.req.ID, "failed", failed.ID, "path", p.String(), "err", err)
 		if err == nil {
@@ -338,6 +343,28 @@
 	}
 }
 
+// crosses reports whether a repaired path has new hops in another failure domain
+// than its head. All tokens so far would go through the pipe between the two, for
+// every stream of the lost hop, one after the other; reading them again in one
+// failure domain is faster.
+func crosses(p, old site.Path) bool {
+	kept := map[string]site.Range{}
+	for _, h := range old {
+		kept[h.Server.ID] = h.Layers
+	}
+	for _, h := range p {
+		if kept[h.Server.ID] != h.Layers && h.Server.FailureDomain != p[0].Server.FailureDomain {
+			return true
+		}
+	}
+	return false
+}
+
+// mayResume reports whether the stream may go on at another head.
+func (r *run) mayResume() bool {
+	return !r.attemptsUsed(r.f.inv.View().Servers) && r.f.budget.Allows(time.Now(), r.f.fleet.Daemons(), r.headSent.Load())
+}
+
 func samePath(a, b site.Path) bool { return a.String() == b.String() }
 
 func (s *stream) take(p site.Path) {
@@ -360,7 +387,7 @@
 	view := r.f.inv.View()
 	now := time.Now()
 	q := r.f.query(r.req, r.engine)
-	q.Head, q.HeadLayers, q.Jitter = old[0].Server, old[0].Layers, 0
+	q.Head, q.HeadLayers = old[0].Server, old[0].Layers
 	q.Keep = map[string]site.Range{}
 	for _, h := range old {
 		q.Keep[h.Server.ID] = h.Layers
@@ -369,7 +396,7 @@
 	if !containsServer(cs, old[0].Server.ID) {
 		cs = append(cs, pipeline.Candidate{Server: old[0].Server})
 	}
-	c, err := pipeline.Choose(q, cs, nil)
+	c, err := pipeline.Choose(q, cs, newRand())
 	if err != nil && !errors.Is(err, pipeline.ErrFull) {
 		return nil, err
 	}
