--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,207 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/forward"
+	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/site"
+)
+
+const model = "model"
+
+// cluster is an inventory, a duty and backend servers in one; it implements what
+// a placer needs.
+type cluster struct {
+	mu      sync.Mutex
+	held    bool
+	servers map[string]*site.BackendServer
+	orders  map[string][]site.Range
+	fail    map[string]error // of orders, by backend server
+	failed  map[string]bool
+	dead    map[string]bool
+	changed chan struct{}
+	onOrder func()
+}
+
+func newCluster(cards int) *cluster {
+	c := &cluster{
+		held: true, servers: map[string]*site.BackendServer{}, orders: map[string][]site.Range{}, fail: map[string]error{},
+		failed: map[string]bool{}, dead: map[string]bool{}, changed: make(chan struct{}),
+	}
+	for i := range cards {
+		id := fmt.Sprintf("card-%d", i)
+		c.servers[id] = &site.BackendServer{ID: id, Address: id, Service: model, FailureDomain: "a", Kind: "card", Slots: 100}
+	}
+	return c
+}
+
+func (c *cluster) Held() (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return 1, c.held
+}
+
+func (c *cluster) View() *inventory.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := &site.Engine{
+		Slots: 100, Layers: 4, LayerMB: 100, KVTokenBytes: 1000, Prompt: 10, Answer: 10,
+		Kinds:  map[string]site.Accelerator{"card": {MemoryMB: 220, Pace: 1, ReadPace: 1}},
+		Models: []site.EngineModel{{Name: "m", Load: time.Second}},
+	}
+	servers := map[string]*site.BackendServer{}
+	for id, s := range c.servers {
+		servers[id] = s
+	}
+	return &inventory.View{
+		Config:  site.NewConfig(1, site.Limits{}, nil, []*site.Service{{Name: model, Engine: e}}, nil),
+		Servers: servers,
+	}
+}
+
+func (c *cluster) Changed() <-chan struct{} { return c.changed }
+
+func (c *cluster) Failed(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed[id]
+}
+
+func (c *cluster) Report(_ context.Context, s *site.BackendServer) (forward.Report, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead[s.ID] {
+		return forward.Report{}, forward.ErrNotSent
+	}
+	return forward.Report{Orders: uint64(len(c.orders[s.ID]))}, nil
+}
+
+func (c *cluster) Hold(_ context.Context, s *site.BackendServer, layers site.Range, after, _ uint64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.onOrder != nil {
+		c.onOrder()
+	}
+	if int(after) != len(c.orders[s.ID]) {
+		return forward.ErrOrderRefused
+	}
+	c.orders[s.ID] = append(c.orders[s.ID], layers)
+	if err := c.fail[s.ID]; err != nil {
+		return err
+	}
+	held := *c.servers[s.ID]
+	held.Held = layers
+	c.servers[s.ID] = &held
+	return nil
+}
+
+func (c *cluster) total() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, o := range c.orders {
+		n += len(o)
+	}
+	return n
+}
+
+func (c *cluster) taken(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.orders[id])
+}
+
+// killSole lets a card die of which no other card holds the layers.
+func (c *cluster) killSole(t *testing.T) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, s := range c.servers {
+		sole := s.Held.Len() > 0
+		for other, o := range c.servers {
+			sole = sole && (other == id || o.Held != s.Held)
+		}
+		if sole {
+			c.failed[id], c.dead[id] = true, true
+			return
+		}
+	}
+	require.Fail(t, "every card has a substitute")
+}
+
+func run(t *testing.T, c *cluster) {
+	p := New(c, c, c, c, log.NewNopLogger())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func TestPlacesOnceAndThenLeavesTheCardsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(4)
+		run(t, c)
+		time.Sleep(settle / 2)
+		require.Zero(t, c.total(), "more cards may register")
+		time.Sleep(time.Minute)
+		require.Equal(t, 4, c.total())
+	})
+}
+
+func TestWithoutTheDutyNoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(4)
+		c.held = false
+		run(t, c)
+		time.Sleep(time.Minute)
+		require.Zero(t, c.total())
+	})
+}
+
+func TestDutyLostBetweenOrdersStopsTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(40)
+		c.onOrder = func() { c.held = false }
+		run(t, c)
+		time.Sleep(time.Minute)
+		require.LessOrEqual(t, c.total(), ordersAtOnce)
+	})
+}
+
+func TestOrderWithoutAnAnswerMayStillBeCarriedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(4)
+		c.fail["card-0"] = forward.ErrLost
+		run(t, c)
+		time.Sleep(settle + 2*round + orderSettles - time.Second)
+		require.Equal(t, 1, c.taken("card-0"), "nothing is ordered on top of it")
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 2, c.taken("card-0"))
+	})
+}
+
+func TestCardThatLooksDeadIsReplacedBeforeItsRecordLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3)
+		run(t, c)
+		time.Sleep(10 * time.Second)
+		before := c.total()
+		c.killSole(t)
+		time.Sleep(3 * time.Second)
+		require.Greater(t, c.total(), before)
+	})
+}
