--- a/forward/loads.go
+++ b/forward/loads.go
@@ -42,7 +42,7 @@
 
 // othersTTL is how long what the other daemons told counts; after that they are
 // taken to be as busy as this one.
-const othersTTL = 5 * time.Second
+const othersTTL = 10 * time.Second
 
 // guessMost bounds the daemons that are taken to be as busy as this one: after a
 // restart all callers come at once, and a guess must not refuse them.
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -51,7 +51,7 @@
 	version uint64 // of the own record
 	beats   uint64
 	alive   atomic.Int64
-	found   chan struct{} // closed after the first list, or at once after a restart
+	found   chan struct{} // closed after the first list
 
 	restarted bool // an earlier process of this VM has left its record
 
@@ -81,22 +81,18 @@
 	return m.all
 }
 
-// Found is closed when the daemons were listed for the first time or that failed,
-// and at once when this is not the first process of its VM.
+// Found is closed when the daemons were listed for the first time or that failed.
 func (m *members) Found() <-chan struct{} { return m.found }
 
 // Run keeps the own record and the list until ctx ends, then takes the record
 // away.
 func (m *members) Run(ctx context.Context) {
 	m.beat(ctx)
-	if m.restarted {
-		close(m.found) // callers are waiting: the store first, the others later
-		m.list(ctx, true)
-	} else {
-		pause(ctx, firstList)
-		m.list(ctx, true)
-		close(m.found)
+	if !m.restarted {
+		pause(ctx, firstList) // after a restart callers are waiting
 	}
+	m.list(ctx, true)
+	close(m.found)
 	beats, lists := time.NewTicker(heartbeat), time.NewTicker(listEvery)
 	defer beats.Stop()
 	defer lists.Stop()
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -69,6 +69,7 @@
 	notify  chan struct{}
 
 	rawConfig []byte          // of the configuration in force
+	state     *State          // as passed on, nil after a change
 	gone      map[string]tomb // backend servers that left, by ID
 }
 
@@ -351,6 +352,7 @@
 	}
 	r.lapsedAt = now
 	i.servers[id] = r
+	i.state = nil
 	time.AfterFunc(lapseGrace, func() { i.dropLapsed(id) })
 }
 
@@ -367,6 +369,7 @@
 }
 
 func (i *Inventory) publishServers() {
+	i.state = nil
 	servers := make(map[string]*site.BackendServer, len(i.servers))
 	for id, r := range i.servers {
 		servers[id] = r.server
@@ -380,6 +383,7 @@
 
 func (i *Inventory) publish(v *View) {
 	i.view.Store(v)
+	i.state = nil
 	close(i.notify)
 	i.notify = make(chan struct{})
 }
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -21,17 +21,22 @@
 	Servers       map[string]Entry
 }
 
-// State returns what is known now.
-func (i *Inventory) State() State {
+// State returns what is known now. It is immutable and made once a change, as
+// many daemons may ask for it.
+func (i *Inventory) State() *State {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	s := State{Config: i.rawConfig, Servers: make(map[string]Entry, len(i.servers))}
+	if i.state != nil {
+		return i.state
+	}
+	s := &State{Config: i.rawConfig, Servers: make(map[string]Entry, len(i.servers))}
 	if c := i.view.Load().Config; c != nil {
 		s.ConfigVersion = c.Version
 	}
 	for id, r := range i.servers {
 		s.Servers[id] = Entry{Raw: r.raw, Revision: r.revision, Lapsed: !r.lapsedAt.IsZero()}
 	}
+	i.state = s
 	return s
 }
 
@@ -74,6 +79,7 @@
 	for _, id := range lapsed {
 		i.lapseOne(id, time.Now())
 	}
+	i.state = nil
 }
 
 // Vouch says that no newer configuration than the one in force existed at fresh.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -106,7 +106,7 @@
 		}
 		links[domain] = c
 	}
-	p := &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, LoadsOnly: true}
+	p := &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: true, LoadsOnly: true}
 	if err := writeFrame(ctx, c, &frame{Ping: p}); err != nil {
 		_ = c.CloseNow()
 		delete(links, domain)
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -5,9 +5,20 @@
 	"time"
 )
 
-// loadTTL is how long the loads that a daemon told count: a little more than two
-// pings.
-const loadTTL = 3500 * time.Millisecond
+// Loads are told every loadsEvery, and less often the more backend servers there
+// are: loadsPerItem for each bounds what a link carries to about 3 KB a second.
+const (
+	loadsEvery   = 800 * time.Millisecond
+	loadsPerItem = 8 * time.Millisecond
+	// loadTTL is how long the loads that a daemon told count: two periods with 600
+	// backend servers.
+	loadTTL = 10 * time.Second
+)
+
+// loadsPeriod returns the time between two exchanges of loads.
+func loadsPeriod(servers int) time.Duration {
+	return max(loadsEvery, time.Duration(servers)*loadsPerItem)
+}
 
 // ledger adds up the loads of the daemons that follow this one. It is safe for
 // concurrent use.
--- a/relay/node.go
+++ b/relay/node.go
@@ -34,6 +34,10 @@
 	// ownSources is how many daemons of the own domain are tried as a source: the
 	// first follows the store, the second does when the first is lost.
 	ownSources = 2
+	// patience is how long a daemon waits at its start for a source that starts at
+	// the same time; if all read the store at once, its rate would hold all up.
+	patience      = 1500 * time.Millisecond
+	patiencePause = 100 * time.Millisecond
 	// firstStorePause and laterStorePause bound the pause after failed calls to the
 	// store: while it is away, only the first daemons of a domain look for it often.
 	firstStorePause = 400 * time.Millisecond
@@ -69,6 +73,7 @@
 	members Members
 	logger  log.Logger
 	ledger  *ledger
+	frames  frames
 
 	reading      atomic.Bool // this daemon follows the store itself
 	otherDomains *exchange
@@ -104,6 +109,7 @@
 // Run keeps the inventory up to date until ctx ends: over a source if there is a
 // sound one, else from the store itself.
 func (n *Node) Run(ctx context.Context) {
+	n.awaitFirstSource(ctx)
 	for ctx.Err() == nil {
 		if n.followSource(ctx) {
 			continue
@@ -118,6 +124,29 @@
 	return n.reading.Load() && now.Sub(n.inv.Heard()) < unheardFor
 }
 
+// awaitFirstSource gives the sources time to start. The first daemons of a domain
+// do not wait: they are the sources.
+func (n *Node) awaitFirstSource(ctx context.Context) {
+	until := time.Now().Add(patience)
+	for ctx.Err() == nil && len(n.candidates()) >= ownSources && time.Now().Before(until) {
+		for _, m := range n.candidates() {
+			if n.probe(ctx, m) {
+				return
+			}
+		}
+		sleep(ctx, patiencePause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // candidates returns the daemons that this one may follow, the best first: the
 // first ones of its domain that come before it in the order of names; then, for
 // all but the first two, the first ones of the other domains. Only a daemon that
@@ -269,6 +298,7 @@
 
 	mu     sync.Mutex
 	number uint64
+	loads  time.Time            // when loads were last told
 	sent   map[uint64]time.Time // of pings without an answer
 }
 
@@ -294,7 +324,11 @@
 	number := s.number
 	s.sent[number] = time.Now()
 	s.mu.Unlock()
-	p := &ping{Number: number, Sender: s.node.opts.Name, Domain: s.node.opts.Domain, Loads: s.node.book.OwnLoads()}
+	p := &ping{Number: number, Sender: s.node.opts.Name, Domain: s.node.opts.Domain}
+	if now := time.Now(); now.Sub(s.loads) >= loadsPeriod(len(s.node.inv.State().Servers)) {
+		s.loads = now
+		p.HasLoads, p.Loads = true, s.node.book.OwnLoads()
+	}
 	return writeFrame(ctx, s.conn, &frame{Ping: p})
 }
 
@@ -335,6 +369,8 @@
 	}
 	s.followed = true
 	s.node.inv.Vouch(p.Version, sent.Add(-p.Age))
-	s.node.book.TakeOthers(p.Loads, p.Daemons)
+	if p.Daemons > 0 {
+		s.node.book.TakeOthers(p.Loads, p.Daemons)
+	}
 	return nil
 }
--- a/relay/source.go
+++ b/relay/source.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log/level"
 
 	"github.com/snowspoke/snowspoke/inventory"
@@ -13,7 +16,8 @@
 
 // Inventory is what is passed on, and where what is received goes.
 type Inventory interface {
-	State() inventory.State
+	// State is immutable; two calls without a change between give the same.
+	State() *inventory.State
 	Changed() <-chan struct{}
 	Age(now time.Time) time.Duration
 	// Heard returns when the store last answered this daemon itself, the zero time
@@ -58,12 +62,17 @@
 
 // pushChanges sends the full state and then what changes.
 func (n *Node) pushChanges(ctx context.Context, c *websocket.Conn) {
-	sent := inventory.State{Servers: map[string]inventory.Entry{}}
-	for full := true; ; full = false {
+	var sent *inventory.State
+	for {
 		changed := n.inv.Changed()
 		now := n.inv.State()
-		if u := diff(sent, now, full); u != nil {
-			if writeFrame(ctx, c, &frame{Update: u}) != nil {
+		data, err := n.frames.between(sent, now)
+		if err != nil {
+			_ = level.Error(n.logger).Log("msg", "state not passed on", "err", err)
+			return
+		}
+		if data != nil {
+			if writeData(ctx, c, data) != nil {
 				return // the follower notices and comes back
 			}
 			sent = now
@@ -76,9 +85,53 @@
 	}
 }
 
-// diff returns what changed between two states, nil for nothing.
-func diff(old, now inventory.State, full bool) *update {
-	u := &update{Full: full, Servers: map[string]inventory.Entry{}}
+// frames keeps the last frames that carry a change, encoded: most followers need
+// the same one.
+type frames struct {
+	mu   sync.Mutex
+	kept []keptFrame
+}
+
+type keptFrame struct {
+	from, to *inventory.State
+	data     []byte
+}
+
+// framesKept is how many frames are kept: the full state and the last change.
+const framesKept = 3
+
+// between returns the encoded change from one state to another, nil for none;
+// from nil is the full state.
+func (f *frames) between(from, to *inventory.State) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, k := range f.kept {
+		if k.from == from && k.to == to {
+			return k.data, nil
+		}
+	}
+	u := diff(from, to)
+	if u == nil {
+		return nil, nil
+	}
+	data, err := cbor.Marshal(&frame{Update: u})
+	if err != nil {
+		return nil, fmt.Errorf("relay: encode: %w", err)
+	}
+	f.kept = append(f.kept, keptFrame{from, to, data})
+	if len(f.kept) > framesKept {
+		f.kept = f.kept[1:]
+	}
+	return data, nil
+}
+
+// diff returns what changed between two states, nil for nothing. From nil it is
+// the full state.
+func diff(old, now *inventory.State) *update {
+	u := &update{Full: old == nil, Servers: map[string]inventory.Entry{}}
+	if old == nil {
+		old = &inventory.State{}
+	}
 	if now.ConfigVersion > old.ConfigVersion {
 		u.Config = now.Config
 	}
@@ -92,7 +145,7 @@
 			u.Gone = append(u.Gone, id)
 		}
 	}
-	if !full && u.Config == nil && len(u.Servers) == 0 && len(u.Gone) == 0 {
+	if !u.Full && u.Config == nil && len(u.Servers) == 0 && len(u.Gone) == 0 {
 		return nil
 	}
 	return u
@@ -111,7 +164,7 @@
 		now := time.Now()
 		p := f.Ping
 		sameDomain := p.Domain == n.opts.Domain
-		if !p.LoadsOnly {
+		if p.HasLoads && !p.LoadsOnly {
 			n.ledger.put(p.Sender, p.Domain, p.Loads, now)
 		}
 		if !n.sound(now) {
@@ -120,7 +173,9 @@
 		answer := &pong{
 			Number: p.Number, Age: n.inv.Age(now), Heard: now.Sub(n.inv.Heard()), Version: n.inv.State().ConfigVersion,
 		}
-		answer.Loads, answer.Daemons = n.loadsFor(p.Sender, sameDomain, now)
+		if p.HasLoads {
+			answer.Loads, answer.Daemons = n.loadsFor(p.Sender, sameDomain, now)
+		}
 		if err := writeFrame(ctx, c, &frame{Pong: answer}); err != nil {
 			return // the link is over
 		}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -47,6 +47,9 @@
 	Sender string     `cbor:"2,keyasint"`
 	Domain string     `cbor:"3,keyasint"`
 	Loads  []LoadItem `cbor:"4,keyasint,omitempty"`
+	// HasLoads says that Loads are told and that the others' are asked for; other
+	// pings only ask how fresh the source is.
+	HasLoads bool `cbor:"6,keyasint,omitempty"`
 	// LoadsOnly asks for nothing but loads: the sender follows the store itself.
 	LoadsOnly bool `cbor:"5,keyasint,omitempty"`
 }
@@ -74,6 +77,10 @@
 	if err != nil {
 		return fmt.Errorf("relay: encode: %w", err)
 	}
+	return writeData(ctx, c, data)
+}
+
+func writeData(ctx context.Context, c *websocket.Conn, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	return c.Write(ctx, websocket.MessageBinary, data)
