--- a/api/completions.go
+++ b/api/completions.go
@@ -37,6 +37,7 @@
 	TopP        *float64          `json:"top_p"`
 	Seed        *int64            `json:"seed"`
 	Stop        stopList          `json:"stop"`
+	Choices     int               `json:"n"` // answers asked for; one is supported
 }
 
 // stopList reads one string or a list of strings.
@@ -68,6 +69,8 @@
 		return nil, apierror.New(apierror.BadRequest, "model: missing")
 	case b.MaxTokens < 0:
 		return nil, apierror.New(apierror.BadRequest, "max_tokens: write a number from 0")
+	case b.Choices < 0 || b.Choices > 1:
+		return nil, apierror.New(apierror.BadRequest, "n: %d choices are not supported, one is", b.Choices)
 	case f == textForm && b.Prompt == "":
 		return nil, apierror.New(apierror.BadRequest, "prompt: missing")
 	case f == chatForm && len(b.Messages) == 0:
--- a/api/parse_test.go
+++ b/api/parse_test.go
@@ -30,6 +30,13 @@
 	})
 }
 
+func TestUnsupportedChoicesAreRefusedByName(t *testing.T) {
+	_, err := parseCompletion([]byte(`{"model":"m","prompt":"p","n":2}`), textForm)
+	require.ErrorContains(t, err, "n: 2 choices")
+	_, err = parseCompletion([]byte(`{"model":"m","prompt":"p","n":1}`), textForm)
+	require.NoError(t, err)
+}
+
 func TestParticulars(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	h := benchCallers(1, 1)
--- a/cmd/snowspoke/try.go
+++ b/cmd/snowspoke/try.go
@@ -19,6 +19,7 @@
 
 type tryCmd struct {
 	Once     bool   `help:"Send a few hundred mixed requests under faults, print what they showed, and exit."`
+	Site     bool   `help:"With --once: run daemons of the users' platform before stand-ins on its wire."`
 	Faults   bool   `help:"With --once: let the store fail and an engine freeze as well."`
 	Daemons  int    `help:"Daemons to run." default:"3"`
 	Settings string `help:"Write settings for one more daemon, to run as snowspoked --settings FILE." placeholder:"FILE"`
@@ -34,6 +35,9 @@
 	if err != nil {
 		return err
 	}
+	if t.Site {
+		return t.site(logs)
+	}
 	w, err := trial.NewWorld(t.Daemons, trial.Loopback, logging.New(logs, "info"))
 	if err != nil {
 		return err
@@ -74,6 +78,27 @@
 	fmt.Println("\nend with Ctrl-C")
 }
 
+// site is --once on the users' platform.
+func (t *tryCmd) site(logs io.Writer) error {
+	if !t.Once {
+		return errors.New("--site goes with --once")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), onceTimeout)
+	defer cancel()
+	summary, problems, err := trial.OnceOnSite(ctx, logs, func(s string) { fmt.Println("try:", s) })
+	if err != nil {
+		return err
+	}
+	for _, p := range problems {
+		fmt.Println("try: problem:", p)
+	}
+	fmt.Println("try:", summary)
+	if len(problems) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
 func (t *tryCmd) once(w *trial.World) error {
 	ctx, cancel := context.WithTimeout(context.Background(), onceTimeout)
 	defer cancel()
--- a/config/config.go
+++ b/config/config.go
@@ -161,7 +161,7 @@
 // Parse reads and checks settings.
 func Parse(data []byte) (Config, error) {
 	c := Default()
-	f, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false, IgnoreInlineComment: true}, data)
+	f, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false, IgnoreInlineComment: true, AllowShadows: true}, data)
 	if err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -34,6 +34,7 @@
 		{"[limits]\nheader_timeout = -5s\n", "[limits] header_timeout: \"-5s\", write a duration"},
 		{"[limits]\nretry_ratio = NaN\n", "[limits] retry_ratio: \"NaN\", write a number"},
 		{"[limits]\nspeed = 5\n", "[limits] speed: unknown key"},
+		{"[limits]\nbody_bytes = 5\nbody_bytes = 6\n", "[limits] body_bytes: given 2 times"},
 		{"[speed]\nx = 5\n", "[speed]: unknown section"},
 		{"[health]\ngap_floor = 3s\n", "[health] gap_floor: 3s, write at most"},
 		{"[peers]\nsuspect = 9s\n", "[peers] suspect: 9s, write less than dead"},
--- a/config/fields.go
+++ b/config/fields.go
@@ -129,6 +129,10 @@
 	if err != nil || !s.HasKey(f.key) {
 		return
 	}
+	if n := len(s.Key(f.key).ValueWithShadows()); n > 1 {
+		r.faults = append(r.faults, fault(f.section, f.key, "given %d times, write it once", n))
+		return
+	}
 	if msg := set(f.target, s.Key(f.key).String()); msg != "" {
 		r.faults = append(r.faults, fault(f.section, f.key, "%s", msg))
 	}
--- a/gateway/planned_test.go
+++ b/gateway/planned_test.go
@@ -22,12 +22,12 @@
 	w.store.Set("servers", "plain-1", record)
 	require.Eventually(t, func() bool { return d.inv.View().Servers["plain-1"].Draining }, 2*time.Second, 10*time.Millisecond)
 	for range 8 {
-		require.Equal(t, http.StatusOK, d.call(t, call{method: "GET", path: "/plain/"}).status)
+		require.Equal(t, http.StatusOK, d.call(t, call{method: "GET", path: "/plain/"}).Status)
 	}
 	require.Empty(t, servers[0].Runs())
 	w.store.Remove("servers", "plain-2")
 	require.Eventually(t, func() bool { return d.inv.View().Servers["plain-2"] == nil }, 2*time.Second, 10*time.Millisecond)
-	require.Equal(t, http.StatusServiceUnavailable, d.call(t, call{method: "GET", path: "/plain/"}).status)
+	require.Equal(t, http.StatusServiceUnavailable, d.call(t, call{method: "GET", path: "/plain/"}).Status)
 }
 
 func TestConfigurationIsInForceSoonAndStays(t *testing.T) {
@@ -40,13 +40,13 @@
 	w.config["routes"] = append(routes, route("added", "/added/", "safe", 1))
 	w.putConfig()
 	require.Eventually(t, func() bool {
-		return d.call(t, call{method: "GET", path: "/added/"}).status == http.StatusOK
+		return d.call(t, call{method: "GET", path: "/added/"}).Status == http.StatusOK
 	}, time.Second, 10*time.Millisecond)
 	w.store.Compact()
 	w.config["routes"] = routes
 	w.putConfig()
 	require.Eventually(t, func() bool {
-		return d.call(t, call{method: "GET", path: "/added/"}).status == http.StatusNotFound
+		return d.call(t, call{method: "GET", path: "/added/"}).Status == http.StatusNotFound
 	}, 2*time.Second, 10*time.Millisecond)
 }
 
@@ -59,15 +59,15 @@
 	w.store.SetTrouble(standin.Silent)
 	silent := time.Now()
 	require.Eventually(t, func() bool {
-		return d.call(t, call{method: "GET", path: "/plain/"}).status == http.StatusServiceUnavailable
+		return d.call(t, call{method: "GET", path: "/plain/"}).Status == http.StatusServiceUnavailable
 	}, 4*time.Second, 20*time.Millisecond)
 	require.Less(t, time.Since(silent), 2600*time.Millisecond)
 	ran := totalRuns(servers)
-	require.Equal(t, http.StatusServiceUnavailable, d.call(t, call{method: "GET", path: "/plain/"}).status)
+	require.Equal(t, http.StatusServiceUnavailable, d.call(t, call{method: "GET", path: "/plain/"}).Status)
 	require.Equal(t, ran, totalRuns(servers))
 	w.store.SetTrouble(standin.Sound)
 	require.Eventually(t, func() bool {
-		return d.call(t, call{method: "GET", path: "/plain/"}).status == http.StatusOK
+		return d.call(t, call{method: "GET", path: "/plain/"}).Status == http.StatusOK
 	}, 4*time.Second, 20*time.Millisecond)
 }
 
@@ -115,8 +115,8 @@
 	go func() { streams <- d.call(t, call{method: "POST", path: "/stream/", client: kept}) }()
 	for range 3 {
 		a := <-streams
-		require.NoError(t, a.err)
-		require.Equal(t, events(1, 100), a.body)
+		require.NoError(t, a.Err)
+		require.Equal(t, events(1, 100), a.Body)
 	}
 	require.NoError(t, <-d.done)
 	require.Less(t, time.Since(began), d.set.Grace)
@@ -129,9 +129,9 @@
 	w.servers("plain", "", "plain-1")
 	d := w.daemon("daemon-1", nil).ready(t, 1)
 	d.forward.SetBounds(0.1, 10, time.Nanosecond)
-	require.Equal(t, http.StatusServiceUnavailable, d.call(t, call{method: "GET", path: "/plain/"}).status)
+	require.Equal(t, http.StatusServiceUnavailable, d.call(t, call{method: "GET", path: "/plain/"}).Status)
 	d.forward.SetBounds(0.1, 10, time.Hour)
-	require.Equal(t, http.StatusOK, d.call(t, call{method: "GET", path: "/plain/"}).status)
+	require.Equal(t, http.StatusOK, d.call(t, call{method: "GET", path: "/plain/"}).Status)
 }
 
 func TestFollowersDoNotCallTheStore(t *testing.T) {
@@ -146,7 +146,7 @@
 	require.Eventually(t, func() bool {
 		return second.inv.View().Config.Version == uint64(w.version)
 	}, time.Second, 5*time.Millisecond)
-	require.Equal(t, http.StatusOK, second.call(t, call{method: "GET", path: "/plain/"}).status)
+	require.Equal(t, http.StatusOK, second.call(t, call{method: "GET", path: "/plain/"}).Status)
 	// When its source dies the follower goes to the store at once.
 	first.Kill()
 	w.putConfig()
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -1,86 +1,16 @@
 package gateway
 
 import (
-	"io"
-	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/snowspoke/snowspoke/platform/standin"
 	"github.com/snowspoke/snowspoke/site"
 )
 
-// proxy stands between one daemon and the store and can be cut without a word.
-type proxy struct {
-	listener net.Listener
-	to       string
-
-	mu    sync.Mutex
-	cut   chan struct{}
-	conns []net.Conn
-}
-
-func newProxy(t *testing.T, to string) *proxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	p := &proxy{listener: l, to: to, cut: make(chan struct{})}
-	t.Cleanup(func() {
-		_ = l.Close()
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		for _, c := range p.conns {
-			_ = c.Close()
-		}
-	})
-	go p.accept()
-	return p
-}
-
-func (p *proxy) silence() { close(p.cut) }
-
-func (p *proxy) accept() {
-	for {
-		in, err := p.listener.Accept()
-		if err != nil {
-			return // closed
-		}
-		out, err := net.Dial("tcp", p.to)
-		if err != nil {
-			_ = in.Close()
-			continue
-		}
-		p.mu.Lock()
-		p.conns = append(p.conns, in, out)
-		p.mu.Unlock()
-		go p.pass(in, out)
-		go p.pass(out, in)
-	}
-}
-
-// pass copies until the proxy is cut; then what comes is swallowed.
-func (p *proxy) pass(from, to net.Conn) {
-	buf := make([]byte, 4096)
-	for {
-		n, err := from.Read(buf)
-		if err != nil {
-			_ = to.Close()
-			return
-		}
-		select {
-		case <-p.cut:
-			_, _ = io.Copy(io.Discard, from)
-			return
-		default:
-		}
-		if _, err := to.Write(buf[:n]); err != nil {
-			return
-		}
-	}
-}
-
 // follows waits until the second daemon follows the first.
 func follows(t *testing.T, first, second *running) {
 	t.Helper()
@@ -92,11 +22,13 @@
 	w := newWorld(t)
 	w.putConfig()
 	w.servers("plain", "", "plain-1")
-	p := newProxy(t, w.store.Address())
-	first := w.daemon("daemon-1", func(s *site.Settings) { s.Store = p.listener.Addr().String() }).ready(t, 1)
+	p, err := standin.NewProxy(w.store.Address())
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	first := w.daemon("daemon-1", func(s *site.Settings) { s.Store = p.Address() }).ready(t, 1)
 	second := w.daemon("daemon-2", nil).ready(t, 1)
 	follows(t, first, second)
-	p.silence()
+	p.Set(standin.Silence)
 	w.putConfig()
 	changed := time.Now()
 	require.Eventually(t, func() bool {
@@ -117,7 +49,7 @@
 	require.Eventually(t, func() bool {
 		return second.inv.View().Config.Version == uint64(w.version)
 	}, 2*time.Second, 5*time.Millisecond)
-	require.Equal(t, http.StatusOK, second.call(t, call{method: "GET", path: "/plain/"}).status)
+	require.Equal(t, http.StatusOK, second.call(t, call{method: "GET", path: "/plain/"}).Status)
 }
 
 func TestLoadsOfTheDaemonsAreAddedUp(t *testing.T) {
--- a/gateway/requests_test.go
+++ b/gateway/requests_test.go
@@ -25,8 +25,8 @@
 	d, servers := plainWorld(t)
 	a := d.call(t, call{method: "POST", path: "/once/a%20b?x=1&y=%2F", body: "the body",
 		header: map[string]string{"X-Own": "kept", "Snowspoke-Tenant": "forged", "Snowspoke-Hop-Count": "forged", "Connection": "close"}})
-	require.NoError(t, a.err)
-	require.Equal(t, http.StatusOK, a.status)
+	require.NoError(t, a.Err)
+	require.Equal(t, http.StatusOK, a.Status)
 	require.Equal(t, 1, totalRuns(servers))
 	run := append(servers[0].Runs(), servers[1].Runs()...)[0]
 	require.Equal(t, "/once/a%20b?x=1&y=%2F", run.Target)
@@ -36,8 +36,8 @@
 	require.Empty(t, run.Header.Get("Authorization"))
 	require.Empty(t, run.Path)
 	require.LessOrEqual(t, run.Deadline, 1500, "the route allows less time than the caller")
-	require.True(t, strings.HasSuffix(a.body, "ran the body"))
-	require.NotEmpty(t, a.header.Get("Snowspoke-Server-Seal"))
+	require.True(t, strings.HasSuffix(a.Body, "ran the body"))
+	require.NotEmpty(t, a.Header.Get("Snowspoke-Server-Seal"))
 }
 
 func TestRefusalsBeforeSending(t *testing.T) {
@@ -50,7 +50,7 @@
 		"unknown route": {call{method: "GET", path: "/else/"}, http.StatusNotFound},
 		"body too long": {call{method: "POST", path: "/plain/", body: strings.Repeat("x", 1001)}, http.StatusRequestEntityTooLarge},
 	} {
-		require.Equal(t, c.status, d.call(t, c.call).status, name)
+		require.Equal(t, c.status, d.call(t, c.call).Status, name)
 	}
 	require.Zero(t, totalRuns(servers))
 }
@@ -60,7 +60,7 @@
 	w := newWorld(t)
 	d := w.daemon("daemon-1", nil)
 	require.Eventually(t, func() bool {
-		return d.call(t, call{method: "GET", path: "/plain/"}).status == http.StatusServiceUnavailable
+		return d.call(t, call{method: "GET", path: "/plain/"}).Status == http.StatusServiceUnavailable
 	}, 2*time.Second, 10*time.Millisecond)
 	resp, err := http.Get("http://" + d.ReadinessAddr() + "/ready")
 	require.NoError(t, err)
@@ -98,24 +98,24 @@
 			servers[0].Next(c.fault)
 			servers[1].Next(c.fault)
 			a := d.call(t, call{method: "POST", path: c.path, body: "x"})
-			if c.status == http.StatusOK && a.status != http.StatusOK {
-				require.GreaterOrEqual(t, a.status, 500)
+			if c.status == http.StatusOK && a.Status != http.StatusOK {
+				require.GreaterOrEqual(t, a.Status, 500)
 				a = d.call(t, call{method: "POST", path: c.path, body: "x", id: "req-2"})
 			}
-			require.NoError(t, a.err)
-			require.Equal(t, c.status, a.status)
-			require.Equal(t, c.sealed, a.header.Get("Snowspoke-Server-Seal") != "")
-			require.Equal(t, c.refused, a.header.Get("Retry-After") != "")
+			require.NoError(t, a.Err)
+			require.Equal(t, c.status, a.Status)
+			require.Equal(t, c.sealed, a.Header.Get("Snowspoke-Server-Seal") != "")
+			require.Equal(t, c.refused, a.Header.Get("Retry-After") != "")
 			if c.path == "/once/" {
 				require.Equal(t, c.runs, totalRuns(servers))
 			}
 			if c.status == http.StatusOK {
-				require.Contains(t, a.body, "ran x")
+				require.Contains(t, a.Body, "ran x")
 			}
 			// Bytes that belong to no request never reach the next one.
 			b := d.call(t, call{method: "POST", path: "/once/", body: "y", id: "req-3"})
-			if b.status == http.StatusOK {
-				require.Contains(t, b.body, "ran y")
+			if b.Status == http.StatusOK {
+				require.Contains(t, b.Body, "ran y")
 			}
 		})
 	}
@@ -126,7 +126,7 @@
 	servers[0].Kill()
 	for range 6 {
 		a := d.call(t, call{method: "GET", path: "/plain/"})
-		require.Equal(t, http.StatusOK, a.status)
+		require.Equal(t, http.StatusOK, a.Status)
 	}
 	require.Equal(t, 6, len(servers[1].Runs()))
 }
@@ -146,7 +146,7 @@
 		leave()
 	}()
 	a := d.call(t, call{method: "POST", path: "/stream/", ctx: ctx})
-	require.Error(t, a.err)
+	require.Error(t, a.Err)
 	require.Eventually(t, func() bool { return d.forward.InFlight() == 0 }, 500*time.Millisecond, 5*time.Millisecond)
 }
 
@@ -160,6 +160,6 @@
 	d := w.daemon("daemon-1", nil).ready(t, 2)
 	began := time.Now()
 	a := d.call(t, call{method: "POST", path: "/stream/"})
-	require.Error(t, a.err, "a stream that is cut must not look complete")
+	require.Error(t, a.Err, "a stream that is cut must not look complete")
 	require.Less(t, time.Since(began), 700*time.Millisecond)
 }
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -34,7 +34,7 @@
 		return ordered >= 2
 	}, 8*time.Second, 50*time.Millisecond)
 	require.Eventually(t, func() bool {
-		return d.call(t, call{method: "POST", path: "/stream/"}).status == http.StatusOK
+		return d.call(t, call{method: "POST", path: "/stream/"}).Status == http.StatusOK
 	}, 3*time.Second, 50*time.Millisecond)
 }
 
@@ -50,11 +50,11 @@
 	heads[0].Next(standin.BreakOff)
 	heads[1].Next(standin.BreakOff)
 	a := d.call(t, call{method: "POST", path: "/stream/"})
-	for a.err != nil { // both broke off, and no third may be tried: the caller goes on
+	for a.Err != nil { // both broke off, and no third may be tried: the caller goes on
 		a = d.call(t, call{method: "POST", path: "/stream/", id: "req-2"})
 	}
-	require.Equal(t, http.StatusOK, a.status)
-	require.Equal(t, events(1, 20), a.body, "each event once, in order")
+	require.Equal(t, http.StatusOK, a.Status)
+	require.Equal(t, events(1, 20), a.Body, "each event once, in order")
 }
 
 func TestStreamGoesOnAfterTheEventThatTheCallerHas(t *testing.T) {
@@ -65,8 +65,8 @@
 	heads[0].Events = 9
 	d := w.daemon("daemon-1", nil).ready(t, 2)
 	a := d.call(t, call{method: "POST", path: "/stream/", header: map[string]string{"Last-Event-Id": "4"}})
-	require.NoError(t, a.err)
-	require.Equal(t, events(5, 9), a.body)
+	require.NoError(t, a.Err)
+	require.Equal(t, events(5, 9), a.Body)
 }
 
 func TestStreamMovesAwayFromTheHopAtFault(t *testing.T) {
@@ -90,8 +90,8 @@
 	}()
 	began := time.Now()
 	a := d.call(t, call{method: "POST", path: "/stream/"})
-	require.NoError(t, a.err)
-	require.Equal(t, events(1, 12), a.body)
+	require.NoError(t, a.Err)
+	require.Equal(t, events(1, 12), a.Body)
 	require.Less(t, time.Since(began), time.Second)
 	require.Len(t, heads[0].Orders(), 1)
 	require.Equal(t, "repath", heads[0].Orders()[0]["op"])
@@ -118,8 +118,8 @@
 		}
 	}()
 	a := d.call(t, call{method: "POST", path: "/stream/"})
-	require.NoError(t, a.err)
-	require.Equal(t, events(1, 60), a.body)
+	require.NoError(t, a.Err)
+	require.Equal(t, events(1, 60), a.Body)
 }
 
 func contains(path, address string) bool {
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -1,16 +1,17 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/snowspoke/snowspoke/platform/sitetrial"
 	"github.com/snowspoke/snowspoke/platform/standin"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -23,52 +24,18 @@
 	config  map[string]any
 }
 
-// Keys and hosts of the tests.
-const (
-	goodKey = "key-1"
-	host    = "site.example"
-	layers  = 4
-)
-
 func newWorld(t *testing.T) *world {
 	t.Helper()
 	w := &world{t: t, store: standin.NewStore(), version: 10}
 	t.Cleanup(w.store.Close)
-	w.config = map[string]any{
-		"routes": []map[string]any{
-			route("plain", "/plain/", "safe", 2),
-			route("once", "/once/", "unsafe", 1),
-			route("stream", "/stream/", "stream", 2),
-		},
-		"services": []map[string]any{
-			{"name": "plain", "maxConns": 100},
-			{"name": "model", "maxConns": 100, "engine": engine()},
-		},
-		"limits":  map[string]any{"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "workspace-1", "apiKeys": []string{goodKey}}},
-	}
+	w.config = sitetrial.Config(w.version, []map[string]any{
+		route("plain", "/plain/", "safe", 2), route("once", "/once/", "unsafe", 1), route("stream", "/stream/", "stream", 2),
+	})
 	return w
 }
 
 func route(name, prefix, kind string, attempts int) map[string]any {
-	r := map[string]any{
-		"name": name, "host": host, "pathPrefix": prefix, "kind": kind, "timeoutMs": 1500, "targetLatencyMs": 300,
-		"maxAttempts": attempts, "service": "plain",
-	}
-	if kind == "stream" {
-		r["service"], r["resumable"], r["timeoutMs"] = "model", true, 8000
-	}
-	return r
-}
-
-// engine describes a model of four layers of which a card holds at most two.
-func engine() map[string]any {
-	return map[string]any{
-		"slots": 100, "layers": layers, "layerMb": 100.0, "kvTokenBytes": 1000, "step_ms": 0.1, "read_per_s": 1e6,
-		"usual": map[string]any{"prompt": 10, "answer": 10}, "loads_at_once": 6,
-		"kinds":  []map[string]any{{"name": "card", "megabytes": 220.0, "pace": 1.0, "readX": 1.0}},
-		"models": []map[string]any{{"name": "m", "loadS": 0.1}},
-	}
+	return sitetrial.Route(name, prefix, kind, attempts)
 }
 
 func (w *world) putConfig() {
@@ -146,14 +113,9 @@
 	return r
 }
 
-// answer is what a caller got; err says that it was cut off.
-type answer struct {
-	status int
-	header http.Header
-	body   string
-	err    error
-}
+type answer = sitetrial.Answer
 
+// call is a request with what most tests have alike left out.
 type call struct {
 	method, path, body, key, id string
 	header                      map[string]string
@@ -166,41 +128,16 @@
 	if c.ctx == nil {
 		c.ctx = t.Context()
 	}
-	if c.id == "" {
-		c.id = "req-1"
-	}
-	if c.key == "" {
-		c.key = goodKey
-	}
 	if c.client == nil {
 		c.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	}
-	req, err := http.NewRequestWithContext(c.ctx, c.method, "http://"+r.CallersAddr()+c.path, strings.NewReader(c.body))
-	require.NoError(t, err)
-	req.Host = host
-	req.Header.Set("Authorization", "Bearer "+c.key)
-	req.Header.Set("Snowspoke-Request-Id", c.id)
-	req.Header.Set("Snowspoke-Deadline-Ms", "5000")
-	for k, v := range c.header {
-		req.Header.Set(k, v)
-	}
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+	return sitetrial.Do(c.ctx, c.client, r.CallersAddr(), sitetrial.Call{
+		Method: c.method, Path: c.path, Body: c.body, Header: c.header,
+		Key: cmp.Or(c.key, sitetrial.Key), ID: cmp.Or(c.id, "req-1"),
+	})
 }
 
-// events returns what a stream of n events looks like from one on.
-func events(from, n int) string {
-	var b strings.Builder
-	for i := from; i <= n; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
-	}
-	return b.String()
-}
+func events(from, to int) string { return sitetrial.Events(from, to) }
 
 func totalRuns(servers []*standin.Server) int {
 	n := 0
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -20,7 +21,17 @@
 	"routing": 3, "admission": 3, "health": 3, "placement": 3, "claims": 3, "lease": 3, "quota": 3,
 	"monitor": 4, "peer": 4, "dispatch": 4,
 	"metrics": 5, "api": 5, "control": 5,
-	"daemon": 6, "client": 6, "trial": 7, "load": 7, "cmd": 8,
+	"daemon": 6, "client": 6, "trial": 8, "load": 8, "cmd": 9,
+	"site": 1, "inventory": 2, "pipeline": 3, "relay": 4, "forward": 5, "placer": 6, "platform": 6, "gateway": 7,
+}
+
+// adapters lists what a package that only translates may import of this module,
+// and who may import it.
+var adapters = map[string]struct{ may, by []string }{
+	"platform": {
+		may: []string{"apierror", "forward", "inventory", "site", "store"},
+		by:  []string{"gateway", "cmd", "platform"},
+	},
 }
 
 // wire lists who may know a wire format.
@@ -59,6 +70,7 @@
 	if rank[top(from)] > 0 && rank[top(to)] > 0 {
 		require.Greater(t, rank[top(from)], rank[top(to)], "%s imports %s", from, to)
 	}
+	checkAdapter(t, from, to)
 	allowed, isWire := wire[to]
 	if !isWire {
 		return
@@ -70,3 +82,35 @@
 	}
 	t.Errorf("%s imports the wire format %s", from, to)
 }
+
+// checkAdapter holds that an adapter imports no decider, and that only the wiring
+// imports it.
+func checkAdapter(t *testing.T, from, to string) {
+	if a, ok := adapters[from]; ok && to != from+"/standin" {
+		require.Contains(t, a.may, to, "%s imports %s", from, to)
+	}
+	if a, ok := adapters[to]; ok {
+		require.Contains(t, a.by, strings.SplitN(from, "/", 2)[0], "%s imports %s", from, to)
+	}
+}
+
+// platformNames are names of the users' wire that may stand in its adapter alone.
+var platformNames = []string{"Snowspoke-Server-Seal", "Snowspoke-Hop-Count", "Snowspoke-Not-Run", "Snowspoke-Expect-Instance", "targetVersion", "SNOWSPOKE_BOOT"}
+
+func TestNamesOfThePlatformStayInItsAdapter(t *testing.T) {
+	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		if strings.HasPrefix(filepath.ToSlash(path), "../../platform/") {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		for _, name := range platformNames {
+			require.NotContains(t, string(text), name, path)
+		}
+		return nil
+	})
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,353 @@
+// Package soak runs the real programs as processes of their own and injects
+// faults from outside: signals, and a proxy before the store that delays, resets,
+// cuts or silences connections. It checks the promises from what callers and
+// backend servers see.
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/platform/sitetrial"
+	"github.com/snowspoke/snowspoke/platform/standin"
+)
+
+var (
+	seeds    = flag.Int("seeds", 1, "fresh seeds to run")
+	seed     = flag.Uint64("seed", 0, "one seed to run again")
+	duration = flag.Duration("soak-for", 8*time.Second, "length of the faults of a seed")
+	daemons  = flag.Int("soak-daemons", 4, "daemons of a seed")
+)
+
+// failed are seeds that have failed once, with their cause; they are run again
+// every time.
+var failed = map[uint64]string{}
+
+// streamEvents is the length of a stream; with streamGap it takes half a second.
+const (
+	streamEvents = 50
+	streamGap    = 10 * time.Millisecond
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "snowspoked")
+	build := exec.Command("go", "build", "-o", program, "../cmd/snowspoked")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func TestSoak(t *testing.T) {
+	var all []uint64
+	for s := range failed {
+		all = append(all, s)
+	}
+	if *seed != 0 {
+		all = []uint64{*seed}
+	} else {
+		for range *seeds {
+			all = append(all, rand.Uint64())
+		}
+	}
+	for _, s := range all {
+		t.Run(fmt.Sprint(s), func(t *testing.T) { soak(t, s) })
+	}
+}
+
+// process is one daemon.
+type process struct {
+	name    string
+	dir     string
+	callers string
+	ready   string
+	proxy   *standin.Proxy
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	stopped bool // by SIGSTOP
+}
+
+const settings = `nodeName = %q
+ip = "127.0.0.1"
+zone = %q
+portRange = [%d, %d]
+[listen]
+front = %q
+readiness = %q
+[bounds]
+graceS = 6
+failClosed = true
+revokeMs = 5000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retrySlack = 200
+[platform]
+address = %q
+`
+
+func newProxy(t *testing.T, to string) *standin.Proxy {
+	p, err := standin.NewProxy(to)
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	return p
+}
+
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func newProcess(t *testing.T, name, domain, store string) *process {
+	p := &process{name: name, dir: t.TempDir(), proxy: newProxy(t, store)}
+	links := freePort(t)
+	p.callers = fmt.Sprintf("127.0.0.1:%d", freePort(t))
+	p.ready = fmt.Sprintf("127.0.0.1:%d", freePort(t))
+	text := fmt.Sprintf(settings, name, domain, links, links, p.callers, p.ready, p.proxy.Address())
+	require.NoError(t, os.WriteFile(p.settings(), []byte(text), 0o600))
+	p.start(t)
+	t.Cleanup(p.kill)
+	return p
+}
+
+func (p *process) settings() string { return filepath.Join(p.dir, "local.toml") }
+
+func (p *process) start(t *testing.T) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(t, err)
+	p.cmd = exec.Command(program, "platform")
+	p.cmd.Env = append(os.Environ(), "SNOWSPOKE_BOOT="+p.settings())
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	require.NoError(t, p.cmd.Start())
+	_ = log.Close()
+}
+
+// signal sends a signal to the process that this soak started.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s) // it may have ended just now
+	p.stopped = s == syscall.SIGSTOP
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.wait()
+}
+
+func (p *process) wait() {
+	_ = p.cmd.Wait() // the way it ended is judged by what callers saw
+}
+
+func (p *process) isReady() bool {
+	resp, err := http.Get("http://" + p.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func soak(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	site := sitetrial.New([]string{"a", "b"}, 2, 2, 2)
+	t.Cleanup(site.Close)
+	for _, p := range site.Servers() {
+		p.Events, p.EveryGap = streamEvents, streamGap
+	}
+	var all []*process
+	for i := range *daemons {
+		all = append(all, newProcess(t, fmt.Sprintf("daemon-%d", i), []string{"a", "b"}[i%2], site.Store.Address()))
+	}
+	for _, p := range all {
+		require.Eventually(t, p.isReady, 10*time.Second, 20*time.Millisecond, p.name)
+	}
+	callers := sitetrial.NewCallers(site, streamEvents)
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for i := range 3 * len(all) {
+		cr := rand.New(rand.NewPCG(seed, uint64(i+2)))
+		wg.Go(func() { keepCalling(ctx, callers, all, cr) })
+	}
+	f := &faults{t: t, site: site, all: all, r: r}
+	until := time.Now().Add(*duration)
+	for time.Now().Before(until) {
+		f.inject()
+		time.Sleep(time.Duration(100+r.IntN(900)) * time.Millisecond)
+	}
+	f.heal()
+	stop()
+	wg.Wait()
+	f.servesAgain(callers)
+	sent, served, refused := callers.Counts()
+	t.Logf("seed %d: sent %d, served %d, refused %d, faults %v", seed, sent, served, refused, f.names)
+	problems := callers.Verify()
+	if len(problems) > 0 {
+		f.keepLogs(seed)
+	}
+	require.Empty(t, problems, "seed %d, faults %v", seed, f.names)
+	require.Positive(t, served)
+}
+
+// keepCalling sends requests over connections that are kept until they close.
+func keepCalling(ctx context.Context, c *sitetrial.Callers, all []*process, r *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	for ctx.Err() == nil {
+		p := all[r.IntN(len(all))]
+		for range 1 + r.IntN(5) {
+			c.Send(context.WithoutCancel(ctx), client, p.callers, r)
+		}
+		time.Sleep(time.Duration(r.IntN(40)) * time.Millisecond)
+	}
+}
+
+// faults injects one fault after the other; they overlap.
+type faults struct {
+	t     *testing.T
+	site  *sitetrial.Site
+	all   []*process
+	r     *rand.Rand
+	names []string
+	back  sync.WaitGroup // faults that end by themselves
+}
+
+func (f *faults) inject() {
+	p := f.all[f.r.IntN(len(f.all))]
+	kinds := []struct {
+		name string
+		do   func()
+	}{
+		{"kill", func() { p.kill(); p.start(f.t) }},
+		{"stop", func() { f.restart(p) }},
+		{"freeze", func() { f.freeze(p) }},
+		{"hup", func() { p.signal(syscall.SIGHUP) }},
+		{"store silent for one", func() { f.during(func() { p.proxy.Set(standin.Silence) }, func() { p.proxy.Set(standin.Pass) }) }},
+		{"store resets for one", func() { f.during(func() { p.proxy.Set(standin.Reset) }, func() { p.proxy.Set(standin.Pass) }) }},
+		{"store slow for one", func() { f.during(func() { p.proxy.Set(standin.Slow) }, func() { p.proxy.Set(standin.Pass) }) }},
+		{"store away", func() { f.trouble(standin.Refusing) }},
+		{"store silent", func() { f.trouble(standin.Silent) }},
+		{"store loses answers", func() { f.trouble(standin.LoseWrites) }},
+		{"history gone", f.site.Store.Compact},
+		{"configuration", func() { f.site.AddRoute() }},
+		{"backend server faults", f.spoil},
+		{"backend server leaves", f.leave},
+	}
+	k := kinds[f.r.IntN(len(kinds))]
+	f.names = append(f.names, k.name)
+	k.do()
+}
+
+// during starts a fault and ends it a moment later.
+func (f *faults) during(start, end func()) {
+	d := time.Duration(200+f.r.IntN(2500)) * time.Millisecond
+	start()
+	f.back.Go(func() {
+		time.Sleep(d)
+		end()
+	})
+}
+
+func (f *faults) trouble(t standin.Trouble) {
+	f.during(func() { f.site.Store.SetTrouble(t) }, func() { f.site.Store.SetTrouble(standin.Sound) })
+}
+
+func (f *faults) freeze(p *process) {
+	f.during(func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
+}
+
+// restart stops a daemon as planned and starts it again.
+func (f *faults) restart(p *process) {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGTERM)
+	began := time.Now()
+	p.wait()
+	require.Less(f.t, time.Since(began), 8*time.Second, "a planned stop outlived its grace")
+	p.start(f.t)
+}
+
+// spoil lets the next answers of a backend server fail in a random way.
+func (f *faults) spoil() {
+	all := f.site.Servers()
+	p := all[f.r.IntN(len(all))]
+	for range 1 + f.r.IntN(4) {
+		p.Next(standin.Fault(1 + f.r.IntN(int(standin.RefuseNoRun))))
+	}
+}
+
+// leave takes a backend server away and brings another of its kind.
+func (f *faults) leave() {
+	all := f.site.Servers()
+	p := all[f.r.IntN(len(all))]
+	n := standin.NewServer(fmt.Sprintf("%s-%d", p.ID, len(all)))
+	n.Events, n.EveryGap = streamEvents, streamGap
+	if from, to := p.Held(); to > 0 {
+		n.Hold(from, to)
+	}
+	f.site.Add(n, p.Service, p.Kind, p.Domain)
+	f.site.Remove(p)
+}
+
+// heal ends all faults.
+func (f *faults) heal() {
+	f.back.Wait()
+	f.site.Store.SetTrouble(standin.Sound)
+	for _, p := range f.all {
+		p.proxy.Set(standin.Pass)
+		p.signal(syscall.SIGCONT)
+	}
+}
+
+// servesAgain checks that every daemon serves soon after the last fault, by the
+// newest configuration.
+func (f *faults) servesAgain(c *sitetrial.Callers) {
+	prefix, _ := f.site.AddRoute()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, p := range f.all {
+		call := sitetrial.Call{Method: "GET", Path: prefix, Key: sitetrial.Key, ID: "after-" + p.name}
+		require.Eventually(f.t, func() bool {
+			return sitetrial.Do(f.t.Context(), client, p.callers, call).Status == http.StatusOK
+		}, 10*time.Second, 50*time.Millisecond, "%s does not serve again", p.name)
+	}
+}
+
+// keepLogs copies the logs of a seed that failed.
+func (f *faults) keepLogs(seed uint64) {
+	for _, p := range f.all {
+		data, err := os.ReadFile(filepath.Join(p.dir, "log"))
+		if err != nil {
+			f.t.Log(err)
+			continue
+		}
+		path := filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d-%s.log", seed, p.name))
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			f.t.Log(err)
+		}
+		f.t.Log("log kept: ", path)
+	}
+}
--- /dev/null
+++ b/trial/site.go
@@ -0,0 +1,133 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/snowspoke/snowspoke/gateway"
+	"github.com/snowspoke/snowspoke/platform/sitetrial"
+	"github.com/snowspoke/snowspoke/platform/standin"
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// Sizes of one run.
+const (
+	onceRequests = 300
+	onceParallel = 16
+	onceDaemons  = 3
+	onceEvents   = 30
+	readyWithin  = 10 * time.Second
+)
+
+// OnceOnSite runs a site of the users' platform and daemons in this process, sends mixed requests, kills a
+// head, spoils answers, takes the store away and stops a daemon as planned while
+// they run. It returns what was counted and every promise that did not hold.
+func OnceOnSite(ctx context.Context, logs io.Writer, say func(string)) (summary string, problems []string, err error) {
+	s := sitetrial.New([]string{"a", "b"}, 2, 2, 2)
+	defer s.Close()
+	for _, p := range s.Servers() {
+		p.Events, p.EveryGap = onceEvents, 5*time.Millisecond
+	}
+	daemons, err := startDaemons(s, logs)
+	defer func() {
+		for _, d := range daemons {
+			d.Kill()
+		}
+	}()
+	if err != nil {
+		return "", nil, err
+	}
+	callers := sitetrial.NewCallers(s, onceEvents)
+	runOnce(ctx, s, daemons, callers, say)
+	sent, served, refused := callers.Counts()
+	return fmt.Sprintf("requests=%d served=%d refused=%d", sent, served, refused), callers.Verify(), nil
+}
+
+type siteDaemon struct {
+	*gateway.Gateway
+	stop context.CancelFunc
+}
+
+func startDaemons(s *sitetrial.Site, logs io.Writer) (all []siteDaemon, err error) {
+	for i := range onceDaemons {
+		set := site.Settings{
+			Name: fmt.Sprintf("daemon-%d", i), IP: "127.0.0.1", FailureDomain: []string{"a", "b"}[i%2], Callers: "127.0.0.1:0",
+			Readiness: "127.0.0.1:0", Store: s.Store.Address(), Grace: 8 * time.Second, FailClosed: true, RevokeWithin: 5 * time.Second,
+			RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+		}
+		g, err := gateway.New(gateway.Options{Load: func() (site.Settings, error) { return set, nil }}, logs)
+		if err != nil {
+			return all, err
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		go func() { _ = g.Run(ctx) }() // how it ends shows in what callers see
+		all = append(all, siteDaemon{g, stop})
+	}
+	for _, d := range all {
+		if err := awaitReady(d); err != nil {
+			return all, err
+		}
+	}
+	return all, nil
+}
+
+func awaitReady(d siteDaemon) error {
+	for until := time.Now().Add(readyWithin); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		resp, err := http.Get("http://" + d.ReadinessAddr() + "/ready")
+		if err != nil {
+			continue // not listening yet
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return fmt.Errorf("daemon at %s is not ready after %s", d.ReadinessAddr(), readyWithin)
+}
+
+// runOnce sends the requests and injects the faults at fixed points among them.
+func runOnce(ctx context.Context, s *sitetrial.Site, daemons []siteDaemon, callers *sitetrial.Callers, say func(string)) {
+	events := map[int]func(){
+		60: func() {
+			say("a head of a pipeline is killed")
+			for _, p := range s.Servers() {
+				if p.ID == "a-card-0" {
+					p.Kill()
+					s.Remove(p)
+				}
+			}
+		},
+		100: func() {
+			say("a backend server breaks answers off")
+			for _, p := range s.Servers() {
+				if p.ID == "b-plain-0" {
+					p.Next(standin.BreakOff, standin.ResetAfter, standin.Surplus)
+				}
+			}
+		},
+		140: func() { say("the store is away"); s.Store.SetTrouble(standin.Refusing) },
+		200: func() { say("the store is back"); s.Store.SetTrouble(standin.Sound) },
+		220: func() { say("a daemon is stopped as planned"); daemons[2].stop() },
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: onceParallel}}
+	slots := make(chan struct{}, onceParallel)
+	var wg sync.WaitGroup
+	for i := range onceRequests {
+		if event := events[i]; event != nil {
+			event()
+		}
+		address := daemons[i%len(daemons)].CallersAddr()
+		r := rand.New(rand.NewPCG(uint64(i), 1))
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			callers.Send(ctx, client, address, r)
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/trial/site_test.go
@@ -0,0 +1,15 @@
+package trial
+
+import (
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestOnceOnSite(t *testing.T) {
+	summary, problems, err := OnceOnSite(t.Context(), io.Discard, func(s string) { t.Log(s) })
+	require.NoError(t, err)
+	require.Empty(t, problems)
+	t.Log(summary)
+}
