Daemons wait for a source of their own domain; loads expire by their own period

Loads told every 24 s with 3,000 backend servers expired after 10 s. Change: at the start only sources of the own domain are waited for; loads count for three of their periods; domains tell each other half as often.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -10,9 +10,9 @@
 	"github.com/snowspoke/snowspoke/inventory"
 )
 
-// exchangeEvery is the period at which the sources of failure domains tell each
-// other the loads of their domains.
-const exchangeEvery = 1500 * time.Millisecond
+// exchangeFactor is how much less often than within a domain the sources of the
+// domains tell each other their loads: bytes between domains are paid for.
+const exchangeFactor = 2
 
 // exchange holds the loads that the other domains' sources told.
 type exchange struct {
@@ -28,24 +28,24 @@
 	e.told[domain] = told{at: now, loads: loads, daemons: daemons}
 }
 
-func (e *exchange) load(now time.Time) []LoadItem {
+func (e *exchange) load(ttl time.Duration, now time.Time) []LoadItem {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	sum := map[string]LoadItem{}
 	for _, t := range e.told {
-		if now.Sub(t.at) <= loadTTL {
+		if now.Sub(t.at) <= ttl {
 			addLoads(sum, t.loads)
 		}
 	}
 	return list(sum)
 }
 
-func (e *exchange) count(now time.Time) int {
+func (e *exchange) count(ttl time.Duration, now time.Time) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	n := 0
 	for _, t := range e.told {
-		if now.Sub(t.at) <= loadTTL {
+		if now.Sub(t.at) <= ttl {
 			n += t.daemons
 		}
 	}
@@ -55,8 +55,6 @@
 // exchangeLoads asks the sources of the other domains for their loads while this
 // daemon is a source, and takes what its followers need.
 func (n *Node) exchangeLoads(ctx context.Context) {
-	t := time.NewTicker(exchangeEvery)
-	defer t.Stop()
 	links := map[string]*websocket.Conn{}
 	defer func() {
 		for _, c := range links {
@@ -64,18 +62,17 @@
 		}
 	}()
 	for {
-		select {
-		case <-ctx.Done():
+		sleep(ctx, exchangeFactor*loadsPeriod(len(n.inv.State().Servers)))
+		if ctx.Err() != nil {
 			return
-		case <-t.C:
 		}
 		for domain, m := range n.otherSources() {
 			n.askDomain(ctx, links, domain, m)
 		}
-		now := time.Now()
-		sum, daemons := n.ledger.total("", func(d string) bool { return d == n.opts.Domain }, now)
-		addLoads(sum, n.otherDomains.load(now))
-		n.book.TakeOthers(list(sum), daemons+n.otherDomains.count(now))
+		now, ttl := time.Now(), n.ttl()
+		sum, daemons := n.ledger.total("", func(d string) bool { return d == n.opts.Domain }, ttl, now)
+		addLoads(sum, n.otherDomains.load(ttl, now))
+		n.book.TakeOthers(list(sum), daemons+n.otherDomains.count(ttl, now))
 	}
 }
 
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -10,9 +10,8 @@
 const (
 	loadsEvery   = 800 * time.Millisecond
 	loadsPerItem = 8 * time.Millisecond
-	// loadTTL is how long the loads that a daemon told count: two periods with 600
-	// backend servers.
-	loadTTL = 10 * time.Second
+	// loadTTLPeriods is how many periods the loads that a daemon told count.
+	loadTTLPeriods = 3
 )
 
 // loadsPeriod returns the time between two exchanges of loads.
@@ -20,6 +19,8 @@
 	return max(loadsEvery, time.Duration(servers)*loadsPerItem)
 }
 
+func loadTTL(servers int) time.Duration { return loadTTLPeriods * loadsPeriod(servers) }
+
 // ledger adds up the loads of the daemons that follow this one. It is safe for
 // concurrent use.
 type ledger struct {
@@ -45,12 +46,12 @@
 
 // total adds up the loads told by all but one daemon. keep says whose domains
 // count.
-func (l *ledger) total(except string, keep func(domain string) bool, now time.Time) (sum map[string]LoadItem, daemons int) {
+func (l *ledger) total(except string, keep func(domain string) bool, ttl time.Duration, now time.Time) (sum map[string]LoadItem, daemons int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	sum = map[string]LoadItem{}
 	for name, t := range l.byOne {
-		if now.Sub(t.at) > loadTTL {
+		if now.Sub(t.at) > ttl {
 			delete(l.byOne, name)
 			continue
 		}
--- a/relay/node.go
+++ b/relay/node.go
@@ -124,12 +124,13 @@
 	return n.reading.Load() && now.Sub(n.inv.Heard()) < unheardFor
 }
 
-// awaitFirstSource gives the sources time to start. The first daemons of a domain
-// do not wait: they are the sources.
+// awaitFirstSource gives the sources of this domain time to start: a full state
+// from another one is large, and bytes between domains are paid for. The first
+// daemons of a domain do not wait: they are its sources.
 func (n *Node) awaitFirstSource(ctx context.Context) {
 	until := time.Now().Add(patience)
 	for ctx.Err() == nil && len(n.candidates()) >= ownSources && time.Now().Before(until) {
-		for _, m := range n.candidates() {
+		for _, m := range n.candidates()[:ownSources] {
 			if n.probe(ctx, m) {
 				return
 			}
--- a/relay/source.go
+++ b/relay/source.go
@@ -186,11 +186,15 @@
 // its own, for the source of another domain those of this domain alone.
 func (n *Node) loadsFor(sender string, sameDomain bool, now time.Time) ([]LoadItem, int) {
 	keep := func(domain string) bool { return sameDomain || domain == n.opts.Domain }
-	sum, daemons := n.ledger.total(sender, keep, now)
+	ttl := n.ttl()
+	sum, daemons := n.ledger.total(sender, keep, ttl, now)
 	addLoads(sum, n.book.OwnLoads())
 	if sameDomain {
-		addLoads(sum, n.otherDomains.load(now))
-		daemons += n.otherDomains.count(now)
+		addLoads(sum, n.otherDomains.load(ttl, now))
+		daemons += n.otherDomains.count(ttl, now)
 	}
 	return list(sum), daemons + 1
 }
+
+// ttl is how long loads that were told count.
+func (n *Node) ttl() time.Duration { return loadTTL(len(n.inv.State().Servers)) }
