Holes after incidents, crossings bounded, compressed states, sources that say that they start

From a test: a new follower refused keys until its second ping. Change: a group is laid out anew only after 6 s; substitutes take the layers of a whole pipeline's share, more only for a larger hole; a layer on no card is taken over with little room; one record an address; the lease is 1.6 s; prompts that cross failure domains are bounded by the pipes; states are compressed; a source that is reading says so, its followers wait; a follower pings after a full state.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -53,17 +53,18 @@
 
 // Forwarder carries requests. It is safe for concurrent use.
 type Forwarder struct {
-	opts     Options
-	inv      Inventory
-	fleet    Fleet
-	backends Backends
-	log      *Log
-	observe  Observer
-	loads    *Loads
-	budget   *Budget
-	asker    *asker
-	prober   *prober
-	live     *liveStreams
+	opts      Options
+	inv       Inventory
+	fleet     Fleet
+	backends  Backends
+	log       *Log
+	observe   Observer
+	loads     *Loads
+	budget    *Budget
+	asker     *asker
+	prober    *prober
+	live      *liveStreams
+	crossings crossings
 
 	keysFreshFor atomic.Int64 // see Options
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -176,6 +176,9 @@
 	if err := c.Path.CheckTiling(r.engine.Layers); err != nil {
 		return nil, apierror.Wrap(apierror.Internal, err)
 	}
+	if !r.f.mayCross(r.engine, q.Tokens.Prompt, c.Crossings, now) {
+		return nil, apierror.New(apierror.Overloaded, "the pipes between failure domains are full").WithRetryAfter(retryAfter)
+	}
 	return &target{path: c.Path, choice: c, tokens: q.Tokens.Full()}, nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,7 +32,7 @@
 const (
 	// dutyPeriod is the period of the lease of the placement duty: a lost holder is
 	// replaced within it.
-	dutyPeriod = 2500 * time.Millisecond
+	dutyPeriod = 1600 * time.Millisecond
 	// headerTimeout bounds the reading of a request's head; callers keep within 3 s.
 	headerTimeout = 4 * time.Second
 	// keyMargin is taken off the bound on revoked keys, for clocks of different
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -321,6 +321,24 @@
 				"service", r.Server.Service, "draining", r.Server.Draining, "from", r.Server.Held.From, "to", r.Server.Held.To)
 		}
 		i.servers[r.ID] = record{server: r.Server, raw: r.Raw, revision: r.Revision}
+		i.oneAtAnAddress(r.ID)
+	}
+}
+
+// oneAtAnAddress drops the record of an incarnation whose address another one
+// has taken: the one that was written last is there.
+func (i *Inventory) oneAtAnAddress(id string) {
+	r := i.servers[id]
+	for other, o := range i.servers {
+		if other == id || o.server.Address != r.server.Address {
+			continue
+		}
+		left, kept := other, o
+		if o.revision > r.revision {
+			left, kept = id, r
+		}
+		i.bury(left, kept)
+		_ = level.Info(i.logger).Log("msg", "backend server gone", "id", left, "address", r.server.Address, "reason", "another incarnation has its address")
 	}
 }
 
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,7 +28,9 @@
 	return s, json.Unmarshal(raw, s)
 }
 
-func entry(revision uint64) Entry { return Entry{Raw: []byte(`{"Service":"s"}`), Revision: revision} }
+func entry(revision uint64) Entry {
+	return Entry{Raw: []byte(fmt.Sprintf(`{"Service":"s","Address":"a:%d"}`, revision)), Revision: revision}
+}
 
 func newTest() *Inventory { return New(plainFeed{}, log.NewNopLogger()) }
 
@@ -43,6 +46,16 @@
 	require.Contains(t, i.View().Servers, "a")
 }
 
+func TestOneIncarnationAtAnAddress(t *testing.T) {
+	i := newTest()
+	at := func(revision uint64) Entry {
+		return Entry{Raw: []byte(`{"Service":"s","Address":"a:1"}`), Revision: revision}
+	}
+	i.Apply(full(map[string]Entry{"old": at(5), "new": at(9)}))
+	require.Len(t, i.View().Servers, 1)
+	require.Contains(t, i.View().Servers, "new")
+}
+
 func TestLapsedRecordIsKeptForAMomentOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		i := newTest()
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -59,7 +59,7 @@
 	spreadWeight = 1.0
 	// crossWeight multiplies the time that a prompt's activations take through the
 	// pipe between failure domains: all requests share it, one at a time.
-	crossWeight = 5.0
+	crossWeight = 10.0
 	// nearCostMS is what a first hop in another failure domain than the caller's
 	// costs: bytes between failure domains are paid for.
 	nearCostMS = 6.0
@@ -72,6 +72,9 @@
 	StepMS  float64 // between two tokens
 	Cost    float64
 	Fullest float64 // share of the memory used at the fullest hop
+	// Crossings is how often the request's prompt goes from one failure domain to
+	// another.
+	Crossings int
 }
 
 type node struct {
@@ -286,6 +289,7 @@
 		c.StepMS += step + link
 		if i > 0 && p[i-1].Server.FailureDomain != h.Server.FailureDomain {
 			c.FirstMS += PipeReadMS(q.Engine, q.Tokens.Prompt)
+			c.Crossings++
 		}
 		c.FirstMS += step + link + max(1, cand.Load.Slow)*HopReadMS(q.Engine, h.Server.Kind, h.Layers.Len(), q.Tokens.Prompt)
 		if _, kept := q.Keep[h.Server.ID]; !kept {
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -32,8 +32,10 @@
 	// beside its layers: with a third of that, it limited its whole pipeline and
 	// paths left the failure domain.
 	fairRoom = 80
-	// leastRoom is the same for a card that takes over layers from a neighbour.
+	// leastRoom is the same for a card that takes over layers from a neighbour, and
+	// bareRoom where nothing else holds them: little room is better than none.
 	leastRoom = 30
+	bareRoom  = 8
 	// minCover is the number of cards on which a layer lies in the whole site, if
 	// the cards suffice.
 	minCover = 2
@@ -44,19 +46,23 @@
 // others one more: a path that leaves its failure domain is slow. Cards that
 // hold layers are left alone unless a layer of their group is in danger: loads
 // are paid for, and requests pass through them.
-func Place(e *site.Engine, cards []Card) []Order {
+//
+// patient keeps a group from being laid out anew although its cards cannot cover
+// a layer: all of them would read their weights again, and a card that crashed
+// may be back in seconds.
+func Place(e *site.Engine, cards []Card, patient bool) []Order {
 	cards = usable(e, cards)
 	var orders []Order
 	var rest []Card
 	for _, d := range domains(cards) {
 		if n := pipelines(e, d); n > 0 {
-			orders = append(orders, placeGroup(e, d, n)...)
+			orders = append(orders, placeGroup(e, d, n, patient)...)
 			continue
 		}
 		rest = append(rest, d...)
 	}
 	if n := pipelines(e, rest); n > 0 {
-		return append(orders, placeGroup(e, rest, n)...)
+		return append(orders, placeGroup(e, rest, n, patient)...)
 	}
 	return append(orders, support(e, rest, cards, orders)...)
 }
@@ -73,7 +79,7 @@
 }
 
 // placeGroup places n pipelines on the cards of a group.
-func placeGroup(e *site.Engine, cards []Card, n int) []Order {
+func placeGroup(e *site.Engine, cards []Card, n int, patient bool) []Order {
 	if !slices.ContainsFunc(cards, placed) {
 		var orders []Order
 		for _, chain := range deal(e, cards, n) {
@@ -84,8 +90,8 @@
 	g := &group{e: e, cards: slices.Clone(cards), n: n}
 	g.fillHoles()
 	g.extendIntoHoles()
-	if g.uncovered() && !slices.ContainsFunc(g.cards, busy) {
-		return relayOut(e, cards, n)
+	if g.uncovered() && !patient {
+		return relayOut(e, slices.DeleteFunc(slices.Clone(cards), busy), n)
 	}
 	g.useSpare()
 	return g.orders
@@ -151,14 +157,32 @@
 			if i < 0 {
 				break
 			}
-			n := min(hole.Len(), g.fits(g.cards[i]))
-			r := site.Range{From: hole.From, To: hole.From + n}
+			r := around(hole, g.sizeFor(g.cards[i], hole), g.e.Layers)
 			g.take(i, r, fmt.Sprintf("layers %d-%d lie on too few cards", hole.From, hole.To))
 			hole.From = r.To
 		}
 	}
 }
 
+// sizeFor returns how many layers a card takes for a hole: as many as leave it
+// the room of a whole pipeline, more only if the hole is larger.
+func (g *group) sizeFor(c Card, hole site.Range) int {
+	full := fit(g.e, []Card{c}, float64(max(1, g.e.Slots)))[0]
+	return max(1, full, min(hole.Len(), g.fits(c)))
+}
+
+// around returns n layers that begin with a hole, or lie around it if it is
+// smaller: a card that holds more than the hole is a substitute for its
+// neighbours.
+func around(hole site.Range, n, layers int) site.Range {
+	from := hole.From
+	if n > hole.Len() {
+		from = max(0, hole.From-(n-hole.Len())/2)
+	}
+	from = max(0, min(from, layers-n))
+	return site.Range{From: from, To: min(layers, from+n)}
+}
+
 // fits returns how many layers a card takes beside a fair room for requests.
 func (g *group) fits(c Card) int {
 	n := fit(g.e, []Card{c}, fairRoom)[0]
@@ -202,8 +226,12 @@
 // extendIntoHoles lets the cards on both sides of a hole take it over.
 func (g *group) extendIntoHoles() {
 	for _, hole := range g.holes() {
-		s, ok := g.bestSplit(hole)
-		if !ok {
+		least := float64(leastRoom)
+		if g.holders()[hole.From] == 0 {
+			least = bareRoom
+		}
+		s := g.bestSplit(hole)
+		if s.room < least {
 			continue
 		}
 		reason := fmt.Sprintf("layers %d-%d lie on too few cards, taken over by their neighbours", hole.From, hole.To)
@@ -223,7 +251,7 @@
 	room            float64
 }
 
-func (g *group) bestSplit(hole site.Range) (split, bool) {
+func (g *group) bestSplit(hole site.Range) split {
 	best := split{left: -1, right: -1}
 	lefts, rights := []int{-1}, []int{-1}
 	for i := range g.cards {
@@ -257,7 +285,7 @@
 			}
 		}
 	}
-	return best, best.room >= leastRoom
+	return best
 }
 
 // roomWith returns the usual requests that a card holds beside n layers.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -35,6 +35,9 @@
 	// settle is how long the set of empty cards must have been the same before a
 	// first placement: backend servers register one after the other.
 	settle = 1200 * time.Millisecond
+	// patience is how long a layer may lie on no card of its group before the group
+	// is laid out anew: cards that crash are mostly back within five seconds.
+	patience = 6 * time.Second
 	// ordersAtOnce bounds the orders that are sent at the same moment.
 	ordersAtOnce = 8
 )
@@ -76,6 +79,8 @@
 	mu      sync.Mutex
 	pending map[string]order // by backend server ID
 
+	brokenSince time.Time // a group could be laid out anew since then, zero for none
+
 	empty      int       // cards seen without any layers placed
 	emptySince time.Time // when their number last changed
 }
@@ -124,7 +129,7 @@
 		if !p.settled(cards) {
 			continue
 		}
-		p.give(ctx, svc.Engine, pipeline.Place(svc.Engine, cards), fence)
+		p.give(ctx, svc.Engine, p.decide(svc.Engine, cards, time.Now()), fence)
 	}
 }
 
@@ -156,6 +161,23 @@
 	}
 }
 
+// decide places with patience as long as a group has not been broken for long.
+func (p *Placer) decide(e *site.Engine, cards []pipeline.Card, now time.Time) []pipeline.Order {
+	patient := pipeline.Place(e, cards, true)
+	anew := pipeline.Place(e, cards, false)
+	if len(anew) <= len(patient) {
+		p.brokenSince = time.Time{}
+		return patient
+	}
+	if p.brokenSince.IsZero() {
+		p.brokenSince = now
+	}
+	if now.Sub(p.brokenSince) < patience {
+		return patient
+	}
+	return anew
+}
+
 // settled reports whether a placement may begin: at once when some card holds
 // layers, else when no further card has registered for a while.
 func (p *Placer) settled(cards []pipeline.Card) bool {
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -9,7 +9,7 @@
 // are: loadsPerItem for each bounds what a link carries to about 3 KB a second.
 const (
 	loadsEvery   = 800 * time.Millisecond
-	loadsPerItem = 8 * time.Millisecond
+	loadsPerItem = 10 * time.Millisecond
 	// loadTTLPeriods is how many periods the loads that a daemon told count.
 	loadTTLPeriods = 3
 )
--- a/relay/node.go
+++ b/relay/node.go
@@ -35,8 +35,10 @@
 	// first follows the store, the second does when the first is lost.
 	ownSources = 2
 	// patience is how long a daemon waits at its start for a source that starts at
-	// the same time; if all read the store at once, its rate would hold all up.
+	// the same time, and longPatience for one that says that it reads the store; if
+	// all read the store at once, its rate would hold all up.
 	patience      = 1500 * time.Millisecond
+	longPatience  = 10 * time.Second
 	patiencePause = 100 * time.Millisecond
 	// firstStorePause and laterStorePause bound the pause after failed calls to the
 	// store: while it is away, only the first daemons of a domain look for it often.
@@ -47,6 +49,7 @@
 var (
 	errStale  = errors.New("relay: source is not fresh")
 	errSilent = errors.New("relay: source is silent")
+	errEarly  = errors.New("relay: source reads the store")
 )
 
 // Member is another daemon.
@@ -128,12 +131,17 @@
 // from another one is large, and bytes between domains are paid for. The first
 // daemons of a domain do not wait: they are its sources.
 func (n *Node) awaitFirstSource(ctx context.Context) {
-	until := time.Now().Add(patience)
-	for ctx.Err() == nil && len(n.candidates()) >= ownSources && time.Now().Before(until) {
+	began := time.Now()
+	wait := patience
+	for ctx.Err() == nil && len(n.candidates()) >= ownSources && time.Since(began) < wait {
 		for _, m := range n.candidates()[:ownSources] {
-			if n.probe(ctx, m) {
+			err := n.probe(ctx, m)
+			if errors.Is(err, errFound) {
 				return
 			}
+			if errors.Is(err, errEarly) {
+				wait = longPatience
+			}
 		}
 		sleep(ctx, patiencePause)
 	}
@@ -148,6 +156,12 @@
 	}
 }
 
+// starting reports whether this daemon follows the store and has not yet heard
+// from it at all.
+func (n *Node) starting() bool {
+	return n.reading.Load() && n.inv.State().ConfigVersion == 0
+}
+
 // candidates returns the daemons that this one may follow, the best first: the
 // first ones of its domain that come before it in the order of names; then, for
 // all but the first two, the first ones of the other domains. Only a daemon that
@@ -237,18 +251,21 @@
 		case <-t.C:
 		}
 		for _, m := range candidates() {
-			if n.probe(ctx, m) {
+			if errors.Is(n.probe(ctx, m), errFound) {
 				return
 			}
 		}
 	}
 }
 
-// probe reports whether a daemon is a sound source.
-func (n *Node) probe(ctx context.Context, m Member) bool {
-	found := errors.New("found")
-	_, err := n.session(ctx, m, found)
-	return errors.Is(err, found)
+// errFound ends a probe of a daemon that is a sound source.
+var errFound = errors.New("relay: sound source")
+
+// probe returns errFound for a sound source, errEarly for one that is about to be
+// one, and what is wrong with any other daemon.
+func (n *Node) probe(ctx context.Context, m Member) error {
+	_, err := n.session(ctx, m, errFound)
+	return err
 }
 
 // session follows a source until the link fails or its knowledge is not fresh.
@@ -278,6 +295,9 @@
 	defer cancel()
 	c, resp, err := websocket.Dial(ctx, "ws://"+m.Address+Path, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
+		if resp != nil && resp.StatusCode == http.StatusTooEarly {
+			return nil, errEarly
+		}
 		if resp != nil {
 			return nil, fmt.Errorf("relay: %s: status %d", m.Name, resp.StatusCode)
 		}
@@ -343,6 +363,12 @@
 		case f.Update != nil && s.probe == nil:
 			u := f.Update
 			s.node.inv.Apply(toUpdate(u))
+			if u.Full {
+				// The pings so far were answered for a configuration not yet known here.
+				if err := s.ping(ctx); err != nil {
+					return err
+				}
+			}
 		case f.Pong != nil:
 			if err := s.pong(f.Pong); err != nil {
 				return err
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/inventory"
+)
+
+func state(version uint64, servers map[string]inventory.Entry) *inventory.State {
+	return &inventory.State{ConfigVersion: version, Config: []byte(fmt.Sprint(version)), Servers: servers}
+}
+
+func e(revision uint64) inventory.Entry {
+	return inventory.Entry{Raw: []byte("record"), Revision: revision}
+}
+
+func TestOnlyWhatChangedIsPassedOn(t *testing.T) {
+	a := state(7, map[string]inventory.Entry{"x": e(1), "y": e(2)})
+	full := diff(nil, a)
+	require.True(t, full.Full)
+	require.Len(t, full.Servers, 2)
+	require.Equal(t, "7", string(full.Config))
+	require.Nil(t, diff(a, state(7, map[string]inventory.Entry{"x": e(1), "y": e(2)})))
+	u := diff(a, state(8, map[string]inventory.Entry{"x": e(3)}))
+	require.False(t, u.Full)
+	require.Equal(t, []string{"y"}, u.Gone)
+	require.Len(t, u.Servers, 1)
+	require.Equal(t, "8", string(u.Config))
+	lapsed := e(1)
+	lapsed.Lapsed = true
+	require.Len(t, diff(a, state(7, map[string]inventory.Entry{"x": lapsed, "y": e(2)})).Servers, 1)
+}
+
+func TestFramesAreMadeOnceForAllFollowers(t *testing.T) {
+	var f frames
+	a, b := state(7, map[string]inventory.Entry{"x": e(1)}), state(8, nil)
+	first, err := f.between(a, b)
+	require.NoError(t, err)
+	again, err := f.between(a, b)
+	require.NoError(t, err)
+	require.Same(t, &first[0], &again[0])
+}
+
+func TestLargeUpdatesAreCompressed(t *testing.T) {
+	u := &update{Full: true, Servers: map[string]inventory.Entry{}}
+	for i := range 600 {
+		u.Servers[fmt.Sprintf("i-%08d", i)] = inventory.Entry{Raw: make([]byte, 300), Revision: uint64(i)}
+	}
+	data, err := encodeUpdate(u)
+	require.NoError(t, err)
+	require.Less(t, len(data), 30_000, "180 KB of records")
+	out, err := (&frame{Packed: unwrap(t, data)}).unpack()
+	require.NoError(t, err)
+	require.Equal(t, u, out.Update)
+}
+
+func unwrap(t *testing.T, data []byte) []byte {
+	t.Helper()
+	f, err := decodeFrame(data)
+	require.NoError(t, err)
+	require.NotNil(t, f.Packed)
+	return f.Packed
+}
+
+func TestLoadsAreAddedUpWithoutTheAskersOwn(t *testing.T) {
+	l := newLedger()
+	now := time.Unix(1000, 0)
+	l.put("a", "d1", []LoadItem{{Server: "s", Running: 2, Heads: 1, KV: 10}}, now)
+	l.put("b", "d1", []LoadItem{{Server: "s", Running: 3, KV: 20}}, now)
+	l.put("c", "d2", []LoadItem{{Server: "s", Running: 100}}, now)
+	sum, daemons := l.total("a", func(d string) bool { return d == "d1" }, time.Second, now)
+	require.Equal(t, LoadItem{Server: "s", Running: 3, KV: 20}, sum["s"])
+	require.Equal(t, 1, daemons)
+	_, daemons = l.total("", func(string) bool { return true }, time.Second, now.Add(2*time.Second))
+	require.Zero(t, daemons, "what was told long ago does not count")
+}
+
+func TestLoadsCostABoundedRate(t *testing.T) {
+	require.Equal(t, loadsEvery, loadsPeriod(40))
+	const itemBytes = 24.0
+	rate := 600 * itemBytes / loadsPeriod(600).Seconds()
+	require.Less(t, rate, 3000.0, "bytes a second on a link with 600 backend servers")
+}
--- a/relay/source.go
+++ b/relay/source.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log/level"
 
 	"github.com/snowspoke/snowspoke/inventory"
@@ -40,7 +38,11 @@
 // serveLink serves one follower until the link ends: changes as they come, and
 // an answer to each ping.
 func (n *Node) serveLink(w http.ResponseWriter, r *http.Request) {
-	if !n.sound(time.Now()) {
+	switch {
+	case n.starting():
+		http.Error(w, "reading the store", http.StatusTooEarly)
+		return
+	case !n.sound(time.Now()):
 		http.Error(w, "not following the store", http.StatusServiceUnavailable)
 		return
 	}
@@ -114,9 +116,9 @@
 	if u == nil {
 		return nil, nil
 	}
-	data, err := cbor.Marshal(&frame{Update: u})
+	data, err := encodeUpdate(u)
 	if err != nil {
-		return nil, fmt.Errorf("relay: encode: %w", err)
+		return nil, err
 	}
 	f.kept = append(f.kept, keptFrame{from, to, data})
 	if len(f.kept) > framesKept {
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -6,8 +6,11 @@
 package relay
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/coder/websocket"
@@ -31,6 +34,8 @@
 	Update *update `cbor:"1,keyasint,omitempty"`
 	Ping   *ping   `cbor:"2,keyasint,omitempty"`
 	Pong   *pong   `cbor:"3,keyasint,omitempty"`
+	// Packed is an encoded and compressed update: records are much alike.
+	Packed []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // update carries what changed at the source.
@@ -72,6 +77,41 @@
 	KV      float64 `cbor:"4,keyasint"` // tokens x layers that they hold
 }
 
+// packFrom is the size from which an update is compressed, in bytes.
+const packFrom = 1 << 10
+
+// encodeUpdate encodes an update as a frame, compressed if it is large.
+func encodeUpdate(u *update) ([]byte, error) {
+	data, err := cbor.Marshal(&frame{Update: u})
+	if err != nil {
+		return nil, fmt.Errorf("relay: encode: %w", err)
+	}
+	if len(data) < packFrom {
+		return data, nil
+	}
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("relay: compress: %w", err)
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, fmt.Errorf("relay: compress: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("relay: compress: %w", err)
+	}
+	return cbor.Marshal(&frame{Packed: packed.Bytes()})
+}
+
+// unpack decodes a compressed frame.
+func (f *frame) unpack() (*frame, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(f.Packed)), maxFrameBytes))
+	if err != nil {
+		return nil, fmt.Errorf("relay: decompress: %w", err)
+	}
+	return decodeFrame(data)
+}
+
 func writeFrame(ctx context.Context, c *websocket.Conn, f *frame) error {
 	data, err := cbor.Marshal(f)
 	if err != nil {
@@ -91,6 +131,14 @@
 	if err != nil {
 		return nil, err
 	}
+	f, err := decodeFrame(data)
+	if err == nil && f.Packed != nil {
+		return f.unpack()
+	}
+	return f, err
+}
+
+func decodeFrame(data []byte) (*frame, error) {
 	var f frame
 	if err := cbor.Unmarshal(data, &f); err != nil {
 		return nil, fmt.Errorf("relay: decode: %w", err)
