Each daemon spreads its own requests; shared loads are smoothed and tell who is full

Change: a card gets dearer with what this daemon's own requests would use if all did as it does; the others' loads, smoothed, only tell who is full. Ports are now taken below the kernel's range and logs are kept when a start fails; listed as open.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -149,7 +149,7 @@
 
 // chooseJitter is the share by which costs vary at random: daemons that see the
 // same loads, which are up to a second old, must not all choose the same path.
-const chooseJitter = 0.6
+const chooseJitter = 0.25
 
 func (f *Forwarder) query(req *Request, engine *site.Engine) *pipeline.Query {
 	return &pipeline.Query{Engine: engine, Tokens: tokensOf(req, engine), Near: f.opts.FailureDomain, Jitter: chooseJitter}
--- a/forward/loads.go
+++ b/forward/loads.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -92,6 +93,7 @@
 		daemons = min(daemons, guessMost)
 		return pipeline.Load{
 			Running: float64(own.running) * daemons, KVUsed: own.kv * daemons, Heads: float64(own.heads) * daemons,
+			OwnKV: own.kv * daemons,
 		}
 	}
 	// Daemons that are not among those that told are taken to be like them.
@@ -101,6 +103,7 @@
 		Running: float64(own.running) + float64(o.Running)*unknown,
 		KVUsed:  own.kv + o.KV*unknown,
 		Heads:   float64(own.heads) + float64(o.Heads)*unknown,
+		OwnKV:   own.kv * daemons,
 	}
 }
 
@@ -125,9 +128,28 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if time.Since(l.othersAt) < othersTTL {
+		smooth(others, l.others)
+	}
 	l.others, l.othersAt, l.othersDaemons = others, time.Now(), daemons
 }
 
+// othersSmoothing is the weight of what was told last against what was known
+// before: daemons that all react at once to the same old loads make them swing.
+const othersSmoothing = 0.4
+
+func smooth(now, before map[string]relay.LoadItem) {
+	mix := func(a, b float64) float64 { return othersSmoothing*a + (1-othersSmoothing)*b }
+	for id, b := range before {
+		n := now[id]
+		n.Server = id
+		n.Running = int(math.Round(mix(float64(n.Running), float64(b.Running))))
+		n.Heads = int(math.Round(mix(float64(n.Heads), float64(b.Heads))))
+		n.KV = mix(n.KV, b.KV)
+		now[id] = n
+	}
+}
+
 // Enter counts a request in on its path and returns what takes it out again.
 func (l *Loads) Enter(p site.Path, tokens float64) (leave func()) {
 	l.mu.Lock()
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -21,6 +21,9 @@
 	KVUsed  float64 // tokens x layers that they hold, of all daemons
 	Heads   float64 // requests that it runs as the first of their path
 	Slow    float64 // factor on its times, 1 when it is as usual
+	// OwnKV is what this daemon's requests hold times the daemons: by it each daemon
+	// spreads its own requests evenly, which needs no news from the others.
+	OwnKV float64
 }
 
 // Candidate is a backend server that may be on a path.
@@ -54,9 +57,10 @@
 	fullFrom = 0.85
 	// fullCostMS is the cost of a hop whose memory is all used.
 	fullCostMS = 200.0
-	// spreadWeight makes a card dearer the more of its memory is used, so that
-	// requests spread before a card is full.
+	// spreadWeight makes a card dearer the more of its memory this daemon would use
+	// if all daemons did as it does, up to spreadMost of the memory.
 	spreadWeight = 1.0
+	spreadMost   = 3.0
 	// crossWeight multiplies the time that a prompt's activations take through the
 	// pipe between failure domains: all requests share it, one at a time.
 	crossWeight = 10.0
@@ -119,7 +123,7 @@
 		slow := max(1, c.Load.Slow)
 		out[i].perLayer = slow * (step*stepsWeight + read) / float64(max(1, n))
 		full := fullness(q, c, n)
-		out[i].perLayer *= 1 + spreadWeight*min(1, full)
+		out[i].perLayer *= 1 + spreadWeight*min(spreadMost, c.Load.OwnKV/max(1, q.Engine.KVRoom(s.Kind, n)))
 		if full > fullFrom {
 			out[i].fixed = fullCostMS * (full - fullFrom) / (1 - fullFrom)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/platform/sitetrial"
@@ -115,11 +116,25 @@
 	return p
 }
 
+// Ports of the daemons lie below those that the kernel gives to connections: one
+// of these had taken a daemon's port between its choice and its use.
+const (
+	portsFrom = 20000
+	portsTo   = 32000
+)
+
 func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	for range 100 {
+		port := portsFrom + rand.IntN(portsTo-portsFrom)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue // taken
+		}
+		require.NoError(t, l.Close())
+		return port
+	}
+	require.Fail(t, "no free port")
+	return 0
 }
 
 func newProcess(t *testing.T, name, domain, store string) *process {
@@ -185,8 +200,12 @@
 	for i := range *daemons {
 		all = append(all, newProcess(t, fmt.Sprintf("daemon-%d", i), []string{"a", "b"}[i%2], site.Store.Address()))
 	}
+	f := &faults{t: t, site: site, all: all, r: r}
 	for _, p := range all {
-		require.Eventually(t, p.isReady, 10*time.Second, 20*time.Millisecond, p.name)
+		if !assert.Eventually(t, p.isReady, 10*time.Second, 20*time.Millisecond, p.name) {
+			f.keepLogs(seed)
+			t.FailNow()
+		}
 	}
 	callers := sitetrial.NewCallers(site, streamEvents)
 	ctx, stop := context.WithCancel(t.Context())
@@ -195,7 +214,6 @@
 		cr := rand.New(rand.NewPCG(seed, uint64(i+2)))
 		wg.Go(func() { keepCalling(ctx, callers, all, cr) })
 	}
-	f := &faults{t: t, site: site, all: all, r: r}
 	until := time.Now().Add(*duration)
 	for time.Now().Before(until) {
 		f.inject()
