Few candidates for the duty, slower calls to a lost store

Change: the first two daemons of a domain are candidates, others after 15 s; a keeper waits a third of the period after a failed call; later daemons look for the store every 4 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -224,14 +224,14 @@
 // candidate for the duty.
 const candidatePoll = 500 * time.Millisecond
 
-// candidate tries for the placement duty while this daemon follows the store
-// itself: the duty needs the store, and few candidates cost few calls.
+// candidate tries for the placement duty while this daemon leads its domain: the
+// duty needs the store, and few candidates cost few calls.
 func (g *Gateway) candidate(ctx context.Context) {
 	for ctx.Err() == nil {
-		if g.relay.Reading() {
+		if g.relay.Leading() {
 			kctx, cancel := context.WithCancel(ctx)
 			go func() {
-				for kctx.Err() == nil && g.relay.Reading() {
+				for kctx.Err() == nil && g.relay.Leading() {
 					pause(kctx, candidatePoll)
 				}
 				cancel()
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -57,7 +57,16 @@
 	t := time.NewTicker(period)
 	defer t.Stop()
 	for {
-		k.step(ctx)
+		pause := time.Duration(0)
+		if !k.step(ctx) {
+			pause = k.c.ttl / failedPause // a store that is away is not asked at every tick
+		}
+		select {
+		case <-ctx.Done():
+			k.release()
+			return
+		case <-time.After(pause):
+		}
 		select {
 		case <-ctx.Done():
 			k.release()
@@ -67,34 +76,41 @@
 	}
 }
 
+// failedPause is the part of the period for which a keeper waits after a failed
+// call to the store.
+const failedPause = 3
+
 func (k *Keeper) next() Action {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.c.Next(time.Now())
 }
 
-func (k *Keeper) step(ctx context.Context) {
+// step does what is due and returns whether the store answered.
+func (k *Keeper) step(ctx context.Context) (answered bool) {
 	switch a := k.next(); a {
 	case Read:
-		k.read(ctx)
+		return k.read(ctx)
 	case Acquire, Renew:
-		k.write(ctx, a)
+		return k.write(ctx, a)
 	}
+	return true
 }
 
-func (k *Keeper) read(ctx context.Context) {
+func (k *Keeper) read(ctx context.Context) (answered bool) {
 	o, err := k.store.Get(ctx, k.kind, k.name)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return
+		return false
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.c.Seen(o, time.Now())
+	return true
 }
 
 // write makes one attempt. An answer that was lost is settled by reading back:
 // the nonce says whether the stored lease is this very write.
-func (k *Keeper) write(ctx context.Context, a Action) {
+func (k *Keeper) write(ctx context.Context, a Action) (answered bool) {
 	k.mu.Lock()
 	spec, ifVersion := k.c.Propose(a, rand.Uint64())
 	k.mu.Unlock()
@@ -103,7 +119,7 @@
 	if errors.Is(err, store.ErrAmbiguous) {
 		o, gerr := k.store.Get(ctx, k.kind, k.name)
 		if gerr != nil {
-			return // unknown until a later read; the holder's time runs on
+			return false // unknown until a later read; the holder's time runs on
 		}
 		if Decode(o.Spec).Nonce == spec.Nonce {
 			version, err = o.Version, nil
@@ -120,7 +136,10 @@
 	case errors.Is(err, store.ErrConflict):
 		k.c.Lost()
 		_ = level.Info(k.logger).Log("msg", "lease lost", "lease", k.name)
+	default:
+		return false
 	}
+	return true
 }
 
 // release lets others take over at once. It writes an expired lease with the
--- a/relay/node.go
+++ b/relay/node.go
@@ -43,7 +43,7 @@
 	// firstStorePause and laterStorePause bound the pause after failed calls to the
 	// store: while it is away, only the first daemons of a domain look for it often.
 	firstStorePause = 400 * time.Millisecond
-	laterStorePause = 2 * time.Second
+	laterStorePause = 4 * time.Second
 )
 
 var (
@@ -78,7 +78,8 @@
 	ledger  *ledger
 	frames  frames
 
-	reading      atomic.Bool // this daemon follows the store itself
+	reading      atomic.Bool  // this daemon follows the store itself
+	readingSince atomic.Int64 // Unix nanoseconds
 	otherDomains *exchange
 
 	mu     sync.Mutex
@@ -103,6 +104,20 @@
 // Reading reports whether this daemon follows the store itself.
 func (n *Node) Reading() bool { return n.reading.Load() }
 
+// Leading reports whether this daemon follows the store as one of the first of
+// its domain, or has done so for long: few others are left then.
+func (n *Node) Leading() bool {
+	if !n.reading.Load() {
+		return false
+	}
+	since := time.Unix(0, n.readingSince.Load())
+	return len(n.candidates()) < ownSources || time.Since(since) > leadsAfter
+}
+
+// leadsAfter is how long a daemon that is not among the first of its domain
+// follows the store itself until it counts as leading.
+const leadsAfter = 15 * time.Second
+
 func (n *Node) sourceContext() context.Context {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -232,6 +247,7 @@
 	}
 	wg.Go(func() { n.inv.Follow(sctx, longest) })
 	wg.Go(func() { n.exchangeLoads(sctx) })
+	n.readingSince.Store(time.Now().UnixNano())
 	n.reading.Store(true)
 	_ = level.Info(n.logger).Log("msg", "following the store", "domain", n.opts.Domain)
 	n.awaitAny(ctx, n.candidates)
