--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -61,8 +61,8 @@
 	observe   Observer
 	loads     *Loads
 	budget    *Budget
-	asker     *asker
-	prober    *prober
+	reports   *recent[Report]
+	probes    *recent[struct{}]
 	live      *liveStreams
 	crossings crossings
 
@@ -74,7 +74,7 @@
 	f := &Forwarder{
 		opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
 		loads: NewLoads(), budget: NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
-		asker: newAsker(p.Backends, p.Log), prober: newProber(p.Backends), live: newLiveStreams(),
+		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), live: newLiveStreams(),
 	}
 	f.keysFreshFor.Store(int64(o.KeysFreshFor))
 	return f
--- a/forward/live.go
+++ b/forward/live.go
@@ -56,102 +56,81 @@
 	return heard
 }
 
-// probeAge is how old the outcome of a probe may be for another stream to use it.
-const probeAge = 150 * time.Millisecond
-
-// prober finds dead backend servers by connecting to them, one probe at a time
-// for each.
-type prober struct {
-	backends Backends
-	mu       sync.Mutex
-	servers  map[string]*probed
+// recent keeps the last answer about each backend server, and asks one at a time:
+// whoever asks meanwhile gets that answer. It is safe for concurrent use.
+type recent[T any] struct {
+	maxAge time.Duration
+	mu     sync.Mutex
+	byID   map[string]*asked[T]
 }
 
-type probed struct {
-	mu  sync.Mutex
-	at  time.Time
-	err error
+type asked[T any] struct {
+	mu    sync.Mutex
+	at    time.Time
+	value T
+	err   error
 }
 
-func newProber(b Backends) *prober { return &prober{backends: b, servers: map[string]*probed{}} }
+func newRecent[T any](maxAge time.Duration) *recent[T] {
+	return &recent[T]{maxAge: maxAge, byID: map[string]*asked[T]{}}
+}
 
-func (p *prober) probe(ctx context.Context, s *site.BackendServer) error {
-	p.mu.Lock()
-	e := p.servers[s.ID]
+// get returns the last answer about a backend server, or a new one if that is too
+// old.
+func (r *recent[T]) get(id string, ask func() (T, error)) (T, error) {
+	r.mu.Lock()
+	e := r.byID[id]
 	if e == nil {
-		e = &probed{}
-		p.servers[s.ID] = e
+		e = &asked[T]{}
+		r.byID[id] = e
 	}
-	p.mu.Unlock()
+	r.mu.Unlock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if time.Since(e.at) < probeAge {
-		return e.err
+	if time.Since(e.at) >= r.maxAge {
+		e.value, e.err = ask()
+		e.at = time.Now()
 	}
-	e.err = p.backends.Reach(context.WithoutCancel(ctx), s)
-	e.at = time.Now()
-	return e.err
+	return e.value, e.err
 }
 
+// Ages of answers that another stream may use.
+const (
+	// probeAge is that of a probe.
+	probeAge = 150 * time.Millisecond
+	// reportAge is that of a report: reports are paid for, and lag by a few hundred
+	// milliseconds anyway.
+	reportAge = 80 * time.Millisecond
+)
+
 // probePath connects to the hops of a silent stream that no other stream has
 // heard from, and notes those that are dead.
 func (f *Forwarder) probePath(ctx context.Context, path site.Path) {
 	heard := f.live.heardSince(time.Now().Add(-heardWithin))
 	var wg sync.WaitGroup
 	for _, h := range path {
-		if heard[h.Server.ID] {
-			continue
+		if !heard[h.Server.ID] {
+			wg.Go(func() { f.probe(ctx, h.Server) })
 		}
-		wg.Go(func() {
-			if err := f.prober.probe(ctx, h.Server); err != nil {
-				f.fail(h.Server, "probe: "+err.Error(), time.Now())
-			}
-		})
 	}
 	wg.Wait()
 }
 
-// reportAge is how old a report may be for another stream of the same head to
-// use it: reports are paid for, and lag by a few hundred milliseconds anyway.
-const reportAge = 80 * time.Millisecond
-
-// asker asks heads for reports, one call at a time for each.
-type asker struct {
-	backends Backends
-	log      *Log
-	mu       sync.Mutex
-	heads    map[string]*asked
-}
-
-type asked struct {
-	mu     sync.Mutex
-	at     time.Time
-	report Report
-	err    error
-}
-
-func newAsker(b Backends, l *Log) *asker {
-	return &asker{backends: b, log: l, heads: map[string]*asked{}}
+func (f *Forwarder) probe(ctx context.Context, s *site.BackendServer) {
+	_, err := f.probes.get(s.ID, func() (struct{}, error) {
+		return struct{}{}, f.backends.Reach(context.WithoutCancel(ctx), s)
+	})
+	if err != nil {
+		f.fail(s, "probe: "+err.Error(), time.Now())
+	}
 }
 
 // ask returns a report of a head that is at most reportAge old.
-func (a *asker) ask(ctx context.Context, s *site.BackendServer) (Report, error) {
-	a.mu.Lock()
-	h := a.heads[s.ID]
-	if h == nil {
-		h = &asked{}
-		a.heads[s.ID] = h
-	}
-	a.mu.Unlock()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if time.Since(h.at) < reportAge {
-		return h.report, h.err
-	}
-	h.report, h.err = a.backends.Report(context.WithoutCancel(ctx), s)
-	h.at = time.Now()
-	r := &h.report
-	a.log.Add("ask", "server", s.ID, "address", s.Address, "running", r.Running, "waiting", r.Waiting, "pace", r.Pace,
-		"kv_used", int(r.KVUsed), "kv_total", int(r.KVTotal), "stalled", len(r.Stalled), "err", h.err)
-	return h.report, h.err
+func (f *Forwarder) ask(ctx context.Context, s *site.BackendServer) (Report, error) {
+	return f.reports.get(s.ID, func() (Report, error) {
+		r, err := f.backends.Report(context.WithoutCancel(ctx), s)
+		f.log.Add("ask", "server", s.ID, "address", s.Address, "running", r.Running, "waiting", r.Waiting, "pace", r.Pace,
+			"kv_used", int(r.KVUsed), "kv_total", int(r.KVTotal), "stalled", len(r.Stalled), "err", err)
+		return r, err
+	})
 }
--- /dev/null
+++ b/forward/pick.go
@@ -0,0 +1,141 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/pipeline"
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// pick finds a target, holding the request a little when there is none.
+func (r *run) pick(ctx context.Context) (*target, error) {
+	hold := time.Duration(float64(r.req.Route.Objective) * holdShare)
+	if r.headSent.Load() {
+		hold = recoverHold
+	}
+	deadline := time.Now().Add(hold)
+	for {
+		t, err := r.find()
+		if err == nil {
+			return t, nil
+		}
+		now := time.Now()
+		if now.After(deadline) || !sleep(ctx, holdStep) {
+			if ctx.Err() != nil {
+				return nil, r.ended(ctx)
+			}
+			return nil, err
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// find looks for a target once.
+func (r *run) find() (*target, error) {
+	now := time.Now()
+	view := r.f.inv.View()
+	cs := r.f.candidates(view, r.req.Service, r.engine, now)
+	if r.attemptsUsed(view.Servers) {
+		cs = r.onlyTried(cs)
+	}
+	if r.engine == nil {
+		return r.findPlain(cs)
+	}
+	q := r.f.query(r.req, r.engine)
+	c, err := pipeline.Choose(q, cs, newRand())
+	if errors.Is(err, pipeline.ErrFull) {
+		return nil, apierror.Wrap(apierror.Overloaded, err).WithRetryAfter(retryAfter)
+	}
+	if err != nil {
+		return nil, apierror.Wrap(apierror.NoRoute, err).WithRetryAfter(retryAfter)
+	}
+	if err := c.Path.CheckTiling(r.engine.Layers); err != nil {
+		return nil, apierror.Wrap(apierror.Internal, err)
+	}
+	if !r.f.mayCross(r.engine, q.Tokens.Prompt, c.Crossings, now) {
+		return nil, apierror.New(apierror.Overloaded, "the pipes between failure domains are full").WithRetryAfter(retryAfter)
+	}
+	return &target{path: c.Path, choice: c, tokens: q.Tokens.Full()}, nil
+}
+
+// attemptsUsed reports whether the request was sent to as many backend servers
+// as it may be; those that are gone do not count.
+func (r *run) attemptsUsed(known map[string]*site.BackendServer) bool {
+	used := 0
+	for id := range r.tried {
+		if known[id] != nil {
+			used++
+		}
+	}
+	return used >= r.req.Route.MaxAttempts
+}
+
+// onlyTried keeps those candidates that may be a first hop only if they were
+// already.
+func (r *run) onlyTried(cs []pipeline.Candidate) []pipeline.Candidate {
+	var out []pipeline.Candidate
+	for _, c := range cs {
+		if r.tried[c.Server.ID] || r.engine != nil && !c.Server.Held.Has(0) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// findPlain picks the backend server of a plain service with the fewest
+// requests in flight, one that was not tried before.
+func (r *run) findPlain(cs []pipeline.Candidate) (*target, error) {
+	var best *pipeline.Candidate
+	bestCost := 0.0
+	full := false
+	for i := range cs {
+		c := &cs[i]
+		if r.tried[c.Server.ID] {
+			continue // what it refused or failed just now it would again
+		}
+		refused := r.f.loads.Failed(c.Server.ID, time.Now())
+		if c.Server.Slots > 0 && c.Load.Running >= 2*float64(c.Server.Slots) {
+			full = true
+			continue
+		}
+		cost := c.Load.Running / float64(max(1, c.Server.Slots))
+		if c.Server.FailureDomain != r.f.opts.FailureDomain {
+			cost += plainCrossCost
+		}
+		if refused {
+			cost += plainRefusedCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	if best == nil {
+		kind := apierror.NoRoute
+		if full {
+			kind = apierror.Overloaded
+		}
+		return nil, apierror.New(kind, "service %s: no backend server is free", r.req.Service).WithRetryAfter(retryAfter)
+	}
+	return &target{path: site.Path{{Server: best.Server}}, tokens: 0}, nil
+}
+
+// plainCrossCost is what another failure domain costs, as a share of the slots:
+// bytes between failure domains are paid for, waiting costs the caller.
+const plainCrossCost = 0.35
+
+// plainRefusedCost is what a refusal a moment ago costs: such a backend server is
+// asked when no other is left.
+const plainRefusedCost = 10
--- /dev/null
+++ b/forward/recover.go
@@ -0,0 +1,192 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/snowspoke/snowspoke/pipeline"
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// check asks the head about a silent stream and moves it away from the hop at
+// fault. It runs on the timer's goroutine.
+func (s *stream) check(ctx context.Context) {
+	s.mu.Lock()
+	if s.ended || s.asking {
+		s.mu.Unlock()
+		return
+	}
+	s.asking = true
+	path, quiet, bound, probed := s.path, time.Since(s.quietAt), s.bound, s.probed
+	s.probed = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.asking = false
+		s.mu.Unlock()
+	}()
+	head := path[0].Server
+	if !probed {
+		s.r.f.probePath(ctx, path)
+	}
+	if failed := s.failedHop(path); failed != nil {
+		s.leaveHop(ctx, head, failed)
+		return
+	}
+	if quiet < bound {
+		s.timer.Reset(bound - quiet)
+		return
+	}
+	rep, err := s.r.f.ask(ctx, head)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		s.r.f.fail(head, "no report: "+err.Error(), time.Now())
+		s.cancel(errHeadDead)
+		return
+	}
+	for _, st := range rep.Stalled {
+		if at := path.At(st.Address); at != nil && at.ID != head.ID {
+			s.r.f.fail(at, "stalls streams of "+head.ID, time.Now())
+			if st.RequestID == s.r.req.ID {
+				s.move(ctx, at)
+				return
+			}
+		}
+	}
+	if quiet >= silenceMost && rep.Waiting == 0 {
+		s.cancel(errSilent)
+		return
+	}
+	s.timer.Reset(askAgain)
+}
+
+// leaveHop goes on without a hop that has failed.
+func (s *stream) leaveHop(ctx context.Context, head, failed *site.BackendServer) {
+	if failed.ID == head.ID {
+		s.cancel(errHeadDead)
+		return
+	}
+	s.move(ctx, failed)
+}
+
+func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
+
+// failedHop returns a hop of the path that is known to have failed, or nil.
+func (s *stream) failedHop(p site.Path) *site.BackendServer {
+	now := time.Now()
+	for _, h := range p {
+		if s.r.f.loads.Dead(h.Server.ID, now) {
+			return h.Server
+		}
+	}
+	return nil
+}
+
+// move orders the head to go on over another path; the hops that both paths
+// share keep their memory of the request.
+func (s *stream) move(ctx context.Context, failed *site.BackendServer) {
+	r := s.r
+	for range repathTries {
+		old := s.currentPath()
+		p, err := r.repair(old)
+		if err != nil {
+			r.f.log.Add("repath", "request", r.req.ID, "failed", failed.ID, "err", err)
+			break
+		}
+		if samePath(p, old) {
+			break
+		}
+		if crosses(p, old) && r.mayResume() {
+			s.cancel(errElsewhere)
+			return
+		}
+		err = r.f.backends.Repath(ctx, old[0].Server, r.req.ID, p)
+		r.f.log.Add("repath", "request", r.req.ID, "failed", failed.ID, "path", p.String(), "err", err)
+		if err == nil {
+			s.take(p)
+			return
+		}
+		var hop *HopError
+		if !errors.As(err, &hop) {
+			break
+		}
+		if at := p.At(hop.Address); at != nil {
+			r.f.loads.Refused(at.ID, time.Now())
+		}
+	}
+	if ctx.Err() == nil {
+		s.timer.Reset(askAgain)
+	}
+}
+
+// crosses reports whether a repaired path has new hops in another failure domain
+// than its head. All tokens so far would go through the pipe between the two, for
+// every stream of the lost hop, one after the other; reading them again in one
+// failure domain is faster.
+func crosses(p, old site.Path) bool {
+	kept := map[string]site.Range{}
+	for _, h := range old {
+		kept[h.Server.ID] = h.Layers
+	}
+	for _, h := range p {
+		if kept[h.Server.ID] != h.Layers && h.Server.FailureDomain != p[0].Server.FailureDomain {
+			return true
+		}
+	}
+	return false
+}
+
+// mayResume reports whether the stream may go on at another head.
+func (r *run) mayResume() bool {
+	return !r.attemptsUsed(r.f.inv.View().Servers) && r.f.budget.Allows(time.Now(), r.f.fleet.Daemons(), r.headSent.Load())
+}
+
+func samePath(a, b site.Path) bool { return a.String() == b.String() }
+
+func (s *stream) take(p site.Path) {
+	leave := s.r.f.loads.Enter(p, s.tokens)
+	s.mu.Lock()
+	if s.ended {
+		s.mu.Unlock()
+		leave()
+		return
+	}
+	old := s.leave
+	s.path, s.leave, s.moved = p, leave, true
+	s.mu.Unlock()
+	old()
+	s.timer.Reset(firstSilence)
+}
+
+// repair finds a path with the same head that keeps what it can.
+func (r *run) repair(old site.Path) (site.Path, error) {
+	view := r.f.inv.View()
+	now := time.Now()
+	q := r.f.query(r.req, r.engine)
+	q.Head, q.HeadLayers = old[0].Server, old[0].Layers
+	q.Keep = map[string]site.Range{}
+	for _, h := range old {
+		q.Keep[h.Server.ID] = h.Layers
+	}
+	cs := r.f.candidates(view, r.req.Service, r.engine, now)
+	if !containsServer(cs, old[0].Server.ID) {
+		cs = append(cs, pipeline.Candidate{Server: old[0].Server})
+	}
+	c, err := pipeline.Choose(q, cs, newRand())
+	if err != nil && !errors.Is(err, pipeline.ErrFull) {
+		return nil, err
+	}
+	return c.Path, nil
+}
+
+func containsServer(cs []pipeline.Candidate, id string) bool {
+	for i := range cs {
+		if cs[i].Server.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -1,19 +1,15 @@
 package inventory
 
 import (
-	"context"
-	"errors"
 	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"github.com/snowspoke/snowspoke/site"
-	"github.com/snowspoke/snowspoke/store"
 )
 
 // Periods of following the store.
@@ -130,136 +126,6 @@
 	i.heard = time.Time{}
 }
 
-// Follow follows the store itself until ctx ends, with pauses of at most longest
-// after failed calls.
-func (i *Inventory) Follow(ctx context.Context, longest time.Duration) {
-	defer i.forgetHeard()
-	var wg sync.WaitGroup
-	suspect := make(chan struct{}, 1)
-	wg.Go(func() {
-		follow(ctx, &follower[ConfigRecord]{
-			name: "configuration", logger: i.logger, pause: longest, wait: configWait, list: i.feed.Config, watch: i.feed.ConfigChanges,
-			take: func(items []ConfigRecord, _ bool, fresh time.Time) { i.takeConfig(items, fresh) },
-			lost: func() {
-				i.forgetHeard()
-				select {
-				case suspect <- struct{}{}:
-				default: // the other follower knows already
-				}
-			},
-		})
-	})
-	wg.Go(func() {
-		follow(ctx, &follower[ServerRecord]{
-			name: "backend servers", logger: i.logger, pause: longest, wait: serverWait, gather: gather, suspect: suspect,
-			list: i.feed.Servers, watch: i.feed.ServerChanges, lost: func() {},
-			take: func(items []ServerRecord, full bool, _ time.Time) { i.takeServers(items, full) },
-		})
-	})
-	wg.Wait()
-}
-
-// follower lists a kind and then watches it.
-type follower[T any] struct {
-	name    string
-	logger  log.Logger
-	wait    time.Duration // of a watch
-	gather  time.Duration // pause after changes
-	pause   time.Duration // longest pause after failed calls
-	suspect <-chan struct{}
-	list    func(context.Context) (Read[T], error)
-	watch   func(context.Context, uint64, time.Duration) (Read[T], error)
-	// take applies what was read; nothing newer existed at fresh.
-	take func(items []T, full bool, fresh time.Time)
-	lost func() // called when a read fails
-	away bool
-}
-
-// follow runs a follower until ctx ends. After a failed call it lists again,
-// since entries may have lapsed unseen.
-func follow[T any](ctx context.Context, f *follower[T]) {
-	pause := newPause(f.pause)
-	revision := uint64(0)
-	for ctx.Err() == nil {
-		full := revision == 0
-		r, fresh, err := f.read(ctx, revision)
-		if err != nil {
-			revision = 0
-			f.note(err)
-			sleep(ctx, pause.NextBackOff())
-			continue
-		}
-		f.note(nil)
-		pause.Reset()
-		f.take(r.Items, full, fresh)
-		revision = max(revision, r.Revision)
-		if len(r.Items) > 0 {
-			sleep(ctx, f.gather)
-		}
-	}
-}
-
-// errSuspect ends a watch because another read of the store failed.
-var errSuspect = errors.New("inventory: the store may be lost")
-
-// read makes one list or watch. A watch that was answered without changes after
-// its whole wait proves that there were none until then; any other answer only
-// that there were none when it was asked for.
-func (f *follower[T]) read(ctx context.Context, revision uint64) (r Read[T], fresh time.Time, err error) {
-	sent := time.Now()
-	if revision == 0 {
-		r, err = f.list(ctx)
-		return r, sent, err
-	}
-	wctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stop := make(chan struct{})
-	defer close(stop)
-	if f.suspect != nil {
-		go func() {
-			select {
-			case <-f.suspect:
-				cancel(errSuspect)
-			case <-stop:
-			}
-		}()
-	}
-	r, err = f.watch(wctx, revision, f.wait)
-	if err == nil && len(r.Items) == 0 && time.Since(sent) >= f.wait {
-		return r, sent.Add(f.wait - watchDoubt), nil
-	}
-	return r, sent, err
-}
-
-// note logs when the store is lost and when it is back.
-func (f *follower[T]) note(err error) {
-	switch {
-	case err != nil && !f.away && !errors.Is(err, store.ErrCompacted):
-		f.away = true
-		f.lost()
-		_ = level.Warn(f.logger).Log("msg", "store lost", "of", f.name, "err", err)
-	case err == nil && f.away:
-		f.away = false
-		_ = level.Info(f.logger).Log("msg", "store back", "of", f.name)
-	}
-}
-
-func newPause(longest time.Duration) *backoff.ExponentialBackOff {
-	p := backoff.NewExponentialBackOff()
-	p.InitialInterval = firstPause
-	p.MaxInterval = longest
-	return p
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (i *Inventory) takeConfig(items []ConfigRecord, fresh time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -120,21 +120,17 @@
 	return len(c.orders[id])
 }
 
-// killSole lets a card die of which no other card holds the layers.
-func (c *cluster) killSole(t *testing.T) {
+// kill lets a card die that holds so many layers.
+func (c *cluster) kill(t *testing.T, layers int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, s := range c.servers {
-		sole := s.Held.Len() > 0
-		for other, o := range c.servers {
-			sole = sole && (other == id || o.Held != s.Held)
-		}
-		if sole {
+		if s.Held.Len() == layers {
 			c.failed[id], c.dead[id] = true, true
 			return
 		}
 	}
-	require.Fail(t, "every card has a substitute")
+	require.Fail(t, "no card holds so many layers")
 }
 
 func run(t *testing.T, c *cluster) {
@@ -195,12 +191,26 @@
 }
 
 func TestCardThatLooksDeadIsReplacedBeforeItsRecordLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3) // they hold two layers, one and one
+		run(t, c)
+		time.Sleep(10 * time.Second)
+		before := c.total()
+		c.kill(t, 1)
+		time.Sleep(3 * time.Second)
+		require.Greater(t, c.total(), before, "a neighbour takes its layer over")
+	})
+}
+
+func TestPipelineIsLaidOutAnewOnlyAfterAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(3)
 		run(t, c)
 		time.Sleep(10 * time.Second)
 		before := c.total()
-		c.killSole(t)
+		c.kill(t, 2) // more than a neighbour can take
+		time.Sleep(patience - time.Second)
+		require.Equal(t, before, c.total(), "the card may come back")
 		time.Sleep(3 * time.Second)
 		require.Greater(t, c.total(), before)
 	})
--- a/relay/node.go
+++ b/relay/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/coder/websocket"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 )
@@ -283,137 +281,3 @@
 	_, err := n.session(ctx, m, errFound)
 	return err
 }
-
-// session follows a source until the link fails or its knowledge is not fresh.
-// followed says that it was fresh at first. With a probe error it returns that
-// as soon as the source has shown to be fresh.
-func (n *Node) session(ctx context.Context, m Member, probe error) (followed bool, err error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	c, err := dial(ctx, m)
-	if err != nil {
-		return false, err
-	}
-	defer func() { _ = c.CloseNow() }()
-	s := &session{node: n, conn: c, sent: map[uint64]time.Time{}, probe: probe, cancel: cancel}
-	s.silent = time.AfterFunc(silentFor, func() { cancel(errSilent) })
-	defer s.silent.Stop()
-	go s.pings(ctx)
-	err = s.read(ctx)
-	if cause := context.Cause(ctx); cause != nil {
-		err = cause
-	}
-	return s.followed, err
-}
-
-func dial(ctx context.Context, m Member) (*websocket.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	c, resp, err := websocket.Dial(ctx, "ws://"+m.Address+Path, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
-	if err != nil {
-		if resp != nil && resp.StatusCode == http.StatusTooEarly {
-			return nil, errEarly
-		}
-		if resp != nil {
-			return nil, fmt.Errorf("relay: %s: status %d", m.Name, resp.StatusCode)
-		}
-		return nil, fmt.Errorf("relay: %s: %w", m.Name, err)
-	}
-	c.SetReadLimit(maxFrameBytes)
-	return c, nil
-}
-
-// session is one link to a source.
-type session struct {
-	node   *Node
-	conn   *websocket.Conn
-	silent *time.Timer
-	probe  error
-	cancel context.CancelCauseFunc
-
-	followed bool // it has shown to be fresh; used by the reader alone
-
-	mu     sync.Mutex
-	number uint64
-	loads  time.Time            // when loads were last told
-	sent   map[uint64]time.Time // of pings without an answer
-}
-
-func (s *session) pings(ctx context.Context) {
-	t := time.NewTicker(pingEvery)
-	defer t.Stop()
-	for {
-		if err := s.ping(ctx); err != nil {
-			s.cancel(err)
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
-func (s *session) ping(ctx context.Context) error {
-	s.mu.Lock()
-	s.number++
-	number := s.number
-	s.sent[number] = time.Now()
-	s.mu.Unlock()
-	p := &ping{Number: number, Sender: s.node.opts.Name, Domain: s.node.opts.Domain}
-	if now := time.Now(); now.Sub(s.loads) >= loadsPeriod(len(s.node.inv.State().Servers)) {
-		s.loads = now
-		p.HasLoads, p.Loads = true, s.node.book.OwnLoads()
-	}
-	return writeFrame(ctx, s.conn, &frame{Ping: p})
-}
-
-func (s *session) read(ctx context.Context) error {
-	for {
-		f, err := readFrame(ctx, s.conn)
-		if err != nil {
-			return err
-		}
-		switch {
-		case f.Update != nil && s.probe == nil:
-			u := f.Update
-			s.node.inv.Apply(toUpdate(u))
-			if u.Full {
-				// The pings so far were answered for a configuration not yet known here.
-				if err := s.ping(ctx); err != nil {
-					return err
-				}
-			}
-		case f.Pong != nil:
-			if err := s.pong(f.Pong); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-// pong takes an answer. What the source knew is as fresh as it says, counted
-// from when it was asked.
-func (s *session) pong(p *pong) error {
-	s.silent.Reset(silentFor)
-	s.mu.Lock()
-	sent, ok := s.sent[p.Number]
-	delete(s.sent, p.Number)
-	s.mu.Unlock()
-	if !ok {
-		return nil
-	}
-	if p.Heard > unheardFor {
-		return errStale
-	}
-	if s.probe != nil {
-		return s.probe
-	}
-	s.followed = true
-	s.node.inv.Vouch(p.Version, sent.Add(-p.Age))
-	if p.Daemons > 0 {
-		s.node.book.TakeOthers(p.Loads, p.Daemons)
-	}
-	return nil
-}
