Late requests are answered, not cut; what is known of the gone is forgotten; dead fields removed

Cause, by reading the change: a request with under 20 ms left was ended as if its caller had gone, its connection closed without an answer; an answer over 32 MB would have been cut and handed on as whole; tables by backend server ID only grew. Change: as the title says; Load.Slow, Cold and Model had no use. Measured: TestRequestWithNoTimeLeftIsAnswered fails without the first.

--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/snowspoke/snowspoke/site"
 )
 
 func TestBudgetHoldsInEverySlidingWindow(t *testing.T) {
@@ -69,3 +71,21 @@
 	require.False(t, b.Allows(now.Add(8*time.Second), 1, true))
 	require.True(t, b.Allows(now.Add(11*time.Second), 1, true))
 }
+
+func TestWhatIsKnownOfTheGoneIsForgotten(t *testing.T) {
+	l := NewLoads()
+	l.Fail("gone", time.Unix(1000, 0))
+	l.Fail("here", time.Unix(1000, 0))
+	l.Prune(map[string]*site.BackendServer{"here": {}})
+	require.Len(t, l.servers, 1)
+	r := newRecent[int](time.Hour)
+	for _, id := range []string{"gone", "here"} {
+		_, err := r.get(id, func() (int, error) { return 1, nil })
+		require.NoError(t, err)
+	}
+	r.prune(map[string]*site.BackendServer{"here": {}})
+	v, err := r.get("here", func() (int, error) { return 2, nil })
+	require.NoError(t, err)
+	require.Equal(t, 1, v, "still the last answer")
+	require.Len(t, r.byID, 1)
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -67,6 +67,7 @@
 	crossings crossings
 
 	keysFreshFor atomic.Int64 // see Options
+	requests     atomic.Int64
 }
 
 // New returns a forwarder.
@@ -108,6 +109,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, until, errDeadline)
 	defer cancel()
+	if f.requests.Add(1)%forgetEvery == 0 {
+		f.forget(f.inv.View().Servers)
+	}
 	f.loads.begin()
 	defer f.loads.end()
 	f.budget.Request(time.Now())
@@ -117,6 +121,16 @@
 	return err
 }
 
+// forgetEvery is the number of requests after which what is known of backend
+// servers that are gone is forgotten.
+const forgetEvery = 1000
+
+func (f *Forwarder) forget(known map[string]*site.BackendServer) {
+	f.loads.Prune(known)
+	f.reports.prune(known)
+	f.probes.prune(known)
+}
+
 func (f *Forwarder) finish(r *run, err error) {
 	kind, detail := "whole", ""
 	if err != nil {
--- a/forward/live.go
+++ b/forward/live.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -94,6 +95,13 @@
 	return e.value, e.err
 }
 
+// prune forgets backend servers that are gone.
+func (r *recent[T]) prune(known map[string]*site.BackendServer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.byID, func(id string, _ *asked[T]) bool { return known[id] == nil })
+}
+
 // Ages of answers that another stream may use.
 const (
 	// probeAge is that of a probe.
--- a/forward/run.go
+++ b/forward/run.go
@@ -94,9 +94,9 @@
 	}
 }
 
-// ended is the answer when the caller went away or the time is up.
+// ended is the answer when the caller went away or the time is up, or nearly so.
 func (r *run) ended(ctx context.Context) error {
-	if !errors.Is(context.Cause(ctx), errDeadline) {
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errDeadline) {
 		return apierror.New(apierror.CallerGone, "after %d sends", r.sends)
 	}
 	if r.ran {
@@ -199,7 +199,10 @@
 // whole collects an answer and hands it on. A failure of a backend server is
 // handed on as it is once nothing better can be had.
 func (r *run) whole(ctx context.Context, t *target, a *Answer) (verdict, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxWholeBytes))
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWholeBytes+1))
+	if err == nil && len(body) > maxWholeBytes {
+		err = errTooLong
+	}
 	if err != nil {
 		if ctx.Err() != nil {
 			return done, r.ended(ctx)
@@ -229,6 +232,7 @@
 var (
 	errUnsealed = errors.New("forward: answer without a signature")
 	errFailed   = errors.New("forward: backend server failed the request")
+	errTooLong  = errors.New("forward: answer is too long to be collected")
 )
 
 // mayRepeat reports whether a failed request may be sent to another backend
--- a/gateway/requests_test.go
+++ b/gateway/requests_test.go
@@ -163,3 +163,11 @@
 	require.Error(t, a.Err, "a stream that is cut must not look complete")
 	require.Less(t, time.Since(began), 700*time.Millisecond)
 }
+
+func TestRequestWithNoTimeLeftIsAnswered(t *testing.T) {
+	d, servers := plainWorld(t)
+	a := d.call(t, call{method: "GET", path: "/plain/", header: map[string]string{"Snowspoke-Deadline-Ms": "5"}})
+	require.NoError(t, a.Err, "an answer, not a closed connection")
+	require.Equal(t, http.StatusGatewayTimeout, a.Status)
+	require.Zero(t, totalRuns(servers))
+}
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -20,7 +20,6 @@
 	Running float64 // requests that pass it, of all daemons
 	KVUsed  float64 // tokens x layers that they hold, of all daemons
 	Heads   float64 // requests that it runs as the first of their path
-	Slow    float64 // factor on its times, 1 when it is as usual
 	// OwnKV is what this daemon's requests hold times the daemons: by it each daemon
 	// spreads its own requests evenly, which needs no news from the others.
 	OwnKV float64
@@ -120,8 +119,7 @@
 		n := s.Held.Len()
 		step := HopStepMS(q.Engine, s.Kind, n, c.Load.Running+1, q.Tokens.Mean())
 		read := HopReadMS(q.Engine, s.Kind, n, q.Tokens.Prompt)
-		slow := max(1, c.Load.Slow)
-		out[i].perLayer = slow * (step*stepsWeight + read) / float64(max(1, n))
+		out[i].perLayer = (step*stepsWeight + read) / float64(max(1, n))
 		full := fullness(q, c, n)
 		out[i].perLayer *= 1 + spreadWeight*min(spreadMost, c.Load.OwnKV/max(1, q.Engine.KVRoom(s.Kind, n)))
 		if full > fullFrom {
@@ -285,7 +283,7 @@
 	}
 	for i, h := range p {
 		cand := byID[h.Server.ID]
-		step := max(1, cand.Load.Slow) * HopStepMS(q.Engine, h.Server.Kind, h.Layers.Len(), cand.Load.Running+1, q.Tokens.Mean())
+		step := HopStepMS(q.Engine, h.Server.Kind, h.Layers.Len(), cand.Load.Running+1, q.Tokens.Mean())
 		link := 0.0
 		if i > 0 {
 			link = LinkMS(q.Engine, p[i-1].Server.FailureDomain, h.Server.FailureDomain)
@@ -295,7 +293,7 @@
 			c.FirstMS += PipeReadMS(q.Engine, q.Tokens.Prompt)
 			c.Crossings++
 		}
-		c.FirstMS += step + link + max(1, cand.Load.Slow)*HopReadMS(q.Engine, h.Server.Kind, h.Layers.Len(), q.Tokens.Prompt)
+		c.FirstMS += step + link + HopReadMS(q.Engine, h.Server.Kind, h.Layers.Len(), q.Tokens.Prompt)
 		if _, kept := q.Keep[h.Server.ID]; !kept {
 			c.Fullest = max(c.Fullest, fullness(q, cand, h.Layers.Len()))
 		}
--- a/site/server.go
+++ b/site/server.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"time"
 )
 
 // Range is a half-open range of layers.
@@ -23,10 +22,8 @@
 	FailureDomain string
 	Slots         int
 	Draining      bool
-	Cold          time.Duration // it stays slow for this long after its registration was written
-	Kind          string        // of accelerator, "" for plain services
-	Model         string        // whose layers it holds
-	Held          Range         // layers it serves now; empty when it holds none
+	Kind          string // of accelerator, "" for plain services
+	Held          Range  // layers it serves now; empty when it holds none
 }
 
 // Hop is one part of a path: a backend server and the layers it runs.
