A failure answered in the middle of a stream never ends it as complete

Change: once the caller has the head of a stream, any other answer counts as a failed send; a request is sent six times at most.

--- a/forward/run.go
+++ b/forward/run.go
@@ -45,6 +45,9 @@
 	// retryAfter is what a refused caller is told: long enough for some request to
 	// end, short enough for the objective.
 	retryAfter = 150 * time.Millisecond
+	// maxSends bounds the sends of one request, also those to a first hop that it was
+	// sent to before, so that one that fails at once cannot use up the budget.
+	maxSends = 6
 	// leastLeft is the least time worth handing to a backend server.
 	leastLeft = 20 * time.Millisecond
 )
@@ -87,7 +90,7 @@
 		if v == again && !r.req.Route.Repeatable() {
 			return apierror.Wrap(apierror.OutcomeUnknown, err)
 		}
-		if !r.f.budget.Spend(time.Now(), r.f.fleet.Daemons(), r.headSent.Load()) {
+		if r.sends >= maxSends || !r.f.budget.Spend(time.Now(), r.f.fleet.Daemons(), r.headSent.Load()) {
 			return r.giveUp(err)
 		}
 		r.f.log.Add("retry", "request", r.req.ID, "attempt", r.sends, "from", t.head().ID, "ran", r.ran, "err", err)
@@ -215,6 +218,10 @@
 	if !a.Sealed {
 		return again, errUnsealed
 	}
+	if r.headSent.Load() {
+		// The caller is in the middle of a stream: no other answer may end it.
+		return again, errFailed
+	}
 	failed := a.Status >= http.StatusInternalServerError || promisesNotRun(a.Status)
 	if failed && r.mayRepeat() {
 		return again, errFailed
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -130,3 +130,29 @@
 	}
 	return false
 }
+
+func TestFailureInTheMiddleOfAStreamNeverLooksComplete(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.putConfig()
+	heads, _ := w.pipeline(1, 1)
+	heads[0].Events = 20
+	d := w.daemon("daemon-1", nil).ready(t, 2)
+	heads[0].Next(standin.BreakOff, standin.Fail)
+	a := d.call(t, call{method: "POST", path: "/stream/"})
+	require.NoError(t, a.Err, "it fails once and then goes on")
+	require.Equal(t, events(1, 20), a.Body)
+	fails := []standin.Fault{standin.BreakOff}
+	for range 40 {
+		fails = append(fails, standin.Fail)
+	}
+	heads[0].Next(fails...)
+	ran := len(heads[0].Runs())
+	a = d.call(t, call{method: "POST", path: "/stream/", id: "req-2"})
+	require.Error(t, a.Err, "nothing but its events may end it as complete")
+	require.Equal(t, events(1, 2), a.Body)
+	require.LessOrEqual(t, len(heads[0].Runs())-ran, maxSendsOfAStream)
+}
+
+// maxSendsOfAStream is what forward allows a request in all.
+const maxSendsOfAStream = 6
