--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -50,20 +51,11 @@
 		if time.Since(began) > longPause {
 			pause.Reset()
 		}
-		wait := pause.NextBackOff()
+		next := pause.NextBackOff()
 		if err != nil {
-			_ = level.Warn(f.logger).Log("msg", "store not followed", "retry_in", wait, "err", err)
+			_ = level.Warn(f.logger).Log("msg", "store not followed", "retry_in", next, "err", err)
 		}
-		sleep(ctx, wait)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		wait.For(ctx, next)
 	}
 }
 
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -23,7 +24,7 @@
 			return t, nil
 		}
 		now := time.Now()
-		if now.After(deadline) || !sleep(ctx, holdStep) {
+		if now.After(deadline) || !wait.For(ctx, holdStep) {
 			if ctx.Err() != nil {
 				return nil, r.ended(ctx)
 			}
@@ -32,17 +33,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // find looks for a target once.
 func (r *run) find() (*target, error) {
 	now := time.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/snowspoke/snowspoke/forward"
+	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/lease"
 	"github.com/snowspoke/snowspoke/metrics"
@@ -232,14 +233,14 @@
 			kctx, cancel := context.WithCancel(ctx)
 			go func() {
 				for kctx.Err() == nil && g.relay.Leading() {
-					pause(kctx, candidatePoll)
+					wait.For(kctx, candidatePoll)
 				}
 				cancel()
 			}()
 			g.keeper.Run(kctx)
 			cancel()
 		}
-		pause(ctx, candidatePoll)
+		wait.For(ctx, candidatePoll)
 	}
 }
 
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/relay"
 	"github.com/snowspoke/snowspoke/store"
 )
@@ -89,7 +90,7 @@
 func (m *members) Run(ctx context.Context) {
 	m.beat(ctx)
 	if !m.restarted {
-		pause(ctx, firstList) // after a restart callers are waiting
+		wait.For(ctx, firstList) // after a restart callers are waiting
 	}
 	m.list(ctx, true)
 	close(m.found)
@@ -112,15 +113,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // beat writes the own record. After a lost answer or a restart its version is
 // read again.
 func (m *members) beat(ctx context.Context) {
--- a/inventory/follow.go
+++ b/inventory/follow.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/store"
 )
 
@@ -69,7 +70,7 @@
 		if err != nil {
 			revision = 0
 			f.note(err)
-			sleep(ctx, pause.NextBackOff())
+			wait.For(ctx, pause.NextBackOff())
 			continue
 		}
 		f.note(nil)
@@ -77,7 +78,7 @@
 		f.take(r.Items, full, fresh)
 		revision = max(revision, r.Revision)
 		if len(r.Items) > 0 {
-			sleep(ctx, f.gather)
+			wait.For(ctx, f.gather)
 		}
 	}
 }
@@ -133,12 +134,3 @@
 	p.MaxInterval = longest
 	return p
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/coder/websocket"
 
+	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/inventory"
 )
 
@@ -62,7 +63,7 @@
 		}
 	}()
 	for {
-		sleep(ctx, exchangeFactor*loadsPeriod(len(n.inv.State().Servers)))
+		wait.For(ctx, exchangeFactor*loadsPeriod(len(n.inv.State().Servers)))
 		if ctx.Err() != nil {
 			return
 		}
--- a/relay/node.go
+++ b/relay/node.go
@@ -12,6 +12,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"github.com/snowspoke/snowspoke/internal/wait"
 )
 
 // Times of following another daemon. A configuration is to be in force within two
@@ -145,27 +147,18 @@
 // daemons of a domain do not wait: they are its sources.
 func (n *Node) awaitFirstSource(ctx context.Context) {
 	began := time.Now()
-	wait := patience
-	for ctx.Err() == nil && len(n.candidates()) >= ownSources && time.Since(began) < wait {
+	most := patience
+	for ctx.Err() == nil && len(n.candidates()) >= ownSources && time.Since(began) < most {
 		for _, m := range n.candidates()[:ownSources] {
 			err := n.probe(ctx, m)
 			if errors.Is(err, errFound) {
 				return
 			}
 			if errors.Is(err, errEarly) {
-				wait = longPatience
+				most = longPatience
 			}
 		}
-		sleep(ctx, patiencePause)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		wait.For(ctx, patiencePause)
 	}
 }
 
