One state machine of a request's execution on both faces

Cause: the platform's path kept the truth about execution in one flag and asserted nothing in the running program; our own interface has a state machine that does. Change: package execution holds that state machine; dispatch and forward use it. forward asserts at most once, 'not run' is true and each layer once, also for the path of a moved stream, which was not checked before. Violations are logged by the gateway and counted.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
+	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/invariant"
 )
@@ -36,11 +37,11 @@
 	defer cancel(nil)
 	watch := r.newWatchdog(ctx, cancel)
 	defer watch.disarm()
-	if err := r.move(Sent); err != nil {
+	if err := r.Move(execution.Sent); err != nil {
 		return result{err: err, final: true}
 	}
 	if err := r.checkNoLeaving(); err != nil {
-		_ = r.move(NotSent)
+		_ = r.Move(execution.NotSent)
 		return result{err: err, final: true}
 	}
 	watch.arm(r.d.opts.FirstToken, r.d.opts.FirstToken)
@@ -88,7 +89,7 @@
 	r.produced = false
 	sealed, err := r.d.sealer.Attempt(&Place{
 		Workspace: r.req.Workspace.Name, RequestID: r.req.ID, Attempt: r.attempt, Model: r.model.Name,
-		Version: r.version, Adapter: r.req.Adapter, Route: r.route, BodyHash: r.req.BodyHash, Repeatable: r.repeatable,
+		Version: r.version, Adapter: r.req.Adapter, Route: r.route, BodyHash: r.req.BodyHash, Repeatable: r.Repeatable(),
 	})
 	r.sealed = sealed
 	return err
@@ -112,15 +113,15 @@
 	head := r.route[0].BackendServer
 	if ctx.Err() != nil {
 		if errors.Is(err, backend.ErrNotSent) {
-			_ = r.move(NotSent)
+			_ = r.Move(execution.NotSent)
 		} else {
-			_ = r.move(Unknown)
+			_ = r.Move(execution.Unknown)
 		}
 		return result{err: context.Cause(ctx), final: true}
 	}
 	switch {
 	case errors.Is(err, backend.ErrNotSent):
-		if verr := r.move(NotSent); verr != nil {
+		if verr := r.Move(execution.NotSent); verr != nil {
 			return result{err: verr, final: true}
 		}
 		r.d.health.Signal(head, health.Unreachable)
@@ -128,7 +129,7 @@
 	case errors.Is(err, backend.ErrRefused):
 		return r.refused(err, refusedBy(err, head))
 	}
-	_ = r.move(Unknown)
+	_ = r.Move(execution.Unknown)
 	if cause := context.Cause(actx); errors.Is(cause, errStalled) {
 		return result{err: cause}
 	}
@@ -148,7 +149,7 @@
 // refused notes that this attempt surely did not run. A head that refuses is
 // busy; a hop that the head could not use is looked at as unreachable.
 func (r *run) refused(err error, server string) result {
-	if verr := r.move(Refused); verr != nil {
+	if verr := r.Move(execution.Refused); verr != nil {
 		return result{err: verr, final: true}
 	}
 	if server != r.route[0].BackendServer {
@@ -178,7 +179,7 @@
 			return res
 		}
 		if c, hop := r.moveTarget(); c != nil {
-			_ = r.move(Unknown)
+			_ = r.Move(execution.Unknown)
 			return result{err: errMove, failed: hop, move: c}
 		}
 		if len(ev.Loads) > 0 || bound == r.d.opts.FirstToken {
@@ -196,7 +197,7 @@
 	switch ev.Type {
 	case backend.EventToken:
 		if err := r.deliver(ev); err != nil {
-			_ = r.move(Unknown)
+			_ = r.Move(execution.Unknown)
 			return result{err: err, final: true}, true
 		}
 		return result{}, false
@@ -208,13 +209,13 @@
 			server = r.route[0].BackendServer
 		}
 		if r.produced {
-			_ = r.move(Unknown) // it ran, whatever the engine says
+			_ = r.Move(execution.Unknown) // it ran, whatever the engine says
 			return result{err: fmt.Errorf("%w: refused after tokens", backend.ErrLost), failed: server}, true
 		}
 		return r.refused(fmt.Errorf("%w: %s", backend.ErrRefused, ev.Reason), server), true
 	case backend.EventFailed:
-		r.ran = true
-		_ = r.move(Unknown)
+		r.MarkRan()
+		_ = r.Move(execution.Unknown)
 		r.d.health.Signal(ev.Failed, health.Failed)
 		return result{err: fmt.Errorf("%w: backend server %s failed: %s", backend.ErrLost, ev.Failed, ev.Reason), failed: ev.Failed}, true
 	}
@@ -223,7 +224,7 @@
 
 // deliver hands on the tokens that are in order now.
 func (r *run) deliver(ev backend.Event) error {
-	r.ran = true
+	r.MarkRan()
 	r.produced = true
 	for _, e := range r.delivery.Accept(ev) {
 		r.prior = append(r.prior, e.Token)
@@ -262,13 +263,13 @@
 // done ends an attempt that the engine calls complete.
 func (r *run) done(ev backend.Event) result {
 	if !r.delivery.Whole(ev.Index) {
-		_ = r.move(Unknown)
+		_ = r.Move(execution.Unknown)
 		return result{err: errGap}
 	}
 	if err := r.delivery.checkWhole(ev.Index); err != nil {
 		return result{err: err, final: true}
 	}
-	if err := r.move(Delivered); err != nil {
+	if err := r.Move(execution.Delivered); err != nil {
 		return result{err: err, final: true}
 	}
 	r.finish = ev.FinishReason
@@ -280,7 +281,7 @@
 
 // broken ends an attempt whose stream ended without a final event.
 func (r *run) broken(ctx, actx context.Context, err error) result {
-	_ = r.move(Unknown)
+	_ = r.Move(execution.Unknown)
 	if ctx.Err() != nil {
 		return result{err: context.Cause(ctx), final: true}
 	}
@@ -294,7 +295,7 @@
 
 // abandon cancels the attempt at every stage in the background.
 func (r *run) abandon() {
-	if r.notRun() || r.state == Delivered {
+	if r.NotRun() || r.State() == execution.Delivered {
 		return
 	}
 	r.cancelAttempt(r.attempt)
@@ -318,7 +319,7 @@
 
 // unknownOutcome is the answer when contact was lost for good.
 func (r *run) unknownOutcome(res result) error {
-	if r.ran {
+	if r.HasRun() {
 		return apierror.New(apierror.BackendFailed, "after %d tokens: %v", r.delivery.Next(), res.err)
 	}
 	return apierror.New(apierror.OutcomeUnknown, "%v", res.err)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/routing"
@@ -110,7 +111,7 @@
 func (d *Dispatcher) newRun(req *Request, sink Sink) *run {
 	return &run{
 		d: d, req: req, sink: sink, began: d.clock(),
-		life:     life{repeatable: req.Repeatable},
+		Life:     execution.New(req.Repeatable),
 		delivery: NewDelivery(req.ID, 0),
 		avoid:    map[string]bool{},
 	}
@@ -140,7 +141,7 @@
 
 // run is one request on its way.
 type run struct {
-	life
+	execution.Life
 	d        *Dispatcher
 	req      *Request
 	sink     Sink
@@ -204,7 +205,7 @@
 	}
 	r.d.observe.Dropped(r.delivery.drops)
 	if err != nil {
-		err = r.truth(err)
+		err = r.Truth(err)
 	} else {
 		r.d.gate.EarnRetry(r.req.Workspace.Name, r.model.Name)
 	}
@@ -348,7 +349,7 @@
 			return false, r.finalError(ctx, res.err)
 		}
 	}
-	if !r.repeatable {
+	if !r.Repeatable() {
 		return r.resumeOnly(ctx, res)
 	}
 	return false, r.recover(ctx, res)
@@ -357,10 +358,10 @@
 // finalError is the answer when the caller or the deadline ended the request.
 func (r *run) finalError(ctx context.Context, err error) error {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		if r.notRun() {
+		if r.NotRun() {
 			return apierror.New(apierror.DeadlinePassed, "before the request was sent")
 		}
-		if r.ran {
+		if r.HasRun() {
 			return apierror.New(apierror.DeadlineRunning, "after %d tokens", r.delivery.Next())
 		}
 		return apierror.New(apierror.OutcomeUnknown, "the deadline passed before the backend server answered")
@@ -379,7 +380,7 @@
 		kind = apierror.BackendUnreachable
 	case errors.Is(res.err, backend.ErrRefused):
 		kind = apierror.BackendRefused
-	case r.ran:
+	case r.HasRun():
 		kind = apierror.BackendFailed
 	}
 	return &apierror.Error{Kind: kind, Detail: res.err.Error(), Err: res.err}
@@ -392,7 +393,7 @@
 	if res.failed != "" {
 		r.avoid[res.failed] = true
 	}
-	if r.ran {
+	if r.HasRun() {
 		return r.reroute(ctx, res, "recover")
 	}
 	if !errors.Is(res.err, errLeaving) && !r.d.gate.SpendRetry(r.req.Workspace.Name, r.model.Name) {
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -10,6 +10,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/routing"
@@ -118,7 +119,7 @@
 }
 
 func (r *run) noRouteLeft(res result, err error) error {
-	if r.notRun() {
+	if r.NotRun() {
 		return routeError(r.model.Name, err)
 	}
 	return r.unknownOutcome(res)
@@ -214,7 +215,7 @@
 
 // adopt takes over the state that an event ID seals.
 func (r *run) adopt(p *Place) {
-	r.state, r.ran, r.sends = Unknown, true, 1
+	r.Life = execution.Begun(p.Repeatable)
 	r.attempt, r.route, r.version = p.Attempt, p.Route, p.Version
 	r.skipTo = p.Index + 1
 }
@@ -268,7 +269,7 @@
 func (r *run) moveTarget() (c *routing.Choice, leaves string) {
 	version := r.d.table.Version()
 	// The last attempts are kept for failures.
-	if !r.repeatable || r.moveSeen == version || r.attempt+2 >= r.d.opts.MaxAttempts {
+	if !r.Repeatable() || r.moveSeen == version || r.attempt+2 >= r.d.opts.MaxAttempts {
 		return nil, ""
 	}
 	hop, least := r.troubledHop()
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -9,6 +9,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -66,7 +67,7 @@
 	reply, err := c.run(ctx)
 	kind := "whole"
 	if err != nil {
-		e := c.truth(err)
+		e := c.Truth(err)
 		kind, err = string(e.Kind), e
 		s.log.Add(decision.Record{
 			Time: s.clock(), Kind: decision.Refuse, RequestID: req.Call.RequestID, Attempt: c.attempt,
@@ -79,7 +80,7 @@
 
 // call is one call on its way.
 type call struct {
-	life
+	execution.Life
 	s       *Services
 	req     *ServiceRequest
 	tried   map[string]bool
@@ -94,7 +95,7 @@
 	if err := c.s.gate.CheckService(c.req.Workspace); err != nil {
 		return nil, err
 	}
-	c.repeatable = c.req.Repeatable && svc.IsRepeatable(c.req.Call.Method, pathOnly(c.req.Call.Path))
+	c.Life = execution.New(c.req.Repeatable && svc.IsRepeatable(c.req.Call.Method, pathOnly(c.req.Call.Path)))
 	for ; ; c.attempt++ {
 		e := c.s.pick(svc, c.tried)
 		if e == nil {
@@ -126,25 +127,25 @@
 		Time: c.s.clock(), Kind: decision.Route, RequestID: c.req.Call.RequestID, Attempt: c.attempt,
 		Workspace: c.req.Workspace.Name, Subject: svc.Name, Chosen: e.Name, Reason: "least in flight",
 	})
-	if err := c.move(Sent); err != nil {
+	if err := c.Move(execution.Sent); err != nil {
 		return nil, err
 	}
 	st := c.s.enter(svc.Name, e.Name)
 	reply, err := c.s.client.Call(ctx, backend.Target{BackendServer: e.Name, Address: e.Address}, &c.req.Call)
 	if err == nil {
-		c.ran = true
+		c.MarkRan()
 		reply.Body = &countedBody{body: reply.Body, done: func(whole bool) { c.s.leave(st, whole) }}
-		return reply, c.move(Delivered)
+		return reply, c.Move(execution.Delivered)
 	}
 	c.s.leave(st, errors.Is(err, backend.ErrRefused))
-	to := Unknown
+	to := execution.Unknown
 	if errors.Is(err, backend.ErrNotSent) {
-		to = NotSent
+		to = execution.NotSent
 	}
 	if errors.Is(err, backend.ErrRefused) {
-		to = Refused
+		to = execution.Refused
 	}
-	if verr := c.move(to); verr != nil {
+	if verr := c.Move(to); verr != nil {
 		return nil, verr
 	}
 	return nil, err
@@ -156,7 +157,7 @@
 	if ctx.Err() != nil {
 		return c.endedByCaller(ctx)
 	}
-	if !c.state.NotRun() && !c.repeatable {
+	if !c.State().NotRun() && !c.Repeatable() {
 		return apierror.New(apierror.OutcomeUnknown, "service %s: %v", svc.Name, err)
 	}
 	if c.attempt+1 < serviceAttempts && c.s.gate.SpendRetry(c.req.Workspace.Name, svc.Name) {
@@ -165,10 +166,10 @@
 		}
 	}
 	kind := apierror.OutcomeUnknown
-	switch c.state {
-	case NotSent:
+	switch c.State() {
+	case execution.NotSent:
 		kind = apierror.BackendUnreachable
-	case Refused:
+	case execution.Refused:
 		kind = apierror.BackendRefused
 	}
 	return apierror.New(kind, "service %s: %v", svc.Name, err)
@@ -176,7 +177,7 @@
 
 func (c *call) endedByCaller(ctx context.Context) error {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		if c.notRun() {
+		if c.NotRun() {
 			return apierror.New(apierror.DeadlinePassed, "before the call was sent")
 		}
 		return apierror.New(apierror.OutcomeUnknown, "the deadline passed before the service answered")
--- a/dispatch/state.go
+++ b/execution/life.go
@@ -1,4 +1,8 @@
-package dispatch
+// Package execution keeps what is known about whether a request ran: one state
+// machine for both faces of the daemon, which asserts that a request that may
+// not be repeated is under way at most once and that "not run" is never said of
+// one that may have run.
+package execution
 
 import (
 	"fmt"
@@ -43,16 +47,36 @@
 	return false
 }
 
-// life is the state machine of one request.
-type life struct {
+// Life is the state machine of one request. It is not safe for concurrent use.
+type Life struct {
 	state      State
 	ran        bool // some attempt ran, at least in part
 	repeatable bool
 	sends      int // times that execution may have begun
 }
 
-// move goes to a state or reports a violated promise.
-func (l *life) move(to State) error {
+// New returns the life of a request that was not sent yet.
+func New(repeatable bool) Life { return Life{repeatable: repeatable} }
+
+// Begun returns the life of a request that another daemon has sent.
+func Begun(repeatable bool) Life {
+	return Life{state: Unknown, ran: true, repeatable: repeatable, sends: 1}
+}
+
+// State returns what is known now.
+func (l *Life) State() State { return l.state }
+
+// Repeatable reports whether the request may run more than once.
+func (l *Life) Repeatable() bool { return l.repeatable }
+
+// HasRun reports whether some attempt is known to have run, at least in part.
+func (l *Life) HasRun() bool { return l.ran }
+
+// MarkRan notes that an attempt runs or ran.
+func (l *Life) MarkRan() { l.ran = true }
+
+// Move goes to a state or reports a violated promise.
+func (l *Life) Move(to State) error {
 	if to == Unknown && l.state == Unknown {
 		return nil // a resumed stream broke again
 	}
@@ -70,9 +94,22 @@
 		"a request that is not repeatable was sent %d times", l.sends)
 }
 
+// NotRun reports whether no attempt can have run.
+func (l *Life) NotRun() bool { return l.state.NotRun() && !l.ran && l.sends == 0 }
+
+// Truth turns any error into an answer that is true now, or into the fault of an
+// answer that is not.
+func (l *Life) Truth(err error) *apierror.Error {
+	e := l.answer(apierror.From(err))
+	if verr := l.checkAnswer(e); verr != nil {
+		return apierror.From(verr)
+	}
+	return e
+}
+
 // answer turns an error into one whose statement about execution is true now.
-func (l *life) answer(e *apierror.Error) *apierror.Error {
-	if l.notRun() || !e.NotRun() {
+func (l *Life) answer(e *apierror.Error) *apierror.Error {
+	if l.NotRun() || !e.NotRun() {
 		return e
 	}
 	kind := apierror.OutcomeUnknown
@@ -83,19 +120,7 @@
 }
 
 // checkAnswer asserts that an answer as not run is true.
-func (l *life) checkAnswer(e *apierror.Error) error {
-	return invariant.Check(!e.NotRun() || l.notRun(), invariant.NotRunIsTrue,
+func (l *Life) checkAnswer(e *apierror.Error) error {
+	return invariant.Check(!e.NotRun() || l.NotRun(), invariant.NotRunIsTrue,
 		"%s answered in state %s after %d sends", e.Kind, l.state, l.sends)
 }
-
-// truth turns any error into an answer that is true now, or into the fault of an
-// answer that is not.
-func (l *life) truth(err error) *apierror.Error {
-	e := l.answer(apierror.From(err))
-	if verr := l.checkAnswer(e); verr != nil {
-		return apierror.From(verr)
-	}
-	return e
-}
-
-func (l *life) notRun() bool { return l.state.NotRun() && !l.ran && l.sends == 0 }
--- /dev/null
+++ b/execution/life_test.go
@@ -0,0 +1,52 @@
+package execution
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/invariant"
+)
+
+// Whatever happens, a request that is not repeatable is under way at most once,
+// and an answer as not run is given only when nothing ran.
+func TestLifeNeverLies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(rapid.Bool().Draw(t, "repeatable"))
+		executions := 0 // that may have begun
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			to := State(rapid.IntRange(int(NotSent), int(Unknown)).Draw(t, "to"))
+			if !Legal(l.state, to, l.repeatable) {
+				continue
+			}
+			if to == Sent {
+				executions++
+			}
+			if to == NotSent || to == Refused {
+				executions--
+			}
+			require.NoError(t, l.Move(to))
+			l.ran = l.ran || to == Delivered
+			if !l.repeatable && executions > 1 {
+				t.Fatalf("%d executions", executions)
+			}
+			e := l.answer(apierror.New(apierror.Overloaded, "x"))
+			if executions > 0 && apierror.Lookup(e.Kind).Ran == apierror.RanNo {
+				t.Fatalf("answered %s with %d executions under way", e.Kind, executions)
+			}
+			require.NoError(t, l.checkAnswer(e))
+		}
+	})
+}
+
+func TestIllegalMoveFires(t *testing.T) {
+	before := invariant.Count(invariant.AtMostOnce)
+	l := Life{state: Unknown, sends: 1}
+	require.Error(t, l.Move(Sent))
+	require.Equal(t, before+1, invariant.Count(invariant.AtMostOnce))
+	before = invariant.Count(invariant.NotRunIsTrue)
+	require.Error(t, l.checkAnswer(apierror.New(apierror.Overloaded, "x")))
+	require.Equal(t, before+1, invariant.Count(invariant.NotRunIsTrue))
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/site"
@@ -115,7 +116,10 @@
 	f.loads.begin()
 	defer f.loads.end()
 	f.budget.Request(time.Now())
-	r := &run{f: f, req: req, sink: sink, until: until, lastEvent: req.LastEvent, tried: map[string]bool{}}
+	r := &run{
+		f: f, req: req, sink: sink, until: until, lastEvent: req.LastEvent,
+		life: execution.New(req.Route.Repeatable()), tried: map[string]bool{},
+	}
 	err := r.serve(ctx)
 	f.finish(r, err)
 	return err
--- /dev/null
+++ b/forward/outcome_test.go
@@ -0,0 +1,144 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/invariant"
+	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// behaviour is what a backend server does with one send.
+type behaviour int
+
+const (
+	unreachable behaviour = iota
+	refusing              // says that it did not run
+	lost                  // runs, and no answer comes
+	failing               // runs and answers 500
+	lying                 // runs and answers 503 without saying that it did not run
+	unsealed              // runs and answers without a signature
+	serving
+	behaviours
+)
+
+func (b behaviour) runs() bool { return b != unreachable && b != refusing }
+
+// scripted plays one behaviour after the other.
+type scripted struct {
+	script []behaviour
+	ran    int
+}
+
+func (s *scripted) Send(context.Context, *Outgoing) (*Answer, error) {
+	b := serving
+	if len(s.script) > 0 {
+		b, s.script = s.script[0], s.script[1:]
+	}
+	if b.runs() {
+		s.ran++
+	}
+	a := &Answer{Status: http.StatusOK, Sealed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("card"))}
+	switch b {
+	case unreachable:
+		return nil, ErrNotSent
+	case lost:
+		return nil, ErrLost
+	case refusing:
+		a.Status, a.NotRun = http.StatusServiceUnavailable, true
+	case failing:
+		a.Status = http.StatusInternalServerError
+	case lying:
+		a.Status = http.StatusServiceUnavailable
+	case unsealed:
+		a.Sealed = false
+	}
+	return a, nil
+}
+
+func (s *scripted) Report(context.Context, *site.BackendServer) (Report, error) { return Report{}, nil }
+func (s *scripted) Reach(context.Context, *site.BackendServer) error            { return nil }
+func (s *scripted) Repath(context.Context, *site.BackendServer, string, site.Path) error {
+	return nil
+}
+
+// fixed is an inventory that does not change.
+type fixed struct{ view *inventory.View }
+
+func (f fixed) View() *inventory.View       { return f.view }
+func (f fixed) Age(time.Time) time.Duration { return 0 }
+func (f fixed) Daemons() int                { return 1 }
+
+type noObserver struct{}
+
+func (noObserver) Finished(string, time.Duration)  {}
+func (noObserver) FirstEvent(time.Duration)        {}
+func (noObserver) Recovered(string, time.Duration) {}
+
+// taken keeps what the caller got.
+type taken struct {
+	status int
+	body   string
+}
+
+func (c *taken) Head(int, http.Header) error { return nil }
+func (c *taken) Events([]byte) error         { return nil }
+func (c *taken) Whole(status int, _ http.Header, body []byte) error {
+	c.status, c.body = status, string(body)
+	return nil
+}
+
+func plainForwarder(servers int, backends Backends) *Forwarder {
+	services := []*site.Service{{Name: "cards"}}
+	known := map[string]*site.BackendServer{}
+	for i := range servers {
+		id := fmt.Sprint("b", i)
+		known[id] = &site.BackendServer{ID: id, Service: "cards", Address: fmt.Sprintf("10.0.0.%d:1", i), Slots: 4}
+	}
+	inv := fixed{&inventory.View{Config: site.NewConfig(1, site.Limits{}, nil, services, nil), Servers: known}}
+	return New(Options{RetryRatio: 1, RetrySlack: 100, RetryWindow: time.Second},
+		Parts{Inventory: inv, Fleet: inv, Backends: backends, Log: NewLog(io.Discard), Observer: noObserver{}})
+}
+
+// Whatever backend servers do, a request that may not be repeated runs at most
+// once, "not run" is true, and only the answer of one that ran is a success.
+func TestOutcomesAreTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		script := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) behaviour {
+			return behaviour(rapid.IntRange(0, int(behaviours)-1).Draw(t, "behaviour"))
+		}), 0, 5).Draw(t, "script")
+		repeat := rapid.SampledFrom([]site.Repeat{site.Safe, site.Unsafe}).Draw(t, "repeat")
+		b := &scripted{script: script}
+		f := plainForwarder(rapid.IntRange(1, 4).Draw(t, "servers"), b)
+		before := invariant.Total()
+		now := time.Now()
+		req := &Request{
+			ID: "r", Service: "cards", Received: now, Deadline: now.Add(3 * time.Second),
+			Route: &site.Route{Repeat: repeat, MaxAttempts: 3, Timeout: 3 * time.Second, Objective: time.Millisecond},
+		}
+		got := &taken{}
+		err := f.Do(context.Background(), req, got)
+		require.Equal(t, before, invariant.Total())
+		if repeat == site.Unsafe {
+			require.LessOrEqual(t, b.ran, 1)
+		}
+		if err != nil && apierror.From(err).NotRun() {
+			require.Zero(t, b.ran, "%v", err)
+		}
+		if err == nil {
+			require.Positive(t, b.ran)
+			require.Equal(t, "card", got.body)
+			require.False(t, promisesNotRun(got.status))
+		}
+	})
+}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -7,6 +7,7 @@
 
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/internal/wait"
+	"github.com/snowspoke/snowspoke/invariant"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -52,8 +53,8 @@
 	if err != nil {
 		return nil, apierror.Wrap(apierror.NoRoute, err).WithRetryAfter(retryAfter)
 	}
-	if err := c.Path.CheckTiling(r.engine.Layers); err != nil {
-		return nil, apierror.Wrap(apierror.Internal, err)
+	if err := checkLayers(c.Path.CheckTiling(r.engine.Layers)); err != nil {
+		return nil, err
 	}
 	if !r.f.mayCross(r.engine, q.Tokens.Prompt, c.Crossings, now) {
 		return nil, apierror.New(apierror.Overloaded, "the pipes between failure domains are full").WithRetryAfter(retryAfter)
@@ -61,6 +62,11 @@
 	return &target{path: c.Path, choice: c, tokens: q.Tokens.Full()}, nil
 }
 
+// checkLayers asserts that a check of a path's layers found nothing.
+func checkLayers(err error) error {
+	return invariant.Check(err == nil, invariant.LayersOnceInOrder, "%v", err)
+}
+
 // attemptsUsed reports whether the request was sent to as many backend servers
 // as it may be; those that are gone do not count.
 func (r *run) attemptsUsed(known map[string]*site.BackendServer) bool {
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -179,7 +179,7 @@
 	if err != nil && !errors.Is(err, pipeline.ErrFull) {
 		return nil, err
 	}
-	return c.Path, nil
+	return c.Path, checkLayers(c.Path.CheckOrder(r.engine.Layers))
 }
 
 func containsServer(cs []pipeline.Candidate, id string) bool {
--- a/forward/run.go
+++ b/forward/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -22,7 +23,7 @@
 	engine    *site.Engine
 	tried     map[string]bool // first hops that it was sent to, by ID
 	sends     int
-	ran       bool        // some send may have run
+	life      execution.Life
 	headSent  atomic.Bool // the caller has the head of the answer
 	lastEvent string      // ID of the last event that the caller has
 	lastAt    time.Time
@@ -78,7 +79,7 @@
 	for {
 		t, err := r.pick(ctx)
 		if err != nil {
-			return r.truth(err)
+			return r.life.Truth(err)
 		}
 		v, err := r.send(ctx, t)
 		if v == done {
@@ -93,7 +94,7 @@
 		if r.sends >= maxSends || !r.f.budget.Spend(time.Now(), r.f.fleet.Daemons(), r.headSent.Load()) {
 			return r.giveUp(err)
 		}
-		r.f.log.Add("retry", "request", r.req.ID, "attempt", r.sends, "from", t.head().ID, "ran", r.ran, "err", err)
+		r.f.log.Add("retry", "request", r.req.ID, "attempt", r.sends, "from", t.head().ID, "state", r.life.State(), "ran", r.life.HasRun(), "err", err)
 	}
 }
 
@@ -102,38 +103,54 @@
 	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errDeadline) {
 		return apierror.New(apierror.CallerGone, "after %d sends", r.sends)
 	}
-	if r.ran {
+	if !r.life.NotRun() {
 		return apierror.New(apierror.DeadlineRunning, "after %d sends", r.sends)
 	}
 	return apierror.New(apierror.DeadlinePassed, "before the request ran")
 }
 
 func (r *run) giveUp(err error) error {
-	if r.ran {
+	if !r.life.NotRun() {
 		return apierror.Wrap(apierror.OutcomeUnknown, err)
 	}
 	return apierror.Wrap(apierror.BackendRefused, err).WithRetryAfter(retryAfter)
 }
 
-// truth keeps an answer from saying that a request did not run when it may have.
-func (r *run) truth(err error) error {
-	e := apierror.From(err)
-	if r.ran && e.NotRun() {
-		return &apierror.Error{Kind: apierror.OutcomeUnknown, Detail: e.Error(), Err: e}
-	}
-	return e
-}
-
-// send makes one send and carries the answer.
+// send makes one send and carries the answer. The request counts as sent before
+// the first byte can go out, and until something certain is known.
 func (r *run) send(ctx context.Context, t *target) (verdict, error) {
-	head := t.head()
 	left := time.Until(r.until)
 	if left < leastLeft {
 		return done, r.ended(ctx)
 	}
 	r.sends++
-	r.tried[head.ID] = true
+	r.tried[t.head().ID] = true
 	r.logRoute(t, left)
+	if err := r.life.Move(execution.Sent); err != nil {
+		return done, err
+	}
+	v, err := r.carry(ctx, t, left)
+	if lerr := r.life.Move(stateAfter(v, err)); lerr != nil {
+		return done, lerr
+	}
+	return v, err
+}
+
+// stateAfter returns what a send leaves known about the execution.
+func stateAfter(v verdict, err error) execution.State {
+	switch {
+	case v == refuse && errors.Is(err, ErrNotSent):
+		return execution.NotSent
+	case v == refuse:
+		return execution.Refused
+	case v == done && err == nil:
+		return execution.Delivered
+	}
+	return execution.Unknown
+}
+
+// carry hands a request to its first hop and its answer to the caller.
+func (r *run) carry(ctx context.Context, t *target, left time.Duration) (verdict, error) {
 	if r.engine != nil && r.req.Route.Repeat == site.Stream {
 		return r.sendStream(ctx, t, left)
 	}
@@ -178,12 +195,11 @@
 		return refuse, err
 	}
 	if err != nil {
-		r.ran = true
 		r.f.loads.Refused(head.ID, now)
 		return again, err
 	}
 	if !a.NotRun {
-		r.ran = true
+		r.life.MarkRan()
 		return done, nil
 	}
 	_ = a.Body.Close()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"github.com/snowspoke/snowspoke/forward"
 	"github.com/snowspoke/snowspoke/internal/wait"
+	"github.com/snowspoke/snowspoke/invariant"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/lease"
 	"github.com/snowspoke/snowspoke/metrics"
@@ -145,6 +146,8 @@
 // Run serves until ctx ends, then stops.
 func (g *Gateway) Run(ctx context.Context) error {
 	_ = level.Info(g.log).Log("msg", "started", "vm", g.set.Name, "domain", g.set.FailureDomain, "callers", g.set.Callers, "store", g.set.Store)
+	restore := invariant.SetReporter(g.reportViolation)
+	defer restore()
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	duty, stopDuty := context.WithCancel(work)
@@ -184,6 +187,10 @@
 	return err
 }
 
+func (g *Gateway) reportViolation(p invariant.Promise, detail string) {
+	_ = level.Error(g.log).Log("msg", "invariant violated", "promise", string(p), "detail", detail)
+}
+
 // endsWithin is how long the parts of a daemon may take to end: the grace of a
 // planned stop is nearly over then, and the store may be away.
 const endsWithin = 200 * time.Millisecond
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -17,7 +17,7 @@
 // rank orders the packages: a package imports only those of a lower rank.
 // Packages that are not listed are leaves that anybody may import.
 var rank = map[string]int{
-	"topology": 1, "fleet": 2, "catalog": 2,
+	"topology": 1, "execution": 1, "fleet": 2, "catalog": 2,
 	"routing": 3, "admission": 3, "health": 3, "placement": 3, "claims": 3, "lease": 3, "quota": 3,
 	"monitor": 4, "peer": 4, "dispatch": 4,
 	"metrics": 5, "api": 5, "control": 5,
--- a/site/server.go
+++ b/site/server.go
@@ -38,15 +38,27 @@
 // CheckTiling returns an error unless the hops run each of the layers once, in
 // order, on distinct backend servers that hold them.
 func (p Path) CheckTiling(layers int) error {
+	if err := p.CheckOrder(layers); err != nil {
+		return err
+	}
+	for _, h := range p {
+		if h.Layers.From < h.Server.Held.From || h.Layers.To > h.Server.Held.To {
+			return fmt.Errorf("path %s: %s does not hold its part", p, h.Server.ID)
+		}
+	}
+	return nil
+}
+
+// CheckOrder returns an error unless the hops run each of the layers once, in
+// order, on distinct backend servers. A hop that goes on with a running stream
+// may be giving the layers up already.
+func (p Path) CheckOrder(layers int) error {
 	next := 0
 	seen := map[string]bool{}
 	for _, h := range p {
 		if h.Layers.From != next || h.Layers.Len() <= 0 {
 			return fmt.Errorf("path %s: layer %d is not next", p, h.Layers.From)
 		}
-		if h.Layers.From < h.Server.Held.From || h.Layers.To > h.Server.Held.To {
-			return fmt.Errorf("path %s: %s does not hold its part", p, h.Server.ID)
-		}
 		if seen[h.Server.Address] {
 			return fmt.Errorf("path %s: %s twice", p, h.Server.Address)
 		}
