One retry budget for both faces, strict in every sliding window

Cause: (1) a plain service's retries of our own face ended for good after ten: its budget was spent and never earned. (2) The platform's budget counted the window in ten slots of which the present one has only begun, so that a true sliding window held up to a tenth more; only the part of 0.8 that daemons use hid it. (3) Two types did the same. Change: admission.Budget is the sliding window with one slot more; dispatch and forward use it, forward through its daemon's part. Tests that failed first: TestServiceRetriesComeBack (call 10 of 40 refused), TestBudgetHoldsInEverySlidingWindow with the whole budget (74 retries where 70.6 are allowed; it used to draw a part). The old test of the earned share is TestBudgetEarnsAShare, as strict. Conclusion: strict by itself now; choice and health of the two faces still differ.

--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -43,32 +43,3 @@
 // Idle reports whether a bucket is full again, so that a new one would be no
 // different.
 func (b *Bucket) Idle(now time.Time) bool { return !now.Before(b.fullAt) }
-
-// Budget limits retries to a share of successful requests, so that retries
-// cannot multiply the load when many backend servers fail. It is not safe for
-// concurrent use.
-type Budget struct {
-	ratio float64
-	max   float64
-	left  float64
-}
-
-// NewBudget returns a full budget that earns ratio retries for each success.
-func NewBudget(ratio, reserve float64) *Budget {
-	return &Budget{ratio: ratio, max: reserve, left: reserve}
-}
-
-// Full reports whether the budget is as good as a new one.
-func (b *Budget) Full() bool { return b.left >= b.max }
-
-// Earn counts a success.
-func (b *Budget) Earn() { b.left = math.Min(b.max, b.left+b.ratio) }
-
-// Spend takes one retry out of the budget; false means that none is left.
-func (b *Budget) Spend() bool {
-	if b.left < 1 {
-		return false
-	}
-	b.left--
-	return true
-}
--- /dev/null
+++ b/admission/budget.go
@@ -0,0 +1,114 @@
+package admission
+
+import (
+	"sync"
+	"time"
+)
+
+// budgetSlots divide the window of a budget. One more is kept: the present slot
+// has only begun, and a window that ends now reaches into the oldest.
+const (
+	budgetSlots = 10
+	slotsKept   = budgetSlots + 1
+)
+
+// Budget bounds retries in a sliding window to a share of what earned them and a
+// slack, so that retries cannot multiply the load when many backend servers
+// fail. It is safe for concurrent use.
+type Budget struct {
+	window time.Duration
+
+	mu      sync.Mutex
+	ratio   float64
+	slack   float64
+	earned  [slotsKept]int
+	retries [slotsKept]int
+	slot    int64
+}
+
+// Part is the part of a budget that a retry may use, 1 for all of it: daemons
+// that share a budget each use a part of its slack.
+type Part struct {
+	Ratio float64 // of the retries that were earned here
+	Slack float64 // of the slack
+}
+
+// Whole is the whole of a budget.
+var Whole = Part{Ratio: 1, Slack: 1}
+
+// NewBudget returns a budget of ratio retries for each request of a window, and
+// slack beyond.
+func NewBudget(ratio, slack float64, window time.Duration) *Budget {
+	if window <= 0 {
+		window = budgetSlots * time.Second
+	}
+	return &Budget{ratio: ratio, slack: slack, window: window}
+}
+
+// Set changes the bounds.
+func (b *Budget) Set(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack = ratio, slack
+}
+
+// advance clears the slots that have left the window. The caller holds the lock.
+func (b *Budget) advance(now time.Time) {
+	slot := now.UnixNano() / int64(b.window/budgetSlots)
+	for n := max(b.slot+1, slot-slotsKept+1); n <= slot; n++ {
+		b.earned[n%slotsKept], b.retries[n%slotsKept] = 0, 0
+	}
+	b.slot = max(b.slot, slot)
+}
+
+// Earn counts a request.
+func (b *Budget) Earn(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.earned[b.slot%slotsKept]++
+}
+
+// Allows reports whether a retry is left in a part of the budget.
+func (b *Budget) Allows(now time.Time, p Part) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(now, p)
+}
+
+func (b *Budget) allows(now time.Time, p Part) bool {
+	earned, retries := b.sums(now)
+	return float64(retries+1) <= p.Ratio*b.ratio*float64(earned)+p.Slack*b.slack
+}
+
+// sums returns what was earned and retried in the window. The caller holds the
+// lock.
+func (b *Budget) sums(now time.Time) (earned, retries int) {
+	b.advance(now)
+	for i := range b.earned {
+		earned += b.earned[i]
+		retries += b.retries[i]
+	}
+	return earned, retries
+}
+
+// Spend takes one retry out of a part of the budget; false means that none is
+// left.
+func (b *Budget) Spend(now time.Time, p Part) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.allows(now, p) {
+		return false
+	}
+	b.retries[b.slot%slotsKept]++
+	return true
+}
+
+// Idle reports whether nothing happened within the window, so that a new budget
+// would be no different.
+func (b *Budget) Idle(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	earned, retries := b.sums(now)
+	return earned == 0 && retries == 0
+}
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -48,11 +48,15 @@
 // Share implements Shares.
 func (WholeShare) Share(string) float64 { return 1 }
 
-type budgetKey struct{ workspace, model string }
-
-// retryReserve is the number of retries a workspace may spend on a model before
-// it has earned any.
-const retryReserve = 10
+// budgetKey names a retry budget; subject is a model or a plain service.
+type budgetKey struct{ workspace, subject string }
+
+// Bounds of a retry budget: in each window, retrySlack retries beside the share
+// of the requests that were served in it.
+const (
+	retrySlack  = 10
+	retryWindow = 10 * time.Second
+)
 
 // GateOptions are the settings of a gate.
 type GateOptions struct {
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -60,32 +60,34 @@
 	}
 }
 
-// SpendRetry takes one retry out of the budget of a workspace and model.
-func (g *Gate) SpendRetry(workspace, model string) bool {
+// SpendRetry takes one retry out of the budget of a workspace and model or
+// service.
+func (g *Gate) SpendRetry(workspace, subject string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget(workspace, model).Spend()
+	return g.budget(workspace, subject).Spend(g.clock(), admission.Whole)
 }
 
 // EarnRetry counts a success for the budget.
-func (g *Gate) EarnRetry(workspace, model string) {
+func (g *Gate) EarnRetry(workspace, subject string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.budget(workspace, model).Earn()
+	g.budget(workspace, subject).Earn(g.clock())
 }
 
-// maxIdle is the number of buckets or budgets from which the full ones, which
-// are as good as new, are dropped.
+// maxIdle is the number of buckets or budgets from which those are dropped that
+// are as good as new.
 const maxIdle = 4096
 
-func (g *Gate) budget(workspace, model string) *admission.Budget {
-	k := budgetKey{workspace, model}
+func (g *Gate) budget(workspace, subject string) *admission.Budget {
+	k := budgetKey{workspace, subject}
 	b := g.budgets[k]
 	if b == nil {
 		if len(g.budgets) >= maxIdle {
-			maps.DeleteFunc(g.budgets, func(_ budgetKey, b *admission.Budget) bool { return b.Full() })
+			now := g.clock()
+			maps.DeleteFunc(g.budgets, func(_ budgetKey, b *admission.Budget) bool { return b.Idle(now) })
 		}
-		b = admission.NewBudget(g.retry, retryReserve)
+		b = admission.NewBudget(g.retry, retrySlack, retryWindow)
 		g.budgets[k] = b
 	}
 	return b
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -103,6 +103,7 @@
 		}
 		reply, err := c.send(ctx, svc, e)
 		if err == nil {
+			c.s.gate.EarnRetry(c.req.Workspace.Name, svc.Name)
 			return reply, nil
 		}
 		c.tried[e.Name] = true
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/snowspoke/snowspoke/admission"
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/inventory"
@@ -61,7 +62,7 @@
 	log       *Log
 	observe   Observer
 	loads     *Loads
-	budget    *Budget
+	budget    *admission.Budget
 	reports   *recent[Report]
 	probes    *recent[struct{}]
 	live      *liveStreams
@@ -75,7 +76,7 @@
 func New(o Options, p Parts) *Forwarder {
 	f := &Forwarder{
 		opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
-		loads: NewLoads(), budget: NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
+		loads: NewLoads(), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), live: newLiveStreams(),
 	}
 	f.keysFreshFor.Store(int64(o.KeysFreshFor))
@@ -115,7 +116,7 @@
 	}
 	f.loads.begin()
 	defer f.loads.end()
-	f.budget.Request(time.Now())
+	f.budget.Earn(time.Now())
 	r := &run{
 		f: f, req: req, sink: sink, until: until, lastEvent: req.LastEvent,
 		life: execution.New(req.Route.Repeatable()), tried: map[string]bool{},
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -141,7 +141,7 @@
 
 // mayResume reports whether the stream may go on at another head.
 func (r *run) mayResume() bool {
-	return !r.attemptsUsed(r.f.inv.View().Servers) && r.f.budget.Allows(time.Now(), r.f.fleet.Daemons(), r.headSent.Load())
+	return !r.attemptsUsed(r.f.inv.View().Servers) && r.retryAllowed()
 }
 
 func samePath(a, b site.Path) bool { return a.String() == b.String() }
--- /dev/null
+++ b/forward/retry.go
@@ -0,0 +1,38 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/snowspoke/snowspoke/admission"
+)
+
+// Shares of the fleet's retry budget. Daemons do not ask each other: each keeps
+// to a part of what its own requests earn and an even part of the slack.
+const (
+	// budgetUse is the part of the budget that all daemons together use; the rest
+	// is for daemons that come and go within a window.
+	budgetUse = 0.8
+	// freshUse is the part of a daemon's share that requests may use that have no
+	// event yet: a stream that has begun has more to lose.
+	freshUse = 0.6
+)
+
+// retryPart returns this daemon's part of the fleet's budget for a request; begun
+// says that it is a stream of which the caller has events.
+func retryPart(daemons int, begun bool) admission.Part {
+	use := budgetUse
+	if !begun {
+		use *= freshUse
+	}
+	return admission.Part{Ratio: use, Slack: use / float64(max(1, daemons))}
+}
+
+// retryAllowed reports whether the budget has a retry left for the request.
+func (r *run) retryAllowed() bool {
+	return r.f.budget.Allows(time.Now(), retryPart(r.f.fleet.Daemons(), r.headSent.Load()))
+}
+
+// spendRetry takes a retry of the request out of the budget.
+func (r *run) spendRetry() bool {
+	return r.f.budget.Spend(time.Now(), retryPart(r.f.fleet.Daemons(), r.headSent.Load()))
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -91,7 +91,7 @@
 		if v == again && !r.req.Route.Repeatable() {
 			return apierror.Wrap(apierror.OutcomeUnknown, err)
 		}
-		if r.sends >= maxSends || !r.f.budget.Spend(time.Now(), r.f.fleet.Daemons(), r.headSent.Load()) {
+		if r.sends >= maxSends || !r.spendRetry() {
 			return r.giveUp(err)
 		}
 		r.f.log.Add("retry", "request", r.req.ID, "attempt", r.sends, "from", t.head().ID, "state", r.life.State(), "ran", r.life.HasRun(), "err", err)
