Cooldowns of backend servers are one table, apart from loads, on both faces

Cause: forward.Loads did two jobs, loads and what failures showed; plain services of our own face kept the same in another form. Change: health.Cooldowns; forward and dispatch.Services use it. Conclusion: no behaviour changed, as meant.

--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -11,6 +11,7 @@
 	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/fleet"
+	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -25,9 +26,9 @@
 // serviceAttempts is the most endpoints that one call is sent to.
 const serviceAttempts = 3
 
-// endpointCooldown is how long an endpoint that failed is used only when no
-// other is left.
-const endpointCooldown = time.Second
+// endpointCooldowns are the times for which an endpoint that failed is used only
+// when no other is left. One that refused is only busy.
+var endpointCooldowns = health.CooldownConfig{Failed: time.Second, FailedMost: time.Second}
 
 // Services carries calls of plain services. It is safe for concurrent use.
 type Services struct {
@@ -40,22 +41,22 @@
 	observe Observer
 	clock   Clock
 
-	mu    sync.Mutex
-	state map[endpointKey]*endpointState
+	health *health.Cooldowns // by endpoint
+
+	mu       sync.Mutex
+	inFlight map[endpointKey]int
 }
 
 type endpointKey struct{ service, endpoint string }
 
-type endpointState struct {
-	inFlight int
-	failedAt time.Time
-}
+// String names the endpoint in the table of cooldowns.
+func (k endpointKey) String() string { return k.service + "/" + k.endpoint }
 
 // NewServices returns a Services that works with the same parts as d.
 func NewServices(d *Dispatcher, client backend.Services) *Services {
 	return &Services{
 		opts: d.opts, client: client, catalog: d.catalog, table: d.table, gate: d.gate, log: d.log,
-		observe: d.observe, clock: d.clock, state: map[endpointKey]*endpointState{},
+		observe: d.observe, clock: d.clock, health: health.NewCooldowns(endpointCooldowns), inFlight: map[endpointKey]int{},
 	}
 }
 
@@ -131,14 +132,15 @@
 	if err := c.Move(execution.Sent); err != nil {
 		return nil, err
 	}
-	st := c.s.enter(svc.Name, e.Name)
+	k := endpointKey{svc.Name, e.Name}
+	c.s.enter(k)
 	reply, err := c.s.client.Call(ctx, backend.Target{BackendServer: e.Name, Address: e.Address}, &c.req.Call)
 	if err == nil {
 		c.MarkRan()
-		reply.Body = &countedBody{body: reply.Body, done: func(whole bool) { c.s.leave(st, whole) }}
+		reply.Body = &countedBody{body: reply.Body, done: func(whole bool) { c.s.leave(k, whole) }}
 		return reply, c.Move(execution.Delivered)
 	}
-	c.s.leave(st, errors.Is(err, backend.ErrRefused))
+	c.s.leave(k, errors.Is(err, backend.ErrRefused))
 	to := execution.Unknown
 	if errors.Is(err, backend.ErrNotSent) {
 		to = execution.NotSent
@@ -186,6 +188,9 @@
 	return apierror.New(apierror.CallerGone, "before the service answered")
 }
 
+// coolingCost is more than any number of calls in flight costs.
+const coolingCost = 1 << 20
+
 // pick returns the endpoint with the least calls in flight, those that failed
 // lately last.
 func (s *Services) pick(svc *topology.Service, tried map[string]bool) *topology.Endpoint {
@@ -199,13 +204,13 @@
 		if e.Drain || tried[e.Name] || s.table.VMLeaving(e.Name) {
 			continue
 		}
-		st := s.endpoint(svc.Name, e.Name)
-		cost := 2 * st.inFlight
+		k := endpointKey{svc.Name, e.Name}
+		cost := 2 * s.inFlight[k]
 		if e.FailureDomain != s.opts.FailureDomain {
 			cost++
 		}
-		if now.Sub(st.failedAt) < endpointCooldown {
-			cost += 1 << 20
+		if s.health.Cooling(k.String(), now) {
+			cost += coolingCost
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
@@ -214,29 +219,21 @@
 	return best
 }
 
-func (s *Services) endpoint(service, name string) *endpointState {
-	k := endpointKey{service, name}
-	st := s.state[k]
-	if st == nil {
-		st = &endpointState{}
-		s.state[k] = st
-	}
-	return st
-}
-
-func (s *Services) enter(service, name string) *endpointState {
+func (s *Services) enter(k endpointKey) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := s.endpoint(service, name)
-	st.inFlight++
-	return st
+	s.inFlight[k]++
 }
 
-func (s *Services) leave(st *endpointState, ok bool) {
+// leave takes a call out of the count; ok is false when it failed.
+func (s *Services) leave(k endpointKey, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st.inFlight--
+	s.inFlight[k]--
+	if s.inFlight[k] == 0 {
+		delete(s.inFlight, k)
+	}
 	if !ok {
-		st.failedAt = s.clock()
+		s.health.Fail(k.String(), s.clock())
 	}
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -10,6 +10,7 @@
 	"github.com/snowspoke/snowspoke/admission"
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/site"
@@ -62,6 +63,7 @@
 	log       *Log
 	observe   Observer
 	loads     *Loads
+	health    *health.Cooldowns
 	budget    *admission.Budget
 	reports   *recent[Report]
 	probes    *recent[struct{}]
@@ -72,11 +74,16 @@
 	requests     atomic.Int64
 }
 
+// cooldowns are the times for which a backend server gets no work. One that is
+// full has room again after about as long as some request takes to end; the
+// record of a dead one lapses after three heartbeats, a few seconds.
+var cooldowns = health.CooldownConfig{Refused: 250 * time.Millisecond, Failed: 4 * time.Second, FailedMost: 8 * time.Second}
+
 // New returns a forwarder.
 func New(o Options, p Parts) *Forwarder {
 	f := &Forwarder{
 		opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
-		loads: NewLoads(), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
+		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), live: newLiveStreams(),
 	}
 	f.keysFreshFor.Store(int64(o.KeysFreshFor))
@@ -96,7 +103,7 @@
 }
 
 // Failed reports whether a backend server looks dead to this daemon's requests.
-func (f *Forwarder) Failed(id string) bool { return f.loads.Dead(id, time.Now()) }
+func (f *Forwarder) Failed(id string) bool { return f.health.Dead(id, time.Now()) }
 
 // errDeadline ends a request whose time is up.
 var errDeadline = errors.New("forward: deadline passed")
@@ -132,6 +139,7 @@
 
 func (f *Forwarder) forget(known map[string]*site.BackendServer) {
 	f.loads.Prune(known)
+	f.health.Prune(func(id string) bool { return known[id] != nil })
 	f.reports.prune(known)
 	f.probes.prune(known)
 }
@@ -155,10 +163,10 @@
 	daemons := float64(max(1, f.fleet.Daemons()))
 	var out []pipeline.Candidate
 	for _, s := range view.OfService(service) {
-		if s.Draining || engine != nil && s.Held.Len() == 0 || f.loads.Dead(s.ID, now) {
+		if s.Draining || engine != nil && s.Held.Len() == 0 || f.health.Dead(s.ID, now) {
 			continue
 		}
-		if engine != nil && f.loads.Failed(s.ID, now) {
+		if engine != nil && f.health.Cooling(s.ID, now) {
 			continue
 		}
 		out = append(out, pipeline.Candidate{Server: s, Load: f.loads.Of(s.ID, daemons, now)})
--- a/forward/loads.go
+++ b/forward/loads.go
@@ -10,19 +10,8 @@
 	"github.com/snowspoke/snowspoke/site"
 )
 
-// Times for which a backend server gets no work after a failure.
-const (
-	// refusedFor follows a refusal: it was full or short of memory.
-	refusedFor = 250 * time.Millisecond
-	// failedFor follows a sign that it is dead. A dead one's record lapses after
-	// three heartbeats, about as long.
-	failedFor = 4 * time.Second
-	// failedMost bounds the time after failures in a row.
-	failedMost = 8 * time.Second
-)
-
-// Loads keeps what this daemon knows of the load and the failures of backend
-// servers. It is safe for concurrent use.
+// Loads keeps what this daemon knows of the load of backend servers. It is safe
+// for concurrent use.
 type Loads struct {
 	mu       sync.Mutex
 	servers  map[string]*serverLoad
@@ -34,11 +23,9 @@
 }
 
 type serverLoad struct {
-	running  int     // own requests that pass it
-	heads    int     // own requests that it runs as the first
-	kv       float64 // tokens x layers of own requests
-	badUntil time.Time
-	failures int // in a row
+	running int     // own requests that pass it
+	heads   int     // own requests that it runs as the first
+	kv      float64 // tokens x layers of own requests
 }
 
 // othersTTL is how long what the other daemons told counts; after that they are
@@ -176,55 +163,6 @@
 	}
 }
 
-// Failed reports whether a backend server shall get no work now.
-func (l *Loads) Failed(id string, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.servers[id]
-	return s != nil && now.Before(s.badUntil)
-}
-
-// Dead reports whether signs of its death keep a backend server from work now.
-func (l *Loads) Dead(id string, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.servers[id]
-	return s != nil && s.failures > 0 && now.Before(s.badUntil)
-}
-
-// Refused notes that a backend server refused work.
-func (l *Loads) Refused(id string, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.server(id)
-	if until := now.Add(refusedFor); until.After(s.badUntil) {
-		s.badUntil = until
-	}
-}
-
-// Fail notes a sign that a backend server is dead. It returns whether this is
-// news.
-func (l *Loads) Fail(id string, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.server(id)
-	news := !now.Before(s.badUntil)
-	s.failures++
-	s.badUntil = now.Add(min(failedMost, failedFor*time.Duration(s.failures)))
-	return news
-}
-
-// Served notes that a backend server did its work.
-func (l *Loads) Served(p site.Path) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, h := range p {
-		if s := l.servers[h.Server.ID]; s != nil {
-			s.failures = 0
-		}
-	}
-}
-
 // Prune forgets backend servers that are gone.
 func (l *Loads) Prune(known map[string]*site.BackendServer) {
 	l.mu.Lock()
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -102,7 +102,7 @@
 		if r.tried[c.Server.ID] {
 			continue // what it refused or failed just now it would again
 		}
-		refused := r.f.loads.Failed(c.Server.ID, time.Now())
+		refused := r.f.health.Cooling(c.Server.ID, time.Now())
 		if c.Server.Slots > 0 && c.Load.Running >= 2*float64(c.Server.Slots) {
 			full = true
 			continue
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -78,7 +78,7 @@
 func (s *stream) failedHop(p site.Path) *site.BackendServer {
 	now := time.Now()
 	for _, h := range p {
-		if s.r.f.loads.Dead(h.Server.ID, now) {
+		if s.r.f.health.Dead(h.Server.ID, now) {
 			return h.Server
 		}
 	}
@@ -114,7 +114,7 @@
 			break
 		}
 		if at := p.At(hop.Address); at != nil {
-			r.f.loads.Refused(at.ID, time.Now())
+			r.f.health.Refuse(at.ID, time.Now())
 		}
 	}
 	if ctx.Err() == nil {
--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -46,8 +46,9 @@
 
 func TestWhatIsKnownOfTheGoneIsForgotten(t *testing.T) {
 	l := NewLoads()
-	l.Fail("gone", time.Unix(1000, 0))
-	l.Fail("here", time.Unix(1000, 0))
+	for _, id := range []string{"gone", "here"} {
+		l.Enter(site.Path{{Server: &site.BackendServer{ID: id}}}, 1)()
+	}
 	l.Prune(map[string]*site.BackendServer{"here": {}})
 	require.Len(t, l.servers, 1)
 	r := newRecent[int](time.Hour)
--- a/forward/run.go
+++ b/forward/run.go
@@ -195,7 +195,7 @@
 		return refuse, err
 	}
 	if err != nil {
-		r.f.loads.Refused(head.ID, now)
+		r.f.health.Refuse(head.ID, now)
 		return again, err
 	}
 	if !a.NotRun {
@@ -207,7 +207,7 @@
 	if s := t.path.At(a.AtFault); s != nil {
 		at = s
 	}
-	r.f.loads.Refused(at.ID, now)
+	r.f.health.Refuse(at.ID, now)
 	r.f.log.Add("refused", "request", r.req.ID, "attempt", r.sends, "by", head.ID, "status", a.Status, "at_fault", at.ID)
 	return refuse, &HopError{Address: at.Address, Err: errors.New("refused, not run")}
 }
@@ -229,7 +229,7 @@
 		return again, errors.Join(ErrLost, err)
 	}
 	if a.Status < http.StatusInternalServerError {
-		r.f.loads.Served(t.path)
+		r.f.served(t.path)
 	}
 	if !a.Sealed {
 		return again, errUnsealed
@@ -276,9 +276,16 @@
 
 // fail notes that a backend server looks dead and moves the streams that pass it.
 func (f *Forwarder) fail(s *site.BackendServer, reason string, now time.Time) {
-	if !f.loads.Fail(s.ID, now) {
+	if !f.health.Fail(s.ID, now) {
 		return
 	}
 	f.log.Add("health", "server", s.ID, "address", s.Address, "state", "failed", "reason", reason)
 	f.live.wake(s.ID)
 }
+
+// served notes that the hops of a path did their work.
+func (f *Forwarder) served(p site.Path) {
+	for _, h := range p {
+		f.health.Serve(h.Server.ID)
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -118,7 +118,7 @@
 			return done, apierror.Wrap(apierror.CallerGone, gone)
 		}
 		if err == io.EOF {
-			s.r.f.loads.Served(s.currentPath())
+			s.r.f.served(s.currentPath())
 			return done, nil
 		}
 		if err != nil {
--- /dev/null
+++ b/health/cooldown_test.go
@@ -0,0 +1,49 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var testCooldowns = CooldownConfig{Refused: time.Second, Failed: 4 * time.Second, FailedMost: 8 * time.Second}
+
+func TestRefusalsAndSignsOfDeathCool(t *testing.T) {
+	c := NewCooldowns(testCooldowns)
+	now := time.Unix(1000, 0)
+	require.False(t, c.Cooling("a", now))
+	c.Refuse("a", now)
+	require.True(t, c.Cooling("a", now))
+	require.False(t, c.Dead("a", now), "full is not dead")
+	require.False(t, c.Cooling("a", now.Add(time.Second)))
+
+	require.True(t, c.Fail("b", now), "news")
+	require.False(t, c.Fail("b", now.Add(time.Second)), "known")
+	require.True(t, c.Dead("b", now.Add(8*time.Second)), "the second sign counts twice")
+	require.False(t, c.Dead("b", now.Add(9*time.Second)))
+	for range 5 {
+		c.Fail("b", now)
+	}
+	require.False(t, c.Dead("b", now.Add(8*time.Second)), "bounded")
+	c.Serve("b")
+	require.False(t, c.Dead("b", now))
+	require.True(t, c.Cooling("b", now), "one answer that was under way does not end it")
+}
+
+// A refusal does not cut a longer cooldown short.
+func TestRefusalDoesNotShortenACooldown(t *testing.T) {
+	c := NewCooldowns(testCooldowns)
+	now := time.Unix(1000, 0)
+	c.Fail("a", now)
+	c.Refuse("a", now)
+	require.True(t, c.Dead("a", now.Add(3*time.Second)))
+}
+
+func TestCooldownsOfTheGoneAreForgotten(t *testing.T) {
+	c := NewCooldowns(testCooldowns)
+	c.Fail("gone", time.Unix(1000, 0))
+	c.Fail("here", time.Unix(1000, 0))
+	c.Prune(func(name string) bool { return name == "here" })
+	require.Len(t, c.servers, 1)
+}
