Recovery lines name why a stream was interrupted

Cause: every interruption was logged as 'stream broke off', also those where this daemon cut the stream to go on elsewhere: engineers saw a reset that was none. Change: the cause of the send's context goes into the error and the recovered line. Test: TestCauseOfAnInterruption.

--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -143,3 +143,16 @@
 		}
 	})
 }
+
+// The log names why a stream was interrupted, also when this daemon cut it.
+func TestCauseOfAnInterruption(t *testing.T) {
+	ctx := context.Background()
+	broken := fmt.Errorf("%w: %w", errBroken, io.ErrUnexpectedEOF)
+	sctx, cancel := context.WithCancelCause(ctx)
+	require.Equal(t, errBroken.Error(), causeOf(whyEnded(ctx, sctx, broken)))
+	cancel(errHeadDead)
+	require.Equal(t, errHeadDead.Error(), causeOf(whyEnded(ctx, sctx, broken)))
+	gone, leave := context.WithCancel(ctx)
+	leave()
+	require.Equal(t, errBroken.Error(), causeOf(whyEnded(gone, sctx, broken)), "the caller left")
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -73,8 +74,8 @@
 	r.f.live.add(s)
 	defer s.end()
 	a, err := r.f.backends.Send(sctx, r.outgoing(t, left))
-	if cause := context.Cause(sctx); err != nil && cause != nil && ctx.Err() == nil {
-		err = errors.Join(err, cause)
+	if err != nil {
+		err = whyEnded(ctx, sctx, err)
 	}
 	if v, rerr := r.refused(t, a, err); v != done {
 		return v, rerr
@@ -84,7 +85,7 @@
 		return r.whole(ctx, t, a)
 	}
 	s.setBound(max(gapSilence, silenceFactor*time.Duration(t.choice.StepMS*2*float64(time.Millisecond))))
-	return s.relay(ctx, a)
+	return s.relay(ctx, sctx, a)
 }
 
 func (s *stream) end() {
@@ -106,8 +107,17 @@
 // readSize is what one read of a stream takes at most.
 const readSize = 8 << 10
 
+// whyEnded adds to the error of a send why this daemon itself ended it, if it did:
+// sctx is the context of the send, ctx that of the request.
+func whyEnded(ctx, sctx context.Context, err error) error {
+	if cause := context.Cause(sctx); cause != nil && ctx.Err() == nil {
+		return fmt.Errorf("%w: %w", cause, err)
+	}
+	return err
+}
+
 // relay hands on whole events until the stream ends.
-func (s *stream) relay(ctx context.Context, a *Answer) (verdict, error) {
+func (s *stream) relay(ctx, sctx context.Context, a *Answer) (verdict, error) {
 	var held []byte
 	buf := make([]byte, readSize)
 	for {
@@ -125,8 +135,9 @@
 			if ctx.Err() != nil {
 				return done, s.r.ended(ctx)
 			}
-			s.r.interrupted(errBroken.Error())
-			return again, errors.Join(errBroken, err)
+			err = whyEnded(ctx, sctx, fmt.Errorf("%w: %w", errBroken, err))
+			s.r.interrupted(err)
+			return again, err
 		}
 	}
 }
@@ -187,14 +198,25 @@
 	s.r.resumed(now)
 }
 
-func (r *run) interrupted(cause string) {
+// interrupted notes that events stopped coming, and why.
+func (r *run) interrupted(why error) {
 	if r.failedAt.IsZero() {
 		r.failedAt = time.Now()
 		if !r.lastAt.IsZero() {
 			r.failedAt = r.lastAt
 		}
-		r.cause = cause
+		r.cause = causeOf(why)
+	}
+}
+
+// causeOf names the cause of an interruption for logs.
+func causeOf(why error) string {
+	for _, cause := range []error{errElsewhere, errHeadDead, errSilent} {
+		if errors.Is(why, cause) {
+			return cause.Error()
+		}
 	}
+	return errBroken.Error()
 }
 
 // notePause keeps the longest pause between two events.
