The relay is a tree of bounded fan-out

Change: a daemon that follows a sound source relays it to up to eight others of its domain, which come after it by name (no circles). Freshness adds up on the way, the store's last answer is passed on as told, links end the moment a relay's own source fails. Loads are added up on the way. Probes get no state. A follower whose source is about to be one waits for it rather than for the first daemon. Found on the way, by the new tests under the race detector: two goroutines of a link wrote the time of its last loads. Tests: TestDaemonsFormATreeOfBoundedFanOut, TestStateAndLoadsTravelDownAChain (one full state each), TestLossInTheMiddleOfAChain (within 2 s), TestChainWithoutTheStoreIsNoSource.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -15,10 +15,10 @@
 // domains tell each other their loads: bytes between domains are paid for.
 const exchangeFactor = 2
 
-// exchange holds the loads that the other domains' sources told.
+// exchange holds the loads that other sources told.
 type exchange struct {
 	mu   sync.Mutex
-	told map[string]told // by domain
+	told map[string]told // by source
 }
 
 func newExchange() *exchange { return &exchange{told: map[string]told{}} }
@@ -70,10 +70,7 @@
 		for domain, m := range n.otherSources() {
 			n.askDomain(ctx, links, domain, m)
 		}
-		now, ttl := time.Now(), n.ttl()
-		sum, daemons := n.ledger.total("", func(d string) bool { return d == n.opts.Domain }, ttl, now)
-		addLoads(sum, n.otherDomains.load(ttl, now))
-		n.book.TakeOthers(list(sum), daemons+n.otherDomains.count(ttl, now))
+		n.takeOthers(time.Now())
 	}
 }
 
@@ -99,7 +96,7 @@
 	c := links[domain]
 	if c == nil {
 		var err error
-		if c, err = dial(ctx, m); err != nil {
+		if c, err = n.dial(ctx, m, true); err != nil {
 			return // tried again at the next exchange; its last loads run out
 		}
 		links[domain] = c
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -38,13 +38,23 @@
 func newLedger() *ledger { return &ledger{byOne: map[string]told{}} }
 
 // put takes what a daemon told.
-func (l *ledger) put(daemon, domain string, loads []LoadItem, now time.Time) {
+func (l *ledger) put(daemon string, t told) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.byOne[daemon] = told{at: now, domain: domain, loads: loads, daemons: 1}
+	l.byOne[daemon] = t
 }
 
-// total adds up the loads told by all but one daemon. keep says whose domains
+// drop forgets what a daemon told at that time, whose link has ended: it follows
+// another one now. What it told later, over a new link, stays.
+func (l *ledger) drop(daemon string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byOne[daemon].at.Equal(at) {
+		delete(l.byOne, daemon)
+	}
+}
+
+// total adds up the loads told by all but one daemon, with its followers. keep says whose domains
 // count.
 func (l *ledger) total(except string, keep func(domain string) bool, ttl time.Duration, now time.Time) (sum map[string]LoadItem, daemons int) {
 	l.mu.Lock()
--- a/relay/node.go
+++ b/relay/node.go
@@ -31,9 +31,13 @@
 	dialTimeout = 400 * time.Millisecond
 	// tryAgain is the pause after which a daemon looks for a better source.
 	tryAgain = 1500 * time.Millisecond
-	// ownSources is how many daemons of the own domain are tried as a source: the
-	// first follows the store, the second does when the first is lost.
+	// ownSources is how many daemons of the own domain follow the store or do so
+	// next: the first does, the second when the first is lost.
 	ownSources = 2
+	// fanOut is how many daemons follow one: a full state of 1 MB for each of a
+	// hundred took 30 s of a small VM's link. Domains of up to nine daemons need no
+	// relays between, those of up to 73 one step of them.
+	fanOut = 8
 	// patience is how long a daemon waits at its start for a source that starts at
 	// the same time, and longPatience for one that says that it reads the store; if
 	// all read the store at once, its rate would hold all up.
@@ -66,6 +70,7 @@
 type Options struct {
 	Name   string
 	Domain string
+	FanOut int // daemons that follow one, 0 for the usual number
 }
 
 // Node is one daemon's part in the relay.
@@ -80,17 +85,35 @@
 
 	reading      atomic.Bool  // this daemon follows the store itself
 	readingSince atomic.Int64 // Unix nanoseconds
-	otherDomains *exchange
+	otherDomains *exchange    // loads of the other domains, while reading
+	above        *exchange    // loads told by the source, while relaying
 
-	mu     sync.Mutex
-	source context.Context // ends when this daemon stops being a source
+	mu       sync.Mutex
+	source   context.Context // ends when this daemon stops being a source
+	upstream *upstream       // nil unless this daemon relays what a source tells
+}
+
+// upstream is what a daemon that relays knows of its own source.
+type upstream struct {
+	heard  time.Duration // since the store last answered, as the source told
+	toldAt time.Time
+}
+
+// age returns how long ago the store last answered. A source tells it with each
+// answer to a ping; only what goes beyond the usual pause is added, so that it
+// does not grow with each step from the store.
+func (u *upstream) age(now time.Time) time.Duration {
+	return u.heard + max(0, now.Sub(u.toldAt)-2*pingEvery)
 }
 
 // New returns a node; Run must be called.
 func New(o Options, inv Inventory, book LoadBook, m Members, logger log.Logger) *Node {
+	if o.FanOut == 0 {
+		o.FanOut = fanOut
+	}
 	return &Node{
 		opts: o, inv: inv, book: book, members: m, logger: logger, ledger: newLedger(),
-		otherDomains: newExchange(), source: context.Background(),
+		otherDomains: newExchange(), above: newExchange(), source: context.Background(),
 	}
 }
 
@@ -136,10 +159,43 @@
 	}
 }
 
-// sound reports whether this daemon may be a source: it follows the store itself
-// and heard from it just now.
+// sound reports whether this daemon may be a source for its own domain: it
+// follows the store, or a source that does, and the store answered just now.
 func (n *Node) sound(now time.Time) bool {
-	return n.reading.Load() && now.Sub(n.inv.Heard()) < unheardFor
+	heard, ok := n.heard(now)
+	return ok && heard < unheardFor
+}
+
+// heard returns how long ago the store last answered this daemon or the one that
+// it follows; ok is false if it follows neither.
+func (n *Node) heard(now time.Time) (ago time.Duration, ok bool) {
+	if n.reading.Load() {
+		return now.Sub(n.inv.Heard()), true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.upstream == nil {
+		return 0, false
+	}
+	return n.upstream.age(now), true
+}
+
+// relays notes what the source told, from which on this daemon may be a source
+// itself until ctx ends.
+func (n *Node) relays(ctx context.Context, heard time.Duration, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.upstream == nil {
+		n.source = ctx
+	}
+	n.upstream = &upstream{heard: heard, toldAt: now}
+}
+
+// relaysNoMore ends that.
+func (n *Node) relaysNoMore() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.upstream = nil
 }
 
 // awaitFirstSource gives the sources of this domain time to start: a full state
@@ -149,42 +205,64 @@
 	began := time.Now()
 	most := patience
 	for ctx.Err() == nil && len(n.candidates()) >= ownSources && time.Since(began) < most {
-		for _, m := range n.candidates()[:ownSources] {
-			err := n.probe(ctx, m)
-			if errors.Is(err, errFound) {
-				return
-			}
-			if errors.Is(err, errEarly) {
-				most = longPatience
-			}
+		switch n.firstSource(ctx) {
+		case errFound:
+			return
+		case errEarly:
+			most = longPatience
 		}
 		wait.For(ctx, patiencePause)
 	}
 }
 
-// starting reports whether this daemon follows the store and has not yet heard
-// from it at all.
-func (n *Node) starting() bool {
-	return n.reading.Load() && n.inv.State().ConfigVersion == 0
+// firstSource returns errFound if a source of this domain is sound and errEarly
+// if one is about to be: the later ones are not asked then, or all daemons would
+// follow the first.
+func (n *Node) firstSource(ctx context.Context) error {
+	for _, m := range n.candidates() {
+		if m.Domain != n.opts.Domain {
+			break
+		}
+		err := n.probe(ctx, m)
+		if errors.Is(err, errFound) {
+			return errFound
+		}
+		if errors.Is(err, errEarly) {
+			return errEarly
+		}
+	}
+	return nil
 }
 
+// starting reports whether this daemon has not yet heard of any configuration,
+// from the store or its source.
+func (n *Node) starting() bool { return n.inv.State().ConfigVersion == 0 }
+
 // candidates returns the daemons that this one may follow, the best first: the
-// first ones of its domain that come before it in the order of names; then, for
-// all but the first two, the first ones of the other domains. Only a daemon that
-// follows the store is a source, so daemons never follow each other in a circle.
+// one above it in the tree of its domain; the first ones of its domain; then, for
+// all but the first two, the first ones of the other domains. Within a domain a
+// daemon follows only those that come before it in the order of names, and those
+// of another domain only while they follow the store, so daemons never follow
+// each other in a circle.
 func (n *Node) candidates() []Member {
 	all := n.members.All()
-	var own []Member
+	var before []Member
 	for _, m := range all {
 		if m.Domain == n.opts.Domain && m.Name < n.opts.Name {
-			own = append(own, m)
+			before = append(before, m)
 		}
 	}
-	slices.SortFunc(own, byName)
-	if len(own) < ownSources {
-		return own
+	slices.SortFunc(before, byName)
+	if len(before) < ownSources {
+		return before
+	}
+	above := (len(before) - 1) / n.opts.FanOut
+	out := []Member{before[above]}
+	for i, m := range before[:ownSources] {
+		if i != above {
+			out = append(out, m)
+		}
 	}
-	out := own[:ownSources:ownSources]
 	others := make([]Member, 0, len(all))
 	for _, m := range n.otherSources() {
 		others = append(others, m)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -69,9 +69,9 @@
 func TestLoadsAreAddedUpWithoutTheAskersOwn(t *testing.T) {
 	l := newLedger()
 	now := time.Unix(1000, 0)
-	l.put("a", "d1", []LoadItem{{Server: "s", Running: 2, Heads: 1, KV: 10}}, now)
-	l.put("b", "d1", []LoadItem{{Server: "s", Running: 3, KV: 20}}, now)
-	l.put("c", "d2", []LoadItem{{Server: "s", Running: 100}}, now)
+	l.put("a", told{at: now, domain: "d1", loads: []LoadItem{{Server: "s", Running: 2, Heads: 1, KV: 10}}, daemons: 1})
+	l.put("b", told{at: now, domain: "d1", loads: []LoadItem{{Server: "s", Running: 3, KV: 20}}, daemons: 1})
+	l.put("c", told{at: now, domain: "d2", loads: []LoadItem{{Server: "s", Running: 100}}, daemons: 1})
 	sum, daemons := l.total("a", func(d string) bool { return d == "d1" }, time.Second, now)
 	require.Equal(t, LoadItem{Server: "s", Running: 3, KV: 20}, sum["s"])
 	require.Equal(t, 1, daemons)
--- a/relay/session.go
+++ b/relay/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
@@ -16,7 +17,7 @@
 func (n *Node) session(ctx context.Context, m Member, probe error) (followed bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c, err := dial(ctx, m)
+	c, err := n.dial(ctx, m, probe != nil)
 	if err != nil {
 		return false, err
 	}
@@ -24,6 +25,9 @@
 	s := &session{node: n, conn: c, sent: map[uint64]time.Time{}, probe: probe, cancel: cancel}
 	s.silent = time.AfterFunc(silentFor, func() { cancel(errSilent) })
 	defer s.silent.Stop()
+	if probe == nil {
+		defer n.relaysNoMore()
+	}
 	go s.pings(ctx)
 	err = s.read(ctx)
 	if cause := context.Cause(ctx); cause != nil {
@@ -32,10 +36,14 @@
 	return s.followed, err
 }
 
-func dial(ctx context.Context, m Member) (*websocket.Conn, error) {
+func (n *Node) dial(ctx context.Context, m Member, probe bool) (*websocket.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, resp, err := websocket.Dial(ctx, "ws://"+m.Address+Path, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
+	query := url.Values{domainParam: {n.opts.Domain}}
+	if probe {
+		query.Set(probeParam, "")
+	}
+	c, resp, err := websocket.Dial(ctx, "ws://"+m.Address+Path+"?"+query.Encode(), &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		if resp != nil && resp.StatusCode == http.StatusTooEarly {
 			return nil, errEarly
@@ -49,6 +57,9 @@
 	return c, nil
 }
 
+// sourceLoads names what the source told among the loads from above.
+const sourceLoads = "source"
+
 // session is one link to a source.
 type session struct {
 	node   *Node
@@ -58,6 +69,7 @@
 	cancel context.CancelCauseFunc
 
 	followed bool // it has shown to be fresh; used by the reader alone
+	complete bool // the full state has come; used by the reader alone
 
 	mu     sync.Mutex
 	number uint64
@@ -81,16 +93,22 @@
 	}
 }
 
+// ping asks how fresh the source is. The pinging and the reading goroutine call
+// it.
 func (s *session) ping(ctx context.Context) error {
+	now := time.Now()
+	p := &ping{Sender: s.node.opts.Name, Domain: s.node.opts.Domain}
 	s.mu.Lock()
 	s.number++
-	number := s.number
-	s.sent[number] = time.Now()
-	s.mu.Unlock()
-	p := &ping{Number: number, Sender: s.node.opts.Name, Domain: s.node.opts.Domain}
-	if now := time.Now(); now.Sub(s.loads) >= loadsPeriod(len(s.node.inv.State().Servers)) {
+	p.Number = s.number
+	s.sent[p.Number] = now
+	p.HasLoads = now.Sub(s.loads) >= loadsPeriod(len(s.node.inv.State().Servers))
+	if p.HasLoads {
 		s.loads = now
-		p.HasLoads, p.Loads = true, s.node.book.OwnLoads()
+	}
+	s.mu.Unlock()
+	if p.HasLoads {
+		p.Loads, p.Daemons = s.node.loadsBelow(now)
 	}
 	return writeFrame(ctx, s.conn, &frame{Ping: p})
 }
@@ -106,13 +124,14 @@
 			u := f.Update
 			s.node.inv.Apply(toUpdate(u))
 			if u.Full {
+				s.complete = true
 				// The pings so far were answered for a configuration not yet known here.
 				if err := s.ping(ctx); err != nil {
 					return err
 				}
 			}
 		case f.Pong != nil:
-			if err := s.pong(f.Pong); err != nil {
+			if err := s.pong(ctx, f.Pong); err != nil {
 				return err
 			}
 		}
@@ -121,7 +140,7 @@
 
 // pong takes an answer. What the source knew is as fresh as it says, counted
 // from when it was asked.
-func (s *session) pong(p *pong) error {
+func (s *session) pong(ctx context.Context, p *pong) error {
 	s.silent.Reset(silentFor)
 	s.mu.Lock()
 	sent, ok := s.sent[p.Number]
@@ -138,8 +157,13 @@
 	}
 	s.followed = true
 	s.node.inv.Vouch(p.Version, sent.Add(-p.Age))
+	now := time.Now()
+	if s.complete {
+		s.node.relays(ctx, p.Heard, now)
+	}
 	if p.Daemons > 0 {
-		s.node.book.TakeOthers(p.Loads, p.Daemons)
+		s.node.above.put(sourceLoads, p.Loads, p.Daemons, now)
+		s.node.takeOthers(now)
 	}
 	return nil
 }
--- a/relay/source.go
+++ b/relay/source.go
@@ -38,12 +38,14 @@
 // serveLink serves one follower until the link ends: changes as they come, and
 // an answer to each ping.
 func (n *Node) serveLink(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	sameDomain := query.Get(domainParam) == n.opts.Domain
 	switch {
 	case n.starting():
-		http.Error(w, "reading the store", http.StatusTooEarly)
+		http.Error(w, "no configuration yet", http.StatusTooEarly)
 		return
-	case !n.sound(time.Now()):
-		http.Error(w, "not following the store", http.StatusServiceUnavailable)
+	case !n.sound(time.Now()), !sameDomain && !n.reading.Load():
+		http.Error(w, "no sound source", http.StatusServiceUnavailable)
 		return
 	}
 	c, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
@@ -55,6 +57,10 @@
 	c.SetReadLimit(maxFrameBytes)
 	ctx, cancel := context.WithCancel(n.sourceContext())
 	defer cancel()
+	if query.Has(probeParam) {
+		n.answerPings(ctx, c)
+		return
+	}
 	go func() {
 		defer cancel()
 		n.answerPings(ctx, c)
@@ -155,6 +161,8 @@
 
 // answerPings answers a follower until the link ends.
 func (n *Node) answerPings(ctx context.Context, c *websocket.Conn) {
+	follower, toldAt := "", time.Time{}
+	defer func() { n.ledger.drop(follower, toldAt) }()
 	for {
 		f, err := readFrame(ctx, c)
 		if err != nil {
@@ -167,14 +175,14 @@
 		p := f.Ping
 		sameDomain := p.Domain == n.opts.Domain
 		if p.HasLoads && !p.LoadsOnly {
-			n.ledger.put(p.Sender, p.Domain, p.Loads, now)
+			follower, toldAt = p.Sender, now
+			n.ledger.put(follower, told{at: now, domain: p.Domain, loads: p.Loads, daemons: max(1, p.Daemons)})
 		}
-		if !n.sound(now) {
+		heard, ok := n.heard(now)
+		if !ok || heard >= unheardFor {
 			return // the follower leaves at once
 		}
-		answer := &pong{
-			Number: p.Number, Age: n.inv.Age(now), Heard: now.Sub(n.inv.Heard()), Version: n.inv.State().ConfigVersion,
-		}
+		answer := &pong{Number: p.Number, Age: n.inv.Age(now), Heard: heard, Version: n.inv.State().ConfigVersion}
 		if p.HasLoads {
 			answer.Loads, answer.Daemons = n.loadsFor(p.Sender, sameDomain, now)
 		}
@@ -185,18 +193,46 @@
 }
 
 // loadsFor adds up the loads for another daemon: for one of this domain all but
-// its own, for the source of another domain those of this domain alone.
+// its own and those of its followers, for the source of another domain those of
+// this domain alone.
 func (n *Node) loadsFor(sender string, sameDomain bool, now time.Time) ([]LoadItem, int) {
 	keep := func(domain string) bool { return sameDomain || domain == n.opts.Domain }
 	ttl := n.ttl()
 	sum, daemons := n.ledger.total(sender, keep, ttl, now)
 	addLoads(sum, n.book.OwnLoads())
 	if sameDomain {
-		addLoads(sum, n.otherDomains.load(ttl, now))
-		daemons += n.otherDomains.count(ttl, now)
+		beyond := n.beyond()
+		addLoads(sum, beyond.load(ttl, now))
+		daemons += beyond.count(ttl, now)
+	}
+	return list(sum), daemons + 1
+}
+
+// beyond returns the loads of the daemons that are not below this one: those of
+// the other domains, or what the source told.
+func (n *Node) beyond() *exchange {
+	if n.reading.Load() {
+		return n.otherDomains
 	}
+	return n.above
+}
+
+// loadsBelow adds up the loads of this daemon and its followers.
+func (n *Node) loadsBelow(now time.Time) ([]LoadItem, int) {
+	sum, daemons := n.ledger.total("", n.ownDomain, n.ttl(), now)
+	addLoads(sum, n.book.OwnLoads())
 	return list(sum), daemons + 1
 }
 
+// takeOthers tells the load book of all daemons but this one.
+func (n *Node) takeOthers(now time.Time) {
+	ttl, beyond := n.ttl(), n.beyond()
+	sum, daemons := n.ledger.total("", n.ownDomain, ttl, now)
+	addLoads(sum, beyond.load(ttl, now))
+	n.book.TakeOthers(list(sum), daemons+beyond.count(ttl, now))
+}
+
+func (n *Node) ownDomain(domain string) bool { return domain == n.opts.Domain }
+
 // ttl is how long loads that were told count.
 func (n *Node) ttl() time.Duration { return loadTTL(len(n.inv.State().Servers)) }
--- /dev/null
+++ b/relay/tree_test.go
@@ -0,0 +1,277 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/inventory"
+)
+
+// daemonName names the i-th daemon so that names sort as numbers do.
+func daemonName(i int) string { return fmt.Sprintf("d-%03d", i) }
+
+type everybody []Member
+
+func (e everybody) All() []Member { return e }
+
+// The daemons of a domain form a tree: each has one above it that comes before
+// it, none has more followers than it may, and all paths are short.
+func TestDaemonsFormATreeOfBoundedFanOut(t *testing.T) {
+	const daemons = 1 + fanOut + fanOut*fanOut
+	var all everybody
+	for i := range daemons {
+		all = append(all, Member{Name: daemonName(i), Domain: "d"})
+	}
+	followers := map[string]int{}
+	depth := map[string]int{}
+	for i := range daemons {
+		n := New(Options{Name: daemonName(i), Domain: "d"}, nil, nil, all, log.NewNopLogger())
+		c := n.candidates()
+		if i == 0 {
+			require.Empty(t, c)
+			continue
+		}
+		for _, m := range c {
+			require.Less(t, m.Name, daemonName(i), "no circles")
+		}
+		followers[c[0].Name]++
+		depth[daemonName(i)] = depth[c[0].Name] + 1
+		require.LessOrEqual(t, depth[daemonName(i)], 2)
+		if i >= ownSources {
+			require.Contains(t, c, all[0])
+			require.Contains(t, c, all[1])
+		}
+	}
+	for name, f := range followers {
+		require.LessOrEqual(t, f, fanOut, name)
+	}
+}
+
+// store is the platform's store in these tests: a version that daemons follow.
+type store struct {
+	mu      sync.Mutex
+	version uint64
+	away    bool
+}
+
+// copied is a daemon's inventory: a version, with how fresh it is.
+type copied struct {
+	store *store
+
+	mu      sync.Mutex
+	state   *inventory.State
+	heard   time.Time
+	fresh   time.Time
+	changed chan struct{}
+	own     []LoadItem
+	others  []LoadItem
+	daemons int
+	applied int // full states
+}
+
+func newCopied(s *store) *copied {
+	return &copied{store: s, state: &inventory.State{}, changed: make(chan struct{})}
+}
+
+func (c *copied) set(version uint64) {
+	if version <= c.state.ConfigVersion {
+		return
+	}
+	c.state = &inventory.State{ConfigVersion: version, Config: []byte(fmt.Sprint(version))}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *copied) State() *inventory.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+func (c *copied) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+func (c *copied) Age(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.fresh)
+}
+
+func (c *copied) Heard() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heard
+}
+
+func (c *copied) Apply(u inventory.Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if u.Full {
+		c.applied++
+	}
+	var version uint64
+	if _, err := fmt.Sscan(string(u.Config), &version); err == nil {
+		c.set(version)
+	}
+}
+
+func (c *copied) Vouch(version uint64, fresh time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.ConfigVersion >= version && fresh.After(c.fresh) {
+		c.fresh = fresh
+	}
+}
+
+func (c *copied) Follow(ctx context.Context, _ time.Duration) {
+	for ctx.Err() == nil {
+		c.store.mu.Lock()
+		version, away := c.store.version, c.store.away
+		c.store.mu.Unlock()
+		if !away {
+			c.mu.Lock()
+			c.set(version)
+			c.heard, c.fresh = time.Now(), time.Now()
+			c.mu.Unlock()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (c *copied) OwnLoads() []LoadItem {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.own
+}
+
+func (c *copied) TakeOthers(loads []LoadItem, daemons int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.others, c.daemons = loads, daemons
+}
+
+// chain runs daemons of which each follows the one before it.
+type chain struct {
+	store  *store
+	nodes  []*Node
+	copies []*copied
+	stop   []func()
+}
+
+func newChain(t *testing.T, n int) *chain {
+	c := &chain{store: &store{version: 1}}
+	var all everybody
+	servers := make([]*httptest.Server, n)
+	for i := range n {
+		servers[i] = httptest.NewUnstartedServer(nil)
+		all = append(all, Member{Name: daemonName(i), Domain: "d", Address: servers[i].Listener.Addr().String()})
+	}
+	for i := range n {
+		inv := newCopied(c.store)
+		inv.own = []LoadItem{{Server: "s", Running: 1 << i}}
+		node := New(Options{Name: daemonName(i), Domain: "d", FanOut: 1}, inv, inv, all, log.NewNopLogger())
+		servers[i].Config.Handler = node.Handler()
+		servers[i].Start()
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			node.Run(ctx)
+		}()
+		stop := sync.OnceFunc(func() {
+			cancel()
+			<-ended
+			servers[i].CloseClientConnections()
+			servers[i].Close()
+		})
+		t.Cleanup(stop)
+		c.nodes, c.copies, c.stop = append(c.nodes, node), append(c.copies, inv), append(c.stop, stop)
+	}
+	return c
+}
+
+func (c *chain) publish(version uint64) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.store.version = version
+}
+
+// readers names the daemons that follow the store itself.
+func (c *chain) readers() string {
+	var out []string
+	for i, n := range c.nodes {
+		if n.Reading() {
+			out = append(out, daemonName(i))
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+func (c *chain) allHave(version uint64, but int) bool {
+	for i, inv := range c.copies {
+		if i != but && inv.State().ConfigVersion != version {
+			return false
+		}
+	}
+	return true
+}
+
+// Changes and loads travel through daemons that follow others, and only the
+// first daemon reads the store.
+func TestStateAndLoadsTravelDownAChain(t *testing.T) {
+	t.Parallel()
+	c := newChain(t, 4)
+	require.Eventually(t, func() bool { return c.allHave(1, -1) && c.readers() == daemonName(0) }, 6*time.Second, 10*time.Millisecond)
+	c.publish(2)
+	require.Eventually(t, func() bool { return c.allHave(2, -1) }, time.Second, 5*time.Millisecond)
+	for i, inv := range c.copies {
+		want := 1 + 2 + 4 + 8 - 1<<i
+		require.Eventually(t, func() bool {
+			inv.mu.Lock()
+			defer inv.mu.Unlock()
+			return len(inv.others) == 1 && inv.others[0].Running == want && inv.daemons == 3
+		}, 10*time.Second, 20*time.Millisecond, daemonName(i))
+	}
+	for i, inv := range c.copies[1:] {
+		require.Equal(t, 1, inv.applied, "%s got one full state", daemonName(i+1))
+		require.Less(t, inv.Age(time.Now()), 3*time.Second)
+	}
+}
+
+// When a daemon in the middle is lost, those below it go on without it.
+func TestLossInTheMiddleOfAChain(t *testing.T) {
+	t.Parallel()
+	c := newChain(t, 4)
+	require.Eventually(t, func() bool { return c.allHave(1, -1) && c.readers() == daemonName(0) }, 6*time.Second, 10*time.Millisecond)
+	c.stop[2]()
+	c.publish(2)
+	began := time.Now()
+	require.Eventually(t, func() bool { return c.allHave(2, 2) }, 3*time.Second, 5*time.Millisecond)
+	require.Less(t, time.Since(began), 2*time.Second, "the bound on configurations")
+}
+
+// When the first daemon hears nothing from the store any more, nobody below it
+// counts as a source.
+func TestChainWithoutTheStoreIsNoSource(t *testing.T) {
+	t.Parallel()
+	c := newChain(t, 3)
+	require.Eventually(t, func() bool { return c.allHave(1, -1) && c.readers() == daemonName(0) }, 6*time.Second, 10*time.Millisecond)
+	c.store.mu.Lock()
+	c.store.away = true
+	c.store.mu.Unlock()
+	require.Eventually(t, func() bool {
+		now := time.Now()
+		return !c.nodes[0].sound(now) && !c.nodes[1].sound(now) && !c.nodes[2].sound(now)
+	}, 3*time.Second, 10*time.Millisecond)
+}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -1,7 +1,7 @@
 // Package relay passes on what one daemon reads from the platform's store. In
-// each failure domain one daemon follows the store and the others follow it, so
-// that calls to the store do not grow with the daemons; it also adds up the loads
-// that the daemons cause. Every daemon can do without: one that finds no sound
+// each failure domain one daemon follows the store and the others follow it, as a
+// tree of bounded fan-out, so that neither calls to the store nor the links of
+// one daemon grow with the daemons; it also adds up the loads that they cause. Every daemon can do without: one that finds no sound
 // source follows the store itself.
 package relay
 
@@ -19,8 +19,14 @@
 	"github.com/snowspoke/snowspoke/inventory"
 )
 
-// Path is where a daemon serves its links.
-const Path = "/relay"
+// Path is where a daemon serves its links. In the query, domainParam names the
+// failure domain of the daemon that follows, and probeParam says that it only
+// asks whether this one is a sound source and wants no state.
+const (
+	Path        = "/relay"
+	domainParam = "domain"
+	probeParam  = "probe"
+)
 
 // maxFrameBytes bounds a frame: a full state with a large configuration.
 const maxFrameBytes = 16 << 20
@@ -51,7 +57,9 @@
 	Number uint64     `cbor:"1,keyasint"`
 	Sender string     `cbor:"2,keyasint"`
 	Domain string     `cbor:"3,keyasint"`
-	Loads  []LoadItem `cbor:"4,keyasint,omitempty"`
+	Loads  []LoadItem `cbor:"4,keyasint,omitempty"` // with those of its followers
+	// Daemons are those whose loads these are.
+	Daemons int `cbor:"7,keyasint,omitempty"`
 	// HasLoads says that Loads are told and that the others' are asked for; other
 	// pings only ask how fresh the source is.
 	HasLoads bool `cbor:"6,keyasint,omitempty"`
