--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -41,6 +41,14 @@
 	minCover = 2
 )
 
+// Plan is what Place decides.
+type Plan struct {
+	Orders []Order
+	// Broken says that the cards of a group will not cover all layers by these
+	// orders: only another layout of the whole group may.
+	Broken bool
+}
+
 // Place returns the orders that bring the cards closer to covering every layer.
 // The cards of a failure domain that can hold whole pipelines form a group, the
 // others one more: a path that leaves its failure domain is slow. Cards that
@@ -50,21 +58,28 @@
 // patient keeps a group from being laid out anew although its cards cannot cover
 // a layer: all of them would read their weights again, and a card that crashed
 // may be back in seconds.
-func Place(e *site.Engine, cards []Card, patient bool) []Order {
+func Place(e *site.Engine, cards []Card, patient bool) Plan {
 	cards = usable(e, cards)
-	var orders []Order
+	var p Plan
 	var rest []Card
 	for _, d := range domains(cards) {
 		if n := pipelines(e, d); n > 0 {
-			orders = append(orders, placeGroup(e, d, n, patient)...)
+			p.add(placeGroup(e, d, n, patient))
 			continue
 		}
 		rest = append(rest, d...)
 	}
 	if n := pipelines(e, rest); n > 0 {
-		return append(orders, placeGroup(e, rest, n, patient)...)
+		p.add(placeGroup(e, rest, n, patient))
+		return p
 	}
-	return append(orders, support(e, rest, cards, orders)...)
+	p.Orders = append(p.Orders, support(e, rest, cards, p.Orders)...)
+	return p
+}
+
+func (p *Plan) add(o Plan) {
+	p.Orders = append(p.Orders, o.Orders...)
+	p.Broken = p.Broken || o.Broken
 }
 
 func usable(e *site.Engine, cards []Card) []Card {
@@ -79,22 +94,25 @@
 }
 
 // placeGroup places n pipelines on the cards of a group.
-func placeGroup(e *site.Engine, cards []Card, n int, patient bool) []Order {
+func placeGroup(e *site.Engine, cards []Card, n int, patient bool) Plan {
 	if !slices.ContainsFunc(cards, placed) {
 		var orders []Order
 		for _, chain := range deal(e, cards, n) {
 			orders = append(orders, layOut(e, chain)...)
 		}
-		return orders
+		return Plan{Orders: orders}
 	}
 	g := &group{e: e, cards: slices.Clone(cards), n: n}
 	g.fillHoles()
 	g.extendIntoHoles()
-	if g.uncovered() && !patient {
-		return relayOut(e, slices.DeleteFunc(slices.Clone(cards), busy), n)
+	broken := g.uncovered()
+	if broken && !patient {
+		if anew := relayOut(e, slices.DeleteFunc(slices.Clone(cards), busy), n); len(anew) > 0 {
+			return Plan{Orders: anew}
+		}
 	}
 	g.useSpare()
-	return g.orders
+	return Plan{Orders: g.orders, Broken: broken}
 }
 
 func placed(c Card) bool { return c.Ordered.Len() > 0 }
--- a/pipeline/place_test.go
+++ b/pipeline/place_test.go
@@ -59,7 +59,7 @@
 // settle carries orders out and places again until nothing is left to do.
 func settle(t require.TestingT, e *site.Engine, cards []Card) (loads int) {
 	for range 20 {
-		orders := Place(e, cards, false)
+		orders := Place(e, cards, false).Orders
 		if len(orders) == 0 {
 			return loads
 		}
@@ -135,8 +135,9 @@
 	settle(t, e, cards)
 	large := slices.IndexFunc(cards, func(c Card) bool { return c.Server.Kind == "large" })
 	cards = slices.Delete(cards, large, large+1)
-	patient, anew := Place(e, cards, true), Place(e, cards, false)
-	require.Less(t, len(patient), len(anew))
+	plan, anew := Place(e, cards, true), Place(e, cards, false).Orders
+	require.True(t, plan.Broken)
+	require.Less(t, len(plan.Orders), len(anew))
 	require.GreaterOrEqual(t, len(anew), 10)
 }
 
@@ -147,7 +148,7 @@
 	for i := range cards {
 		cards[i].Busy = true
 	}
-	require.Empty(t, Place(e, cards, false))
+	require.Empty(t, Place(e, cards, false).Orders)
 }
 
 func TestDrainingCardsDoNotCount(t *testing.T) {
@@ -156,7 +157,7 @@
 	leaving := *cards[4].Server
 	leaving.Draining = true
 	cards[4].Server = &leaving
-	orders := Place(e, cards, false)
+	orders := Place(e, cards, false).Orders
 	require.NotEmpty(t, orders)
 	require.False(t, slices.ContainsFunc(orders, func(o Order) bool { return o.Server.ID == leaving.ID }))
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -164,19 +164,18 @@
 
 // decide places with patience as long as a group has not been broken for long.
 func (p *Placer) decide(e *site.Engine, cards []pipeline.Card, now time.Time) []pipeline.Order {
-	patient := pipeline.Place(e, cards, true)
-	anew := pipeline.Place(e, cards, false)
-	if len(anew) <= len(patient) {
+	plan := pipeline.Place(e, cards, true)
+	if !plan.Broken {
 		p.brokenSince = time.Time{}
-		return patient
+		return plan.Orders
 	}
 	if p.brokenSince.IsZero() {
 		p.brokenSince = now
 	}
 	if now.Sub(p.brokenSince) < patience {
-		return patient
+		return plan.Orders
 	}
-	return anew
+	return pipeline.Place(e, cards, false).Orders
 }
 
 // settled reports whether a placement may begin: at once when some card holds
