--- /dev/null
+++ b/gateway/callers_test.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/platform/sitetrial"
+)
+
+// rawCaller is a caller's connection on which a test writes what it likes.
+type rawCaller struct {
+	*net.TCPConn
+	r *bufio.Reader
+}
+
+func (r *running) dial(t *testing.T) *rawCaller {
+	t.Helper()
+	c, err := net.Dial("tcp", r.CallersAddr())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	return &rawCaller{TCPConn: c.(*net.TCPConn), r: bufio.NewReader(c)}
+}
+
+// head returns a request up to its body.
+func head(method, path, id string, headers ...string) string {
+	own := ""
+	for _, h := range headers {
+		own += h + "\r\n"
+	}
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nSnowspoke-Request-Id: %s\r\nSnowspoke-Deadline-Ms: 3000\r\n%s\r\n",
+		method, path, sitetrial.Host, sitetrial.Key, id, own)
+}
+
+func (c *rawCaller) answer(t *testing.T) (status int, id string) {
+	t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, resp.Header.Get("Snowspoke-Request-Id")
+}
+
+// Requests that a caller sends without waiting are answered in their order,
+// each with its own answer.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	d, servers := plainWorld(t)
+	c := d.dial(t)
+	_, err := io.WriteString(c, head("GET", "/plain/a", "first")+head("GET", "/plain/b", "second")+head("GET", "/plain/c", "third"))
+	require.NoError(t, err)
+	for _, want := range []string{"first", "second", "third"} {
+		status, id := c.answer(t)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, want, id)
+	}
+	require.Equal(t, 3, totalRuns(servers))
+}
+
+// A caller that closes its side for writing cannot be told from one that has
+// left: its work ends at once.
+func TestHalfClosedCallerCountsAsGone(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.putConfig()
+	heads, _ := w.pipeline(1, 1)
+	heads[0].Events, heads[0].EveryGap = 1000, 5*time.Millisecond
+	d := w.daemon("daemon-1", nil).ready(t, 2)
+	c := d.dial(t)
+	_, err := io.WriteString(c, head("POST", "/stream/", "half", "Content-Length: 0"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return totalRuns(heads) == 1 }, 2*time.Second, time.Millisecond)
+	require.NoError(t, c.CloseWrite())
+	require.Eventually(t, func() bool { return d.forward.InFlight() == 0 }, 500*time.Millisecond, 5*time.Millisecond)
+	body, err := io.ReadAll(c.r)
+	require.NoError(t, err)
+	require.NotContains(t, string(body), "\r\n0\r\n\r\n", "a stream that is cut must not look complete")
+}
+
+// A request whose length can be read in two ways is refused, and what follows it
+// is not taken for another request.
+func TestSmuggledRequestsDoNotRun(t *testing.T) {
+	for name, framing := range map[string][]string{
+		"two lengths":     {"Content-Length: 4", "Content-Length: 60"},
+		"length and junk": {"Content-Length: 4", "Transfer-Encoding: xchunked"},
+		"length twice":    {"Content-Length: 4, 60"},
+		"signed length":   {"Content-Length: +4"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, servers := plainWorld(t)
+			c := d.dial(t)
+			inner := head("GET", "/plain/inner", "inner")
+			_, err := io.WriteString(c, head("POST", "/plain/outer", "outer", framing...)+"body"+inner)
+			require.NoError(t, err)
+			status, _ := c.answer(t)
+			require.GreaterOrEqual(t, status, http.StatusBadRequest)
+			rest, err := io.ReadAll(c.r)
+			if err == nil {
+				require.False(t, strings.HasPrefix(string(rest), "HTTP/1.1 200"))
+			}
+			require.Zero(t, totalRuns(servers))
+		})
+	}
+}
+
+// With both a length and chunks the chunks count, and the connection ends, as
+// the protocol asks.
+func TestChunksGoBeforeALength(t *testing.T) {
+	d, servers := plainWorld(t)
+	c := d.dial(t)
+	inner := head("GET", "/plain/inner", "inner")
+	_, err := io.WriteString(c, head("POST", "/plain/outer", "outer", "Content-Length: 200", "Transfer-Encoding: chunked")+"0\r\n\r\n"+inner)
+	require.NoError(t, err)
+	_, _ = c.answer(t)
+	_, _ = io.ReadAll(c.r)
+	for _, s := range servers {
+		for _, run := range s.Runs() {
+			require.NotEqual(t, "inner", run.ID)
+		}
+	}
+}
