The four longest files are split by what they are about

dispatcher.go gives its run to run.go, gate.go its queue's turns to turns.go, recovery.go the planned moves to moving.go, platform/store.go the inventory's feed to feed.go. Pure moves: no line of code changed; the packages' tests are green as before.

--- /dev/null
+++ b/dispatch/run.go
@@ -0,0 +1,302 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/decision"
+	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/health"
+	"github.com/snowspoke/snowspoke/routing"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// run is one request on its way.
+type run struct {
+	execution.Life
+	d        *Dispatcher
+	req      *Request
+	sink     Sink
+	began    time.Time
+	snap     *topology.Snapshot
+	model    *topology.Model
+	class    topology.Class
+	delivery *Delivery
+	prior    []int32 // tokens handed on so far
+	attempt  int
+	version  string // of the model, fixed by the first attempt
+	route    topology.Route
+	ticket   *ticket
+	avoid    map[string]bool
+	sealed   *Attempt
+	kv       string // handle of an imported KV cache for the next attempt
+	finish   string // reason the engine gave for the end
+	produced bool   // the present attempt has produced a token
+	moveSeen uint64 // fleet version at which a move was last considered
+	gap      health.Gap
+	pause    *backoff.ExponentialBackOff // between two looks for a route
+	firstAt  time.Time
+	lastAt   time.Time // of the last token handed on
+	failedAt time.Time // set while the stream is interrupted
+	skipTo   int       // tokens below this index are known to the caller already
+}
+
+// resolve reads the configuration in force for the request.
+func (r *run) resolve() error {
+	snap := r.d.catalog.Snapshot()
+	m := snap.Models[r.req.Model]
+	if m == nil {
+		return apierror.New(apierror.UnknownModel, "model %q", r.req.Model)
+	}
+	if !m.HasAdapter(r.req.Adapter) {
+		return apierror.New(apierror.UnknownModel, "model %q has no adapter %q", r.req.Model, r.req.Adapter)
+	}
+	class, ok := snap.ClassOf(r.req.Workspace, r.req.Labels)
+	if !ok {
+		return apierror.New(apierror.Forbidden, "no rule of workspace %s admits labels %v", r.req.Workspace.Name, r.req.Labels)
+	}
+	r.snap, r.class = snap, class
+	version := r.version // a stream stays on the version that it began with
+	if version == "" {
+		_, version = r.d.planner.Serving(snap, class, m, r.req.Adapter)
+	}
+	if version != m.Version {
+		other := *m
+		other.Version = version
+		m = &other
+	}
+	r.model = m
+	return nil
+}
+
+// runAndFinish runs begin and turns its error into a true answer.
+func (r *run) runAndFinish(ctx context.Context, begin func(context.Context) error) (Outcome, error) {
+	err := begin(ctx)
+	if r.ticket != nil {
+		r.d.gate.Release(r.ticket, r.delivery.Next(), r.req.MaxTokens)
+	}
+	r.d.observe.Dropped(r.delivery.drops)
+	if err != nil {
+		err = r.Truth(err)
+	} else {
+		r.d.gate.EarnRetry(r.req.Workspace.Name, r.model.Name)
+	}
+	err = r.d.finish(r.req, r.attempt, err, r.began)
+	return Outcome{
+		RequestID: r.req.ID, Version: r.version, Tokens: r.delivery.Next(),
+		FinishReason: r.finish, Attempts: r.attempt + 1,
+	}, err
+}
+
+// runNew admits the request and runs attempts until one is whole.
+func (r *run) runNew(ctx context.Context) error {
+	if err := r.resolve(); err != nil {
+		return err
+	}
+	r.boundTokens()
+	t, err := r.d.gate.Admit(ctx, r.req, r.model, r.key(), r.choose)
+	if err != nil {
+		return err
+	}
+	r.ticket = t
+	r.useRoute(t.choice, decision.Route, "admitted after "+t.waited.Round(time.Microsecond).String())
+	return r.attempts(ctx)
+}
+
+// defaultMaxTokens bounds an answer of which neither request nor model says how
+// long it may be.
+const defaultMaxTokens = 1024
+
+// boundTokens keeps the answer within what the model allows.
+func (r *run) boundTokens() {
+	limit := r.model.MaxTokens
+	if limit == 0 && r.req.MaxTokens == 0 {
+		limit = defaultMaxTokens
+	}
+	if r.req.MaxTokens == 0 || limit > 0 && r.req.MaxTokens > limit {
+		r.req.MaxTokens = limit
+	}
+}
+
+func (r *run) key() routing.Key {
+	return routing.Key{Class: r.class.Key, Model: r.model.Name, Version: r.model.Version, Adapter: r.req.Adapter}
+}
+
+func (r *run) binding() *routing.Binding {
+	return r.d.planner.Plan(r.snap, r.class, r.model, r.req.Adapter)
+}
+
+// choose picks a route for new work by the configuration in force at that moment.
+func (r *run) choose(rng *rand.Rand) (routing.Choice, error) {
+	if err := r.resolve(); err != nil {
+		return routing.Choice{}, routing.ErrNoRoute
+	}
+	b := r.binding()
+	return r.d.policy(b.Plan, b.At(r.d.clock()), r.routeOptions(), rng)
+}
+
+func (r *run) routeOptions() routing.Options {
+	o := routing.Options{FailureDomain: r.d.opts.FailureDomain, Avoid: r.avoid}
+	if r.req.CacheKey != 0 {
+		o.Warm = r.d.warm.Servers(r.req.CacheKey)
+	}
+	return o
+}
+
+// useRoute takes a choice for the next attempt and logs why.
+func (r *run) useRoute(c routing.Choice, kind decision.Kind, reason string) {
+	r.route = c.Route
+	r.version = r.model.Version
+	if c.Affinity {
+		reason += ", prefix cached"
+	}
+	r.d.log.Add(decision.Record{
+		Time: r.d.clock(), Kind: kind, RequestID: r.req.ID, Attempt: r.attempt, Workspace: r.req.Workspace.Name,
+		Subject: r.model.Name, Chosen: c.Route.String(), Reason: reason, Rejected: r.rejected(c),
+		Bound: r.binding().Plan.Bound, Load: c.Load,
+	})
+}
+
+func (r *run) rejected(c routing.Choice) string {
+	var b []byte
+	for name := range r.avoid {
+		b = append(b, name+":failed "...)
+	}
+	if c.Rejected != "" {
+		b = append(b, c.Rejected+":busier"...)
+	}
+	return string(b)
+}
+
+// attempts runs attempts until one is whole or nothing more can be done.
+func (r *run) attempts(ctx context.Context) error {
+	for {
+		res := r.once(ctx)
+		if res.err == nil {
+			return nil
+		}
+		whole, err := r.next(ctx, res)
+		if whole || err != nil {
+			return err
+		}
+	}
+}
+
+// result is how an attempt ended; err is nil when the answer is whole.
+type result struct {
+	err    error
+	failed string          // backend server that failed, if known
+	final  bool            // the caller or the deadline ended it
+	move   *routing.Choice // where a stream goes on that leaves its route
+}
+
+// next decides what follows a failed attempt. Neither whole nor an error means
+// that another attempt is prepared.
+func (r *run) next(ctx context.Context, res result) (whole bool, err error) {
+	if res.final {
+		r.abandon()
+		return false, r.finalError(ctx, res.err)
+	}
+	if r.failedAt.IsZero() {
+		r.failedAt = r.d.clock()
+	}
+	if r.attempt+1 >= r.d.opts.MaxAttempts {
+		r.abandon()
+		return false, r.giveUp(res)
+	}
+	if res.move != nil {
+		r.moveAway(ctx, res)
+		return false, nil
+	}
+	if errors.Is(res.err, execution.ErrNotSent) || errors.Is(res.err, execution.ErrRefused) {
+		return false, r.elsewhere(ctx, res)
+	}
+	if res.failed == r.route[0].BackendServer && errors.Is(res.err, execution.ErrLost) {
+		// Perhaps only the connection broke: the head may still have the stream.
+		if res = r.resume(ctx, r.delivery.Next(), res); res.err == nil {
+			return true, nil
+		}
+		if res.final {
+			r.abandon()
+			return false, r.finalError(ctx, res.err)
+		}
+	}
+	if !r.Repeatable() {
+		return r.resumeOnly(ctx, res)
+	}
+	return false, r.recover(ctx, res)
+}
+
+// finalError is the answer when the caller or the deadline ended the request.
+func (r *run) finalError(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		if r.NotRun() {
+			return apierror.New(apierror.DeadlinePassed, "before the request was sent")
+		}
+		if r.HasRun() {
+			return apierror.New(apierror.DeadlineRunning, "after %d tokens", r.delivery.Next())
+		}
+		return apierror.New(apierror.OutcomeUnknown, "the deadline passed before the backend server answered")
+	}
+	if errors.Is(err, context.Canceled) {
+		return apierror.New(apierror.CallerGone, "after %d tokens", r.delivery.Next())
+	}
+	return err
+}
+
+// giveUp is the answer when an attempt failed and no other follows.
+func (r *run) giveUp(res result) error {
+	kind := apierror.OutcomeUnknown
+	switch {
+	case errors.Is(res.err, execution.ErrNotSent):
+		kind = apierror.BackendUnreachable
+	case errors.Is(res.err, execution.ErrRefused):
+		kind = apierror.BackendRefused
+	case r.HasRun():
+		kind = apierror.BackendFailed
+	}
+	return &apierror.Error{Kind: kind, Detail: res.err.Error(), Err: res.err}
+}
+
+// elsewhere sends an attempt that surely did not run to another route. A new
+// request takes each such retry out of the budget; a stream that has begun, or a
+// route that began to leave at the last moment, does not.
+func (r *run) elsewhere(ctx context.Context, res result) error {
+	if res.failed != "" {
+		r.avoid[res.failed] = true
+	}
+	if r.HasRun() {
+		return r.reroute(ctx, res, "recover")
+	}
+	if !errors.Is(res.err, errLeaving) && !r.d.gate.SpendRetry(r.req.Workspace.Name, r.model.Name) {
+		return r.giveUp(res)
+	}
+	b := r.binding()
+	c, err := r.d.policy(b.Plan, b.At(r.d.clock()), r.routeOptions(), rand.New(rand.NewPCG(rand.Uint64(), 1)))
+	if err != nil {
+		return r.reroute(ctx, res, "retry")
+	}
+	r.startAnother(c, decision.Route, "retry after "+res.err.Error())
+	return nil
+}
+
+func (r *run) startAnother(c routing.Choice, kind decision.Kind, reason string) {
+	r.d.gate.Swap(r.ticket, c)
+	r.attempt++
+	r.useRoute(c, kind, reason)
+}
+
+// leavingHop returns the first hop of the route that is leaving, or "".
+func (r *run) leavingHop() string {
+	i := slices.IndexFunc(r.route, func(h topology.Hop) bool { return r.d.table.Leaving(h.BackendServer) })
+	if i < 0 {
+		return ""
+	}
+	return r.route[i].BackendServer
+}
