Loads travel between daemons as changes

Cause: a daemon with eight followers sends and takes 16 KB of loads a second at the target, of which it may spend 3. Change: each end of a link remembers what was told; a load is told again when it differs by an eighth and more than one request. Before: 600 loaded backend servers 8.4 KB every 6 s whatever happens.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -56,10 +56,10 @@
 // exchangeLoads asks the sources of the other domains for their loads while this
 // daemon is a source, and takes what its followers need.
 func (n *Node) exchangeLoads(ctx context.Context) {
-	links := map[string]*websocket.Conn{}
+	links := map[string]*loadLink{}
 	defer func() {
-		for _, c := range links {
-			_ = c.CloseNow()
+		for _, l := range links {
+			_ = l.conn.CloseNow()
 		}
 	}()
 	for {
@@ -89,18 +89,26 @@
 	return out
 }
 
+// loadLink is a link to the source of another domain, for loads alone.
+type loadLink struct {
+	conn  *websocket.Conn
+	heard listener
+}
+
 // askDomain makes one exchange with the source of another domain.
-func (n *Node) askDomain(ctx context.Context, links map[string]*websocket.Conn, domain string, m Member) {
+func (n *Node) askDomain(ctx context.Context, links map[string]*loadLink, domain string, m Member) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c := links[domain]
-	if c == nil {
-		var err error
-		if c, err = n.dial(ctx, m, true); err != nil {
+	l := links[domain]
+	if l == nil {
+		c, err := n.dial(ctx, m, true)
+		if err != nil {
 			return // tried again at the next exchange; its last loads run out
 		}
-		links[domain] = c
+		l = &loadLink{conn: c}
+		links[domain] = l
 	}
+	c := l.conn
 	p := &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: true, LoadsOnly: true}
 	if err := writeFrame(ctx, c, &frame{Ping: p}); err != nil {
 		_ = c.CloseNow()
@@ -115,7 +123,7 @@
 			return
 		}
 		if f.Pong != nil {
-			n.otherDomains.put(domain, n.unpack(f.Pong.Loads), f.Pong.Daemons, time.Now())
+			n.otherDomains.put(domain, l.heard.take(f.Pong.Loads, n.serverNames()), f.Pong.Daemons, time.Now())
 			return
 		}
 	}
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -47,10 +47,74 @@
 // of 24,000 sites; they would be taken to be as busy as both.
 func serverHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-func packLoads(loads []LoadItem) []packedLoad {
-	out := make([]packedLoad, len(loads))
-	for i, l := range loads {
-		out[i] = packedLoad{Server: serverHash(l.Server), Running: l.Running, Heads: l.Heads, KV: uint64(max(0, l.KV) + 0.5)}
+func pack(l LoadItem) packedLoad {
+	return packedLoad{Server: serverHash(l.Server), Running: l.Running, Heads: l.Heads, KV: uint64(max(0, l.KV) + 0.5)}
+}
+
+// Bounds of what counts as a change of a load: the choice of a path works on
+// loads that are seconds old, and one request more or less is within that.
+const (
+	changeShare = 8    // an eighth
+	changeKV    = 8000 // tokens x layers, about one request on one backend server
+)
+
+// changed reports whether a load differs enough from what was told to be told
+// again.
+func (l packedLoad) changed(told packedLoad) bool {
+	far := func(a, b, least int) bool { return max(a-b, b-a) > max(least, b/changeShare) }
+	return far(l.Running, told.Running, 1) || far(l.Heads, told.Heads, 1) || far(int(l.KV), int(told.KV), changeKV)
+}
+
+// teller keeps what was told on one link, so that only changes are sent.
+type teller struct{ told map[uint32]packedLoad }
+
+// changes returns the loads that have changed since they were told; those that
+// ended are told as zero.
+func (t *teller) changes(loads []LoadItem) []packedLoad {
+	if t.told == nil {
+		t.told = map[uint32]packedLoad{}
+	}
+	var out []packedLoad
+	now := make(map[uint32]bool, len(loads))
+	for _, l := range loads {
+		p := pack(l)
+		now[p.Server] = true
+		if before, known := t.told[p.Server]; known && !p.changed(before) {
+			continue
+		}
+		t.told[p.Server] = p
+		out = append(out, p)
+	}
+	for server := range t.told {
+		if !now[server] {
+			delete(t.told, server)
+			out = append(out, packedLoad{Server: server})
+		}
+	}
+	return out
+}
+
+// listener adds up the changes that come over one link.
+type listener struct{ loads map[uint32]packedLoad }
+
+// take takes changes and returns all loads with their names; those of backend
+// servers that are not known here are left out.
+func (l *listener) take(changes []packedLoad, ids map[uint32]string) []LoadItem {
+	if l.loads == nil {
+		l.loads = map[uint32]packedLoad{}
+	}
+	for _, c := range changes {
+		if c.Running == 0 && c.Heads == 0 && c.KV == 0 {
+			delete(l.loads, c.Server)
+			continue
+		}
+		l.loads[c.Server] = c
+	}
+	out := make([]LoadItem, 0, len(l.loads))
+	for _, p := range l.loads {
+		if id, known := ids[p.Server]; known {
+			out = append(out, LoadItem{Server: id, Running: p.Running, Heads: p.Heads, KV: float64(p.KV)})
+		}
 	}
 	return out
 }
@@ -75,17 +139,6 @@
 	return n.ids
 }
 
-// unpackLoads leaves out loads of backend servers that are not known here.
-func unpackLoads(loads []packedLoad, ids map[uint32]string) []LoadItem {
-	out := make([]LoadItem, 0, len(loads))
-	for _, l := range loads {
-		if id, known := ids[l.Server]; known {
-			out = append(out, LoadItem{Server: id, Running: l.Running, Heads: l.Heads, KV: float64(l.KV)})
-		}
-	}
-	return out
-}
-
 // ledger adds up the loads of the daemons that follow this one. It is safe for
 // concurrent use.
 type ledger struct {
--- a/relay/session.go
+++ b/relay/session.go
@@ -71,6 +71,11 @@
 	followed bool // it has shown to be fresh; used by the reader alone
 	complete bool // the full state has come; used by the reader alone
 
+	heard listener // loads that the source told; used by the reader alone
+
+	pinging sync.Mutex // held while a ping is made and sent: changes keep their order
+	told    teller     // loads told to the source
+
 	mu     sync.Mutex
 	number uint64
 	loads  time.Time            // when loads were last told
@@ -96,6 +101,8 @@
 // ping asks how fresh the source is. The pinging and the reading goroutine call
 // it.
 func (s *session) ping(ctx context.Context) error {
+	s.pinging.Lock()
+	defer s.pinging.Unlock()
 	now := time.Now()
 	p := &ping{Sender: s.node.opts.Name, Domain: s.node.opts.Domain}
 	s.mu.Lock()
@@ -109,7 +116,7 @@
 	s.mu.Unlock()
 	if p.HasLoads {
 		loads, daemons := s.node.loadsBelow(now)
-		p.Loads, p.Daemons = packLoads(loads), daemons
+		p.Loads, p.Daemons = s.told.changes(loads), daemons
 	}
 	return writeFrame(ctx, s.conn, &frame{Ping: p})
 }
@@ -163,7 +170,7 @@
 		s.node.relays(ctx, p.Heard, now)
 	}
 	if p.Daemons > 0 {
-		s.node.above.put(sourceLoads, s.node.unpack(p.Loads), p.Daemons, now)
+		s.node.above.put(sourceLoads, s.heard.take(p.Loads, s.node.serverNames()), p.Daemons, now)
 		s.node.takeOthers(now)
 	}
 	return nil
--- a/relay/source.go
+++ b/relay/source.go
@@ -162,6 +162,8 @@
 // answerPings answers a follower until the link ends.
 func (n *Node) answerPings(ctx context.Context, c *websocket.Conn) {
 	follower, toldAt := "", time.Time{}
+	var fromFollower listener
+	var toFollower teller
 	defer func() { n.ledger.drop(follower, toldAt) }()
 	for {
 		f, err := readFrame(ctx, c)
@@ -176,7 +178,7 @@
 		sameDomain := p.Domain == n.opts.Domain
 		if p.HasLoads && !p.LoadsOnly {
 			follower, toldAt = p.Sender, now
-			n.ledger.put(follower, told{at: now, domain: p.Domain, loads: n.unpack(p.Loads), daemons: max(1, p.Daemons)})
+			n.ledger.put(follower, told{at: now, domain: p.Domain, loads: fromFollower.take(p.Loads, n.serverNames()), daemons: max(1, p.Daemons)})
 		}
 		heard, ok := n.heard(now)
 		if !ok || heard >= unheardFor {
@@ -185,7 +187,7 @@
 		answer := &pong{Number: p.Number, Age: n.inv.Age(now), Heard: heard, Version: n.inv.State().ConfigVersion}
 		if p.HasLoads {
 			loads, daemons := n.loadsFor(p.Sender, sameDomain, now)
-			answer.Loads, answer.Daemons = packLoads(loads), daemons
+			answer.Loads, answer.Daemons = toFollower.changes(loads), daemons
 		}
 		if err := writeFrame(ctx, c, &frame{Pong: answer}); err != nil {
 			return // the link is over
@@ -233,9 +235,8 @@
 	n.book.TakeOthers(list(sum), daemons+beyond.count(ttl, now))
 }
 
-func (n *Node) unpack(loads []packedLoad) []LoadItem {
-	return unpackLoads(loads, n.names.of(n.inv.State()))
-}
+// serverNames returns the IDs of the backend servers by their hash.
+func (n *Node) serverNames() map[uint32]string { return n.names.of(n.inv.State()) }
 
 func (n *Node) ownDomain(domain string) bool { return domain == n.opts.Domain }
 
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -57,7 +57,7 @@
 	Number uint64       `cbor:"1,keyasint"`
 	Sender string       `cbor:"2,keyasint"`
 	Domain string       `cbor:"3,keyasint"`
-	Loads  []packedLoad `cbor:"4,keyasint,omitempty"` // with those of its followers
+	Loads  []packedLoad `cbor:"4,keyasint,omitempty"` // with those of its followers, as changes
 	// Daemons are those whose loads these are.
 	Daemons int `cbor:"7,keyasint,omitempty"`
 	// HasLoads says that Loads are told and that the others' are asked for; other
@@ -70,11 +70,11 @@
 // pong answers a ping of the same number.
 type pong struct {
 	Number  uint64        `cbor:"1,keyasint"`
-	Age     time.Duration `cbor:"2,keyasint"` // of the proof of freshness
-	Heard   time.Duration `cbor:"6,keyasint"` // since the store last answered
-	Version uint64        `cbor:"3,keyasint"` // of the configuration that it is about
-	Loads   []packedLoad  `cbor:"4,keyasint,omitempty"`
-	Daemons int           `cbor:"5,keyasint"` // whose loads are added up
+	Age     time.Duration `cbor:"2,keyasint"`           // of the proof of freshness
+	Heard   time.Duration `cbor:"6,keyasint"`           // since the store last answered
+	Version uint64        `cbor:"3,keyasint"`           // of the configuration that it is about
+	Loads   []packedLoad  `cbor:"4,keyasint,omitempty"` // as changes
+	Daemons int           `cbor:"5,keyasint"`           // whose loads are added up
 }
 
 // packFrom is the size from which an update is compressed, in bytes.
