--- a/capacity/platform.go
+++ b/capacity/platform.go
@@ -40,6 +40,8 @@
 	pingsPerSecond  = 1 / 0.4
 	secondsPerLoad  = 0.010         // of the period, for each backend server
 	ownLoadsShare   = 0.1           // backend servers on which one daemon has requests
+	toldShare       = 0.05          // of the sums that change enough in a period (relay.TestOnlyChangedLoadsAreTold)
+	ownToldShare    = 0.3           // of a daemon\'s own loads that do: a few requests each, so one in three (estimated)
 	fanOut          = 8.0           // daemons that follow one
 	storeCallsASrc  = 1/0.9 + 1/9.0 // watches of a source that sees no change
 	leaseCallsASite = 3.0           // renewals and looks at the lease
