--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,7 +35,9 @@
 
 // failed are seeds that have failed once, with their cause; they are run again
 // every time.
-var failed = map[uint64]string{}
+var failed = map[uint64]string{
+	973166922785630206: "a daemon was not ready 10 s after its start; its log was lost, the cause is not known (docs/FINDINGS.md)",
+}
 
 // streamEvents is the length of a stream; with streamGap it takes half a second.
 const (
