--- a/relay/node.go
+++ b/relay/node.go
@@ -181,9 +181,9 @@
 	return n.upstream.age(now), true
 }
 
-// relays notes what the source told, from which on this daemon may be a source
+// noteUpstream notes what the source told: from now on this daemon may be a source
 // itself until ctx ends.
-func (n *Node) relays(ctx context.Context, heard time.Duration, now time.Time) {
+func (n *Node) noteUpstream(ctx context.Context, heard time.Duration, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.upstream == nil {
@@ -192,8 +192,8 @@
 	n.upstream = &upstream{heard: heard, toldAt: now}
 }
 
-// relaysNoMore ends that.
-func (n *Node) relaysNoMore() {
+// forgetUpstream says that this daemon follows no source any more.
+func (n *Node) forgetUpstream() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.upstream = nil
--- a/relay/session.go
+++ b/relay/session.go
@@ -26,7 +26,7 @@
 	s.silent = time.AfterFunc(silentFor, func() { cancel(errSilent) })
 	defer s.silent.Stop()
 	if probe == nil {
-		defer n.relaysNoMore()
+		defer n.forgetUpstream()
 	}
 	go s.pings(ctx)
 	err = s.read(ctx)
@@ -167,7 +167,7 @@
 	s.node.inv.Vouch(p.Version, sent.Add(-p.Age))
 	now := time.Now()
 	if s.complete {
-		s.node.relays(ctx, p.Heard, now)
+		s.node.noteUpstream(ctx, p.Heard, now)
 	}
 	if p.Daemons > 0 {
 		s.node.above.put(sourceLoads, s.heard.take(p.Loads, s.node.serverNames()), p.Daemons, now)
