The log names what binds a layout

Cause: 'every path is full' left engineers to work out which layers lack room. Change: the holder of the placement duty logs kind=bound when the layout's bound changes: usual requests at once, and the layers that bind.

--- a/pipeline/layout.go
+++ b/pipeline/layout.go
@@ -189,6 +189,26 @@
 	return na > nb
 }
 
+// Bound is what binds a layout: how many usual requests it can hold at once, and
+// the layers whose cards have room for no more.
+type Bound struct {
+	Requests int
+	Layers   site.Range
+}
+
+// BoundOf returns the bound of what cards hold, or are to hold by orders under way.
+func BoundOf(e *site.Engine, cards []Card) Bound {
+	cover := coverage(e, cards)
+	least := slices.Min(cover)
+	b := Bound{Requests: int(least)}
+	b.Layers.From = slices.Index(cover, least)
+	b.Layers.To = b.Layers.From
+	for b.Layers.To < len(cover) && int(cover[b.Layers.To]) == b.Requests {
+		b.Layers.To++
+	}
+	return b
+}
+
 // coverage returns for each layer the room for requests that its cards have.
 func coverage(e *site.Engine, cards []Card) []float64 {
 	cover := make([]float64, e.Layers)
--- a/pipeline/place_test.go
+++ b/pipeline/place_test.go
@@ -279,6 +279,19 @@
 	}
 }
 
+func TestBoundNamesTheLayersThatBind(t *testing.T) {
+	e, cards := testEngine(), siteCards()
+	require.Zero(t, BoundOf(e, cards).Requests)
+	settle(t, e, cards)
+	whole := BoundOf(e, cards)
+	require.Greater(t, whole.Requests, 100)
+	lost := cards[3].Ordered
+	less := BoundOf(e, slices.Delete(slices.Clone(cards), 3, 4))
+	require.Less(t, less.Requests, whole.Requests)
+	require.GreaterOrEqual(t, less.Layers.From, lost.From)
+	require.LessOrEqual(t, less.Layers.To, lost.To)
+}
+
 // BenchmarkChoose picks a path at the size of a site and at 77 times that.
 func BenchmarkChoose(b *testing.B) {
 	for _, copies := range []int{1, 77} {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -80,7 +80,8 @@
 	mu      sync.Mutex
 	pending map[string]order // by backend server ID
 
-	brokenSince time.Time // a group could be laid out anew since then, zero for none
+	brokenSince time.Time                 // the cards of a group do not cover all layers since then, zero for none
+	bounds      map[string]pipeline.Bound // as last logged, by service
 
 	empty      int       // cards seen without any layers placed
 	emptySince time.Time // when their number last changed
@@ -94,7 +95,7 @@
 
 // New returns a placer; Run must be called.
 func New(duty Duty, inv Inventory, b Backends, h Health, logger log.Logger) *Placer {
-	return &Placer{duty: duty, inv: inv, backends: b, health: h, dead: map[string]time.Time{}, logger: logger, pending: map[string]order{}}
+	return &Placer{duty: duty, inv: inv, backends: b, health: h, dead: map[string]time.Time{}, logger: logger, pending: map[string]order{}, bounds: map[string]pipeline.Bound{}}
 }
 
 // Run places until ctx ends.
@@ -130,10 +131,22 @@
 		if !p.settled(cards) {
 			continue
 		}
+		p.noteBound(svc, cards)
 		p.give(ctx, svc.Engine, p.decide(svc.Engine, cards, time.Now()), fence)
 	}
 }
 
+// noteBound logs which layers bind a service when that changes.
+func (p *Placer) noteBound(svc *site.Service, cards []pipeline.Card) {
+	b := pipeline.BoundOf(svc.Engine, cards)
+	if b == p.bounds[svc.Name] {
+		return
+	}
+	p.bounds[svc.Name] = b
+	_ = level.Info(p.logger).Log("msg", "decision", "kind", "bound", "service", svc.Name, "cards", len(cards),
+		"requests_at_once", b.Requests, "from", b.Layers.From, "to", b.Layers.To)
+}
+
 // probe asks the backend servers that look dead for a report. One that does not
 // answer counts as gone, well before its record lapses.
 func (p *Placer) probe(ctx context.Context, view *inventory.View, svc *site.Service) {
