A daemon is ready, and a source, once it knows all backend servers

Change: both wait for a full list. Tests that failed first: TestDaemonWithoutAFullListIsNoSource, TestCompleteOnceBothHaveCome.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,9 +134,9 @@
 }
 
 // ready answers the balancer: a daemon is ready when it knows the configuration
-// and is not stopping.
+// and the backend servers and is not stopping.
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
-	if stage(g.stage.Load()) != serving || g.inv.View().Config == nil {
+	if stage(g.stage.Load()) != serving || !g.inv.Complete() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -74,6 +74,7 @@
 	heard     time.Time         // when the store last answered this daemon
 	notify    chan struct{}
 
+	listed    bool            // a full list of backend servers has come
 	rawConfig []byte          // of the configuration in force
 	state     *State          // as passed on, nil after a change
 	gone      map[string]tomb // backend servers that left, by ID
@@ -108,6 +109,14 @@
 // View returns what is known now.
 func (i *Inventory) View() *View { return i.view.Load() }
 
+// Complete reports whether both a configuration and a full list of the backend
+// servers have come.
+func (i *Inventory) Complete() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.listed && i.view.Load().Config != nil
+}
+
 // Changed returns a channel that is closed at the next change of the view.
 func (i *Inventory) Changed() <-chan struct{} {
 	i.mu.Lock()
@@ -173,6 +182,7 @@
 		i.takeRecord(r)
 	}
 	if full {
+		i.listed = true
 		i.lapse(listed, now)
 	}
 	i.publishServers()
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -72,6 +72,18 @@
 	require.NotSame(t, before.Servers["b"], i.View().Servers["b"])
 }
 
+func TestCompleteOnceBothHaveCome(t *testing.T) {
+	i := newTest()
+	i.Apply(Update{Config: []byte("7")})
+	require.False(t, i.Complete())
+	i.Apply(Update{Servers: map[string]Entry{"a": entry(5)}})
+	require.False(t, i.Complete(), "a change is no full list")
+	require.False(t, i.State().Complete)
+	i.Apply(full(map[string]Entry{"a": entry(5)}))
+	require.True(t, i.Complete())
+	require.True(t, i.State().Complete)
+}
+
 // BenchmarkKnownState takes a full state of 3,000 backend servers again.
 func BenchmarkKnownState(b *testing.B) {
 	i := newTest()
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -21,6 +21,9 @@
 	ConfigVersion uint64 // 0 for none
 	Config        []byte
 	Servers       map[string]Entry
+	// Complete says that a full list of the backend servers has come at least once:
+	// before, one that is missing is not gone.
+	Complete bool
 }
 
 // State returns what is known now. It is immutable and made once a change, as
@@ -31,7 +34,7 @@
 	if i.state != nil {
 		return i.state
 	}
-	s := &State{Config: i.rawConfig, Servers: make(map[string]Entry, len(i.servers))}
+	s := &State{Config: i.rawConfig, Complete: i.listed, Servers: make(map[string]Entry, len(i.servers))}
 	if c := i.view.Load().Config; c != nil {
 		s.ConfigVersion = c.Version
 	}
--- a/relay/node.go
+++ b/relay/node.go
@@ -235,9 +235,13 @@
 	return nil
 }
 
-// starting reports whether this daemon has not yet heard of any configuration,
-// from the store or its source.
-func (n *Node) starting() bool { return n.inv.State().ConfigVersion == 0 }
+// starting reports whether this daemon has not yet a configuration and a full list
+// of the backend servers, from the store or its source: who followed it now would
+// take all others to be gone.
+func (n *Node) starting() bool {
+	s := n.inv.State()
+	return s.ConfigVersion == 0 || !s.Complete
+}
 
 // candidates returns the daemons that this one may follow, the best first: the
 // one above it in the tree of its domain; the first ones of its domain; then, for
--- a/relay/source.go
+++ b/relay/source.go
@@ -42,7 +42,7 @@
 	sameDomain := query.Get(domainParam) == n.opts.Domain
 	switch {
 	case n.starting():
-		http.Error(w, "no configuration yet", http.StatusTooEarly)
+		http.Error(w, "starting", http.StatusTooEarly)
 		return
 	case !n.sound(time.Now()), !sameDomain && !n.reading.Load():
 		http.Error(w, "no sound source", http.StatusServiceUnavailable)
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -86,7 +86,7 @@
 		return
 	}
 	c.state = &inventory.State{
-		ConfigVersion: version, Config: []byte(fmt.Sprint(version)), Servers: map[string]inventory.Entry{"s": {Revision: 1}},
+		ConfigVersion: version, Config: []byte(fmt.Sprint(version)), Complete: true, Servers: map[string]inventory.Entry{"s": {Revision: 1}},
 	}
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -263,6 +263,26 @@
 	require.Less(t, time.Since(began), 2*time.Second, "the bound on configurations")
 }
 
+// A daemon that knows the configuration but not yet all backend servers is no
+// source: its followers would take those it lacks to be gone.
+func TestDaemonWithoutAFullListIsNoSource(t *testing.T) {
+	t.Parallel()
+	inv := newCopied(&store{})
+	inv.state = &inventory.State{ConfigVersion: 1}
+	inv.heard = time.Now()
+	n := New(Options{Name: daemonName(0), Domain: "d"}, inv, inv, everybody{}, log.NewNopLogger())
+	n.reading.Store(true)
+	srv := httptest.NewServer(n.Handler())
+	t.Cleanup(srv.Close)
+	follower := New(Options{Name: daemonName(1), Domain: "d"}, inv, inv, everybody{}, log.NewNopLogger())
+	first := Member{Name: daemonName(0), Domain: "d", Address: srv.Listener.Addr().String()}
+	require.ErrorIs(t, follower.probe(t.Context(), first), errEarly)
+	inv.mu.Lock()
+	inv.state = &inventory.State{ConfigVersion: 1, Complete: true}
+	inv.mu.Unlock()
+	require.ErrorIs(t, follower.probe(t.Context(), first), errFound)
+}
+
 // When the first daemon hears nothing from the store any more, nobody below it
 // counts as a source.
 func TestChainWithoutTheStoreIsNoSource(t *testing.T) {
