Records of layers that the model does not have are ignored by the choice

Change: such a hop leads nowhere, as before; the bound of an engine without layers is zero. Test that failed first (index out of range): TestCardsBeyondTheModelAreIgnored.

--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -155,8 +155,12 @@
 	return &frontier{cs: cs, ends: make([][]int, layers+1)}
 }
 
-// add takes a hop if it is the cheapest way so far to where it ends.
+// add takes a hop if it is the cheapest way so far to where it ends. One that
+// runs layers which the model does not have leads nowhere.
 func (f *frontier) add(n node) {
+	if n.run.From < 0 || n.run.To >= len(f.ends) {
+		return
+	}
 	domain := f.cs[n.cand].Server.FailureDomain
 	ends := f.ends[n.run.To]
 	for i, old := range ends {
--- a/pipeline/layout.go
+++ b/pipeline/layout.go
@@ -199,6 +199,9 @@
 // BoundOf returns the bound of what cards hold, or are to hold by orders under way.
 func BoundOf(e *site.Engine, cards []Card) Bound {
 	cover := coverage(e, cards)
+	if len(cover) == 0 {
+		return Bound{}
+	}
 	least := slices.Min(cover)
 	b := Bound{Requests: int(least)}
 	b.Layers.From = slices.Index(cover, least)
--- a/pipeline/place_test.go
+++ b/pipeline/place_test.go
@@ -279,6 +279,26 @@
 	}
 }
 
+// A record that tells of layers which the model does not have is of no use, and
+// does no harm.
+func TestCardsBeyondTheModelAreIgnored(t *testing.T) {
+	e, cards := testEngine(), siteCards()
+	settle(t, e, cards)
+	cs := candidates(cards)
+	for _, held := range []site.Range{{From: 0, To: e.Layers + 9}, {From: 4, To: e.Layers + 1}, {From: -3, To: 2}, {From: e.Layers, To: e.Layers + 5}} {
+		cs = append(cs, Candidate{Server: &site.BackendServer{ID: "odd", Address: "odd:1", FailureDomain: "a", Kind: "large", Held: held}})
+	}
+	q := query(e, "a")
+	c, err := Choose(q, cs, nil)
+	require.NoError(t, err)
+	require.NoError(t, c.Path.CheckTiling(e.Layers))
+	require.False(t, c.Path.Uses("odd"))
+	q.Head, q.HeadLayers = cs[len(cs)-4].Server, site.Range{From: 0, To: e.Layers + 9}
+	_, err = Choose(q, cs, nil)
+	require.ErrorIs(t, err, ErrNoPath)
+	require.Zero(t, BoundOf(&site.Engine{}, cards))
+}
+
 func TestBoundNamesTheLayersThatBind(t *testing.T) {
 	e, cards := testEngine(), siteCards()
 	require.Zero(t, BoundOf(e, cards).Requests)
