A stream that stands still is not cut off when no retry is left

A crowded site with the retry budget used up; streams that stood still for 1.1 s were ended so that they could go on elsewhere, but no retry was left for them and the callers' answers were cut off. Budgets were asked before many streams were ended at once, and taken after. Change: a send is ended for silence only with a retry taken for it; else the stream waits on. A begun stream is held for a path until its caller leaves. The first hops of a request are kept for concurrent use: a stream's timer reads them. Test that failed first: TestSilentStreamIsKeptWithoutARetryLeft.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -126,7 +126,7 @@
 	f.budget.Earn(time.Now())
 	r := &run{
 		f: f, req: req, sink: sink, until: until, lastEvent: req.LastEvent,
-		life: execution.New(req.Route.Repeatable()), tried: map[string]bool{},
+		life: execution.New(req.Route.Repeatable()),
 	}
 	err := r.serve(ctx)
 	f.finish(r, err)
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -70,13 +70,7 @@
 // attemptsUsed reports whether the request was sent to as many backend servers
 // as it may be; those that are gone do not count.
 func (r *run) attemptsUsed(known map[string]*site.BackendServer) bool {
-	used := 0
-	for id := range r.tried {
-		if known[id] != nil {
-			used++
-		}
-	}
-	return used >= r.req.Route.MaxAttempts
+	return r.tried.count(known) >= r.req.Route.MaxAttempts
 }
 
 // onlyTried keeps those candidates that may be a first hop only if they were
@@ -84,7 +78,7 @@
 func (r *run) onlyTried(cs []pipeline.Candidate) []pipeline.Candidate {
 	var out []pipeline.Candidate
 	for _, c := range cs {
-		if r.tried[c.Server.ID] || r.engine != nil && !c.Server.Held.Has(0) {
+		if r.tried.has(c.Server.ID) || r.engine != nil && !c.Server.Held.Has(0) {
 			out = append(out, c)
 		}
 	}
@@ -99,7 +93,7 @@
 	full := false
 	for i := range cs {
 		c := &cs[i]
-		if r.tried[c.Server.ID] {
+		if r.tried.has(c.Server.ID) {
 			continue // what it refused or failed just now it would again
 		}
 		refused := r.f.health.Cooling(c.Server.ID, time.Now())
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -44,7 +44,7 @@
 	}
 	if err != nil {
 		s.r.f.fail(head, "no report: "+err.Error(), time.Now())
-		s.cancel(errHeadDead)
+		s.giveUp(errHeadDead)
 		return
 	}
 	for _, st := range rep.Stalled {
@@ -57,16 +57,33 @@
 		}
 	}
 	if quiet >= silenceMost && rep.Waiting == 0 {
-		s.cancel(errSilent)
+		s.giveUp(errSilent)
 		return
 	}
 	s.timer.Reset(askAgain)
 }
 
+// giveUp ends a send that stands still, so that the request goes on elsewhere. A
+// stream that has begun is left as it is when it could not: silence alone is no
+// reason to cut an answer off.
+func (s *stream) giveUp(why error) {
+	if s.r.headSent.Load() && !s.reserveSend() {
+		s.timer.Reset(askAgain)
+		return
+	}
+	s.cancel(why)
+}
+
+// reserveSend reports whether the stream may be sent once more, and takes the
+// retry for it.
+func (s *stream) reserveSend() bool {
+	return s.r.req.Route.Repeatable() && s.attempt < maxSends && s.r.reserveRetry()
+}
+
 // leaveHop goes on without a hop that has failed.
 func (s *stream) leaveHop(ctx context.Context, head, failed *site.BackendServer) {
 	if failed.ID == head.ID {
-		s.cancel(errHeadDead)
+		s.giveUp(errHeadDead)
 		return
 	}
 	s.move(ctx, failed)
@@ -99,7 +116,7 @@
 		if samePath(p, old) {
 			break
 		}
-		if crosses(p, old) && r.mayResume() {
+		if crosses(p, old) && s.mayResume() {
 			s.cancel(errElsewhere)
 			return
 		}
@@ -139,9 +156,10 @@
 	return false
 }
 
-// mayResume reports whether the stream may go on at another head.
-func (r *run) mayResume() bool {
-	return !r.attemptsUsed(r.f.inv.View().Servers) && r.retryAllowed()
+// mayResume reports whether the stream may go on at another head, and takes the
+// retry for it.
+func (s *stream) mayResume() bool {
+	return !s.r.attemptsUsed(s.r.f.inv.View().Servers) && s.reserveSend()
 }
 
 func samePath(a, b site.Path) bool { return a.String() == b.String() }
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -27,12 +27,24 @@
 	return admission.Part{Ratio: use, Slack: use / float64(max(1, daemons))}
 }
 
-// retryAllowed reports whether the budget has a retry left for the request.
-func (r *run) retryAllowed() bool {
-	return r.f.budget.Allows(time.Now(), retryPart(r.f.fleet.Daemons(), r.headSent.Load()))
-}
-
 // spendRetry takes a retry of the request out of the budget.
 func (r *run) spendRetry() bool {
 	return r.f.budget.Spend(time.Now(), retryPart(r.f.fleet.Daemons(), r.headSent.Load()))
 }
+
+// reserveRetry takes a retry before a send is ended that may still be going on:
+// many streams stand still together, and one that ends without a retry left is
+// an answer cut off for nothing but silence.
+func (r *run) reserveRetry() bool {
+	if r.reserved.Load() {
+		return true
+	}
+	ok := r.spendRetry()
+	r.reserved.Store(ok)
+	return ok
+}
+
+// takeRetry uses what was reserved, or takes a retry now.
+func (r *run) takeRetry() bool {
+	return r.reserved.Swap(false) || r.spendRetry()
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,10 +22,11 @@
 	sink      Sink
 	until     time.Time // when the request must have its answer
 	engine    *site.Engine
-	tried     map[string]bool // first hops that it was sent to, by ID
+	tried     heads // first hops that it was sent to
 	sends     int
 	life      execution.Life
 	headSent  atomic.Bool // the caller has the head of the answer
+	reserved  atomic.Bool // a retry was taken for the next send
 	lastEvent string      // ID of the last event that the caller has
 	lastAt    time.Time
 	firstIn   time.Duration // from the request to its first event
@@ -33,14 +35,49 @@
 	cause     string        // of the interruption
 }
 
+// heads are the first hops that a request was sent to, by ID. It is safe for
+// concurrent use: a stream's timer asks while the next send may begin.
+type heads struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+func (h *heads) add(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ids == nil {
+		h.ids = map[string]bool{}
+	}
+	h.ids[id] = true
+}
+
+func (h *heads) has(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ids[id]
+}
+
+// count returns how many there are of those that are known; nil counts all.
+func (h *heads) count(known map[string]*site.BackendServer) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for id := range h.ids {
+		if known == nil || known[id] != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // Waits and pauses of a request.
 const (
 	// holdShare is the part of the objective for which a request is held when no
 	// path is free: a refusal within a quarter of it costs the caller nothing.
 	holdShare = 0.2
 	// recoverHold is the longest hold of a stream that has begun: callers give up
-	// after a gap of two seconds.
-	recoverHold = 1700 * time.Millisecond
+	// after a gap of two seconds or a little more, and until then a path may come.
+	recoverHold = 3 * time.Second
 	// holdStep is the pause between two looks for a path.
 	holdStep = 20 * time.Millisecond
 	// retryAfter is what a refused caller is told: long enough for some request to
@@ -91,7 +128,7 @@
 		if v == again && !r.req.Route.Repeatable() {
 			return apierror.Wrap(apierror.OutcomeUnknown, err)
 		}
-		if r.sends >= maxSends || !r.spendRetry() {
+		if r.sends >= maxSends || !r.takeRetry() {
 			return r.giveUp(err)
 		}
 		r.f.log.Add("retry", "request", r.req.ID, "attempt", r.sends, "from", t.head().ID, "state", r.life.State(), "ran", r.life.HasRun(), "err", err)
@@ -124,7 +161,7 @@
 		return done, r.ended(ctx)
 	}
 	r.sends++
-	r.tried[t.head().ID] = true
+	r.tried.add(t.head().ID)
 	r.logRoute(t, left)
 	if err := r.life.Move(execution.Sent); err != nil {
 		return done, err
@@ -260,7 +297,7 @@
 // server, and takes nothing out of the budget.
 func (r *run) mayRepeat() bool {
 	view := r.f.inv.View()
-	return r.req.Route.Repeatable() && !r.attemptsUsed(view.Servers) && len(view.OfService(r.req.Service)) > len(r.tried)
+	return r.req.Route.Repeatable() && !r.attemptsUsed(view.Servers) && len(view.OfService(r.req.Service)) > r.tried.count(nil)
 }
 
 // promisesNotRun reports whether a status says that the request did not run.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -48,9 +48,10 @@
 
 // stream is one send of a stream.
 type stream struct {
-	r      *run
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	r       *run
+	attempt int // number of this send, from 1
+	cancel  context.CancelCauseFunc
+	timer   *time.Timer
 
 	mu      sync.Mutex
 	path    site.Path
@@ -67,7 +68,7 @@
 func (r *run) sendStream(ctx context.Context, t *target, left time.Duration) (verdict, error) {
 	sctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s := &stream{r: r, cancel: cancel, path: t.path, tokens: t.tokens, quietAt: time.Now()}
+	s := &stream{r: r, attempt: r.sends, cancel: cancel, path: t.path, tokens: t.tokens, quietAt: time.Now()}
 	s.leave = r.f.loads.Enter(t.path, t.tokens)
 	s.bound = max(firstSilence, silenceFactor*time.Duration(t.choice.FirstMS*float64(time.Millisecond)))
 	s.timer = time.AfterFunc(scale(s.bound, probeAt), func() { s.check(sctx) })
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/platform/standin"
+	"github.com/snowspoke/snowspoke/site"
 )
 
 func TestStreamIsServedFromEmptyCards(t *testing.T) {
@@ -57,6 +58,23 @@
 	require.Equal(t, events(1, 20), a.Body, "each event once, in order")
 }
 
+// A stream that stands still for over a second is not cut off when no retry is
+// left: it may go on.
+func TestSilentStreamIsKeptWithoutARetryLeft(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.config["routes"].([]map[string]any)[2]["timeoutMs"] = 8000
+	w.putConfig()
+	heads, _ := w.pipeline(2, 1)
+	for _, h := range heads {
+		h.Events, h.EveryGap = 3, 1400*time.Millisecond
+	}
+	d := w.daemon("daemon-1", func(s *site.Settings) { s.RetryRatio, s.RetrySlack = 0, 0 }).ready(t, 3)
+	a := d.call(t, call{method: "POST", path: "/stream/", header: map[string]string{"Snowspoke-Deadline-Ms": "8000"}})
+	require.NoError(t, a.Err)
+	require.Equal(t, events(1, 3), a.Body)
+}
+
 func TestStreamGoesOnAfterTheEventThatTheCallerHas(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t)
