--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/snowspoke/snowspoke/admission"
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/invariant"
@@ -156,3 +157,27 @@
 	leave()
 	require.Equal(t, errBroken.Error(), causeOf(whyEnded(gone, sctx, broken)), "the caller left")
 }
+
+// A begun stream waits for a retry while the budget has none; another request is
+// given up at once.
+func TestBegunStreamsWaitForARetry(t *testing.T) {
+	f := plainForwarder(1, &scripted{})
+	f.budget = admission.NewBudget(1, 0, time.Second)
+	fresh := &run{f: f, req: &Request{Route: &site.Route{}}}
+	began := time.Now()
+	require.False(t, fresh.awaitRetry(t.Context()))
+	require.Less(t, time.Since(began), holdStep)
+	begun := &run{f: f, req: &Request{Route: &site.Route{}}}
+	begun.headSent.Store(true)
+	time.AfterFunc(5*holdStep, func() {
+		for range 4 {
+			f.budget.Earn(time.Now())
+		}
+	})
+	require.True(t, begun.awaitRetry(t.Context()))
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	for begun.takeRetry() {
+	}
+	require.False(t, begun.awaitRetry(gone))
+}
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"github.com/snowspoke/snowspoke/admission"
+	"github.com/snowspoke/snowspoke/internal/wait"
 )
 
 // Shares of the fleet's retry budget. Daemons do not ask each other: each keeps
@@ -48,3 +50,21 @@
 func (r *run) takeRetry() bool {
 	return r.reserved.Swap(false) || r.spendRetry()
 }
+
+// awaitRetry takes a retry. A stream that has begun waits for one as it waits for
+// a path: the budget earns more with each request, and its caller stays for a
+// while. Others are answered at once.
+func (r *run) awaitRetry(ctx context.Context) bool {
+	if r.takeRetry() {
+		return true
+	}
+	if !r.headSent.Load() {
+		return false
+	}
+	for until := time.Now().Add(recoverHold); time.Now().Before(until) && wait.For(ctx, holdStep); {
+		if r.takeRetry() {
+			return true
+		}
+	}
+	return false
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -128,7 +128,10 @@
 		if v == again && !r.req.Route.Repeatable() {
 			return apierror.Wrap(apierror.OutcomeUnknown, err)
 		}
-		if r.sends >= maxSends || !r.takeRetry() {
+		if r.sends >= maxSends || !r.awaitRetry(ctx) {
+			if ctx.Err() != nil {
+				return r.ended(ctx)
+			}
 			return r.giveUp(err)
 		}
 		r.f.log.Add("retry", "request", r.req.ID, "attempt", r.sends, "from", t.head().ID, "state", r.life.State(), "ran", r.life.HasRun(), "err", err)
