Daemons that are started again earn their retries' slack

In a rolling restart each new process began with its whole part of the slack, though its predecessor had spent it within the window, and until it had listed the daemons it took the whole slack to be its own. Change: unless the settings say that the whole system starts for the first time, the slack grows over the first window, with the cube of the process's age; while the number of daemons is not known, a hundred are assumed.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -24,7 +24,7 @@
 
 // Fleet tells how many daemons share the load.
 type Fleet interface {
-	Daemons() int
+	Daemons() int // 0 while not known
 }
 
 // Observer counts what happens to requests.
@@ -40,6 +40,9 @@
 	RetryRatio    float64 // retries of all daemons together, as a share of requests
 	RetrySlack    float64 // retries beyond the ratio in a window, of all daemons
 	RetryWindow   time.Duration
+	// Restarted says that another process may have run here within the window, whose
+	// retries count as well.
+	Restarted bool
 	// KeysFreshFor is how long after the last good read of the configuration keys
 	// are still taken, 0 for ever.
 	KeysFreshFor time.Duration
@@ -70,10 +73,14 @@
 	live      *liveStreams
 	crossings crossings
 
+	started      time.Time    // earlier by a window where nothing ran before
 	keysFreshFor atomic.Int64 // see Options
 	requests     atomic.Int64
 }
 
+// defaultRetryWindow is that of a site which sets none.
+const defaultRetryWindow = 10 * time.Second
+
 // cooldowns are the times for which a backend server gets no work. One that is
 // full has room again after about as long as some request takes to end; the
 // record of a dead one lapses after three heartbeats, a few seconds.
@@ -81,12 +88,18 @@
 
 // New returns a forwarder.
 func New(o Options, p Parts) *Forwarder {
+	if o.RetryWindow <= 0 {
+		o.RetryWindow = defaultRetryWindow
+	}
 	f := &Forwarder{
-		opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
+		started: time.Now(), opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), live: newLiveStreams(),
 	}
 	f.keysFreshFor.Store(int64(o.KeysFreshFor))
+	if !o.Restarted {
+		f.started = f.started.Add(-o.RetryWindow)
+	}
 	return f
 }
 
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -19,19 +19,35 @@
 	freshUse = 0.6
 )
 
+// unknownDaemons is how many daemons are taken to share the slack while nobody
+// could tell: more than there are today.
+const unknownDaemons = 100
+
 // retryPart returns this daemon's part of the fleet's budget for a request; begun
-// says that it is a stream of which the caller has events.
-func retryPart(daemons int, begun bool) admission.Part {
+// says that it is a stream of which the caller has events. running is how long
+// this process has run, window that of the budget: a process that was started
+// again does not know what its predecessor spent within the window, so its slack
+// grows from none, slowly at first.
+func retryPart(daemons int, begun bool, running, window time.Duration) admission.Part {
+	if daemons <= 0 {
+		daemons = unknownDaemons
+	}
 	use := budgetUse
 	if !begun {
 		use *= freshUse
 	}
-	return admission.Part{Ratio: use, Slack: use / float64(max(1, daemons))}
+	grown := min(1, running.Seconds()/window.Seconds())
+	return admission.Part{Ratio: use, Slack: use * grown * grown * grown / float64(daemons)}
+}
+
+func (r *run) retryPart(now time.Time) admission.Part {
+	return retryPart(r.f.fleet.Daemons(), r.headSent.Load(), now.Sub(r.f.started), r.f.opts.RetryWindow)
 }
 
 // spendRetry takes a retry of the request out of the budget.
 func (r *run) spendRetry() bool {
-	return r.f.budget.Spend(time.Now(), retryPart(r.f.fleet.Daemons(), r.headSent.Load()))
+	now := time.Now()
+	return r.f.budget.Spend(now, r.retryPart(now))
 }
 
 // reserveRetry takes a retry before a send is ended that may still be going on:
--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -10,16 +10,18 @@
 	"github.com/snowspoke/snowspoke/site"
 )
 
+const testWindow = 10 * time.Second
+
 func TestBegunStreamsHaveAReserve(t *testing.T) {
 	b := admission.NewBudget(0.2, 100, 10*time.Second)
 	now := time.Unix(1000, 0)
 	fresh := 0
-	for b.Spend(now, retryPart(1, false)) {
+	for b.Spend(now, retryPart(1, false, time.Minute, testWindow)) {
 		fresh++
 	}
-	require.True(t, b.Allows(now, retryPart(1, true)))
+	require.True(t, b.Allows(now, retryPart(1, true, time.Minute, testWindow)))
 	begun := 0
-	for b.Spend(now, retryPart(1, true)) {
+	for b.Spend(now, retryPart(1, true, time.Minute, testWindow)) {
 		begun++
 	}
 	require.Equal(t, 48, fresh)
@@ -36,7 +38,7 @@
 		for range 50 {
 			b.Earn(now)
 		}
-		for b.Spend(now, retryPart(daemons, true)) {
+		for b.Spend(now, retryPart(daemons, true, time.Minute, testWindow)) {
 			spent++
 		}
 	}
@@ -44,6 +46,47 @@
 	require.Greater(t, spent, 200)
 }
 
+// Daemons that are started again one after the other, and spend all they may,
+// stay within the budget in every window; so do those that know nothing of the
+// others.
+func TestDaemonsThatRestartShareTheBudget(t *testing.T) {
+	const daemons, slack = 8, 200
+	for name, known := range map[string]int{"known": daemons, "not known after the start": 0} {
+		t.Run(name, func(t *testing.T) {
+			type process struct {
+				budget  *admission.Budget
+				started time.Time
+				known   int
+			}
+			begin := time.Unix(1000, 0)
+			fleet := make([]process, daemons)
+			for i := range fleet {
+				fleet[i] = process{admission.NewBudget(0, slack, testWindow), begin.Add(-time.Minute), daemons}
+			}
+			var spent []time.Time
+			for step := range 400 {
+				now := begin.Add(time.Duration(step) * 100 * time.Millisecond)
+				if step%10 == 5 {
+					fleet[step/10%daemons] = process{admission.NewBudget(0, slack, testWindow), now, known}
+				}
+				for i := range fleet {
+					p := &fleet[i]
+					for p.budget.Spend(now, retryPart(p.known, true, now.Sub(p.started), testWindow)) {
+						spent = append(spent, now)
+					}
+				}
+			}
+			for i := range spent {
+				in := 0
+				for j := i; j >= 0 && spent[i].Sub(spent[j]) < testWindow; j-- {
+					in++
+				}
+				require.LessOrEqual(t, in, slack)
+			}
+		})
+	}
+}
+
 func TestWhatIsKnownOfTheGoneIsForgotten(t *testing.T) {
 	l := NewLoads()
 	for _, id := range []string{"gone", "here"} {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,7 +103,7 @@
 	g.members = newMembers(self, g.store, g.log)
 	g.forward = forward.New(forward.Options{
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetrySlack: set.RetrySlack,
-		RetryWindow: set.RetryWindow, KeysFreshFor: keysFreshFor(set),
+		RetryWindow: set.RetryWindow, Restarted: !set.FirstStart, KeysFreshFor: keysFreshFor(set),
 	}, forward.Parts{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}})
 	g.relay = relay.New(relay.Options{Name: set.Name, Domain: set.FailureDomain}, g.inv, g.forward.Loads(), g.members, g.log)
 	g.links = &http.Server{Handler: g.relay.Handler()}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -68,11 +68,10 @@
 
 func newMembers(self relay.Member, s memberStore, logger log.Logger) *members {
 	m := &members{self: self, store: s, logger: logger, seen: map[string]seenMember{}, found: make(chan struct{})}
-	m.alive.Store(1)
 	return m
 }
 
-// Daemons implements forward.Fleet.
+// Daemons implements forward.Fleet; before the first list it is 0.
 func (m *members) Daemons() int { return int(m.alive.Load()) }
 
 // All implements relay.Members.
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -83,7 +83,8 @@
 func (w *world) daemon(name string, change func(*site.Settings)) *running {
 	w.t.Helper()
 	set := site.Settings{
-		Name: name, IP: "127.0.0.1", FailureDomain: "domain-1", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0",
+		FirstStart: true,
+		Name:       name, IP: "127.0.0.1", FailureDomain: "domain-1", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0",
 		Store: w.store.Address(), Grace: 8 * time.Second, FailClosed: true, RevokeWithin: 5 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 	}
--- a/site/settings.go
+++ b/site/settings.go
@@ -16,6 +16,7 @@
 	PeerPort      int    // free for daemons to talk to each other
 	MemoryMB      int
 	Descriptors   int
+	FirstStart    bool // the whole system starts for the first time: no process was here before
 
 	Contact      time.Duration // after this long without trouble a VM counts as sound
 	LeaveWithin  time.Duration // from a backend server's leaving until it gets no new work
