Streams that wait for their first event are not given up without a retry left

A crowded site with no retries left: each stream that waited 1.1 s for its first event was ended with 502 ('stream stands still', 41 to 63 a second); its prompt had been read for nothing, so that the queue never got shorter. Change: a send is ended for silence only with a retry taken, whether it has begun or not; a dead head still ends one that has not begun. Test that failed first: TestSlowFirstEventIsWaitedForWithoutARetryLeft (the stand-in can wait before the first event).

--- a/forward/recover.go
+++ b/forward/recover.go
@@ -65,9 +65,12 @@
 
 // giveUp ends a send that stands still, so that the request goes on elsewhere. A
 // stream that has begun is left as it is when it could not: silence alone is no
-// reason to cut an answer off.
+// reason to cut an answer off. So is one that only waits for its first event: if
+// all that wait were given up, what their heads have read would be read for
+// nothing, and the queue would never get shorter.
 func (s *stream) giveUp(why error) {
-	if s.r.headSent.Load() && !s.reserveSend() {
+	waits := s.r.headSent.Load() || errors.Is(why, errSilent)
+	if waits && !s.reserveSend() {
 		s.timer.Reset(askAgain)
 		return
 	}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -75,6 +75,23 @@
 	require.Equal(t, events(1, 3), a.Body)
 }
 
+// A stream that waits for its first event for over a second is served, late, when
+// no retry is left.
+func TestSlowFirstEventIsWaitedForWithoutARetryLeft(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.config["routes"].([]map[string]any)[2]["timeoutMs"] = 8000
+	w.putConfig()
+	heads, _ := w.pipeline(2, 1)
+	for _, h := range heads {
+		h.FirstGap = 1800 * time.Millisecond
+	}
+	d := w.daemon("daemon-1", func(s *site.Settings) { s.RetryRatio, s.RetrySlack = 0, 0 }).ready(t, 3)
+	a := d.call(t, call{method: "POST", path: "/stream/", header: map[string]string{"Snowspoke-Deadline-Ms": "8000"}})
+	require.NoError(t, a.Err)
+	require.Equal(t, events(1, 5), a.Body)
+}
+
 func TestStreamGoesOnAfterTheEventThatTheCallerHas(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t)
