--- a/forward/recover.go
+++ b/forward/recover.go
@@ -119,7 +119,7 @@
 		if samePath(p, old) {
 			break
 		}
-		if crosses(p, old) && s.mayResume() {
+		if crosses(p, old) && s.reserveResume() {
 			s.cancel(errElsewhere)
 			return
 		}
@@ -159,9 +159,9 @@
 	return false
 }
 
-// mayResume reports whether the stream may go on at another head, and takes the
+// reserveResume reports whether the stream may go on at another head, and takes the
 // retry for it.
-func (s *stream) mayResume() bool {
+func (s *stream) reserveResume() bool {
 	return !s.r.attemptsUsed(s.r.f.inv.View().Servers) && s.reserveSend()
 }
 
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -62,15 +62,7 @@
 // left: it may go on.
 func TestSilentStreamIsKeptWithoutARetryLeft(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t)
-	w.config["routes"].([]map[string]any)[2]["timeoutMs"] = 8000
-	w.putConfig()
-	heads, _ := w.pipeline(2, 1)
-	for _, h := range heads {
-		h.Events, h.EveryGap = 3, 1400*time.Millisecond
-	}
-	d := w.daemon("daemon-1", func(s *site.Settings) { s.RetryRatio, s.RetrySlack = 0, 0 }).ready(t, 3)
-	a := d.call(t, call{method: "POST", path: "/stream/", header: map[string]string{"Snowspoke-Deadline-Ms": "8000"}})
+	a := slowStream(t, func(h *standin.Server) { h.Events, h.EveryGap = 3, 1400*time.Millisecond })
 	require.NoError(t, a.Err)
 	require.Equal(t, events(1, 3), a.Body)
 }
@@ -79,17 +71,23 @@
 // no retry is left.
 func TestSlowFirstEventIsWaitedForWithoutARetryLeft(t *testing.T) {
 	t.Parallel()
+	a := slowStream(t, func(h *standin.Server) { h.FirstGap = 1800 * time.Millisecond })
+	require.NoError(t, a.Err)
+	require.Equal(t, events(1, 5), a.Body)
+}
+
+// slowStream asks a daemon without any retries for a stream of slow heads.
+func slowStream(t *testing.T, slow func(*standin.Server)) answer {
+	t.Helper()
 	w := newWorld(t)
 	w.config["routes"].([]map[string]any)[2]["timeoutMs"] = 8000
 	w.putConfig()
 	heads, _ := w.pipeline(2, 1)
 	for _, h := range heads {
-		h.FirstGap = 1800 * time.Millisecond
+		slow(h)
 	}
 	d := w.daemon("daemon-1", func(s *site.Settings) { s.RetryRatio, s.RetrySlack = 0, 0 }).ready(t, 3)
-	a := d.call(t, call{method: "POST", path: "/stream/", header: map[string]string{"Snowspoke-Deadline-Ms": "8000"}})
-	require.NoError(t, a.Err)
-	require.Equal(t, events(1, 5), a.Body)
+	return d.call(t, call{method: "POST", path: "/stream/", header: map[string]string{"Snowspoke-Deadline-Ms": "8000"}})
 }
 
 func TestStreamGoesOnAfterTheEventThatTheCallerHas(t *testing.T) {
