--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -165,6 +165,9 @@
 	cpu, memory := Control(rows)
 	t := TwoYears
 	fmt.Fprintf(&b, "\nControl of a daemon that has every duty at once: %.2f%% of a core (target 1%%), %.0f MB (target 64 MB).\n", 100*cpu, memory)
+	idle := Measured.IdleBase.Value + (t.Daemons-32)*Measured.IdlePer.Value
+	change := t.Changes / day * (Measured.ChangeBase.Value + (t.Daemons-32)*Measured.ChangePer.Value)
+	fmt.Fprintf(&b, "Control traffic of a daemon: %.2f KB/s idle and %.2f KB/s for changes (target 3 KB/s).\n", idle/1000, change/1000)
 	watchers := t.Domains * Measured.Watchers.Value
 	fmt.Fprintf(&b, "\n## Store calls of the whole fleet\n\n| kind | calls a second |\n|---|---|\n")
 	fmt.Fprintf(&b, "| reads of the configuration | %.2f |\n| open watches | %.0f |\n| reads of the VM list | %.1f |\n| reads of the lease | %.1f |\n| writes of the lease | 0.5 |\n| writes of claims | at most %.0f |\n",
@@ -177,6 +180,7 @@
 		}
 		fmt.Fprintf(&b, "| %s | %.4g %s | %s | %s |\n", s.Name, s.Value, s.Unit, from, s.Commit)
 	}
+	writePlatform(&b, TwoYears)
 	b.WriteString(outro)
 	return b.String()
 }
--- /dev/null
+++ b/capacity/platform.go
@@ -0,0 +1,71 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+)
+
+// SweepPoint is one size of the users' sweep: figures of the middle and of the
+// busiest daemon, callers' traffic included.
+type SweepPoint struct {
+	VMs, BackendServers int
+	CPU, BusiestCPU     float64 // percent of a core
+	Memory, Busiest     float64 // MB
+	KB, BusiestKB       float64 // a second
+	Served              float64
+	BackAfterKill       float64 // seconds until served after all processes were killed
+}
+
+// Sweep holds the figures of the last sweep (journal snapshot SweepSnapshot).
+var Sweep = []SweepPoint{
+	{30, 301, 2.8, 3.9, 11.5, 13.6, 33.8, 341, 0.993, 0.5},
+	{100, 1001, 2.5, 3.6, 12.2, 25.2, 49.9, 1699, 0.986, 5},
+	{300, 2999, 4.2, 10.9, 18.9, 57.4, 221, 16380, 0.953, 30},
+}
+
+// SweepSnapshot names the journal entry of Sweep.
+const SweepSnapshot = "99e5c643"
+
+// Figures of the relay, in bytes: a ping with its answer, one load of a backend
+// server, one record of a backend server in a compressed state.
+const (
+	pingBytes   = 95.0
+	loadBytes   = 24.0
+	recordBytes = 45.0
+)
+
+// Periods of the relay, as set in package relay.
+const (
+	pingsPerSecond  = 1 / 0.4
+	secondsPerLoad  = 0.010 // of the period, for each backend server
+	ownLoadsShare   = 0.1   // backend servers on which one daemon has requests
+	sourcesADomain  = 1
+	storeCallsASrc  = 1/0.9 + 1/9.0 // watches of a source that sees no change
+	leaseCallsASite = 3.0           // renewals and looks at the lease
+)
+
+// FollowerBytes returns what a link between a source and a follower carries, in
+// bytes a second both ways, while nothing changes.
+func FollowerBytes(t Target) float64 {
+	loads := loadBytes * (1 + ownLoadsShare) / secondsPerLoad
+	return pingBytes*pingsPerSecond + loads
+}
+
+func writePlatform(b *strings.Builder, t Target) {
+	followers := t.Daemons/t.Domains - sourcesADomain
+	link := FollowerBytes(t)
+	fmt.Fprintf(b, "\n## On the users' platform\n\n")
+	fmt.Fprintf(b, "Measured by `fleetbench sweep` on the first grown site (journal snapshot %s), before states were compressed:\n\n", SweepSnapshot)
+	b.WriteString("| VMs / backend servers | processor, middle / busiest | memory, MB | KB/s | served | served again after all were killed |\n|---|---|---|---|---|---|\n")
+	for _, p := range Sweep {
+		fmt.Fprintf(b, "| %d / %d | %.1f%% / %.1f%% | %.1f / %.1f | %.0f / %.0f | %.3f | %.1f s |\n",
+			p.VMs, p.BackendServers, p.CPU, p.BusiestCPU, p.Memory, p.Busiest, p.KB, p.BusiestKB, p.Served, p.BackAfterKill)
+	}
+	fmt.Fprintf(b, "\nServed at 300 VMs over served at 30: %.2f (target 0.7). Callers' traffic is part of processor and bytes.\n\n", Sweep[2].Served/Sweep[0].Served)
+	b.WriteString("Worked out for the target from the relay's periods and sizes of messages:\n\n| figure | value | target |\n|---|---|---|\n")
+	fmt.Fprintf(b, "| control traffic of a follower | %.1f KB/s | 3 KB/s |\n", link/1000)
+	fmt.Fprintf(b, "| control traffic of a source (%.0f followers) | %.0f KB/s: **missed** by %.0f of %.0f daemons | 3 KB/s |\n", followers, link*followers/1000, t.Domains*sourcesADomain, t.Daemons)
+	fmt.Fprintf(b, "| full state to one follower | %.0f KB compressed | |\n", recordBytes*t.BackendServers/1000)
+	fmt.Fprintf(b, "| store calls of the whole fleet | %.1f a second, whatever the daemons | |\n", t.Domains*storeCallsASrc+leaseCallsASite)
+	b.WriteString("\nA tree of followers, or loads told as changes only, would bring a source within its target; neither is built.\n")
+}
