Cards around a lost one share its layers; a replacement takes those of the card that leaves

And each new card of a rolling replacement was given other layers a second before the card that it replaces drained, so that it read weights twice.

A card that came empty is kept for 1.5 s for the layers of one that leaves. One prediction of the time of loads, site.Engine.LoadTime.

Tests: TestLostCardLeavesRoomForRequests, TestCrowdedCardIsRelieved, TestReplacementTakesTheLayersOfTheCardThatLeaves (all failed before), TestNoLayersAreGivenUpForACardThatDrains, TestCardThatJustCameIsKeptForOneThatLeaves. TestPipelineIsLaidOutAnewOnlyAfterAWhile now has slow loads, since a quick run of neighbours does not wait any more; it asserts the same.

--- a/pipeline/layout.go
+++ b/pipeline/layout.go
@@ -123,18 +123,25 @@
 	return out
 }
 
-// counts returns how many layers each card takes, nil if they do not fit. Room is
+// counts returns how many layers of a pipeline each card takes, nil if they do
+// not fit.
+func counts(e *site.Engine, chain []Card) []int {
+	out, _ := split(e, chain, e.Layers)
+	return out
+}
+
+// split divides a number of layers among cards, nil if they do not fit. Room is
 // the number of usual requests that the fullest card holds: it is raised as far
 // as all layers still fit, up to what the first hop's slots can use.
-func counts(e *site.Engine, chain []Card) []int {
+func split(e *site.Engine, chain []Card, layers int) (counts []int, room float64) {
 	low, high := 0.0, float64(max(1, e.Slots))
-	if total(fit(e, chain, low)) < e.Layers {
-		return nil
+	if total(fit(e, chain, low)) < layers {
+		return nil, 0
 	}
-	if total(fit(e, chain, high)) < e.Layers {
+	if total(fit(e, chain, high)) < layers {
 		for range 30 {
 			mid := (low + high) / 2
-			if total(fit(e, chain, mid)) >= e.Layers {
+			if total(fit(e, chain, mid)) >= layers {
 				low = mid
 			} else {
 				high = mid
@@ -142,7 +149,7 @@
 		}
 		high = low
 	}
-	return trim(e, chain, fit(e, chain, high))
+	return trim(e, chain, fit(e, chain, high), layers), high
 }
 
 // fit returns how many layers each card can hold beside the memory of n usual
@@ -165,8 +172,8 @@
 }
 
 // trim takes the layers that are too many from the slowest cards.
-func trim(e *site.Engine, chain []Card, counts []int) []int {
-	for over := total(counts) - e.Layers; over > 0; over-- {
+func trim(e *site.Engine, chain []Card, counts []int, layers int) []int {
+	for over := total(counts) - layers; over > 0; over-- {
 		worst := -1
 		for i := range chain {
 			if counts[i] == 0 {
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 
 	"github.com/snowspoke/snowspoke/site"
@@ -14,6 +13,9 @@
 	Server  *site.BackendServer
 	Ordered site.Range // what it holds or is to hold by an order under way
 	Busy    bool       // an order is under way, or one was sent without an answer
+	// Fresh says that it came empty a moment ago: a replacement starts before the one
+	// that it replaces drains, whose layers it shall take.
+	Fresh bool
 }
 
 // Order says which layers a backend server shall hold.
@@ -32,7 +34,7 @@
 	// beside its layers: with a third of that, it limited its whole pipeline and
 	// paths left the failure domain.
 	fairRoom = 80
-	// leastRoom is the same for a card that takes over layers from a neighbour, and
+	// leastRoom is the same for cards that share the layers of a lost one, and
 	// bareRoom where nothing else holds them: little room is better than none.
 	leastRoom = 30
 	bareRoom  = 8
@@ -59,18 +61,19 @@
 // a layer: all of them would read their weights again, and a card that crashed
 // may be back in seconds.
 func Place(e *site.Engine, cards []Card, patient bool) Plan {
+	leaving := drainingRanges(cards)
 	cards = usable(e, cards)
 	var p Plan
 	var rest []Card
 	for _, d := range domains(cards) {
 		if n := pipelines(e, d); n > 0 {
-			p.add(placeGroup(e, d, n, patient))
+			p.add(placeGroup(e, d, leaving[d[0].Server.FailureDomain], n, patient))
 			continue
 		}
 		rest = append(rest, d...)
 	}
 	if n := pipelines(e, rest); n > 0 {
-		p.add(placeGroup(e, rest, n, patient))
+		p.add(placeGroup(e, rest, nil, n, patient))
 		return p
 	}
 	p.Orders = append(p.Orders, support(e, rest, cards, p.Orders)...)
@@ -82,6 +85,18 @@
 	p.Broken = p.Broken || o.Broken
 }
 
+// drainingRanges returns the layers of cards that are leaving, by failure domain:
+// requests still pass through them.
+func drainingRanges(cards []Card) map[string][]site.Range {
+	out := map[string][]site.Range{}
+	for _, c := range cards {
+		if d := c.Server.FailureDomain; c.Server.Draining && placed(c) {
+			out[d] = append(out[d], c.Ordered)
+		}
+	}
+	return out
+}
+
 func usable(e *site.Engine, cards []Card) []Card {
 	var out []Card
 	for _, c := range cards {
@@ -94,7 +109,7 @@
 }
 
 // placeGroup places n pipelines on the cards of a group.
-func placeGroup(e *site.Engine, cards []Card, n int, patient bool) Plan {
+func placeGroup(e *site.Engine, cards []Card, leaving []site.Range, n int, patient bool) Plan {
 	if !slices.ContainsFunc(cards, placed) {
 		var orders []Order
 		for _, chain := range deal(e, cards, n) {
@@ -102,9 +117,11 @@
 		}
 		return Plan{Orders: orders}
 	}
-	g := &group{e: e, cards: slices.Clone(cards), n: n}
-	g.fillHoles()
+	g := &group{e: e, cards: slices.Clone(cards), leaving: leaving, n: n}
+	g.fillHoles(empty)
 	g.extendIntoHoles()
+	g.fillHoles(g.spare)
+	g.shareHoles(patient)
 	broken := g.uncovered()
 	if broken && !patient {
 		if anew := relayOut(e, slices.DeleteFunc(slices.Clone(cards), busy), n); len(anew) > 0 {
@@ -112,6 +129,7 @@
 		}
 	}
 	g.useSpare()
+	g.relieve()
 	return Plan{Orders: g.orders, Broken: broken}
 }
 
@@ -121,10 +139,11 @@
 
 // group is the state of placing one group.
 type group struct {
-	e      *site.Engine
-	cards  []Card
-	n      int // pipelines, the number of cards on which each layer shall lie
-	orders []Order
+	e       *site.Engine
+	cards   []Card
+	leaving []site.Range // layers of cards that drain: requests pass through them
+	n       int          // pipelines, the number of cards on which each layer shall lie
+	orders  []Order
 }
 
 // take orders layers for a card and goes on as if it held them.
@@ -166,12 +185,11 @@
 	return out
 }
 
-// fillHoles gives empty cards, and cards whose layers others hold as well, to
-// the holes.
-func (g *group) fillHoles() {
+// fillHoles gives cards that are free for it to the holes.
+func (g *group) fillHoles(free func(Card) bool) {
 	for _, hole := range g.holes() {
 		for hole.Len() > 0 {
-			i := g.freeCard(hole)
+			i := g.freeCard(hole, free)
 			if i < 0 {
 				break
 			}
@@ -208,13 +226,12 @@
 }
 
 // freeCard returns the free card that suits a hole best: the smallest that covers
-// it, else the largest.
-func (g *group) freeCard(hole site.Range) int {
+// it, else the largest; -1 for none.
+func (g *group) freeCard(hole site.Range, free func(Card) bool) int {
 	best := -1
-	holders := g.holders()
 	for i := range g.cards {
 		c := g.cards[i]
-		if c.Busy || placed(c) && !g.spare(c, holders) {
+		if c.Busy || !free(c) {
 			continue
 		}
 		if best < 0 || suits(g.fits(c), g.fits(g.cards[best]), hole.Len()) {
@@ -231,8 +248,15 @@
 	return a > b
 }
 
+// empty reports whether a card holds no layers.
+func empty(c Card) bool { return !placed(c) }
+
 // spare reports whether all layers of a card lie on enough other cards.
-func (g *group) spare(c Card, holders []int) bool {
+func (g *group) spare(c Card) bool {
+	if !placed(c) {
+		return false
+	}
+	holders := g.holders()
 	for l := max(0, c.Ordered.From); l < min(g.e.Layers, c.Ordered.To); l++ {
 		if holders[l] <= g.n {
 			return false
@@ -241,85 +265,12 @@
 	return true
 }
 
-// extendIntoHoles lets the cards on both sides of a hole take it over.
-func (g *group) extendIntoHoles() {
-	for _, hole := range g.holes() {
-		least := float64(leastRoom)
-		if g.holders()[hole.From] == 0 {
-			least = bareRoom
-		}
-		s := g.bestSplit(hole)
-		if s.room < least {
-			continue
-		}
-		reason := fmt.Sprintf("layers %d-%d lie on too few cards, taken over by their neighbours", hole.From, hole.To)
-		if s.left >= 0 && s.at > hole.From {
-			g.take(s.left, site.Range{From: g.cards[s.left].Ordered.From, To: s.at}, reason)
-		}
-		if s.right >= 0 && s.at < hole.To {
-			g.take(s.right, site.Range{From: s.at, To: g.cards[s.right].Ordered.To}, reason)
-		}
-	}
-}
-
-// split divides a hole between the card before it and the one behind it; -1
-// stands for none.
-type split struct {
-	left, right, at int
-	room            float64
-}
-
-func (g *group) bestSplit(hole site.Range) split {
-	best := split{left: -1, right: -1}
-	lefts, rights := []int{-1}, []int{-1}
-	for i := range g.cards {
-		c := g.cards[i]
-		if c.Busy || !placed(c) {
-			continue
-		}
-		if c.Ordered.To == hole.From {
-			lefts = append(lefts, i)
-		}
-		if c.Ordered.From == hole.To {
-			rights = append(rights, i)
-		}
-	}
-	for _, l := range lefts {
-		for _, r := range rights {
-			for at := hole.From; at <= hole.To; at++ {
-				if l < 0 && at > hole.From || r < 0 && at < hole.To || l >= 0 && l == r {
-					continue
-				}
-				room := math.Inf(1)
-				if l >= 0 && at > hole.From {
-					room = min(room, g.roomWith(l, at-g.cards[l].Ordered.From))
-				}
-				if r >= 0 && at < hole.To {
-					room = min(room, g.roomWith(r, g.cards[r].Ordered.To-at))
-				}
-				if room > best.room && !math.IsInf(room, 1) {
-					best = split{left: l, right: r, at: at, room: room}
-				}
-			}
-		}
-	}
-	return best
-}
-
-// roomWith returns the usual requests that a card holds beside n layers.
-func (g *group) roomWith(i, n int) float64 {
-	if n > g.e.MaxLayers(g.cards[i].Server.Kind) {
-		return 0
-	}
-	return roomOf(g.e, g.cards[i], n)
-}
-
 // useSpare gives the cards that are still empty to the layers with the least
 // room for requests.
 func (g *group) useSpare() {
 	for i := range g.cards {
 		c := g.cards[i]
-		if placed(c) || c.Busy {
+		if placed(c) || c.Busy || c.Fresh {
 			continue
 		}
 		if r := leastRoomWindow(g.e, c, coverage(g.e, g.cards)); r.Len() > 0 {
@@ -350,8 +301,9 @@
 	if len(rest) == len(all) {
 		g.n = 1
 	}
-	g.fillHoles()
-	g.extendIntoHoles()
+	g.fillHoles(empty)
+	g.fillHoles(g.spare)
+	g.shareHoles(false)
 	g.useSpare()
 	return g.orders
 }
--- a/pipeline/place_test.go
+++ b/pipeline/place_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -19,6 +20,7 @@
 		Slots: 192, Layers: 80, LayerMB: 1750, KVTokenBytes: 590000, StepMS: 0.85, PerRequestMS: 0.00382,
 		ContextPerKMS: 0.00512, ReadPerSecond: 196000, ReadPairsMS: 0.166, Stride: 2, Prompt: 772, Answer: 172,
 		ActBytes: 29500, LinkMbps: 480000, PipeMbps: 9000, LoadsAtOnce: 6,
+		Models: []site.EngineModel{{Name: "m", Load: 14 * time.Second}},
 		Kinds: map[string]site.Accelerator{
 			"large":  {MemoryMB: 72000, Pace: 1.4, ReadPace: 1},
 			"middle": {MemoryMB: 36000, Pace: 3.1, ReadPace: 3.2},
@@ -121,6 +123,76 @@
 	}
 }
 
+// The cards that are left share the layers of a lost one evenly: two neighbours
+// that took them alone had room for seven requests beside their weights.
+func TestLostCardLeavesRoomForRequests(t *testing.T) {
+	e := testEngine()
+	for lost := range siteCards() {
+		cards := siteCards()
+		settle(t, e, cards)
+		domain := cards[lost].Server.FailureDomain
+		cards = slices.Delete(cards, lost, lost+1)
+		settle(t, e, cards)
+		left := slices.DeleteFunc(cards, func(c Card) bool { return c.Server.FailureDomain != domain })
+		require.GreaterOrEqual(t, BoundOf(e, left).Requests, 60, "card %d", lost)
+	}
+}
+
+// Cards that were crowded while others were busy get room once those are not.
+func TestCrowdedCardIsRelieved(t *testing.T) {
+	e := testEngine()
+	cards := siteCards()[:13]
+	settle(t, e, cards)
+	last := slices.MaxFunc(cards, func(a, b Card) int { return a.Ordered.To - b.Ordered.To })
+	at := slices.IndexFunc(cards, func(c Card) bool { return c.Ordered.To == last.Ordered.From })
+	cards = slices.DeleteFunc(cards, func(c Card) bool { return c.Server.ID == last.Server.ID })
+	crowded := *cards[at].Server
+	crowded.Held.To = e.Layers
+	cards[at] = Card{Server: &crowded, Ordered: crowded.Held}
+	require.Less(t, BoundOf(e, cards).Requests, 10)
+	loads := settle(t, e, cards)
+	require.GreaterOrEqual(t, BoundOf(e, cards).Requests, 90)
+	require.LessOrEqual(t, loads, 6)
+}
+
+// In a rolling replacement the new card comes before the old one drains: it is
+// kept for the layers of that one, which it then takes alone.
+func TestReplacementTakesTheLayersOfTheCardThatLeaves(t *testing.T) {
+	e, cards := testEngine(), siteCards()
+	settle(t, e, cards)
+	fresh := card("a-new", "a", "small")
+	fresh.Fresh = true
+	cards = append(cards, fresh)
+	require.Empty(t, Place(e, cards, true).Orders)
+	old := slices.IndexFunc(cards, func(c Card) bool { return c.Server.FailureDomain == "a" && c.Server.Kind == "small" })
+	leaving := *cards[old].Server
+	leaving.Draining = true
+	cards[old].Server = &leaving
+	orders := Place(e, cards, true).Orders
+	require.Len(t, orders, 1)
+	require.Equal(t, "a-new", orders[0].Server.ID)
+	require.Equal(t, cards[old].Ordered, orders[0].Layers)
+	cards[old] = cards[len(cards)-1]
+	cards[old].Fresh = false
+	settle(t, e, cards[:len(cards)-1])
+}
+
+// Requests still pass through the layers of a card that drains: those around it
+// may take them over, but give none of their own up.
+func TestNoLayersAreGivenUpForACardThatDrains(t *testing.T) {
+	for at := range siteCards() {
+		e, cards := testEngine(), siteCards()
+		settle(t, e, cards)
+		leaving := *cards[at].Server
+		leaving.Draining = true
+		cards[at].Server = &leaving
+		for _, o := range Place(e, cards, true).Orders {
+			held := o.Server.Held
+			require.Equal(t, held.Len(), held.Overlap(o.Layers), "%s %s gives up some of %v for %v", cards[at].Server.ID, o.Server.ID, held, o.Layers)
+		}
+	}
+}
+
 func TestReturningEmptyCardGetsWork(t *testing.T) {
 	e, cards := testEngine(), siteCards()
 	settle(t, e, cards)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -30,12 +31,18 @@
 	// orderShows is how long it may take until a finished order shows in the
 	// record of the backend server, beyond the time of the load.
 	orderShows = 3 * time.Second
+	// loadsSlowed is how much longer a load may take while others use the weight
+	// store.
+	loadsSlowed = 4
 	// probeAgain is the pause between two probes of a backend server that did not
 	// answer one.
 	probeAgain = time.Second
 	// settle is how long the set of empty cards must have been the same before a
 	// first placement: backend servers register one after the other.
 	settle = 1200 * time.Millisecond
+	// freshFor is how long a card that came empty is kept for the layers of one that
+	// is about to leave: in a rolling replacement the new one comes a second earlier.
+	freshFor = 1500 * time.Millisecond
 	// patience is how long a layer may lie on no card of its group before the group
 	// is laid out anew: cards that crash are mostly back within five seconds.
 	patience = 6 * time.Second
@@ -75,7 +82,8 @@
 	health   Health
 	logger   log.Logger
 
-	dead map[string]time.Time // by backend server ID, when the probe failed
+	dead  map[string]time.Time // by backend server ID, when the probe failed
+	fresh map[string]time.Time // by backend server ID, when it was first seen empty
 
 	mu      sync.Mutex
 	pending map[string]order // by backend server ID
@@ -95,7 +103,7 @@
 
 // New returns a placer; Run must be called.
 func New(duty Duty, inv Inventory, b Backends, h Health, logger log.Logger) *Placer {
-	return &Placer{duty: duty, inv: inv, backends: b, health: h, dead: map[string]time.Time{}, logger: logger, pending: map[string]order{}, bounds: map[string]pipeline.Bound{}}
+	return &Placer{duty: duty, inv: inv, backends: b, health: h, dead: map[string]time.Time{}, fresh: map[string]time.Time{}, logger: logger, pending: map[string]order{}, bounds: map[string]pipeline.Bound{}}
 }
 
 // Run places until ctx ends.
@@ -209,6 +217,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	var out []pipeline.Card
+	maps.DeleteFunc(p.fresh, func(id string, _ time.Time) bool { return view.Servers[id] == nil })
 	for _, s := range view.OfService(svc.Name) {
 		if _, dead := p.dead[s.ID]; dead {
 			continue
@@ -221,11 +230,23 @@
 				c.Ordered, c.Busy = o.layers, true
 			}
 		}
+		c.Fresh = p.isFresh(s, now)
 		out = append(out, c)
 	}
 	return out
 }
 
+// isFresh reports whether a card came empty a moment ago.
+func (p *Placer) isFresh(s *site.BackendServer, now time.Time) bool {
+	if s.Held.Len() > 0 {
+		return false
+	}
+	if _, known := p.fresh[s.ID]; !known {
+		p.fresh[s.ID] = now
+	}
+	return now.Sub(p.fresh[s.ID]) < freshFor
+}
+
 // give sends orders, several at once. Whoever receives an order counts as busy
 // until it shows: an order without an answer may be carried out much later.
 func (p *Placer) give(ctx context.Context, e *site.Engine, orders []pipeline.Order, fence uint64) {
@@ -251,7 +272,7 @@
 		return
 	}
 	err = p.backends.Hold(ctx, o.Server, o.Layers, rep.Orders, fence)
-	settles := orderShows + loadTime(e, o.Layers.Len())
+	settles := orderShows + loadsSlowed*e.LoadTime(o.Layers.Len())
 	if err != nil {
 		settles = orderSettles
 	}
@@ -265,12 +286,3 @@
 		"card", o.Server.Kind, "domain", o.Server.FailureDomain, "held_from", o.Server.Held.From, "held_to", o.Server.Held.To,
 		"from", o.Layers.From, "to", o.Layers.To, "orders_before", rep.Orders, "fence", fence, "reason", o.Reason, "err", err)
 }
-
-// loadTime is the time that loading layers takes, with the weight store shared
-// by as many loads as are usual.
-func loadTime(e *site.Engine, layers int) time.Duration {
-	slowest := slices.MaxFunc(append([]site.EngineModel{{}}, e.Models...), func(a, b site.EngineModel) int {
-		return int(a.Load - b.Load)
-	})
-	return 4 * slowest.Load * time.Duration(layers) / time.Duration(e.Layers)
-}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -31,20 +31,27 @@
 	dead    map[string]bool
 	changed chan struct{}
 	onOrder func()
+	load    time.Duration // of the whole model
 }
 
 func newCluster(cards int) *cluster {
 	c := &cluster{
-		held: true, servers: map[string]*site.BackendServer{}, orders: map[string][]site.Range{}, fail: map[string]error{},
+		held: true, load: time.Second, servers: map[string]*site.BackendServer{}, orders: map[string][]site.Range{}, fail: map[string]error{},
 		failed: map[string]bool{}, dead: map[string]bool{}, changed: make(chan struct{}),
 	}
 	for i := range cards {
-		id := fmt.Sprintf("card-%d", i)
-		c.servers[id] = &site.BackendServer{ID: id, Address: id, Service: model, FailureDomain: "a", Kind: "card", Slots: 100}
+		c.add(fmt.Sprintf("card-%d", i))
 	}
 	return c
 }
 
+// add registers an empty card.
+func (c *cluster) add(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers[id] = &site.BackendServer{ID: id, Address: id, Service: model, FailureDomain: "a", Kind: "card", Slots: 100}
+}
+
 func (c *cluster) Held() (uint64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -57,7 +64,7 @@
 	e := &site.Engine{
 		Slots: 100, Layers: 4, LayerMB: 100, KVTokenBytes: 1000, Prompt: 10, Answer: 10,
 		Kinds:  map[string]site.Accelerator{"card": {MemoryMB: 220, Pace: 1, ReadPace: 1}},
-		Models: []site.EngineModel{{Name: "m", Load: time.Second}},
+		Models: []site.EngineModel{{Name: "m", Load: c.load}},
 	}
 	servers := map[string]*site.BackendServer{}
 	for id, s := range c.servers {
@@ -200,13 +207,28 @@
 	})
 }
 
+func TestCardThatJustCameIsKeptForOneThatLeaves(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		c := newCluster(2)
+		run(t, c)
+		time.Sleep(10 * time.Second)
+		require.Zero(t, c.taken("card-new"))
+		c.add("card-new")
+		time.Sleep(freshFor - 2*round)
+		require.Zero(t, c.taken("card-new"), "one may be about to leave")
+		time.Sleep(4 * round)
+		require.Equal(t, 1, c.taken("card-new"))
+	})
+}
+
 func TestPipelineIsLaidOutAnewOnlyAfterAWhile(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		c := newCluster(3)
+		c.load = 20 * time.Second
 		run(t, c)
 		time.Sleep(10 * time.Second)
 		before := c.total()
-		c.kill(t, 2) // more than a neighbour can take
+		c.kill(t, 2) // the others would read weights for longer than it may be away
 		time.Sleep(patience - time.Second)
 		require.Equal(t, before, c.total(), "the card may come back")
 		time.Sleep(3 * time.Second)
--- a/site/engine.go
+++ b/site/engine.go
@@ -69,3 +69,13 @@
 	}
 	return min(e.Layers, int(e.Kinds[kind].MemoryMB/e.LayerMB))
 }
+
+// LoadTime returns how long a card reads the weights of a number of layers while
+// few others do, of the model that takes longest.
+func (e *Engine) LoadTime(layers int) time.Duration {
+	var whole time.Duration
+	for _, m := range e.Models {
+		whole = max(whole, m.Load)
+	}
+	return whole * time.Duration(layers) / time.Duration(max(1, e.Layers))
+}
--- a/site/server.go
+++ b/site/server.go
@@ -14,6 +14,9 @@
 // Has reports whether the range covers a layer.
 func (r Range) Has(layer int) bool { return r.From <= layer && layer < r.To }
 
+// Overlap returns the number of layers that two ranges share.
+func (r Range) Overlap(o Range) int { return max(0, min(r.To, o.To)-max(r.From, o.From)) }
+
 // BackendServer is one incarnation of a backend server as it registered itself.
 type BackendServer struct {
 	ID            string // of this incarnation, never used again
