A begun stream pauses between sends that are refused, longer each time

Streams that were ended for silence found their next heads full: six refusals within 0.3 s used up their sends, and they were cut off in the middle while their callers would have stayed for two seconds.

Change: after a refusal a begun stream pauses 150 ms, then twice as long, up to 1.2 s; six sends last over two seconds. Requests without an event are answered at once as before.

Test: TestBegunStreamOutlastsRefusals, failed before.

--- a/forward/retry.go
+++ b/forward/retry.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/snowspoke/snowspoke/admission"
 	"github.com/snowspoke/snowspoke/internal/wait"
 )
@@ -84,3 +86,19 @@
 	}
 	return false
 }
+
+// afterRefusal pauses before the next send of a begun stream that was refused:
+// backend servers that are full have room again after a while, and a stream whose
+// sends are used up is cut off.
+func (r *run) afterRefusal(ctx context.Context, v verdict) bool {
+	if v != refuse || !r.headSent.Load() {
+		return true
+	}
+	if r.pause == nil {
+		r.pause = backoff.NewExponentialBackOff()
+		r.pause.InitialInterval = refusedPause
+		r.pause.MaxInterval = refusedPauseMost
+		r.pause.Multiplier = 2
+	}
+	return wait.For(ctx, r.pause.NextBackOff())
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/pipeline"
@@ -29,10 +31,11 @@
 	reserved  atomic.Bool // a retry was taken for the next send
 	lastEvent string      // ID of the last event that the caller has
 	lastAt    time.Time
-	firstIn   time.Duration // from the request to its first event
-	longest   time.Duration // longest pause between two events
-	failedAt  time.Time     // set while a stream is interrupted
-	cause     string        // of the interruption
+	firstIn   time.Duration               // from the request to its first event
+	longest   time.Duration               // longest pause between two events
+	failedAt  time.Time                   // set while a stream is interrupted
+	cause     string                      // of the interruption
+	pause     *backoff.ExponentialBackOff // between sends of an interrupted stream that are refused
 }
 
 // heads are the first hops that a request was sent to, by ID. It is safe for
@@ -86,6 +89,11 @@
 	// maxSends bounds the sends of one request, also those to a first hop that it was
 	// sent to before, so that one that fails at once cannot use up the budget.
 	maxSends = 6
+	// refusedPause and refusedPauseMost bound the pause of a begun stream after a
+	// refusal. They double, so that its sends last until its caller gives up after two
+	// seconds: six refusals within 0.3 s cut streams off.
+	refusedPause     = 150 * time.Millisecond
+	refusedPauseMost = 1200 * time.Millisecond
 	// leastLeft is the least time worth handing to a backend server.
 	leastLeft = 20 * time.Millisecond
 )
@@ -128,7 +136,7 @@
 		if v == again && !r.req.Route.Repeatable() {
 			return apierror.Wrap(apierror.OutcomeUnknown, err)
 		}
-		if r.sends >= maxSends || !r.awaitRetry(ctx) {
+		if r.sends >= maxSends || !r.afterRefusal(ctx, v) || !r.awaitRetry(ctx) {
 			if ctx.Err() != nil {
 				return r.ended(ctx)
 			}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -237,6 +237,7 @@
 	}
 	gap := now.Sub(r.failedAt)
 	r.failedAt = time.Time{}
+	r.pause = nil
 	r.recovered(r.cause, gap)
 }
 
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -155,6 +155,38 @@
 	require.Equal(t, events(1, 60), a.Body)
 }
 
+// A stream that broke off is not cut off by refusals in quick succession: backend
+// servers that are full have room again after a while.
+func TestBegunStreamOutlastsRefusals(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.putConfig()
+	heads, _ := w.pipeline(2, 1)
+	for _, h := range heads {
+		h.Events = 20
+	}
+	d := w.daemon("daemon-1", nil).ready(t, 3)
+	var full []standin.Fault
+	for range 40 {
+		full = append(full, standin.NotRun)
+	}
+	for _, h := range heads {
+		h.Next(append([]standin.Fault{standin.BreakOff}, full...)...)
+	}
+	go func() {
+		for totalRuns(heads) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(900 * time.Millisecond)
+		for _, h := range heads {
+			h.Heal()
+		}
+	}()
+	a := d.call(t, call{method: "POST", path: "/stream/"})
+	require.NoError(t, a.Err)
+	require.Equal(t, events(1, 20), a.Body)
+}
+
 func contains(path, address string) bool {
 	for i := 0; i+len(address) <= len(path); i++ {
 		if path[i:i+len(address)] == address {
