Leases: reads older than the one before do not prolong a lease, nor lead to writes

Change: a read with an older version says nothing; after a write that came second, reads up to the version it was based on are passed over for three periods, after which the object is taken to be removed.

Tests: TestOldReadsDoNotProlongALease (failed before), TestOldReadsAfterALostWriteAreNotActedOn.

--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -134,7 +134,7 @@
 			_ = level.Info(k.logger).Log("msg", "lease acquired", "lease", k.name, "fencing", spec.Fencing)
 		}
 	case errors.Is(err, store.ErrConflict):
-		k.c.Lost()
+		k.c.Lost(time.Now())
 		_ = level.Info(k.logger).Log("msg", "lease lost", "lease", k.name)
 	default:
 		return false
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -63,6 +63,9 @@
 	readAt    time.Time
 	heldUntil time.Time // while this daemon holds the lease
 	fencing   uint64
+
+	lostVersion uint64    // the object as known when another daemon's write came first
+	lostAt      time.Time // zero if that never happened
 }
 
 // New returns a candidate.
@@ -100,13 +103,18 @@
 	return Wait
 }
 
-// Seen takes the object as read from the store; a zero object means none.
+// Seen takes the object as read from the store; a zero object means none. Reads
+// may be old, and one older than the read before it: it says nothing new, and a
+// lease that expires does not begin to run again by it.
 func (c *Candidate) Seen(o store.Object, now time.Time) {
-	if !c.known || o.Version != c.version {
+	c.readAt = now
+	if c.known && o.Version < c.version || c.isOutdated(o.Version, now) {
+		return
+	}
+	if !c.known || o.Version > c.version {
 		c.seenAt = now
 	}
 	c.known = true
-	c.readAt = now
 	c.version = o.Version
 	c.spec = Decode(o.Spec)
 	if c.spec.TTL <= 0 {
@@ -114,6 +122,15 @@
 	}
 }
 
+// oldReads is the number of periods for which a read may show the object as it was
+// before a write that came first. After that it is taken to have been removed.
+const oldReads = 3
+
+// isOutdated reports whether a read shows what another daemon's write has replaced.
+func (c *Candidate) isOutdated(version uint64, now time.Time) bool {
+	return !c.lostAt.IsZero() && version <= c.lostVersion && now.Sub(c.lostAt) < oldReads*c.ttl
+}
+
 // Propose returns the write that the action needs, and the version that the
 // object must still have. A new holder takes a higher fencing number.
 func (c *Candidate) Propose(a Action, nonce uint64) (s Spec, ifVersion uint64) {
@@ -133,10 +150,13 @@
 }
 
 // Lost says that another daemon's write came first.
-func (c *Candidate) Lost() {
-	c.known = false
-	c.fencing = 0
+func (c *Candidate) Lost(now time.Time) {
+	c.lostVersion, c.lostAt = c.version, now
+	c.Released()
 }
 
 // Released forgets the lease after it was given up.
-func (c *Candidate) Released() { c.Lost() }
+func (c *Candidate) Released() {
+	c.known = false
+	c.fencing = 0
+}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -134,3 +134,44 @@
 	}
 	b.ReportMetric(float64(worst.Milliseconds()), "takeover_ms")
 }
+
+// Reads that are now newer, now older than the one before do not keep an expired
+// lease alive.
+func TestOldReadsDoNotProlongALease(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New("d1", ttl)
+	lease := func(version uint64) store.Object {
+		return store.Object{Version: version, Spec: Spec{Holder: "d0", Fencing: 1, TTL: ttl, Nonce: version}.Encode()}
+	}
+	for i := range 7 {
+		c.Seen(lease(uint64(10-i%3)), now)
+		require.NotEqual(t, Acquire, c.Next(now), "it was renewed %s ago", time.Duration(i)*ttl/6)
+		now = now.Add(ttl / 6)
+	}
+	require.Equal(t, Acquire, c.Next(now))
+	_, version := c.Propose(Acquire, 1)
+	require.EqualValues(t, 10, version, "the newest that was seen")
+}
+
+// After another daemon's write came first, reads that still show the object as it
+// was before lead to no further write; one that was removed is written again.
+func TestOldReadsAfterALostWriteAreNotActedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New("d1", ttl)
+	released := store.Object{Version: 7, Spec: Spec{Fencing: 1, TTL: time.Millisecond}.Encode()}
+	c.Seen(released, now)
+	now = now.Add(10 * time.Millisecond)
+	require.Equal(t, Acquire, c.Next(now))
+	c.Lost(now)
+	for range 5 {
+		c.Seen(released, now)
+		now = now.Add(ttl / 10)
+		require.Equal(t, Read, c.Next(now))
+	}
+	c.Seen(store.Object{Version: 8, Spec: Spec{Holder: "d2", Fencing: 2, TTL: ttl}.Encode()}, now)
+	require.Equal(t, Wait, c.Next(now.Add(time.Millisecond)))
+	c.Lost(now)
+	now = now.Add(oldReads * ttl)
+	c.Seen(store.Object{}, now)
+	require.Equal(t, Acquire, c.Next(now))
+}
