One loop of sends for the platform face and for plain services, one place that says what an ended request may have done

Three loops (forward, dispatch's services, token streams) each decided when a request may be sent again and what its answer may say; they had drifted: on the platform face a deadline that passed after a send answered deadline_while_running (ran: yes) although nothing was known to run, which the others called unknown.

Change: execution.Life.Run is the loop, with a Sender for what differs (target, send, retry); execution.Life.Ended and GaveUp replace five functions that mapped states to answers. Token streams keep their loop of attempts (resume, recovery, moves) and use Ended and GaveUp. The log's kind=retry is kind=unanswered now, written for every send without an answer to hand on.

Tests of both faces unchanged and green.

Tests: TestRunNeverLiesNorRepeats, TestEndedSaysWhatIsKnown.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/health"
@@ -316,11 +315,3 @@
 		}()
 	}
 }
-
-// unknownOutcome is the answer when contact was lost for good.
-func (r *run) unknownOutcome(res result) error {
-	if r.HasRun() {
-		return apierror.New(apierror.BackendFailed, "after %d tokens: %v", r.delivery.Next(), res.err)
-	}
-	return apierror.New(apierror.OutcomeUnknown, "%v", res.err)
-}
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -120,7 +120,7 @@
 	if r.NotRun() {
 		return routeError(r.model.Name, err)
 	}
-	return r.unknownOutcome(res)
+	return r.GaveUp(res.err)
 }
 
 // resumeOnly handles a request that may not be sent again. A stream that only
@@ -138,7 +138,7 @@
 		}
 	}
 	r.cancelAttempt(r.attempt)
-	return false, r.unknownOutcome(res)
+	return false, r.GaveUp(res.err)
 }
 
 // resume reads on in the stream of the present attempt. The read may break
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -208,7 +209,7 @@
 	}
 	if r.attempt+1 >= r.d.opts.MaxAttempts {
 		r.abandon()
-		return false, r.giveUp(res)
+		return false, r.GaveUp(res.err)
 	}
 	if res.move != nil {
 		r.moveAway(ctx, res)
@@ -233,36 +234,16 @@
 	return false, r.recover(ctx, res)
 }
 
-// finalError is the answer when the caller or the deadline ended the request.
+// finalError is the answer when the caller or the deadline ended the request, or
+// when the attempt ended by a fault that no other attempt mends.
 func (r *run) finalError(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		if r.NotRun() {
-			return apierror.New(apierror.DeadlinePassed, "before the request was sent")
-		}
-		if r.HasRun() {
-			return apierror.New(apierror.DeadlineRunning, "after %d tokens", r.delivery.Next())
-		}
-		return apierror.New(apierror.OutcomeUnknown, "the deadline passed before the backend server answered")
-	}
-	if errors.Is(err, context.Canceled) {
-		return apierror.New(apierror.CallerGone, "after %d tokens", r.delivery.Next())
+	if ctx.Err() != nil {
+		return r.Ended(ctx, r.progress())
 	}
 	return err
 }
 
-// giveUp is the answer when an attempt failed and no other follows.
-func (r *run) giveUp(res result) error {
-	kind := apierror.OutcomeUnknown
-	switch {
-	case errors.Is(res.err, execution.ErrNotSent):
-		kind = apierror.BackendUnreachable
-	case errors.Is(res.err, execution.ErrRefused):
-		kind = apierror.BackendRefused
-	case r.HasRun():
-		kind = apierror.BackendFailed
-	}
-	return &apierror.Error{Kind: kind, Detail: res.err.Error(), Err: res.err}
-}
+func (r *run) progress() string { return fmt.Sprintf("after %d tokens", r.delivery.Next()) }
 
 // elsewhere sends an attempt that surely did not run to another route. A new
 // request takes each such retry out of the budget; a stream that has begun, or a
@@ -275,7 +256,7 @@
 		return r.reroute(ctx, res, "recover")
 	}
 	if !errors.Is(res.err, errLeaving) && !r.d.gate.SpendRetry(r.req.Workspace.Name, r.model.Name) {
-		return r.giveUp(res)
+		return r.GaveUp(res.err)
 	}
 	b := r.binding()
 	c, err := r.d.policy(b.Plan, b.At(r.d.clock()), r.routeOptions(), rand.New(rand.NewPCG(rand.Uint64(), 1)))
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -65,7 +66,7 @@
 func (s *Services) Do(ctx context.Context, req *ServiceRequest) (*backend.ServiceReply, error) {
 	began := s.clock()
 	c := &call{s: s, req: req, tried: map[string]bool{}}
-	reply, err := c.run(ctx)
+	err := c.run(ctx)
 	kind := "whole"
 	if err != nil {
 		e := c.Truth(err)
@@ -76,7 +77,7 @@
 		})
 	}
 	s.observe.Finished(kind, s.clock().Sub(began))
-	return reply, err
+	return c.reply, err
 }
 
 // call is one call on its way.
@@ -84,34 +85,56 @@
 	execution.Life
 	s       *Services
 	req     *ServiceRequest
+	svc     *topology.Service
 	tried   map[string]bool
 	attempt int
+	reply   *backend.ServiceReply
 }
 
-func (c *call) run(ctx context.Context) (*backend.ServiceReply, error) {
-	svc := c.s.catalog.Snapshot().Services[c.req.Service]
-	if svc == nil {
-		return nil, apierror.New(apierror.UnknownService, "service %q", c.req.Service)
+func (c *call) run(ctx context.Context) error {
+	c.svc = c.s.catalog.Snapshot().Services[c.req.Service]
+	if c.svc == nil {
+		return apierror.New(apierror.UnknownService, "service %q", c.req.Service)
 	}
 	if err := c.s.gate.CheckService(c.req.Workspace); err != nil {
-		return nil, err
+		return err
 	}
-	c.Life = execution.New(c.req.Repeatable && svc.IsRepeatable(c.req.Call.Method, pathOnly(c.req.Call.Path)))
-	for ; ; c.attempt++ {
-		e := c.s.pick(svc, c.tried)
-		if e == nil {
-			return nil, apierror.New(apierror.NoRoute, "service %s has no endpoint in service", svc.Name)
-		}
-		reply, err := c.send(ctx, svc, e)
-		if err == nil {
-			c.s.gate.EarnRetry(c.req.Workspace.Name, svc.Name)
-			return reply, nil
-		}
-		c.tried[e.Name] = true
-		if done := c.mayRetry(ctx, svc, err); done != nil {
-			return nil, done
-		}
+	c.Life = execution.New(c.req.Repeatable && c.svc.IsRepeatable(c.req.Call.Method, pathOnly(c.req.Call.Path)))
+	return c.Run(ctx, c)
+}
+
+// Send implements execution.Sender.
+func (c *call) Send(ctx context.Context) (execution.Verdict, error) {
+	e := c.s.pick(c.svc, c.tried)
+	if e == nil {
+		return execution.Answered, apierror.New(apierror.NoRoute, "service %s has no endpoint in service", c.svc.Name)
 	}
+	c.tried[e.Name] = true
+	reply, err := c.send(ctx, c.svc, e)
+	if err == nil {
+		c.reply = reply
+		c.s.gate.EarnRetry(c.req.Workspace.Name, c.svc.Name)
+		return execution.Answered, nil
+	}
+	if c.State().NotRun() {
+		return execution.NotRunHere, err
+	}
+	return execution.MayHaveRun, err
+}
+
+// Retry implements execution.Sender: it takes a retry only if there is another
+// endpoint for it.
+func (c *call) Retry(context.Context, execution.Verdict) bool {
+	if c.attempt+1 >= serviceAttempts || c.s.pick(c.svc, c.tried) == nil || !c.s.gate.SpendRetry(c.req.Workspace.Name, c.svc.Name) {
+		return false
+	}
+	c.attempt++
+	return true
+}
+
+// Progress implements execution.Sender.
+func (c *call) Progress() string {
+	return fmt.Sprintf("after %d sends to service %s", c.attempt+1, c.req.Service)
 }
 
 func pathOnly(path string) string {
@@ -147,40 +170,6 @@
 	return nil, err
 }
 
-// mayRetry returns nil when the call may be sent to another endpoint, and the
-// answer otherwise.
-func (c *call) mayRetry(ctx context.Context, svc *topology.Service, err error) error {
-	if ctx.Err() != nil {
-		return c.endedByCaller(ctx)
-	}
-	if !c.State().NotRun() && !c.Repeatable() {
-		return apierror.New(apierror.OutcomeUnknown, "service %s: %v", svc.Name, err)
-	}
-	if c.attempt+1 < serviceAttempts && c.s.gate.SpendRetry(c.req.Workspace.Name, svc.Name) {
-		if c.s.pick(svc, c.tried) != nil {
-			return nil
-		}
-	}
-	kind := apierror.OutcomeUnknown
-	switch c.State() {
-	case execution.NotSent:
-		kind = apierror.BackendUnreachable
-	case execution.Refused:
-		kind = apierror.BackendRefused
-	}
-	return apierror.New(kind, "service %s: %v", svc.Name, err)
-}
-
-func (c *call) endedByCaller(ctx context.Context) error {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		if c.NotRun() {
-			return apierror.New(apierror.DeadlinePassed, "before the call was sent")
-		}
-		return apierror.New(apierror.OutcomeUnknown, "the deadline passed before the service answered")
-	}
-	return apierror.New(apierror.CallerGone, "before the service answered")
-}
-
 // coolingCost is more than any number of calls in flight costs.
 const coolingCost = 1 << 20
 
--- /dev/null
+++ b/execution/run.go
@@ -0,0 +1,86 @@
+package execution
+
+import (
+	"context"
+	"errors"
+
+	"github.com/snowspoke/snowspoke/apierror"
+)
+
+// Verdict is what a send leaves to be done.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Answered   Verdict = iota // the caller has an answer, or gets the error as one
+	NotRunHere                // surely did not run; may be sent elsewhere
+	MayHaveRun                // may be sent again only if the request is repeatable
+)
+
+// Sender makes the sends of one request.
+type Sender interface {
+	// Send finds a target, sends the request there once and carries the answer.
+	Send(ctx context.Context) (Verdict, error)
+	// Retry reports whether the request may be sent once more after a verdict, and
+	// takes the retry out of its budget. It may wait until there is one.
+	Retry(ctx context.Context, v Verdict) bool
+	// Progress says how far the request has come, for the details of errors.
+	Progress() string
+}
+
+// Run sends a request until it is answered or may not be sent again. It is the one
+// loop of both faces and of plain services; an error is an *apierror.Error that is
+// true of all sends together.
+func (l *Life) Run(ctx context.Context, s Sender) error {
+	for {
+		v, err := s.Send(ctx)
+		if v == Answered {
+			if err == nil {
+				return nil
+			}
+			return l.Truth(err)
+		}
+		if ctx.Err() != nil {
+			return l.Ended(ctx, s.Progress())
+		}
+		if v == MayHaveRun && !l.repeatable {
+			return l.GaveUp(err)
+		}
+		if s.Retry(ctx, v) {
+			continue
+		}
+		if ctx.Err() != nil {
+			return l.Ended(ctx, s.Progress())
+		}
+		return l.GaveUp(err)
+	}
+}
+
+// Ended returns the answer to a request whose context has ended, since its
+// deadline passed or its caller went away, or is about to end by its deadline.
+func (l *Life) Ended(ctx context.Context, progress string) *apierror.Error {
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.DeadlineExceeded) {
+		return apierror.New(apierror.CallerGone, "%s", progress)
+	}
+	switch {
+	case l.NotRun():
+		return apierror.New(apierror.DeadlinePassed, "before the request ran, %s", progress)
+	case l.ran:
+		return apierror.New(apierror.DeadlineRunning, "%s", progress)
+	}
+	return apierror.New(apierror.OutcomeUnknown, "the deadline passed before the backend server answered, %s", progress)
+}
+
+// GaveUp returns the answer to a request that is not sent again after err.
+func (l *Life) GaveUp(err error) *apierror.Error {
+	kind := apierror.OutcomeUnknown
+	switch {
+	case l.NotRun() && errors.Is(err, ErrNotSent):
+		kind = apierror.BackendUnreachable
+	case l.NotRun():
+		kind = apierror.BackendRefused
+	case l.ran:
+		kind = apierror.BackendFailed
+	}
+	return apierror.Wrap(kind, err)
+}
--- /dev/null
+++ b/execution/run_test.go
@@ -0,0 +1,112 @@
+package execution
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/snowspoke/snowspoke/apierror"
+)
+
+// script is a Sender whose sends end as written; it ends its context, or is out of
+// retries, after so many.
+type script struct {
+	life    *Life
+	sends   []error // nil for a whole answer
+	retries int
+	cancel  context.CancelFunc
+	endAt   int // sends after which the context ends, 0 for never
+	made    int
+	ran     int // sends that may have run
+}
+
+func (s *script) Send(context.Context) (Verdict, error) {
+	err := s.sends[min(s.made, len(s.sends)-1)]
+	s.made++
+	if s.made == s.endAt {
+		s.cancel()
+	}
+	if verr := s.life.Move(Sent); verr != nil {
+		return Answered, verr
+	}
+	if err == nil {
+		s.ran++
+		s.life.MarkRan()
+		return Answered, s.life.Move(Delivered)
+	}
+	if verr := s.life.Move(After(err)); verr != nil {
+		return Answered, verr
+	}
+	if s.life.State().NotRun() {
+		return NotRunHere, err
+	}
+	s.ran++
+	return MayHaveRun, err
+}
+
+func (s *script) Retry(context.Context, Verdict) bool {
+	s.retries--
+	return s.retries >= 0
+}
+
+func (s *script) Progress() string { return fmt.Sprintf("after %d sends", s.made) }
+
+// However sends end, a request that is not repeatable may have run once at most,
+// and what the answer says of that is true.
+func TestRunNeverLiesNorRepeats(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		l := New(rapid.Bool().Draw(t, "repeatable"))
+		s := &script{
+			life: &l, cancel: cancel, retries: rapid.IntRange(0, 4).Draw(t, "retries"), endAt: rapid.IntRange(0, 4).Draw(t, "end"),
+			sends: rapid.SliceOfN(rapid.SampledFrom([]error{ErrNotSent, ErrRefused, ErrLost, nil}), 1, 6).Draw(t, "sends"),
+		}
+		err := l.Run(ctx, s)
+		if !l.Repeatable() && s.ran > 1 {
+			t.Fatalf("may have run %d times", s.ran)
+		}
+		if err == nil {
+			require.Equal(t, Delivered, l.State())
+			return
+		}
+		ran := apierror.Lookup(apierror.From(err).Kind).Ran
+		if ran == apierror.RanNo && s.ran > 0 {
+			t.Fatalf("%v, yet %d sends may have run", err, s.ran)
+		}
+		if ran == apierror.RanYes && s.ran == 0 {
+			t.Fatalf("%v, yet none ran", err)
+		}
+	})
+}
+
+// A deadline that passes while nothing is known to run does not claim that it did.
+func TestEndedSaysWhatIsKnown(t *testing.T) {
+	passed, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer cancel()
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	ran := New(true)
+	require.NoError(t, ran.Move(Sent))
+	ran.MarkRan()
+	sent := New(true)
+	require.NoError(t, sent.Move(Sent))
+	fresh := New(true)
+	for _, c := range []struct {
+		ctx  context.Context
+		life Life
+		want apierror.Kind
+	}{
+		{passed, fresh, apierror.DeadlinePassed},
+		{passed, sent, apierror.OutcomeUnknown},
+		{passed, ran, apierror.DeadlineRunning},
+		{gone, ran, apierror.CallerGone},
+		{context.Background(), sent, apierror.OutcomeUnknown}, // about to end
+	} {
+		require.Equal(t, c.want, c.life.Ended(c.ctx, "").Kind)
+	}
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -118,9 +117,6 @@
 // Failed reports whether a backend server looks dead to this daemon's requests.
 func (f *Forwarder) Failed(id string) bool { return f.health.Dead(id, time.Now()) }
 
-// errDeadline ends a request whose time is up.
-var errDeadline = errors.New("forward: deadline passed")
-
 // Do carries a request and hands its answer to the sink. An error is an
 // *apierror.Error whose statement about execution is true; if the sink has
 // taken a head already, the answer must be cut off.
@@ -129,7 +125,7 @@
 	if t := req.Route.Timeout; t > 0 && req.Received.Add(t).Before(until) {
 		until = req.Received.Add(t)
 	}
-	ctx, cancel := context.WithDeadlineCause(ctx, until, errDeadline)
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	if f.requests.Add(1)%forgetEvery == 0 {
 		f.forget(f.inv.View().Servers)
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/snowspoke/snowspoke/admission"
+	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/wait"
 )
 
@@ -90,8 +91,8 @@
 // afterRefusal pauses before the next send of a begun stream that was refused:
 // backend servers that are full have room again after a while, and a stream whose
 // sends are used up is cut off.
-func (r *run) afterRefusal(ctx context.Context, v verdict) bool {
-	if v != refuse || !r.headSent.Load() {
+func (r *run) afterRefusal(ctx context.Context, v execution.Verdict) bool {
+	if v != execution.NotRunHere || !r.headSent.Load() {
 		return true
 	}
 	if r.pause == nil {
--- a/forward/run.go
+++ b/forward/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -107,103 +108,83 @@
 
 func (t *target) head() *site.BackendServer { return t.path[0].Server }
 
-// verdict is what follows a send.
-type verdict uint8
-
-const (
-	done   verdict = iota // answered, or answered with err
-	refuse                // surely did not run; may be sent elsewhere
-	again                 // may have run; may be sent again if the request is repeatable
-)
-
-// serve sends the request until it is answered.
+// serve sends the request until it is answered. That it did not run is promised by
+// a status which says when to come back.
 func (r *run) serve(ctx context.Context) error {
 	if s := r.f.inv.View().Config.Services[r.req.Service]; s != nil {
 		r.engine = s.Engine
 	}
-	for {
-		t, err := r.pick(ctx)
-		if err != nil {
-			return r.life.Truth(err)
-		}
-		v, err := r.send(ctx, t)
-		if v == done {
-			return err
-		}
-		if ctx.Err() != nil {
-			return r.ended(ctx)
-		}
-		if v == again && !r.req.Route.Repeatable() {
-			return apierror.Wrap(apierror.OutcomeUnknown, err)
-		}
-		if r.sends >= maxSends || !r.afterRefusal(ctx, v) || !r.awaitRetry(ctx) {
-			if ctx.Err() != nil {
-				return r.ended(ctx)
-			}
-			return r.giveUp(err)
-		}
-		r.f.log.Add("retry", "request", r.req.ID, "attempt", r.sends, "from", t.head().ID, "state", r.life.State(), "ran", r.life.HasRun(), "err", err)
+	err := r.life.Run(ctx, r)
+	if apierror.Is(err, apierror.BackendUnreachable) || apierror.Is(err, apierror.BackendRefused) {
+		return apierror.Wrap(apierror.BackendRefused, err).WithRetryAfter(retryAfter)
 	}
+	return err
 }
 
-// ended is the answer when the caller went away or the time is up, or nearly so.
-func (r *run) ended(ctx context.Context) error {
-	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errDeadline) {
-		return apierror.New(apierror.CallerGone, "after %d sends", r.sends)
+// Send implements execution.Sender.
+func (r *run) Send(ctx context.Context) (execution.Verdict, error) {
+	t, err := r.pick(ctx)
+	if err != nil {
+		return execution.Answered, err
 	}
-	if !r.life.NotRun() {
-		return apierror.New(apierror.DeadlineRunning, "after %d sends", r.sends)
+	v, err := r.send(ctx, t)
+	if v != execution.Answered {
+		r.f.log.Add("unanswered", "request", r.req.ID, "attempt", r.sends, "by", t.head().ID, "state", r.life.State(), "ran", r.life.HasRun(), "err", err)
 	}
-	return apierror.New(apierror.DeadlinePassed, "before the request ran")
+	return v, err
 }
 
-func (r *run) giveUp(err error) error {
-	if !r.life.NotRun() {
-		return apierror.Wrap(apierror.OutcomeUnknown, err)
-	}
-	return apierror.Wrap(apierror.BackendRefused, err).WithRetryAfter(retryAfter)
+// Retry implements execution.Sender.
+func (r *run) Retry(ctx context.Context, v execution.Verdict) bool {
+	return r.sends < maxSends && r.afterRefusal(ctx, v) && r.awaitRetry(ctx)
 }
 
+// Progress implements execution.Sender.
+func (r *run) Progress() string { return fmt.Sprintf("after %d sends", r.sends) }
+
+// ended is the answer when the caller went away or the time is up, or nearly so.
+func (r *run) ended(ctx context.Context) error { return r.life.Ended(ctx, r.Progress()) }
+
 // send makes one send and carries the answer. The request counts as sent before
 // the first byte can go out, and until something certain is known.
-func (r *run) send(ctx context.Context, t *target) (verdict, error) {
+func (r *run) send(ctx context.Context, t *target) (execution.Verdict, error) {
 	left := time.Until(r.until)
 	if left < leastLeft {
-		return done, r.ended(ctx)
+		return execution.Answered, r.ended(ctx)
 	}
 	r.sends++
 	r.tried.add(t.head().ID)
 	r.logRoute(t, left)
 	if err := r.life.Move(execution.Sent); err != nil {
-		return done, err
+		return execution.Answered, err
 	}
 	v, err := r.carry(ctx, t, left)
 	if lerr := r.life.Move(stateAfter(v, err)); lerr != nil {
-		return done, lerr
+		return execution.Answered, lerr
 	}
 	return v, err
 }
 
 // stateAfter returns what a send leaves known about the execution.
-func stateAfter(v verdict, err error) execution.State {
+func stateAfter(v execution.Verdict, err error) execution.State {
 	switch {
-	case v == done && err == nil:
+	case v == execution.Answered && err == nil:
 		return execution.Delivered
-	case v == refuse:
+	case v == execution.NotRunHere:
 		return execution.After(err)
 	}
 	return execution.Unknown
 }
 
 // carry hands a request to its first hop and its answer to the caller.
-func (r *run) carry(ctx context.Context, t *target, left time.Duration) (verdict, error) {
+func (r *run) carry(ctx context.Context, t *target, left time.Duration) (execution.Verdict, error) {
 	if r.engine != nil && r.req.Route.Repeat == site.Stream {
 		return r.sendStream(ctx, t, left)
 	}
 	leave := r.f.loads.Enter(t.path, t.tokens)
 	defer leave()
 	a, err := r.f.backends.Send(ctx, r.outgoing(t, left))
-	if v, rerr := r.refused(t, a, err); v != done {
+	if v, rerr := r.refused(t, a, err); v != execution.Answered {
 		return v, rerr
 	}
 	defer a.Body.Close()
@@ -231,22 +212,22 @@
 	return o
 }
 
-// refused looks at the outcome of a send. verdict done means that the answer
+// refused looks at the outcome of a send. execution.Answered means that the answer
 // may be carried.
-func (r *run) refused(t *target, a *Answer, err error) (verdict, error) {
+func (r *run) refused(t *target, a *Answer, err error) (execution.Verdict, error) {
 	now := time.Now()
 	head := t.head()
 	if errors.Is(err, execution.ErrNotSent) {
 		r.f.fail(head, "cannot be connected to", now)
-		return refuse, err
+		return execution.NotRunHere, err
 	}
 	if err != nil {
 		r.f.health.Refuse(head.ID, now)
-		return again, err
+		return execution.MayHaveRun, err
 	}
 	if !a.NotRun {
 		r.life.MarkRan()
-		return done, nil
+		return execution.Answered, nil
 	}
 	_ = a.Body.Close()
 	at := head
@@ -255,7 +236,7 @@
 	}
 	r.f.health.Refuse(at.ID, now)
 	r.f.log.Add("refused", "request", r.req.ID, "attempt", r.sends, "by", head.ID, "status", a.Status, "at_fault", at.ID)
-	return refuse, &HopError{Address: at.Address, Err: execution.ErrRefused}
+	return execution.NotRunHere, &HopError{Address: at.Address, Err: execution.ErrRefused}
 }
 
 // maxWholeBytes bounds an answer that is collected before it is handed on.
@@ -263,39 +244,39 @@
 
 // whole collects an answer and hands it on. A failure of a backend server is
 // handed on as it is once nothing better can be had.
-func (r *run) whole(ctx context.Context, t *target, a *Answer) (verdict, error) {
+func (r *run) whole(ctx context.Context, t *target, a *Answer) (execution.Verdict, error) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxWholeBytes+1))
 	if err == nil && len(body) > maxWholeBytes {
 		err = errTooLong
 	}
 	if err != nil {
 		if ctx.Err() != nil {
-			return done, r.ended(ctx)
+			return execution.Answered, r.ended(ctx)
 		}
-		return again, errors.Join(execution.ErrLost, err)
+		return execution.MayHaveRun, errors.Join(execution.ErrLost, err)
 	}
 	if a.Status < http.StatusInternalServerError {
 		r.f.served(t.path)
 	}
 	if !a.Sealed {
-		return again, errUnsealed
+		return execution.MayHaveRun, errUnsealed
 	}
 	if r.headSent.Load() {
 		// The caller is in the middle of a stream: no other answer may end it.
-		return again, errFailed
+		return execution.MayHaveRun, errFailed
 	}
 	failed := a.Status >= http.StatusInternalServerError || promisesNotRun(a.Status)
 	if failed && r.mayRepeat() {
-		return again, errFailed
+		return execution.MayHaveRun, errFailed
 	}
 	if promisesNotRun(a.Status) {
 		// The status would promise the caller that the request did not run.
-		return done, apierror.New(apierror.OutcomeUnknown, "backend server answered %d without saying that it did not run", a.Status)
+		return execution.Answered, apierror.New(apierror.OutcomeUnknown, "backend server answered %d without saying that it did not run", a.Status)
 	}
 	if err := r.sink.Whole(a.Status, a.Header, body); err != nil {
-		return done, apierror.Wrap(apierror.CallerGone, err)
+		return execution.Answered, apierror.Wrap(apierror.CallerGone, err)
 	}
-	return done, nil
+	return execution.Answered, nil
 }
 
 var (
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -65,7 +66,7 @@
 	ended   bool
 }
 
-func (r *run) sendStream(ctx context.Context, t *target, left time.Duration) (verdict, error) {
+func (r *run) sendStream(ctx context.Context, t *target, left time.Duration) (execution.Verdict, error) {
 	sctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := &stream{r: r, attempt: r.sends, cancel: cancel, path: t.path, tokens: t.tokens, quietAt: time.Now()}
@@ -78,7 +79,7 @@
 	if err != nil {
 		err = whyEnded(ctx, sctx, err)
 	}
-	if v, rerr := r.refused(t, a, err); v != done {
+	if v, rerr := r.refused(t, a, err); v != execution.Answered {
 		return v, rerr
 	}
 	defer a.Body.Close()
@@ -118,7 +119,7 @@
 }
 
 // relay hands on whole events until the stream ends.
-func (s *stream) relay(ctx, sctx context.Context, a *Answer) (verdict, error) {
+func (s *stream) relay(ctx, sctx context.Context, a *Answer) (execution.Verdict, error) {
 	var held []byte
 	buf := make([]byte, readSize)
 	for {
@@ -126,19 +127,19 @@
 		held = append(held, buf[:n]...)
 		var gone error
 		if held, gone = s.handOn(a, held, err == io.EOF); gone != nil {
-			return done, apierror.Wrap(apierror.CallerGone, gone)
+			return execution.Answered, apierror.Wrap(apierror.CallerGone, gone)
 		}
 		if err == io.EOF {
 			s.r.f.served(s.currentPath())
-			return done, nil
+			return execution.Answered, nil
 		}
 		if err != nil {
 			if ctx.Err() != nil {
-				return done, s.r.ended(ctx)
+				return execution.Answered, s.r.ended(ctx)
 			}
 			err = whyEnded(ctx, sctx, fmt.Errorf("%w: %w", errBroken, err))
 			s.r.interrupted(err)
-			return again, err
+			return execution.MayHaveRun, err
 		}
 	}
 }
