Runs of cards share only layers that lie nowhere; a card that was started again is used at once

And every card that came back after a crash was kept for two seconds as if it replaced one that leaves.

Change: a hole that other cards of the domain still hold is closed by empty and spare cards or by its neighbours, as before. A card at the address of an earlier incarnation has only been started again and is used at once.

Test: TestCardThatIsStartedAgainIsUsedAtOnce (failed before).

--- a/pipeline/window.go
+++ b/pipeline/window.go
@@ -35,42 +35,50 @@
 	room   float64
 }
 
-// extendIntoHoles lets the two cards beside each hole take it over if that leaves
-// them enough room for requests.
+// extendIntoHoles lets the two cards beside each layer that lies nowhere take it
+// over if that leaves them enough room for requests.
 func (g *group) extendIntoHoles() {
 	for _, hole := range g.holes() {
-		if h := g.bestHalves(hole); h.room >= g.enough() {
+		if h := g.bestHalves(hole); g.isUncovered(hole) && h.room >= g.enough() {
 			g.layHalves(h, hole)
 		}
 	}
 }
 
 // shareHoles lets the cards around each hole take it over: the two beside it if
-// they have the room, else as few as leave all of them enough.
+// they have the room, else, where a layer lies nowhere, as few as leave all of them
+// enough.
 func (g *group) shareHoles(patient bool) {
 	for _, hole := range g.holes() {
-		uncovered := g.holders()[hole.From] == 0
-		least, most := float64(leastRoom), hastyLoad
-		if uncovered && !patient {
-			most = unbounded
+		h := g.bestHalves(hole)
+		if !g.isUncovered(hole) {
+			if h.room >= leastRoom {
+				g.layHalves(h, hole)
+			}
+			continue
 		}
-		if uncovered {
-			least = bareRoom
+		most := hastyLoad
+		if !patient {
+			most = unbounded
 		}
-		h := g.bestHalves(hole)
 		var w window
 		if h.room < g.enough() && !g.inUse(hole) {
 			w = g.widen(window{layers: hole}, most)
 		}
 		switch {
-		case w.room >= least && w.room > reliefGain*h.room:
+		case w.room >= bareRoom && w.room > reliefGain*h.room:
 			g.layWindow(w, fmt.Sprintf("layers %d-%d lie on too few cards, shared by %d around them", hole.From, hole.To, len(w.cards)))
-		case h.room >= least:
+		case h.room >= bareRoom:
 			g.layHalves(h, hole)
 		}
 	}
 }
 
+// isUncovered reports whether some layer of a hole lies on no card of the group.
+func (g *group) isUncovered(hole site.Range) bool {
+	return slices.Contains(g.holders()[hole.From:hole.To], 0)
+}
+
 // inUse reports whether requests still pass through the layers of a hole, on a card
 // that drains. Cards that share them anew would give up layers of those requests.
 func (g *group) inUse(hole site.Range) bool {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -84,6 +84,7 @@
 
 	dead  map[string]time.Time // by backend server ID, when the probe failed
 	fresh map[string]time.Time // by backend server ID, when it was first seen empty
+	homes map[string]string    // by address, the backend server last seen there
 
 	mu      sync.Mutex
 	pending map[string]order // by backend server ID
@@ -103,7 +104,7 @@
 
 // New returns a placer; Run must be called.
 func New(duty Duty, inv Inventory, b Backends, h Health, logger log.Logger) *Placer {
-	return &Placer{duty: duty, inv: inv, backends: b, health: h, dead: map[string]time.Time{}, fresh: map[string]time.Time{}, logger: logger, pending: map[string]order{}, bounds: map[string]pipeline.Bound{}}
+	return &Placer{duty: duty, inv: inv, backends: b, health: h, dead: map[string]time.Time{}, fresh: map[string]time.Time{}, homes: map[string]string{}, logger: logger, pending: map[string]order{}, bounds: map[string]pipeline.Bound{}}
 }
 
 // Run places until ctx ends.
@@ -236,11 +237,17 @@
 	return out
 }
 
-// isFresh reports whether a card came empty a moment ago.
+// isFresh reports whether a card came empty a moment ago, at an address of its own:
+// one at the address of another has only been started again, and replaces nobody.
 func (p *Placer) isFresh(s *site.BackendServer, now time.Time) bool {
+	before := p.homes[s.Address]
+	p.homes[s.Address] = s.ID
 	if s.Held.Len() > 0 {
 		return false
 	}
+	if before != "" && before != s.ID {
+		p.fresh[s.ID] = time.Time{}
+	}
 	if _, known := p.fresh[s.ID]; !known {
 		p.fresh[s.ID] = now
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -46,10 +46,12 @@
 }
 
 // add registers an empty card.
-func (c *cluster) add(id string) {
+func (c *cluster) add(id string) { c.addAt(id, id) }
+
+func (c *cluster) addAt(id, address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers[id] = &site.BackendServer{ID: id, Address: id, Service: model, FailureDomain: "a", Kind: "card", Slots: 100}
+	c.servers[id] = &site.BackendServer{ID: id, Address: address, Service: model, FailureDomain: "a", Kind: "card", Slots: 100}
 }
 
 func (c *cluster) Held() (uint64, bool) {
@@ -109,6 +111,13 @@
 	return nil
 }
 
+// remove takes a card away.
+func (c *cluster) remove(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.servers, id)
+}
+
 func (c *cluster) total() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -221,6 +230,19 @@
 	})
 }
 
+func TestCardThatIsStartedAgainIsUsedAtOnce(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		c := newCluster(3)
+		run(t, c)
+		time.Sleep(10 * time.Second)
+		c.remove("card-0")
+		time.Sleep(5 * time.Second)
+		c.addAt("card-0-again", "card-0")
+		time.Sleep(2 * round)
+		require.Equal(t, 1, c.taken("card-0-again"))
+	})
+}
+
 func TestPipelineIsLaidOutAnewOnlyAfterAWhile(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		c := newCluster(3)
