Benchmarks of the platform's forwarder in virtual time: bound, goodput, gaps, recovery by cause

Change: forward/lab_test.go is a site of cards that are service-time models; BenchmarkSaturation, BenchmarkGaps and BenchmarkRecovery run the real forwarder over it. The lab stood still at first: a probe was made under a lock, behind which virtual time cannot pass; whoever asks takes a turn in a channel now (forward/live.go), with the same effect.

--- /dev/null
+++ b/forward/lab_test.go
@@ -0,0 +1,401 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/internal/wait"
+	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/pipeline"
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// lab is a site of cards that are service-time models in virtual time, before one
+// forwarder that stands for all daemons. Prompts are read one after the other at
+// each card; a token takes the predicted step of each hop under its load.
+type lab struct {
+	engine  *site.Engine
+	view    *inventory.View
+	forward *Forwarder
+	rng     *rand.Rand
+
+	mu      sync.Mutex
+	cards   map[string]*labCard
+	streams map[string]*labStream
+
+	gaps      []time.Duration // between two events at the caller
+	recovered []time.Duration // over an interruption
+	inTime    int
+	whole     int
+	refused   int
+	cut       int
+	tokens    int
+	inFlight  int
+	mostIn    int
+}
+
+type labCard struct {
+	id       string
+	readFree time.Time // its last prompt has been read
+	streams  int
+	killed   bool // connections are refused
+	silent   bool // nothing answers
+}
+
+func (c *labCard) dead() bool { return c.killed || c.silent }
+
+// labStream is one send at its head. It implements io.ReadCloser.
+type labStream struct {
+	lab     *lab
+	ctx     context.Context
+	request *Request
+	next    int // event
+	ready   time.Time
+
+	mu   sync.Mutex
+	path site.Path
+}
+
+const (
+	labEvents  = 86 // of a stream, two tokens each
+	labPrompt  = 800
+	labTokens  = 2 // of an event
+	labStall   = 2 * time.Second
+	labGapAim  = 200 * time.Millisecond
+	labService = "model"
+)
+
+// labEngine is a model of 80 layers on four kinds of cards.
+func labEngine() *site.Engine {
+	return &site.Engine{
+		Slots: 192, Layers: 80, LayerMB: 1750, KVTokenBytes: 590000, StepMS: 0.85, PerRequestMS: 0.00382,
+		ContextPerKMS: 0.00512, ReadPerSecond: 196000, ReadPairsMS: 0.166, Stride: 2, Prompt: labPrompt, Answer: labEvents * labTokens,
+		ActBytes: 29500, LinkMbps: 480000, PipeMbps: 9000, LoadsAtOnce: 6,
+		Models: []site.EngineModel{{Name: "m", Load: 14 * time.Second}},
+		Kinds: map[string]site.Accelerator{
+			"large":  {MemoryMB: 72000, Pace: 1.4, ReadPace: 1},
+			"middle": {MemoryMB: 36000, Pace: 3.1, ReadPace: 3.2},
+			"small":  {MemoryMB: 21600, Pace: 16, ReadPace: 8.2},
+			"least":  {MemoryMB: 14400, Pace: 15, ReadPace: 15},
+		},
+	}
+}
+
+// newLab places the cards of three failure domains.
+func newLab(seed uint64) *lab {
+	l := &lab{
+		engine: labEngine(), rng: rand.New(rand.NewPCG(seed, 1)), cards: map[string]*labCard{}, streams: map[string]*labStream{},
+	}
+	var cards []pipeline.Card
+	for domain, kinds := range map[string]map[string]int{
+		"a": {"middle": 2, "small": 4, "least": 7}, "b": {"large": 1, "middle": 1, "small": 5, "least": 7}, "c": {"middle": 1, "small": 8, "least": 3},
+	} {
+		for kind, n := range kinds {
+			for i := range n {
+				id := fmt.Sprintf("%s-%s-%d", domain, kind, i)
+				cards = append(cards, pipeline.Card{Server: &site.BackendServer{
+					ID: id, Service: labService, Address: id, FailureDomain: domain, Slots: l.engine.Slots, Kind: kind,
+				}})
+			}
+		}
+	}
+	servers := map[string]*site.BackendServer{}
+	for _, o := range pipeline.Place(l.engine, cards, false).Orders {
+		s := *o.Server
+		s.Held = o.Layers
+		servers[s.ID] = &s
+		l.cards[s.ID] = &labCard{id: s.ID}
+	}
+	services := []*site.Service{{Name: labService, Engine: l.engine}}
+	l.view = inventory.NewView(site.NewConfig(1, site.Limits{}, nil, services, nil), servers)
+	inv := fixed{l.view}
+	l.forward = New(Options{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second},
+		Parts{Inventory: inv, Fleet: inv, Backends: l, Log: NewLog(io.Discard), Observer: l})
+	return l
+}
+
+// bound returns how many usual requests the layout holds at once.
+func (l *lab) bound() int {
+	var cards []pipeline.Card
+	for _, s := range l.view.Servers {
+		cards = append(cards, pipeline.Card{Server: s, Ordered: s.Held})
+	}
+	return pipeline.BoundOf(l.engine, cards).Requests
+}
+
+// kill ends the card that runs a layer for most streams, without a word if silent.
+func (l *lab) kill(layer int, silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var busiest *labCard
+	for id, c := range l.cards {
+		if l.view.Servers[id].Held.Has(layer) && (busiest == nil || c.streams > busiest.streams) {
+			busiest = c
+		}
+	}
+	busiest.killed, busiest.silent = !silent, silent
+}
+
+// run sends streams at a rate for a time and waits for all of them.
+func (l *lab) run(perSecond float64, length time.Duration) {
+	var wg sync.WaitGroup
+	end := time.Now().Add(length)
+	for n := 0; time.Now().Before(end); n++ {
+		time.Sleep(time.Duration(l.rng.ExpFloat64() / perSecond * float64(time.Second)))
+		wg.Go(func() { l.call(n) })
+	}
+	wg.Wait()
+}
+
+func (l *lab) call(n int) {
+	now := time.Now()
+	req := &Request{
+		ID: fmt.Sprint("r", n), Service: labService, Received: now, Deadline: now.Add(20 * time.Second), Prompt: labPrompt,
+		Route: &site.Route{Repeat: site.Stream, Resumable: true, MaxAttempts: 2, Timeout: 20 * time.Second, Objective: 500 * time.Millisecond},
+	}
+	l.count(1)
+	got := &labCaller{lab: l, sent: now}
+	err := l.forward.Do(context.Background(), req, got)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight--
+	switch {
+	case err == nil:
+		l.whole++
+		if got.first <= req.Route.Objective && got.longest <= labGapAim {
+			l.inTime++
+		}
+	case got.events > 0:
+		l.cut++
+	default:
+		l.refused++
+	}
+}
+
+func (l *lab) count(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight += n
+	l.mostIn = max(l.mostIn, l.inFlight)
+}
+
+// labCaller takes a stream and measures its pauses. It implements Sink.
+type labCaller struct {
+	lab        *lab
+	sent, last time.Time
+	first      time.Duration
+	longest    time.Duration
+	events     int
+}
+
+func (c *labCaller) Head(int, http.Header) error          { return nil }
+func (c *labCaller) Whole(int, http.Header, []byte) error { return nil }
+func (c *labCaller) Events([]byte) error {
+	now := time.Now()
+	c.lab.mu.Lock()
+	defer c.lab.mu.Unlock()
+	c.lab.tokens += labTokens
+	if c.events == 0 {
+		c.first = now.Sub(c.sent)
+	} else {
+		c.lab.gaps = append(c.lab.gaps, now.Sub(c.last))
+		c.longest = max(c.longest, now.Sub(c.last))
+	}
+	c.events++
+	c.last = now
+	return nil
+}
+
+// Finished implements Observer.
+func (l *lab) Finished(string, time.Duration) {}
+
+// FirstEvent implements Observer.
+func (l *lab) FirstEvent(time.Duration) {}
+
+// Recovered implements Observer.
+func (l *lab) Recovered(_ string, gap time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recovered = append(l.recovered, gap)
+}
+
+// Send implements Backends.
+func (l *lab) Send(ctx context.Context, o *Outgoing) (*Answer, error) {
+	l.mu.Lock()
+	head := *l.cards[o.Server.ID]
+	l.mu.Unlock()
+	if head.killed {
+		return nil, execution.ErrNotSent
+	}
+	if head.silent {
+		<-ctx.Done()
+		return nil, execution.ErrLost
+	}
+	a := &Answer{Status: http.StatusOK, Sealed: true, Header: http.Header{}, Length: -1}
+	if at := l.deadHop(o.Path); at != "" || head.streams >= l.engine.Slots {
+		a.Status, a.NotRun, a.AtFault, a.Body = http.StatusServiceUnavailable, true, at, io.NopCloser(http.NoBody)
+		return a, nil
+	}
+	s := &labStream{lab: l, ctx: ctx, request: o.Request}
+	if o.LastEvent != "" {
+		_, _ = fmt.Sscan(o.LastEvent, &s.next)
+	}
+	l.pass(s, o.Path)
+	a.Body = s
+	return a, nil
+}
+
+func (l *lab) deadHop(p site.Path) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, h := range p {
+		if l.cards[h.Server.ID].dead() {
+			return h.Server.Address
+		}
+	}
+	return ""
+}
+
+// pass takes a stream over a path; hops that are new to it read all its tokens.
+func (l *lab) pass(s *labStream, p site.Path) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	had := map[string]site.Range{}
+	for _, h := range s.path {
+		had[h.Server.ID] = h.Layers
+		l.cards[h.Server.ID].streams--
+	}
+	at := time.Now()
+	for _, h := range p {
+		c := l.cards[h.Server.ID]
+		c.streams++
+		if had[h.Server.ID] == h.Layers {
+			continue
+		}
+		read := pipeline.HopReadMS(l.engine, h.Server.Kind, h.Layers.Len(), float64(labPrompt+s.next*labTokens))
+		at = later(at, c.readFree).Add(milliseconds(read))
+		c.readFree = at
+	}
+	s.mu.Lock()
+	s.path, s.ready = p, at
+	s.mu.Unlock()
+	l.streams[s.request.ID] = s
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// step predicts the time of one event under the present load.
+func (l *lab) step(p site.Path) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ms := 0.0
+	for i, h := range p {
+		ms += pipeline.HopStepMS(l.engine, h.Server.Kind, h.Layers.Len(), float64(l.cards[h.Server.ID].streams), pipeline.Usual(l.engine).Mean())
+		if i > 0 {
+			ms += pipeline.LinkMS(l.engine, p[i-1].Server.FailureDomain, h.Server.FailureDomain)
+		}
+	}
+	return milliseconds(labTokens * ms)
+}
+
+// Read gives one event a call, when it is due. A stream whose hop is dead stands
+// still until it is moved, and is cut after a while.
+func (s *labStream) Read(buf []byte) (int, error) {
+	if s.next >= labEvents {
+		return 0, io.EOF
+	}
+	stood := time.Now()
+	for {
+		s.mu.Lock()
+		p, ready := s.path, s.ready
+		s.mu.Unlock()
+		if !wait.For(s.ctx, max(0, time.Until(ready))+s.lab.step(p)) {
+			return 0, context.Cause(s.ctx)
+		}
+		at := s.lab.deadHop(p)
+		if at == p[0].Server.Address && s.lab.killed(at) || at != "" && time.Since(stood) > labStall {
+			return 0, syscall.ECONNRESET
+		}
+		s.mu.Lock()
+		moved := !ready.Equal(s.ready)
+		s.mu.Unlock()
+		if at == "" && !moved {
+			break
+		}
+	}
+	s.next++
+	return copy(buf, fmt.Sprintf("id: %d\ndata: token\n\n", s.next)), nil
+}
+
+func (l *lab) killed(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cards[id].killed
+}
+
+// Close implements io.Closer.
+func (s *labStream) Close() error {
+	l := s.lab
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, h := range s.path {
+		l.cards[h.Server.ID].streams--
+	}
+	s.path = nil
+	if l.streams[s.request.ID] == s {
+		delete(l.streams, s.request.ID)
+	}
+	return nil
+}
+
+// Report implements Backends.
+func (l *lab) Report(ctx context.Context, s *site.BackendServer) (Report, error) {
+	return Report{}, l.Reach(ctx, s)
+}
+
+// Reach implements Backends.
+func (l *lab) Reach(ctx context.Context, s *site.BackendServer) error {
+	l.mu.Lock()
+	c := *l.cards[s.ID]
+	l.mu.Unlock()
+	if c.killed {
+		return syscall.ECONNREFUSED
+	}
+	if c.silent {
+		wait.For(ctx, 100*time.Millisecond) // two tries
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+var errNoStream = errors.New("lab: no such stream")
+
+// Repath implements Backends.
+func (l *lab) Repath(_ context.Context, _ *site.BackendServer, id string, p site.Path) error {
+	if at := l.deadHop(p); at != "" {
+		return &HopError{Address: at, Err: ErrOrderRefused}
+	}
+	l.mu.Lock()
+	s := l.streams[id]
+	l.mu.Unlock()
+	if s == nil {
+		return errNoStream
+	}
+	l.pass(s, p)
+	return nil
+}
--- a/forward/live.go
+++ b/forward/live.go
@@ -66,7 +66,7 @@
 }
 
 type asked[T any] struct {
-	mu    sync.Mutex
+	turn  chan struct{} // holds a token while somebody asks; a lock would stop virtual time
 	at    time.Time
 	value T
 	err   error
@@ -82,12 +82,12 @@
 	r.mu.Lock()
 	e := r.byID[id]
 	if e == nil {
-		e = &asked[T]{}
+		e = &asked[T]{turn: make(chan struct{}, 1)}
 		r.byID[id] = e
 	}
 	r.mu.Unlock()
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.turn <- struct{}{}
+	defer func() { <-e.turn }()
 	if time.Since(e.at) >= r.maxAge {
 		e.value, e.err = ask()
 		e.at = time.Now()
