Refusals do not use up the sends of a begun stream

The number of sends was the wrong bound for it.

The pauses vary by a fifth and begin at 200 ms. The detail of a refusal names its kind once.

--- a/forward/retry.go
+++ b/forward/retry.go
@@ -7,7 +7,6 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/snowspoke/snowspoke/admission"
-	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/wait"
 )
 
@@ -88,18 +87,17 @@
 	return false
 }
 
-// afterRefusal pauses before the next send of a begun stream that was refused:
-// backend servers that are full have room again after a while, and a stream whose
-// sends are used up is cut off.
-func (r *run) afterRefusal(ctx context.Context, v execution.Verdict) bool {
-	if v != execution.NotRunHere || !r.headSent.Load() {
-		return true
-	}
+// pauseRefused pauses before the next send of a begun stream that was refused:
+// backend servers that are full have room again after a while. It returns false
+// once the stream has stood still for longer than its caller stays.
+func (r *run) pauseRefused(ctx context.Context) bool {
+	r.refusals++
 	if r.pause == nil {
 		r.pause = backoff.NewExponentialBackOff()
 		r.pause.InitialInterval = refusedPause
 		r.pause.MaxInterval = refusedPauseMost
 		r.pause.Multiplier = 2
+		r.pause.RandomizationFactor = refusedJitter
 	}
-	return wait.For(ctx, r.pause.NextBackOff())
+	return time.Since(r.lastAt) < recoverHold && wait.For(ctx, r.pause.NextBackOff())
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -27,6 +27,7 @@
 	engine    *site.Engine
 	tried     heads // first hops that it was sent to
 	sends     int
+	refusals  int // sends of the begun stream that were refused
 	life      execution.Life
 	headSent  atomic.Bool // the caller has the head of the answer
 	reserved  atomic.Bool // a retry was taken for the next send
@@ -91,10 +92,12 @@
 	// sent to before, so that one that fails at once cannot use up the budget.
 	maxSends = 6
 	// refusedPause and refusedPauseMost bound the pause of a begun stream after a
-	// refusal. They double, so that its sends last until its caller gives up after two
-	// seconds: six refusals within 0.3 s cut streams off.
-	refusedPause     = 150 * time.Millisecond
+	// refusal, which doubles: six refusals within 0.3 s once cut streams off whose
+	// callers would have stayed for two seconds.
+	refusedPause     = 200 * time.Millisecond
 	refusedPauseMost = 1200 * time.Millisecond
+	// refusedJitter is the share by which such a pause varies.
+	refusedJitter = 0.2
 	// leastLeft is the least time worth handing to a backend server.
 	leastLeft = 20 * time.Millisecond
 )
@@ -116,7 +119,7 @@
 	}
 	err := r.life.Run(ctx, r)
 	if apierror.Is(err, apierror.BackendUnreachable) || apierror.Is(err, apierror.BackendRefused) {
-		return apierror.Wrap(apierror.BackendRefused, err).WithRetryAfter(retryAfter)
+		return apierror.Wrap(apierror.BackendRefused, errors.Unwrap(err)).WithRetryAfter(retryAfter)
 	}
 	return err
 }
@@ -136,7 +139,10 @@
 
 // Retry implements execution.Sender.
 func (r *run) Retry(ctx context.Context, v execution.Verdict) bool {
-	return r.sends < maxSends && r.afterRefusal(ctx, v) && r.awaitRetry(ctx)
+	if v == execution.NotRunHere && r.headSent.Load() {
+		return r.pauseRefused(ctx) && r.awaitRetry(ctx)
+	}
+	return r.sends-r.refusals < maxSends && r.awaitRetry(ctx)
 }
 
 // Progress implements execution.Sender.
