Patience before a broken domain is laid out anew: 3.5 s instead of 6

Change: placer.patience. Sharing layers takes two to four seconds, so that a longer wait only pays if the card is back within it.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -44,8 +44,9 @@
 	// is about to leave: in a rolling replacement the new one comes a second earlier.
 	freshFor = 1500 * time.Millisecond
 	// patience is how long a layer may lie on no card of its group before the group
-	// is laid out anew: cards that crash are mostly back within five seconds.
-	patience = 6 * time.Second
+	// is laid out anew, which takes two to four: most cards that crash are back, empty,
+	// within two to five seconds, and need time to load as well.
+	patience = 3500 * time.Millisecond
 	// ordersAtOnce bounds the orders that are sent at the same moment.
 	ordersAtOnce = 8
 )
