An order without an answer is given again after a second, not thirteen

Every order names the orders that its backend server has taken before, so a late one is refused once another came first: the wait protected nothing.

Change: placer.orderAgain (1 s) in place of orderSettles (13 s), for orders without an answer and for cards that are busy with one not known here.

TestOrderWithoutAnAnswerMayStillBeCarriedOut asserted the wait itself; it now asserts what the wait was for: whenever the first of two orders arrives, at once, within the second, 5 or 12 s later, only one is carried out and the card keeps its layers. The old test's stand-in carried every order out at once.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -25,9 +25,11 @@
 const (
 	// round is the time between two looks when nothing changes.
 	round = 500 * time.Millisecond
-	// orderSettles is how long an order without an answer may still be carried out:
-	// until then the backend server counts as busy.
-	orderSettles = 13 * time.Second
+	// orderAgain is how long a backend server is left alone after an order without an
+	// answer, or while it carries out one that is not known here. The order may be
+	// carried out many seconds later; it names the orders before it, as the next one
+	// does, so that only one of the two is.
+	orderAgain = time.Second
 	// orderShows is how long it may take until a finished order shows in the
 	// record of the backend server, beyond the time of the load.
 	orderShows = 3 * time.Second
@@ -263,7 +265,7 @@
 }
 
 // give sends orders, several at once. Whoever receives an order counts as busy
-// until it shows: an order without an answer may be carried out much later.
+// until it shows.
 func (p *Placer) give(ctx context.Context, e *site.Engine, orders []pipeline.Order, fence uint64) {
 	limit := make(chan struct{}, ordersAtOnce)
 	var wg sync.WaitGroup
@@ -277,6 +279,14 @@
 	wg.Wait()
 }
 
+// expect counts a backend server as busy with an order until it shows, for a while
+// at most.
+func (p *Placer) expect(o pipeline.Order, atMost time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pending[o.Server.ID] = order{layers: o.Layers, until: time.Now().Add(atMost)}
+}
+
 func (p *Placer) order(ctx context.Context, e *site.Engine, o pipeline.Order, fence uint64) {
 	if _, ok := p.duty.Held(); !ok {
 		return // lost while earlier orders were sent
@@ -284,19 +294,18 @@
 	rep, err := p.backends.Report(ctx, o.Server)
 	if err != nil || rep.Busy {
 		_ = level.Warn(p.logger).Log("msg", "order not sent", "server", o.Server.ID, "busy", rep.Busy, "err", err)
+		p.expect(o, orderAgain)
 		return
 	}
 	err = p.backends.Hold(ctx, o.Server, o.Layers, rep.Orders, fence)
-	settles := orderShows + loadsSlowed*e.LoadTime(o.Layers.Len())
-	if err != nil {
-		settles = orderSettles
-	}
-	if errors.Is(err, forward.ErrOrderRefused) || errors.Is(err, execution.ErrNotSent) {
-		settles = round
+	switch {
+	case err == nil:
+		p.expect(o, orderShows+loadsSlowed*e.LoadTime(o.Layers.Len()))
+	case errors.Is(err, forward.ErrOrderRefused) || errors.Is(err, execution.ErrNotSent):
+		p.expect(o, round)
+	default:
+		p.expect(o, orderAgain)
 	}
-	p.mu.Lock()
-	p.pending[o.Server.ID] = order{layers: o.Layers, until: time.Now().Add(settles)}
-	p.mu.Unlock()
 	_ = level.Info(p.logger).Log("msg", "decision", "kind", "placement", "server", o.Server.ID, "address", o.Server.Address,
 		"card", o.Server.Kind, "domain", o.Server.FailureDomain, "held_from", o.Server.Held.From, "held_to", o.Server.Held.To,
 		"from", o.Layers.From, "to", o.Layers.To, "orders_before", rep.Orders, "fence", fence, "reason", o.Reason, "err", err)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -26,7 +26,7 @@
 	held    bool
 	servers map[string]*site.BackendServer
 	orders  map[string][]site.Range
-	fail    map[string]error // of orders, by backend server
+	late    map[string]time.Duration // after which the first order, without an answer, arrives
 	failed  map[string]bool
 	dead    map[string]bool
 	changed chan struct{}
@@ -37,7 +37,7 @@
 
 func newCluster(cards int) *cluster {
 	c := &cluster{
-		held: true, load: time.Second, servers: map[string]*site.BackendServer{}, orders: map[string][]site.Range{}, fail: map[string]error{},
+		held: true, load: time.Second, servers: map[string]*site.BackendServer{}, orders: map[string][]site.Range{}, late: map[string]time.Duration{},
 		failed: map[string]bool{}, dead: map[string]bool{}, changed: make(chan struct{}),
 	}
 	for i := range cards {
@@ -105,19 +105,38 @@
 	if c.onOrder != nil {
 		c.onOrder()
 	}
-	if int(after) != len(c.orders[s.ID]) {
-		return forward.ErrOrderRefused
+	if late, ok := c.late[s.ID]; ok {
+		delete(c.late, s.ID)
+		time.AfterFunc(late, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			_ = c.take(s.ID, layers, after)
+		})
+		return execution.ErrLost
 	}
-	c.orders[s.ID] = append(c.orders[s.ID], layers)
-	if err := c.fail[s.ID]; err != nil {
-		return err
+	return c.take(s.ID, layers, after)
+}
+
+// take carries an order out if just so many came before it. The caller holds the
+// lock.
+func (c *cluster) take(id string, layers site.Range, after uint64) error {
+	if int(after) != len(c.orders[id]) {
+		return forward.ErrOrderRefused
 	}
-	held := *c.servers[s.ID]
+	c.orders[id] = append(c.orders[id], layers)
+	held := *c.servers[id]
 	held.Held = layers
-	c.servers[s.ID] = &held
+	c.servers[id] = &held
 	return nil
 }
 
+// layersOf returns the layers that a card holds.
+func (c *cluster) layersOf(id string) site.Range {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers[id].Held
+}
+
 // remove takes a card away.
 func (c *cluster) remove(id string) {
 	c.mu.Lock()
@@ -202,16 +221,25 @@
 	})
 }
 
+// An order without an answer is given again soon, and names the same orders before
+// it: of the two, whenever the first is carried out, only one is.
 func TestOrderWithoutAnAnswerMayStillBeCarriedOut(t *testing.T) {
-	virtual.Test(t, func(t *testing.T) {
-		c := newCluster(4)
-		c.fail["card-0"] = execution.ErrLost
-		run(t, c)
-		time.Sleep(settle + 2*round + orderSettles - time.Second)
-		require.Equal(t, 1, c.taken("card-0"), "nothing is ordered on top of it")
-		time.Sleep(3 * time.Second)
-		require.Equal(t, 2, c.taken("card-0"))
-	})
+	for _, late := range []time.Duration{0, orderAgain / 2, 5 * time.Second, 12 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				c := newCluster(4)
+				c.late["card-0"] = late
+				run(t, c)
+				time.Sleep(settle + 2*round + 2*orderAgain)
+				require.Equal(t, 1, c.taken("card-0"), "it does not wait for the late one")
+				held := c.layersOf("card-0")
+				require.Positive(t, held.Len())
+				time.Sleep(20 * time.Second)
+				require.Equal(t, 1, c.taken("card-0"), "the late one is not carried out on top of it")
+				require.Equal(t, held, c.layersOf("card-0"))
+			})
+		})
+	}
 }
 
 func TestCardThatLooksDeadIsReplacedBeforeItsRecordLapses(t *testing.T) {
