--- a/pipeline/window.go
+++ b/pipeline/window.go
@@ -88,69 +88,6 @@
 // enough is the room that cards shall have that share the layers of a lost one.
 func (g *group) enough() float64 { return enoughShare * float64(g.e.Slots) }
 
-func (g *group) layHalves(h halves, hole site.Range) {
-	reason := fmt.Sprintf("layers %d-%d lie on too few cards, taken over by their neighbours", hole.From, hole.To)
-	if h.left >= 0 && h.at > hole.From {
-		g.take(h.left, site.Range{From: g.cards[h.left].Ordered.From, To: h.at}, reason)
-	}
-	if h.right >= 0 && h.at < hole.To {
-		g.take(h.right, site.Range{From: h.at, To: g.cards[h.right].Ordered.To}, reason)
-	}
-}
-
-// halves divide a hole between the card before it and the one behind it; -1
-// stands for none. Neither gives a layer up, so no request is disturbed.
-type halves struct {
-	left, right, at int
-	room            float64 // usual requests that the fuller of them holds then
-}
-
-// bestHalves returns the division that leaves most room.
-func (g *group) bestHalves(hole site.Range) halves {
-	best := halves{left: -1, right: -1}
-	lefts, rights := []int{-1}, []int{-1}
-	for i := range g.cards {
-		c := g.cards[i]
-		if c.Busy || !placed(c) {
-			continue
-		}
-		if c.Ordered.To == hole.From {
-			lefts = append(lefts, i)
-		}
-		if c.Ordered.From == hole.To {
-			rights = append(rights, i)
-		}
-	}
-	for _, l := range lefts {
-		for _, r := range rights {
-			for at := hole.From; at <= hole.To; at++ {
-				if l < 0 && at > hole.From || r < 0 && at < hole.To || l >= 0 && l == r {
-					continue
-				}
-				room := math.Inf(1)
-				if l >= 0 && at > hole.From {
-					room = min(room, g.roomWith(l, at-g.cards[l].Ordered.From))
-				}
-				if r >= 0 && at < hole.To {
-					room = min(room, g.roomWith(r, g.cards[r].Ordered.To-at))
-				}
-				if room > best.room && !math.IsInf(room, 1) {
-					best = halves{left: l, right: r, at: at, room: room}
-				}
-			}
-		}
-	}
-	return best
-}
-
-// roomWith returns the usual requests that a card holds beside n layers.
-func (g *group) roomWith(i, n int) float64 {
-	if n > g.e.MaxLayers(g.cards[i].Server.Kind) {
-		return 0
-	}
-	return roomOf(g.e, g.cards[i], n)
-}
-
 // relieve lets the cards around the most crowded one share its layers, once the
 // group has come to rest: a card without room binds its whole pipeline.
 func (g *group) relieve() {
