The decision log is written in whole lines that a pipe takes

A flush of more than 8 KB went out as one write, of which the other side took a part; the error or the rest was passed over, while 'log lines dropped' told of nothing.

Change: flushes are written in whole lines, 4 KB at most at a time (PIPE_BUF: taken whole or not at all); lines that could not be written count as dropped, and are told with the next flush.

--- a/forward/log.go
+++ b/forward/log.go
@@ -1,7 +1,7 @@
 package forward
 
 import (
-	"bufio"
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -13,6 +13,7 @@
 const (
 	logBytes = 256 << 10              // held before lines are dropped
 	logFlush = 250 * time.Millisecond // between two writes: each is a system call
+	logWrite = 4096                   // most of one write: a pipe takes so much whole or not at all (PIPE_BUF)
 )
 
 // Log writes one key=value line a decision. It never blocks: lines are written
@@ -54,23 +55,42 @@
 	_ = l.logger.Log(append([]any{"msg", "decision", "kind", kind}, kv...)...)
 }
 
-// Flush writes what is held.
+// Flush writes what is held, in whole lines. Those that cannot be written count as
+// dropped.
 func (l *Log) Flush() {
 	l.mu.Lock()
 	buf, dropped := l.buf, l.dropped
 	l.buf, l.dropped = nil, 0
 	l.mu.Unlock()
-	if len(buf) == 0 && dropped == 0 {
-		return
+	for len(buf) > 0 {
+		piece := wholeLines(buf, logWrite)
+		n, err := l.out.Write(piece)
+		if err != nil {
+			dropped += bytes.Count(buf[n:], []byte("\n"))
+			break
+		}
+		buf = buf[len(piece):]
 	}
-	w := bufio.NewWriter(l.out)
-	_, _ = w.Write(buf) // a log that cannot be written has nowhere to say so
-	_ = w.Flush()
 	if dropped > 0 {
 		_ = l.logger.Log("msg", "log lines dropped", "count", dropped)
 	}
 }
 
+// wholeLines returns as many whole lines from the beginning of buf as fit into most
+// bytes, at least one.
+func wholeLines(buf []byte, most int) []byte {
+	if len(buf) <= most {
+		return buf
+	}
+	if i := bytes.LastIndexByte(buf[:most], '\n'); i >= 0 {
+		return buf[:i+1]
+	}
+	if i := bytes.IndexByte(buf, '\n'); i >= 0 {
+		return buf[:i+1]
+	}
+	return buf
+}
+
 // Run flushes until done is closed.
 func (l *Log) Run(done <-chan struct{}) {
 	t := time.NewTicker(logFlush)
