--- a/forward/run.go
+++ b/forward/run.go
@@ -111,8 +111,9 @@
 
 func (t *target) head() *site.BackendServer { return t.path[0].Server }
 
-// serve sends the request until it is answered. That it did not run is promised by
-// a status which says when to come back.
+// serve sends the request until it is answered. One that surely did not run gets
+// an answer that promises so and says when to come back, whether it was refused or
+// could not be sent.
 func (r *run) serve(ctx context.Context) error {
 	if s := r.f.inv.View().Config.Services[r.req.Service]; s != nil {
 		r.engine = s.Engine
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -113,7 +113,11 @@
 
 // New returns a placer; Run must be called.
 func New(duty Duty, inv Inventory, b Backends, h Health, o Observer, logger log.Logger) *Placer {
-	return &Placer{duty: duty, inv: inv, backends: b, health: h, observe: o, dead: map[string]time.Time{}, fresh: map[string]time.Time{}, homes: map[string]string{}, logger: logger, pending: map[string]order{}, bounds: map[string]pipeline.Bound{}}
+	return &Placer{
+		duty: duty, inv: inv, backends: b, health: h, observe: o, logger: logger,
+		dead: map[string]time.Time{}, fresh: map[string]time.Time{}, homes: map[string]string{},
+		pending: map[string]order{}, bounds: map[string]pipeline.Bound{},
+	}
 }
 
 // Run places until ctx ends.
