Which cards are spare is asked of one count of the layers' holders

Cause: read as a newcomer would: since the cards that fill holes are told by a function, each card counted the holders of all layers anew, cards times cards in a domain of a thousand. Change: the count is made once for each card that is looked for.

--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -185,8 +185,9 @@
 	return out
 }
 
-// fillHoles gives cards that are free for it to the holes.
-func (g *group) fillHoles(free func(Card) bool) {
+// fillHoles gives cards that are free for it to the holes. free is asked with the
+// number of cards on which each layer lies.
+func (g *group) fillHoles(free func(c Card, holders []int) bool) {
 	for _, hole := range g.holes() {
 		for hole.Len() > 0 {
 			i := g.freeCard(hole, free)
@@ -227,11 +228,12 @@
 
 // freeCard returns the free card that suits a hole best: the smallest that covers
 // it, else the largest; -1 for none.
-func (g *group) freeCard(hole site.Range, free func(Card) bool) int {
+func (g *group) freeCard(hole site.Range, free func(Card, []int) bool) int {
 	best := -1
+	holders := g.holders()
 	for i := range g.cards {
 		c := g.cards[i]
-		if c.Busy || !free(c) {
+		if c.Busy || !free(c, holders) {
 			continue
 		}
 		if best < 0 || suits(g.fits(c), g.fits(g.cards[best]), hole.Len()) {
@@ -249,14 +251,13 @@
 }
 
 // empty reports whether a card holds no layers.
-func empty(c Card) bool { return !placed(c) }
+func empty(c Card, _ []int) bool { return !placed(c) }
 
 // spare reports whether all layers of a card lie on enough other cards.
-func (g *group) spare(c Card) bool {
+func (g *group) spare(c Card, holders []int) bool {
 	if !placed(c) {
 		return false
 	}
-	holders := g.holders()
 	for l := max(0, c.Ordered.From); l < min(g.e.Layers, c.Ordered.To); l++ {
 		if holders[l] <= g.n {
 			return false
--- a/pipeline/place_test.go
+++ b/pipeline/place_test.go
@@ -409,3 +409,25 @@
 		})
 	}
 }
+
+// BenchmarkPlace closes a hole at the size of a site and at 77 times that.
+func BenchmarkPlace(b *testing.B) {
+	for _, copies := range []int{1, 77} {
+		e := testEngine()
+		var cards []Card
+		for n := range copies {
+			for _, c := range siteCards() {
+				s := *c.Server
+				s.ID, s.Address = fmt.Sprint(s.ID, "-", n), fmt.Sprint(s.Address, "-", n)
+				cards = append(cards, Card{Server: &s})
+			}
+		}
+		settle(b, e, cards)
+		lost := slices.Delete(slices.Clone(cards), 5, 9)
+		b.Run(fmt.Sprintf("cards=%d", len(lost)), func(b *testing.B) {
+			for b.Loop() {
+				Place(e, lost, true)
+			}
+		})
+	}
+}
