--- a/capacity/platform.go
+++ b/capacity/platform.go
@@ -19,13 +19,13 @@
 
 // Sweep holds the figures of the last sweep (journal snapshot SweepSnapshot).
 var Sweep = []SweepPoint{
-	{30, 301, 2.7, 4.6, 11.2, 14.1, 18.1, 49, 0.992, 0.5},
-	{100, 1001, 2.3, 5.0, 11.6, 24.3, 11.5, 139, 0.987, 3},
-	{300, 2999, 3.8, 7.3, 18.0, 57.8, 25.1, 710, 0.987, 30},
+	{30, 301, 2.6, 4.5, 11.2, 13.5, 18.8, 49.1, 0.994, 0.5},
+	{100, 1001, 2.3, 4.7, 11.7, 24.1, 11.8, 129, 0.988, 5},
+	{300, 2999, 3.4, 5.9, 18.7, 56.8, 24.1, 768, 0.989, 30},
 }
 
 // SweepSnapshot names the journal entry of Sweep.
-const SweepSnapshot = "6dd212a5"
+const SweepSnapshot = "84519a2e"
 
 // Figures of the relay, in bytes: a ping with its answer, one load of a backend
 // server, one record of a backend server in a compressed state.
