One question whether layers lie nowhere; a comment that claimed too much

Cause: read again: uncovered and isUncovered asked the same of all layers and of a hole, and Life.Run called itself the loop of token streams too, which keep their own. Change: uncovered takes a range.

--- a/execution/run.go
+++ b/execution/run.go
@@ -29,8 +29,8 @@
 }
 
 // Run sends a request until it is answered or may not be sent again. It is the one
-// loop of both faces and of plain services; an error is an *apierror.Error that is
-// true of all sends together.
+// loop of the platform's requests and of plain services; an error is an
+// *apierror.Error that is true of all sends together.
 func (l *Life) Run(ctx context.Context, s Sender) error {
 	for {
 		v, err := s.Send(ctx)
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -122,7 +122,7 @@
 	g.extendIntoHoles()
 	g.fillHoles(g.spare)
 	g.shareHoles(patient)
-	broken := g.uncovered()
+	broken := g.uncovered(site.Range{To: e.Layers})
 	if broken && !patient {
 		if anew := relayOut(e, slices.DeleteFunc(slices.Clone(cards), busy), n); len(anew) > 0 {
 			return Plan{Orders: anew}
@@ -165,7 +165,10 @@
 	return out
 }
 
-func (g *group) uncovered() bool { return slices.Contains(g.holders(), 0) }
+// uncovered reports whether some of the layers lie on no card of the group.
+func (g *group) uncovered(layers site.Range) bool {
+	return slices.Contains(g.holders()[layers.From:layers.To], 0)
+}
 
 // holes returns the ranges of layers that lie on fewer cards than there are
 // pipelines.
--- a/pipeline/window.go
+++ b/pipeline/window.go
@@ -39,7 +39,7 @@
 // over if that leaves them enough room for requests.
 func (g *group) extendIntoHoles() {
 	for _, hole := range g.holes() {
-		if h := g.bestHalves(hole); g.isUncovered(hole) && h.room >= g.enough() {
+		if h := g.bestHalves(hole); g.uncovered(hole) && h.room >= g.enough() {
 			g.layHalves(h, hole)
 		}
 	}
@@ -51,7 +51,7 @@
 func (g *group) shareHoles(patient bool) {
 	for _, hole := range g.holes() {
 		h := g.bestHalves(hole)
-		if !g.isUncovered(hole) {
+		if !g.uncovered(hole) {
 			if h.room >= leastRoom {
 				g.layHalves(h, hole)
 			}
@@ -74,11 +74,6 @@
 	}
 }
 
-// isUncovered reports whether some layer of a hole lies on no card of the group.
-func (g *group) isUncovered(hole site.Range) bool {
-	return slices.Contains(g.holders()[hole.From:hole.To], 0)
-}
-
 // inUse reports whether requests still pass through the layers of a hole, on a card
 // that drains. Cards that share them anew would give up layers of those requests.
 func (g *group) inUse(hole site.Range) bool {
