The silence after which hops are probed is learnt by head

Change: each daemon learns by head the pauses to the first event and between events; hops are probed after 1.5 means and 4 mean deviations of them, within 60 and 900 ms.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -69,6 +69,7 @@
 	budget    *admission.Budget
 	reports   *recent[Report]
 	probes    *recent[struct{}]
+	silences  *silences
 	live      *liveStreams
 	crossings crossings
 
@@ -93,7 +94,7 @@
 	f := &Forwarder{
 		started: time.Now(), opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
-		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), live: newLiveStreams(),
+		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), silences: newSilences(), live: newLiveStreams(),
 	}
 	f.keysFreshFor.Store(int64(o.KeysFreshFor))
 	if !o.Restarted {
@@ -151,6 +152,7 @@
 	f.health.Prune(func(id string) bool { return known[id] != nil })
 	f.reports.prune(known)
 	f.probes.prune(known)
+	f.silences.prune(known)
 }
 
 func (f *Forwarder) finish(r *run, err error) {
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -27,6 +27,8 @@
 	forward *Forwarder
 	rng     *rand.Rand
 
+	slow float64 // factor on the time of every token
+
 	mu      sync.Mutex
 	cards   map[string]*labCard
 	streams map[string]*labStream
@@ -40,6 +42,7 @@
 	tokens    int
 	inFlight  int
 	mostIn    int
+	reached   int // connections made to probe a card
 }
 
 type labCard struct {
@@ -92,7 +95,7 @@
 // newLab places the cards of three failure domains.
 func newLab(seed uint64) *lab {
 	l := &lab{
-		engine: labEngine(), rng: rand.New(rand.NewPCG(seed, 1)), cards: map[string]*labCard{}, streams: map[string]*labStream{},
+		engine: labEngine(), slow: 1, rng: rand.New(rand.NewPCG(seed, 1)), cards: map[string]*labCard{}, streams: map[string]*labStream{},
 	}
 	var cards []pipeline.Card
 	for domain, kinds := range map[string]map[string]int{
@@ -310,7 +313,7 @@
 			ms += pipeline.LinkMS(l.engine, p[i-1].Server.FailureDomain, h.Server.FailureDomain)
 		}
 	}
-	return milliseconds(labTokens * ms)
+	return milliseconds(l.slow * labTokens * ms)
 }
 
 // Read gives one event a call, when it is due. A stream whose hop is dead stands
@@ -372,6 +375,7 @@
 func (l *lab) Reach(ctx context.Context, s *site.BackendServer) error {
 	l.mu.Lock()
 	c := *l.cards[s.ID]
+	l.reached++
 	l.mu.Unlock()
 	if c.killed {
 		return syscall.ECONNREFUSED
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -21,9 +21,6 @@
 	firstSilence = 350 * time.Millisecond
 	// gapSilence is the same between two events, at least.
 	gapSilence = 220 * time.Millisecond
-	// probeAt is the part of either silence after which the hops are probed: a dead
-	// one is found before the head has noticed.
-	probeAt = 0.5
 	// heardWithin is how long ago another stream of the same hop may have had an
 	// event for the hop to count as alive without a probe.
 	heardWithin = 70 * time.Millisecond
@@ -61,6 +58,7 @@
 	bound   time.Duration // silence after which the head is asked
 	quietAt time.Time     // last event, or the send
 	asking  bool
+	begun   bool // this send has had an event
 	probed  bool // since the last event
 	moved   bool // since the last event
 	ended   bool
@@ -72,7 +70,7 @@
 	s := &stream{r: r, attempt: r.sends, cancel: cancel, path: t.path, tokens: t.tokens, quietAt: time.Now()}
 	s.leave = r.f.loads.Enter(t.path, t.tokens)
 	s.bound = max(firstSilence, silenceFactor*time.Duration(t.choice.FirstMS*float64(time.Millisecond)))
-	s.timer = time.AfterFunc(scale(s.bound, probeAt), func() { s.check(sctx) })
+	s.timer = time.AfterFunc(s.probeAfter(true), func() { s.check(sctx) })
 	r.f.live.add(s)
 	defer s.end()
 	a, err := r.f.backends.Send(sctx, r.outgoing(t, left))
@@ -90,6 +88,11 @@
 	return s.relay(ctx, sctx, a)
 }
 
+// probeAfter returns the silence after which the hops are probed.
+func (s *stream) probeAfter(first bool) time.Duration {
+	return s.r.f.silences.probeAfter(s.currentPath()[0].Server.ID, first)
+}
+
 func (s *stream) end() {
 	s.timer.Stop()
 	s.mu.Lock()
@@ -191,9 +194,11 @@
 	gap, moved := now.Sub(s.quietAt), s.moved
 	s.r.notePause(now)
 	s.quietAt, s.moved, s.probed = now, false, false
-	bound := s.bound
+	head, first := s.path[0].Server.ID, !s.begun
+	s.begun = true
 	s.mu.Unlock()
-	s.timer.Reset(scale(bound, probeAt))
+	s.r.f.silences.observe(head, first, gap)
+	s.timer.Reset(s.probeAfter(false))
 	if moved {
 		s.r.recovered("path moved", gap)
 	}
--- a/health/gap.go
+++ b/health/gap.go
@@ -18,6 +18,11 @@
 	gapDevGain = 0.25
 	gapDevs    = 8.0 // deviations above the mean that are still waited for
 	gapWarmUp  = 4   // observations before the bound is trusted
+	// unusualMeans and unusualDevs, in means and mean deviations, are the gap from
+	// which on the next event is late. Deviations alone took every tenth pause of a
+	// calm day for unusual: gaps are skewed, since prompts are read between them.
+	unusualMeans = 1.5
+	unusualDevs  = 4.0
 )
 
 // Observe takes one gap.
@@ -45,5 +50,16 @@
 	return min(ceil, max(floor, b))
 }
 
+// Unusual returns the gap from which on the next event is late beyond what the
+// spread of the gaps explains, within [least, most]; unknown while too little was
+// observed.
+func (g *Gap) Unusual(least, most, unknown time.Duration) time.Duration {
+	if !g.Warm() {
+		return unknown
+	}
+	b := time.Duration((unusualMeans*g.mean + unusualDevs*g.dev) * float64(time.Second))
+	return min(most, max(least, b))
+}
+
 // Mean returns the mean gap.
 func (g *Gap) Mean() time.Duration { return time.Duration(g.mean * float64(time.Second)) }
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -87,6 +87,21 @@
 	require.Greater(t, g.Bound(0, time.Second), 150*time.Millisecond)
 }
 
+func TestUnusualGapFollows(t *testing.T) {
+	var g Gap
+	const least, most, unknown = 10 * time.Millisecond, 500 * time.Millisecond, 200 * time.Millisecond
+	require.Equal(t, unknown, g.Unusual(least, most, unknown))
+	for range 100 {
+		g.Observe(20 * time.Millisecond)
+	}
+	require.InDelta(t, 30, g.Unusual(least, most, unknown).Milliseconds(), 2)
+	for range 10 {
+		g.Observe(60 * time.Millisecond)
+		g.Observe(20 * time.Millisecond)
+	}
+	require.Greater(t, g.Unusual(least, most, unknown), 100*time.Millisecond, "spread counts")
+}
+
 // A link that slows a hundredfold is degraded after few samples, tried again
 // after the hold, put back at once if it is still slow, and restored when fast.
 func TestLink(t *testing.T) {
