Streams that wait for their first event count against their head

Change: the choice adds to a head's cost how long the oldest own stream waits there for its first event, beyond 100 ms.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -175,6 +175,10 @@
 	daemons := float64(max(1, f.fleet.Daemons()))
 	servers := view.OfService(service)
 	out := make([]pipeline.Candidate, 0, len(servers))
+	var waits map[string]time.Duration
+	if engine != nil {
+		waits = f.live.waits(now)
+	}
 	begin := rand.IntN(max(1, len(servers)))
 	for i := range servers {
 		s := servers[(begin+i)%len(servers)]
@@ -184,11 +188,20 @@
 		if engine != nil && f.health.Cooling(s.ID, now) {
 			continue
 		}
-		out = append(out, pipeline.Candidate{Server: s, Load: f.loads.Of(s.ID, daemons, now)})
+		load := f.loads.Of(s.ID, daemons, now)
+		load.WaitMS = max(0, float64(waits[s.ID]-queueFrom)/float64(time.Millisecond))
+		out = append(out, pipeline.Candidate{Server: s, Load: load})
 	}
 	return out
 }
 
+// queueFrom is the wait for a first event from which on it counts against a head:
+// less is what reading a prompt takes. Loads that other daemons told are a second
+// old; with what the own streams wait for, requests went to a head with all slots
+// taken and 90 requests waiting for 12 s no more: served in time 0.844 instead of
+// 0.836, worth 0.594 instead of 0.570 over three days of trouble at 59 daemons.
+const queueFrom = 100 * time.Millisecond
+
 // chooseJitter is the share by which costs vary at random: daemons that see the
 // same loads, which are up to a second old, must not all choose the same path.
 const chooseJitter = 0.25
--- a/forward/live.go
+++ b/forward/live.go
@@ -40,6 +40,23 @@
 	}
 }
 
+// waits returns for each head how long the oldest stream waits there for its first
+// event.
+func (l *liveStreams) waits(now time.Time) map[string]time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string]time.Duration{}
+	for s := range l.all {
+		s.mu.Lock()
+		if !s.begun {
+			head := s.path[0].Server.ID
+			out[head] = max(out[head], now.Sub(s.quietAt))
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
 // heardSince returns the backend servers on whose paths an event came since then.
 func (l *liveStreams) heardSince(at time.Time) map[string]bool {
 	l.mu.Lock()
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -23,6 +23,9 @@
 	// OwnKV is what this daemon's requests hold times the daemons: by it each daemon
 	// spreads its own requests evenly, which needs no news from the others.
 	OwnKV float64
+	// WaitMS is how long requests wait there for their first token, if it is their
+	// first hop.
+	WaitMS float64
 }
 
 // Candidate is a backend server that may be on a path.
@@ -258,7 +261,7 @@
 		if !s.Held.Has(0) || s.Slots > 0 && cs[i].Load.Heads >= float64(s.Slots) {
 			continue
 		}
-		cost := hops[i].fixed + hops[i].perLayer*float64(s.Held.Len())
+		cost := hops[i].fixed + hops[i].perLayer*float64(s.Held.Len()) + cs[i].Load.WaitMS
 		if s.FailureDomain != q.Near && q.Near != "" {
 			cost += nearCostMS
 		}
--- /dev/null
+++ b/pipeline/choose_test.go
@@ -0,0 +1,50 @@
+package pipeline
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// twoPipelines are a fast and a slow pipeline of two cards each, empty.
+func twoPipelines(e *site.Engine) []Candidate {
+	half := e.Layers / 2
+	var out []Candidate
+	for _, kind := range []string{"fast", "slow"} {
+		for i, held := range []site.Range{{From: 0, To: half}, {From: half, To: e.Layers}} {
+			id := kind + string(rune('0'+i))
+			out = append(out, Candidate{Server: &site.BackendServer{ID: id, Kind: kind, Held: held, Slots: e.Slots, FailureDomain: kind}})
+		}
+	}
+	return out
+}
+
+func choiceEngine() *site.Engine {
+	return &site.Engine{
+		Slots: 100, Layers: 10, LayerMB: 100, KVTokenBytes: 1000, StepMS: 1, PerRequestMS: 0.01, ReadPerSecond: 100000,
+		Kinds: map[string]site.Accelerator{"fast": {MemoryMB: 2000, Pace: 1, ReadPace: 1}, "slow": {MemoryMB: 2000, Pace: 3, ReadPace: 3}},
+	}
+}
+
+// A head at which requests wait for their first token is left, although what the
+// daemons told of its load does not show it yet, and only for as long as the other
+// path is not slower still.
+func TestWaitAtTheFirstHopCounts(t *testing.T) {
+	e := choiceEngine()
+	q := &Query{Engine: e, Tokens: Tokens{Prompt: 500, Answer: 100}}
+	cs := twoPipelines(e)
+	head := func() string {
+		c, err := Choose(q, cs, nil)
+		require.NoError(t, err)
+		return c.Path[0].Server.ID
+	}
+	require.Equal(t, "fast0", head())
+	cs[0].Load.WaitMS = 500
+	require.Equal(t, "slow0", head())
+	cs[2].Load.WaitMS = 5000
+	require.Equal(t, "fast0", head())
+	cs[1].Load.WaitMS = 5000
+	require.Equal(t, "fast0", head(), "a wait counts at the first hop alone")
+}
