Requests wait for a daemon that starts

Change: until configuration and backend servers are known, a request waits for up to 0.9 s, after which callers leave a daemon that has not read their request. Kept: TestRequestsWaitForADaemonThatStarts fails before (503).

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -1,13 +1,40 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/site"
 )
 
+// startHold is how long a request waits for a daemon that was just started to know
+// the configuration and the backend servers, which takes it half a second. When all
+// daemons were killed their callers come back within milliseconds of the start, and
+// a second refusal would be their last: 176 of 3,200 requests of a day. Callers
+// leave a daemon that has not read their request after a second.
+const startHold = 900 * time.Millisecond
+
+// AwaitStart waits, but no longer than a caller does, until requests can be told
+// apart and sent.
+func (f *Forwarder) AwaitStart(ctx context.Context, deadline time.Time) {
+	until := earlier(time.Now().Add(startHold), deadline.Add(-leastLeft))
+	for !f.inv.Complete() && time.Now().Before(until) {
+		if !wait.For(ctx, holdStep) {
+			return
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Admission is what the configuration in force says of a request.
 type Admission struct {
 	Route     *site.Route
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -19,6 +19,8 @@
 type Inventory interface {
 	View() *inventory.View
 	Age(now time.Time) time.Duration
+	// Complete reports whether the configuration and all backend servers are known.
+	Complete() bool
 }
 
 // Fleet tells how many daemons share the load.
--- a/gateway/requests_test.go
+++ b/gateway/requests_test.go
@@ -68,6 +68,21 @@
 	require.NoError(t, resp.Body.Close())
 }
 
+// Callers come back within milliseconds of a daemon's start, before it has read the
+// store: they wait that moment instead of being refused once more.
+func TestRequestsWaitForADaemonThatStarts(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	servers := w.servers("plain", "", "plain-1")
+	d := w.daemon("daemon-1", nil)
+	answer := make(chan int, 1)
+	go func() { answer <- d.call(t, call{method: "GET", path: "/plain/"}).Status }()
+	time.Sleep(200 * time.Millisecond)
+	w.putConfig()
+	require.Equal(t, http.StatusOK, <-answer)
+	require.Equal(t, 1, totalRuns(servers))
+}
+
 func TestFaultsOfBackendServers(t *testing.T) {
 	for name, c := range map[string]struct {
 		path    string
