A full path is the last choice

Change: a hop without room costs more than any path with room. TestFullPathIsTheLastChoice fails before.

--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -59,6 +59,10 @@
 	fullFrom = 0.85
 	// fullCostMS is the cost of a hop whose memory is all used.
 	fullCostMS = 200.0
+	// noRoomCostMS is more than any path with room costs. Without it a fast path was
+	// the cheapest although it was full, and requests were refused while a slow one
+	// had room: 27 to 44 requests of 190 in a domain, 100 refusals in two seconds.
+	noRoomCostMS = 1e6
 	// spreadWeight makes a card dearer the more of its memory this daemon would use
 	// if all daemons did as it does, up to spreadMost of the memory.
 	spreadWeight = 1.0
@@ -128,6 +132,9 @@
 		if full > fullFrom {
 			out[i].fixed = fullCostMS * (full - fullFrom) / (1 - fullFrom)
 		}
+		if full > 1 {
+			out[i].fixed += noRoomCostMS
+		}
 		if r != nil && q.Jitter > 0 {
 			out[i].perLayer *= 1 + q.Jitter*r.Float64()
 		}
--- a/pipeline/choose_test.go
+++ b/pipeline/choose_test.go
@@ -48,3 +48,19 @@
 	cs[1].Load.WaitMS = 5000
 	require.Equal(t, "fast0", head(), "a wait counts at the first hop alone")
 }
+
+// A path that is full is the last choice, however slow the others are: else requests
+// were refused with room left.
+func TestFullPathIsTheLastChoice(t *testing.T) {
+	e := choiceEngine()
+	e.Kinds["slow"] = site.Accelerator{MemoryMB: 2000, Pace: 100, ReadPace: 100}
+	q := &Query{Engine: e, Tokens: Tokens{Prompt: 500, Answer: 100}}
+	cs := twoPipelines(e)
+	cs[1].Load.KVUsed = e.KVRoom("fast", cs[1].Server.Held.Len())
+	c, err := Choose(q, cs, nil)
+	require.NoError(t, err)
+	require.Equal(t, "slow0", c.Path[0].Server.ID)
+	cs[3].Load.KVUsed = e.KVRoom("slow", cs[3].Server.Held.Len())
+	_, err = Choose(q, cs, nil)
+	require.ErrorIs(t, err, ErrFull)
+}
