Requests count in a card's memory with their mean size

Hypothesis: cards count as full at 0.87 of their memory, since each request counts with its size at the end while most are younger. Change: the mean size.

--- a/forward/pick.go
+++ b/forward/pick.go
@@ -59,7 +59,7 @@
 	if !r.f.mayCross(r.engine, q.Tokens.Prompt, c.Crossings, now) {
 		return nil, apierror.New(apierror.Overloaded, "the pipes between failure domains are full").WithRetryAfter(retryAfter)
 	}
-	return &target{path: c.Path, choice: c, tokens: q.Tokens.Full()}, nil
+	return &target{path: c.Path, choice: c, tokens: q.Tokens.Mean()}, nil
 }
 
 // checkLayers asserts that a check of a path's layers found nothing.
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -143,13 +143,16 @@
 }
 
 // fullness returns the share of a card's memory that is used once the request
-// runs n layers on it.
+// runs n layers on it. Requests are counted with the size that they have on average,
+// since they are at different points of their lives: by their size at the end a card
+// counted as full at 0.87 of its memory (worth 0.537 to 0.552 over five days of
+// trouble).
 func fullness(q *Query, c *Candidate, n int) float64 {
 	room := q.Engine.KVRoom(c.Server.Kind, c.Server.Held.Len())
 	if room <= 0 {
 		return math.Inf(1)
 	}
-	return (c.Load.KVUsed + q.Tokens.Full()*float64(n)) / room
+	return (c.Load.KVUsed + q.Tokens.Mean()*float64(n)) / room
 }
 
 // frontier holds the cheapest way to each layer for each failure domain that it
--- a/pipeline/cost.go
+++ b/pipeline/cost.go
@@ -53,9 +53,6 @@
 // Mean returns the context that a request holds on average while it runs.
 func (t Tokens) Mean() float64 { return t.Prompt + t.Answer/2 }
 
-// Full returns the context at its end.
-func (t Tokens) Full() float64 { return t.Prompt + t.Answer }
-
 // Usual returns the mean request of an engine.
 func Usual(e *site.Engine) Tokens {
 	return Tokens{Prompt: float64(e.Prompt), Answer: float64(e.Answer)}
