--- a/forward/recover.go
+++ b/forward/recover.go
@@ -92,8 +92,6 @@
 	s.move(ctx, failed)
 }
 
-func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
-
 // failedHop returns a hop of the path that is known to have failed, or nil.
 func (s *stream) failedHop(p site.Path) *site.BackendServer {
 	now := time.Now()
