--- a/placer/placer.go
+++ b/placer/placer.go
@@ -49,6 +49,11 @@
 	// is laid out anew, which takes two to four: most cards that crash are back, empty,
 	// within two to five seconds, and need time to load as well.
 	patience = 3500 * time.Millisecond
+	// leavesFor is how long a backend server whose record vanished without a sign of
+	// death may still serve: some leave without a word and serve for the 2 to 4 s of a
+	// drain and more. Layers that others give up are not dropped at once meanwhile: 71
+	// streams that passed such a card were stopped by it.
+	leavesFor = 8 * time.Second
 	// ordersAtOnce bounds the orders that are sent at the same moment.
 	ordersAtOnce = 8
 )
@@ -92,9 +97,11 @@
 	observe  Observer
 	logger   log.Logger
 
-	dead  map[string]time.Time // by backend server ID, when the probe failed
-	fresh map[string]time.Time // by backend server ID, when it was first seen empty
-	homes map[string]string    // by address, the backend server last seen there
+	dead  map[string]time.Time           // by backend server ID, when the probe failed
+	fresh map[string]time.Time           // by backend server ID, when it was first seen empty
+	seen  map[string]*site.BackendServer // those that held layers when last looked at, by ID
+	left  time.Time                      // when one of them was last missing without a sign of death
+	homes map[string]string              // by address, the backend server last seen there
 
 	mu      sync.Mutex
 	pending map[string]order // by backend server ID
@@ -116,7 +123,7 @@
 func New(duty Duty, inv Inventory, b Backends, h Health, o Observer, logger log.Logger) *Placer {
 	return &Placer{
 		duty: duty, inv: inv, backends: b, health: h, observe: o, logger: logger,
-		dead: map[string]time.Time{}, fresh: map[string]time.Time{}, homes: map[string]string{},
+		dead: map[string]time.Time{}, fresh: map[string]time.Time{}, seen: map[string]*site.BackendServer{}, homes: map[string]string{},
 		pending: map[string]order{}, bounds: map[string]pipeline.Bound{},
 	}
 }
@@ -149,20 +156,43 @@
 		if svc.Engine == nil || svc.Engine.LayerMB <= 0 {
 			continue
 		}
+		p.noteLeft(view, svc, time.Now())
 		p.probe(ctx, view, svc)
 		cards := p.cards(view, svc)
 		if !p.settled(cards) {
 			continue
 		}
 		p.noteBound(svc, cards)
-		orders := p.decide(svc.Engine, cards, time.Now())
-		if !view.Config.RepeatableAt(svc.Name) {
+		now := time.Now()
+		orders := p.decide(svc.Engine, cards, now)
+		if !view.Config.RepeatableAt(svc.Name) || now.Sub(p.left) < leavesFor {
 			orders = graceful(orders)
 		}
 		p.give(ctx, svc.Engine, orders, fence)
 	}
 }
 
+// noteLeft notes backend servers that held layers and are gone although they neither
+// drained nor looked dead. It is called before the dead are forgotten with their
+// records.
+func (p *Placer) noteLeft(view *inventory.View, svc *site.Service, now time.Time) {
+	for id, s := range p.seen {
+		if s.Service != svc.Name || view.Servers[id] != nil {
+			continue
+		}
+		delete(p.seen, id)
+		if _, dead := p.dead[id]; !dead && !s.Draining && !p.health.Failed(id) {
+			p.left = now
+			_ = level.Info(p.logger).Log("msg", "decision", "kind", "left", "server", id, "address", s.Address, "from", s.Held.From, "to", s.Held.To)
+		}
+	}
+	for _, s := range view.OfService(svc.Name) {
+		if s.Held.Len() > 0 {
+			p.seen[s.ID] = s
+		}
+	}
+}
+
 // graceful returns orders that drop layers only when no request passes through them.
 func graceful(orders []pipeline.Order) []pipeline.Order {
 	out := slices.Clone(orders)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -331,3 +331,25 @@
 		})
 	}
 }
+
+// A backend server whose record vanishes without a sign of death may still serve: the
+// requests that pass it and others are not stopped for its layers.
+func TestLayersAreKeptWhileOneThatLeftMayServe(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		c := newCluster(3)
+		run(t, c)
+		time.Sleep(10 * time.Second)
+		before := c.total()
+		for id, s := range c.View().Servers {
+			if s.Held.Len() == 1 {
+				c.remove(id)
+				break
+			}
+		}
+		time.Sleep(3 * time.Second)
+		require.Greater(t, c.total(), before, "its layer is taken over")
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		require.Zero(t, c.dropped)
+	})
+}
