A group that is laid out anew disturbs no request on a card that drains

Found by reading the change: orders of a new layout dropped layers at once also while a card that drains still carried requests of the group. TestGroupIsLaidOutAnewGracefullyWhileACardDrains fails before.

--- a/pipeline/layout.go
+++ b/pipeline/layout.go
@@ -10,8 +10,9 @@
 )
 
 // relayOut places the pipelines of a group anew, keeping cards near the layers
-// that they hold.
-func relayOut(e *site.Engine, cards []Card, n int) []Order {
+// that they hold. Layers are dropped at once unless requests still get through the
+// group over a card that drains.
+func relayOut(e *site.Engine, cards []Card, n int, atOnce bool) []Order {
 	var orders []Order
 	for _, chain := range deal(e, cards, n) {
 		slices.SortStableFunc(chain, func(a, b Card) int { return cmp.Compare(position(a), position(b)) })
@@ -24,7 +25,7 @@
 			r := site.Range{From: next, To: next + c[i]}
 			next = r.To
 			if r.Len() > 0 && r != chain[i].Ordered {
-				orders = append(orders, Order{Server: chain[i].Server, Layers: r, AtOnce: true, Reason: "pipeline laid out anew, its cards do not cover all layers"})
+				orders = append(orders, Order{Server: chain[i].Server, Layers: r, AtOnce: atOnce, Reason: "pipeline laid out anew, its cards do not cover all layers"})
 			}
 		}
 	}
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -130,7 +130,7 @@
 	g.shareHoles(patient)
 	broken := g.uncovered(site.Range{To: e.Layers})
 	if broken && !patient {
-		if anew := relayOut(e, slices.DeleteFunc(slices.Clone(cards), busy), n); len(anew) > 0 {
+		if anew := relayOut(e, slices.DeleteFunc(slices.Clone(cards), busy), n, len(leaving) == 0); len(anew) > 0 {
 			return Plan{Orders: anew}
 		}
 	}
--- a/pipeline/place_test.go
+++ b/pipeline/place_test.go
@@ -248,6 +248,20 @@
 	require.GreaterOrEqual(t, len(anew), len(left)-1, "all cards of the domain but one that may stay as it is")
 }
 
+// A group that is laid out anew while a card still drains disturbs no request on it.
+func TestGroupIsLaidOutAnewGracefullyWhileACardDrains(t *testing.T) {
+	e := testEngine()
+	cards, domain := crippled(t, e)
+	leaving := card("leaving", domain, "large")
+	server := *leaving.Server
+	server.Draining, server.Held = true, site.Range{To: 24}
+	orders := Place(e, append(cards, Card{Server: &server, Ordered: server.Held}), false).Orders
+	require.NotEmpty(t, orders)
+	for _, o := range orders {
+		require.False(t, o.AtOnce, "%s drops layers for %v", o.Server.ID, o.Layers)
+	}
+}
+
 func TestBusyCardsAreLeftAlone(t *testing.T) {
 	e, cards := testEngine(), siteCards()
 	settle(t, e, cards)
