A daemon that is about to be a source is waited for

A daemon that had applied its full state had not yet its source's word on how fresh it is, and answered 503 until then; who asked in between followed another daemon, left that 1.5 s later and was told everything twice.

Change: until a daemon has been sound once it answers 425, about to be a source.

The new test failed before (503).

--- a/relay/node.go
+++ b/relay/node.go
@@ -85,6 +85,7 @@
 	frames  frames
 	names   names
 
+	begun        atomic.Bool  // this daemon has been a sound source
 	reading      atomic.Bool  // this daemon follows the store itself
 	readingSince atomic.Int64 // Unix nanoseconds
 	otherDomains *exchange    // loads of the other domains, while reading
@@ -236,12 +237,21 @@
 	return nil
 }
 
-// starting reports whether this daemon has not yet a configuration and a full list
-// of the backend servers, from the store or its source: who followed it now would
-// take all others to be gone.
-func (n *Node) starting() bool {
+// starting reports whether this daemon is about to be a source for the first time.
+// It has not yet a configuration and a full list of the backend servers, and who
+// followed it now would take all others to be gone; or it has, but the source has
+// not yet told how fresh they are. Without the second, daemons that asked between
+// the two followed another one, left that when this one was sound, and were told
+// everything twice.
+func (n *Node) starting(now time.Time) bool {
 	s := n.inv.State()
-	return s.ConfigVersion == 0 || !s.Complete
+	if s.ConfigVersion == 0 || !s.Complete {
+		return true
+	}
+	if !n.begun.Load() && n.sound(now) {
+		n.begun.Store(true)
+	}
+	return !n.begun.Load()
 }
 
 // candidates returns the daemons that this one may follow, the best first: the
--- a/relay/source.go
+++ b/relay/source.go
@@ -40,11 +40,12 @@
 func (n *Node) serveLink(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	sameDomain := query.Get(domainParam) == n.opts.Domain
+	now := time.Now()
 	switch {
-	case n.starting():
+	case n.starting(now):
 		http.Error(w, "starting", http.StatusTooEarly)
 		return
-	case !n.sound(time.Now()), !sameDomain && !n.reading.Load():
+	case !n.sound(now), !sameDomain && !n.reading.Load():
 		http.Error(w, "no sound source", http.StatusServiceUnavailable)
 		return
 	}
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -283,6 +283,28 @@
 	require.ErrorIs(t, follower.probe(t.Context(), first), errFound)
 }
 
+// A daemon that has all there is to know, but not yet its source's word on how
+// fresh that is, is about to be a source: who starts below it waits. One that lost
+// its source is none, and is passed over.
+func TestDaemonThatIsAboutToBeASourceIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	inv := newCopied(&store{})
+	inv.state = &inventory.State{ConfigVersion: 1, Complete: true}
+	n := New(Options{Name: daemonName(1), Domain: "d"}, inv, inv, everybody{}, log.NewNopLogger())
+	srv := httptest.NewServer(n.Handler())
+	t.Cleanup(srv.Close)
+	above := Member{Name: daemonName(1), Domain: "d", Address: srv.Listener.Addr().String()}
+	follower := New(Options{Name: daemonName(2), Domain: "d"}, inv, inv, everybody{}, log.NewNopLogger())
+	require.ErrorIs(t, follower.probe(t.Context(), above), errEarly)
+	n.noteUpstream(t.Context(), 0, time.Now())
+	require.ErrorIs(t, follower.probe(t.Context(), above), errFound)
+	n.forgetUpstream()
+	err := follower.probe(t.Context(), above)
+	require.Error(t, err)
+	require.NotErrorIs(t, err, errEarly)
+	require.NotErrorIs(t, err, errFound)
+}
+
 // When the first daemon hears nothing from the store any more, nobody below it
 // counts as a source.
 func TestChainWithoutTheStoreIsNoSource(t *testing.T) {
