Calls to the store do not grow with the daemons

From the logs: each of 295 daemons wrote its record and read a fresh list at every start (three calls after a kill, for a record that was there), wrote it again every 30 s and read lists every 8 s; and in an outage of 8 s all 290 followed the store themselves, with two followers that began their pauses at 50 ms: some twenty calls each.

Change: a daemon that is started again takes over the record that its predecessor left, by one list that may be old; at a first start such a list counts once it shows the own record. The periods of records and lists grow with the daemons (at most five writes and ten old lists a second in the fleet). While the store is away one of the two followers looks for it, and one that others stand in for begins at an eighth of its longest pause.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,7 +100,7 @@
 		return nil, err
 	}
 	self := relay.Member{Name: set.Name, Domain: set.FailureDomain, Address: g.listeners.links.Addr().String()}
-	g.members = newMembers(self, g.store, g.log)
+	g.members = newMembers(self, set.FirstStart, g.store, g.log)
 	g.forward = forward.New(forward.Options{
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetrySlack: set.RetrySlack,
 		RetryWindow: set.RetryWindow, Restarted: !set.FirstStart, KeysFreshFor: keysFreshFor(set),
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -21,12 +21,35 @@
 // may be old.
 const (
 	heartbeat   = 30 * time.Second
-	memberTTL   = 5 * heartbeat / 2
-	listEvery   = 8 * time.Second
-	firstList   = 400 * time.Millisecond // VMs start within 0.3 s of each other
+	listPeriod  = 8 * time.Second
 	leaveWithin = time.Second
+	// beatPerDaemon and listPerDaemon make the periods longer where there are many
+	// daemons, so that all of them together write five records a second and read ten
+	// lists that may be old. A list is 100 bytes a daemon: at 380 of them each reads
+	// 1 KB a second.
+	beatPerDaemon = 200 * time.Millisecond
+	listPerDaemon = 100 * time.Millisecond
+	// joinPause and joinWithin bound how long a daemon of a fleet that starts for the
+	// first time waits until a list that may be old shows its own record, and so all
+	// that were written before it. VMs start within 0.3 s of each other. After that it
+	// reads a fresh list, which costs ten times as much.
+	joinPause  = 400 * time.Millisecond
+	joinWithin = 2 * time.Second
 )
 
+// beatEvery returns the period of a daemon's own record in a fleet of so many.
+func beatEvery(daemons int) time.Duration {
+	return max(heartbeat, time.Duration(daemons)*beatPerDaemon)
+}
+
+// listEvery returns the period of the lists of a daemon in a fleet of so many.
+func listEvery(daemons int) time.Duration {
+	return max(listPeriod, time.Duration(daemons)*listPerDaemon)
+}
+
+// memberTTL returns how long a record counts that does not change.
+func memberTTL(daemons int) time.Duration { return 5 * beatEvery(daemons) / 2 }
+
 // memberStore is what membership needs of the store.
 type memberStore interface {
 	Get(ctx context.Context, kind, name string) (store.Object, error)
@@ -54,7 +77,7 @@
 	alive   atomic.Int64
 	found   chan struct{} // closed after the first list
 
-	restarted bool // an earlier process of this VM has left its record
+	firstStart bool // of the whole system: nobody has left a record
 
 	mu   sync.Mutex
 	seen map[string]seenMember
@@ -66,9 +89,8 @@
 	at      time.Time
 }
 
-func newMembers(self relay.Member, s memberStore, logger log.Logger) *members {
-	m := &members{self: self, store: s, logger: logger, seen: map[string]seenMember{}, found: make(chan struct{})}
-	return m
+func newMembers(self relay.Member, firstStart bool, s memberStore, logger log.Logger) *members {
+	return &members{self: self, firstStart: firstStart, store: s, logger: logger, seen: map[string]seenMember{}, found: make(chan struct{})}
 }
 
 // Daemons implements forward.Fleet; before the first list it is 0.
@@ -87,29 +109,59 @@
 // Run keeps the own record and the list until ctx ends, then takes the record
 // away.
 func (m *members) Run(ctx context.Context) {
-	m.beat(ctx)
-	if !m.restarted {
-		wait.For(ctx, firstList) // after a restart callers are waiting
-	}
-	m.list(ctx, true)
+	m.join(ctx)
 	close(m.found)
-	beats, lists := time.NewTicker(heartbeat), time.NewTicker(listEvery)
-	defer beats.Stop()
-	defer lists.Stop()
+	beat, list := time.NewTimer(beatEvery(m.Daemons())), time.NewTimer(listEvery(m.Daemons()))
+	defer beat.Stop()
+	defer list.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			m.leave()
 			return
-		case <-beats.C:
+		case <-beat.C:
 			m.beat(ctx)
-		case <-lists.C:
+			beat.Reset(beatEvery(m.Daemons()))
+		case <-list.C:
 			if m.version == 0 {
 				m.beat(ctx)
 			}
 			m.list(ctx, false)
+			list.Reset(listEvery(m.Daemons()))
+		}
+	}
+}
+
+// join makes this daemon known and finds the others. Where the system ran before,
+// their records are there, and maybe that of an earlier process of this VM, which is
+// taken over as it is: when all of 295 daemons were killed, each wrote its record
+// again in three calls and read a fresh list.
+func (m *members) join(ctx context.Context) {
+	if !m.firstStart {
+		m.list(ctx, false)
+		if m.version == 0 {
+			m.beat(ctx)
+		}
+		return
+	}
+	m.beat(ctx)
+	for until := time.Now().Add(joinWithin); time.Now().Before(until); {
+		if !wait.For(ctx, joinPause) {
+			return
+		}
+		m.list(ctx, false)
+		if m.knows(m.self.Name) {
+			return
 		}
 	}
+	m.list(ctx, true)
+}
+
+func (m *members) knows(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, known := m.seen[name]
+	return known
 }
 
 // beat writes the own record. After a lost answer or a restart its version is
@@ -120,7 +172,6 @@
 		return
 	}
 	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrAmbiguous) {
-		m.restarted = m.restarted || m.version == 0
 		o, gerr := m.store.Get(ctx, kindDaemon, m.self.Name)
 		if gerr == nil {
 			m.version = o.Version
@@ -161,6 +212,7 @@
 	now := time.Now()
 	seen := map[string]seenMember{}
 	var all []relay.Member
+	ttl := memberTTL(len(objects))
 	for _, o := range objects {
 		var spec memberSpec
 		if err := cbor.Unmarshal(o.Spec, &spec); err != nil {
@@ -172,7 +224,8 @@
 			s = seenMember{version: o.Version, at: now}
 		}
 		seen[o.Name] = s
-		if now.Sub(s.at) < memberTTL {
+		m.adopt(o, spec)
+		if now.Sub(s.at) < ttl {
 			all = append(all, relay.Member{Name: o.Name, Domain: spec.Domain, Address: spec.Address})
 		}
 	}
@@ -180,6 +233,13 @@
 	m.alive.Store(int64(max(1, len(all))))
 }
 
+// adopt takes over the own record if an earlier process has left it just so.
+func (m *members) adopt(o store.Object, spec memberSpec) {
+	if m.version == 0 && o.Name == m.self.Name && spec.Domain == m.self.Domain && spec.Address == m.self.Address {
+		m.version, m.beats = o.Version, spec.Beat
+	}
+}
+
 func (m *members) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveWithin)
 	defer cancel()
--- /dev/null
+++ b/gateway/members_test.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/internal/virtual"
+	"github.com/snowspoke/snowspoke/relay"
+	"github.com/snowspoke/snowspoke/store"
+)
+
+// oldStore is a store whose cheap lists are a while old. It implements memberStore.
+type oldStore struct {
+	lag     time.Duration
+	version uint64
+	objects []store.Object
+	times   []time.Time // when each was written
+
+	writes, freshLists, oldLists, gets int
+}
+
+func (s *oldStore) Get(context.Context, string, string) (store.Object, error) {
+	s.gets++
+	return store.Object{}, store.ErrNotFound
+}
+
+func (s *oldStore) Put(_ context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error) {
+	s.writes++
+	at := slices.IndexFunc(s.objects, func(o store.Object) bool { return o.Name == name })
+	if at >= 0 && s.objects[at].Version != ifVersion {
+		return 0, store.ErrConflict
+	}
+	s.add(kind, name, spec)
+	return s.version, nil
+}
+
+func (s *oldStore) add(kind, name string, spec []byte) {
+	s.version++
+	s.objects = append(s.objects, store.Object{Kind: kind, Name: name, Version: s.version, Spec: spec})
+	s.times = append(s.times, time.Now())
+}
+
+func (s *oldStore) Delete(context.Context, string, string, uint64) (uint64, error) { return 0, nil }
+
+func (s *oldStore) List(_ context.Context, _ string, fresh bool) ([]store.Object, error) {
+	if fresh {
+		s.freshLists++
+		return s.objects, nil
+	}
+	s.oldLists++
+	var out []store.Object
+	for i, o := range s.objects {
+		if time.Since(s.times[i]) >= s.lag {
+			out = append(out, o)
+		}
+	}
+	return out, nil
+}
+
+var thisDaemon = relay.Member{Name: "vm-1", Domain: "a", Address: "10.0.0.1:7400"}
+
+func recordOf(t *testing.T, m relay.Member) []byte {
+	t.Helper()
+	spec, err := cbor.Marshal(memberSpec{Domain: m.Domain, Address: m.Address, Beat: 3})
+	require.NoError(t, err)
+	return spec
+}
+
+// A daemon that was killed and started again finds the record that its predecessor
+// left and takes it over: no write, and one list that may be old.
+func TestRestartedDaemonTakesItsRecordOver(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		s := &oldStore{}
+		s.add(kindDaemon, thisDaemon.Name, recordOf(t, thisDaemon))
+		m := newMembers(thisDaemon, false, s, log.NewNopLogger())
+		m.join(t.Context())
+		require.Zero(t, s.writes+s.freshLists+s.gets)
+		require.Equal(t, 1, s.oldLists)
+		require.Len(t, m.All(), 1)
+		m.beat(t.Context())
+		require.Equal(t, 1, s.writes, "the version of the record is known")
+		require.Zero(t, s.gets)
+	})
+}
+
+// One that comes back at another address writes its record.
+func TestRestartedDaemonAtAnotherAddressWritesItsRecord(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		s := &oldStore{}
+		s.add(kindDaemon, "vm-0", recordOf(t, relay.Member{Name: "vm-0", Domain: "a", Address: "10.0.0.9:7400"}))
+		m := newMembers(thisDaemon, false, s, log.NewNopLogger())
+		m.join(t.Context())
+		require.Equal(t, 1, s.writes)
+		require.NotZero(t, m.version)
+	})
+}
+
+// At the first start a list that may be old shows those that wrote their records
+// before this daemon did, once it shows its own.
+func TestFirstStartWaitsForItsOwnRecord(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		s := &oldStore{lag: time.Second}
+		s.add(kindDaemon, "vm-0", recordOf(t, relay.Member{Name: "vm-0", Domain: "a", Address: "10.0.0.9:7400"}))
+		m := newMembers(thisDaemon, true, s, log.NewNopLogger())
+		began := time.Now()
+		m.join(t.Context())
+		require.Len(t, m.All(), 2)
+		require.Zero(t, s.freshLists)
+		require.Less(t, time.Since(began), joinWithin)
+	})
+}
+
+// Where such lists are older still, one fresh list is read.
+func TestFirstStartReadsAFreshListInTheEnd(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		s := &oldStore{lag: time.Minute}
+		m := newMembers(thisDaemon, true, s, log.NewNopLogger())
+		m.join(t.Context())
+		require.Len(t, m.All(), 1)
+		require.Equal(t, 1, s.freshLists)
+	})
+}
+
+// The calls of all daemons together do not grow with them.
+func TestMembershipCallsAreBounded(t *testing.T) {
+	for _, daemons := range []int{8, 60, 295, 380, 1000} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			n := float64(daemons)
+			require.LessOrEqual(t, n/beatEvery(daemons).Seconds(), 5.001, "writes a second")
+			require.LessOrEqual(t, n/listEvery(daemons).Seconds(), 10.001, "lists a second")
+			require.Greater(t, memberTTL(daemons), 2*beatEvery(daemons))
+		})
+	}
+	require.Equal(t, heartbeat, beatEvery(8))
+	require.Equal(t, listPeriod, listEvery(8))
+}
--- a/inventory/follow.go
+++ b/inventory/follow.go
@@ -20,12 +20,15 @@
 	defer i.forgetHeard()
 	var wg sync.WaitGroup
 	suspect := make(chan struct{}, 1)
+	inReach := newGate()
 	wg.Go(func() {
 		follow(ctx, &follower[ConfigRecord]{
 			name: "configuration", logger: i.logger, pause: longest, wait: configWait, list: i.feed.Config, watch: i.feed.ConfigChanges,
 			take: func(items []ConfigRecord, _ bool, fresh time.Time) { i.takeConfig(items, fresh) },
+			back: inReach.open,
 			lost: func() {
 				i.forgetHeard()
+				inReach.shut()
 				select {
 				case suspect <- struct{}{}:
 				default: // the other follower knows already
@@ -36,7 +39,7 @@
 	wg.Go(func() {
 		follow(ctx, &follower[ServerRecord]{
 			name: "backend servers", logger: i.logger, pause: longest, wait: serverWait, gather: gather, suspect: suspect,
-			list: i.feed.Servers, watch: i.feed.ServerChanges, lost: func() {},
+			list: i.feed.Servers, watch: i.feed.ServerChanges, before: inReach.await, lost: func() {}, back: func() {},
 			take: func(items []ServerRecord, full bool, _ time.Time) { i.takeServers(items, full) },
 		})
 	})
@@ -56,7 +59,10 @@
 	// take applies what was read; nothing newer existed at fresh.
 	take func(items []T, full bool, fresh time.Time)
 	lost func() // called when a read fails
+	back func() // called when one is answered again
 	away bool
+	// before is called before each read, nil for nothing to wait for.
+	before func(context.Context)
 }
 
 // follow runs a follower until ctx ends. After a failed call it lists again,
@@ -65,6 +71,9 @@
 	pause := newPause(f.pause)
 	revision := uint64(0)
 	for ctx.Err() == nil {
+		if f.before != nil {
+			f.before(ctx)
+		}
 		full := revision == 0
 		r, fresh, err := f.read(ctx, revision)
 		if err != nil {
@@ -124,13 +133,57 @@
 		_ = level.Warn(f.logger).Log("msg", "store lost", "of", f.name, "err", err)
 	case err == nil && f.away:
 		f.away = false
+		f.back()
 		_ = level.Info(f.logger).Log("msg", "store back", "of", f.name)
 	}
 }
 
 func newPause(longest time.Duration) *backoff.ExponentialBackOff {
 	p := backoff.NewExponentialBackOff()
-	p.InitialInterval = firstPause
+	p.InitialInterval = longest / firstPauseShare
 	p.MaxInterval = longest
+	p.Multiplier = 2
 	return p
 }
+
+// gate holds one follower back while another finds the store away: one that looks
+// for it is enough. It is safe for concurrent use.
+type gate struct {
+	mu     sync.Mutex
+	opened chan struct{} // closed while the gate is open
+	isOpen bool
+}
+
+func newGate() *gate {
+	g := &gate{opened: make(chan struct{})}
+	g.open()
+	return g
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.isOpen {
+		close(g.opened)
+		g.isOpen = true
+	}
+}
+
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.isOpen {
+		g.opened = make(chan struct{})
+		g.isOpen = false
+	}
+}
+
+func (g *gate) await(ctx context.Context) {
+	g.mu.Lock()
+	opened := g.opened
+	g.mu.Unlock()
+	select {
+	case <-opened:
+	case <-ctx.Done():
+	}
+}
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/internal/virtual"
+	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -162,6 +165,63 @@
 	}
 }
 
+// awayFeed is a store that refuses all calls for a while.
+type awayFeed struct {
+	scriptFeed
+	from, until time.Time
+	calls       atomic.Int64
+}
+
+var errAway = errors.New("away")
+
+func (f *awayFeed) refuses() bool {
+	away := !time.Now().Before(f.from) && time.Now().Before(f.until)
+	if away {
+		f.calls.Add(1)
+	}
+	return away
+}
+
+func (f *awayFeed) Config(ctx context.Context) (Read[ConfigRecord], error) {
+	if f.refuses() {
+		return Read[ConfigRecord]{}, errAway
+	}
+	return f.scriptFeed.Config(ctx)
+}
+
+func (f *awayFeed) Servers(ctx context.Context) (Read[ServerRecord], error) {
+	if f.refuses() {
+		return Read[ServerRecord]{}, errAway
+	}
+	return f.scriptFeed.Servers(ctx)
+}
+
+// In an outage of the store all daemons look for it themselves, as none can tell
+// the others. One that others stand in for makes a few calls in eight seconds, not
+// twenty, and is back within its longest pause.
+func TestOutageOfTheStoreCostsFewCalls(t *testing.T) {
+	for longest, most := range map[time.Duration]int64{400 * time.Millisecond: 30, 4 * time.Second: 7} {
+		virtual.Test(t, func(t *testing.T) {
+			began := time.Now()
+			f := &awayFeed{from: began, until: began.Add(8 * time.Second)}
+			f.watch = func(ctx context.Context, d time.Duration) (Read[ConfigRecord], error) {
+				wait.For(ctx, d)
+				return Read[ConfigRecord]{Revision: 10}, ctx.Err()
+			}
+			i := New(f, log.NewNopLogger())
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go i.Follow(ctx, longest)
+			time.Sleep(8*time.Second + 3*longest/2)
+			synctest.Wait()
+			require.LessOrEqual(t, f.calls.Load(), most)
+			require.True(t, i.Complete(), "both are known again")
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
 func TestFreshnessIsProvenByWatchesAndEndsWithTheStore(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		away := make(chan struct{})
