Requests follow a split of the fleet's load where daemons see few of them

Cause: at 295 daemons each sees two requests a second and knows the others' loads of six to twelve seconds ago.

Change: each daemon works out, alike, how the fleet's requests are to be spread over paths (pipeline.Split, from what lies where and the model of the engine) and takes the paths in turn at those rates (pipeline.Spread). Loads that are told only widen the split and correct its rates by at most a half, the less the older they are. Their age is told with them, counted in a histogram, and logged where they are too old to say anything. Where a daemon has four requests at a head or more it chooses by what it sees, as before.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -26,6 +26,8 @@
 // Fleet tells how many daemons share the load.
 type Fleet interface {
 	Daemons() int // 0 while not known
+	// Shares returns the part of the daemons in each failure domain.
+	Shares() map[string]float64
 }
 
 // Observer counts what happens to requests.
@@ -33,6 +35,8 @@
 	Finished(kind string, d time.Duration)
 	FirstEvent(d time.Duration)
 	Recovered(cause string, gap time.Duration)
+	// LoadsAge is told how old the loads of the other daemons were as they came.
+	LoadsAge(age time.Duration)
 }
 
 // Options are the settings of a forwarder.
@@ -73,6 +77,7 @@
 	probes    *recent[struct{}]
 	silences  *silences
 	live      *liveStreams
+	splits    *splits
 	crossings crossings
 
 	started      time.Time    // earlier by a window where nothing ran before
@@ -96,9 +101,10 @@
 	f := &Forwarder{
 		started: time.Now(), opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
-		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), silences: newSilences(), live: newLiveStreams(),
+		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
 	}
 	f.keysFreshFor.Store(int64(o.KeysFreshFor))
+	f.loads.observe = f.noteLoadsAge
 	if !o.Restarted {
 		f.started = f.started.Add(-o.RetryWindow)
 	}
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -19,12 +19,12 @@
 )
 
 // lab is a site of cards that are service-time models in virtual time, before one
-// forwarder that stands for all daemons. Prompts are read one after the other at
+// forwarder that stands for all daemons, or those of many. Prompts are read one after the other at
 // each card; a token takes the predicted step of each hop under its load.
 type lab struct {
 	engine  *site.Engine
 	view    *inventory.View
-	forward *Forwarder
+	forward []*Forwarder // of the daemons; requests come to any of them
 	rng     *rand.Rand
 
 	slow float64 // factor on the time of every token
@@ -119,9 +119,31 @@
 	}
 	services := []*site.Service{{Name: labService, Engine: l.engine}}
 	l.view = inventory.NewView(site.NewConfig(1, site.Limits{}, nil, services, nil), servers)
-	inv := fixed{l.view}
-	l.forward = New(Options{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second},
-		Parts{Inventory: inv, Fleet: inv, Backends: l, Log: NewLog(io.Discard), Observer: l})
+	l.forward = []*Forwarder{l.forwarder("", fixed{l.view})}
+	return l
+}
+
+func (l *lab) forwarder(domain string, fleet Fleet) *Forwarder {
+	return New(Options{FailureDomain: domain, RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second},
+		Parts{Inventory: fixed{l.view}, Fleet: fleet, Backends: l, Log: NewLog(io.Discard), Observer: l})
+}
+
+// labFleet is a number of daemons, evenly in the failure domains. It implements Fleet.
+type labFleet int
+
+func (f labFleet) Daemons() int { return int(f) }
+func (f labFleet) Shares() map[string]float64 {
+	return map[string]float64{"a": 1.0 / 3, "b": 1.0 / 3, "c": 1.0 / 3}
+}
+
+// newFleetLab is a lab before many daemons that have just started and tell each other
+// nothing yet.
+func newFleetLab(seed uint64, daemons int) *lab {
+	l := newLab(seed)
+	l.forward = nil
+	for n := range daemons {
+		l.forward = append(l.forward, l.forwarder(string(rune('a'+n%3)), labFleet(daemons)))
+	}
 	return l
 }
 
@@ -166,7 +188,7 @@
 	}
 	l.count(1)
 	got := &labCaller{lab: l, sent: now}
-	err := l.forward.Do(context.Background(), req, got)
+	err := l.forward[n%len(l.forward)].Do(context.Background(), req, got)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inFlight--
@@ -223,6 +245,9 @@
 // FirstEvent implements Observer.
 func (l *lab) FirstEvent(time.Duration) {}
 
+// LoadsAge implements Observer.
+func (l *lab) LoadsAge(time.Duration) {}
+
 // Recovered implements Observer.
 func (l *lab) Recovered(_ string, gap time.Duration) {
 	l.mu.Lock()
--- a/forward/loads.go
+++ b/forward/loads.go
@@ -20,6 +20,8 @@
 	others        map[string]relay.LoadItem // of the other daemons together
 	othersAt      time.Time
 	othersDaemons int
+	othersAge     time.Duration // of the loads when they were told
+	observe       func(age time.Duration)
 }
 
 type serverLoad struct {
@@ -37,7 +39,9 @@
 const guessMost = 3
 
 // NewLoads returns an empty table.
-func NewLoads() *Loads { return &Loads{servers: map[string]*serverLoad{}} }
+func NewLoads() *Loads {
+	return &Loads{servers: map[string]*serverLoad{}, observe: func(time.Duration) {}}
+}
 
 func (l *Loads) begin() {
 	l.mu.Lock()
@@ -94,6 +98,17 @@
 	}
 }
 
+// newsAge returns about how old the loads are that the other daemons told, 0 if they
+// do not count any more.
+func (l *Loads) newsAge(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.othersAt) > othersTTL {
+		return 0
+	}
+	return now.Sub(l.othersAt) + l.othersAge
+}
+
 // OwnLoads implements relay.LoadBook.
 func (l *Loads) OwnLoads() []relay.LoadItem {
 	l.mu.Lock()
@@ -108,17 +123,22 @@
 }
 
 // TakeOthers implements relay.LoadBook.
-func (l *Loads) TakeOthers(loads []relay.LoadItem, daemons int) {
-	others := make(map[string]relay.LoadItem, len(loads))
-	for _, i := range loads {
-		others[i.Server] = i
+func (l *Loads) TakeOthers(others relay.Loads) {
+	byServer := make(map[string]relay.LoadItem, len(others.Items))
+	for _, i := range others.Items {
+		byServer[i.Server] = i
 	}
+	l.take(byServer, others)
+	l.observe(others.Age)
+}
+
+func (l *Loads) take(byServer map[string]relay.LoadItem, others relay.Loads) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if time.Since(l.othersAt) < othersTTL {
-		smooth(others, l.others)
+		smooth(byServer, l.others)
 	}
-	l.others, l.othersAt, l.othersDaemons = others, time.Now(), daemons
+	l.others, l.othersAt, l.othersDaemons, l.othersAge = byServer, time.Now(), others.Daemons, others.Age
 }
 
 // othersSmoothing is the weight of what was told last against what was known
--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -81,11 +81,13 @@
 func (f fixed) Age(time.Time) time.Duration { return 0 }
 func (f fixed) Complete() bool              { return true }
 func (f fixed) Daemons() int                { return 1 }
+func (f fixed) Shares() map[string]float64  { return map[string]float64{"": 1} }
 
 type noObserver struct{}
 
 func (noObserver) Finished(string, time.Duration)  {}
 func (noObserver) FirstEvent(time.Duration)        {}
+func (noObserver) LoadsAge(time.Duration)          {}
 func (noObserver) Recovered(string, time.Duration) {}
 
 // taken keeps what the caller got.
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -8,6 +8,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/invariant"
+	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -46,7 +47,7 @@
 		return r.findPlain(cs)
 	}
 	q := r.f.query(r.req, r.engine)
-	c, err := pipeline.Choose(q, cs, newRand())
+	c, err := r.choose(q, view, cs, now)
 	if errors.Is(err, pipeline.ErrFull) {
 		return nil, apierror.Wrap(apierror.Overloaded, err).WithRetryAfter(retryAfter)
 	}
@@ -62,6 +63,15 @@
 	return &target{path: c.Path, choice: c, tokens: q.Tokens.Mean()}, nil
 }
 
+// choose takes the path whose turn it is by the split of the fleet's load, else the
+// cheapest one.
+func (r *run) choose(q *pipeline.Query, view *inventory.View, cs []pipeline.Candidate, now time.Time) (pipeline.Choice, error) {
+	if c, ok := r.f.next(q, r.req.Service, view, cs, now); ok {
+		return c, nil
+	}
+	return pipeline.Choose(q, cs, newRand())
+}
+
 // checkLayers asserts that a check of a path's layers found nothing.
 func checkLayers(err error) error {
 	return invariant.Check(err == nil, invariant.LayersOnceInOrder, "%v", err)
--- a/forward/policy_test.go
+++ b/forward/policy_test.go
@@ -61,6 +61,20 @@
 	}
 }
 
+// Sixty daemons that have just started know nothing of each other's loads, and their
+// callers come within seconds. When each took the path that looked cheapest, the
+// heads of the fastest paths ran out of slots and 31 of 344 requests were refused.
+func TestFleetThatStartsServesItsCallers(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		l := newFleetLab(1, 60)
+		room := float64(l.bound())
+		l.run(0.6*room/3, 3*time.Second)
+		require.Zero(t, l.refused)
+		require.Zero(t, l.cut)
+		require.Greater(t, float64(l.inTime), 0.95*float64(l.whole))
+	})
+}
+
 // losses are the ways in which a card is lost.
 var losses = []struct {
 	name   string
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -96,6 +96,19 @@
 // Daemons implements forward.Fleet; before the first list it is 0.
 func (m *members) Daemons() int { return int(m.alive.Load()) }
 
+// Shares implements forward.Fleet.
+func (m *members) Shares() map[string]float64 {
+	all := m.All()
+	out := map[string]float64{}
+	for _, d := range all {
+		out[d.Domain] += 1 / float64(len(all))
+	}
+	if len(out) == 0 {
+		out[m.self.Domain] = 1
+	}
+	return out
+}
+
 // All implements relay.Members.
 func (m *members) All() []relay.Member {
 	m.mu.Lock()
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -26,6 +26,7 @@
 	dropped  [4]tally.Counter
 	first    tally.Histogram
 	recovery tally.Histogram
+	loadsAge tally.Histogram
 }
 
 // secondsBuckets suit requests from milliseconds to minutes.
@@ -46,6 +47,7 @@
 	}
 	m.first = scope.Histogram("first_token_seconds", secondsBuckets)
 	m.recovery = scope.Histogram("recovery_gap_seconds", secondsBuckets)
+	m.loadsAge = scope.Histogram("loads_age_seconds", secondsBuckets)
 	for _, p := range invariant.All {
 		err := registry.Register(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "snowspoke_invariant_violations_total", Help: "Violated promises.",
@@ -71,6 +73,9 @@
 // Recovered implements dispatch.Observer.
 func (m *Metrics) Recovered(gap time.Duration) { m.recovery.RecordDuration(gap) }
 
+// LoadsAge records how old the loads of the other daemons were as they came.
+func (m *Metrics) LoadsAge(age time.Duration) { m.loadsAge.RecordDuration(age) }
+
 // Dropped implements dispatch.Observer.
 func (m *Metrics) Dropped(d dispatch.Drops) {
 	for i, n := range []int{d.Foreign, d.Stale, d.Repeated, d.Overflow} {
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -50,6 +50,9 @@
 	// Jitter spreads the choices of daemons that see the same loads: the share by
 	// which a hop's cost varies at random.
 	Jitter float64
+	// FullFrom is the share of a card's memory, and of a head's slots, from which it
+	// is avoided, 0 for fullFrom of the memory alone.
+	FullFrom float64
 }
 
 // Weights of the choice.
@@ -82,7 +85,7 @@
 	Path    site.Path
 	FirstMS float64 // until the first token
 	StepMS  float64 // between two tokens
-	Cost    float64
+	Cost    float64 // by which paths are compared, in milliseconds
 	Fullest float64 // share of the memory used at the fullest hop
 	// Crossings is how often the request's prompt goes from one failure domain to
 	// another.
@@ -99,11 +102,12 @@
 // Choose returns the cheapest path that runs all layers once, in order.
 func Choose(q *Query, candidates []Candidate, r *rand.Rand) (Choice, error) {
 	hops := costs(q, candidates, r)
-	best := search(q, candidates, hops)
+	best, cost := search(q, candidates, hops)
 	if best == nil {
 		return Choice{}, ErrNoPath
 	}
 	c := describe(q, best)
+	c.Cost = cost
 	if c.Fullest > 1 {
 		return c, ErrFull
 	}
@@ -131,9 +135,7 @@
 		out[i].perLayer = (step*stepsWeight + read) / float64(max(1, n))
 		full := fullness(q, c, n)
 		out[i].perLayer *= 1 + spreadWeight*min(spreadMost, c.Load.OwnKV/max(1, q.Engine.KVRoom(s.Kind, n)))
-		if full > fullFrom {
-			out[i].fixed = fullCostMS * (full - fullFrom) / (1 - fullFrom)
-		}
+		out[i].fixed = fullCost(q, full)
 		if full > 1 {
 			out[i].fixed += noRoomCostMS
 		}
@@ -144,6 +146,15 @@
 	return out
 }
 
+// fullCost is what a card costs of which a share of the memory is used.
+func fullCost(q *Query, full float64) float64 {
+	from := fullFrom
+	if q.FullFrom > 0 {
+		from = q.FullFrom
+	}
+	return fullCostMS * max(0, full-from) / (1 - from)
+}
+
 // fullness returns the share of a card's memory that is used once the request
 // runs n layers on it. Requests are counted with the size that they have on average,
 // since they are at different points of their lives: by their size at the end a card
@@ -204,7 +215,7 @@
 }
 
 // search finds the cheapest way to run all layers, layer by layer.
-func search(q *Query, cs []Candidate, hops []hopCost) []step {
+func search(q *Query, cs []Candidate, hops []hopCost) (steps []step, cost float64) {
 	layers := q.Engine.Layers
 	f := newFrontier(cs, layers)
 	first(q, cs, hops, f.add)
@@ -217,9 +228,9 @@
 	}
 	last := f.best()
 	if last < 0 {
-		return nil
+		return nil, 0
 	}
-	return path(cs, f.nodes, last)
+	return path(cs, f.nodes, last), f.nodes[last].cost
 }
 
 // extend goes on from a node by each candidate that holds the next layer.
@@ -277,6 +288,9 @@
 		if s.FailureDomain != q.Near && q.Near != "" {
 			cost += nearCostMS
 		}
+		if q.FullFrom > 0 && s.Slots > 0 {
+			cost += fullCost(q, cs[i].Load.Heads/float64(s.Slots))
+		}
 		add(node{cost: cost, prev: -1, run: site.Range{From: 0, To: s.Held.To}, cand: i})
 	}
 }
--- a/pipeline/choose_test.go
+++ b/pipeline/choose_test.go
@@ -15,7 +15,7 @@
 	for _, kind := range []string{"fast", "slow"} {
 		for i, held := range []site.Range{{From: 0, To: half}, {From: half, To: e.Layers}} {
 			id := kind + string(rune('0'+i))
-			out = append(out, Candidate{Server: &site.BackendServer{ID: id, Kind: kind, Held: held, Slots: e.Slots, FailureDomain: kind}})
+			out = append(out, Candidate{Server: &site.BackendServer{ID: id, Address: id, Kind: kind, Held: held, Slots: e.Slots, FailureDomain: kind}})
 		}
 	}
 	return out
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/coder/websocket"
@@ -15,44 +14,6 @@
 // domains tell each other their loads: bytes between domains are paid for.
 const exchangeFactor = 2
 
-// exchange holds the loads that other sources told.
-type exchange struct {
-	mu   sync.Mutex
-	told map[string]told // by source
-}
-
-func newExchange() *exchange { return &exchange{told: map[string]told{}} }
-
-func (e *exchange) put(domain string, loads []LoadItem, daemons int, now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.told[domain] = told{at: now, loads: loads, daemons: daemons}
-}
-
-func (e *exchange) load(ttl time.Duration, now time.Time) []LoadItem {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	sum := map[string]LoadItem{}
-	for _, t := range e.told {
-		if now.Sub(t.at) <= ttl {
-			addLoads(sum, t.loads)
-		}
-	}
-	return list(sum)
-}
-
-func (e *exchange) count(ttl time.Duration, now time.Time) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	n := 0
-	for _, t := range e.told {
-		if now.Sub(t.at) <= ttl {
-			n += t.daemons
-		}
-	}
-	return n
-}
-
 // exchangeLoads asks the sources of the other domains for their loads while this
 // daemon is a source, and takes what its followers need.
 func (n *Node) exchangeLoads(ctx context.Context) {
@@ -123,7 +84,7 @@
 			return
 		}
 		if f.Pong != nil {
-			n.otherDomains.put(domain, l.heard.take(f.Pong.Loads, n.serverNames()), f.Pong.Daemons, time.Now())
+			n.otherDomains.put(domain, told{at: time.Now(), domain: domain, loads: f.Pong.told(&l.heard, n.serverNames())})
 			return
 		}
 	}
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -146,11 +146,59 @@
 	byOne map[string]told
 }
 
+// told are the loads that a daemon told with those of its followers, or a source
+// of another domain.
 type told struct {
-	at      time.Time
-	domain  string
-	loads   []LoadItem
-	daemons int // whose loads these are
+	at     time.Time
+	domain string
+	loads  Loads
+}
+
+// Loads are those of several daemons together.
+type Loads struct {
+	Items   []LoadItem
+	Daemons int           // whose loads these are
+	Age     time.Duration // since each daemon had its own, on average over them
+}
+
+// loadSum adds up loads.
+type loadSum struct {
+	items   map[string]LoadItem
+	daemons int
+	ages    time.Duration // of all daemons together
+}
+
+func newLoadSum() *loadSum { return &loadSum{items: map[string]LoadItem{}} }
+
+// add takes loads that were told so long ago.
+func (s *loadSum) add(l Loads, ago time.Duration) {
+	s.daemons += l.Daemons
+	s.ages += time.Duration(l.Daemons) * (l.Age + ago)
+	for _, i := range l.Items {
+		of := s.items[i.Server]
+		of.Server = i.Server
+		of.Running += i.Running
+		of.Heads += i.Heads
+		of.KV += i.KV
+		s.items[i.Server] = of
+	}
+}
+
+// addOwn takes the loads of this daemon.
+func (s *loadSum) addOwn(items []LoadItem) { s.add(Loads{Items: items, Daemons: 1}, 0) }
+
+// loads returns the sum; backend servers without requests are left out.
+func (s *loadSum) loads() Loads {
+	out := Loads{Items: make([]LoadItem, 0, len(s.items)), Daemons: s.daemons}
+	for _, i := range s.items {
+		if i.Running != 0 || i.Heads != 0 {
+			out.Items = append(out.Items, i)
+		}
+	}
+	if s.daemons > 0 {
+		out.Age = s.ages / time.Duration(s.daemons)
+	}
+	return out
 }
 
 func newLedger() *ledger { return &ledger{byOne: map[string]told{}} }
@@ -172,43 +220,19 @@
 	}
 }
 
-// total adds up the loads told by all but one daemon, with its followers. keep says whose domains
-// count.
-func (l *ledger) total(except string, keep func(domain string) bool, ttl time.Duration, now time.Time) (sum map[string]LoadItem, daemons int) {
+// addTo adds up the loads told by all but one daemon, with its followers. keep says
+// whose domains count.
+func (l *ledger) addTo(sum *loadSum, except string, keep func(domain string) bool, ttl time.Duration, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	sum = map[string]LoadItem{}
 	for name, t := range l.byOne {
-		if now.Sub(t.at) > ttl {
+		ago := now.Sub(t.at)
+		if ago > ttl {
 			delete(l.byOne, name)
 			continue
 		}
-		if name == except || !keep(t.domain) {
-			continue
+		if name != except && keep(t.domain) {
+			sum.add(t.loads, ago)
 		}
-		daemons += t.daemons
-		addLoads(sum, t.loads)
 	}
-	return sum, daemons
-}
-
-func addLoads(sum map[string]LoadItem, loads []LoadItem) {
-	for _, i := range loads {
-		s := sum[i.Server]
-		s.Server = i.Server
-		s.Running += i.Running
-		s.Heads += i.Heads
-		s.KV += i.KV
-		sum[i.Server] = s
-	}
-}
-
-func list(sum map[string]LoadItem) []LoadItem {
-	out := make([]LoadItem, 0, len(sum))
-	for _, i := range sum {
-		if i.Running != 0 || i.Heads != 0 {
-			out = append(out, i)
-		}
-	}
-	return out
 }
--- a/relay/node.go
+++ b/relay/node.go
@@ -88,8 +88,8 @@
 	begun        atomic.Bool  // this daemon has been a sound source
 	reading      atomic.Bool  // this daemon follows the store itself
 	readingSince atomic.Int64 // Unix nanoseconds
-	otherDomains *exchange    // loads of the other domains, while reading
-	above        *exchange    // loads told by the source, while relaying
+	otherDomains *ledger      // loads of the other domains, while reading
+	above        *ledger      // loads told by the source, while relaying
 
 	mu       sync.Mutex
 	source   context.Context // ends when this daemon stops being a source
@@ -116,7 +116,7 @@
 	}
 	return &Node{
 		opts: o, inv: inv, book: book, members: m, logger: logger, ledger: newLedger(),
-		otherDomains: newExchange(), above: newExchange(), source: context.Background(),
+		otherDomains: newLedger(), above: newLedger(), source: context.Background(),
 	}
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -71,14 +71,20 @@
 func TestLoadsAreAddedUpWithoutTheAskersOwn(t *testing.T) {
 	l := newLedger()
 	now := time.Unix(1000, 0)
-	l.put("a", told{at: now, domain: "d1", loads: []LoadItem{{Server: "s", Running: 2, Heads: 1, KV: 10}}, daemons: 1})
-	l.put("b", told{at: now, domain: "d1", loads: []LoadItem{{Server: "s", Running: 3, KV: 20}}, daemons: 1})
-	l.put("c", told{at: now, domain: "d2", loads: []LoadItem{{Server: "s", Running: 100}}, daemons: 1})
-	sum, daemons := l.total("a", func(d string) bool { return d == "d1" }, time.Second, now)
-	require.Equal(t, LoadItem{Server: "s", Running: 3, KV: 20}, sum["s"])
-	require.Equal(t, 1, daemons)
-	_, daemons = l.total("", func(string) bool { return true }, time.Second, now.Add(2*time.Second))
-	require.Zero(t, daemons, "what was told long ago does not count")
+	l.put("a", told{at: now, domain: "d1", loads: Loads{Items: []LoadItem{{Server: "s", Running: 2, Heads: 1, KV: 10}}, Daemons: 1}})
+	l.put("b", told{at: now, domain: "d1", loads: Loads{Items: []LoadItem{{Server: "s", Running: 3, KV: 20}}, Daemons: 1, Age: time.Second}})
+	l.put("c", told{at: now, domain: "d2", loads: Loads{Items: []LoadItem{{Server: "s", Running: 100}}, Daemons: 1}})
+	total := func(except string, keep func(string) bool, now time.Time) Loads {
+		sum := newLoadSum()
+		l.addTo(sum, except, keep, time.Second, now)
+		return sum.loads()
+	}
+	got := total("a", func(d string) bool { return d == "d1" }, now.Add(500*time.Millisecond))
+	require.Equal(t, []LoadItem{{Server: "s", Running: 3, KV: 20}}, got.Items)
+	require.Equal(t, 1, got.Daemons)
+	require.Equal(t, 1500*time.Millisecond, got.Age, "it was a second old when it was told")
+	require.Equal(t, time.Second, total("", func(d string) bool { return d == "d1" }, now.Add(500*time.Millisecond)).Age, "on average")
+	require.Zero(t, total("", allDomains, now.Add(2*time.Second)).Daemons, "what was told long ago does not count")
 }
 
 func TestLoadsCostABoundedRate(t *testing.T) {
--- a/relay/session.go
+++ b/relay/session.go
@@ -115,8 +115,8 @@
 	}
 	s.mu.Unlock()
 	if p.HasLoads {
-		loads, daemons := s.node.loadsBelow(now)
-		p.Loads, p.Daemons = s.told.changes(loads), daemons
+		loads := s.node.loadsBelow(now)
+		p.Loads, p.Daemons, p.LoadsAge = s.told.changes(loads.Items), loads.Daemons, loads.Age
 	}
 	return writeFrame(ctx, s.conn, &frame{Ping: p})
 }
@@ -170,7 +170,7 @@
 		s.node.noteUpstream(ctx, p.Heard, now)
 	}
 	if p.Daemons > 0 {
-		s.node.above.put(sourceLoads, s.heard.take(p.Loads, s.node.serverNames()), p.Daemons, now)
+		s.node.above.put(sourceLoads, told{at: now, loads: p.told(&s.heard, s.node.serverNames())})
 		s.node.takeOthers(now)
 	}
 	return nil
--- a/relay/source.go
+++ b/relay/source.go
@@ -31,8 +31,8 @@
 // LoadBook tells this daemon's own loads and takes those of the others.
 type LoadBook interface {
 	OwnLoads() []LoadItem
-	// TakeOthers takes the loads that so many other daemons cause together.
-	TakeOthers(loads []LoadItem, daemons int)
+	// TakeOthers takes the loads that the other daemons cause together.
+	TakeOthers(others Loads)
 }
 
 // serveLink serves one follower until the link ends: changes as they come, and
@@ -179,7 +179,7 @@
 		sameDomain := p.Domain == n.opts.Domain
 		if p.HasLoads && !p.LoadsOnly {
 			follower, toldAt = p.Sender, now
-			n.ledger.put(follower, told{at: now, domain: p.Domain, loads: fromFollower.take(p.Loads, n.serverNames()), daemons: max(1, p.Daemons)})
+			n.ledger.put(follower, told{at: now, domain: p.Domain, loads: p.told(&fromFollower, n.serverNames())})
 		}
 		heard, ok := n.heard(now)
 		if !ok || heard >= unheardFor {
@@ -187,8 +187,8 @@
 		}
 		answer := &pong{Number: p.Number, Age: n.inv.Age(now), Heard: heard, Version: n.inv.State().ConfigVersion}
 		if p.HasLoads {
-			loads, daemons := n.loadsFor(p.Sender, sameDomain, now)
-			answer.Loads, answer.Daemons = toFollower.changes(loads), daemons
+			loads := n.loadsFor(p.Sender, sameDomain, now)
+			answer.Loads, answer.Daemons, answer.LoadsAge = toFollower.changes(loads.Items), loads.Daemons, loads.Age
 		}
 		if err := writeFrame(ctx, c, &frame{Pong: answer}); err != nil {
 			return // the link is over
@@ -199,22 +199,22 @@
 // loadsFor adds up the loads for another daemon: for one of this domain all but
 // its own and those of its followers, for the source of another domain those of
 // this domain alone.
-func (n *Node) loadsFor(sender string, sameDomain bool, now time.Time) ([]LoadItem, int) {
+func (n *Node) loadsFor(sender string, sameDomain bool, now time.Time) Loads {
 	keep := func(domain string) bool { return sameDomain || domain == n.opts.Domain }
-	ttl := n.ttl()
-	sum, daemons := n.ledger.total(sender, keep, ttl, now)
-	addLoads(sum, n.book.OwnLoads())
+	ttl, sum := n.ttl(), newLoadSum()
+	n.ledger.addTo(sum, sender, keep, ttl, now)
+	sum.addOwn(n.book.OwnLoads())
 	if sameDomain {
-		beyond := n.beyond()
-		addLoads(sum, beyond.load(ttl, now))
-		daemons += beyond.count(ttl, now)
+		n.beyond().addTo(sum, "", allDomains, ttl, now)
 	}
-	return list(sum), daemons + 1
+	return sum.loads()
 }
 
+func allDomains(string) bool { return true }
+
 // beyond returns the loads of the daemons that are not below this one: those of
 // the other domains, or what the source told.
-func (n *Node) beyond() *exchange {
+func (n *Node) beyond() *ledger {
 	if n.reading.Load() {
 		return n.otherDomains
 	}
@@ -222,18 +222,19 @@
 }
 
 // loadsBelow adds up the loads of this daemon and its followers.
-func (n *Node) loadsBelow(now time.Time) ([]LoadItem, int) {
-	sum, daemons := n.ledger.total("", n.ownDomain, n.ttl(), now)
-	addLoads(sum, n.book.OwnLoads())
-	return list(sum), daemons + 1
+func (n *Node) loadsBelow(now time.Time) Loads {
+	sum := newLoadSum()
+	n.ledger.addTo(sum, "", n.ownDomain, n.ttl(), now)
+	sum.addOwn(n.book.OwnLoads())
+	return sum.loads()
 }
 
 // takeOthers tells the load book of all daemons but this one.
 func (n *Node) takeOthers(now time.Time) {
-	ttl, beyond := n.ttl(), n.beyond()
-	sum, daemons := n.ledger.total("", n.ownDomain, ttl, now)
-	addLoads(sum, beyond.load(ttl, now))
-	n.book.TakeOthers(list(sum), daemons+beyond.count(ttl, now))
+	ttl, sum := n.ttl(), newLoadSum()
+	n.ledger.addTo(sum, "", n.ownDomain, ttl, now)
+	n.beyond().addTo(sum, "", allDomains, ttl, now)
+	n.book.TakeOthers(sum.loads())
 }
 
 // serverNames returns the IDs of the backend servers by their hash.
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -157,10 +157,10 @@
 	return c.own
 }
 
-func (c *copied) TakeOthers(loads []LoadItem, daemons int) {
+func (c *copied) TakeOthers(others Loads) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.others, c.daemons = loads, daemons
+	c.others, c.daemons = others.Items, others.Daemons
 }
 
 // chain runs daemons of which each follows the one before it.
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -60,6 +60,8 @@
 	Loads  []packedLoad `cbor:"4,keyasint,omitempty"` // with those of its followers, as changes
 	// Daemons are those whose loads these are.
 	Daemons int `cbor:"7,keyasint,omitempty"`
+	// LoadsAge is their mean age.
+	LoadsAge time.Duration `cbor:"8,keyasint,omitempty"`
 	// HasLoads says that Loads are told and that the others' are asked for; other
 	// pings only ask how fresh the source is.
 	HasLoads bool `cbor:"6,keyasint,omitempty"`
@@ -75,6 +77,18 @@
 	Version uint64        `cbor:"3,keyasint"`           // of the configuration that it is about
 	Loads   []packedLoad  `cbor:"4,keyasint,omitempty"` // as changes
 	Daemons int           `cbor:"5,keyasint"`           // whose loads are added up
+	// LoadsAge is their mean age.
+	LoadsAge time.Duration `cbor:"7,keyasint,omitempty"`
+}
+
+// told returns the loads that a ping tells, of backend servers with these names.
+func (p *ping) told(l *listener, ids map[uint32]string) Loads {
+	return Loads{Items: l.take(p.Loads, ids), Daemons: max(1, p.Daemons), Age: max(0, p.LoadsAge)}
+}
+
+// told returns the loads that a pong tells, of backend servers with these names.
+func (p *pong) told(l *listener, ids map[uint32]string) Loads {
+	return Loads{Items: l.take(p.Loads, ids), Daemons: max(0, p.Daemons), Age: max(0, p.LoadsAge)}
 }
 
 // packFrom is the size from which an update is compressed, in bytes.
