Requests without a path wait for what is known to change, and callers are told when

Change: it is held only until the first backend server that refused work is asked again, and refused at once if none did; a caller that is refused is told that moment, spread over 100 ms.

Tests: refused at once where no layers lie or heads look dead, waits for a head that is asked again, the time told.

--- a/forward/pick.go
+++ b/forward/pick.go
@@ -13,24 +13,25 @@
 	"github.com/snowspoke/snowspoke/site"
 )
 
-// pick finds a target, holding the request a little when there is none.
+// pick finds a target. Where there is none the request is held if it is known when
+// that may change.
 func (r *run) pick(ctx context.Context) (*target, error) {
-	hold := time.Duration(float64(r.req.Route.Objective) * holdShare)
-	if r.headSent.Load() {
-		hold = recoverHold
-	}
-	deadline := time.Now().Add(hold)
+	began := time.Now()
+	var until time.Time
 	for {
 		t, err := r.find()
 		if err == nil {
 			return t, nil
 		}
 		now := time.Now()
-		if now.After(deadline) || !wait.For(ctx, holdStep) {
+		if until.IsZero() {
+			until = r.holdUntil(began, now)
+		}
+		if !now.Before(until) || !wait.For(ctx, holdStep) {
 			if ctx.Err() != nil {
 				return nil, r.ended(ctx)
 			}
-			return nil, err
+			return nil, r.sayWhen(err, now)
 		}
 	}
 }
@@ -49,16 +50,16 @@
 	q := r.f.query(r.req, r.engine)
 	c, err := r.choose(q, view, cs, now)
 	if errors.Is(err, pipeline.ErrFull) {
-		return nil, apierror.Wrap(apierror.Overloaded, err).WithRetryAfter(retryAfter)
+		return nil, apierror.Wrap(apierror.Overloaded, err)
 	}
 	if err != nil {
-		return nil, apierror.Wrap(apierror.NoRoute, err).WithRetryAfter(retryAfter)
+		return nil, apierror.Wrap(apierror.NoRoute, err)
 	}
 	if err := checkLayers(c.Path.CheckTiling(r.engine.Layers)); err != nil {
 		return nil, err
 	}
 	if !r.f.mayCross(r.engine, q.Tokens.Prompt, c.Crossings, now) {
-		return nil, apierror.New(apierror.Overloaded, "the pipes between failure domains are full").WithRetryAfter(retryAfter)
+		return nil, apierror.New(apierror.Overloaded, "the pipes between failure domains are full")
 	}
 	return &target{path: c.Path, choice: c, tokens: q.Tokens.Mean()}, nil
 }
@@ -127,7 +128,7 @@
 		if full {
 			kind = apierror.Overloaded
 		}
-		return nil, apierror.New(kind, "service %s: no backend server is free", r.req.Service).WithRetryAfter(retryAfter)
+		return nil, apierror.New(kind, "service %s: no backend server is free", r.req.Service)
 	}
 	return &target{path: site.Path{{Server: best.Server}}, tokens: 0}, nil
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -77,17 +77,8 @@
 
 // Waits and pauses of a request.
 const (
-	// holdShare is the part of the objective for which a request is held when no
-	// path is free: a refusal within a quarter of it costs the caller nothing.
-	holdShare = 0.2
-	// recoverHold is the longest hold of a stream that has begun: callers give up
-	// after a gap of two seconds or a little more, and until then a path may come.
-	recoverHold = 3 * time.Second
 	// holdStep is the pause between two looks for a path.
 	holdStep = 20 * time.Millisecond
-	// retryAfter is what a refused caller is told: long enough for some request to
-	// end, short enough for the objective.
-	retryAfter = 150 * time.Millisecond
 	// maxSends bounds the sends of one request, also those to a first hop that it was
 	// sent to before, so that one that fails at once cannot use up the budget.
 	maxSends = 6
@@ -120,7 +111,7 @@
 	}
 	err := r.life.Run(ctx, r)
 	if apierror.Is(err, apierror.BackendUnreachable) || apierror.Is(err, apierror.BackendRefused) {
-		return apierror.Wrap(apierror.BackendRefused, errors.Unwrap(err)).WithRetryAfter(retryAfter)
+		return apierror.Wrap(apierror.BackendRefused, errors.Unwrap(err)).WithRetryAfter(r.f.returnAfter(r.req.Service, time.Now()))
 	}
 	return err
 }
--- a/health/cooldown.go
+++ b/health/cooldown.go
@@ -76,6 +76,18 @@
 	return now.Before(c.servers[name].until)
 }
 
+// Back returns when a backend server that refused work is asked again, the zero time
+// if it may be asked now or looks dead.
+func (c *Cooldowns) Back(name string, now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[name]
+	if s.failures > 0 || !now.Before(s.until) {
+		return time.Time{}
+	}
+	return s.until
+}
+
 // Dead reports whether signs of its death keep a backend server from work now.
 func (c *Cooldowns) Dead(name string, now time.Time) bool {
 	c.mu.Lock()
