--- /dev/null
+++ b/pipeline/search.go
@@ -0,0 +1,202 @@
+package pipeline
+
+import (
+	"slices"
+
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// node is a hop on a way through the layers.
+type node struct {
+	cost float64
+	prev int        // position in nodes, -1 for none
+	run  site.Range // layers that the hop runs
+	cand int
+}
+
+// frontier holds the cheapest way to each layer for each failure domain that it
+// may end in: what follows depends on the past only by the domain.
+type frontier struct {
+	cs    []Candidate
+	nodes []node
+	ends  [][]int // layer reached -> nodes, one a failure domain
+	tos   []int   // reused by extend
+}
+
+func newFrontier(cs []Candidate, layers int) *frontier {
+	return &frontier{cs: cs, ends: make([][]int, layers+1)}
+}
+
+// add takes a hop if it is the cheapest way so far to where it ends. One that
+// runs layers which the model does not have leads nowhere.
+func (f *frontier) add(n node) {
+	if n.run.From < 0 || n.run.To >= len(f.ends) {
+		return
+	}
+	domain := f.cs[n.cand].Server.FailureDomain
+	ends := f.ends[n.run.To]
+	for i, old := range ends {
+		if f.cs[f.nodes[old].cand].Server.FailureDomain != domain {
+			continue
+		}
+		if n.cost < f.nodes[old].cost {
+			f.nodes = append(f.nodes, n)
+			ends[i] = len(f.nodes) - 1
+		}
+		return
+	}
+	f.nodes = append(f.nodes, n)
+	f.ends[n.run.To] = append(ends, len(f.nodes)-1)
+}
+
+// best returns the cheapest way through all layers, or -1.
+func (f *frontier) best() int {
+	best := -1
+	for _, id := range f.ends[len(f.ends)-1] {
+		if best < 0 || f.nodes[id].cost < f.nodes[best].cost {
+			best = id
+		}
+	}
+	return best
+}
+
+// search finds the cheapest way to run all layers, layer by layer.
+func search(q *Query, cs []Candidate, hops []hopCost) (steps []step, cost float64) {
+	layers := q.Engine.Layers
+	f := newFrontier(cs, layers)
+	first(q, cs, hops, f.add)
+	stops := keptStarts(q)
+	holders := holdersOfLayers(cs, layers)
+	for at := 1; at < layers; at++ {
+		for _, p := range f.ends[at] {
+			f.extend(q, hops, p, at, holders[at], stops)
+		}
+	}
+	last := f.best()
+	if last < 0 {
+		return nil, 0
+	}
+	return path(cs, f.nodes, last), f.nodes[last].cost
+}
+
+// extend goes on from a node by each candidate that holds the next layer.
+func (f *frontier) extend(q *Query, hops []hopCost, from, at int, holders, stops []int) {
+	for _, i := range holders {
+		if visited(f.nodes, from, i) {
+			continue
+		}
+		f.tos = endsOf(f.tos[:0], f.cs[i].Server, at, stops)
+		for _, to := range f.tos {
+			run := site.Range{From: at, To: to}
+			cost := f.nodes[from].cost + edge(q, f.cs, hops, f.nodes[from].cand, i, run)
+			f.add(node{cost: cost, prev: from, run: run, cand: i})
+		}
+	}
+}
+
+// holdersOfLayers returns for each layer the candidates that hold it: a card
+// holds few of the layers, and a site has thousands of cards.
+func holdersOfLayers(cs []Candidate, layers int) [][]int {
+	counts := make([]int, layers)
+	each(cs, layers, func(_, layer int) { counts[layer]++ })
+	out := make([][]int, layers)
+	for l, n := range counts {
+		out[l] = make([]int, 0, n)
+	}
+	each(cs, layers, func(i, layer int) { out[layer] = append(out[layer], i) })
+	return out
+}
+
+// each calls fn with each candidate and each layer that it holds.
+func each(cs []Candidate, layers int, fn func(i, layer int)) {
+	for i := range cs {
+		held := cs[i].Server.Held
+		for l := max(0, held.From); l < min(layers, held.To); l++ {
+			fn(i, l)
+		}
+	}
+}
+
+// first adds the hops that a path may begin with.
+func first(q *Query, cs []Candidate, hops []hopCost, add func(node)) {
+	for i := range cs {
+		s := cs[i].Server
+		if q.Head != nil {
+			if s.ID == q.Head.ID && q.HeadLayers.Len() > 0 {
+				add(node{prev: -1, run: q.HeadLayers, cand: i})
+			}
+			continue
+		}
+		if !s.Held.Has(0) || s.Slots > 0 && cs[i].Load.Heads >= float64(s.Slots) {
+			continue
+		}
+		cost := hops[i].fixed + hops[i].perLayer*float64(s.Held.Len()) + cs[i].Load.WaitMS
+		if s.FailureDomain != q.Near && q.Near != "" {
+			cost += nearCostMS
+		}
+		if q.FullFrom > 0 && s.Slots > 0 {
+			cost += fullCost(q, cs[i].Load.Heads/float64(s.Slots))
+		}
+		add(node{cost: cost, prev: -1, run: site.Range{From: 0, To: s.Held.To}, cand: i})
+	}
+}
+
+// keptStarts returns the layers at which hops begin that keep their memory of
+// the request: another hop may hand over there and leave them as they are.
+func keptStarts(q *Query) []int {
+	var out []int
+	for _, r := range q.Keep {
+		out = append(out, r.From)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// endsOf appends where a hop that begins at a layer may end.
+func endsOf(out []int, s *site.BackendServer, at int, stops []int) []int {
+	out = append(out, s.Held.To)
+	for _, l := range stops {
+		if l > at && l < s.Held.To {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func visited(nodes []node, at, cand int) bool {
+	for ; at >= 0; at = nodes[at].prev {
+		if nodes[at].cand == cand {
+			return true
+		}
+	}
+	return false
+}
+
+// edge is the cost of going on at candidate i with some layers. A hop that keeps
+// its memory reads nothing again, and is counted in its load already.
+func edge(q *Query, cs []Candidate, hops []hopCost, from, i int, run site.Range) float64 {
+	s, prev := cs[i].Server, cs[from].Server
+	cost := stepsWeight * LinkMS(q.Engine, prev.FailureDomain, s.FailureDomain)
+	if kept, ok := q.Keep[s.ID]; ok && kept == run {
+		return cost
+	}
+	if prev.FailureDomain != s.FailureDomain {
+		cost += crossWeight * PipeReadMS(q.Engine, q.Tokens.Prompt)
+	}
+	return cost + hops[i].fixed + hops[i].perLayer*float64(run.Len())
+}
+
+// step is a hop of the chosen path with its candidate.
+type step struct {
+	cand *Candidate
+	run  site.Range
+}
+
+func path(cs []Candidate, nodes []node, at int) []step {
+	var out []step
+	for ; at >= 0; at = nodes[at].prev {
+		out = append(out, step{cand: &cs[nodes[at].cand], run: nodes[at].run})
+	}
+	slices.Reverse(out)
+	return out
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -35,21 +35,6 @@
 	}
 }
 
-// otherSources returns the first daemon of each other domain: most likely its
-// source.
-func (n *Node) otherSources() map[string]Member {
-	out := map[string]Member{}
-	for _, m := range n.members.All() {
-		if m.Domain == n.opts.Domain {
-			continue
-		}
-		if first, ok := out[m.Domain]; !ok || m.Name < first.Name {
-			out[m.Domain] = m
-		}
-	}
-	return out
-}
-
 // loadLink is a link to the source of another domain, for loads alone.
 type loadLink struct {
 	conn  *websocket.Conn
--- a/relay/node.go
+++ b/relay/node.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,16 +55,6 @@
 	errEarly  = errors.New("relay: source reads the store")
 )
 
-// Member is another daemon.
-type Member struct {
-	Name    string
-	Domain  string
-	Address string // of its links
-}
-
-// Members lists the daemons, this one included.
-type Members interface{ All() []Member }
-
 // Options are the settings of a node.
 type Options struct {
 	Name   string
@@ -254,41 +242,6 @@
 	return !n.begun.Load()
 }
 
-// candidates returns the daemons that this one may follow, the best first: the
-// one above it in the tree of its domain; the first ones of its domain; then, for
-// all but the first two, the first ones of the other domains. Within a domain a
-// daemon follows only those that come before it in the order of names, and those
-// of another domain only while they follow the store, so daemons never follow
-// each other in a circle.
-func (n *Node) candidates() []Member {
-	all := n.members.All()
-	var before []Member
-	for _, m := range all {
-		if m.Domain == n.opts.Domain && m.Name < n.opts.Name {
-			before = append(before, m)
-		}
-	}
-	slices.SortFunc(before, byName)
-	if len(before) < ownSources {
-		return before
-	}
-	above := (len(before) - 1) / n.opts.FanOut
-	out := []Member{before[above]}
-	for i, m := range before[:ownSources] {
-		if i != above {
-			out = append(out, m)
-		}
-	}
-	others := make([]Member, 0, len(all))
-	for _, m := range n.otherSources() {
-		others = append(others, m)
-	}
-	slices.SortFunc(others, byName)
-	return append(out, others...)
-}
-
-func byName(a, b Member) int { return strings.Compare(a.Name, b.Name) }
-
 // followSource follows the first source that can be reached until it fails. It
 // returns whether one was followed.
 func (n *Node) followSource(ctx context.Context) bool {
