--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -74,6 +74,7 @@
 	own     []LoadItem
 	others  []LoadItem
 	daemons int
+	age     time.Duration
 	applied int // full states
 }
 
@@ -160,7 +161,7 @@
 func (c *copied) TakeOthers(others Loads) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.others, c.daemons = others.Items, others.Daemons
+	c.others, c.daemons, c.age = others.Items, others.Daemons, others.Age
 }
 
 // chain runs daemons of which each follows the one before it.
@@ -253,6 +254,21 @@
 	}
 }
 
+// The loads of the others are told with their age, which grows with each step.
+func TestAgeOfLoadsIsTold(t *testing.T) {
+	t.Parallel()
+	c := newChain(t, 3)
+	last := c.copies[2]
+	require.Eventually(t, func() bool {
+		last.mu.Lock()
+		defer last.mu.Unlock()
+		return last.daemons == 2 && last.age > 0
+	}, 10*time.Second, 20*time.Millisecond)
+	last.mu.Lock()
+	defer last.mu.Unlock()
+	require.Less(t, last.age, 2*loadTTL(1), "each of two steps drops older ones")
+}
+
 // Only the first daemon of a domain reads the store at a start, also before it has
 // answers: the second waits for it, and so nobody follows the second and is left.
 func TestSecondDaemonWaitsForTheFirst(t *testing.T) {
