A daemon that was started waits for a list of the others before it follows anybody

The logs of eleven daemons show that each, knowing no other, took itself for the first of its domain: it looked for the store at the shortest pauses, tried for the duty, and read all lists when the store was back.

Change: a daemon goes on once its list has been answered, asked for every half second, and alone after ten seconds. Its record is written after that.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -35,10 +35,12 @@
 	// reads a fresh list, which costs ten times as much.
 	joinPause  = 400 * time.Millisecond
 	joinWithin = 2 * time.Second
-	// listAgain is the period of lists while none has been answered. A daemon that knows
-	// no other follows the store itself: 295 that were started while it was away did so
-	// for eight seconds, with 12,300 calls.
-	listAgain = time.Second
+	// listAgain is the period of lists while none has been answered, and unlistedMost how
+	// long a daemon waits for one before it goes on alone. One that knows no other takes
+	// itself for the first: 295 that were started while the store was away all looked for
+	// it, tried for the duty and read every list, with 10,500 calls in three seconds.
+	listAgain    = 500 * time.Millisecond
+	unlistedMost = 10 * time.Second
 )
 
 // beatEvery returns the period of a daemon's own record in a fleet of so many.
@@ -120,14 +122,19 @@
 	return m.all
 }
 
-// Found is closed when the daemons were listed for the first time or that failed.
+// Found is closed when the daemons were listed for the first time, or could not be for
+// unlistedMost.
 func (m *members) Found() <-chan struct{} { return m.found }
 
 // Run keeps the own record and the list until ctx ends, then takes the record
 // away.
 func (m *members) Run(ctx context.Context) {
 	m.join(ctx)
+	m.awaitList(ctx)
 	close(m.found)
+	if m.version == 0 {
+		m.beat(ctx)
+	}
 	beat, list := time.NewTimer(beatEvery(m.Daemons())), time.NewTimer(m.untilList())
 	defer beat.Stop()
 	defer list.Stop()
@@ -164,9 +171,6 @@
 func (m *members) join(ctx context.Context) {
 	if !m.firstStart {
 		m.list(ctx, false)
-		if m.version == 0 {
-			m.beat(ctx)
-		}
 		return
 	}
 	m.beat(ctx)
@@ -182,6 +186,16 @@
 	m.list(ctx, true)
 }
 
+// awaitList lists the daemons until that is answered.
+func (m *members) awaitList(ctx context.Context) {
+	for until := time.Now().Add(unlistedMost); m.Daemons() == 0 && time.Now().Before(until); {
+		if !wait.For(ctx, listAgain) {
+			return
+		}
+		m.list(ctx, false)
+	}
+}
+
 func (m *members) knows(name string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -106,9 +106,13 @@
 		s := &oldStore{}
 		s.add(kindDaemon, "vm-0", recordOf(t, relay.Member{Name: "vm-0", Domain: "a", Address: "10.0.0.9:7400"}))
 		m := newMembers(thisDaemon, false, s, log.NewNopLogger())
-		m.join(t.Context())
+		ctx, stop := context.WithCancel(t.Context())
+		go m.Run(ctx)
+		synctest.Wait()
 		require.Equal(t, 1, s.writes)
 		require.NotZero(t, m.version)
+		stop()
+		synctest.Wait()
 	})
 }
 
@@ -151,16 +155,44 @@
 		time.Sleep(5500 * time.Millisecond)
 		synctest.Wait()
 		require.Empty(t, m.All())
+		require.Zero(t, s.writes)
+		require.False(t, isClosed(m.Found()), "it does not go on alone")
 		s.away.Store(false)
 		time.Sleep(3 * time.Second / 2)
 		synctest.Wait()
 		require.NotEmpty(t, m.All())
+		require.True(t, isClosed(m.Found()))
 		require.Equal(t, 1, s.writes, "its own record")
 		stop()
 		synctest.Wait()
 	})
 }
 
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
+// One that never gets a list goes on alone in the end.
+func TestDaemonWithoutAListGoesOnAlone(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		s := &oldStore{}
+		s.away.Store(true)
+		m := newMembers(thisDaemon, false, s, log.NewNopLogger())
+		ctx, stop := context.WithCancel(t.Context())
+		go m.Run(ctx)
+		time.Sleep(unlistedMost + listAgain)
+		synctest.Wait()
+		require.True(t, isClosed(m.Found()))
+		stop()
+		synctest.Wait()
+	})
+}
+
 // The calls of all daemons together do not grow with them.
 func TestMembershipCallsAreBounded(t *testing.T) {
 	for _, daemons := range []int{8, 60, 295, 380, 1000} {
