One question whether a backend server may be on a path

The split asked it in words of its own, next to the choice of candidates: two copies that could have come to differ, on draining for one. takesWork serves both. The age of told loads is noted beside the loads, and the daemons are counted once a split instead of once a backend server.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -190,7 +190,7 @@
 	begin := rand.IntN(max(1, len(servers)))
 	for i := range servers {
 		s := servers[(begin+i)%len(servers)]
-		if s.Draining || engine != nil && s.Held.Len() == 0 || f.health.Dead(s.ID, now) {
+		if !f.takesWork(s, engine, now) {
 			continue
 		}
 		if engine != nil && f.health.Cooling(s.ID, now) {
@@ -203,6 +203,12 @@
 	return out
 }
 
+// takesWork reports whether a backend server may be on a path: it is not leaving,
+// holds layers where the service has an engine, and is not known to have failed.
+func (f *Forwarder) takesWork(s *site.BackendServer, engine *site.Engine, now time.Time) bool {
+	return !s.Draining && (engine == nil || s.Held.Len() > 0) && !f.health.Dead(s.ID, now)
+}
+
 // queueFrom is the wait for a first event from which on it counts against a head:
 // less is what reading a prompt takes. Loads that other daemons told are a second
 // old; with what the own streams wait for, requests went to a head with all slots
--- a/forward/loads.go
+++ b/forward/loads.go
@@ -193,3 +193,15 @@
 		}
 	}
 }
+
+// oldLoads is the age from which loads of the other daemons are worth a line in the
+// log: a request lasts two to five seconds, and older ones say nothing of those that
+// run now.
+const oldLoads = 8 * time.Second
+
+func (f *Forwarder) noteLoadsAge(age time.Duration) {
+	f.observe.LoadsAge(age)
+	if age > oldLoads {
+		f.log.Add("old_loads", "age", age.Round(time.Millisecond), "daemons", f.fleet.Daemons())
+	}
+}
--- a/forward/split.go
+++ b/forward/split.go
@@ -60,7 +60,7 @@
 	if since < splitSoonest {
 		return
 	}
-	all := f.alive(view, service, now)
+	all := f.alive(view, service, e, now)
 	requests := f.inFlight(all, now)
 	same := s.view == view && s.usable == len(all)
 	if same && (since < splitEvery || math.Abs(requests-s.requests) <= splitChange*s.requests) {
@@ -82,30 +82,20 @@
 	if f.loads.newsAge(now) == 0 {
 		return 0
 	}
+	daemons := float64(max(1, f.fleet.Daemons()))
 	sum := 0.0
 	for i := range of {
-		sum += f.loads.Of(of[i].Server.ID, float64(max(1, f.fleet.Daemons())), now).Heads
+		sum += f.loads.Of(of[i].Server.ID, daemons, now).Heads
 	}
 	return sum
 }
 
-// oldLoads is the age from which loads of the other daemons are worth a line in the
-// log: a request lasts two to five seconds, and older ones say nothing of those that
-// run now.
-const oldLoads = 8 * time.Second
-
-func (f *Forwarder) noteLoadsAge(age time.Duration) {
-	f.observe.LoadsAge(age)
-	if age > oldLoads {
-		f.log.Add("old_loads", "age", age.Round(time.Millisecond), "daemons", f.fleet.Daemons())
-	}
-}
-
-// alive returns the backend servers of a service that are not known to have failed.
-func (f *Forwarder) alive(view *inventory.View, service string, now time.Time) []pipeline.Candidate {
+// alive returns the backend servers of a service that may be on a path, also those
+// that refused work a moment ago.
+func (f *Forwarder) alive(view *inventory.View, service string, e *site.Engine, now time.Time) []pipeline.Candidate {
 	var out []pipeline.Candidate
 	for _, s := range view.OfService(service) {
-		if !s.Draining && s.Held.Len() > 0 && !f.health.Dead(s.ID, now) {
+		if f.takesWork(s, e, now) {
 			out = append(out, pipeline.Candidate{Server: s})
 		}
 	}
