The test that kills a head kills the one head that the stream began at

Cause: the test looked at each head in turn and killed it if it had run the stream. While the first was being killed, the stream had already gone on at the second, which was then killed too: no head was left, and the stream ended as it must.

Change: the head that the stream began at is found before anything is killed. The assertions are as they were: each event once, in order, without an error.

--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -144,11 +145,10 @@
 			time.Sleep(time.Millisecond)
 		}
 		time.Sleep(100 * time.Millisecond)
-		for _, h := range heads {
-			if len(h.Runs()) > 0 {
-				h.Kill()
-			}
-		}
+		// Only the head that the stream began at: while it is killed, the stream
+		// already goes on at the other one.
+		began := slices.IndexFunc(heads, func(h *standin.Server) bool { return len(h.Runs()) > 0 })
+		heads[began].Kill()
 	}()
 	a := d.call(t, call{method: "POST", path: "/stream/"})
 	require.NoError(t, a.Err)
