Loads that no backend server can have are dropped and counted

Cause: what came over a link was believed as it was: a negative number of requests, more first hops than requests, or figures beyond any backend server went into sums that decide where the fleet's requests go.

Change: a listener drops such loads, keeps what was told of the backend server before, and tells how many it dropped: a log line and a counter.

The new test fails without the check (the impossible load is taken as told).

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -37,6 +37,8 @@
 	Recovered(cause string, gap time.Duration)
 	// LoadsAge is told how old the loads of the other daemons were as they came.
 	LoadsAge(age time.Duration)
+	// LoadsRefused is told how many loads were dropped as impossible.
+	LoadsRefused(n int)
 }
 
 // Options are the settings of a forwarder.
@@ -105,6 +107,7 @@
 	}
 	f.keysFreshFor.Store(int64(o.KeysFreshFor))
 	f.loads.observe = f.noteLoadsAge
+	f.loads.refused = f.noteRefusedLoads
 	if !o.Restarted {
 		f.started = f.started.Add(-o.RetryWindow)
 	}
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -248,6 +248,9 @@
 // LoadsAge implements Observer.
 func (l *lab) LoadsAge(time.Duration) {}
 
+// LoadsRefused implements Observer.
+func (l *lab) LoadsRefused(int) {}
+
 // Recovered implements Observer.
 func (l *lab) Recovered(_ string, gap time.Duration) {
 	l.mu.Lock()
--- a/forward/loads.go
+++ b/forward/loads.go
@@ -22,6 +22,7 @@
 	othersDaemons int
 	othersAge     time.Duration // of the loads when they were told
 	observe       func(age time.Duration)
+	refused       func(n int)
 }
 
 type serverLoad struct {
@@ -40,7 +41,7 @@
 
 // NewLoads returns an empty table.
 func NewLoads() *Loads {
-	return &Loads{servers: map[string]*serverLoad{}, observe: func(time.Duration) {}}
+	return &Loads{servers: map[string]*serverLoad{}, observe: func(time.Duration) {}, refused: func(int) {}}
 }
 
 func (l *Loads) begin() {
@@ -132,6 +133,9 @@
 	l.observe(others.Age)
 }
 
+// RefuseLoads implements relay.LoadBook.
+func (l *Loads) RefuseLoads(n int) { l.refused(n) }
+
 func (l *Loads) take(byServer map[string]relay.LoadItem, others relay.Loads) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -205,3 +209,10 @@
 		f.log.Add("old_loads", "age", age.Round(time.Millisecond), "daemons", f.fleet.Daemons())
 	}
 }
+
+// noteRefusedLoads notes loads that were dropped because no backend server can have
+// them: another daemon, or the link to it, is at fault.
+func (f *Forwarder) noteRefusedLoads(n int) {
+	f.observe.LoadsRefused(n)
+	f.log.Add("refused_loads", "loads", n)
+}
--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -88,6 +88,7 @@
 func (noObserver) Finished(string, time.Duration)  {}
 func (noObserver) FirstEvent(time.Duration)        {}
 func (noObserver) LoadsAge(time.Duration)          {}
+func (noObserver) LoadsRefused(int)                {}
 func (noObserver) Recovered(string, time.Duration) {}
 
 // taken keeps what the caller got.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -275,6 +275,9 @@
 // LoadsAge implements forward.Observer.
 func (o observer) LoadsAge(age time.Duration) { o.m.LoadsAge(age) }
 
+// LoadsRefused implements forward.Observer.
+func (o observer) LoadsRefused(n int) { o.m.LoadsRefused(n) }
+
 // Bound implements placer.Observer.
 func (o observer) Bound(service string, requests int) {
 	o.m.TaggedGauge("bound_requests", "service", service, float64(requests))
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -76,6 +76,9 @@
 // LoadsAge records how old the loads of the other daemons were as they came.
 func (m *Metrics) LoadsAge(age time.Duration) { m.loadsAge.RecordDuration(age) }
 
+// LoadsRefused counts loads of other daemons that were dropped as impossible.
+func (m *Metrics) LoadsRefused(n int) { m.scope.Counter("loads_refused_total").Inc(int64(n)) }
+
 // Dropped implements dispatch.Observer.
 func (m *Metrics) Dropped(d dispatch.Drops) {
 	for i, n := range []int{d.Foreign, d.Stale, d.Repeated, d.Overflow} {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			return // tried again at the next exchange; its last loads run out
 		}
-		l = &loadLink{conn: c}
+		l = &loadLink{conn: c, heard: listener{refused: n.book.RefuseLoads}}
 		links[domain] = l
 	}
 	c := l.conn
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -94,22 +94,48 @@
 	return out
 }
 
+// Bounds of what a load can be, far beyond any backend server: what lies outside was
+// torn on its way or made by a fault.
+const (
+	mostRunning = 1 << 20 // requests
+	mostKV      = 1 << 40 // tokens x layers
+)
+
+// possible reports whether a backend server can have such a load.
+func (l packedLoad) possible() bool {
+	return l.Heads >= 0 && l.Heads <= l.Running && l.Running <= mostRunning && l.KV <= mostKV
+}
+
 // listener adds up the changes that come over one link.
-type listener struct{ loads map[uint32]packedLoad }
+type listener struct {
+	loads map[uint32]packedLoad
+	// refused is told how many loads were dropped because no backend server can have
+	// them, nil for nobody.
+	refused func(n int)
+}
 
 // take takes changes and returns all loads with their names; those of backend
-// servers that are not known here are left out.
+// servers that are not known here are left out. Impossible ones are dropped: what was
+// told of the backend server before stays.
 func (l *listener) take(changes []packedLoad, ids map[uint32]string) []LoadItem {
 	if l.loads == nil {
 		l.loads = map[uint32]packedLoad{}
 	}
+	impossible := 0
 	for _, c := range changes {
+		if !c.possible() {
+			impossible++
+			continue
+		}
 		if c.Running == 0 && c.Heads == 0 && c.KV == 0 {
 			delete(l.loads, c.Server)
 			continue
 		}
 		l.loads[c.Server] = c
 	}
+	if impossible > 0 && l.refused != nil {
+		l.refused(impossible)
+	}
 	out := make([]LoadItem, 0, len(l.loads))
 	for _, p := range l.loads {
 		if id, known := ids[p.Server]; known {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -109,6 +109,27 @@
 		"kept until it is known")
 }
 
+// Loads that no backend server can have are dropped and counted, and what was told of
+// it before stays.
+func TestImpossibleLoadsAreDropped(t *testing.T) {
+	refused := 0
+	l := listener{refused: func(n int) { refused += n }}
+	ids := map[uint32]string{serverHash("x"): "x"}
+	in := []LoadItem{{Server: "x", Running: 3, Heads: 1, KV: 1000}}
+	require.Equal(t, in, l.take([]packedLoad{pack(in[0])}, ids))
+	for _, bad := range []packedLoad{
+		{Running: -1},
+		{Running: 2, Heads: -1},
+		{Running: 2, Heads: 3},
+		{Running: mostRunning + 1},
+		{Running: 2, KV: mostKV + 1},
+	} {
+		bad.Server = serverHash("x")
+		require.Equal(t, in, l.take([]packedLoad{bad}, ids), "%+v", bad)
+	}
+	require.Equal(t, 5, refused)
+}
+
 // What a listener knows stays close to the loads, and few of them are told.
 func TestOnlyChangedLoadsAreTold(t *testing.T) {
 	const servers, rounds = 600, 50
--- a/relay/session.go
+++ b/relay/session.go
@@ -22,7 +22,10 @@
 		return false, err
 	}
 	defer func() { _ = c.CloseNow() }()
-	s := &session{node: n, conn: c, sent: map[uint64]time.Time{}, probe: probe, cancel: cancel}
+	s := &session{
+		node: n, conn: c, sent: map[uint64]time.Time{}, probe: probe, cancel: cancel,
+		heard: listener{refused: n.book.RefuseLoads},
+	}
 	s.silent = time.AfterFunc(silentFor, func() { cancel(errSilent) })
 	defer s.silent.Stop()
 	if probe == nil {
--- a/relay/source.go
+++ b/relay/source.go
@@ -33,6 +33,8 @@
 	OwnLoads() []LoadItem
 	// TakeOthers takes the loads that the other daemons cause together.
 	TakeOthers(others Loads)
+	// RefuseLoads is told how many loads were dropped as impossible.
+	RefuseLoads(n int)
 }
 
 // serveLink serves one follower until the link ends: changes as they come, and
@@ -163,7 +165,7 @@
 // answerPings answers a follower until the link ends.
 func (n *Node) answerPings(ctx context.Context, c *websocket.Conn) {
 	follower, toldAt := "", time.Time{}
-	var fromFollower listener
+	fromFollower := listener{refused: n.book.RefuseLoads}
 	var toFollower teller
 	defer func() { n.ledger.drop(follower, toldAt) }()
 	for {
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -76,6 +76,7 @@
 	daemons int
 	age     time.Duration
 	applied int // full states
+	refused int // loads
 }
 
 func newCopied(s *store) *copied {
@@ -164,6 +165,12 @@
 	c.others, c.daemons, c.age = others.Items, others.Daemons, others.Age
 }
 
+func (c *copied) RefuseLoads(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused += n
+}
+
 // chain runs daemons of which each follows the one before it.
 type chain struct {
 	store  *store
