The fleet knows which backend servers are slow

Nobody knows which card it is: a daemon sees two requests a second, over eleven hops each.

Change: the hops of a stream with three late events in a row are suspects. A daemon tells them upwards with its pings; the daemon that follows the store in the failure domain of a suspect asks it for its pace, goes on asking those that are slow, and tells the answers downwards and to the other domains. The choice of a path and the split take a slow card's times to be as many times longer.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -17,6 +17,9 @@
 // ErrOrderRefused says that a backend server refused an order.
 var ErrOrderRefused = errors.New("forward: order refused")
 
+// errUnknownServer says that a backend server is not known any more.
+var errUnknownServer = errors.New("forward: unknown backend server")
+
 // Outgoing is a request as one backend server shall receive it.
 type Outgoing struct {
 	Request   *Request
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -108,6 +108,7 @@
 	f.keysFreshFor.Store(int64(o.KeysFreshFor))
 	f.loads.observe = f.noteLoadsAge
 	f.loads.refused = f.noteRefusedLoads
+	f.loads.noteSlow = f.noteSlowServers
 	if !o.Restarted {
 		f.started = f.started.Add(-o.RetryWindow)
 	}
@@ -160,6 +161,7 @@
 
 func (f *Forwarder) forget(known map[string]*site.BackendServer) {
 	f.loads.Prune(known)
+	f.loads.slow.prune(known)
 	f.health.Prune(func(id string) bool { return known[id] != nil })
 	f.reports.prune(known)
 	f.probes.prune(known)
--- a/forward/loads.go
+++ b/forward/loads.go
@@ -21,8 +21,10 @@
 	othersAt      time.Time
 	othersDaemons int
 	othersAge     time.Duration // of the loads when they were told
+	slow          *slowServers
 	observe       func(age time.Duration)
 	refused       func(n int)
+	noteSlow      func(slow map[string]float64)
 }
 
 type serverLoad struct {
@@ -41,7 +43,10 @@
 
 // NewLoads returns an empty table.
 func NewLoads() *Loads {
-	return &Loads{servers: map[string]*serverLoad{}, observe: func(time.Duration) {}, refused: func(int) {}}
+	return &Loads{
+		servers: map[string]*serverLoad{}, slow: newSlowServers(),
+		observe: func(time.Duration) {}, refused: func(int) {}, noteSlow: func(map[string]float64) {},
+	}
 }
 
 func (l *Loads) begin() {
@@ -75,6 +80,12 @@
 // Of returns the load of a backend server: what the other daemons told, else
 // all daemons are taken to be as busy as this one.
 func (l *Loads) Of(id string, daemons float64, now time.Time) pipeline.Load {
+	load := l.shared(id, daemons, now)
+	load.Slowdown = l.slow.of(id)
+	return load
+}
+
+func (l *Loads) shared(id string, daemons float64, now time.Time) pipeline.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var own serverLoad
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -188,7 +188,7 @@
 		return
 	}
 	old := s.leave
-	s.path, s.leave, s.moved = p, leave, true
+	s.path, s.leave, s.moved, s.stepMS = p, leave, true, 0
 	s.mu.Unlock()
 	old()
 	s.timer.Reset(firstSilence)
--- a/forward/split.go
+++ b/forward/split.go
@@ -21,6 +21,7 @@
 	spread   pipeline.Spread
 	view     *inventory.View
 	usable   int  // backend servers of which it was made
+	slow     int  // the version of those known to be slow
 	needed   bool // requests follow it
 	requests float64
 	at       time.Time
@@ -62,11 +63,12 @@
 	}
 	all := f.alive(view, service, e, now)
 	requests := f.inFlight(all, now)
-	same := s.view == view && s.usable == len(all)
+	slow := f.loads.slow.changes()
+	same := s.view == view && s.usable == len(all) && s.slow == slow
 	if same && (since < splitEvery || math.Abs(requests-s.requests) <= splitChange*s.requests) {
 		return
 	}
-	s.view, s.usable, s.requests, s.at = view, len(all), requests, now
+	s.view, s.usable, s.slow, s.requests, s.at = view, len(all), slow, requests, now
 	s.needed = pipeline.NeedsSplit(e, all, f.fleet.Daemons())
 	if !s.needed {
 		return
@@ -96,7 +98,7 @@
 	var out []pipeline.Candidate
 	for _, s := range view.OfService(service) {
 		if f.takesWork(s, e, now) {
-			out = append(out, pipeline.Candidate{Server: s})
+			out = append(out, pipeline.Candidate{Server: s, Load: pipeline.Load{Slowdown: f.loads.slow.of(s.ID)}})
 		}
 	}
 	return out
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -58,16 +58,18 @@
 	bound   time.Duration // silence after which the head is asked
 	quietAt time.Time     // last event, or the send
 	asking  bool
-	begun   bool // this send has had an event
-	probed  bool // all hops, since the last event
-	moved   bool // since the last event
+	begun   bool    // this send has had an event
+	stepMS  float64 // predicted for the path, 0 for one that was moved
+	late    int     // pauses in a row that were late for that
+	probed  bool    // all hops, since the last event
+	moved   bool    // since the last event
 	ended   bool
 }
 
 func (r *run) sendStream(ctx context.Context, t *target, left time.Duration) (execution.Verdict, error) {
 	sctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s := &stream{r: r, attempt: r.sends, cancel: cancel, path: t.path, tokens: t.tokens, quietAt: time.Now()}
+	s := &stream{r: r, attempt: r.sends, cancel: cancel, path: t.path, tokens: t.tokens, quietAt: time.Now(), stepMS: t.choice.StepMS}
 	s.leave = r.f.loads.Enter(t.path, t.tokens)
 	s.bound = max(firstSilence, silenceFactor*time.Duration(t.choice.FirstMS*float64(time.Millisecond)))
 	s.timer = time.AfterFunc(s.probeAfter(true), func() { s.check(sctx) })
@@ -196,6 +198,7 @@
 	s.quietAt, s.moved, s.probed = now, false, false
 	head, first := s.path[0].Server.ID, !s.begun
 	s.begun = true
+	s.notePace(first, moved, gap, now)
 	s.mu.Unlock()
 	s.r.f.silences.observe(head, first, gap)
 	s.timer.Reset(s.probeAfter(false))
@@ -205,6 +208,24 @@
 	s.r.resumed(now)
 }
 
+// notePace looks whether the stream's events come late again and again; the caller
+// holds the lock.
+func (s *stream) notePace(first, moved bool, gap time.Duration, now time.Time) {
+	if first || moved {
+		return
+	}
+	slow := s.r.f.loads.slow
+	if !slow.late(gap, s.stepMS) {
+		s.late = 0
+		return
+	}
+	s.late++
+	if s.late >= lateInRow {
+		s.late = 0
+		slow.suspect(s.path, now)
+	}
+}
+
 // interrupted notes that events stopped coming, and why.
 func (r *run) interrupted(why error) {
 	if r.failedAt.IsZero() {
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -25,8 +25,14 @@
 	// WaitMS is how long requests wait there for their first token, if it is their
 	// first hop.
 	WaitMS float64
+	// Slowdown is how many times longer it takes than cards of its kind do, 0 for as
+	// long as they.
+	Slowdown float64
 }
 
+// slowed returns a predicted time as it is on a backend server that has become slow.
+func (l Load) slowed(ms float64) float64 { return ms * max(1, l.Slowdown) }
+
 // Candidate is a backend server that may be on a path.
 type Candidate struct {
 	Server *site.BackendServer
@@ -124,7 +130,7 @@
 		n := s.Held.Len()
 		step := HopStepMS(q.Engine, s.Kind, n, c.Load.Running+1, q.Tokens.Mean())
 		read := HopReadMS(q.Engine, s.Kind, n, q.Tokens.Prompt)
-		out[i].perLayer = (step*stepsWeight + read) / float64(max(1, n))
+		out[i].perLayer = c.Load.slowed(step*stepsWeight+read) / float64(max(1, n))
 		full := fullness(q, c, n)
 		out[i].perLayer *= 1 + spreadWeight*min(spreadMost, c.Load.OwnKV/max(1, q.Engine.KVRoom(s.Kind, n)))
 		out[i].fixed = fullCost(q, full)
@@ -165,7 +171,7 @@
 	var c Choice
 	for i, s := range steps {
 		h := site.Hop{Server: s.cand.Server, Layers: s.run}
-		ms := HopStepMS(q.Engine, h.Server.Kind, h.Layers.Len(), s.cand.Load.Running+1, q.Tokens.Mean())
+		ms := s.cand.Load.slowed(HopStepMS(q.Engine, h.Server.Kind, h.Layers.Len(), s.cand.Load.Running+1, q.Tokens.Mean()))
 		link := 0.0
 		if i > 0 {
 			link = LinkMS(q.Engine, c.Path[i-1].Server.FailureDomain, h.Server.FailureDomain)
@@ -175,7 +181,7 @@
 			c.FirstMS += PipeReadMS(q.Engine, q.Tokens.Prompt)
 			c.Crossings++
 		}
-		c.FirstMS += ms + link + HopReadMS(q.Engine, h.Server.Kind, h.Layers.Len(), q.Tokens.Prompt)
+		c.FirstMS += ms + link + s.cand.Load.slowed(HopReadMS(q.Engine, h.Server.Kind, h.Layers.Len(), q.Tokens.Prompt))
 		if _, kept := q.Keep[h.Server.ID]; !kept {
 			c.Fullest = max(c.Fullest, fullness(q, s.cand, h.Layers.Len()))
 		}
--- a/pipeline/choose_test.go
+++ b/pipeline/choose_test.go
@@ -49,6 +49,31 @@
 	require.Equal(t, "fast0", head(), "a wait counts at the first hop alone")
 }
 
+// A card that has become slow is gone round, hop by hop, where another holds its layers.
+func TestSlowCardIsGoneRound(t *testing.T) {
+	e := choiceEngine()
+	q := &Query{Engine: e, Tokens: Tokens{Prompt: 500, Answer: 100}}
+	cs := twoPipelines(e)
+	path := func() []string {
+		c, err := Choose(q, cs, nil)
+		require.NoError(t, err)
+		return []string{c.Path[0].Server.ID, c.Path[1].Server.ID}
+	}
+	require.Equal(t, []string{"fast0", "fast1"}, path())
+	usual, err := Choose(q, cs, nil)
+	require.NoError(t, err)
+	cs[1].Load.Slowdown = 2
+	require.Equal(t, []string{"fast0", "fast1"}, path(), "still faster than the other kind")
+	slowed, err := Choose(q, cs, nil)
+	require.NoError(t, err)
+	require.InDelta(t, 1.5*usual.FirstMS, slowed.FirstMS, 0.01)
+	require.InDelta(t, 1.5*usual.StepMS, slowed.StepMS, 0.01)
+	cs[1].Load.Slowdown = 12
+	require.Equal(t, []string{"fast0", "slow1"}, path())
+	cs[1].Load.Slowdown = 0.5
+	require.Equal(t, []string{"fast0", "fast1"}, path(), "below one says nothing")
+}
+
 // A path that is full is the last choice, however slow the others are: else requests
 // were refused with room left.
 func TestFullPathIsTheLastChoice(t *testing.T) {
--- a/pipeline/split.go
+++ b/pipeline/split.go
@@ -83,8 +83,8 @@
 }
 
 // Split returns the paths for requests of a failure domain, in the order of their
-// names. Candidates are all backend servers that may take work; their loads are not
-// looked at.
+// names. Candidates are all backend servers that may take work; of their loads only how
+// slow they are is looked at.
 func Split(e *site.Engine, candidates []Candidate, d Demand, near string) []Share {
 	s := newSplitter(e, candidates)
 	slice := max(d.Requests, leastLoad*room(e, candidates)) / splitSlices
@@ -150,7 +150,7 @@
 	slices.SortFunc(cs, func(a, b Candidate) int { return strings.Compare(a.Server.ID, b.Server.ID) })
 	byDomain := map[string][]Candidate{}
 	for _, c := range cs {
-		byDomain[c.Server.FailureDomain] = append(byDomain[c.Server.FailureDomain], Candidate{Server: c.Server})
+		byDomain[c.Server.FailureDomain] = append(byDomain[c.Server.FailureDomain], c)
 	}
 	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
 		s.addLane(domain, byDomain[domain])
@@ -165,7 +165,7 @@
 func (s *splitter) addLane(domain string, cs []Candidate) {
 	l := &lane{domain: domain, cs: cs, index: map[string]int{}}
 	for i := range cs {
-		cs[i].Load = Load{}
+		cs[i].Load = Load{Slowdown: cs[i].Load.Slowdown}
 		l.index[cs[i].Server.ID] = i
 	}
 	s.renew(l)
--- a/pipeline/split_test.go
+++ b/pipeline/split_test.go
@@ -69,6 +69,37 @@
 	}
 }
 
+// When a sixth of the cards takes twelve times as long, a split leads most requests round
+// them: 0.31 of the requests pass one, all of them without word of it. What is left are failure
+// domains in which no other card holds the layers.
+func TestSplitGoesRoundSlowCards(t *testing.T) {
+	e := testEngine()
+	cs := fleetCards(t, e)
+	r := rand.New(rand.NewPCG(5, 6))
+	slow := map[string]bool{}
+	for _, i := range r.Perm(len(cs))[:len(cs)/6] {
+		slow[cs[i].Server.ID] = true
+	}
+	passing := func(cs []Candidate) float64 {
+		sum := 0.0
+		for _, domain := range fleetDomains {
+			for _, sh := range Split(e, cs, evenly(0.6*room(e, cs)), domain) {
+				if slices.ContainsFunc(sh.Choice.Path, func(h site.Hop) bool { return slow[h.Server.ID] }) {
+					sum += sh.Rate / float64(len(fleetDomains))
+				}
+			}
+		}
+		return sum
+	}
+	require.Greater(t, passing(cs), 0.9)
+	for i := range cs {
+		if slow[cs[i].Server.ID] {
+			cs[i].Load.Slowdown = 12
+		}
+	}
+	require.Less(t, passing(cs), 0.35)
+}
+
 // Daemons need not tell each other their splits: the order in which they know the
 // backend servers makes no difference.
 func TestAllDaemonsMakeTheSameSplit(t *testing.T) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -14,35 +14,43 @@
 // domains tell each other their loads: bytes between domains are paid for.
 const exchangeFactor = 2
 
-// exchangeLoads asks the sources of the other domains for their loads while this
-// daemon is a source, and takes what its followers need.
+// exchangeEvery is how often a source tells those of the other domains its suspects and
+// asks what they found out of slow backend servers; loads are asked for less often. A
+// message takes some fifty bytes while nothing is slow.
+const exchangeEvery = 500 * time.Millisecond
+
+// exchangeLoads asks the sources of the other domains for their loads and for slow
+// backend servers while this daemon is a source, and takes what its followers need.
 func (n *Node) exchangeLoads(ctx context.Context) {
 	links := map[string]*loadLink{}
 	defer func() {
-		for _, l := range links {
+		for domain, l := range links {
 			_ = l.conn.CloseNow()
+			n.forgetDomain(domain)
 		}
 	}()
-	for {
-		wait.For(ctx, exchangeFactor*loadsPeriod(len(n.inv.State().Servers)))
-		if ctx.Err() != nil {
-			return
-		}
+	loadsAt := time.Now()
+	for wait.For(ctx, exchangeEvery) {
+		withLoads := time.Since(loadsAt) >= exchangeFactor*loadsPeriod(len(n.inv.State().Servers))
 		for domain, m := range n.otherSources() {
-			n.askDomain(ctx, links, domain, m)
+			n.askDomain(ctx, links, domain, m, withLoads)
+		}
+		if withLoads {
+			loadsAt = time.Now()
+			n.takeOthers(loadsAt)
 		}
-		n.takeOthers(time.Now())
 	}
 }
 
-// loadLink is a link to the source of another domain, for loads alone.
+// loadLink is a link to the source of another domain, which passes on no state.
 type loadLink struct {
 	conn  *websocket.Conn
 	heard listener
 }
 
-// askDomain makes one exchange with the source of another domain.
-func (n *Node) askDomain(ctx context.Context, links map[string]*loadLink, domain string, m Member) {
+// askDomain makes one exchange with the source of another domain. What it found out of
+// slow backend servers does not count any more when it cannot be asked.
+func (n *Node) askDomain(ctx context.Context, links map[string]*loadLink, domain string, m Member, withLoads bool) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	l := links[domain]
@@ -53,24 +61,43 @@
 		}
 		l = &loadLink{conn: c, heard: listener{refused: n.book.RefuseLoads}}
 		links[domain] = l
+		n.slow.link(domain, true)
 	}
 	c := l.conn
-	p := &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: true, LoadsOnly: true}
-	if err := writeFrame(ctx, c, &frame{Ping: p}); err != nil {
+	p := &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: withLoads, LoadsOnly: true, Suspects: n.slow.collect(domain)}
+	answer, err := exchange(ctx, c, p)
+	if err != nil {
 		_ = c.CloseNow()
 		delete(links, domain)
+		n.forgetDomain(domain)
 		return
 	}
+	if withLoads {
+		n.otherDomains.put(domain, told{at: time.Now(), domain: domain, loads: answer.told(&l.heard, n.serverNames())})
+	}
+	if answer.HasSlow {
+		n.hearSlow(domain, answer.Slow)
+	}
+}
+
+// forgetDomain says that the source of another domain cannot be asked any more.
+func (n *Node) forgetDomain(domain string) {
+	n.slow.link(domain, false)
+	n.hearSlow(domain, nil)
+}
+
+// exchange sends a ping and returns the answer.
+func exchange(ctx context.Context, c *websocket.Conn, p *ping) (*pong, error) {
+	if err := writeFrame(ctx, c, &frame{Ping: p}); err != nil {
+		return nil, err
+	}
 	for {
 		f, err := readFrame(ctx, c)
 		if err != nil {
-			_ = c.CloseNow()
-			delete(links, domain)
-			return
+			return nil, err
 		}
 		if f.Pong != nil {
-			n.otherDomains.put(domain, told{at: time.Now(), domain: domain, loads: f.Pong.told(&l.heard, n.serverNames())})
-			return
+			return f.Pong, nil
 		}
 	}
 }
--- a/relay/node.go
+++ b/relay/node.go
@@ -70,6 +70,8 @@
 	FanOut int // daemons that follow one, 0 for the usual number
 	// Connect opens a connection to another daemon, nil for the usual way.
 	Connect func(ctx context.Context, network, address string) (net.Conn, error)
+	// Asker asks backend servers that are suspected to be slow, nil for none.
+	Asker Asker
 }
 
 // Node is one daemon's part in the relay.
@@ -83,6 +85,7 @@
 	dialer  *http.Client // opens links
 	frames  frames
 	names   names
+	slow    *slowBook
 
 	begun        atomic.Bool  // this daemon has been a sound source
 	reading      atomic.Bool  // this daemon follows the store itself
@@ -114,7 +117,7 @@
 		o.FanOut = fanOut
 	}
 	return &Node{
-		opts: o, inv: inv, book: book, members: m, logger: logger, ledger: newLedger(), dialer: newDialer(o.Connect),
+		opts: o, inv: inv, book: book, members: m, logger: logger, ledger: newLedger(), dialer: newDialer(o.Connect), slow: newSlowBook(),
 		otherDomains: newLedger(), above: newLedger(), source: context.Background(),
 	}
 }
@@ -305,6 +308,9 @@
 	}
 	wg.Go(func() { n.inv.Follow(sctx, longest) })
 	wg.Go(func() { n.exchangeLoads(sctx) })
+	if n.opts.Asker != nil {
+		wg.Go(func() { n.watchSlow(sctx) })
+	}
 	n.readingSince.Store(time.Now().UnixNano())
 	n.reading.Store(true)
 	_ = level.Info(n.logger).Log("msg", "following the store", "domain", n.opts.Domain)
--- a/relay/session.go
+++ b/relay/session.go
@@ -31,6 +31,7 @@
 	defer s.silent.Stop()
 	if probe == nil {
 		defer n.forgetUpstream()
+		defer n.hearSlow(sourceLoads, nil)
 	}
 	go s.pings(ctx)
 	err = s.read(ctx)
@@ -125,6 +126,10 @@
 	defer s.pinging.Unlock()
 	now := time.Now()
 	p := &ping{Sender: s.node.opts.Name, Domain: s.node.opts.Domain}
+	if s.probe == nil {
+		s.node.gatherSuspects()
+		p.Suspects = s.node.slow.takeSuspects()
+	}
 	s.mu.Lock()
 	s.number++
 	p.Number = s.number
@@ -201,6 +206,9 @@
 		s.node.above.put(sourceLoads, told{at: now, loads: p.told(&s.heard, s.node.serverNames())})
 		s.node.takeOthers(now)
 	}
+	if p.HasSlow {
+		s.node.hearSlow(sourceLoads, p.Slow)
+	}
 	if s.complete {
 		s.node.noteUpstream(ctx, p.Heard, now)
 	}
--- a/relay/source.go
+++ b/relay/source.go
@@ -35,6 +35,12 @@
 	TakeOthers(others Loads)
 	// RefuseLoads is told how many loads were dropped as impossible.
 	RefuseLoads(n int)
+	// TakeSuspects returns the backend servers that this daemon suspects to be slow
+	// since the last call.
+	TakeSuspects() []string
+	// TakeSlow takes all that are known to be slow, with how many times longer they
+	// take. The map must not be changed.
+	TakeSlow(slow map[string]float64)
 }
 
 // serveLink serves one follower until the link ends: changes as they come, and
@@ -167,6 +173,7 @@
 	follower, toldAt := "", time.Time{}
 	fromFollower := listener{refused: n.book.RefuseLoads}
 	var toFollower teller
+	var slowTold uint64
 	defer func() { n.ledger.drop(follower, toldAt) }()
 	for {
 		f, err := readFrame(ctx, c)
@@ -192,12 +199,26 @@
 			loads := n.loadsFor(p.Sender, sameDomain, now)
 			answer.Loads, answer.Daemons, answer.LoadsAge = toFollower.changes(loads.Items), loads.Daemons, loads.Age
 		}
+		n.slow.suspect(p.Suspects)
+		slowTold = n.tellSlow(answer, sameDomain, slowTold)
 		if err := writeFrame(ctx, c, &frame{Pong: answer}); err != nil {
 			return // the link is over
 		}
 	}
 }
 
+// tellSlow adds to an answer the slow backend servers if they have changed since the
+// version told: all that are known for a daemon of this domain, what this daemon found
+// out itself for the source of another. It returns the version told now.
+func (n *Node) tellSlow(answer *pong, sameDomain bool, told uint64) uint64 {
+	slow, version := n.slow.all(func(from string) bool { return sameDomain || from == own })
+	if version == told {
+		return told
+	}
+	answer.HasSlow, answer.Slow = true, packSlow(slow)
+	return version
+}
+
 // loadsFor adds up the loads for another daemon: for one of this domain all but
 // its own and those of its followers, for the source of another domain those of
 // this domain alone.
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -78,6 +78,9 @@
 	age     time.Duration
 	applied int // full states
 	refused int // loads
+
+	suspects []string
+	slow     map[string]float64
 }
 
 func newCopied(s *store) *copied {
@@ -166,6 +169,20 @@
 	c.others, c.daemons, c.age = others.Items, others.Daemons, others.Age
 }
 
+func (c *copied) TakeSuspects() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.suspects
+	c.suspects = nil
+	return out
+}
+
+func (c *copied) TakeSlow(slow map[string]float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slow = slow
+}
+
 func (c *copied) RefuseLoads(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -67,6 +67,9 @@
 	HasLoads bool `cbor:"6,keyasint,omitempty"`
 	// LoadsOnly asks for nothing but loads: the sender follows the store itself.
 	LoadsOnly bool `cbor:"5,keyasint,omitempty"`
+	// Suspects are backend servers that the sender or its followers suspect to be
+	// slow, by the hash of their IDs.
+	Suspects []uint32 `cbor:"9,keyasint,omitempty"`
 }
 
 // pong answers a ping of the same number.
@@ -79,6 +82,10 @@
 	Daemons int           `cbor:"5,keyasint"`           // whose loads are added up
 	// LoadsAge is their mean age.
 	LoadsAge time.Duration `cbor:"7,keyasint,omitempty"`
+	// HasSlow says that Slow are all backend servers that are known to be slow; other
+	// pongs say that nothing has changed.
+	HasSlow bool         `cbor:"8,keyasint,omitempty"`
+	Slow    []packedSlow `cbor:"9,keyasint,omitempty"`
 }
 
 // told returns the loads that a ping tells, of backend servers with these names.
