A hop for which a head refuses is probed

Hypothesis: when a card dies, each daemon learns it by refusals of its own: the head names the dead hop, which then gets no work for 250 ms, and a daemon that sees two requests a second sends the next one there again.

Change: the hop at fault is connected to at once; one that does not answer gets no work for four seconds, as after any other sign of death.

--- a/forward/refuse_test.go
+++ b/forward/refuse_test.go
@@ -90,3 +90,27 @@
 		require.Zero(t, took)
 	})
 }
+
+// A daemon that sees few requests learns from one refusal that a hop is dead: those that
+// follow do not try it again until its record is gone.
+func TestHopThatIsRefusedForIsProbed(t *testing.T) {
+	for name, silent := range map[string]bool{"killed": false, "silent": true} {
+		t.Run(name, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				l := newLab(1)
+				dead := 0
+				for id, s := range l.view.Servers {
+					if s.Held.Has(40) && !s.Held.Has(0) && s.FailureDomain != "c" {
+						l.cards[id].killed, l.cards[id].silent = !silent, silent
+						dead++
+					}
+				}
+				require.NotZero(t, dead)
+				l.run(2, 4*time.Second)
+				require.NotZero(t, l.hopFaults)
+				require.LessOrEqual(t, l.hopFaults, dead, "each is found by one refusal")
+				require.Zero(t, l.cut)
+			})
+		})
+	}
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -211,7 +211,9 @@
 }
 
 // refused looks at the outcome of a send. execution.Answered means that the answer
-// may be carried.
+// may be carried. A hop for which the head refuses may be full or dead, and is probed:
+// where a daemon sees two requests a second, each of them met the dead card again until
+// its record was gone, and the fleet's retries were spent on it.
 func (r *run) refused(t *target, a *Answer, err error) (execution.Verdict, error) {
 	now := time.Now()
 	head := t.head()
@@ -233,6 +235,9 @@
 		at = s
 	}
 	r.f.health.Refuse(at.ID, now)
+	if at.ID != head.ID {
+		go r.f.probe(context.Background(), at)
+	}
 	r.f.log.Add("refused", "request", r.req.ID, "attempt", r.sends, "by", head.ID, "status", a.Status, "at_fault", at.ID)
 	return execution.NotRunHere, &HopError{Address: at.Address, Err: execution.ErrRefused}
 }
