Later daemons wait out an outage of the store

Cause: they looked for a source for 1.25 s only, then each followed the store by itself until the next look; and both of a daemon's followers began with a call.

Change: once the sources of two failure domains say that they have lost the store, later daemons go on looking for a source, for ten seconds at most; the backend servers are read once the configuration was answered. A daemon that is no source for other domains says so with another status than one that has lost the store.

--- a/inventory/follow.go
+++ b/inventory/follow.go
@@ -58,10 +58,11 @@
 	list    func(context.Context) (Read[T], error)
 	watch   func(context.Context, uint64, time.Duration) (Read[T], error)
 	// take applies what was read; nothing newer existed at fresh.
-	take func(items []T, full bool, fresh time.Time)
-	lost func() // called when a read fails
-	back func() // called when one is answered again
-	away bool
+	take  func(items []T, full bool, fresh time.Time)
+	lost  func() // called when reads begin to fail
+	back  func() // called when one is answered, at first and after lost
+	away  bool
+	heard bool // a read was answered
 	// before is called before each read, nil for nothing to wait for.
 	before func(context.Context)
 }
@@ -136,7 +137,10 @@
 		f.away = false
 		f.back()
 		_ = level.Info(f.logger).Log("msg", "store back", "of", f.name)
+	case err == nil && !f.heard:
+		f.back()
 	}
+	f.heard = f.heard || err == nil
 }
 
 func newPause(first, longest time.Duration) *backoff.ExponentialBackOff {
@@ -155,11 +159,9 @@
 	isOpen bool
 }
 
-func newGate() *gate {
-	g := &gate{opened: make(chan struct{})}
-	g.open()
-	return g
-}
+// newGate returns a gate that is shut: a follower waits until the other one has heard
+// from the store for the first time, too.
+func newGate() *gate { return &gate{opened: make(chan struct{})} }
 
 func (g *gate) open() {
 	g.mu.Lock()
--- a/relay/node.go
+++ b/relay/node.go
@@ -67,8 +67,11 @@
 	laterPause     = 2 * time.Second
 	laterPauseMost = 4 * time.Second
 	// lookPause is the pause between two looks for a source of a later daemon that has
-	// lost its own.
-	lookPause = 500 * time.Millisecond
+	// lost its own, and outagePause the one while the store seems to be away for all, for
+	// outageMost at most.
+	lookPause   = 500 * time.Millisecond
+	outagePause = time.Second
+	outageMost  = 10 * time.Second
 	// leaveTakes is how long it takes at most from when a source has not heard from the
 	// store for too long until a follower has read the store itself: a ping and a list.
 	leaveTakes = 650 * time.Millisecond
@@ -197,30 +200,45 @@
 
 // lookForSource looks for a sound source before a daemon that is not among the first of
 // its domain follows the store itself: for as long as one before it is there, which looks
-// for the store as well, and a configuration could still be in force in time. It returns
-// whether one was found.
+// for the store as well, and a configuration could still be in force in time; longer while
+// the sources of other domains have lost the store too. It returns whether one was found.
 func (n *Node) lookForSource(ctx context.Context) bool {
-	until := time.Now().Add(n.opts.ConfigWithin - unheardFor(n.opts.ConfigWithin) - leaveTakes)
-	for len(n.candidates()) >= ownSources && time.Now().Before(until) {
-		if !wait.For(ctx, lookPause/2+rand.N(lookPause)) {
+	began := time.Now()
+	bound := n.opts.ConfigWithin - unheardFor(n.opts.ConfigWithin) - leaveTakes
+	pause := lookPause
+	for len(n.candidates()) >= ownSources && time.Since(began) < bound {
+		if !wait.For(ctx, min(pause/2+rand.N(pause), bound-time.Since(began))) {
 			return false
 		}
-		there := false
-		for _, m := range n.candidates() {
-			err := n.probe(ctx, m)
-			if errors.Is(err, errFound) {
-				return true
-			}
-			waits := errors.Is(err, errLost) || errors.Is(err, errEarly)
-			there = there || m.Domain == n.opts.Domain && waits
-		}
-		if !there {
+		found, lost := n.look(ctx)
+		switch {
+		case found:
+			return true
+		case !lost[n.opts.Domain]:
 			return false
+		case len(lost) > 1:
+			bound, pause = outageMost, outagePause
 		}
 	}
 	return false
 }
 
+// look asks all candidates once: found says that one is a sound source, lost in which
+// failure domains one is there that has lost the store, or is about to read it.
+func (n *Node) look(ctx context.Context) (found bool, lost map[string]bool) {
+	lost = map[string]bool{}
+	for _, m := range n.candidates() {
+		err := n.probe(ctx, m)
+		if errors.Is(err, errFound) {
+			return true, lost
+		}
+		if errors.Is(err, errLost) || errors.Is(err, errEarly) {
+			lost[m.Domain] = true
+		}
+	}
+	return false, lost
+}
+
 // sound reports whether this daemon may be a source for its own domain: it
 // follows the store, or a source that does, and the store answered just now.
 func (n *Node) sound(now time.Time) bool {
--- a/relay/outage_test.go
+++ b/relay/outage_test.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"context"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 )
 
@@ -62,6 +65,42 @@
 	require.Eventually(t, func() bool { return c.allHave(2, -1) }, 2*time.Second, 10*time.Millisecond)
 }
 
+// In a long outage the later daemons go on looking for a source once they hear that
+// another failure domain has lost the store too.
+func TestLaterDaemonsWaitOutALongOutage(t *testing.T) {
+	t.Parallel()
+	s := &store{version: 1}
+	other := newNodeOf(t, "e-000", "e", s)
+	c := newChainOf(t, 6, s, Options{ConfigWithin: 4 * time.Second}, other)
+	require.Eventually(t, func() bool { return c.allHave(1, -1) && c.readers() == daemonName(0) }, 6*time.Second, 10*time.Millisecond)
+	s.setAway(true)
+	time.AfterFunc(6*time.Second, func() { s.setAway(false) })
+	require.LessOrEqual(t, c.mostReaders(8*time.Second), ownSources)
+}
+
+// newNodeOf starts the only daemon of another failure domain.
+func newNodeOf(t *testing.T, name, domain string, s *store) Member {
+	inv := newCopied(s)
+	server := httptest.NewUnstartedServer(nil)
+	self := Member{Name: name, Domain: domain, Address: server.Listener.Addr().String()}
+	node := New(Options{Name: name, Domain: domain, ConfigWithin: 4 * time.Second}, inv, inv, everybody{self}, log.NewNopLogger())
+	server.Config.Handler = node.Handler()
+	server.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		node.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return self
+}
+
 // A configuration is in force in time also when all who are asked first have lost the
 // store and nobody else has.
 func TestLaterDaemonsFollowTheStoreInTime(t *testing.T) {
--- a/relay/source.go
+++ b/relay/source.go
@@ -53,8 +53,11 @@
 	case n.starting(now):
 		http.Error(w, "starting", http.StatusTooEarly)
 		return
-	case !n.sound(now), !sameDomain && !n.reading.Load():
-		http.Error(w, "no sound source", http.StatusServiceUnavailable)
+	case !sameDomain && !n.reading.Load():
+		http.Error(w, "no source of this domain", http.StatusMisdirectedRequest)
+		return
+	case !n.sound(now):
+		http.Error(w, "the store is lost", http.StatusServiceUnavailable)
 		return
 	}
 	c, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
