A command that compares predicted with measured first events

Wanted: which share of the first events is predicted well, by the logs of any deployment. `snowspoke predictions LOG` prints for each period the requests, the quantiles of measured over predicted, and the share between half and twice.

--- a/cmd/snowspoke/main.go
+++ b/cmd/snowspoke/main.go
@@ -43,19 +43,20 @@
 	Token    string   `help:"Operators' token." env:"SNOWSPOKE_TOKEN" placeholder:"TOKEN"`
 	Output   string   `help:"Form of the output: ${enum}." enum:"table,json" default:"table"`
 
-	Get      getCmd      `cmd:"" help:"Show objects of a kind, or one of them."`
-	Label    labelCmd    `cmd:"" help:"Set or remove one label of an object: KEY=VALUE, or KEY- to remove."`
-	Selector selectorCmd `cmd:"" help:"Set one selector of a Stage or RoutingRule."`
-	Drain    drainCmd    `cmd:"" help:"Take a backend server out of service, or back with --undo."`
-	Wait     waitCmd     `cmd:"" help:"Wait until the newest version of an object is in force on all daemons."`
-	Status   statusCmd   `cmd:"" help:"Show daemons, leases, backend servers and the bound of each model."`
-	Explain  explainCmd  `cmd:"" help:"Show the decisions about a request, backend server or model."`
-	Bound    boundCmd    `cmd:"" help:"Show the throughput bound of a model and what limits it."`
-	Check    checkCmd    `cmd:"" help:"Check object or settings files before they are accepted."`
-	Load     loadCmd     `cmd:"" help:"Send an open-loop load and show what callers see."`
-	Try      tryCmd      `cmd:"" help:"Run stand-ins and daemons on loopback, to try the system out or to check its promises."`
-	Errors   errorsCmd   `cmd:"" help:"Print the table of errors as Markdown, as in docs/ERRORS.md."`
-	Capacity capacityCmd `cmd:"" help:"Print the capacity page as Markdown, as in docs/CAPACITY.md."`
+	Get         getCmd         `cmd:"" help:"Show objects of a kind, or one of them."`
+	Label       labelCmd       `cmd:"" help:"Set or remove one label of an object: KEY=VALUE, or KEY- to remove."`
+	Selector    selectorCmd    `cmd:"" help:"Set one selector of a Stage or RoutingRule."`
+	Drain       drainCmd       `cmd:"" help:"Take a backend server out of service, or back with --undo."`
+	Wait        waitCmd        `cmd:"" help:"Wait until the newest version of an object is in force on all daemons."`
+	Status      statusCmd      `cmd:"" help:"Show daemons, leases, backend servers and the bound of each model."`
+	Explain     explainCmd     `cmd:"" help:"Show the decisions about a request, backend server or model."`
+	Bound       boundCmd       `cmd:"" help:"Show the throughput bound of a model and what limits it."`
+	Predictions predictionsCmd `cmd:"" help:"Compare predicted with measured first events, from a decision log."`
+	Check       checkCmd       `cmd:"" help:"Check object or settings files before they are accepted."`
+	Load        loadCmd        `cmd:"" help:"Send an open-loop load and show what callers see."`
+	Try         tryCmd         `cmd:"" help:"Run stand-ins and daemons on loopback, to try the system out or to check its promises."`
+	Errors      errorsCmd      `cmd:"" help:"Print the table of errors as Markdown, as in docs/ERRORS.md."`
+	Capacity    capacityCmd    `cmd:"" help:"Print the capacity page as Markdown, as in docs/CAPACITY.md."`
 }
 
 func main() {
