--- a/prediction/prediction.go
+++ b/prediction/prediction.go
@@ -167,4 +167,3 @@
 	}
 	return t.Flush()
 }
-
