Callers refused for a stuck pipe are told when it is free

Hypothesis: who is refused because the pipes between failure domains are stuck comes back after 150 ms and is refused again, which is the last try of most.

Test: the time that a stuck pipe needs yet, by when its stream was sent.

--- a/forward/crossing.go
+++ b/forward/crossing.go
@@ -51,15 +51,27 @@
 	return out
 }
 
+// stuckMost is how long a stream stays stuck at most: callers give up two seconds after
+// they have sent it.
+const stuckMost = 2 * time.Second
+
+// pipeFree returns how long the pipes of a path stay stuck at most, 0 if none is.
+func (f *Forwarder) pipeFree(path site.Path, now time.Time) time.Duration {
+	since := f.live.stuckSince(pipesOf(path), now)
+	if since.IsZero() {
+		return 0
+	}
+	return max(retryAfter, since.Add(stuckMost).Sub(now))
+}
+
 // mayCross takes the crossings of a path out of this daemon's share of the pipes. It
 // returns false while one of them is stuck.
 func (f *Forwarder) mayCross(e *site.Engine, prompt float64, path site.Path, now time.Time) bool {
-	crossed := pipesOf(path)
-	n := len(crossed)
+	n := len(pipesOf(path))
 	if n == 0 {
 		return true
 	}
-	if f.live.stuck(crossed, now) {
+	if f.pipeFree(path, now) > 0 {
 		return false
 	}
 	each := pipeline.PipeReadMS(e, prompt)
--- a/forward/crossing_test.go
+++ b/forward/crossing_test.go
@@ -33,6 +33,9 @@
 		require.False(t, may(crossing("b", "a"), stuck), "a pipe has two ends")
 		require.True(t, may(crossing("a", "c"), stuck))
 		require.True(t, may(crossing("a", "a"), stuck), "that crosses nothing")
+		require.Equal(t, stuckMost-crossStuck, f.pipeFree(crossing("a", "b"), stuck))
+		require.Equal(t, retryAfter, f.pipeFree(crossing("a", "b"), now.Add(stuckMost)))
+		require.Zero(t, f.pipeFree(crossing("a", "c"), stuck))
 		s.begun = true
 		require.True(t, may(crossing("a", "b"), stuck))
 	})
--- a/forward/live.go
+++ b/forward/live.go
@@ -58,20 +58,24 @@
 	return out
 }
 
-// stuck reports whether a stream has waited for its first event for crossStuck whose
-// prompt goes through one of these pipes.
-func (l *liveStreams) stuck(pipes []domainPair, now time.Time) bool {
+// stuckSince returns since when the last stream that is stuck has waited for its first
+// event whose prompt goes through one of these pipes, the zero time if none is.
+func (l *liveStreams) stuckSince(pipes []domainPair, now time.Time) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var last time.Time
 	for s := range l.all {
 		s.mu.Lock()
-		waits, path := !s.begun && now.Sub(s.quietAt) >= crossStuck, s.path
+		waits, since, path := !s.begun, s.quietAt, s.path
 		s.mu.Unlock()
-		if waits && slices.ContainsFunc(pipesOf(path), func(p domainPair) bool { return slices.Contains(pipes, p) }) {
-			return true
+		if !waits || now.Sub(since) < crossStuck || !since.After(last) {
+			continue
+		}
+		if slices.ContainsFunc(pipesOf(path), func(p domainPair) bool { return slices.Contains(pipes, p) }) {
+			last = since
 		}
 	}
-	return false
+	return last
 }
 
 // heardSince returns the backend servers on whose paths an event came since then.
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -59,8 +59,9 @@
 		return nil, err
 	}
 	if !r.f.mayCross(r.engine, q.Tokens.Prompt, c.Path, now) {
+		full := c.Path
 		if c, err = pipeline.ChooseWithin(q, cs, newRand()); err != nil {
-			return nil, apierror.New(apierror.Overloaded, "the pipes between failure domains are full")
+			return nil, r.pipesFull(full, now)
 		}
 	}
 	return &target{path: c.Path, choice: c, tokens: q.Tokens.Mean()}, nil
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/site"
 )
 
 // What becomes of a request for which there is no path. This answers the moments in
@@ -41,12 +42,22 @@
 // sayWhen adds to a refusal when its caller may come back.
 func (r *run) sayWhen(err error, now time.Time) error {
 	var refusal *apierror.Error
-	if !errors.As(err, &refusal) || refusal.Kind != apierror.Overloaded && refusal.Kind != apierror.NoRoute {
+	if !errors.As(err, &refusal) || refusal.RetryAfter > 0 || refusal.Kind != apierror.Overloaded && refusal.Kind != apierror.NoRoute {
 		return err
 	}
 	return refusal.WithRetryAfter(r.f.returnAfter(r.req.Service, now))
 }
 
+// pipesFull refuses a request whose prompt cannot go through the pipes of a path. Where
+// they are stuck its caller is told when they are free at the latest.
+func (r *run) pipesFull(path site.Path, now time.Time) error {
+	err := apierror.New(apierror.Overloaded, "the pipes between failure domains are full")
+	if free := r.f.pipeFree(path, now); free > 0 {
+		return err.WithRetryAfter(free + rand.N(returnSpread))
+	}
+	return err
+}
+
 // returnAfter returns when a refused caller may come back.
 func (f *Forwarder) returnAfter(service string, now time.Time) time.Duration {
 	back := f.nextBack(service, now)
