--- a/relay/node.go
+++ b/relay/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -11,84 +10,15 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
-
-	"github.com/snowspoke/snowspoke/internal/wait"
-)
-
-// Times of following another daemon. A configuration is to be in force within
-// shortestConfigWithin or more, also when a source is cut off without a word just before
-// it comes: what a source may not have heard, a ping and a list of the store's take less.
-const (
-	shortestConfigWithin = 2 * time.Second
-	// pingEvery is the period at which a source is asked how fresh it is.
-	pingEvery = 400 * time.Millisecond
-	// silentFor is how long a source may say nothing before it is left.
-	silentFor = 1100 * time.Millisecond
-	// leastUnheard is how long a source may not have heard from the store, at least: its
-	// watch waits 0.9 s, and a slow store takes 0.4 s more. Where a configuration may take
-	// longer, a source is left later by unheardShare of what it may: a store that is about
-	// to drop its history says nothing for 1.6 s. All 295 daemons left their sources then
-	// and followed the store themselves, with 1,600 calls in two seconds, half of the day's.
-	leastUnheard = 1350 * time.Millisecond
-	unheardShare = 0.375
-	mostUnheard  = 2350 * time.Millisecond
-	// dialTimeout bounds the opening of a link, connectTimeout its connection: a VM
-	// without power says nothing, while one that is there takes a connection in
-	// milliseconds however busy it is. Where the first VM of a domain was gone for good,
-	// each of 59 daemons that were started together waited 400 ms for it again and again.
-	dialTimeout    = 400 * time.Millisecond
-	connectTimeout = 150 * time.Millisecond
-	// tryAgain is the pause after which a daemon looks for a better source.
-	tryAgain = 1500 * time.Millisecond
-	// ownSources is how many daemons of the own domain follow the store or do so
-	// next: the first does, the second when the first is lost.
-	ownSources = 2
-	// fanOut is how many daemons follow one: a full state of 1 MB for each of a
-	// hundred took 30 s of a small VM's link, and eight took 3.1 KB a second of control
-	// traffic, of which a daemon has 3. Domains of up to eight daemons need no relays
-	// between, those of up to 57 one step of them: the target has 55.
-	fanOut = 7
-	// patience is how long a daemon waits at its start for a source that starts at
-	// the same time, and longPatience for one that says that it reads the store; if
-	// all read the store at once, its rate would hold all up. The second daemon of a
-	// domain, which is its source when the first is gone, waits for secondPatience:
-	// VMs start within 0.3 s of each other, and a start takes 0.1 s.
-	patience       = 1500 * time.Millisecond
-	secondPatience = 600 * time.Millisecond
-	longPatience   = 10 * time.Second
-	patiencePause  = 100 * time.Millisecond
-	// quickPause and quickPauseMost bound the pauses after failed calls to the store of
-	// the first daemons of a domain, laterPause and laterPauseMost those of the others.
-	// These find a source as soon as one is sound again: in an outage of 8 s each of 295
-	// daemons made twenty calls with quick pauses.
-	quickPause     = 50 * time.Millisecond
-	quickPauseMost = 400 * time.Millisecond
-	laterPause     = 2 * time.Second
-	laterPauseMost = 4 * time.Second
-	// lookPause is the pause between two looks for a source of a later daemon that has
-	// lost its own, and outagePause the one while the store seems to be away for all, for
-	// outageMost at most.
-	lookPause   = 500 * time.Millisecond
-	outagePause = time.Second
-	outageMost  = 10 * time.Second
-	// leaveTakes is how long it takes at most from when a source has not heard from the
-	// store for too long until a follower has read the store itself: a ping and a list.
-	leaveTakes = 650 * time.Millisecond
 )
 
-// unheardFor returns how long a source may not have heard from the store where a
-// configuration is to be in force within a time.
-func unheardFor(configWithin time.Duration) time.Duration {
-	more := unheardShare * float64(configWithin-shortestConfigWithin)
-	return min(mostUnheard, leastUnheard+time.Duration(max(0, more)))
-}
-
+// What ends a link, or a probe of a daemon.
 var (
 	errStale  = errors.New("relay: source is not fresh")
 	errSilent = errors.New("relay: source is silent")
 	errEarly  = errors.New("relay: source reads the store")
 	errLost   = errors.New("relay: daemon has lost the store")
+	errFound  = errors.New("relay: sound source")
 )
 
 // Options are the settings of a node.
@@ -186,59 +116,6 @@
 	return n.source
 }
 
-// Run keeps the inventory up to date until ctx ends: over a source if there is a
-// sound one, else from the store itself.
-func (n *Node) Run(ctx context.Context) {
-	found := n.awaitFirstSource(ctx)
-	for ctx.Err() == nil {
-		if !found || !n.followSource(ctx) && !n.lookForSource(ctx) {
-			n.followStore(ctx)
-		}
-		found = true // by followStore, or there was one
-	}
-}
-
-// lookForSource looks for a sound source before a daemon that is not among the first of
-// its domain follows the store itself: for as long as one before it is there, which looks
-// for the store as well, and a configuration could still be in force in time; longer while
-// the sources of other domains have lost the store too. It returns whether one was found.
-func (n *Node) lookForSource(ctx context.Context) bool {
-	began := time.Now()
-	bound := n.opts.ConfigWithin - unheardFor(n.opts.ConfigWithin) - leaveTakes
-	pause := lookPause
-	for len(n.candidates()) >= ownSources && time.Since(began) < bound {
-		if !wait.For(ctx, min(pause/2+rand.N(pause), bound-time.Since(began))) {
-			return false
-		}
-		found, lost := n.look(ctx)
-		switch {
-		case found:
-			return true
-		case !lost[n.opts.Domain]:
-			return false
-		case len(lost) > 1:
-			bound, pause = outageMost, outagePause
-		}
-	}
-	return false
-}
-
-// look asks all candidates once: found says that one is a sound source, lost in which
-// failure domains one is there that has lost the store, or is about to read it.
-func (n *Node) look(ctx context.Context) (found bool, lost map[string]bool) {
-	lost = map[string]bool{}
-	for _, m := range n.candidates() {
-		err := n.probe(ctx, m)
-		if errors.Is(err, errFound) {
-			return true, lost
-		}
-		if errors.Is(err, errLost) || errors.Is(err, errEarly) {
-			lost[m.Domain] = true
-		}
-	}
-	return false, lost
-}
-
 // sound reports whether this daemon may be a source for its own domain: it
 // follows the store, or a source that does, and the store answered just now.
 func (n *Node) sound(now time.Time) bool {
@@ -278,51 +155,6 @@
 	n.upstream = nil
 }
 
-// awaitFirstSource gives the sources of this domain time to start: a full state
-// from another one is large, and bytes between domains are paid for. The first
-// daemon of a domain does not wait: it is its source. When the second did not wait
-// either, it followed the store, others followed it, and all of them were left when
-// it found the first: 129 links made anew in the 14 s before a calm day of 295 daemons.
-// It does not wait for long: with a first daemon that was gone for good, a domain that
-// was started anew knew no configuration for 2.7 s, and 314 callers were refused. It
-// returns whether a source was found.
-func (n *Node) awaitFirstSource(ctx context.Context) bool {
-	began := time.Now()
-	most := patience
-	if len(n.candidates()) < ownSources {
-		most = secondPatience
-	}
-	for ctx.Err() == nil && len(n.candidates()) > 0 && time.Since(began) < most {
-		switch n.firstSource(ctx) {
-		case errFound:
-			return true
-		case errEarly:
-			most = longPatience
-		}
-		wait.For(ctx, patiencePause)
-	}
-	return false
-}
-
-// firstSource returns errFound if a source of this domain is sound and errEarly
-// if one is about to be: the later ones are not asked then, or all daemons would
-// follow the first.
-func (n *Node) firstSource(ctx context.Context) error {
-	for _, m := range n.candidates() {
-		if m.Domain != n.opts.Domain {
-			break
-		}
-		err := n.probe(ctx, m)
-		if errors.Is(err, errFound) {
-			return errFound
-		}
-		if errors.Is(err, errEarly) {
-			return errEarly
-		}
-	}
-	return nil
-}
-
 // starting reports whether this daemon is about to be a source for the first time.
 // It has not yet a configuration and a full list of the backend servers, and who
 // followed it now would take all others to be gone; or it has, but the source has
@@ -339,86 +171,3 @@
 	}
 	return !n.begun.Load()
 }
-
-// followSource follows the first source that can be reached until it fails. It
-// returns whether one was followed.
-func (n *Node) followSource(ctx context.Context) bool {
-	better := []Member{}
-	for _, m := range n.candidates() {
-		sctx, cancel := context.WithCancel(ctx)
-		go n.lookForBetter(sctx, better, cancel)
-		followed, err := n.session(sctx, m, nil)
-		cancel()
-		if ctx.Err() != nil {
-			return true
-		}
-		if followed {
-			_ = level.Info(n.logger).Log("msg", "source left", "source", m.Name, "address", m.Address, "err", err)
-			return true
-		}
-		better = append(better, m)
-	}
-	return false
-}
-
-// lookForBetter ends the following of a source when a better one is sound again.
-func (n *Node) lookForBetter(ctx context.Context, better []Member, leave func()) {
-	if len(better) == 0 {
-		return
-	}
-	n.awaitAny(ctx, func() []Member { return better })
-	leave()
-}
-
-// followStore follows the store itself until a source is found.
-func (n *Node) followStore(ctx context.Context) {
-	sctx, cancel := context.WithCancel(ctx)
-	n.mu.Lock()
-	n.source = sctx
-	n.mu.Unlock()
-	var wg sync.WaitGroup
-	first, longest := quickPause, quickPauseMost
-	if len(n.candidates()) >= ownSources {
-		first, longest = laterPause, laterPauseMost
-	}
-	wg.Go(func() { n.inv.Follow(sctx, first, longest) })
-	wg.Go(func() { n.exchangeLoads(sctx) })
-	if n.opts.Asker != nil {
-		wg.Go(func() { n.watchSlow(sctx) })
-	}
-	n.readingSince.Store(time.Now().UnixNano())
-	n.reading.Store(true)
-	_ = level.Info(n.logger).Log("msg", "following the store", "domain", n.opts.Domain)
-	n.awaitAny(ctx, n.candidates)
-	n.reading.Store(false)
-	cancel()
-	wg.Wait()
-}
-
-// awaitAny returns when one of the daemons is a sound source, or ctx ends.
-func (n *Node) awaitAny(ctx context.Context, candidates func() []Member) {
-	t := time.NewTicker(tryAgain)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		for _, m := range candidates() {
-			if errors.Is(n.probe(ctx, m), errFound) {
-				return
-			}
-		}
-	}
-}
-
-// errFound ends a probe of a daemon that is a sound source.
-var errFound = errors.New("relay: sound source")
-
-// probe returns errFound for a sound source, errEarly for one that is about to be
-// one, and what is wrong with any other daemon.
-func (n *Node) probe(ctx context.Context, m Member) error {
-	_, err := n.session(ctx, m, errFound)
-	return err
-}
--- a/relay/outage_test.go
+++ b/relay/outage_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -84,20 +83,7 @@
 	server := httptest.NewUnstartedServer(nil)
 	self := Member{Name: name, Domain: domain, Address: server.Listener.Addr().String()}
 	node := New(Options{Name: name, Domain: domain, ConfigWithin: 4 * time.Second}, inv, inv, everybody{self}, log.NewNopLogger())
-	server.Config.Handler = node.Handler()
-	server.Start()
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		node.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-		server.CloseClientConnections()
-		server.Close()
-	})
+	start(t, node, server)
 	return self
 }
 
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -225,26 +225,31 @@
 		o := o
 		o.Name, o.Domain = daemonName(i), "d"
 		node := New(o, inv, inv, all, log.NewNopLogger())
-		servers[i].Config.Handler = node.Handler()
-		servers[i].Start()
-		ctx, cancel := context.WithCancel(context.Background())
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			node.Run(ctx)
-		}()
-		stop := sync.OnceFunc(func() {
-			cancel()
-			<-ended
-			servers[i].CloseClientConnections()
-			servers[i].Close()
-		})
-		t.Cleanup(stop)
-		c.nodes, c.copies, c.stop = append(c.nodes, node), append(c.copies, inv), append(c.stop, stop)
+		c.nodes, c.copies, c.stop = append(c.nodes, node), append(c.copies, inv), append(c.stop, start(t, node, servers[i]))
 	}
 	return c
 }
 
+// start runs a node behind a server until the test ends or stop is called.
+func start(t *testing.T, node *Node, server *httptest.Server) (stop func()) {
+	server.Config.Handler = node.Handler()
+	server.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		node.Run(ctx)
+	}()
+	stop = sync.OnceFunc(func() {
+		cancel()
+		<-ended
+		server.CloseClientConnections()
+		server.Close()
+	})
+	t.Cleanup(stop)
+	return stop
+}
+
 func (c *chain) publish(version uint64) {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
