--- a/forward/slow.go
+++ b/forward/slow.go
@@ -14,7 +14,7 @@
 // requests a second does not find out by them which of eleven hops it is: the hops of
 // a stream whose events come late again and again are suspects, one daemon of the fleet
 // asks them, and all take the answer. With 28 of 222 cards slowed so for nine seconds,
-// 612 requests were late in eight of them instead of 1,246. It is safe for concurrent
+// 415 requests were late in eight of them instead of 1,246. It is safe for concurrent
 // use.
 type slowServers struct {
 	mu        sync.Mutex
