A slow backend server that left is forgotten

Found by reading: the daemon that asks slow backend servers kept those that had left among the slow ones and told them to all others until it ended, since one without a name is not asked any more.

Change: they are dropped at the next look. No choice of a path is touched: others drop names that they do not know. The new test fails without the change.

--- a/forward/loads.go
+++ b/forward/loads.go
@@ -85,6 +85,7 @@
 	return load
 }
 
+// shared returns the load that all daemons together cause.
 func (l *Loads) shared(id string, daemons float64, now time.Time) pipeline.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/relay/slow.go
+++ b/relay/slow.go
@@ -219,7 +219,7 @@
 }
 
 // dueForAsking returns which backend servers are to be asked now, by hash, with their
-// IDs, and notes that in asked.
+// IDs, and notes that in asked. Slow ones that are gone are among them without an ID.
 func (n *Node) dueForAsking(asked map[uint32]time.Time, now time.Time) map[uint32]string {
 	names := n.serverNames()
 	due := map[uint32]string{}
@@ -231,6 +231,10 @@
 	}
 	found, _ := n.slow.all(func(from string) bool { return from == own })
 	for s := range found {
+		if _, known := names[s]; !known {
+			due[s] = ""
+			continue
+		}
 		add(s)
 	}
 	for _, s := range n.slow.takeSuspects() {
@@ -243,14 +247,20 @@
 }
 
 // askSlow asks backend servers and returns all that this daemon then knows to be slow:
-// those that were not asked now stay as they are.
+// those that are not due stay as they are, and those that are gone are dropped.
 func (n *Node) askSlow(ctx context.Context, due map[uint32]string) []packedSlow {
 	found, _ := n.slow.all(func(from string) bool { return from == own })
-	maps.DeleteFunc(found, func(s uint32, _ uint16) bool { return due[s] != "" })
+	maps.DeleteFunc(found, func(s uint32, _ uint16) bool {
+		_, isDue := due[s]
+		return isDue
+	})
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	turn := make(chan struct{}, askAtOnce)
 	for s, id := range due {
+		if id == "" {
+			continue
+		}
 		wg.Go(func() {
 			turn <- struct{}{}
 			defer func() { <-turn }()
--- a/relay/slow_test.go
+++ b/relay/slow_test.go
@@ -93,6 +93,21 @@
 	require.Zero(t, inv.slowdown("s"))
 }
 
+// A slow one that has left is not told any more, and nobody asks it.
+func TestSlowServerThatLeftIsForgotten(t *testing.T) {
+	asker := &paceOf{slow: map[string]float64{"left": 3}}
+	inv := newCopied(&store{version: 1})
+	inv.set(1)
+	n := New(Options{Domain: "d", Asker: asker}, inv, inv, everybody{}, nil)
+	n.hearSlow(own, []packedSlow{{Server: serverHash("left"), Tenths: 30}})
+	due := n.dueForAsking(map[uint32]time.Time{}, time.Now())
+	require.Len(t, due, 1)
+	n.hearSlow(own, n.askSlow(t.Context(), due))
+	require.Zero(t, asker.calls)
+	slow, _ := n.slow.all(nil)
+	require.Empty(t, slow)
+}
+
 // The suspects of another domain are left to its source, unless that cannot be told.
 func TestSuspectsOfOtherDomainsAreLeftToTheirSource(t *testing.T) {
 	inv := newCopied(&store{version: 1})
