A split of a load beyond the slots of all heads has paths alone

Cause: once all heads of a failure domain have requests for all their slots, the split finds no path there, and the search says so with an empty path whose cost is 0. That was taken for the cheapest, a slice was laid on it, and the description of an empty path panicked in the handler of a request, whose connection was closed without an answer.

Change: a lane without a path gets nothing. What the HTTP server says of handlers goes to the daemon's log as a structured line, and the soak fails if a daemon's log tells of a panic.

Test: a split at 0.6, 1 and 3 times the room with five slots a head panicked before; now its paths tile the layers and its rates add up.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -111,7 +112,11 @@
 	g.placer = placer.New(g.keeper, g.inv, g.backends, g.forward, observer{m}, g.log)
 	g.conns = newCallerConns()
 	g.ingress = platform.NewIngress(g.forward)
-	g.callers = &http.Server{Handler: g.refuseLate(g.ingress), ReadHeaderTimeout: headerTimeout, ConnState: g.conns.note}
+	g.callers = &http.Server{
+		Handler: g.refuseLate(g.ingress), ReadHeaderTimeout: headerTimeout, ConnState: g.conns.note,
+		// What the server itself has to say, a handler that panicked above all.
+		ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Error(g.log)), "", 0),
+	}
 	g.checks = &http.Server{Handler: http.HandlerFunc(g.ready)}
 	g.figures = &http.Server{Handler: m.Handler()}
 	return g, nil
--- a/pipeline/split.go
+++ b/pipeline/split.go
@@ -182,7 +182,8 @@
 }
 
 // place lays a slice of a failure domain's requests on the path that is cheapest for
-// them now. Where there is no path nothing is placed.
+// them now. Where there is no path nothing is placed: once all heads of a lane have
+// requests for all their slots it has none any more.
 func (s *splitter) place(domain string, requests float64) {
 	var best *lane
 	least := 0.0
@@ -190,6 +191,9 @@
 		if !l.known {
 			s.renew(l)
 		}
+		if l.closed {
+			continue
+		}
 		cost := l.best.Cost
 		if l.domain != domain {
 			cost += nearCostMS
--- a/pipeline/split_test.go
+++ b/pipeline/split_test.go
@@ -100,6 +100,26 @@
 	require.Less(t, passing(cs), 0.35)
 }
 
+// Where the load is beyond the slots of all heads of a failure domain, a split leaves out
+// what has no path: it still has paths alone, whose rates add up.
+func TestSplitBeyondTheSlotsOfAllHeads(t *testing.T) {
+	e := testEngine()
+	cs := fleetCards(t, e)
+	for _, c := range cs {
+		c.Server.Slots = 5
+	}
+	for _, load := range []float64{0.6, 1, 3} {
+		for _, domain := range fleetDomains {
+			sum := 0.0
+			for _, sh := range Split(e, cs, evenly(load*room(e, cs)), domain) {
+				require.NoError(t, sh.Choice.Path.CheckTiling(e.Layers))
+				sum += sh.Rate
+			}
+			require.InDelta(t, 1, sum, 1e-9, "%s at a load of %v", domain, load)
+		}
+	}
+}
+
 // Daemons need not tell each other their splits: the order in which they know the
 // backend servers makes no difference.
 func TestAllDaemonsMakeTheSameSplit(t *testing.T) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -281,6 +281,7 @@
 	stop()
 	wg.Wait()
 	f.servesAgain(callers)
+	f.nothingPanicked()
 	sent, served, refused := callers.Counts()
 	t.Logf("seed %d: sent %d, served %d, refused %d, faults %v", seed, sent, served, refused, f.names)
 	problems := callers.Verify()
@@ -412,6 +413,16 @@
 	}
 }
 
+// nothingPanicked checks that no handler of a daemon ended in a panic: its caller's
+// connection is closed without an answer, and a few such look like losses.
+func (f *faults) nothingPanicked() {
+	for _, p := range f.all {
+		data, err := os.ReadFile(filepath.Join(p.dir, "log"))
+		require.NoError(f.t, err)
+		require.NotContains(f.t, string(data), "panic", p.name)
+	}
+}
+
 // keepLogs copies the logs of a seed that failed.
 func (f *faults) keepLogs(seed uint64) {
 	for _, p := range f.all {
