A head whose record is gone counts among those a request may be sent to

Cause: heads whose record is gone did not count, as if they had ended. A backend server that drains or leaves without a word serves on for seconds after that.

Change: a head does not count once it has shown signs of its death, and then for good; its record says nothing.

Test: two heads without records use up two attempts (they did not before), one that has died does not, also after its cooldown.

--- a/forward/pick.go
+++ b/forward/pick.go
@@ -41,7 +41,7 @@
 	now := time.Now()
 	view := r.f.inv.View()
 	cs := r.f.candidates(view, r.req.Service, r.engine, now)
-	if r.attemptsUsed(view.Servers) {
+	if r.attemptsUsed() {
 		cs = r.onlyTried(cs)
 	}
 	if r.engine == nil {
@@ -82,9 +82,10 @@
 }
 
 // attemptsUsed reports whether the request was sent to as many backend servers
-// as it may be; those that are gone do not count.
-func (r *run) attemptsUsed(known map[string]*site.BackendServer) bool {
-	return r.tried.count(known) >= r.req.Route.MaxAttempts
+// as it may be; those that have ended since do not count.
+func (r *run) attemptsUsed() bool {
+	now := time.Now()
+	return r.tried.living(func(id string) bool { return r.f.health.Dead(id, now) }) >= r.req.Route.MaxAttempts
 }
 
 // onlyTried keeps those candidates that may be a first hop only if they were
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -174,7 +174,7 @@
 // reserveResume reports whether the stream may go on at another head, and takes the
 // retry for it.
 func (s *stream) reserveResume() bool {
-	return !s.r.attemptsUsed(s.r.f.inv.View().Servers) && s.reserveSend()
+	return !s.r.attemptsUsed() && s.reserveSend()
 }
 
 func samePath(a, b site.Path) bool { return a.String() == b.String() }
--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/admission"
+	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -105,3 +106,24 @@
 	require.Equal(t, 1, v, "still the last answer")
 	require.Len(t, r.byID, 1)
 }
+
+// A head whose record is gone may serve on, so it counts among those that a request may
+// be sent to; one that has shown signs of its death does not, also later.
+func TestHeadWhoseRecordIsGoneCountsAsAnAttempt(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		f := plainForwarder(0, &scripted{})
+		r := &run{f: f, req: &Request{Route: &site.Route{MaxAttempts: 2}}}
+		r.tried.add("a")
+		require.False(t, r.attemptsUsed())
+		r.tried.add("b")
+		require.True(t, r.attemptsUsed())
+		f.health.Fail("a", time.Now())
+		require.False(t, r.attemptsUsed())
+		time.Sleep(2 * cooldowns.FailedMost)
+		require.False(t, r.attemptsUsed(), "it has ended")
+		r.tried.add("c")
+		require.True(t, r.attemptsUsed())
+		require.True(t, r.tried.has("a"))
+		require.Equal(t, 3, r.tried.count())
+	})
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -40,11 +40,12 @@
 	pause     *backoff.ExponentialBackOff // between sends of an interrupted stream that are refused
 }
 
-// heads are the first hops that a request was sent to, by ID. It is safe for
-// concurrent use: a stream's timer asks while the next send may begin.
+// heads are the first hops that a request was sent to, by ID, with whether they have
+// ended since. It is safe for concurrent use: a stream's timer asks while the next send
+// may begin.
 type heads struct {
 	mu  sync.Mutex
-	ids map[string]bool
+	ids map[string]bool // true: has shown signs of its death
 }
 
 func (h *heads) add(id string) {
@@ -53,22 +54,34 @@
 	if h.ids == nil {
 		h.ids = map[string]bool{}
 	}
-	h.ids[id] = true
+	h.ids[id] = false
 }
 
 func (h *heads) has(id string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.ids[id]
+	_, has := h.ids[id]
+	return has
 }
 
-// count returns how many there are of those that are known; nil counts all.
-func (h *heads) count(known map[string]*site.BackendServer) int {
+// count returns how many there are.
+func (h *heads) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.ids)
+}
+
+// living returns how many of them have not ended, as dead told at any time. One whose
+// record is gone may serve on: counted as ended, streams of a head that drained went to
+// three heads where two are allowed.
+func (h *heads) living(dead func(id string) bool) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := 0
-	for id := range h.ids {
-		if known == nil || known[id] != nil {
+	for id, ended := range h.ids {
+		ended = ended || dead(id)
+		h.ids[id] = ended
+		if !ended {
 			n++
 		}
 	}
@@ -292,7 +305,7 @@
 // server, and takes nothing out of the budget.
 func (r *run) mayRepeat() bool {
 	view := r.f.inv.View()
-	return r.req.Route.Repeatable() && !r.attemptsUsed(view.Servers) && len(view.OfService(r.req.Service)) > r.tried.count(nil)
+	return r.req.Route.Repeatable() && !r.attemptsUsed() && len(view.OfService(r.req.Service)) > r.tried.count()
 }
 
 // promisesNotRun reports whether a status says that the request did not run.
