Logs: a request's fingerprint, and backend servers that have ended under a request

Now each finish line bears a fingerprint of workspace, method, host, target and body; 'kind=ended' says which backend server was found gone (its address refuses) right after contact was lost, and how far the request had come there. The head is probed also when contact was lost before its answer began.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -105,6 +106,16 @@
 	LastEvent string  // the caller goes on after this event
 }
 
+// Fingerprint names the request by what its caller asks for: the same for each attempt
+// of it, at any daemon.
+func (r *Request) Fingerprint() quarantine.Fingerprint {
+	workspace := ""
+	if r.Workspace != nil {
+		workspace = r.Workspace.Name
+	}
+	return quarantine.FingerprintOf([]byte(workspace), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body)
+}
+
 // Sink takes the answer. Its methods are called from one goroutine; an error
 // means that the caller is gone.
 type Sink interface {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -147,7 +147,7 @@
 	defer f.loads.end()
 	f.budget.Earn(time.Now())
 	r := &run{
-		f: f, req: req, sink: sink, until: until, lastEvent: req.LastEvent,
+		f: f, req: req, sink: sink, until: until, lastEvent: req.LastEvent, print: req.Fingerprint(),
 		life: execution.New(req.Route.Repeatable()),
 	}
 	err := r.serve(ctx)
@@ -176,7 +176,7 @@
 	}
 	took := time.Since(r.req.Received)
 	f.observe.Finished(kind, took)
-	f.log.Add("finish", "request", r.req.ID, "route", r.req.Route.Name, "service", r.req.Service, "result", kind,
+	f.log.Add("finish", "request", r.req.ID, "fingerprint", r.print, "route", r.req.Route.Name, "service", r.req.Service, "result", kind,
 		"attempts", r.sends, "last_event", r.lastEvent, "took", took.Round(time.Millisecond),
 		"first_in", r.firstIn.Round(time.Millisecond), "longest_pause", r.longest.Round(time.Millisecond), "detail", detail)
 }
--- a/forward/live.go
+++ b/forward/live.go
@@ -161,19 +161,22 @@
 			all = false
 			continue
 		}
-		wg.Go(func() { f.probe(ctx, h.Server) })
+		wg.Go(func() { _ = f.probe(ctx, h.Server) }) // who is dead is noted
 	}
 	wg.Wait()
 	return all
 }
 
-func (f *Forwarder) probe(ctx context.Context, s *site.BackendServer) {
+// probe connects to a backend server, notes it as failed if that cannot be done, and
+// returns why.
+func (f *Forwarder) probe(ctx context.Context, s *site.BackendServer) error {
 	_, err := f.probes.get(s.ID, func() (struct{}, error) {
 		return struct{}{}, f.backends.Reach(context.WithoutCancel(ctx), s)
 	})
 	if err != nil {
 		f.fail(s, "probe: "+err.Error(), time.Now())
 	}
+	return err
 }
 
 // ask returns a report of a head that is at most reportAge old.
--- a/forward/run.go
+++ b/forward/run.go
@@ -15,6 +15,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/pipeline"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -22,6 +23,7 @@
 type run struct {
 	f         *Forwarder
 	req       *Request
+	print     quarantine.Fingerprint
 	sink      Sink
 	until     time.Time // when the request must have its answer
 	engine    *site.Engine
@@ -37,6 +39,7 @@
 	longest   time.Duration               // longest pause between two events
 	failedAt  time.Time                   // set while a stream is interrupted
 	cause     string                      // of the interruption
+	progress  progress                    // of the send under way
 	pause     *backoff.ExponentialBackOff // between sends of an interrupted stream that are refused
 }
 
@@ -169,7 +172,11 @@
 	if err := r.life.Move(execution.Sent); err != nil {
 		return execution.Answered, err
 	}
+	r.progress = progress{sentAt: time.Now()}
 	v, err := r.carry(ctx, t, left)
+	if lostContact(err) {
+		r.noteLost(ctx, t.head())
+	}
 	if lerr := r.life.Move(stateAfter(v, err)); lerr != nil {
 		return execution.Answered, lerr
 	}
@@ -240,6 +247,7 @@
 	}
 	if !a.NotRun {
 		r.life.MarkRan()
+		r.progress.headAt = now
 		return execution.Answered, nil
 	}
 	_ = a.Body.Close()
@@ -249,7 +257,7 @@
 	}
 	r.f.health.Refuse(at.ID, now)
 	if at.ID != head.ID {
-		go r.f.probe(context.Background(), at)
+		go func() { _ = r.f.probe(context.Background(), at) }() // a dead one is noted
 	}
 	r.f.log.Add("refused", "request", r.req.ID, "attempt", r.sends, "by", head.ID, "status", a.Status, "at_fault", at.ID)
 	return execution.NotRunHere, &HopError{Address: at.Address, Err: execution.ErrRefused}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -144,8 +144,6 @@
 			}
 			err = whyEnded(ctx, sctx, fmt.Errorf("%w: %w", errBroken, err))
 			s.r.interrupted(err)
-			// Whether the head has ended decides how often the stream may be sent again.
-			go s.r.f.probe(context.WithoutCancel(ctx), s.currentPath()[0].Server)
 			return execution.MayHaveRun, err
 		}
 	}
