A request under which backend servers end is held back by the whole fleet

Cause: whether a request may be sent was decided by each daemon, for each attempt, by that attempt's ID. Nobody remembered what the same request had done to backend servers and nobody told the others, so a caller that came back began with a clean slate. Class: a decision about the fleet made from the memory of one attempt at one daemon.

Change: package quarantine (pure) keeps, by the fingerprint of what the caller asks for, the backend servers that ended under it; books of all daemons are joined over the relay, within a failure domain at once, between them twice a second. A request is held back after two that surely ran it (or four that may have), refused as not run with a Retry-After, tried once when the others are back, and held back for ten minutes after the third. A backend server counts as ended if nobody listens at its address right after contact was lost within half a second of the head of the answer; a request that a backend server outlives is cleared.

--- a/apierror/kind.go
+++ b/apierror/kind.go
@@ -38,6 +38,7 @@
 	BackendUnreachable Kind = "backend_unreachable"
 	BackendRefused     Kind = "backend_refused"
 	BackendFailed      Kind = "backend_failed"
+	Quarantined        Kind = "quarantined"
 	OutcomeUnknown     Kind = "outcome_unknown"
 	AlreadyRan         Kind = "already_ran"
 	InProgress         Kind = "in_progress"
--- a/apierror/table.go
+++ b/apierror/table.go
@@ -37,6 +37,7 @@
 	{BackendUnreachable, http.StatusBadGateway, RanNo, true, time.Second, "no backend server could be connected to"},
 	{BackendRefused, http.StatusServiceUnavailable, RanNo, true, time.Second, "every backend server that was asked refused without running"},
 	{BackendFailed, http.StatusBadGateway, RanYes, false, 0, "a backend server failed while it ran the request"},
+	{Quarantined, http.StatusServiceUnavailable, RanNo, true, 10 * time.Second, "backend servers ended as they ran the same request before; this attempt was not run"},
 	{OutcomeUnknown, http.StatusBadGateway, RanUnknown, false, 0, "contact was lost after sending; the request may have run"},
 	{AlreadyRan, http.StatusConflict, RanYes, false, 0, "a request with this key ran; its answer is no longer kept"},
 	{InProgress, http.StatusConflict, RanUnknown, false, 0, "a request with this key was sent by a daemon that cannot be reached"},
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/pipeline"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -39,6 +40,10 @@
 	LoadsAge(age time.Duration)
 	// LoadsRefused is told how many loads were dropped as impossible.
 	LoadsRefused(n int)
+	// EndedUnder is told that a backend server ended while it may have run a request.
+	EndedUnder()
+	// HeldBack is told that a request is not sent because of that.
+	HeldBack()
 }
 
 // Options are the settings of a forwarder.
@@ -62,25 +67,28 @@
 	Backends  Backends
 	Log       *Log
 	Observer  Observer
+	// Quarantine is shared with the other daemons, nil for one of its own.
+	Quarantine *quarantine.Book
 }
 
 // Forwarder carries requests. It is safe for concurrent use.
 type Forwarder struct {
-	opts      Options
-	inv       Inventory
-	fleet     Fleet
-	backends  Backends
-	log       *Log
-	observe   Observer
-	loads     *Loads
-	health    *health.Cooldowns
-	budget    *admission.Budget
-	reports   *recent[Report]
-	probes    *recent[struct{}]
-	silences  *silences
-	live      *liveStreams
-	splits    *splits
-	crossings crossings
+	opts       Options
+	inv        Inventory
+	fleet      Fleet
+	backends   Backends
+	log        *Log
+	observe    Observer
+	loads      *Loads
+	health     *health.Cooldowns
+	budget     *admission.Budget
+	reports    *recent[Report]
+	probes     *recent[struct{}]
+	silences   *silences
+	live       *liveStreams
+	quarantine *quarantine.Book
+	splits     *splits
+	crossings  crossings
 
 	started      time.Time    // earlier by a window where nothing ran before
 	keysFreshFor atomic.Int64 // see Options
@@ -100,8 +108,12 @@
 	if o.RetryWindow <= 0 {
 		o.RetryWindow = defaultRetryWindow
 	}
+	if p.Quarantine == nil {
+		p.Quarantine = quarantine.NewBook(quarantine.DefaultPolicy)
+	}
 	f := &Forwarder{
-		started: time.Now(), opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
+		quarantine: p.Quarantine,
+		started:    time.Now(), opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
 	}
@@ -150,7 +162,10 @@
 		f: f, req: req, sink: sink, until: until, lastEvent: req.LastEvent, print: req.Fingerprint(),
 		life: execution.New(req.Route.Repeatable()),
 	}
-	err := r.serve(ctx)
+	err := r.admit(time.Now())
+	if err == nil {
+		err = r.serve(ctx)
+	}
 	f.finish(r, err)
 	return err
 }
@@ -166,6 +181,7 @@
 	f.reports.prune(known)
 	f.probes.prune(known)
 	f.silences.prune(known)
+	f.quarantine.Forget(time.Now())
 }
 
 func (f *Forwarder) finish(r *run, err error) {
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -252,6 +252,12 @@
 // LoadsRefused implements Observer.
 func (l *lab) LoadsRefused(int) {}
 
+// EndedUnder implements Observer.
+func (l *lab) EndedUnder() {}
+
+// HeldBack implements Observer.
+func (l *lab) HeldBack() {}
+
 // Recovered implements Observer.
 func (l *lab) Recovered(_ string, gap time.Duration) {
 	l.mu.Lock()
--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -89,6 +89,8 @@
 func (noObserver) FirstEvent(time.Duration)        {}
 func (noObserver) LoadsAge(time.Duration)          {}
 func (noObserver) LoadsRefused(int)                {}
+func (noObserver) EndedUnder()                     {}
+func (noObserver) HeldBack()                       {}
 func (noObserver) Recovered(string, time.Duration) {}
 
 // taken keeps what the caller got.
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -97,8 +97,13 @@
 	return s.r.req.Route.Repeatable() && s.attempt < maxSends && s.r.reserveRetry()
 }
 
-// leaveHop goes on without a hop that has failed.
+// leaveHop goes on without a hop that has failed, unless that is put down to the
+// request: moved on to other hops it would end them too.
 func (s *stream) leaveHop(ctx context.Context, head, failed *site.BackendServer) {
+	if stage := s.stageAtLastSign(); stage != stageRunning && s.r.blame(ctx, failed, stage) {
+		s.cancel(errHeldBack)
+		return
+	}
 	if failed.ID == head.ID {
 		s.giveUp(errHeadDead)
 		return
--- a/forward/run.go
+++ b/forward/run.go
@@ -150,6 +150,9 @@
 	if v == execution.NotRunHere && r.headSent.Load() {
 		return r.pauseRefused(ctx) && r.awaitRetry(ctx)
 	}
+	if v == execution.MayHaveRun && r.heldBack() {
+		return false
+	}
 	return r.sends-r.refusals < maxSends && r.awaitRetry(ctx)
 }
 
@@ -174,8 +177,8 @@
 	}
 	r.progress = progress{sentAt: time.Now()}
 	v, err := r.carry(ctx, t, left)
-	if lostContact(err) {
-		r.noteLost(ctx, t.head())
+	if v == execution.MayHaveRun || err == nil {
+		r.judge(ctx, t.head(), err)
 	}
 	if lerr := r.life.Move(stateAfter(v, err)); lerr != nil {
 		return execution.Answered, lerr
@@ -196,7 +199,7 @@
 
 // carry hands a request to its first hop and its answer to the caller.
 func (r *run) carry(ctx context.Context, t *target, left time.Duration) (execution.Verdict, error) {
-	if r.engine != nil && r.req.Route.Repeat == site.Stream {
+	if r.streams() {
 		return r.sendStream(ctx, t, left)
 	}
 	leave := r.f.loads.Enter(t.path, t.tokens)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -51,25 +51,26 @@
 	cancel  context.CancelCauseFunc
 	timer   *time.Timer
 
-	mu      sync.Mutex
-	path    site.Path
-	leave   func() // takes it out of the loads
-	tokens  float64
-	bound   time.Duration // silence after which the head is asked
-	quietAt time.Time     // last event, or the send
-	asking  bool
-	begun   bool    // this send has had an event
-	stepMS  float64 // predicted for the path, 0 for one that was moved
-	late    int     // pauses in a row that were late for that
-	probed  bool    // all hops, since the last event
-	moved   bool    // since the last event
-	ended   bool
+	mu       sync.Mutex
+	path     site.Path
+	leave    func() // takes it out of the loads
+	tokens   float64
+	bound    time.Duration // silence after which the head is asked
+	quietAt  time.Time     // last event, or the send
+	progress progress
+	asking   bool
+	begun    bool    // this send has had an event
+	stepMS   float64 // predicted for the path, 0 for one that was moved
+	late     int     // pauses in a row that were late for that
+	probed   bool    // all hops, since the last event
+	moved    bool    // since the last event
+	ended    bool
 }
 
 func (r *run) sendStream(ctx context.Context, t *target, left time.Duration) (execution.Verdict, error) {
 	sctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s := &stream{r: r, attempt: r.sends, cancel: cancel, path: t.path, tokens: t.tokens, quietAt: time.Now(), stepMS: t.choice.StepMS}
+	s := &stream{r: r, progress: r.progress, attempt: r.sends, cancel: cancel, path: t.path, tokens: t.tokens, quietAt: time.Now(), stepMS: t.choice.StepMS}
 	s.leave = r.f.loads.Enter(t.path, t.tokens)
 	s.bound = max(firstSilence, silenceFactor*time.Duration(t.choice.FirstMS*float64(time.Millisecond)))
 	s.timer = time.AfterFunc(s.probeAfter(true), func() { s.check(sctx) })
@@ -86,7 +87,7 @@
 	if a.Status != http.StatusOK || !a.Sealed {
 		return r.whole(ctx, t, a)
 	}
-	s.setBound(max(gapSilence, silenceFactor*time.Duration(t.choice.StepMS*2*float64(time.Millisecond))))
+	s.begin(max(gapSilence, silenceFactor*time.Duration(t.choice.StepMS*2*float64(time.Millisecond))))
 	return s.relay(ctx, sctx, a)
 }
 
@@ -105,10 +106,19 @@
 	s.r.f.live.remove(s)
 }
 
-func (s *stream) setBound(d time.Duration) {
+// begin notes that the head of the answer has come: the stream runs, and its head is
+// asked after a silence of bound.
+func (s *stream) begin(bound time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.bound = d
+	s.bound, s.progress.headAt = bound, s.r.progress.headAt
+}
+
+// stageAtLastSign returns how far the stream had come when it last gave a sign of life.
+func (s *stream) stageAtLastSign() sendStage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.progress.stage(s.quietAt)
 }
 
 // readSize is what one read of a stream takes at most.
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -66,6 +66,7 @@
 			late++
 		}
 	}
+	t.Logf("%d arrivals, %d of them late", len(arrivals), late)
 	assert.LessOrEqual(t, late, crashArrivals, "arrivals once all could know, of %d", len(arrivals))
 	assert.LessOrEqual(t, len(arrivals), 3+crashArrivals, "backend servers that it has ended")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/snowspoke/snowspoke/metrics"
 	"github.com/snowspoke/snowspoke/placer"
 	"github.com/snowspoke/snowspoke/platform"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/relay"
 	"github.com/snowspoke/snowspoke/site"
 	"github.com/snowspoke/snowspoke/store"
@@ -102,11 +103,14 @@
 	}
 	self := relay.Member{Name: set.Name, Domain: set.FailureDomain, Address: g.listeners.links.Addr().String()}
 	g.members = newMembers(self, set.FirstStart, g.store, g.log)
+	book := quarantine.NewBook(quarantine.DefaultPolicy)
 	g.forward = forward.New(forward.Options{
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetrySlack: set.RetrySlack,
 		RetryWindow: set.RetryWindow, Restarted: !set.FirstStart, KeysFreshFor: keysFreshFor(set),
-	}, forward.Parts{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}})
-	g.relay = relay.New(relay.Options{Name: set.Name, Domain: set.FailureDomain, ConfigWithin: set.ConfigWithin, Asker: g.forward}, g.inv, g.forward.Loads(), g.members, g.log)
+	}, forward.Parts{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}, Quarantine: book})
+	g.relay = relay.New(relay.Options{
+		Name: set.Name, Domain: set.FailureDomain, ConfigWithin: set.ConfigWithin, Asker: g.forward, Quarantine: book,
+	}, g.inv, g.forward.Loads(), g.members, g.log)
 	g.links = &http.Server{Handler: g.relay.Handler()}
 	g.keeper = lease.NewKeeper(kindLease, placingDuty, set.Name, dutyPeriod, leaseStore{g.store}, g.log)
 	g.placer = placer.New(g.keeper, g.inv, g.backends, g.forward, observer{m}, g.log)
@@ -283,6 +287,12 @@
 // LoadsRefused implements forward.Observer.
 func (o observer) LoadsRefused(n int) { o.m.LoadsRefused(n) }
 
+// EndedUnder implements forward.Observer.
+func (o observer) EndedUnder() { o.m.EndedUnder() }
+
+// HeldBack implements forward.Observer.
+func (o observer) HeldBack() { o.m.HeldBack() }
+
 // Bound implements placer.Observer.
 func (o observer) Bound(service string, requests int) {
 	o.m.TaggedGauge("bound_requests", "service", service, float64(requests))
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -79,6 +79,13 @@
 // LoadsRefused counts loads of other daemons that were dropped as impossible.
 func (m *Metrics) LoadsRefused(n int) { m.scope.Counter("loads_refused_total").Inc(int64(n)) }
 
+// EndedUnder counts backend servers that ended while they may have run a request, once
+// for each request.
+func (m *Metrics) EndedUnder() { m.scope.Counter("ended_under_requests_total").Inc(1) }
+
+// HeldBack counts requests that were not sent since backend servers had ended under them.
+func (m *Metrics) HeldBack() { m.scope.Counter("held_back_total").Inc(1) }
+
 // Dropped implements dispatch.Observer.
 func (m *Metrics) Dropped(d dispatch.Drops) {
 	for i, n := range []int{d.Foreign, d.Stale, d.Repeated, d.Overflow} {
--- /dev/null
+++ b/quarantine/book_test.go
@@ -0,0 +1,146 @@
+package quarantine
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+// Two backend servers that surely ran a request hold it back; one is tried once the
+// others are back, and three hold it back without a trial.
+func TestHeldBackAfterTwoEnds(t *testing.T) {
+	b := NewBook(DefaultPolicy)
+	require.Equal(t, Verdict{}, b.Admit(1, start))
+	require.False(t, b.Ended(1, 10, Likely, start).Held, "one end may be another's fault")
+	require.False(t, b.Ended(1, 10, Likely, after(time.Second)).Held, "the same backend server counts once")
+	require.False(t, b.Admit(1, after(time.Second)).Trial)
+
+	v := b.Ended(1, 11, Likely, after(time.Second))
+	require.True(t, v.Held)
+	require.Equal(t, after(time.Second).Add(DefaultPolicy.TrialAfter), v.Until)
+	require.False(t, b.Admit(2, after(time.Second)).Held, "others are not")
+
+	trial := b.Admit(1, v.Until)
+	require.True(t, trial.Trial)
+	require.True(t, b.Admit(1, v.Until.Add(time.Second)).Held, "one trial at a time")
+	require.True(t, b.Look(1, v.Until.Add(DefaultPolicy.TrialAfter)).Trial, "if the trial came to nothing")
+
+	v = b.Ended(1, 12, Likely, v.Until)
+	require.True(t, v.Held)
+	require.Equal(t, 3, v.Ends)
+	require.True(t, b.Admit(1, v.Until.Add(-time.Second)).Held)
+	require.Equal(t, Verdict{Score: 6, Ends: 3}, b.Admit(1, v.Until), "forgotten after a while")
+}
+
+// A request of which nothing says that it ran is held back after four ends.
+func TestPossibleEndsWeighHalf(t *testing.T) {
+	b := NewBook(DefaultPolicy)
+	for s := range Server(3) {
+		require.False(t, b.Ended(1, s, Possible, start).Held)
+	}
+	require.True(t, b.Ended(1, 3, Possible, start).Held)
+}
+
+// A backend server that outlives a request clears it of what ended before, also when an
+// older word on that comes again, and not of what ends later.
+func TestServedRequestIsCleared(t *testing.T) {
+	b, other := NewBook(DefaultPolicy), NewBook(DefaultPolicy)
+	require.False(t, b.Served(1, start), "nothing was known against it")
+	b.Ended(1, 10, Likely, start)
+	b.Ended(1, 11, Likely, start)
+	old, _ := b.Since(0, 9)
+	require.True(t, b.Served(1, after(10*time.Second)))
+	require.False(t, b.Admit(1, after(10*time.Second)).Held)
+	b.Join(old, after(11*time.Second))
+	require.False(t, b.Admit(1, after(11*time.Second)).Held)
+	other.Join(old, after(11*time.Second))
+	entries, _ := b.Since(0, 9)
+	other.Join(entries, after(11*time.Second))
+	require.False(t, other.Admit(1, after(11*time.Second)).Held)
+	b.Ended(1, 12, Likely, after(12*time.Second))
+	require.True(t, b.Ended(1, 13, Likely, after(12*time.Second)).Held)
+}
+
+// Whoever asks for changes gets each entry once, and all of them in the end.
+func TestChangesAreToldOnce(t *testing.T) {
+	b := NewBook(DefaultPolicy)
+	changed := b.Changed()
+	for p := range Fingerprint(5) {
+		b.Ended(p, 1, Likely, start)
+	}
+	<-changed
+	first, at := b.Since(0, 3)
+	require.Len(t, first, 3)
+	b.Ended(0, 2, Likely, start)
+	second, at := b.Since(at, 3)
+	require.Equal(t, []Fingerprint{3, 4, 0}, []Fingerprint{second[0].Print, second[1].Print, second[2].Print})
+	none, _ := b.Since(at, 3)
+	require.Empty(t, none)
+	b.Join(second, after(time.Millisecond))
+	none, _ = b.Since(at, 3)
+	require.Empty(t, none, "what is known is no news")
+}
+
+// A full book forgets suspects before those that are held back, and stays within its
+// bound.
+func TestFullBookKeepsWhatIsHeldBack(t *testing.T) {
+	p := DefaultPolicy
+	p.Most = 64
+	b := NewBook(p)
+	b.Ended(1, 1, Likely, start)
+	b.Ended(1, 2, Likely, start)
+	for n := range Fingerprint(10_000) {
+		b.Ended(100+n, 1, Likely, start)
+		require.LessOrEqual(t, b.Size(), p.Most)
+	}
+	require.True(t, b.Look(1, start).Held)
+	require.Len(t, b.HeldBack(start), 1)
+	b.Forget(after(p.Keep))
+	require.Zero(t, b.Size())
+}
+
+// Books that have told each other everything say the same, whatever the order.
+func TestBooksBecomeAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		books := []*Book{NewBook(DefaultPolicy), NewBook(DefaultPolicy), NewBook(DefaultPolicy)}
+		prints := rapid.Custom(func(t *rapid.T) Fingerprint { return Fingerprint(rapid.IntRange(1, 3).Draw(t, "print")) })
+		now := start
+		for range rapid.IntRange(0, 20).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 5).Draw(t, "pause")) * time.Second)
+			b := books[rapid.IntRange(0, 2).Draw(t, "book")]
+			print := prints.Draw(t, "of")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				b.Ended(print, Server(rapid.IntRange(0, 4).Draw(t, "server")), Likely, now)
+			case 1:
+				b.Served(print, now)
+			case 2:
+				b.Admit(print, now)
+			default:
+				entries, _ := b.Since(0, 99)
+				books[rapid.IntRange(0, 2).Draw(t, "to")].Join(entries, now)
+			}
+		}
+		for range 2 {
+			for _, from := range rapid.Permutation(books).Draw(t, "order") {
+				entries, _ := from.Since(0, 99)
+				for _, to := range books {
+					to.Join(entries, now)
+				}
+			}
+		}
+		for print := range Fingerprint(4) {
+			want := books[0].Look(print, now)
+			require.Equal(t, want, books[1].Look(print, now))
+			require.Equal(t, want, books[2].Look(print, now))
+		}
+		require.False(t, slices.ContainsFunc(books, func(b *Book) bool { return b.Size() > 3 }))
+	})
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -44,8 +44,9 @@
 
 // loadLink is a link to the source of another domain, which passes on no state.
 type loadLink struct {
-	conn  *websocket.Conn
-	heard listener
+	conn    *websocket.Conn
+	heard   listener
+	crashes crashTeller
 }
 
 // askDomain makes one exchange with the source of another domain. What it found out of
@@ -65,6 +66,7 @@
 	}
 	c := l.conn
 	p := &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: withLoads, LoadsOnly: true, Suspects: n.slow.collect(domain)}
+	p.Crashes = l.crashes.next(n.opts.Quarantine)
 	answer, err := exchange(ctx, c, p)
 	if err != nil {
 		_ = c.CloseNow()
@@ -75,6 +77,7 @@
 	if withLoads {
 		n.otherDomains.put(domain, told{at: time.Now(), domain: domain, loads: answer.told(&l.heard, n.serverNames())})
 	}
+	n.hearCrashes(answer.Crashes)
 	if answer.HasSlow {
 		n.hearSlow(domain, answer.Slow)
 	}
--- a/relay/node.go
+++ b/relay/node.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-kit/log"
+
+	"github.com/snowspoke/snowspoke/quarantine"
 )
 
 // What ends a link, or a probe of a daemon.
@@ -33,6 +35,8 @@
 	ConfigWithin time.Duration
 	// Asker asks backend servers that are suspected to be slow, nil for none.
 	Asker Asker
+	// Quarantine is kept alike with those of the other daemons, nil for none.
+	Quarantine *quarantine.Book
 }
 
 // Node is one daemon's part in the relay.
--- a/relay/session.go
+++ b/relay/session.go
@@ -34,6 +34,9 @@
 		defer n.hearSlow(sourceLoads, nil)
 	}
 	go s.pings(ctx)
+	if probe == nil {
+		go n.tellCrashes(ctx, c)
+	}
 	err = s.read(ctx)
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
@@ -164,6 +167,8 @@
 					return err
 				}
 			}
+		case f.Crashes != nil:
+			s.node.hearCrashes(f.Crashes)
 		case f.Pong != nil:
 			if err := s.pong(ctx, f.Pong); err != nil {
 				return err
--- a/relay/source.go
+++ b/relay/source.go
@@ -77,6 +77,7 @@
 		defer cancel()
 		n.answerPings(ctx, c)
 	}()
+	go n.tellCrashes(ctx, c)
 	n.pushChanges(ctx, c)
 }
 
@@ -177,12 +178,14 @@
 	fromFollower := listener{refused: n.book.RefuseLoads}
 	var toFollower teller
 	var slowTold uint64
+	var crashes crashTeller
 	defer func() { n.ledger.drop(follower, toldAt) }()
 	for {
 		f, err := readFrame(ctx, c)
 		if err != nil {
 			return // the link is over
 		}
+		n.hearCrashes(f.Crashes)
 		if f.Ping == nil {
 			continue
 		}
@@ -204,6 +207,10 @@
 		}
 		n.slow.suspect(p.Suspects)
 		slowTold = n.tellSlow(answer, sameDomain, slowTold)
+		if p.LoadsOnly {
+			n.hearCrashes(p.Crashes)
+			answer.Crashes = crashes.next(n.opts.Quarantine)
+		}
 		if err := writeFrame(ctx, c, &frame{Pong: answer}); err != nil {
 			return // the link is over
 		}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -42,6 +42,8 @@
 	Pong   *pong   `cbor:"3,keyasint,omitempty"`
 	// Packed is an encoded and compressed update: records are much alike.
 	Packed []byte `cbor:"4,keyasint,omitempty"`
+	// Crashes are changes of what is known of requests under which backend servers ended.
+	Crashes []packedCrash `cbor:"5,keyasint,omitempty"`
 }
 
 // update carries what changed at the source.
@@ -70,6 +72,8 @@
 	// Suspects are backend servers that the sender or its followers suspect to be
 	// slow, by the hash of their IDs.
 	Suspects []uint32 `cbor:"9,keyasint,omitempty"`
+	// Crashes are told here to the source of another domain.
+	Crashes []packedCrash `cbor:"10,keyasint,omitempty"`
 }
 
 // pong answers a ping of the same number.
@@ -86,6 +90,8 @@
 	// pongs say that nothing has changed.
 	HasSlow bool         `cbor:"8,keyasint,omitempty"`
 	Slow    []packedSlow `cbor:"9,keyasint,omitempty"`
+	// Crashes are told here to the source of another domain.
+	Crashes []packedCrash `cbor:"10,keyasint,omitempty"`
 }
 
 // told returns the loads that a ping tells, of backend servers with these names.
