Time-outs leave out the time for which this process was kept from running

Hypothesis: a daemon that is kept from running finds all its timers due at once while the answers they wait for lie unread in its sockets, and takes others for dead.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/site"
+	"github.com/snowspoke/snowspoke/stall"
 )
 
 // Inventory gives what is known of the site.
@@ -67,6 +68,8 @@
 	Backends  Backends
 	Log       *Log
 	Observer  Observer
+	// Stalls are those of this process, which no backend server is judged by; nil for none.
+	Stalls *stall.Monitor
 	// Quarantine is shared with the other daemons, nil for one of its own.
 	Quarantine *quarantine.Book
 }
@@ -87,6 +90,7 @@
 	silences   *silences
 	live       *liveStreams
 	quarantine *quarantine.Book
+	stalls     *stall.Monitor
 	splits     *splits
 	crossings  crossings
 
@@ -112,8 +116,8 @@
 		p.Quarantine = quarantine.NewBook(quarantine.DefaultPolicy)
 	}
 	f := &Forwarder{
-		quarantine: p.Quarantine,
-		started:    time.Now(), opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
+		quarantine: p.Quarantine, stalls: p.Stalls,
+		started: time.Now(), opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
 	}
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -18,7 +18,7 @@
 		return
 	}
 	s.asking = true
-	path, quiet, bound, probed := s.path, time.Since(s.quietAt), s.bound, s.probed
+	path, quiet, bound, probed := s.path, s.quietFor(time.Now()), s.bound, s.probed
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -67,6 +67,12 @@
 	s.timer.Reset(askAgain)
 }
 
+// quietFor returns how long the stream has said nothing while this process ran and
+// could have heard it; the caller holds the lock.
+func (s *stream) quietFor(now time.Time) time.Duration {
+	return now.Sub(s.quietAt) - s.r.f.stalls.Held(s.quietAt, now)
+}
+
 // noteProbe keeps whether all hops of the stream's path were connected to since its
 // last event.
 func (s *stream) noteProbe(path site.Path, all bool) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -12,6 +12,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/site"
+	"github.com/snowspoke/snowspoke/stall"
 )
 
 // Bounds of silence in a stream.
@@ -49,7 +50,7 @@
 	r       *run
 	attempt int // number of this send, from 1
 	cancel  context.CancelCauseFunc
-	timer   *time.Timer
+	timer   *stall.Timer
 
 	mu       sync.Mutex
 	path     site.Path
@@ -73,7 +74,7 @@
 	s := &stream{r: r, progress: r.progress, attempt: r.sends, cancel: cancel, path: t.path, tokens: t.tokens, quietAt: time.Now(), stepMS: t.choice.StepMS}
 	s.leave = r.f.loads.Enter(t.path, t.tokens)
 	s.bound = max(firstSilence, silenceFactor*time.Duration(t.choice.FirstMS*float64(time.Millisecond)))
-	s.timer = time.AfterFunc(s.probeAfter(true), func() { s.check(sctx) })
+	s.timer = r.f.stalls.AfterFunc(s.probeAfter(true), func() { s.check(sctx) })
 	r.f.live.add(s)
 	defer s.end()
 	a, err := r.f.backends.Send(sctx, r.outgoing(t, left))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/relay"
 	"github.com/snowspoke/snowspoke/site"
+	"github.com/snowspoke/snowspoke/stall"
 	"github.com/snowspoke/snowspoke/store"
 )
 
@@ -66,6 +67,7 @@
 	keeper    *lease.Keeper
 	placer    *placer.Placer
 	metrics   *metrics.Metrics
+	stalls    *stall.Monitor
 	conns     *callerConns
 	callers   *http.Server
 	checks    *http.Server
@@ -96,7 +98,11 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{set: set, opts: o, killed: make(chan struct{}), log: forward.NewLog(out), store: platform.NewStore(set.Store), backends: platform.NewBackends(), metrics: m}
+	stalls := stall.New(m.Stalled)
+	g := &Gateway{
+		set: set, opts: o, killed: make(chan struct{}), log: forward.NewLog(out), metrics: m, stalls: stalls,
+		store: platform.NewStore(set.Store, stalls), backends: platform.NewBackends(stalls),
+	}
 	g.inv = inventory.New(g.store, g.log)
 	if err := g.listen(); err != nil {
 		return nil, err
@@ -107,9 +113,9 @@
 	g.forward = forward.New(forward.Options{
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetrySlack: set.RetrySlack,
 		RetryWindow: set.RetryWindow, Restarted: !set.FirstStart, KeysFreshFor: keysFreshFor(set),
-	}, forward.Parts{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}, Quarantine: book})
+	}, forward.Parts{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}, Quarantine: book, Stalls: stalls})
 	g.relay = relay.New(relay.Options{
-		Name: set.Name, Domain: set.FailureDomain, ConfigWithin: set.ConfigWithin, Asker: g.forward, Quarantine: book,
+		Name: set.Name, Domain: set.FailureDomain, ConfigWithin: set.ConfigWithin, Asker: g.forward, Quarantine: book, Stalls: stalls,
 	}, g.inv, g.forward.Loads(), g.members, g.log)
 	g.links = &http.Server{Handler: g.relay.Handler()}
 	g.keeper = lease.NewKeeper(kindLease, placingDuty, set.Name, dutyPeriod, leaseStore{g.store}, g.log)
@@ -163,6 +169,7 @@
 	defer stopDuty()
 	var wg sync.WaitGroup
 	wg.Go(func() { g.log.Run(work.Done()) })
+	wg.Go(func() { g.stalls.Run(work) })
 	wg.Go(func() { g.follow(work) })
 	wg.Go(func() { g.backends.Run(work) })
 	wg.Go(func() { g.members.Run(duty) })
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -27,6 +27,7 @@
 	first    tally.Histogram
 	recovery tally.Histogram
 	loadsAge tally.Histogram
+	stalls   tally.Histogram
 }
 
 // secondsBuckets suit requests from milliseconds to minutes.
@@ -47,6 +48,7 @@
 	}
 	m.first = scope.Histogram("first_token_seconds", secondsBuckets)
 	m.recovery = scope.Histogram("recovery_gap_seconds", secondsBuckets)
+	m.stalls = scope.Histogram("stall_seconds", secondsBuckets)
 	m.loadsAge = scope.Histogram("loads_age_seconds", secondsBuckets)
 	for _, p := range invariant.All {
 		err := registry.Register(prometheus.NewCounterFunc(prometheus.CounterOpts{
@@ -79,6 +81,9 @@
 // LoadsRefused counts loads of other daemons that were dropped as impossible.
 func (m *Metrics) LoadsRefused(n int) { m.scope.Counter("loads_refused_total").Inc(int64(n)) }
 
+// Stalled records a time for which this process was kept from running.
+func (m *Metrics) Stalled(d time.Duration) { m.stalls.RecordDuration(d) }
+
 // EndedUnder counts backend servers that ended while they may have run a request, once
 // for each request.
 func (m *Metrics) EndedUnder() { m.scope.Counter("ended_under_requests_total").Inc(1) }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -52,7 +52,7 @@
 // askDomain makes one exchange with the source of another domain. What it found out of
 // slow backend servers does not count any more when it cannot be asked.
 func (n *Node) askDomain(ctx context.Context, links map[string]*loadLink, domain string, m Member, withLoads bool) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := n.opts.Stalls.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	l := links[domain]
 	if l == nil {
--- a/relay/node.go
+++ b/relay/node.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/snowspoke/snowspoke/quarantine"
+	"github.com/snowspoke/snowspoke/stall"
 )
 
 // What ends a link, or a probe of a daemon.
@@ -37,6 +38,8 @@
 	Asker Asker
 	// Quarantine is kept alike with those of the other daemons, nil for none.
 	Quarantine *quarantine.Book
+	// Stalls are those of this process, which no other daemon is judged by; nil for none.
+	Stalls *stall.Monitor
 }
 
 // Node is one daemon's part in the relay.
@@ -85,7 +88,7 @@
 		o.ConfigWithin = shortestConfigWithin
 	}
 	return &Node{
-		opts: o, inv: inv, book: book, members: m, logger: logger, ledger: newLedger(), dialer: newDialer(o.Connect), slow: newSlowBook(),
+		opts: o, inv: inv, book: book, members: m, logger: logger, ledger: newLedger(), dialer: newDialer(o.Connect, o.Stalls), slow: newSlowBook(),
 		otherDomains: newLedger(), above: newLedger(), source: context.Background(),
 	}
 }
--- a/relay/session.go
+++ b/relay/session.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/coder/websocket"
+
+	"github.com/snowspoke/snowspoke/stall"
 )
 
 // session follows a source until the link fails or its knowledge is not fresh.
@@ -27,7 +29,7 @@
 		node: n, conn: c, sent: map[uint64]time.Time{}, probe: probe, cancel: cancel,
 		heard: listener{refused: n.book.RefuseLoads},
 	}
-	s.silent = time.AfterFunc(silentFor, func() { cancel(errSilent) })
+	s.silent = n.opts.Stalls.AfterFunc(silentFor, func() { cancel(errSilent) })
 	defer s.silent.Stop()
 	if probe == nil {
 		defer n.forgetUpstream()
@@ -46,12 +48,12 @@
 
 // newDialer returns the client that opens links over connections of connect, nil for
 // the usual ones.
-func newDialer(connect func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+func newDialer(connect func(ctx context.Context, network, address string) (net.Conn, error), stalls *stall.Monitor) *http.Client {
 	if connect == nil {
 		connect = new(net.Dialer).DialContext
 	}
 	t := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+		ctx, cancel := stalls.WithTimeout(ctx, connectTimeout)
 		defer cancel()
 		return connect(ctx, network, address)
 	}, IdleConnTimeout: tryAgain}
@@ -59,7 +61,7 @@
 }
 
 func (n *Node) dial(ctx context.Context, m Member, probe bool) (*websocket.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := n.opts.Stalls.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	query := url.Values{domainParam: {n.opts.Domain}}
 	if probe {
@@ -91,7 +93,7 @@
 type session struct {
 	node   *Node
 	conn   *websocket.Conn
-	silent *time.Timer
+	silent *stall.Timer
 	probe  error
 	cancel context.CancelCauseFunc
 
