Attempts count heads unless they have surely ended

Hypothesis: a head that was believed dead did not count among those a stream may be sent to, so a daemon that blamed living heads sent one stream to four where two are allowed. Change: a head is left out if nobody listens at its address, or its record is gone as well as it looks dead; silence is no proof.

TestHeadThatOnlyLooksDeadCountsAsAnAttempt fails on the code before (a silent head was left out).

--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -271,7 +271,7 @@
 	head := *l.cards[o.Server.ID]
 	l.mu.Unlock()
 	if head.killed {
-		return nil, execution.ErrNotSent
+		return nil, fmt.Errorf("%w: %w", execution.ErrNotSent, syscall.ECONNREFUSED)
 	}
 	if head.silent {
 		<-ctx.Done()
--- a/forward/live.go
+++ b/forward/live.go
@@ -174,7 +174,7 @@
 		return struct{}{}, f.backends.Reach(context.WithoutCancel(ctx), s)
 	})
 	if err != nil {
-		f.fail(s, "probe: "+err.Error(), time.Now())
+		f.fail(s, "probe", err, time.Now())
 	}
 	return err
 }
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -82,10 +82,18 @@
 }
 
 // attemptsUsed reports whether the request was sent to as many backend servers
-// as it may be; those that have ended since do not count.
+// as it may be; those that have surely ended since do not count.
 func (r *run) attemptsUsed() bool {
-	now := time.Now()
-	return r.tried.living(func(id string) bool { return r.f.health.Dead(id, now) }) >= r.req.Route.MaxAttempts
+	return r.tried.living(r.f.surelyEnded) >= r.req.Route.MaxAttempts
+}
+
+// surelyEnded reports whether a backend server's process is gone: nobody listens at its
+// address, or its record is gone as well as it looks dead. Neither of the last two is
+// enough: one whose record is gone may serve on, and streams of a head that drained went
+// to three heads where two are allowed; one that looks dead may live, and living streams
+// went to four.
+func (f *Forwarder) surelyEnded(id string) bool {
+	return f.health.Ended(id) || f.inv.View().Servers[id] == nil && f.health.Dead(id, time.Now())
 }
 
 // onlyTried keeps those candidates that may be a first hop only if they were
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -47,13 +47,13 @@
 		return
 	}
 	if err != nil {
-		s.r.f.fail(head, "no report: "+err.Error(), time.Now())
+		s.r.f.fail(head, "no report", err, time.Now())
 		s.giveUp(errHeadDead)
 		return
 	}
 	for _, st := range rep.Stalled {
 		if at := path.At(st.Address); at != nil && at.ID != head.ID {
-			s.r.f.fail(at, "stalls streams of "+head.ID, time.Now())
+			s.r.f.fail(at, "stalls streams of "+head.ID, errStalled, time.Now())
 			if st.RequestID == s.r.req.ID {
 				s.move(ctx, at)
 				return
--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"syscall"
 	"testing"
 	"time"
 
@@ -127,3 +129,23 @@
 		require.Equal(t, 3, r.tried.count())
 	})
 }
+
+// A head that only looks dead counts as an attempt: streams that were believed to have
+// lost their head, which lived, once ran on four heads where two are allowed. One at
+// whose address nobody listens has ended.
+func TestHeadThatOnlyLooksDeadCountsAsAnAttempt(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		f := plainForwarder(3, &scripted{})
+		r := &run{f: f, req: &Request{Route: &site.Route{MaxAttempts: 2}}}
+		head := func(id string) *site.BackendServer { return f.inv.View().Servers[id] }
+		r.tried.add("b0")
+		r.tried.add("b1")
+		f.fail(head("b0"), "probe", context.DeadlineExceeded, time.Now())
+		require.True(t, f.Failed("b0"))
+		require.True(t, r.attemptsUsed(), "silence is no proof")
+		f.fail(head("b1"), "probe", syscall.ECONNREFUSED, time.Now())
+		require.False(t, r.attemptsUsed())
+		r.tried.add("b2")
+		require.True(t, r.attemptsUsed())
+	})
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -44,11 +44,11 @@
 }
 
 // heads are the first hops that a request was sent to, by ID, with whether they have
-// ended since. It is safe for concurrent use: a stream's timer asks while the next send
+// surely ended since. It is safe for concurrent use: a stream's timer asks while the next send
 // may begin.
 type heads struct {
 	mu  sync.Mutex
-	ids map[string]bool // true: has shown signs of its death
+	ids map[string]bool // true: has ended
 }
 
 func (h *heads) add(id string) {
@@ -74,15 +74,13 @@
 	return len(h.ids)
 }
 
-// living returns how many of them have not ended, as dead told at any time. One whose
-// record is gone may serve on: counted as ended, streams of a head that drained went to
-// three heads where two are allowed.
-func (h *heads) living(dead func(id string) bool) int {
+// living returns how many of them have not ended, as ended told at any time.
+func (h *heads) living(hasEnded func(id string) bool) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := 0
 	for id, ended := range h.ids {
-		ended = ended || dead(id)
+		ended = ended || hasEnded(id)
 		h.ids[id] = ended
 		if !ended {
 			n++
@@ -241,7 +239,7 @@
 	now := time.Now()
 	head := t.head()
 	if errors.Is(err, execution.ErrNotSent) {
-		r.f.fail(head, "cannot be connected to", now)
+		r.f.fail(head, "cannot be connected to", err, now)
 		return execution.NotRunHere, err
 	}
 	if err != nil {
@@ -328,12 +326,16 @@
 	return false
 }
 
-// fail notes that a backend server looks dead and moves the streams that pass it.
-func (f *Forwarder) fail(s *site.BackendServer, reason string, now time.Time) {
+// fail notes that a backend server looks dead, by what err says, and moves the streams
+// that pass it.
+func (f *Forwarder) fail(s *site.BackendServer, sign string, err error, now time.Time) {
+	if hasEnded(err) {
+		f.health.End(s.ID)
+	}
 	if !f.health.Fail(s.ID, now) {
 		return
 	}
-	f.log.Add("health", "server", s.ID, "address", s.Address, "state", "failed", "reason", reason)
+	f.log.Add("health", "server", s.ID, "address", s.Address, "state", "failed", "sign", sign, "ended", hasEnded(err), "err", err)
 	f.live.wake(s.ID)
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -41,6 +41,7 @@
 var (
 	errSilent    = errors.New("forward: stream stands still")
 	errHeadDead  = errors.New("forward: first hop does not answer")
+	errStalled   = errors.New("forward: hop stalls streams")
 	errBroken    = errors.New("forward: stream broke off")
 	errElsewhere = errors.New("forward: goes on elsewhere, its repaired path would cross failure domains")
 )
--- a/health/cooldown.go
+++ b/health/cooldown.go
@@ -25,7 +25,8 @@
 
 type cooldown struct {
 	until    time.Time
-	failures int // signs of its death in a row
+	failures int  // signs of its death in a row
+	ended    bool // its process is surely gone
 }
 
 // NewCooldowns returns an empty table.
@@ -57,6 +58,23 @@
 	return news
 }
 
+// End notes that the process of a backend server is surely gone.
+func (c *Cooldowns) End(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[name]
+	s.ended = true
+	c.servers[name] = s
+}
+
+// Ended reports whether the process of a backend server is surely gone, other than one
+// that only looks dead.
+func (c *Cooldowns) Ended(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers[name].ended
+}
+
 // Serve notes that a backend server did its work.
 func (c *Cooldowns) Serve(name string) {
 	c.mu.Lock()
@@ -65,7 +83,7 @@
 	if !known {
 		return
 	}
-	s.failures = 0
+	s.failures, s.ended = 0, false
 	c.servers[name] = s
 }
 
