Versions of a configuration that come together are read as one

A watch that brings several versions decodes the last valid one, and the next watch begins 0.1 s after a change: of twenty versions a second at most ten are read, decoded and told. A change that comes alone is read as soon as before.

--- a/inventory/follow.go
+++ b/inventory/follow.go
@@ -23,7 +23,7 @@
 	inReach := newGate()
 	wg.Go(func() {
 		follow(ctx, &follower[ConfigRecord]{
-			name: "configuration", logger: i.logger, first: first, longest: longest, wait: configWait, list: i.feed.Config, watch: i.feed.ConfigChanges,
+			name: "configuration", logger: i.logger, first: first, longest: longest, wait: configWait, gather: configGather, list: i.feed.Config, watch: i.feed.ConfigChanges,
 			take: func(items []ConfigRecord, _ bool, fresh time.Time) { i.takeConfig(items, fresh) },
 			back: inReach.open,
 			lost: func() {
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -19,6 +19,9 @@
 	// that the configuration is fresh. Other daemons leave this one when it has not
 	// heard from the store for a little longer than this wait.
 	configWait = 900 * time.Millisecond
+	// configGather is the pause after a change before the next watch of the configuration:
+	// of twenty versions a second ten are read, and each read is decoded once.
+	configGather = 100 * time.Millisecond
 	// serverWait is the same for backend servers. It is longer, since a lost store
 	// shows at the watch of the configuration first.
 	serverWait = 9 * time.Second
