Lines of one kind are bounded, and what is left out is counted

Hypothesis: a decision that is taken again and again, as a source that is left, writes more than anybody reads, and the processor time for it delays what it is about.

--- a/forward/log.go
+++ b/forward/log.go
@@ -25,6 +25,8 @@
 	mu      sync.Mutex
 	buf     []byte
 	dropped int
+	limit   lineLimit
+	saidAt  time.Time // when it was last said what was left out
 	logger  log.Logger
 }
 
@@ -48,16 +50,47 @@
 }
 
 // Log implements log.Logger, so that all lines go the same way.
-func (l *Log) Log(kv ...any) error { return l.logger.Log(kv...) }
+func (l *Log) Log(kv ...any) error {
+	if !l.allows(kindOf(kv)) {
+		return nil
+	}
+	return l.logger.Log(kv...)
+}
 
 // Add writes a decision.
 func (l *Log) Add(kind string, kv ...any) {
-	_ = l.logger.Log(append([]any{"msg", "decision", "kind", kind}, kv...)...)
+	if l.allows(kind) {
+		_ = l.logger.Log(append([]any{"msg", "decision", "kind", kind}, kv...)...)
+	}
+}
+
+func (l *Log) allows(kind string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limit.allows(kind, time.Now())
+}
+
+// sayEvery is the time between two lines on what was left out.
+const sayEvery = time.Second
+
+// sayLeftOut writes how many lines of each kind were left out.
+func (l *Log) sayLeftOut(now time.Time) {
+	l.mu.Lock()
+	var out []leftOut
+	if now.Sub(l.saidAt) >= sayEvery {
+		l.saidAt = now
+		out = l.limit.takeLeftOut()
+	}
+	l.mu.Unlock()
+	for _, o := range out {
+		_ = l.logger.Log("msg", "log lines left out", "of", o.kind, "count", o.lines)
+	}
 }
 
 // Flush writes what is held, in whole lines. Those that cannot be written count as
 // dropped.
 func (l *Log) Flush() {
+	l.sayLeftOut(time.Now())
 	l.mu.Lock()
 	buf, dropped := l.buf, l.dropped
 	l.buf, l.dropped = nil, 0
--- a/forward/log_test.go
+++ b/forward/log_test.go
@@ -1,12 +1,17 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/internal/virtual"
 )
 
 // pipe takes whole lines of at most so many bytes a write, and fails after a
@@ -55,3 +60,28 @@
 	l.Flush()
 	require.Contains(t, p.got.String(), fmt.Sprintf("msg=\"log lines dropped\" count=%d", 100-written))
 }
+
+// Lines of one kind are bounded, whatever comes, and what is left out is counted; lines
+// of other kinds are written.
+func TestLinesOfAKindAreBounded(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		l := NewLog(&out)
+		const lines = 10_000
+		for i := range lines {
+			_ = level.Info(l).Log("msg", "backend server", "id", i)
+		}
+		l.Add("finish", "request", "r")
+		l.Flush()
+		require.Equal(t, linesBurst, strings.Count(out.String(), `msg="backend server"`))
+		require.Contains(t, out.String(), fmt.Sprintf(`msg="log lines left out" of="backend server" count=%d`, lines-linesBurst))
+		require.Contains(t, out.String(), "kind=finish")
+		out.Reset()
+		time.Sleep(2 * time.Second)
+		for i := range lines {
+			_ = level.Info(l).Log("msg", "backend server", "id", i)
+		}
+		l.Flush()
+		require.Equal(t, 2*linesPerSecond, strings.Count(out.String(), `msg="backend server"`))
+	})
+}
