One identity of an incarnation, and entries of other writers name nobody to use

Hypothesis: what is believed of a backend server is kept by its ID alone, and decoded in one piece with others.

Each entry of a list or watch is cut out and decoded by itself into a valid record or a reason; an invalid one ends the use of the one before, is logged by revision and counted, and is never passed on.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -18,6 +18,10 @@
 // ErrOrderRefused says that a backend server refused an order.
 var ErrOrderRefused = errors.New("forward: order refused")
 
+// ErrReborn says that a backend server has started again since: what it says is of
+// another incarnation.
+var ErrReborn = errors.New("forward: backend server has started again")
+
 // errUnknownServer says that a backend server is not known any more.
 var errUnknownServer = errors.New("forward: unknown backend server")
 
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -193,6 +193,8 @@
 	old, known := i.servers[r.ID]
 	left, isGone := i.gone[r.ID]
 	switch {
+	case known && r.Server != nil && old.server.Incarnation.Newer(r.Server.Incarnation):
+		return // of the life before, which has ended
 	case known && r.Revision < old.revision || isGone && !r.Gone && r.Revision <= left.revision:
 		return // an older word on it
 	case known && !r.Gone && r.Revision == old.revision:
@@ -204,16 +206,50 @@
 			_ = level.Info(i.logger).Log("msg", "backend server gone", "id", r.ID, "address", old.server.Address)
 		}
 	case r.Err != nil:
-		_ = level.Error(i.logger).Log("msg", "record of backend server ignored", "id", r.ID, "err", r.Err)
+		i.refuse(r, old, known)
 	default:
 		if !known || old.server.Draining != r.Server.Draining || old.server.Held != r.Server.Held {
 			_ = level.Info(i.logger).Log("msg", "backend server", "id", r.ID, "address", r.Server.Address,
 				"service", r.Server.Service, "draining", r.Server.Draining, "from", r.Server.Held.From, "to", r.Server.Held.To)
 		}
+		if known && old.server.ID != r.Server.ID {
+			i.logReborn(old.server, r.Server.Incarnation)
+		}
 		i.put(r.ID, record{server: r.Server, raw: r.Raw, revision: r.Revision})
 	}
 }
 
+// refuse drops a record that is not a backend server's, and with it what was known under
+// its name: the earlier record has been written over.
+func (i *Inventory) refuse(r ServerRecord, old record, known bool) {
+	old.revision = r.Revision
+	if known {
+		i.bury(r.ID, old)
+	} else {
+		i.gone[r.ID] = tomb{revision: r.Revision, at: time.Now()}
+	}
+	_ = level.Error(i.logger).Log("msg", "record refused", "id", r.ID, "revision", r.Revision, "was_used", known, "err", r.Err)
+}
+
+// NoteReborn takes the word of a backend server that it has started again, which its
+// record may not tell yet: what was known under its name was of its life before.
+func (i *Inventory) NoteReborn(as site.Incarnation) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	r, known := i.servers[as.Name]
+	if !known || !as.Newer(r.server.Incarnation) {
+		return
+	}
+	i.logReborn(r.server, as)
+	r.server = r.server.Reborn(as)
+	i.servers[as.Name] = r
+	i.publishServers()
+}
+
+func (i *Inventory) logReborn(old *site.BackendServer, as site.Incarnation) {
+	_ = level.Info(i.logger).Log("msg", "backend server started again", "id", as.ID(), "before", old.ID, "address", old.Address)
+}
+
 // put keeps a record, and no other at its address: of two incarnations the one
 // that was written last is there.
 func (i *Inventory) put(id string, r record) {
@@ -288,8 +324,8 @@
 func (i *Inventory) publishServers() {
 	i.state = nil
 	servers := make(map[string]*site.BackendServer, len(i.servers))
-	for id, r := range i.servers {
-		servers[id] = r.server
+	for _, r := range i.servers {
+		servers[r.server.ID] = r.server
 	}
 	old := i.view.Load()
 	if maps.Equal(servers, old.Servers) {
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -13,6 +13,8 @@
 	Raw      []byte
 	Revision uint64
 	Lapsed   bool // missing after an outage of the store, and kept for a moment
+	// Server is the ID of the incarnation, which is not passed on.
+	Server string `cbor:"-"`
 }
 
 // State is what a daemon passes on to another: the configuration in force and
@@ -39,7 +41,7 @@
 		s.ConfigVersion = c.Version
 	}
 	for id, r := range i.servers {
-		s.Servers[id] = Entry{Raw: r.raw, Revision: r.revision, Lapsed: !r.lapsedAt.IsZero()}
+		s.Servers[id] = Entry{Raw: r.raw, Revision: r.revision, Lapsed: !r.lapsedAt.IsZero(), Server: r.server.ID}
 	}
 	i.state = s
 	return s
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -84,6 +84,11 @@
 // Stalled records a time for which this process was kept from running.
 func (m *Metrics) Stalled(d time.Duration) { m.stalls.RecordDuration(d) }
 
+// Refused counts entries of the platform's store that cannot be read.
+func (m *Metrics) Refused(kind string) {
+	m.scope.Tagged(map[string]string{"kind": kind}).Counter("entries_refused_total").Inc(1)
+}
+
 // EndedUnder counts backend servers that ended while they may have run a request, once
 // for each request.
 func (m *Metrics) EndedUnder() { m.scope.Counter("ended_under_requests_total").Inc(1) }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -176,12 +176,17 @@
 // drained nor looked dead. It is called before the dead are forgotten with their
 // records.
 func (p *Placer) noteLeft(view *inventory.View, svc *site.Service, now time.Time) {
+	there := map[string]bool{}
+	for _, s := range view.OfService(svc.Name) {
+		there[s.Address] = true
+	}
 	for id, s := range p.seen {
 		if s.Service != svc.Name || view.Servers[id] != nil {
 			continue
 		}
 		delete(p.seen, id)
-		if _, dead := p.dead[id]; !dead && !s.Draining && !p.health.Failed(id) {
+		ended := there[s.Address] // another incarnation is where it was
+		if _, dead := p.dead[id]; !dead && !ended && !s.Draining && !p.health.Failed(id) {
 			p.left = now
 			_ = level.Info(p.logger).Log("msg", "decision", "kind", "left", "server", id, "address", s.Address, "from", s.Held.From, "to", s.Held.To)
 		}
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -158,7 +159,8 @@
 	defer n.mu.Unlock()
 	if n.state != state {
 		n.state, n.ids = state, make(map[uint32]string, len(state.Servers))
-		for id := range state.Servers {
+		for name, e := range state.Servers {
+			id := cmp.Or(e.Server, name)
 			n.ids[serverHash(id)] = id
 		}
 	}
--- /dev/null
+++ b/site/incarnation_test.go
@@ -0,0 +1,18 @@
+package site
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestIncarnationsOfOneName(t *testing.T) {
+	first, second, silent := Incarnation{"i-1", 1000}, Incarnation{"i-1", 2000}, Incarnation{Name: "i-1"}
+	require.Equal(t, "i-1", silent.ID())
+	require.NotEqual(t, first.ID(), second.ID())
+	require.True(t, second.Newer(first))
+	require.False(t, first.Newer(second))
+	require.False(t, second.Newer(silent), "nothing is known of when that one started")
+	require.False(t, silent.Newer(first))
+	require.False(t, Incarnation{"i-2", 2000}.Newer(first))
+}
--- a/site/server.go
+++ b/site/server.go
@@ -20,6 +20,7 @@
 // BackendServer is one incarnation of a backend server as it registered itself.
 type BackendServer struct {
 	ID            string // of this incarnation, never used again
+	Incarnation   Incarnation
 	Service       string
 	Address       string // host:port; may be reused by another incarnation later
 	FailureDomain string
@@ -29,6 +30,23 @@
 	Held          Range  // layers it serves now; empty when it holds none
 }
 
+// RegisteredName returns the name under which the backend server registered itself,
+// which it expects in requests.
+func (s *BackendServer) RegisteredName() string {
+	if s.Incarnation.Name == "" {
+		return s.ID
+	}
+	return s.Incarnation.Name
+}
+
+// Reborn returns the backend server as it is after a start that its record does not
+// tell of yet: it holds nothing.
+func (s *BackendServer) Reborn(as Incarnation) *BackendServer {
+	again := *s
+	again.ID, again.Incarnation, again.Held, again.Draining = as.ID(), as, Range{}, false
+	return &again
+}
+
 // Hop is one part of a path: a backend server and the layers it runs.
 type Hop struct {
 	Server *BackendServer
