One clock for what must expire counts the time for which the VM was suspended

Hypothesis: the steady clock stands still in a suspension, so that keys, leases, the proof that a configuration is fresh and the deadlines of requests look younger than they are. Change: package boottime (CLOCK_BOOTTIME over the steady clock) for these; package stall tells when the VM woke, and requests whose deadline has passed are ended then.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -20,8 +21,8 @@
 // AwaitStart waits, but no longer than a caller does, until requests can be told
 // apart and sent.
 func (f *Forwarder) AwaitStart(ctx context.Context, deadline time.Time) {
-	until := earlier(time.Now().Add(startHold), deadline.Add(-leastLeft))
-	for !f.inv.Complete() && time.Now().Before(until) {
+	until := earlier(boottime.Now().Add(startHold), deadline.Add(-leastLeft))
+	for !f.inv.Complete() && boottime.Now().Before(until) {
 		if !wait.For(ctx, holdStep) {
 			return
 		}
@@ -59,7 +60,7 @@
 		return a, nil
 	}
 	most := time.Duration(f.keysFreshFor.Load())
-	if age := f.inv.Age(time.Now()); most > 0 && age > most {
+	if age := f.inv.Age(boottime.Now()); most > 0 && age > most {
 		return Admission{}, apierror.New(apierror.ConfigUnavailable, "keys may have been taken away, the configuration was last read %s ago",
 			age.Round(time.Millisecond))
 	}
@@ -75,5 +76,5 @@
 	e := apierror.From(err)
 	f.observe.Finished(string(e.Kind), 0)
 	f.log.Add("refuse", "request", requestID, "result", string(e.Kind), "detail", e.Detail,
-		"config_age", f.inv.Age(time.Now()).Round(time.Millisecond))
+		"config_age", f.inv.Age(boottime.Now()).Round(time.Millisecond))
 }
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -101,8 +101,8 @@
 	Route     *site.Route
 	Service   string
 	Workspace *site.Workspace // nil on public routes
-	Received  time.Time
-	Deadline  time.Time // of the caller
+	Received  time.Time       // this and the next on the clock of package boottime
+	Deadline  time.Time       // of the caller
 	Model     string
 	Prompt    float64 // tokens
 	MaxAnswer float64 // most tokens out
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -8,6 +8,7 @@
 
 	"github.com/snowspoke/snowspoke/admission"
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/inventory"
@@ -91,6 +92,7 @@
 	live       *liveStreams
 	quarantine *quarantine.Book
 	stalls     *stall.Monitor
+	deadlines  *deadlines
 	splits     *splits
 	crossings  crossings
 
@@ -116,7 +118,7 @@
 		p.Quarantine = quarantine.NewBook(quarantine.DefaultPolicy)
 	}
 	f := &Forwarder{
-		quarantine: p.Quarantine, stalls: p.Stalls,
+		quarantine: p.Quarantine, stalls: p.Stalls, deadlines: newDeadlines(),
 		started: time.Now(), opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
@@ -125,6 +127,7 @@
 	f.loads.observe = f.noteLoadsAge
 	f.loads.refused = f.noteRefusedLoads
 	f.loads.noteSlow = f.noteSlowServers
+	f.stalls.OnWake(f.wake)
 	if !o.Restarted {
 		f.started = f.started.Add(-o.RetryWindow)
 	}
@@ -154,7 +157,7 @@
 	if t := req.Route.Timeout; t > 0 && req.Received.Add(t).Before(until) {
 		until = req.Received.Add(t)
 	}
-	ctx, cancel := context.WithDeadline(ctx, until)
+	ctx, cancel := f.deadlines.with(ctx, until)
 	defer cancel()
 	if f.requests.Add(1)%forgetEvery == 0 {
 		f.forget(f.inv.View().Servers)
@@ -194,7 +197,7 @@
 		e := apierror.From(err)
 		kind, detail = string(e.Kind), e.Error()
 	}
-	took := time.Since(r.req.Received)
+	took := boottime.Since(r.req.Received)
 	f.observe.Finished(kind, took)
 	f.log.Add("finish", "request", r.req.ID, "fingerprint", r.print, "route", r.req.Route.Name, "service", r.req.Service, "result", kind,
 		"attempts", r.sends, "last_event", r.lastEvent, "took", took.Round(time.Millisecond),
--- a/forward/run.go
+++ b/forward/run.go
@@ -13,6 +13,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/quarantine"
@@ -25,7 +26,7 @@
 	req       *Request
 	print     quarantine.Fingerprint
 	sink      Sink
-	until     time.Time // when the request must have its answer
+	until     time.Time // when the request must have its answer, on the clock of package boottime
 	engine    *site.Engine
 	tried     heads // first hops that it was sent to
 	sends     int
@@ -163,7 +164,7 @@
 // send makes one send and carries the answer. The request counts as sent before
 // the first byte can go out, and until something certain is known.
 func (r *run) send(ctx context.Context, t *target) (execution.Verdict, error) {
-	left := time.Until(r.until)
+	left := boottime.Until(r.until)
 	if left < leastLeft {
 		return execution.Answered, r.ended(ctx)
 	}
@@ -212,7 +213,7 @@
 
 func (r *run) logRoute(t *target, left time.Duration) {
 	r.f.log.Add("route", "request", r.req.ID, "attempt", r.sends, "route", r.req.Route.Name, "service", r.req.Service,
-		"config", r.f.inv.View().Config.Version, "config_age", r.f.inv.Age(time.Now()).Round(time.Millisecond),
+		"config", r.f.inv.View().Config.Version, "config_age", r.f.inv.Age(boottime.Now()).Round(time.Millisecond),
 		"path", t.path.String(), "predicted_first_ms", int(t.choice.FirstMS), "predicted_step_ms", int(t.choice.StepMS),
 		"fullest", int(100*t.choice.Fullest), "after_event", r.lastEvent, "left", left.Round(time.Millisecond))
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/site"
 	"github.com/snowspoke/snowspoke/stall"
@@ -193,7 +194,7 @@
 	}
 	if !r.headSent.Load() {
 		r.headSent.Store(true)
-		r.f.observe.FirstEvent(time.Since(r.req.Received))
+		r.f.observe.FirstEvent(boottime.Since(r.req.Received))
 		if err := r.sink.Head(a.Status, a.Header); err != nil {
 			return nil, err
 		}
@@ -262,7 +263,7 @@
 // notePause keeps the longest pause between two events.
 func (r *run) notePause(now time.Time) {
 	if r.lastAt.IsZero() {
-		r.firstIn = now.Sub(r.req.Received)
+		r.firstIn = boottime.Since(r.req.Received)
 		return
 	}
 	r.longest = max(r.longest, now.Sub(r.lastAt))
--- a/inventory/follow.go
+++ b/inventory/follow.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/store"
 )
@@ -101,7 +102,7 @@
 // its whole wait proves that there were none until then; any other answer only
 // that there were none when it was asked for.
 func (f *follower[T]) read(ctx context.Context, revision uint64) (r Read[T], fresh time.Time, err error) {
-	sent := time.Now()
+	sent := boottime.Now()
 	if revision == 0 {
 		r, err = f.list(ctx)
 		return r, sent, err
@@ -120,7 +121,7 @@
 		}()
 	}
 	r, err = f.watch(wctx, revision, f.wait)
-	if err == nil && len(r.Items) == 0 && time.Since(sent) >= f.wait {
+	if err == nil && len(r.Items) == 0 && boottime.Since(sent) >= f.wait {
 		return r, sent.Add(f.wait - watchDoubt), nil
 	}
 	return r, sent, err
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -125,14 +126,16 @@
 	return i.notify
 }
 
-// Age returns how old the newest proof is that no newer configuration exists.
+// Age returns how old the newest proof is that no newer configuration exists. Its times
+// are those of package boottime.
 func (i *Inventory) Age(now time.Time) time.Duration {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return now.Sub(i.fresh)
 }
 
-// Heard returns when the store last answered this daemon; the zero time says that
+// Heard returns when the store last answered this daemon, on the clock of package
+// boottime; the zero time says that
 // it is lost or not followed.
 func (i *Inventory) Heard() time.Time {
 	i.mu.Lock()
@@ -153,7 +156,7 @@
 		i.fresh = fresh
 	}
 	if !fresh.IsZero() {
-		i.heard = time.Now()
+		i.heard = boottime.Now()
 	}
 	old := i.view.Load()
 	newest := ConfigRecord{Config: old.Config, Raw: i.rawConfig}
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/store"
 )
 
@@ -21,7 +22,9 @@
 	Put(ctx context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error)
 }
 
-// Keeper tries to hold a lease and keeps it. It is safe for concurrent use.
+// Keeper tries to hold a lease and keeps it. Its times count those in which the VM was
+// suspended: a holder that wakes holds nothing any more that others have taken over. It
+// is safe for concurrent use.
 type Keeper struct {
 	name   string
 	store  Store
@@ -41,7 +44,7 @@
 func (k *Keeper) Held() (uint64, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.c.Held(time.Now())
+	return k.c.Held(boottime.Now())
 }
 
 // Holder returns the lease as last seen.
@@ -83,7 +86,7 @@
 func (k *Keeper) next() Action {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.c.Next(time.Now())
+	return k.c.Next(boottime.Now())
 }
 
 // step does what is due and returns whether the store answered.
@@ -104,7 +107,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.c.Seen(o, time.Now())
+	k.c.Seen(o, boottime.Now())
 	return true
 }
 
@@ -114,7 +117,7 @@
 	k.mu.Lock()
 	spec, ifVersion := k.c.Propose(a, rand.Uint64())
 	k.mu.Unlock()
-	asked := time.Now()
+	asked := boottime.Now()
 	version, err := k.store.Put(ctx, k.kind, k.name, spec.Encode(), ifVersion)
 	if errors.Is(err, store.ErrAmbiguous) {
 		o, gerr := k.store.Get(ctx, k.kind, k.name)
@@ -129,12 +132,12 @@
 	defer k.mu.Unlock()
 	switch {
 	case err == nil:
-		k.c.Written(spec, version, asked, time.Now())
+		k.c.Written(spec, version, asked, boottime.Now())
 		if a == Acquire {
 			_ = level.Info(k.logger).Log("msg", "lease acquired", "lease", k.name, "fencing", spec.Fencing)
 		}
 	case errors.Is(err, store.ErrConflict):
-		k.c.Lost(time.Now())
+		k.c.Lost(boottime.Now())
 		_ = level.Info(k.logger).Log("msg", "lease lost", "lease", k.name)
 	default:
 		return false
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/coder/websocket"
 
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/inventory"
 )
@@ -29,14 +30,14 @@
 			n.forgetDomain(domain)
 		}
 	}()
-	loadsAt := time.Now()
+	loadsAt := boottime.Now()
 	for wait.For(ctx, exchangeEvery) {
-		withLoads := time.Since(loadsAt) >= exchangeFactor*loadsPeriod(len(n.inv.State().Servers))
+		withLoads := boottime.Since(loadsAt) >= exchangeFactor*loadsPeriod(len(n.inv.State().Servers))
 		for domain, m := range n.otherSources() {
 			n.askDomain(ctx, links, domain, m, withLoads)
 		}
 		if withLoads {
-			loadsAt = time.Now()
+			loadsAt = boottime.Now()
 			n.takeOthers(loadsAt)
 		}
 	}
@@ -75,7 +76,7 @@
 		return
 	}
 	if withLoads {
-		n.otherDomains.put(domain, told{at: time.Now(), domain: domain, loads: answer.told(&l.heard, n.serverNames())})
+		n.otherDomains.put(domain, told{at: boottime.Now(), domain: domain, loads: answer.told(&l.heard, n.serverNames())})
 	}
 	n.hearCrashes(answer.Crashes)
 	if answer.HasSlow {
--- a/relay/session.go
+++ b/relay/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/coder/websocket"
 
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/stall"
 )
 
@@ -133,7 +134,7 @@
 func (s *session) ping(ctx context.Context) error {
 	s.pinging.Lock()
 	defer s.pinging.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	p := &ping{Sender: s.node.opts.Name, Domain: s.node.opts.Domain}
 	if s.probe == nil {
 		s.node.gatherSuspects()
@@ -231,7 +232,7 @@
 	}
 	s.followed = true
 	s.node.inv.Vouch(p.Version, sent.Add(-p.Age))
-	now := time.Now()
+	now := boottime.Now()
 	if p.Daemons > 0 {
 		s.node.above.put(sourceLoads, told{at: now, loads: p.told(&s.heard, s.node.serverNames())})
 		s.node.takeOthers(now)
--- a/relay/source.go
+++ b/relay/source.go
@@ -9,6 +9,7 @@
 	"github.com/coder/websocket"
 	"github.com/go-kit/log/level"
 
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/inventory"
 )
 
@@ -48,7 +49,7 @@
 func (n *Node) serveLink(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	sameDomain := query.Get(domainParam) == n.opts.Domain
-	now := time.Now()
+	now := boottime.Now()
 	switch {
 	case n.starting(now):
 		http.Error(w, "starting", http.StatusTooEarly)
@@ -204,7 +205,7 @@
 		if f.Ping == nil {
 			continue
 		}
-		now := time.Now()
+		now := boottime.Now()
 		p := f.Ping
 		sameDomain := p.Domain == n.opts.Domain
 		if p.HasLoads && !p.LoadsOnly {
--- a/stall/stall.go
+++ b/stall/stall.go
@@ -12,6 +12,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/snowspoke/snowspoke/boottime"
 )
 
 // Times of the heartbeat.
@@ -41,6 +43,18 @@
 	next     int // where the next one goes
 	total    time.Duration
 	observer func(time.Duration)
+	woken    []func(suspended time.Duration)
+}
+
+// OnWake has f called after each suspension of the VM with its length. It is called
+// before Run.
+func (m *Monitor) OnWake(f func(suspended time.Duration)) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.woken = append(m.woken, f)
 }
 
 // span is a time in which the process did not run. A VM that is suspended lengthens
@@ -55,7 +69,7 @@
 	if observe == nil {
 		observe = func(time.Duration) {}
 	}
-	return &Monitor{suspended: suspendedTime, observer: observe}
+	return &Monitor{suspended: boottime.Suspended, observer: observe}
 }
 
 // Run beats until ctx ends.
@@ -100,10 +114,16 @@
 		m.next = (m.next + 1) % kept
 	}
 	m.beatAt, m.asleep = now, asleep
+	woken := m.woken
 	m.mu.Unlock()
 	if late+lost > 0 {
 		m.observer(late + lost)
 	}
+	if lost > 0 {
+		for _, f := range woken {
+			f(lost)
+		}
+	}
 }
 
 // late returns by how much the next beat is late, 0 if that is within what is usual.
