--- a/cmd/snowspoke/main.go
+++ b/cmd/snowspoke/main.go
@@ -52,6 +52,7 @@
 	Explain     explainCmd     `cmd:"" help:"Show the decisions about a request, backend server or model."`
 	Bound       boundCmd       `cmd:"" help:"Show the throughput bound of a model and what limits it."`
 	Predictions predictionsCmd `cmd:"" help:"Compare predicted with measured first events, from a decision log."`
+	Quarantine  quarantineCmd  `cmd:"" help:"Show the requests that are held back since backend servers ended as they ran them, or lift that."`
 	Check       checkCmd       `cmd:"" help:"Check object or settings files before they are accepted."`
 	Load        loadCmd        `cmd:"" help:"Send an open-loop load and show what callers see."`
 	Try         tryCmd         `cmd:"" help:"Run stand-ins and daemons on loopback, to try the system out or to check its promises."`
--- /dev/null
+++ b/cmd/snowspoke/quarantine.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/snowspoke/snowspoke/gateway"
+)
+
+// operatorTimeout bounds a call to a daemon's metrics address.
+const operatorTimeout = 5 * time.Second
+
+type quarantineCmd struct {
+	Metrics string `arg:"" help:"Metrics address of a daemon on the users' platform, IP:PORT."`
+	Lift    string `help:"Fingerprint of a request that is to be sent again; only on the daemon's own VM." placeholder:"FINGERPRINT"`
+}
+
+// Run lists the requests that are held back, or lifts that for one.
+func (k *quarantineCmd) Run(c *cli) error {
+	url := "http://" + k.Metrics + gateway.QuarantinePath
+	if k.Lift != "" {
+		_, err := operatorCall(http.MethodDelete, url+"/"+k.Lift)
+		return err
+	}
+	data, err := operatorCall(http.MethodGet, url)
+	if err != nil {
+		return err
+	}
+	var held []gateway.HeldBack
+	if err := json.Unmarshal(data, &held); err != nil {
+		return fmt.Errorf("answer of %s: %w", k.Metrics, err)
+	}
+	return c.show(held, func(w io.Writer) {
+		fmt.Fprintln(w, "FINGERPRINT\tENDS\tSCORE\tLAST END\tUNTIL")
+		for _, h := range held {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\n", h.Fingerprint, h.Ends, h.Score, h.LastEnd.Format(time.RFC3339), h.Until.Format(time.RFC3339))
+		}
+	})
+}
+
+var errRefused = errors.New("the daemon refused")
+
+func operatorCall(method, url string) ([]byte, error) {
+	req, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := (&http.Client{Timeout: operatorTimeout}).Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode >= http.StatusBadRequest {
+		err = fmt.Errorf("%w: %s: %s", errRefused, resp.Status, data)
+	}
+	return data, err
+}
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync"
 	"testing"
@@ -13,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/platform/standin"
+	"github.com/snowspoke/snowspoke/quarantine"
 )
 
 // What users saw: drivers' alerts cut off or refused for a third of a day, and 17
@@ -102,3 +105,41 @@
 	})
 	return &wg
 }
+
+// Operators see what is held back, and can lift it from the VM itself.
+func TestOperatorsListAndLiftWhatIsHeldBack(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.putConfig()
+	w.servers("plain", "", "plain-1")
+	d := w.daemon("daemon-1", nil).ready(t, 1)
+	for s := range quarantine.Server(2) {
+		d.quarantine.Ended(7, s, quarantine.Likely, time.Now())
+	}
+	srv := httptest.NewServer(operators(http.NotFoundHandler(), d.Gateway))
+	t.Cleanup(srv.Close)
+	list := func() (held []HeldBack) {
+		resp, err := http.Get(srv.URL + QuarantinePath)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		require.NoError(t, json.NewDecoder(resp.Body).Decode(&held))
+		return held
+	}
+	lift := func(fingerprint string) int {
+		req, err := http.NewRequest(http.MethodDelete, srv.URL+QuarantinePath+"/"+fingerprint, nil)
+		require.NoError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return resp.StatusCode
+	}
+	held := list()
+	require.Len(t, held, 1)
+	require.Equal(t, quarantine.Fingerprint(7).String(), held[0].Fingerprint)
+	require.Equal(t, 2, held[0].Ends)
+	require.Equal(t, http.StatusBadRequest, lift("seven"))
+	require.Equal(t, http.StatusNotFound, lift("8"))
+	require.Equal(t, http.StatusNoContent, lift(held[0].Fingerprint))
+	require.Empty(t, list())
+	require.False(t, fromThisVM(&http.Request{RemoteAddr: "10.0.0.9:1"}))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,29 +54,30 @@
 
 // Gateway is one daemon.
 type Gateway struct {
-	opts      Options
-	listeners listeners
-	set       site.Settings // as the process started with
-	log       *forward.Log
-	store     *platform.Store
-	backends  *platform.Backends
-	inv       *inventory.Inventory
-	members   *members
-	relay     *relay.Node
-	forward   *forward.Forwarder
-	keeper    *lease.Keeper
-	placer    *placer.Placer
-	metrics   *metrics.Metrics
-	stalls    *stall.Monitor
-	conns     *callerConns
-	callers   *http.Server
-	checks    *http.Server
-	links     *http.Server // to other daemons
-	figures   *http.Server
-	ingress   *platform.Ingress
-	stage     atomic.Int32 // a stage of the planned stop
-	killed    chan struct{}
-	killOnce  sync.Once
+	opts       Options
+	listeners  listeners
+	set        site.Settings // as the process started with
+	log        *forward.Log
+	store      *platform.Store
+	backends   *platform.Backends
+	inv        *inventory.Inventory
+	members    *members
+	relay      *relay.Node
+	forward    *forward.Forwarder
+	keeper     *lease.Keeper
+	placer     *placer.Placer
+	metrics    *metrics.Metrics
+	stalls     *stall.Monitor
+	quarantine *quarantine.Book
+	conns      *callerConns
+	callers    *http.Server
+	checks     *http.Server
+	links      *http.Server // to other daemons
+	figures    *http.Server
+	ingress    *platform.Ingress
+	stage      atomic.Int32 // a stage of the planned stop
+	killed     chan struct{}
+	killOnce   sync.Once
 }
 
 // Options are what a daemon is started with.
@@ -115,6 +116,7 @@
 	self := relay.Member{Name: set.Name, Domain: set.FailureDomain, Address: g.listeners.links.Addr().String()}
 	g.members = newMembers(self, set.FirstStart, g.store, g.log)
 	book := quarantine.NewBook(quarantine.DefaultPolicy)
+	g.quarantine = book
 	g.forward = forward.New(forward.Options{
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetrySlack: set.RetrySlack,
 		RetryWindow: set.RetryWindow, Restarted: !set.FirstStart, KeysFreshFor: keysFreshFor(set),
@@ -133,7 +135,7 @@
 		ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Error(g.log)), "", 0),
 	}
 	g.checks = &http.Server{Handler: http.HandlerFunc(g.ready)}
-	g.figures = &http.Server{Handler: m.Handler()}
+	g.figures = &http.Server{Handler: operators(m.Handler(), g)}
 	return g, nil
 }
 
