The soak starts backend servers again, writes foreign entries and sends requests that crash

Three faults more, in series and overlapping with the others: a backend server ends and starts again under its ID, an entry that no backend server wrote comes with lists and watches, and a request that ends what runs it comes to all daemons in turn.

The soak's wait for a daemon's start looked at the last line of its log, which the line on all backend servers together now follows: it waited for 10 s each. It looks for the line of the start itself.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -180,7 +180,7 @@
 		if strings.HasPrefix(last, "start: ") && strings.HasSuffix(last, syscall.EADDRINUSE.Error()) {
 			return true
 		}
-		if strings.Contains(last, "vm="+p.name) || len(lines) > portTries {
+		if strings.Contains(string(data), "vm="+p.name) {
 			return false
 		}
 	}
@@ -334,6 +334,9 @@
 		{"configuration", func() { f.site.AddRoute() }},
 		{"backend server faults", f.spoil},
 		{"backend server leaves", f.leave},
+		{"backend server starts again", f.startAgain},
+		{"entry of another writer", f.foreign},
+		{"request that ends backend servers", f.crash},
 	}
 	k := kinds[f.r.IntN(len(kinds))]
 	f.names = append(f.names, k.name)
@@ -390,6 +393,47 @@
 	f.site.Remove(p)
 }
 
+// startAgain ends a backend server and starts it again under its ID.
+func (f *faults) startAgain() {
+	all := f.site.Servers()
+	all[f.r.IntN(len(all))].Kill()
+	f.back.Go(func() {
+		time.Sleep(300 * time.Millisecond)
+		f.site.StartEndedAgain(time.Now())
+	})
+}
+
+// foreign has lists and watches give an entry that no backend server wrote.
+func (f *faults) foreign() {
+	entries := []string{
+		`{"metadata":{"name":"other","revision":1},"spec":{"state":"odd"}}`, `{"metadata":7}`, `null`, `"text"`,
+		`{"metadata":{"name":"other"},"spec":"\x00"}`, `{"metadata":{"name":"other","revision":2},"spec":{"address":[],"born":0.5}}`,
+	}
+	f.site.Store.SetForeign("servers", entries[f.r.IntN(len(entries))])
+}
+
+// crashWait is how long the caller of such a request waits.
+const crashWait = 500 * time.Millisecond
+
+// crash sends a request that ends the backend servers that run it to all daemons, and
+// starts those again.
+func (f *faults) crash() {
+	body := fmt.Sprint("crash ", f.r.Uint64())
+	for _, s := range f.site.Servers() {
+		s.CrashOn(body)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	f.back.Go(func() {
+		for _, p := range f.all {
+			call := sitetrial.Call{Method: "POST", Path: sitetrial.StreamTo, Key: sitetrial.Key, ID: body + p.name, Body: body}
+			ctx, cancel := context.WithTimeout(context.Background(), crashWait)
+			_ = sitetrial.Do(ctx, client, p.callers, call) // whatever it gets
+			cancel()
+		}
+		f.site.StartEndedAgain(time.Now())
+	})
+}
+
 // heal ends all faults.
 func (f *faults) heal() {
 	f.back.Wait()
