--- a/forward/crash.go
+++ b/forward/crash.go
@@ -54,17 +54,24 @@
 	headAt time.Time // zero before the head of the answer came
 }
 
-// stage returns how far the send had come when contact was lost.
-func (p progress) stage(lost time.Time) sendStage {
+// stage returns how far the send had come after so much time since the head of the answer.
+func (p progress) stage(sinceHead time.Duration) sendStage {
 	switch {
 	case p.headAt.IsZero():
 		return stageSent
-	case lost.Sub(p.headAt) <= beginsWithin:
+	case sinceHead <= beginsWithin:
 		return stageBegun
 	}
 	return stageRunning
 }
 
+// sinceHead returns the time from the head of the answer to another one, less that for
+// which this process did not run: what came meanwhile is only read then, and a request
+// that ended its backend server at once would look as if that had outlived it.
+func (r *run) sinceHead(at time.Time) time.Duration {
+	return at.Sub(r.progress.headAt) - r.f.stalls.Held(r.progress.headAt, at)
+}
+
 // weight returns how much the end of the backend server at a stage speaks against the
 // request, 0 for nothing. The head of a stream comes as it begins to run; a plain
 // answer says nothing before it is whole.
@@ -123,9 +130,10 @@
 	if !lostContact(err) {
 		return
 	}
-	stage := r.progress.stage(now)
+	since := r.sinceHead(now)
+	stage := r.progress.stage(since)
 	if stage == stageRunning {
-		if now.Sub(r.progress.headAt) >= outlives {
+		if since >= outlives {
 			r.outlived(now)
 		}
 		// Whether the head has ended decides how often the stream may be sent again.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -121,7 +121,7 @@
 func (s *stream) stageAtLastSign() sendStage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.progress.stage(s.quietAt)
+	return s.progress.stage(s.quietAt.Sub(s.progress.headAt))
 }
 
 // readSize is what one read of a stream takes at most.
--- a/stall/stall.go
+++ b/stall/stall.go
@@ -41,7 +41,6 @@
 	asleep   time.Duration
 	stalls   [kept]span
 	next     int // where the next one goes
-	total    time.Duration
 	observer func(time.Duration)
 	woken    []func(suspended time.Duration)
 }
