A timer that is started anew as it runs out does not call for the time before

Cause, by reading: when a stall ended the timer had run out and its call was on its way; the reader took the source's answer and started the timer anew; the call then found no stall in the new time and went on as if that were over. Change: it goes by what is left of the time alone. TestTimerStartedAnewAsItRunsOut fails on the code before.

--- a/stall/stall_test.go
+++ b/stall/stall_test.go
@@ -99,6 +99,27 @@
 	})
 }
 
+// A timer that was started anew just as it ran out does not call for the time before: a
+// daemon that ran again after a stall read its source's answer and left it in the same
+// moment, as silent.
+func TestTimerStartedAnewAsItRunsOut(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		var asleep time.Duration
+		m := monitored(&asleep)
+		var calls atomic.Int64
+		timer := m.AfterFunc(time.Second, func() { calls.Add(1) })
+		defer timer.Stop()
+		timer.Reset(time.Second)
+		timer.fire() // of the time before, which comes behind
+		require.Zero(t, calls.Load())
+		for range 60 {
+			time.Sleep(beat)
+			m.tick(time.Now())
+		}
+		require.EqualValues(t, 1, calls.Load())
+	})
+}
+
 func TestHeartbeatOfAQuietProcess(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		stalls := 0
--- a/stall/timer.go
+++ b/stall/timer.go
@@ -34,13 +34,14 @@
 	t.call()
 }
 
-// due reports whether the process has run for the time; if not, the timer goes on.
+// due reports whether the process has run for the time; if not, the timer goes on. That
+// may also be as it was started anew while this call was on its way.
 func (t *Timer) due(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	held := t.monitor.Held(t.since, now)
 	left := t.d - (now.Sub(t.since) - held)
-	if held == 0 || left <= 0 {
+	if left <= 0 {
 		return true
 	}
 	t.timer.Reset(max(left, settle))
