--- a/forward/crash.go
+++ b/forward/crash.go
@@ -50,7 +50,6 @@
 
 // progress is what is known of one send.
 type progress struct {
-	sentAt time.Time
 	headAt time.Time // zero before the head of the answer came
 }
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -174,7 +174,7 @@
 	if err := r.life.Move(execution.Sent); err != nil {
 		return execution.Answered, err
 	}
-	r.progress = progress{sentAt: time.Now()}
+	r.progress = progress{}
 	v, err := r.carry(ctx, t, left)
 	if v == execution.MayHaveRun || err == nil {
 		r.judge(ctx, t.head(), err)
