--- a/api/operators.go
+++ b/api/operators.go
@@ -11,6 +11,7 @@
 	"github.com/snowspoke/snowspoke/catalog"
 	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/routing"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // Status is what one daemon says of itself.
@@ -18,7 +19,7 @@
 	Daemon         string                `json:"daemon"`
 	FailureDomain  string                `json:"failureDomain"`
 	Ready          bool                  `json:"ready"`
-	Revision       uint64                `json:"revision"`
+	Revision       store.Position        `json:"revision"`
 	Digest         string                `json:"digest"`
 	StoreBehind    bool                  `json:"storeBehind,omitempty"`
 	Rejected       []catalog.Verdict     `json:"rejected,omitempty"`
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -21,12 +21,12 @@
 
 // Verdict says what became of the newest version seen of an object.
 type Verdict struct {
-	Kind     string `json:"kind"`
-	Name     string `json:"name"`
-	Seen     uint64 `json:"seen"`    // newest version seen
-	InForce  uint64 `json:"inForce"` // version in force, 0 for none
-	Deleted  bool   `json:"deleted,omitempty"`
-	Rejected string `json:"rejected,omitempty"` // why Seen is not in force
+	Kind     string         `json:"kind"`
+	Name     string         `json:"name"`
+	Seen     store.Position `json:"seen"`    // newest version seen
+	InForce  store.Position `json:"inForce"` // version in force, 0 for none
+	Deleted  bool           `json:"deleted,omitempty"`
+	Rejected string         `json:"rejected,omitempty"` // why Seen is not in force
 }
 
 // Accepted reports whether the newest version seen is in force.
@@ -41,8 +41,8 @@
 
 // Mark sums up a catalog: two catalogs with equal marks hold the same versions.
 type Mark struct {
-	Revision uint64 // highest version seen
-	Digest   uint64 // over the newest versions of all objects that exist
+	Revision store.Position // highest version seen
+	Digest   uint64         // over the newest versions of all objects that exist
 }
 
 // Catalog is safe for concurrent use. Readers take the snapshot without a lock.
@@ -165,7 +165,7 @@
 	_, _ = d.WriteString(o.Kind)
 	_, _ = d.WriteString("\x00" + o.Name + "\x00")
 	var v [8]byte
-	binary.LittleEndian.PutUint64(v[:], o.Version)
+	binary.LittleEndian.PutUint64(v[:], uint64(o.Version))
 	_, _ = d.Write(v[:])
 	return d.Sum64()
 }
@@ -174,7 +174,7 @@
 func (c *Catalog) publish(touched map[topology.Kind]bool) {
 	old := c.snapshot.Load()
 	s := *old
-	s.Revision = c.mark.Revision
+	s.Revision = uint64(c.mark.Revision)
 	for kind := range touched {
 		c.rebuild(&s, kind)
 		if kind != topology.KindWorkspace && kind != topology.KindService {
@@ -276,7 +276,7 @@
 
 // Since returns the newest versions above a revision, oldest first, tombstones
 // included.
-func (c *Catalog) Since(revision uint64) []store.Object {
+func (c *Catalog) Since(revision store.Position) []store.Object {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []store.Object
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -13,7 +13,7 @@
 	"github.com/snowspoke/snowspoke/topology"
 )
 
-func modelObject(name string, version uint64, layers int) store.Object {
+func modelObject(name string, version store.Position, layers int) store.Object {
 	spec, _ := json.Marshal(&topology.Model{Layers: layers, Version: fmt.Sprint("v", version)})
 	return store.Object{Kind: string(topology.KindModel), Name: name, Version: version, Spec: spec}
 }
@@ -24,7 +24,7 @@
 func TestMonotonicWhateverTheSource(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var history []store.Object
-		for v := uint64(1); v <= uint64(rapid.IntRange(1, 30).Draw(t, "versions")); v++ {
+		for v := store.Position(1); v <= store.Position(rapid.IntRange(1, 30).Draw(t, "versions")); v++ {
 			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
 			o := modelObject(name, v, rapid.SampledFrom([]int{8, -1}).Draw(t, "layers"))
 			o.Deleted = rapid.IntRange(0, 5).Draw(t, "deleted") == 0
@@ -32,7 +32,7 @@
 		}
 		shuffled := append(rapid.Permutation(history).Draw(t, "order"), history...)
 		one, two := New(), New()
-		inForce := map[string]uint64{}
+		inForce := map[string]store.Position{}
 		for _, o := range shuffled {
 			one.Apply(o)
 			v, ok := one.Verdict(o.Kind, o.Name)
@@ -74,7 +74,7 @@
 	c := New()
 	old := modelObject("a", 3, 8)
 	c.ApplyList(topology.KindModel, []store.Object{old, modelObject("new", 90, 8)}, 100)
-	for rev := uint64(50); rev < 120; rev += 10 {
+	for rev := store.Position(50); rev < 120; rev += 10 {
 		c.ApplyList(topology.KindModel, []store.Object{old}, rev)
 	}
 	require.True(t, c.Behind())
@@ -109,10 +109,10 @@
 			c := New()
 			var objects []store.Object
 			for i := range n {
-				objects = append(objects, workspaceObject(i, uint64(i+1)))
+				objects = append(objects, workspaceObject(i, store.Position(i+1)))
 			}
 			c.Apply(objects...)
-			version := uint64(n)
+			version := store.Position(n)
 			b.ReportAllocs()
 			for b.Loop() {
 				version++
@@ -122,7 +122,7 @@
 	}
 }
 
-func workspaceObject(i int, version uint64) store.Object {
+func workspaceObject(i int, version store.Position) store.Object {
 	spec, _ := json.Marshal(&topology.Workspace{TokenHashes: []string{topology.HashToken(fmt.Sprint(i))}, Weight: 1})
 	return store.Object{Kind: string(topology.KindWorkspace), Name: fmt.Sprint("w", i), Version: version, Spec: spec}
 }
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -108,8 +108,8 @@
 
 // read takes every kind and returns the lowest revision read, from which a
 // watch misses nothing.
-func (f *Follower) read(ctx context.Context) (uint64, error) {
-	var since uint64
+func (f *Follower) read(ctx context.Context) (store.Position, error) {
+	var since store.Position
 	for i, kind := range topology.ConfigKinds {
 		objects, rev, err := f.store.List(ctx, string(kind))
 		if err != nil {
--- a/catalog/list.go
+++ b/catalog/list.go
@@ -12,8 +12,8 @@
 
 // listState is what full reads of the store have shown.
 type listState struct {
-	highest map[string]uint64 // highest revision, by kind
-	lower   map[string]int    // reads in a row below it, by kind
+	highest map[string]store.Position // highest revision, by kind
+	lower   map[string]int            // reads in a row below it, by kind
 	behind  bool
 }
 
@@ -21,7 +21,7 @@
 // deleted if the read is newer than the object and the store has not gone
 // behind: a store restored from an older copy lacks accepted objects that
 // nobody deleted, and accepted configuration must not revert.
-func (c *Catalog) ApplyList(kind topology.Kind, objects []store.Object, revision uint64) []Verdict {
+func (c *Catalog) ApplyList(kind topology.Kind, objects []store.Object, revision store.Position) []Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lists.observe(string(kind), revision)
@@ -31,9 +31,9 @@
 	return c.apply(objects)
 }
 
-func (l *listState) observe(kind string, revision uint64) {
+func (l *listState) observe(kind string, revision store.Position) {
 	if l.highest == nil {
-		l.highest = map[string]uint64{}
+		l.highest = map[string]store.Position{}
 		l.lower = map[string]int{}
 	}
 	if revision >= l.highest[kind] {
@@ -49,7 +49,7 @@
 
 // absent returns tombstones for the objects that a full read lacks. Their
 // version is the read's revision: no later object can have a lower one.
-func (c *Catalog) absent(kind string, objects []store.Object, revision uint64) []store.Object {
+func (c *Catalog) absent(kind string, objects []store.Object, revision store.Position) []store.Object {
 	present := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		present[o.Name] = true
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -30,8 +30,8 @@
 // Store is what a shard needs of the platform's store.
 type Store interface {
 	Get(ctx context.Context, kind, name string) (store.Object, error)
-	Put(ctx context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error)
-	Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error)
+	Put(ctx context.Context, kind, name string, spec []byte, ifVersion store.Position) (store.Position, error)
+	Delete(ctx context.Context, kind, name string, ifVersion store.Position) (store.Position, error)
 }
 
 // Pause of a shard's writer after a commit: it bounds the writes a second, and
@@ -49,7 +49,7 @@
 	writing bool
 
 	// The rest belongs to the writer.
-	version uint64
+	version store.Position
 	head    Head
 	loaded  map[string]bool // segments in the index
 	index   *Index
--- a/cmd/snowspoke/objects.go
+++ b/cmd/snowspoke/objects.go
@@ -68,7 +68,7 @@
 type shownObject struct {
 	Kind    string          `json:"kind"`
 	Name    string          `json:"name"`
-	Version uint64          `json:"version"`
+	Version store.Position  `json:"version"`
 	Spec    json.RawMessage `json:"spec"`
 }
 
@@ -183,7 +183,7 @@
 }
 
 // lagging returns the daemons that do not have a version in force, and why.
-func (c *cli) lagging(kind topology.Kind, name string, version uint64) ([]string, error) {
+func (c *cli) lagging(kind topology.Kind, name string, version store.Position) ([]string, error) {
 	fleet, err := c.fleet()
 	if err != nil {
 		return nil, err
--- a/control/controller.go
+++ b/control/controller.go
@@ -61,7 +61,7 @@
 
 type pending struct {
 	order   placement.Order
-	version uint64 // of the stored object
+	version store.Position // of the stored object
 	sent    time.Time
 }
 
--- a/control/controller_test.go
+++ b/control/controller_test.go
@@ -251,7 +251,7 @@
 	return s.Store.Get(ctx, kind, name)
 }
 
-func (s *cutStore) Put(ctx context.Context, kind, name string, spec []byte, v uint64) (uint64, error) {
+func (s *cutStore) Put(ctx context.Context, kind, name string, spec []byte, v store.Position) (store.Position, error) {
 	if s.cut.Load() {
 		return 0, store.ErrUnavailable
 	}
--- a/edit/edit.go
+++ b/edit/edit.go
@@ -32,10 +32,10 @@
 
 // Result says what an edit did.
 type Result struct {
-	Version uint64 `json:"version"` // in which the value stands
-	Before  string `json:"before"`
-	After   string `json:"after"`
-	Changed bool   `json:"changed"`
+	Version store.Position `json:"version"` // in which the value stands
+	Before  string         `json:"before"`
+	After   string         `json:"after"`
+	Changed bool           `json:"changed"`
 }
 
 // maxTries bounds how often an edit is tried against racing ones.
@@ -88,7 +88,7 @@
 }
 
 // write checks the changed object as a daemon will before it stores it.
-func write(ctx context.Context, s store.Store, kind topology.Kind, name string, obj any, ifVersion uint64) (uint64, error) {
+func write(ctx context.Context, s store.Store, kind topology.Kind, name string, obj any, ifVersion store.Position) (store.Position, error) {
 	spec, err := json.Marshal(obj)
 	if err != nil {
 		return 0, fmt.Errorf("edit: %w", err)
--- a/edit/edit_test.go
+++ b/edit/edit_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/snowspoke/snowspoke/internal/memstore"
 	"github.com/snowspoke/snowspoke/internal/virtual"
+	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -68,7 +69,7 @@
 	once sync.Once
 }
 
-func (i *interferer) Put(ctx context.Context, kind, name string, spec []byte, v uint64) (uint64, error) {
+func (i *interferer) Put(ctx context.Context, kind, name string, spec []byte, v store.Position) (store.Position, error) {
 	i.once.Do(func() {
 		_, _ = Apply(ctx, i.Store, topology.KindBackendServer, "b", Label{"kind"}, "a100")
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,6 +110,10 @@
 		m.Refused(kind)
 		_ = level.Error(g.log).Log("msg", "entry refused", "kind", kind, "err", err)
 	})
+	g.store.OnEra(func(era uint64) {
+		m.StoreEra(era)
+		_ = level.Info(g.log).Log("msg", "era of the store", "era", era)
+	})
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,8 +61,8 @@
 // memberStore is what membership needs of the store.
 type memberStore interface {
 	Get(ctx context.Context, kind, name string) (store.Object, error)
-	Put(ctx context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error)
-	Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error)
+	Put(ctx context.Context, kind, name string, spec []byte, ifVersion store.Position) (store.Position, error)
+	Delete(ctx context.Context, kind, name string, ifVersion store.Position) (store.Position, error)
 	// List may be seconds old unless it is to be fresh.
 	List(ctx context.Context, kind string, fresh bool) ([]store.Object, error)
 }
@@ -78,21 +80,24 @@
 	self    relay.Member
 	store   memberStore
 	logger  log.Logger
-	version uint64 // of the own record
+	version store.Position // of the own record
 	beats   uint64
 	alive   atomic.Int64
 	found   chan struct{} // closed after the first list
 
 	firstStart bool // of the whole system: nobody has left a record
 
-	mu   sync.Mutex
-	seen map[string]seenMember
-	all  []relay.Member
+	mu    sync.Mutex
+	seen  map[string]seenMember
+	all   []relay.Member
+	era   uint64    // of the store, as the last list told
+	until time.Time // until then those that a new era's lists lack are kept
 }
 
+// seenMember is a daemon as its record was last seen.
 type seenMember struct {
-	version uint64
-	at      time.Time
+	spec memberSpec
+	at   time.Time // when it was first seen so
 }
 
 func newMembers(self relay.Member, firstStart bool, s memberStore, logger log.Logger) *members {
@@ -147,10 +152,10 @@
 			m.beat(ctx)
 			beat.Reset(beatEvery(m.Daemons()))
 		case <-list.C:
+			m.list(ctx, false)
 			if m.version == 0 {
 				m.beat(ctx)
 			}
-			m.list(ctx, false)
 			list.Reset(m.untilList())
 		}
 	}
@@ -249,6 +254,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
+	if !m.noteEra(objects, now) {
+		return // older than the last list
+	}
 	seen := map[string]seenMember{}
 	var all []relay.Member
 	ttl := memberTTL(len(objects))
@@ -259,23 +267,62 @@
 			continue
 		}
 		s, known := m.seen[o.Name]
-		if !known || s.version != o.Version {
-			s = seenMember{version: o.Version, at: now}
+		if !known || s.spec != spec {
+			s = seenMember{spec: spec, at: now}
 		}
 		seen[o.Name] = s
 		m.adopt(o, spec)
+	}
+	if now.Before(m.until) {
+		m.keepMissing(seen)
+	}
+	for _, name := range slices.Sorted(maps.Keys(seen)) {
+		s := seen[name]
 		if now.Sub(s.at) < ttl {
-			all = append(all, relay.Member{Name: o.Name, Domain: spec.Domain, Address: spec.Address})
+			all = append(all, relay.Member{Name: name, Domain: s.spec.Domain, Address: s.spec.Address})
 		}
 	}
 	m.seen, m.all = seen, all
 	m.alive.Store(int64(max(1, len(all))))
 }
 
-// adopt takes over the own record if an earlier process has left it just so.
+// noteEra takes the era of a list, and reports whether it is the present one. In a store
+// that came back from an older copy the records of daemons that have just started are
+// missing until they write them again, which each does at its own next list. Until then
+// the others go on with those that they know.
+func (m *members) noteEra(objects []store.Object, now time.Time) (present bool) {
+	era := uint64(0)
+	for _, o := range objects {
+		era = max(era, o.Version.Era())
+	}
+	if era < m.era {
+		return false
+	}
+	if len(m.seen) > 0 && era > m.era {
+		m.until = now.Add(2 * listEvery(len(m.seen)))
+		if m.version.Era() < era {
+			m.version = 0 // unless the list has the record, which is taken over then
+		}
+		_ = level.Warn(m.logger).Log("msg", "decision", "kind", "daemons restored", "era_before", m.era, "era", era, "listed", len(objects), "known", len(m.seen))
+	}
+	m.era = era
+	return true
+}
+
+// keepMissing adds the daemons that were known and are not among those seen.
+func (m *members) keepMissing(seen map[string]seenMember) {
+	for name, s := range m.seen {
+		if _, listed := seen[name]; !listed {
+			seen[name] = s
+		}
+	}
+}
+
+// adopt takes over the own record if it lies in the store just so: an earlier process has
+// left it, or the store came back with it.
 func (m *members) adopt(o store.Object, spec memberSpec) {
 	if m.version == 0 && o.Name == m.self.Name && spec.Domain == m.self.Domain && spec.Address == m.self.Address {
-		m.version, m.beats = o.Version, spec.Beat
+		m.version, m.beats = o.Version, max(m.beats, spec.Beat)
 	}
 }
 
--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -21,7 +21,7 @@
 // oldStore is a store whose cheap lists are a while old. It implements memberStore.
 type oldStore struct {
 	lag     time.Duration
-	version uint64
+	version store.Position
 	objects []store.Object
 	times   []time.Time // when each was written
 
@@ -35,7 +35,7 @@
 	return store.Object{}, store.ErrNotFound
 }
 
-func (s *oldStore) Put(_ context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error) {
+func (s *oldStore) Put(_ context.Context, kind, name string, spec []byte, ifVersion store.Position) (store.Position, error) {
 	if s.away.Load() {
 		return 0, store.ErrUnavailable
 	}
@@ -54,7 +54,9 @@
 	s.times = append(s.times, time.Now())
 }
 
-func (s *oldStore) Delete(context.Context, string, string, uint64) (uint64, error) { return 0, nil }
+func (s *oldStore) Delete(context.Context, string, string, store.Position) (store.Position, error) {
+	return 0, nil
+}
 
 func (s *oldStore) List(_ context.Context, _ string, fresh bool) ([]store.Object, error) {
 	if s.away.Load() {
--- a/internal/memstore/http.go
+++ b/internal/memstore/http.go
@@ -49,7 +49,7 @@
 }
 
 // Set writes an object whatever its version and returns the new one.
-func (p *Platform) Set(kind, name string, spec any) uint64 {
+func (p *Platform) Set(kind, name string, spec any) store.Position {
 	data, err := json.Marshal(spec)
 	if err != nil {
 		panic(err)
@@ -80,7 +80,7 @@
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
 	os, rev, err := p.Store.List(r.Context(), r.PathValue("kind"))
-	w.Header().Set(httpstore.HeaderRevision, strconv.FormatUint(rev, 10))
+	w.Header().Set(httpstore.HeaderRevision, strconv.FormatUint(uint64(rev), 10))
 	answer(w, os, err)
 }
 
@@ -93,9 +93,9 @@
 	}
 	o := store.Object{Kind: r.PathValue("kind"), Name: r.PathValue("name")}
 	if r.Method == http.MethodDelete {
-		o.Version, err = p.Store.Delete(r.Context(), o.Kind, o.Name, want)
+		o.Version, err = p.Store.Delete(r.Context(), o.Kind, o.Name, store.Position(want))
 	} else {
-		o.Version, err = p.Store.Put(r.Context(), o.Kind, o.Name, spec, want)
+		o.Version, err = p.Store.Put(r.Context(), o.Kind, o.Name, spec, store.Position(want))
 	}
 	answer(w, o, err)
 }
@@ -106,7 +106,7 @@
 	enc := json.NewEncoder(w)
 	w.WriteHeader(http.StatusOK)
 	_ = rc.Flush()
-	_ = p.Store.Watch(r.Context(), r.URL.Query()["kind"], since, func(o store.Object) {
+	_ = p.Store.Watch(r.Context(), r.URL.Query()["kind"], store.Position(since), func(o store.Object) {
 		_ = enc.Encode(o)
 		_ = rc.Flush()
 	})
--- a/internal/memstore/memstore.go
+++ b/internal/memstore/memstore.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sort"
 	"sync"
@@ -28,6 +29,7 @@
 	mu      sync.Mutex
 	faults  Faults
 	objects map[store.ID]store.Object
+	era     uint64
 	version uint64
 	changed chan struct{}
 	calls   int64
@@ -84,13 +86,13 @@
 	defer s.mu.Unlock()
 	o, ok := s.objects[store.ID{Kind: kind, Name: name}]
 	if !ok || o.Deleted {
-		return store.Object{}, store.ErrNotFound
+		return store.Object{Version: store.At(s.era, 0)}, store.ErrNotFound
 	}
 	return o, nil
 }
 
 // List implements store.Store.
-func (s *Store) List(_ context.Context, kind string) ([]store.Object, uint64, error) {
+func (s *Store) List(_ context.Context, kind string) ([]store.Object, store.Position, error) {
 	if _, err := s.begin(false); err != nil {
 		return nil, 0, err
 	}
@@ -103,20 +105,20 @@
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Version < out[j].Version })
-	return out, s.version, nil
+	return out, store.At(s.era, s.version), nil
 }
 
 // Put implements store.Store.
-func (s *Store) Put(_ context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error) {
+func (s *Store) Put(_ context.Context, kind, name string, spec []byte, ifVersion store.Position) (store.Position, error) {
 	return s.write(store.Object{Kind: kind, Name: name, Spec: spec}, ifVersion)
 }
 
 // Delete implements store.Store.
-func (s *Store) Delete(_ context.Context, kind, name string, ifVersion uint64) (uint64, error) {
+func (s *Store) Delete(_ context.Context, kind, name string, ifVersion store.Position) (store.Position, error) {
 	return s.write(store.Object{Kind: kind, Name: name, Deleted: true}, ifVersion)
 }
 
-func (s *Store) write(o store.Object, ifVersion uint64) (uint64, error) {
+func (s *Store) write(o store.Object, ifVersion store.Position) (store.Position, error) {
 	f, err := s.begin(true)
 	if err != nil {
 		return 0, err
@@ -138,30 +140,61 @@
 	return v, err
 }
 
-func (s *Store) apply(o store.Object, ifVersion uint64) (uint64, error) {
+func (s *Store) apply(o store.Object, ifVersion store.Position) (store.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.objects[o.ID()]
-	have := old.Version
+	have := old.Version.Revision()
 	if old.Deleted {
 		have = 0
 	}
-	if have != ifVersion {
+	if have != ifVersion.Revision() {
 		return 0, store.ErrConflict
 	}
-	return s.set(o).Version, nil
+	written := s.set(o).Version
+	if ifVersion != 0 && written.Era() != ifVersion.Era() {
+		return 0, store.ErrConflict // it met another object with the same revision
+	}
+	return written, nil
+}
+
+// Copy is the state of a store at one moment.
+type Copy struct {
+	version uint64
+	objects map[store.ID]store.Object
+}
+
+// Copy returns the present state.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{version: s.version, objects: maps.Clone(s.objects)}
+}
+
+// Restore has the store come back from a copy: what was written since is gone, and its
+// revisions are given out again in a new era.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = max(s.era, 1) + 1 // a store that was never restored tells no era here
+	s.version, s.objects = c.version, map[store.ID]store.Object{}
+	for id, o := range c.objects {
+		o.Version = store.At(s.era, o.Version.Revision())
+		s.objects[id] = o
+	}
+	s.wake()
 }
 
 func (s *Store) set(o store.Object) store.Object {
 	s.version++
-	o.Version = s.version
+	o.Version = store.At(s.era, s.version)
 	s.objects[o.ID()] = o
 	s.wake()
 	return o
 }
 
 // Set writes an object whatever its version and returns the new one.
-func (s *Store) Set(kind, name string, spec []byte) uint64 {
+func (s *Store) Set(kind, name string, spec []byte) store.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.set(store.Object{Kind: kind, Name: name, Spec: spec}).Version
@@ -175,7 +208,7 @@
 }
 
 // Watch implements store.Store.
-func (s *Store) Watch(ctx context.Context, kinds []string, since uint64, fn func(store.Object)) error {
+func (s *Store) Watch(ctx context.Context, kinds []string, since store.Position, fn func(store.Object)) error {
 	if _, err := s.begin(false); err != nil {
 		return err
 	}
@@ -200,7 +233,7 @@
 	}
 }
 
-func (s *Store) above(kinds map[string]bool, since uint64) ([]store.Object, bool, <-chan struct{}) {
+func (s *Store) above(kinds map[string]bool, since store.Position) ([]store.Object, bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []store.Object
--- a/inventory/feed.go
+++ b/inventory/feed.go
@@ -8,13 +8,14 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/site"
+	"github.com/snowspoke/snowspoke/store"
 )
 
-// Read is the answer to a list or to a watch: items and the store's revision,
+// Read is the answer to a list or to a watch: items and the store's position,
 // from which the next watch goes on.
 type Read[T any] struct {
-	Items    []T
-	Revision uint64
+	Items []T
+	At    store.Position
 }
 
 // ConfigRecord is one version of the configuration.
@@ -25,22 +26,23 @@
 
 // ServerRecord is the record of a backend server, or that it is gone.
 type ServerRecord struct {
-	ID       string
-	Revision uint64
-	Gone     bool
-	Raw      []byte              // as it lies in the store
-	Server   *site.BackendServer // nil when gone or invalid
-	Err      error               // why the record is invalid
+	ID     string
+	At     store.Position // of its last change
+	Gone   bool
+	Raw    []byte              // as it lies in the store
+	Server *site.BackendServer // nil when gone or invalid
+	Err    error               // why the record is invalid
 }
 
 // Feed reads the platform's store. Lists are linearizable; a watch returns as
 // soon as there is a change, or with none when the wait is over. Errors are the
-// sentinels of package store.
+// sentinels of package store; a watch from an era that is over fails with
+// store.ErrRestored.
 type Feed interface {
 	Config(ctx context.Context) (Read[ConfigRecord], error)
-	ConfigChanges(ctx context.Context, since uint64, wait time.Duration) (Read[ConfigRecord], error)
+	ConfigChanges(ctx context.Context, since store.Position, wait time.Duration) (Read[ConfigRecord], error)
 	Servers(ctx context.Context) (Read[ServerRecord], error)
-	ServerChanges(ctx context.Context, since uint64, wait time.Duration) (Read[ServerRecord], error)
+	ServerChanges(ctx context.Context, since store.Position, wait time.Duration) (Read[ServerRecord], error)
 	// DecodeConfig and DecodeServer decode what lies in the store.
 	DecodeConfig(raw []byte) (*site.Config, error)
 	DecodeServer(id string, raw []byte) (*site.BackendServer, error)
--- a/inventory/follow.go
+++ b/inventory/follow.go
@@ -21,27 +21,31 @@
 	defer i.forgetHeard()
 	var wg sync.WaitGroup
 	suspect := make(chan struct{}, 1)
+	listServers := func() {
+		select {
+		case suspect <- struct{}{}:
+		default: // the other follower knows already
+		}
+	}
 	inReach := newGate()
 	wg.Go(func() {
 		follow(ctx, &follower[ConfigRecord]{
 			name: "configuration", logger: i.logger, first: first, longest: longest, wait: configWait, gather: configGather, list: i.feed.Config, watch: i.feed.ConfigChanges,
-			take: func(items []ConfigRecord, _ bool, fresh time.Time) { i.takeConfig(items, fresh) },
+			take: func(r Read[ConfigRecord], _ bool, fresh time.Time) { i.takeConfig(r, fresh) },
 			back: inReach.open,
 			lost: func() {
 				i.forgetHeard()
 				inReach.shut()
-				select {
-				case suspect <- struct{}{}:
-				default: // the other follower knows already
-				}
+				listServers()
 			},
+			restored: listServers,
 		})
 	})
 	wg.Go(func() {
 		follow(ctx, &follower[ServerRecord]{
 			name: "backend servers", logger: i.logger, first: first, longest: longest, wait: serverWait, gather: gather, suspect: suspect,
 			list: i.feed.Servers, watch: i.feed.ServerChanges, before: inReach.await, lost: func() {}, back: func() {},
-			take: func(items []ServerRecord, full bool, _ time.Time) { i.takeServers(items, full) },
+			take: func(r Read[ServerRecord], full bool, _ time.Time) { i.takeServers(r.At, r.Items, full) },
 		})
 	})
 	wg.Wait()
@@ -57,38 +61,43 @@
 	longest time.Duration // pause after failed calls
 	suspect <-chan struct{}
 	list    func(context.Context) (Read[T], error)
-	watch   func(context.Context, uint64, time.Duration) (Read[T], error)
+	watch   func(context.Context, store.Position, time.Duration) (Read[T], error)
 	// take applies what was read; nothing newer existed at fresh.
-	take  func(items []T, full bool, fresh time.Time)
+	take  func(r Read[T], full bool, fresh time.Time)
 	lost  func() // called when reads begin to fail
 	back  func() // called when one is answered, at first and after lost
 	away  bool
 	heard bool // a read was answered
 	// before is called before each read, nil for nothing to wait for.
 	before func(context.Context)
+	// restored is called when a read shows that the store has come back from an older
+	// copy, nil for nothing to do.
+	restored func()
+	era      uint64 // of the last answer
 }
 
 // follow runs a follower until ctx ends. After a failed call it lists again,
 // since entries may have lapsed unseen.
 func follow[T any](ctx context.Context, f *follower[T]) {
 	pause := newPause(f.first, f.longest)
-	revision := uint64(0)
+	at := store.Position(0)
 	for ctx.Err() == nil {
 		if f.before != nil {
 			f.before(ctx)
 		}
-		full := revision == 0
-		r, fresh, err := f.read(ctx, revision)
+		full := at == 0
+		r, fresh, err := f.read(ctx, at)
 		if err != nil {
-			revision = 0
+			at = 0
 			f.note(err)
 			wait.For(ctx, pause.NextBackOff())
 			continue
 		}
+		f.noteEra(r.At.Era())
 		f.note(nil)
 		pause.Reset()
-		f.take(r.Items, full, fresh)
-		revision = max(revision, r.Revision)
+		f.take(r, full, fresh)
+		at = max(at, r.At)
 		if len(r.Items) > 0 {
 			wait.For(ctx, f.gather)
 		}
@@ -101,9 +110,9 @@
 // read makes one list or watch. A watch that was answered without changes after
 // its whole wait proves that there were none until then; any other answer only
 // that there were none when it was asked for.
-func (f *follower[T]) read(ctx context.Context, revision uint64) (r Read[T], fresh time.Time, err error) {
+func (f *follower[T]) read(ctx context.Context, at store.Position) (r Read[T], fresh time.Time, err error) {
 	sent := boottime.Now()
-	if revision == 0 {
+	if at == 0 {
 		r, err = f.list(ctx)
 		return r, sent, err
 	}
@@ -120,7 +129,7 @@
 			}
 		}()
 	}
-	r, err = f.watch(wctx, revision, f.wait)
+	r, err = f.watch(wctx, at, f.wait)
 	if err == nil && len(r.Items) == 0 && boottime.Since(sent) >= f.wait {
 		return r, sent.Add(f.wait - watchDoubt), nil
 	}
@@ -130,7 +139,9 @@
 // note logs when the store is lost and when it is back.
 func (f *follower[T]) note(err error) {
 	switch {
-	case err != nil && !f.away && !errors.Is(err, store.ErrCompacted):
+	case errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored):
+		_ = level.Info(f.logger).Log("msg", "store is listed again", "of", f.name, "err", err)
+	case err != nil && !f.away:
 		f.away = true
 		f.lost()
 		_ = level.Warn(f.logger).Log("msg", "store lost", "of", f.name, "err", err)
@@ -144,6 +155,14 @@
 	f.heard = f.heard || err == nil
 }
 
+// noteEra keeps the era of an answer.
+func (f *follower[T]) noteEra(era uint64) {
+	if f.heard && era > f.era && f.restored != nil {
+		f.restored()
+	}
+	f.era = era
+}
+
 func newPause(first, longest time.Duration) *backoff.ExponentialBackOff {
 	p := backoff.NewExponentialBackOff()
 	p.InitialInterval = first
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -11,6 +11,7 @@
 
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/site"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // Periods of following the store.
@@ -80,16 +81,22 @@
 	rawConfig []byte          // of the configuration in force
 	state     *State          // as passed on, nil after a change
 	gone      map[string]tomb // backend servers that left, by ID
+
+	eraState
 }
 
 // tomb remembers a backend server that left, so that an older word on it does
 // not bring it back. A record written after it counts: one that lapsed in an
 // outage of the store comes back.
 type tomb struct {
-	revision uint64
-	at       time.Time
+	at    store.Position
+	since time.Time
 }
 
+// whateverKnown is the position of the word that a backend server is gone which another
+// daemon says: it comes after whatever is known of it.
+const whateverKnown = ^store.Position(0)
+
 // tombKept is how long a tomb is kept: longer than any source of old records
 // goes without reading the store.
 const tombKept = 2 * time.Minute
@@ -97,13 +104,13 @@
 type record struct {
 	server   *site.BackendServer
 	raw      []byte
-	revision uint64
-	lapsedAt time.Time // missing since an outage, zero while it is there
+	at       store.Position // of its last change
+	lapsedAt time.Time      // missing since an outage, zero while it is there
 }
 
 // New returns an empty inventory; Follow fills it, or Apply does.
 func New(feed Feed, logger log.Logger) *Inventory {
-	i := &Inventory{feed: feed, logger: logger, servers: map[string]record{}, byAddress: map[string]string{}, gone: map[string]tomb{}, notify: make(chan struct{})}
+	i := &Inventory{feed: feed, logger: logger, servers: map[string]record{}, byAddress: map[string]string{}, gone: map[string]tomb{}, eraState: newEraState(), notify: make(chan struct{})}
 	i.view.Store(NewView(nil, map[string]*site.BackendServer{}))
 	return i
 }
@@ -149,22 +156,26 @@
 	i.heard = time.Time{}
 }
 
-func (i *Inventory) takeConfig(items []ConfigRecord, fresh time.Time) {
+// takeConfig takes versions of the configuration; fresh is the zero time unless they
+// are what the store itself answered.
+func (i *Inventory) takeConfig(r Read[ConfigRecord], fresh time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if fresh.After(i.fresh) {
-		i.fresh = fresh
-	}
-	if !fresh.IsZero() {
-		i.heard = boottime.Now()
-	}
 	old := i.view.Load()
 	newest := ConfigRecord{Config: old.Config, Raw: i.rawConfig}
-	for _, c := range items {
+	for _, c := range r.Items {
 		if newest.Config == nil || c.Config.Version > newest.Config.Version {
 			newest = c
 		}
 	}
+	if !fresh.IsZero() {
+		i.noteEra(r.At)
+		i.heard = boottime.Now()
+		i.noteStored(r.Items)
+		if fresh.After(i.fresh) && !i.storeBehind(newest.Config) {
+			i.fresh = fresh
+		}
+	}
 	if newest.Config == old.Config {
 		return
 	}
@@ -173,12 +184,14 @@
 	i.publish(old.withConfig(newest.Config))
 }
 
-// takeServers applies records. A full list also tells which records are gone:
+// takeServers applies records as they were read at a position, or by a daemon whose
+// history of the store's era begins there. A full list also tells which records are gone:
 // those of a first list or of a calm time are dropped at once, those that an
 // outage may have made lapse after a grace.
-func (i *Inventory) takeServers(items []ServerRecord, full bool) {
+func (i *Inventory) takeServers(at store.Position, items []ServerRecord, full bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.noteEra(at)
 	now := time.Now()
 	listed := map[string]bool{}
 	var changed []*site.BackendServer
@@ -220,13 +233,22 @@
 	switch {
 	case known && r.Server != nil && old.server.Incarnation.Newer(r.Server.Incarnation):
 		return false // of the life before, which has ended
-	case known && r.Revision < old.revision || isGone && !r.Gone && r.Revision <= left.revision:
+	case known && r.At < old.at || isGone && !r.Gone && r.At <= left.at:
 		return false // an older word on it
-	case known && !r.Gone && r.Revision == old.revision:
+	case known && i.doubts(r, old.at, old.server) || isGone && i.doubts(r, left.at, nil):
+		i.doubted[r.ID] = r
+		return false
+	}
+	delete(i.doubted, r.ID)
+	switch {
+	case known && !r.Gone && r.At == old.at:
 		old.lapsedAt = time.Time{}
 		i.servers[r.ID] = old
 	case r.Gone:
 		if known {
+			if r.At != whateverKnown {
+				old.at = r.At
+			}
 			i.bury(r.ID, old)
 			_ = level.Info(i.logger).Log("msg", "backend server gone", "id", r.ID, "address", old.server.Address)
 		}
@@ -236,7 +258,7 @@
 		if known && old.server.ID != r.Server.ID {
 			i.logReborn(old.server, r.Server.Incarnation)
 		}
-		i.put(r.ID, record{server: r.Server, raw: r.Raw, revision: r.Revision})
+		i.put(r.ID, record{server: r.Server, raw: r.Raw, at: r.At})
 		return !known || old.server.Draining != r.Server.Draining || old.server.Held != r.Server.Held
 	}
 	return false
@@ -245,13 +267,13 @@
 // refuse drops a record that is not a backend server's, and with it what was known under
 // its name: the earlier record has been written over.
 func (i *Inventory) refuse(r ServerRecord, old record, known bool) {
-	old.revision = r.Revision
+	old.at = r.At
 	if known {
 		i.bury(r.ID, old)
 	} else {
-		i.gone[r.ID] = tomb{revision: r.Revision, at: time.Now()}
+		i.gone[r.ID] = tomb{at: r.At, since: time.Now()}
 	}
-	_ = level.Error(i.logger).Log("msg", "record refused", "id", r.ID, "revision", r.Revision, "was_used", known, "err", r.Err)
+	_ = level.Error(i.logger).Log("msg", "record refused", "id", r.ID, "revision", r.At, "was_used", known, "err", r.Err)
 }
 
 // NoteReborn takes the word of a backend server that it has started again, which its
@@ -286,7 +308,7 @@
 		return
 	}
 	left := other
-	if i.servers[other].revision > r.revision {
+	if i.servers[other].at > r.at {
 		left = id
 	}
 	i.bury(left, i.servers[left])
@@ -304,9 +326,9 @@
 		delete(i.byAddress, r.server.Address)
 	}
 	now := time.Now()
-	i.gone[id] = tomb{revision: r.revision, at: now}
+	i.gone[id] = tomb{at: r.at, since: now}
 	for other, t := range i.gone {
-		if now.Sub(t.at) > tombKept {
+		if now.Sub(t.since) > tombKept {
 			delete(i.gone, other)
 		}
 	}
@@ -314,8 +336,8 @@
 
 // lapse marks the records that a full list lacks and drops them after a grace.
 func (i *Inventory) lapse(listed map[string]bool, now time.Time) {
-	for id := range i.servers {
-		if !listed[id] {
+	for id, r := range i.servers {
+		if !listed[id] && !i.awaited(r.at) {
 			i.lapseOne(id, now)
 		}
 	}
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -16,6 +16,7 @@
 	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/site"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // plainFeed decodes records that are the JSON of our own types.
@@ -33,7 +34,7 @@
 }
 
 func entry(revision uint64) Entry {
-	return Entry{Raw: []byte(fmt.Sprintf(`{"Service":"s","Address":"a:%d"}`, revision)), Revision: revision}
+	return Entry{Raw: []byte(fmt.Sprintf(`{"Service":"s","Address":"a:%d"}`, revision)), At: store.Position(revision)}
 }
 
 func newTest() *Inventory { return New(plainFeed{}, log.NewNopLogger()) }
@@ -53,7 +54,7 @@
 func TestOneIncarnationAtAnAddress(t *testing.T) {
 	i := newTest()
 	at := func(revision uint64) Entry {
-		return Entry{Raw: []byte(`{"Service":"s","Address":"a:1"}`), Revision: revision}
+		return Entry{Raw: []byte(`{"Service":"s","Address":"a:1"}`), At: store.Position(revision)}
 	}
 	i.Apply(full(map[string]Entry{"old": at(5), "new": at(9)}))
 	require.Len(t, i.View().Servers, 1)
@@ -145,23 +146,23 @@
 
 func (f *scriptFeed) Config(context.Context) (Read[ConfigRecord], error) {
 	c, err := f.DecodeConfig([]byte("3"))
-	return Read[ConfigRecord]{Revision: 10, Items: []ConfigRecord{{Raw: []byte("3"), Config: c}}}, err
+	return Read[ConfigRecord]{At: 10, Items: []ConfigRecord{{Raw: []byte("3"), Config: c}}}, err
 }
 
-func (f *scriptFeed) ConfigChanges(ctx context.Context, _ uint64, wait time.Duration) (Read[ConfigRecord], error) {
+func (f *scriptFeed) ConfigChanges(ctx context.Context, _ store.Position, wait time.Duration) (Read[ConfigRecord], error) {
 	return f.watch(ctx, wait)
 }
 
 func (f *scriptFeed) Servers(context.Context) (Read[ServerRecord], error) {
-	return Read[ServerRecord]{Revision: 10}, nil
+	return Read[ServerRecord]{At: 10}, nil
 }
 
-func (f *scriptFeed) ServerChanges(ctx context.Context, since uint64, wait time.Duration) (Read[ServerRecord], error) {
+func (f *scriptFeed) ServerChanges(ctx context.Context, since store.Position, wait time.Duration) (Read[ServerRecord], error) {
 	select {
 	case <-ctx.Done():
 		return Read[ServerRecord]{}, ctx.Err()
 	case <-time.After(wait):
-		return Read[ServerRecord]{Revision: since}, nil
+		return Read[ServerRecord]{At: since}, nil
 	}
 }
 
@@ -212,7 +213,7 @@
 			f := &awayFeed{from: began, until: began.Add(8 * time.Second)}
 			f.watch = func(ctx context.Context, d time.Duration) (Read[ConfigRecord], error) {
 				wait.For(ctx, d)
-				return Read[ConfigRecord]{Revision: 10}, ctx.Err()
+				return Read[ConfigRecord]{At: 10}, ctx.Err()
 			}
 			i := New(f, log.NewNopLogger())
 			ctx, cancel := context.WithCancel(t.Context())
@@ -237,7 +238,7 @@
 				<-ctx.Done() // a store that says nothing
 				return Read[ConfigRecord]{}, ctx.Err()
 			case <-time.After(wait):
-				return Read[ConfigRecord]{Revision: 10}, nil
+				return Read[ConfigRecord]{At: 10}, nil
 			}
 		}}
 		i := New(f, log.NewNopLogger())
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -6,13 +6,14 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/snowspoke/snowspoke/site"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // Entry is the record of a backend server as it lies in the store.
 type Entry struct {
-	Raw      []byte
-	Revision uint64
-	Lapsed   bool // missing after an outage of the store, and kept for a moment
+	Raw    []byte
+	At     store.Position // of its last change
+	Lapsed bool           // missing after an outage of the store, and kept for a moment
 	// Server is the ID of the incarnation, which is not passed on.
 	Server string `cbor:"-"`
 }
@@ -26,6 +27,9 @@
 	// Complete says that a full list of the backend servers has come at least once:
 	// before, one that is missing is not gone.
 	Complete bool
+	// Restored is where the store's history began for this daemon in its present era,
+	// see Inventory.
+	Restored store.Position
 }
 
 // State returns what is known now. It is immutable and made once a change, as
@@ -36,12 +40,12 @@
 	if i.state != nil {
 		return i.state
 	}
-	s := &State{Config: i.rawConfig, Complete: i.listed, Servers: make(map[string]Entry, len(i.servers))}
+	s := &State{Config: i.rawConfig, Complete: i.listed, Restored: i.restored, Servers: make(map[string]Entry, len(i.servers))}
 	if c := i.view.Load().Config; c != nil {
 		s.ConfigVersion = c.Version
 	}
 	for id, r := range i.servers {
-		s.Servers[id] = Entry{Raw: r.raw, Revision: r.revision, Lapsed: !r.lapsedAt.IsZero(), Server: r.server.ID}
+		s.Servers[id] = Entry{Raw: r.raw, At: r.at, Lapsed: !r.lapsedAt.IsZero(), Server: r.server.ID}
 	}
 	i.state = s
 	return s
@@ -53,17 +57,21 @@
 	Servers map[string]Entry
 	Gone    []string
 	Full    bool // Servers are all that exist
+	// Restored is that of the daemon's State, 0 for unchanged. It says which era the
+	// daemon knows.
+	Restored store.Position
 }
 
 // Apply takes an update of another daemon. Nothing goes back: a configuration or
-// a record counts only if it is newer than what is known.
+// a record counts only if it is newer than what is known, and a daemon that has not
+// heard of the store's present era does not know what is gone in it.
 func (i *Inventory) Apply(u Update) {
 	if u.Config != nil {
 		c, err := i.feed.DecodeConfig(u.Config)
 		if err != nil {
 			_ = level.Error(i.logger).Log("msg", "configuration ignored", "err", err)
 		} else {
-			i.takeConfig([]ConfigRecord{{Raw: u.Config, Config: c}}, time.Time{})
+			i.takeConfig(Read[ConfigRecord]{Items: []ConfigRecord{{Raw: u.Config, Config: c}}}, time.Time{})
 		}
 	}
 	records := make([]ServerRecord, 0, len(u.Servers)+len(u.Gone))
@@ -73,16 +81,22 @@
 			lapsed = append(lapsed, id)
 			continue
 		}
-		r := ServerRecord{ID: id, Revision: e.Revision, Raw: e.Raw}
-		if r.Server = i.sameAs(id, e.Revision); r.Server == nil {
+		r := ServerRecord{ID: id, At: e.At, Raw: e.Raw}
+		if r.Server = i.sameAs(id, e.At); r.Server == nil {
 			r.Server, r.Err = i.feed.DecodeServer(id, e.Raw)
 		}
 		records = append(records, r)
 	}
-	for _, id := range u.Gone {
-		records = append(records, ServerRecord{ID: id, Gone: true, Revision: ^uint64(0)})
+	current := i.isCurrent(u.Restored)
+	if current {
+		for _, id := range u.Gone {
+			records = append(records, ServerRecord{ID: id, Gone: true, At: whateverKnown})
+		}
+	}
+	i.takeServers(u.Restored, records, u.Full && current)
+	if u.Full && !current {
+		i.noteListed()
 	}
-	i.takeServers(records, u.Full)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, id := range lapsed {
@@ -91,12 +105,12 @@
 	i.state = nil
 }
 
-// sameAs returns a backend server if its record is known at this revision: most
+// sameAs returns a backend server if its record is known at this position: most
 // of a full state is known to a daemon that only changes its source.
-func (i *Inventory) sameAs(id string, revision uint64) *site.BackendServer {
+func (i *Inventory) sameAs(id string, at store.Position) *site.BackendServer {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if r, known := i.servers[id]; known && r.revision == revision {
+	if r, known := i.servers[id]; known && r.at == at {
 		return r.server
 	}
 	return nil
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -19,7 +19,7 @@
 	Get(ctx context.Context, kind, name string) (store.Object, error)
 	// Put returns store.ErrConflict when the object's version is not ifVersion any
 	// more and store.ErrAmbiguous when the answer was lost.
-	Put(ctx context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error)
+	Put(ctx context.Context, kind, name string, spec []byte, ifVersion store.Position) (store.Position, error)
 }
 
 // Keeper tries to hold a lease and keeps it. Its times count those in which the VM was
@@ -116,6 +116,7 @@
 func (k *Keeper) write(ctx context.Context, a Action) (answered bool) {
 	k.mu.Lock()
 	spec, ifVersion := k.c.Propose(a, rand.Uint64())
+	era := k.c.version.Era()
 	k.mu.Unlock()
 	asked := boottime.Now()
 	version, err := k.store.Put(ctx, k.kind, k.name, spec.Encode(), ifVersion)
@@ -128,6 +129,11 @@
 			version, err = o.Version, nil
 		}
 	}
+	if err == nil && version.Era() != era {
+		// The store came back from a copy in between: what was waited out, and the
+		// fencing number, are of the era before.
+		err = store.ErrConflict
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	switch {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -16,7 +16,7 @@
 // Spec is the value of a lease object.
 type Spec struct {
 	Holder  string        `cbor:"1,keyasint"`
-	Fencing uint64        `cbor:"2,keyasint"` // grows with each new holder
+	Fencing uint64        `cbor:"2,keyasint"` // grows with each new holder, see fencingOf
 	TTL     time.Duration `cbor:"3,keyasint"`
 	Nonce   uint64        `cbor:"4,keyasint"` // of the write, settles lost answers
 }
@@ -57,15 +57,19 @@
 	ttl  time.Duration
 
 	known     bool
-	version   uint64    // of the object as last seen, 0 when there is none
-	spec      Spec      // as last seen
-	seenAt    time.Time // when this version was first seen
+	version   store.Position // of the object as last seen, 0 when there is none
+	spec      Spec           // as last seen
+	seenAt    time.Time      // when this version was first seen
 	readAt    time.Time
 	heldUntil time.Time // while this daemon holds the lease
 	fencing   uint64
 
-	lostVersion uint64    // the object as known when another daemon's write came first
-	lostAt      time.Time // zero if that never happened
+	// unsure says that what was seen may be from an older copy that the store came back
+	// from: a daemon may hold a lease that the store has lost, and does not know it yet.
+	unsure bool
+
+	lostVersion store.Position // the object as known when another daemon's write came first
+	lostAt      time.Time      // zero if that never happened
 }
 
 // New returns a candidate.
@@ -97,15 +101,33 @@
 	if !c.known || now.Sub(c.readAt) >= c.ttl/3 {
 		return Read
 	}
-	if c.version == 0 || now.Sub(c.seenAt) > c.spec.TTL {
+	if !c.unsure && c.version.Revision() == 0 || now.Sub(c.seenAt) > c.expiry() {
 		return Acquire
 	}
 	return Wait
 }
 
-// Seen takes the object as read from the store; a zero object means none. Reads
-// may be old, and one older than the read before it: it says nothing new, and a
-// lease that expires does not begin to run again by it.
+// expiry returns for how long the lease must not have changed until it counts as given up
+// or lost. One that may be from a copy says nothing of its holder's period.
+func (c *Candidate) expiry() time.Duration {
+	if c.unsure {
+		return max(c.spec.TTL, c.ttl)
+	}
+	return c.spec.TTL
+}
+
+// firstEra is the latest era that a store which has never come back from a copy tells;
+// one that tells none is in era 0.
+const firstEra = 1
+
+// fencingOf returns the number below the first fencing number of an era. Those of the
+// eras before are lower, also those that the store has lost, which would be given out
+// again otherwise.
+func fencingOf(era uint64) uint64 { return era << 32 }
+
+// Seen takes the object as read from the store; one whose version has no revision means
+// that there was none in that era. Reads may be old, and one older than the read before
+// it: it says nothing new, and a lease that expires does not begin to run again by it.
 func (c *Candidate) Seen(o store.Object, now time.Time) {
 	c.readAt = now
 	if c.known && o.Version < c.version || c.isOutdated(o.Version, now) {
@@ -113,6 +135,7 @@
 	}
 	if !c.known || o.Version > c.version {
 		c.seenAt = now
+		c.unsure = o.Version.Era() > c.version.Era() && (c.version != 0 || o.Version.Era() > firstEra)
 	}
 	c.known = true
 	c.version = o.Version
@@ -127,24 +150,27 @@
 const oldReads = 3
 
 // isOutdated reports whether a read shows what another daemon's write has replaced.
-func (c *Candidate) isOutdated(version uint64, now time.Time) bool {
+func (c *Candidate) isOutdated(version store.Position, now time.Time) bool {
 	return !c.lostAt.IsZero() && version <= c.lostVersion && now.Sub(c.lostAt) < oldReads*c.ttl
 }
 
 // Propose returns the write that the action needs, and the version that the
-// object must still have. A new holder takes a higher fencing number.
-func (c *Candidate) Propose(a Action, nonce uint64) (s Spec, ifVersion uint64) {
+// object must still have, 0 for none. A new holder takes a higher fencing number.
+func (c *Candidate) Propose(a Action, nonce uint64) (s Spec, ifVersion store.Position) {
 	s = Spec{Holder: c.self, Fencing: c.spec.Fencing, TTL: c.ttl, Nonce: nonce}
 	if a == Acquire {
-		s.Fencing++
+		s.Fencing = max(s.Fencing, fencingOf(c.version.Era())) + 1
+	}
+	if c.version.Revision() == 0 {
+		return s, 0
 	}
 	return s, c.version
 }
 
 // Written says that a proposed write took effect; asked is when it was sent,
 // before which nobody else can have begun to wait for its expiry.
-func (c *Candidate) Written(s Spec, version uint64, asked, now time.Time) {
-	c.known, c.version, c.spec, c.seenAt, c.readAt = true, version, s, now, now
+func (c *Candidate) Written(s Spec, version store.Position, asked, now time.Time) {
+	c.known, c.version, c.spec, c.seenAt, c.readAt, c.unsure = true, version, s, now, now, false
 	c.fencing = s.Fencing
 	c.heldUntil = asked.Add(c.ttl - c.ttl/safety)
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -82,7 +82,7 @@
 	b.Seen(store.Object{Version: 1, Spec: s.Encode()}, later)
 	require.Equal(t, Acquire, b.Next(later))
 	s, v = b.Propose(Acquire, 2)
-	require.Equal(t, uint64(1), v)
+	require.Equal(t, store.Position(1), v)
 	b.Written(s, 2, later, later)
 	fb, ok := b.Held(later)
 	require.True(t, ok)
@@ -140,11 +140,11 @@
 func TestOldReadsDoNotProlongALease(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := New("d1", ttl)
-	lease := func(version uint64) store.Object {
-		return store.Object{Version: version, Spec: Spec{Holder: "d0", Fencing: 1, TTL: ttl, Nonce: version}.Encode()}
+	lease := func(version store.Position) store.Object {
+		return store.Object{Version: version, Spec: Spec{Holder: "d0", Fencing: 1, TTL: ttl, Nonce: uint64(version)}.Encode()}
 	}
 	for i := range 7 {
-		c.Seen(lease(uint64(10-i%3)), now)
+		c.Seen(lease(store.Position(10-i%3)), now)
 		require.NotEqual(t, Acquire, c.Next(now), "it was renewed %s ago", time.Duration(i)*ttl/6)
 		now = now.Add(ttl / 6)
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -89,6 +89,10 @@
 	m.scope.Tagged(map[string]string{"kind": kind}).Counter("entries_refused_total").Inc(1)
 }
 
+// StoreEra records the era of the platform's store, which grows by one each time that the
+// store comes back from an older copy.
+func (m *Metrics) StoreEra(era uint64) { m.scope.Gauge("store_era").Update(float64(era)) }
+
 // EndedUnder counts backend servers that ended while they may have run a request, once
 // for each request.
 func (m *Metrics) EndedUnder() { m.scope.Counter("ended_under_requests_total").Inc(1) }
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -156,7 +156,7 @@
 	return true
 }
 
-func (f *testFleet) setModel(layers int) uint64 {
+func (f *testFleet) setModel(layers int) store.Position {
 	spec, err := json.Marshal(&topology.Model{Layers: layers, Version: "v"})
 	if err != nil {
 		panic(err)
@@ -165,7 +165,7 @@
 }
 
 // inForce reports whether every daemon has the version in force.
-func (f *testFleet) inForce(version uint64) bool {
+func (f *testFleet) inForce(version store.Position) bool {
 	for _, d := range f.daemons {
 		v, ok := d.catalog.Verdict(string(topology.KindModel), "m")
 		if !ok || v.InForce < version {
@@ -244,8 +244,8 @@
 // no daemon ever goes back to a lower version.
 func TestHalfReplaced(t *testing.T) {
 	inFleet(t, 16, func(f *testFleet) {
-		highest := map[*catalog.Catalog]uint64{}
-		v := uint64(0)
+		highest := map[*catalog.Catalog]store.Position{}
+		v := store.Position(0)
 		for i := range 8 {
 			f.kill(fmt.Sprintf("daemon-%03d", i))
 			f.add()
--- a/peer/link.go
+++ b/peer/link.go
@@ -234,7 +234,7 @@
 
 // takeObjects applies configuration from a peer and passes on what was new.
 func (n *Node) takeObjects(objects []store.Object, from string) {
-	newer := map[store.ID]uint64{}
+	newer := map[store.ID]store.Position{}
 	for _, v := range n.catalog.Apply(objects...) {
 		newer[store.ID{Kind: v.Kind, Name: v.Name}] = v.Seen
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -36,7 +36,7 @@
 type Catalog interface {
 	Mark() catalog.Mark
 	Apply(objects ...store.Object) []catalog.Verdict
-	Since(revision uint64) []store.Object
+	Since(revision store.Position) []store.Object
 }
 
 // Statuses takes the reports on backend servers that other daemons read.
--- a/relay/age_test.go
+++ b/relay/age_test.go
@@ -63,7 +63,7 @@
 	for d := range modelDomains {
 		first := len(f.all)
 		for i := range daemons / modelDomains {
-			book := newCopied(&store{})
+			book := newCopied(&copySource{})
 			book.state = state
 			o := Options{Name: daemonName(len(f.all)), Domain: string(rune('a' + d))}
 			b := &modelDaemon{node: New(o, book, book, everybody{}, log.NewNopLogger()), book: book, toPeer: map[*modelDaemon]*peerLink{}}
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -30,7 +30,7 @@
 		servers[i] = httptest.NewUnstartedServer(nil)
 		all = append(all, Member{Name: daemonName(i), Domain: domain, Address: servers[i].Listener.Addr().String()})
 	}
-	s := &store{version: 1}
+	s := &copySource{version: 1}
 	for i, domain := range domains {
 		inv, book := newCopied(s), quarantine.NewBook(quarantine.DefaultPolicy)
 		node := New(Options{Name: daemonName(i), Domain: domain, FanOut: 1, Quarantine: book}, inv, inv, all, log.NewNopLogger())
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -107,5 +107,5 @@
 }
 
 func toUpdate(u *update) inventory.Update {
-	return inventory.Update{Config: u.Config, Servers: u.Servers, Gone: u.Gone, Full: u.Full}
+	return inventory.Update{Config: u.Config, Servers: u.Servers, Gone: u.Gone, Full: u.Full, Restored: u.Restored}
 }
--- a/relay/outage_test.go
+++ b/relay/outage_test.go
@@ -10,7 +10,7 @@
 )
 
 // setAway takes the store away from all daemons or gives it back.
-func (s *store) setAway(away bool) {
+func (s *copySource) setAway(away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.away = away
@@ -33,7 +33,7 @@
 
 // domainOf starts a domain of daemons that have a configuration in force within a time.
 func domainOf(t *testing.T, daemons int, configWithin time.Duration) *chain {
-	c := newChainOf(t, daemons, &store{version: 1}, Options{ConfigWithin: configWithin})
+	c := newChainOf(t, daemons, &copySource{version: 1}, Options{ConfigWithin: configWithin})
 	require.Eventually(t, func() bool { return c.allHave(1, -1) && c.readers() == daemonName(0) }, 6*time.Second, 10*time.Millisecond)
 	return c
 }
@@ -68,7 +68,7 @@
 // another failure domain has lost the store too.
 func TestLaterDaemonsWaitOutALongOutage(t *testing.T) {
 	t.Parallel()
-	s := &store{version: 1}
+	s := &copySource{version: 1}
 	other := newNodeOf(t, "e-000", "e", s)
 	c := newChainOf(t, 6, s, Options{ConfigWithin: 4 * time.Second}, other)
 	require.Eventually(t, func() bool { return c.allHave(1, -1) && c.readers() == daemonName(0) }, 6*time.Second, 10*time.Millisecond)
@@ -78,7 +78,7 @@
 }
 
 // newNodeOf starts the only daemon of another failure domain.
-func newNodeOf(t *testing.T, name, domain string, s *store) Member {
+func newNodeOf(t *testing.T, name, domain string, s *copySource) Member {
 	inv := newCopied(s)
 	server := httptest.NewUnstartedServer(nil)
 	self := Member{Name: name, Domain: domain, Address: server.Listener.Addr().String()}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 func state(version uint64, servers map[string]inventory.Entry) *inventory.State {
@@ -17,7 +18,7 @@
 }
 
 func e(revision uint64) inventory.Entry {
-	return inventory.Entry{Raw: []byte("record"), Revision: revision}
+	return inventory.Entry{Raw: []byte("record"), At: store.Position(revision)}
 }
 
 func TestOnlyWhatChangedIsPassedOn(t *testing.T) {
@@ -50,7 +51,7 @@
 func TestLargeUpdatesAreCompressed(t *testing.T) {
 	u := &update{Full: true, Servers: map[string]inventory.Entry{}}
 	for i := range 600 {
-		u.Servers[fmt.Sprintf("i-%08d", i)] = inventory.Entry{Raw: make([]byte, 300), Revision: uint64(i)}
+		u.Servers[fmt.Sprintf("i-%08d", i)] = inventory.Entry{Raw: make([]byte, 300), At: store.Position(i)}
 	}
 	data, err := encodeUpdate(u)
 	require.NoError(t, err)
--- a/relay/session_test.go
+++ b/relay/session_test.go
@@ -38,7 +38,7 @@
 		if stated {
 			continue
 		}
-		servers := map[string]inventory.Entry{"s": {Revision: 1}}
+		servers := map[string]inventory.Entry{"s": {At: 1}}
 		if writeFrame(r.Context(), c, &frame{Update: &update{Config: []byte("1"), Servers: servers, Full: true}}) != nil {
 			return
 		}
@@ -54,7 +54,7 @@
 	server := httptest.NewServer(http.HandlerFunc(serveLateState))
 	t.Cleanup(server.Close)
 	above := Member{Name: daemonName(0), Domain: "d", Address: server.Listener.Addr().String()}
-	inv := newCopied(&store{version: 1})
+	inv := newCopied(&copySource{version: 1})
 	n := New(Options{Name: daemonName(1), Domain: "d"}, inv, inv, everybody{above}, log.NewNopLogger())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/relay/slow_test.go
+++ b/relay/slow_test.go
@@ -47,7 +47,7 @@
 func TestSlowServerIsKnownToAll(t *testing.T) {
 	t.Parallel()
 	asker := &paceOf{slow: map[string]float64{"s": 12}}
-	c := newChainOf(t, 4, &store{version: 1}, Options{FanOut: 1, Asker: asker})
+	c := newChainOf(t, 4, &copySource{version: 1}, Options{FanOut: 1, Asker: asker})
 	require.Eventually(t, func() bool { return c.allHave(1, -1) && c.readers() == daemonName(0) }, 6*time.Second, 10*time.Millisecond)
 	require.Zero(t, asker.calls, "nobody is asked while nobody is suspected")
 	allKnow := func(slowdown float64) func() bool {
@@ -79,7 +79,7 @@
 // A slow one that cannot be asked any more does not count as slow.
 func TestSilentServerIsNotSlow(t *testing.T) {
 	asker := &paceOf{slow: map[string]float64{}}
-	inv := newCopied(&store{version: 1})
+	inv := newCopied(&copySource{version: 1})
 	inv.set(1)
 	n := New(Options{Domain: "d", Asker: asker}, inv, inv, everybody{}, nil)
 	n.hearSlow(own, []packedSlow{{Server: serverHash("s"), Tenths: 30}})
@@ -96,7 +96,7 @@
 // A slow one that has left is not told any more, and nobody asks it.
 func TestSlowServerThatLeftIsForgotten(t *testing.T) {
 	asker := &paceOf{slow: map[string]float64{"left": 3}}
-	inv := newCopied(&store{version: 1})
+	inv := newCopied(&copySource{version: 1})
 	inv.set(1)
 	n := New(Options{Domain: "d", Asker: asker}, inv, inv, everybody{}, nil)
 	n.hearSlow(own, []packedSlow{{Server: serverHash("left"), Tenths: 30}})
@@ -110,7 +110,7 @@
 
 // The suspects of another domain are left to its source, unless that cannot be told.
 func TestSuspectsOfOtherDomainsAreLeftToTheirSource(t *testing.T) {
-	inv := newCopied(&store{version: 1})
+	inv := newCopied(&copySource{version: 1})
 	inv.set(1)
 	n := New(Options{Domain: "e", Asker: &paceOf{}}, inv, inv, everybody{}, nil)
 	s := serverHash("s")
--- a/relay/source.go
+++ b/relay/source.go
@@ -150,7 +150,7 @@
 // diff returns what changed between two states, nil for nothing. From nil it is
 // the full state.
 func diff(old, now *inventory.State) *update {
-	u := &update{Full: old == nil, Servers: map[string]inventory.Entry{}}
+	u := &update{Full: old == nil, Restored: now.Restored, Servers: map[string]inventory.Entry{}}
 	if old == nil {
 		old = &inventory.State{}
 	}
@@ -158,7 +158,7 @@
 		u.setConfig(old.Config, now.Config)
 	}
 	for id, e := range now.Servers {
-		if o, known := old.Servers[id]; !known || o.Revision != e.Revision || o.Lapsed != e.Lapsed {
+		if o, known := old.Servers[id]; !known || o.At != e.At || o.Lapsed != e.Lapsed {
 			u.Servers[id] = e
 		}
 	}
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// store is the platform's store in these tests: a version that daemons follow.
-type store struct {
+// copySource is the platform's store in these tests: a version that daemons follow.
+type copySource struct {
 	mu      sync.Mutex
 	version uint64
 	away    bool
@@ -65,7 +65,7 @@
 
 // copied is a daemon's inventory: a version, with how fresh it is.
 type copied struct {
-	store *store
+	store *copySource
 
 	mu      sync.Mutex
 	state   *inventory.State
@@ -84,7 +84,7 @@
 	slow     map[string]float64
 }
 
-func newCopied(s *store) *copied {
+func newCopied(s *copySource) *copied {
 	return &copied{store: s, state: &inventory.State{}, changed: make(chan struct{})}
 }
 
@@ -93,7 +93,7 @@
 		return
 	}
 	c.state = &inventory.State{
-		ConfigVersion: version, Config: []byte(fmt.Sprint(version)), Complete: true, Servers: map[string]inventory.Entry{"s": {Revision: 1}},
+		ConfigVersion: version, Config: []byte(fmt.Sprint(version)), Complete: true, Servers: map[string]inventory.Entry{"s": {At: 1}},
 	}
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -199,19 +199,19 @@
 
 // chain runs daemons of which each follows the one before it.
 type chain struct {
-	store  *store
+	store  *copySource
 	nodes  []*Node
 	copies []*copied
 	stop   []func()
 }
 
 func newChain(t *testing.T, n int) *chain {
-	return newChainOf(t, n, &store{version: 1}, Options{FanOut: 1})
+	return newChainOf(t, n, &copySource{version: 1}, Options{FanOut: 1})
 }
 
 // newChainOf starts n daemons of one domain; o is what they have in common.
 // gone are daemons whose records are still there.
-func newChainOf(t *testing.T, n int, s *store, o Options, gone ...Member) *chain {
+func newChainOf(t *testing.T, n int, s *copySource, o Options, gone ...Member) *chain {
 	c := &chain{store: s}
 	all := everybody(gone)
 	servers := make([]*httptest.Server, n)
@@ -317,7 +317,7 @@
 // answers: the second waits for it, and so nobody follows the second and is left.
 func TestSecondDaemonWaitsForTheFirst(t *testing.T) {
 	t.Parallel()
-	c := newChainOf(t, 3, &store{version: 1, away: true}, Options{FanOut: 1})
+	c := newChainOf(t, 3, &copySource{version: 1, away: true}, Options{FanOut: 1})
 	time.AfterFunc(500*time.Millisecond, func() {
 		c.store.mu.Lock()
 		defer c.store.mu.Unlock()
@@ -340,7 +340,7 @@
 		return new(net.Dialer).DialContext(ctx, network, address)
 	}}
 	began := time.Now()
-	c := newChainOf(t, 10, &store{version: 1}, o, gone)
+	c := newChainOf(t, 10, &copySource{version: 1}, o, gone)
 	require.Eventually(t, func() bool { return c.allHave(1, -1) }, 6*time.Second, 10*time.Millisecond)
 	require.Less(t, time.Since(began), 1300*time.Millisecond, "callers are held for 0.9 s from the start")
 	require.Equal(t, daemonName(0), c.readers())
@@ -362,7 +362,7 @@
 // source: its followers would take those it lacks to be gone.
 func TestDaemonWithoutAFullListIsNoSource(t *testing.T) {
 	t.Parallel()
-	inv := newCopied(&store{})
+	inv := newCopied(&copySource{})
 	inv.state = &inventory.State{ConfigVersion: 1}
 	inv.heard = time.Now()
 	n := New(Options{Name: daemonName(0), Domain: "d"}, inv, inv, everybody{}, log.NewNopLogger())
@@ -383,7 +383,7 @@
 // its source is none, and is passed over.
 func TestDaemonThatIsAboutToBeASourceIsWaitedFor(t *testing.T) {
 	t.Parallel()
-	inv := newCopied(&store{})
+	inv := newCopied(&copySource{})
 	inv.state = &inventory.State{ConfigVersion: 1, Complete: true}
 	n := New(Options{Name: daemonName(1), Domain: "d"}, inv, inv, everybody{}, log.NewNopLogger())
 	srv := httptest.NewServer(n.Handler())
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // Path is where a daemon serves its links. In the query, domainParam names the
@@ -54,6 +55,8 @@
 	Servers map[string]inventory.Entry `cbor:"2,keyasint,omitempty"`
 	Gone    []string                   `cbor:"3,keyasint,omitempty"`
 	Full    bool                       `cbor:"4,keyasint,omitempty"`
+	// Restored is that of the source's inventory.State.
+	Restored store.Position `cbor:"6,keyasint,omitempty"`
 }
 
 // ping asks how fresh the source's knowledge is, and tells the sender's loads.
--- a/store/httpstore/client.go
+++ b/store/httpstore/client.go
@@ -46,7 +46,7 @@
 }
 
 // List implements store.Store.
-func (c *Client) List(ctx context.Context, kind string) ([]store.Object, uint64, error) {
+func (c *Client) List(ctx context.Context, kind string) ([]store.Object, store.Position, error) {
 	var os []store.Object
 	h, err := c.do(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(kind), nil, nil, maxListBytes, &os)
 	if err != nil {
@@ -56,21 +56,21 @@
 	if err != nil {
 		return nil, 0, fmt.Errorf("%w: revision header: %v", store.ErrUnavailable, err)
 	}
-	return os, rev, nil
+	return os, store.Position(rev), nil
 }
 
 // Put implements store.Store.
-func (c *Client) Put(ctx context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error) {
+func (c *Client) Put(ctx context.Context, kind, name string, spec []byte, ifVersion store.Position) (store.Position, error) {
 	return c.write(ctx, http.MethodPut, kind, name, spec, ifVersion)
 }
 
 // Delete implements store.Store.
-func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error) {
+func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion store.Position) (store.Position, error) {
 	return c.write(ctx, http.MethodDelete, kind, name, nil, ifVersion)
 }
 
-func (c *Client) write(ctx context.Context, method, kind, name string, spec []byte, ifVersion uint64) (uint64, error) {
-	h := http.Header{"If-Match": {strconv.FormatUint(ifVersion, 10)}}
+func (c *Client) write(ctx context.Context, method, kind, name string, spec []byte, ifVersion store.Position) (store.Position, error) {
+	h := http.Header{"If-Match": {strconv.FormatUint(uint64(ifVersion), 10)}}
 	var o store.Object
 	_, err := c.do(ctx, method, objectPath(kind, name), h, spec, maxObjectBytes, &o)
 	return o.Version, err
@@ -127,8 +127,8 @@
 }
 
 // Watch implements store.Store: a long GET that answers one JSON object a line.
-func (c *Client) Watch(ctx context.Context, kinds []string, since uint64, fn func(store.Object)) error {
-	q := url.Values{"kind": kinds, "since": {strconv.FormatUint(since, 10)}}
+func (c *Client) Watch(ctx context.Context, kinds []string, since store.Position, fn func(store.Object)) error {
+	q := url.Values{"kind": kinds, "since": {strconv.FormatUint(uint64(since), 10)}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/watch?"+q.Encode(), nil)
 	if err != nil {
 		return err
--- a/store/store.go
+++ b/store/store.go
@@ -18,19 +18,22 @@
 	ErrAmbiguous = errors.New("store: outcome of the write unknown")
 	// ErrCompacted says that a watch asked for changes that are no longer kept.
 	ErrCompacted = errors.New("store: watch revision compacted")
+	// ErrRestored says that the store has come back from an older copy: what was read of
+	// it is of an era that is over, and is read anew.
+	ErrRestored = errors.New("store: restored from an older copy")
 )
 
 // MaxValueBytes is the largest spec that the store holds.
 const MaxValueBytes = 1 << 20
 
-// Object is a versioned value. Versions come from one counter of the store, so
+// Object is a versioned value. Versions are positions in the history of the store, so
 // they order the changes of all objects.
 type Object struct {
-	Kind    string `json:"kind"`
-	Name    string `json:"name"`
-	Version uint64 `json:"version"`
-	Deleted bool   `json:"deleted,omitempty"` // tombstone
-	Spec    []byte `json:"spec"`              // JSON or CBOR, up to MaxValueBytes
+	Kind    string   `json:"kind"`
+	Name    string   `json:"name"`
+	Version Position `json:"version"`
+	Deleted bool     `json:"deleted,omitempty"` // tombstone
+	Spec    []byte   `json:"spec"`              // JSON or CBOR, up to MaxValueBytes
 }
 
 // ID identifies an object.
@@ -45,16 +48,16 @@
 	// Get returns one object or ErrNotFound.
 	Get(ctx context.Context, kind, name string) (Object, error)
 	// List returns the objects of a kind and the store's revision.
-	List(ctx context.Context, kind string) ([]Object, uint64, error)
+	List(ctx context.Context, kind string) ([]Object, Position, error)
 	// Put writes spec if the object's version is still ifVersion; 0 means that
 	// the object must not exist. It returns the new version, ErrConflict, or
 	// ErrAmbiguous when the answer was lost.
-	Put(ctx context.Context, kind, name string, spec []byte, ifVersion uint64) (uint64, error)
+	Put(ctx context.Context, kind, name string, spec []byte, ifVersion Position) (Position, error)
 	// Delete removes the object if its version is still ifVersion.
-	Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error)
+	Delete(ctx context.Context, kind, name string, ifVersion Position) (Position, error)
 	// Watch calls fn for each change of the kinds with a version above since,
 	// until ctx ends or the watch breaks. Changes may be repeated or skipped.
-	Watch(ctx context.Context, kinds []string, since uint64, fn func(Object)) error
+	Watch(ctx context.Context, kinds []string, since Position, fn func(Object)) error
 }
 
 // VMState is the state of a VM in the platform's list.
