What is held back outlasts all daemons

Hypothesis: what daemons know of requests that crash backend servers lives in their memory alone; where all are killed at one moment it costs more backend servers.

Change: the sources of the failure domains keep the held requests in one object of the store, gathered over 150 ms, the first domain's at once, the others' half a second later if it is not there; a daemon reads it once, before it first follows the store, and tells its followers before it tells them its state. It has an end, also where the writer's clock was ahead, and is written again where the store comes back from a copy without it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,7 @@
 	metrics    *metrics.Metrics
 	stalls     *stall.Monitor
 	quarantine *quarantine.Book
+	held       *heldKeeper
 	conns      *callerConns
 	callers    *http.Server
 	checks     *http.Server
@@ -112,6 +113,7 @@
 	})
 	g.store.OnEra(func(era uint64) {
 		m.StoreEra(era)
+		g.held.wake()
 		_ = level.Info(g.log).Log("msg", "era of the store", "era", era)
 	})
 	if err := g.listen(); err != nil {
@@ -121,12 +123,13 @@
 	g.members = newMembers(self, set.FirstStart, g.store, g.log)
 	book := quarantine.NewBook(quarantine.DefaultPolicy)
 	g.quarantine = book
+	g.held = newHeldKeeper(book, g.store, g.heldTurn, g.log)
 	g.forward = forward.New(forward.Options{
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetrySlack: set.RetrySlack,
 		RetryWindow: set.RetryWindow, Restarted: !set.FirstStart, KeysFreshFor: keysFreshFor(set),
 	}, forward.Parts{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}, Quarantine: book, Stalls: stalls})
 	g.relay = relay.New(relay.Options{
-		Name: set.Name, Domain: set.FailureDomain, ConfigWithin: set.ConfigWithin, Asker: g.forward, Quarantine: book, Stalls: stalls,
+		Name: set.Name, Domain: set.FailureDomain, ConfigWithin: set.ConfigWithin, Asker: g.forward, Quarantine: book, Stalls: stalls, BeforeStore: g.held.load,
 	}, g.inv, g.forward.Loads(), g.members, g.log)
 	g.links = &http.Server{Handler: g.relay.Handler()}
 	g.keeper = lease.NewKeeper(kindLease, placingDuty, set.Name, dutyPeriod, leaseStore{g.store}, g.log)
@@ -187,6 +190,7 @@
 	wg.Go(func() { g.conns.Run(work, g.idleTimeout) })
 	wg.Go(func() { g.candidate(duty) })
 	wg.Go(func() { g.placer.Run(duty) })
+	wg.Go(func() { g.held.run(duty) })
 	failed := make(chan error, 3)
 	wg.Go(func() { failed <- g.callers.Serve(g.conns.listen(g.listeners.callers)) })
 	wg.Go(func() { failed <- g.checks.Serve(g.listeners.checks) })
@@ -255,6 +259,18 @@
 	g.relay.Run(ctx)
 }
 
+// heldTurn says whether this daemon keeps what is held back, and how many failure domains
+// come before its own.
+func (g *Gateway) heldTurn() (rank int, writes bool) {
+	before := map[string]bool{}
+	for _, m := range g.members.All() {
+		if m.Domain < g.set.FailureDomain {
+			before[m.Domain] = true
+		}
+	}
+	return len(before), g.relay.Leading()
+}
+
 // candidatePoll is the pause between two looks at whether this daemon is a
 // candidate for the duty.
 const candidatePoll = 500 * time.Millisecond
--- /dev/null
+++ b/quarantine/record.go
@@ -0,0 +1,117 @@
+package quarantine
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// RecordMost bounds the requests of a record: at 100 bytes each it stays below 13 KB. A
+// request is held back after two backend servers have ended under it, so that there are
+// never more than a few.
+const RecordMost = 128
+
+// ErrRecord says that a record cannot be read.
+var ErrRecord = errors.New("quarantine: record cannot be read")
+
+// recordEnd is an End in a record.
+type recordEnd struct {
+	_      struct{} `cbor:",toarray"`
+	Server uint32
+	Weight uint8
+	At     int64 // Unix milliseconds by the writer's clock
+}
+
+// recordEntry is an Entry in a record. It has no ServedAt: what was served last is not
+// held back.
+type recordEntry struct {
+	_       struct{} `cbor:",toarray"`
+	Print   uint64
+	Ends    []recordEnd
+	TriedAt int64 // Unix milliseconds by the writer's clock, 0 for never
+}
+
+// EncodeRecord returns entries as they are kept where they outlast all daemons.
+func EncodeRecord(entries []Entry) ([]byte, error) {
+	out := make([]recordEntry, 0, len(entries))
+	for _, e := range entries {
+		r := recordEntry{Print: uint64(e.Print)}
+		if !e.TriedAt.IsZero() {
+			r.TriedAt = e.TriedAt.UnixMilli()
+		}
+		for _, end := range e.Ends {
+			r.Ends = append(r.Ends, recordEnd{Server: uint32(end.Server), Weight: uint8(end.Weight), At: end.At.UnixMilli()})
+		}
+		out = append(out, r)
+	}
+	data, err := cbor.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("quarantine: encode: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeRecord returns the entries of a record. Clocks of two daemons differ, and may jump:
+// what lies in the future counts as now, so that an entry ends in any case.
+func DecodeRecord(data []byte, now time.Time) ([]Entry, error) {
+	var in []recordEntry
+	if err := cbor.Unmarshal(data, &in); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRecord, err)
+	}
+	if len(in) > RecordMost {
+		return nil, fmt.Errorf("%w: %d requests", ErrRecord, len(in))
+	}
+	out := make([]Entry, 0, len(in))
+	for _, r := range in {
+		e := Entry{Print: Fingerprint(r.Print)}
+		if r.TriedAt != 0 {
+			e.TriedAt = noLater(r.TriedAt, now)
+		}
+		for _, end := range r.Ends {
+			w := Weight(end.Weight)
+			if w != Possible && w != Likely || len(e.Ends) >= endsMost {
+				return nil, fmt.Errorf("%w: ends of %s", ErrRecord, e.Print)
+			}
+			e.Ends = append(e.Ends, End{Server: Server(end.Server), Weight: w, At: noLater(end.At, now)})
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+func noLater(ms int64, now time.Time) time.Time {
+	at := time.UnixMilli(ms)
+	if at.After(now) {
+		return now
+	}
+	return at
+}
+
+// SameHeld reports whether two lists of entries hold the same requests back for the same
+// ends: how far their times lie apart makes no difference.
+func SameHeld(a, b []Entry) bool {
+	return slices.Equal(heldKeys(a), heldKeys(b))
+}
+
+// heldKey is what of an entry is worth a write.
+type heldKey struct {
+	print Fingerprint
+	score int
+}
+
+func heldKeys(entries []Entry) []heldKey {
+	out := make([]heldKey, 0, len(entries))
+	for i := range entries {
+		out = append(out, heldKey{entries[i].Print, entries[i].Score()})
+	}
+	slices.SortFunc(out, func(x, y heldKey) int {
+		if x.print < y.print {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -122,14 +122,26 @@
 	n.opts.Quarantine.Join(unpackCrashes(packed, now), now)
 }
 
+// tellKnownCrashes tells the other end of a link all that is known by now.
+func (n *Node) tellKnownCrashes(ctx context.Context, c *websocket.Conn, teller *crashTeller) error {
+	for {
+		known := teller.next(n.opts.Quarantine)
+		if len(known) == 0 {
+			return nil
+		}
+		if err := writeFrame(ctx, c, &frame{Crashes: known}); err != nil {
+			return err
+		}
+	}
+}
+
 // tellCrashes tells the other end of a link what changes, until ctx ends or the link
-// does. All that is known is told first.
-func (n *Node) tellCrashes(ctx context.Context, c *websocket.Conn) {
+// does. All that was not told yet is told first.
+func (n *Node) tellCrashes(ctx context.Context, c *websocket.Conn, teller *crashTeller) {
 	book := n.opts.Quarantine
 	if book == nil {
 		return
 	}
-	var teller crashTeller
 	for {
 		changed := book.Changed()
 		if news := teller.next(book); len(news) > 0 {
--- a/relay/node.go
+++ b/relay/node.go
@@ -40,6 +40,9 @@
 	Quarantine *quarantine.Book
 	// Stalls are those of this process, which no other daemon is judged by; nil for none.
 	Stalls *stall.Monitor
+	// BeforeStore is called once, before this daemon first follows the store itself and
+	// so before it or one of its followers sends a request on; nil for nothing to do.
+	BeforeStore func(ctx context.Context)
 }
 
 // Node is one daemon's part in the relay.
@@ -55,6 +58,7 @@
 	names   names
 	slow    *slowBook
 
+	beforeStore  sync.Once
 	begun        atomic.Bool  // this daemon has been a sound source
 	reading      atomic.Bool  // this daemon follows the store itself
 	readingSince atomic.Int64 // Unix nanoseconds
--- a/relay/session.go
+++ b/relay/session.go
@@ -38,7 +38,7 @@
 	}
 	go s.pings(ctx)
 	if probe == nil {
-		go n.tellCrashes(ctx, c)
+		go n.tellCrashes(ctx, c, new(crashTeller))
 	}
 	err = s.read(ctx)
 	if cause := context.Cause(ctx); cause != nil {
--- a/relay/source.go
+++ b/relay/source.go
@@ -78,7 +78,13 @@
 		defer cancel()
 		n.answerPings(ctx, c)
 	}()
-	go n.tellCrashes(ctx, c)
+	// What is known of crashing requests goes first: the follower sends requests on once
+	// it has the state.
+	var crashes crashTeller
+	if n.tellKnownCrashes(ctx, c, &crashes) != nil {
+		return // the follower is gone
+	}
+	go n.tellCrashes(ctx, c, &crashes)
 	n.pushChanges(ctx, c)
 }
 
