--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -331,6 +331,7 @@
 		{"store silent", func() { f.trouble(standin.Silent) }},
 		{"store loses answers", func() { f.trouble(standin.LoseWrites) }},
 		{"history gone", f.site.Store.Compact},
+		{"store comes back older", f.restore},
 		{"configuration", func() { f.site.AddRoute() }},
 		{"backend server faults", f.spoil},
 		{"backend server leaves", f.leave},
@@ -357,6 +358,20 @@
 	f.during(func() { f.site.Store.SetTrouble(t) }, func() { f.site.Store.SetTrouble(standin.Sound) })
 }
 
+// writeAgainMost is how long it takes at most until the operator and the backend servers
+// have written what a store that came back from a copy has lost.
+const writeAgainMost = time.Second
+
+// restore has the store come back later from a copy of now.
+func (f *faults) restore() {
+	copied, pause := f.site.Store.Copy(), time.Duration(f.r.Int64N(int64(writeAgainMost)))
+	f.during(func() {}, func() {
+		f.site.Store.Restore(copied)
+		time.Sleep(pause)
+		f.site.WriteAgain()
+	})
+}
+
 func (f *faults) freeze(p *process) {
 	f.during(func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
 }
