A daemon that starts while the store is behind asks the others for the configuration

Hypothesis: a daemon started while the store, back from a copy, still lacks the configuration in force serves by the copy, with routes and keys that are gone.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,6 +130,7 @@
 	}, forward.Parts{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}, Quarantine: book, Stalls: stalls})
 	g.relay = relay.New(relay.Options{
 		Name: set.Name, Domain: set.FailureDomain, ConfigWithin: set.ConfigWithin, Asker: g.forward, Quarantine: book, Stalls: stalls, BeforeStore: g.held.load,
+		Restored: func() bool { return g.store.Era() > store.FirstEra },
 	}, g.inv, g.forward.Loads(), g.members, g.log)
 	g.links = &http.Server{Handler: g.relay.Handler()}
 	g.keeper = lease.NewKeeper(kindLease, placingDuty, set.Name, dutyPeriod, leaseStore{g.store}, g.log)
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/platform/standin"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -70,3 +71,33 @@
 		}, 3*time.Second, 5*time.Millisecond, "%s knows %v", r.set.Name, r.inv.View().Servers)
 	}
 }
+
+// A daemon that starts while the store still lacks the configuration in force asks the
+// others for it: it never serves by the copy.
+func TestDaemonThatKnowsOnlyTheCopyAsksTheOthers(t *testing.T) {
+	w := newWorld(t)
+	w.putConfig()
+	w.servers("plain", "", "p")
+	inDomain := func(domain string, first bool) func(*site.Settings) {
+		return func(s *site.Settings) { s.FailureDomain, s.FirstStart = domain, first }
+	}
+	first := w.daemon("vm-1", inDomain("domain-1", true))
+	other := w.daemon("vm-2", inDomain("domain-2", true))
+	first.ready(t, 1)
+	other.ready(t, 1)
+	copied := w.store.Copy()
+	w.putConfig()
+	inForce := uint64(w.version)
+	require.Eventually(t, func() bool {
+		return other.inv.View().Config.Version == inForce && len(other.members.All()) == 2
+	}, 5*time.Second, 5*time.Millisecond)
+	w.store.Restore(copied)
+	first.Kill()
+	<-first.done
+	again := w.daemon("vm-1", inDomain("domain-1", false)).ready(t, 1)
+	require.Equal(t, inForce, again.inv.View().Config.Version)
+	time.Sleep(1500 * time.Millisecond)
+	require.Greater(t, again.inv.Age(boottime.Now()), time.Second, "the copy proves nothing")
+	w.store.Set("config", "main", w.config)
+	require.Eventually(t, func() bool { return again.inv.Age(boottime.Now()) < 950*time.Millisecond }, 3*time.Second, 5*time.Millisecond)
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -116,10 +116,6 @@
 	return c.spec.TTL
 }
 
-// firstEra is the latest era that a store which has never come back from a copy tells;
-// one that tells none is in era 0.
-const firstEra = 1
-
 // fencingOf returns the number below the first fencing number of an era. Those of the
 // eras before are lower, also those that the store has lost, which would be given out
 // again otherwise.
@@ -135,7 +131,7 @@
 	}
 	if !c.known || o.Version > c.version {
 		c.seenAt = now
-		c.unsure = o.Version.Era() > c.version.Era() && (c.version != 0 || o.Version.Era() > firstEra)
+		c.unsure = o.Version.Era() > c.version.Era() && (c.version != 0 || o.Version.Era() > store.FirstEra)
 	}
 	c.known = true
 	c.version = o.Version
--- a/relay/candidates.go
+++ b/relay/candidates.go
@@ -48,6 +48,19 @@
 	return append(out, others...)
 }
 
+// nextOfDomain returns the daemons of the own domain that take over from this one: they
+// follow the store while this one is away.
+func (n *Node) nextOfDomain() []Member {
+	var next []Member
+	for _, m := range n.members.All() {
+		if m.Domain == n.opts.Domain && m.Name != n.opts.Name {
+			next = append(next, m)
+		}
+	}
+	slices.SortFunc(next, byName)
+	return next[:min(len(next), ownSources)]
+}
+
 func byName(a, b Member) int { return strings.Compare(a.Name, b.Name) }
 
 // otherSources returns the first daemon of each other domain: most likely its
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -146,9 +146,7 @@
 	n.mu.Lock()
 	n.source = sctx
 	n.mu.Unlock()
-	if n.opts.BeforeStore != nil {
-		n.beforeStore.Do(func() { n.opts.BeforeStore(sctx) })
-	}
+	n.beforeStore.Do(func() { n.prepare(sctx) })
 	var wg sync.WaitGroup
 	first, longest := quickPause, quickPauseMost
 	if len(n.candidates()) >= ownSources {
--- a/relay/node.go
+++ b/relay/node.go
@@ -43,6 +43,9 @@
 	// BeforeStore is called once, before this daemon first follows the store itself and
 	// so before it or one of its followers sends a request on; nil for nothing to do.
 	BeforeStore func(ctx context.Context)
+	// Restored reports whether the store has ever come back from an older copy, as far as
+	// this daemon has heard when BeforeStore is over; nil for no.
+	Restored func() bool
 }
 
 // Node is one daemon's part in the relay.
--- a/relay/source.go
+++ b/relay/source.go
@@ -233,6 +233,9 @@
 			n.hearCrashes(p.Crashes)
 			answer.Crashes = crashes.next(n.opts.Quarantine)
 		}
+		if p.WantsConfig {
+			answer.Config = n.inv.State().Config
+		}
 		if err := writeFrame(ctx, c, &frame{Pong: answer}); err != nil {
 			return // the link is over
 		}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -79,6 +79,8 @@
 	Suspects []uint32 `cbor:"9,keyasint,omitempty"`
 	// Crashes are told here to the source of another domain.
 	Crashes []packedCrash `cbor:"10,keyasint,omitempty"`
+	// WantsConfig asks for the configuration in force.
+	WantsConfig bool `cbor:"11,keyasint,omitempty"`
 }
 
 // pong answers a ping of the same number.
@@ -97,6 +99,8 @@
 	Slow    []packedSlow `cbor:"9,keyasint,omitempty"`
 	// Crashes are told here to the source of another domain.
 	Crashes []packedCrash `cbor:"10,keyasint,omitempty"`
+	// Config is the configuration in force, if it was asked for.
+	Config []byte `cbor:"11,keyasint,omitempty"`
 }
 
 // told returns the loads that a ping tells, of backend servers with these names.
--- a/store/position.go
+++ b/store/position.go
@@ -13,6 +13,10 @@
 // a second it lasts for 8,900 years. What is left holds 65,535 returns of the store.
 const revisionBits = 48
 
+// FirstEra is the latest era that a store which has never come back from a copy tells; one
+// that tells none is in era 0.
+const FirstEra = 1
+
 // At returns the position of a revision in an era.
 func At(era, revision uint64) Position {
 	return Position(era<<revisionBits | revision&(1<<revisionBits-1))
