The fleet knows which backend servers are crowded, by their own word

What daemons know of each other's loads is several seconds old and leaves out the requests of daemons that ended; at 38 s four heads had 38 to 88 requests waiting with their memory at 0.99, while the choice took them to be 0.5 to 0.6 full, and others had room; two seconds later the same heads got a tenth of the requests, and four seconds later all again.

Change: what is told of slow cards (suspects up, one daemon asks, answers down) becomes a condition: how slow, how full, how many wait. The source of a failure domain asks those that the known loads put at 0.7 of their memory or slots, all of them for 8 s after a start, and the crowded ones at each look (0.25 s); its followers are told as it changes, no longer with the answers to pings. A card counts as full by the larger of promise and word, and one at which requests wait as having no room.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -99,6 +99,7 @@
 	started      time.Time    // earlier by a window where nothing ran before
 	keysFreshFor atomic.Int64 // see Options
 	requests     atomic.Int64
+	crowded      atomic.Int64 // backend servers that were crowded when last told
 }
 
 // defaultRetryWindow is that of a site which sets none.
@@ -126,7 +127,7 @@
 	f.keysFreshFor.Store(int64(o.KeysFreshFor))
 	f.loads.observe = f.noteLoadsAge
 	f.loads.refused = f.noteRefusedLoads
-	f.loads.noteSlow = f.noteSlowServers
+	f.loads.noteConditions = f.noteConditions
 	f.stalls.OnWake(f.wake)
 	if !o.Restarted {
 		f.started = f.started.Add(-o.RetryWindow)
@@ -183,7 +184,7 @@
 
 func (f *Forwarder) forget(known map[string]*site.BackendServer) {
 	f.loads.Prune(known)
-	f.loads.slow.prune(known)
+	f.loads.conditions.prune(known)
 	f.health.Prune(func(id string) bool { return known[id] != nil })
 	f.reports.prune(known)
 	f.probes.prune(known)
--- a/forward/loads.go
+++ b/forward/loads.go
@@ -17,14 +17,14 @@
 	servers  map[string]*serverLoad
 	inFlight int
 
-	others        map[string]relay.LoadItem // of the other daemons together
-	othersAt      time.Time
-	othersDaemons int
-	othersAge     time.Duration // of the loads when they were told
-	slow          *slowServers
-	observe       func(age time.Duration)
-	refused       func(n int)
-	noteSlow      func(slow map[string]float64)
+	others         map[string]relay.LoadItem // of the other daemons together
+	othersAt       time.Time
+	othersDaemons  int
+	othersAge      time.Duration // of the loads when they were told
+	conditions     *conditions
+	observe        func(age time.Duration)
+	refused        func(n int)
+	noteConditions func(known map[string]relay.Condition, slowChanged bool)
 }
 
 type serverLoad struct {
@@ -44,8 +44,8 @@
 // NewLoads returns an empty table.
 func NewLoads() *Loads {
 	return &Loads{
-		servers: map[string]*serverLoad{}, slow: newSlowServers(),
-		observe: func(time.Duration) {}, refused: func(int) {}, noteSlow: func(map[string]float64) {},
+		servers: map[string]*serverLoad{}, conditions: newConditions(),
+		observe: func(time.Duration) {}, refused: func(int) {}, noteConditions: func(map[string]relay.Condition, bool) {},
 	}
 }
 
@@ -81,7 +81,8 @@
 // all daemons are taken to be as busy as this one.
 func (l *Loads) Of(id string, daemons float64, now time.Time) pipeline.Load {
 	load := l.shared(id, daemons, now)
-	load.Slowdown = l.slow.of(id)
+	told := l.conditions.of(id)
+	load.Slowdown, load.Full, load.Waiting = told.Slowdown, told.Full, told.Waiting
 	return load
 }
 
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -51,6 +51,9 @@
 		s.giveUp(errHeadDead)
 		return
 	}
+	if rep.Waiting > 0 {
+		s.r.f.loads.conditions.suspect(path[:1], time.Now())
+	}
 	for _, st := range rep.Stalled {
 		if at := path.At(st.Address); at != nil && at.ID != head.ID {
 			s.r.f.fail(at, "stalls streams of "+head.ID, errStalled, time.Now())
--- a/forward/split.go
+++ b/forward/split.go
@@ -55,6 +55,14 @@
 	return s.spread.Next(q, cs, f.loads.newsAge(now))
 }
 
+// needed reports whether the requests of a service follow a split.
+func (s *splits) needed(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	of := s.byService[service]
+	return of != nil && of.needed
+}
+
 // renew makes a split anew where it is due.
 func (f *Forwarder) renew(s *split, e *site.Engine, service string, view *inventory.View, now time.Time) {
 	since := now.Sub(s.at)
@@ -63,7 +71,7 @@
 	}
 	all := f.alive(view, service, e, now)
 	requests := f.inFlight(all, now)
-	slow := f.loads.slow.changes()
+	slow := f.loads.conditions.changes()
 	same := s.view == view && s.usable == len(all) && s.slow == slow
 	if same && (since < splitEvery || math.Abs(requests-s.requests) <= splitChange*s.requests) {
 		return
@@ -98,7 +106,7 @@
 	var out []pipeline.Candidate
 	for _, s := range view.OfService(service) {
 		if f.takesWork(s, e, now) {
-			out = append(out, pipeline.Candidate{Server: s, Load: pipeline.Load{Slowdown: f.loads.slow.of(s.ID)}})
+			out = append(out, pipeline.Candidate{Server: s, Load: pipeline.Load{Slowdown: f.loads.conditions.of(s.ID).Slowdown}})
 		}
 	}
 	return out
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -227,15 +227,15 @@
 	if first || moved {
 		return
 	}
-	slow := s.r.f.loads.slow
-	if !slow.late(gap, s.stepMS) {
+	known := s.r.f.loads.conditions
+	if !known.late(gap, s.stepMS) {
 		s.late = 0
 		return
 	}
 	s.late++
 	if s.late >= lateInRow {
 		s.late = 0
-		slow.suspect(s.path, now)
+		known.suspect(s.path, now)
 	}
 }
 
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -30,6 +30,10 @@
 	// Slowdown is how many times longer it takes than cards of its kind do, 0 for as
 	// long as they.
 	Slowdown float64
+	// Full is the share of its memory that is used by its own word, 0 while it is not
+	// known to be crowded, and Waiting the requests that wait there.
+	Full    float64
+	Waiting int
 }
 
 // slowed returns a predicted time as it is on a backend server that has become slow.
@@ -172,13 +176,19 @@
 // runs n layers on it. Requests are counted with the size that they have on average,
 // since they are at different points of their lives: by their size at the end a card
 // counted as full at 0.87 of its memory (worth 0.537 to 0.552 over five days of
-// trouble).
+// trouble). The card's own word counts where it says more: what the daemons have told each
+// other is seconds old, and leaves out requests of daemons that have ended. A card at
+// which requests wait has no room for another.
 func fullness(q *Query, c *Candidate, n int) float64 {
 	room := q.Engine.KVRoom(c.Server.Kind, c.Server.Held.Len())
 	if room <= 0 {
 		return math.Inf(1)
 	}
-	return (c.Load.KVUsed + q.Tokens.Mean()*float64(n)) / room
+	used := max(c.Load.KVUsed/room, c.Load.Full)
+	if c.Load.Waiting > 0 {
+		used = max(used, 1)
+	}
+	return used + q.Tokens.Mean()*float64(n)/room
 }
 
 // describe predicts the times of a path.
--- a/pipeline/split_test.go
+++ b/pipeline/split_test.go
@@ -222,6 +222,13 @@
 	told    [][]Load // what all knew of the truth, newest last
 	ends    []ending
 	spreads []Spread
+	// left are requests of daemons that have ended, which nobody tells; they are in truth.
+	left []Load
+	// asked are the conditions that the cards tell of themselves, newest last; nil for none.
+	asked        [][]Load
+	conditionAge time.Duration // of those that all know, 0 for none
+	warm         time.Duration // not counted
+	until        time.Duration // how long it is played
 
 	requests, late, refused int
 }
@@ -247,7 +254,7 @@
 	for i := range c.cs {
 		c.index[c.cs[i].Server.ID] = i
 	}
-	c.truth = make([]Load, len(c.cs))
+	c.truth, c.left, c.warm, c.until = make([]Load, len(c.cs)), make([]Load, len(c.cs)), crowdWarm, crowdRun
 	c.own = make([][]Load, daemons)
 	for i := range c.own {
 		c.own[i] = make([]Load, len(c.cs))
@@ -280,12 +287,15 @@
 			out[i].Load = Load{Running: own.Running + o.Running*others, Heads: own.Heads + o.Heads*others, KVUsed: own.KVUsed + o.KVUsed*others}
 		}
 		out[i].Load.OwnKV = own.KVUsed * float64(c.daemons)
+		if len(c.asked) > 0 {
+			out[i].Load.Full, out[i].Load.Waiting = c.asked[0][i].Full, c.asked[0][i].Waiting
+		}
 	}
 	return out
 }
 
 func (c *crowd) run(perSecond float64, choose func(daemon int, q *Query, cs []Candidate) (Choice, error)) {
-	for ; c.now < crowdRun; c.now += crowdStep {
+	for ; c.now < c.until; c.now += crowdStep {
 		c.endRequests()
 		if c.now%(200*time.Millisecond) == 0 {
 			c.tell()
@@ -308,14 +318,41 @@
 }
 
 func (c *crowd) tell() {
-	c.told = append(c.told, slices.Clone(c.truth))
-	if keep := int(c.newsAge/(200*time.Millisecond)) + 1; len(c.told) > keep {
-		c.told = c.told[1:]
+	told := slices.Clone(c.truth)
+	for i := range told {
+		told[i].Running -= c.left[i].Running
+		told[i].Heads -= c.left[i].Heads
+		told[i].KVUsed -= c.left[i].KVUsed
+	}
+	c.told = kept(append(c.told, told), c.newsAge)
+	if c.conditionAge > 0 {
+		c.asked = kept(append(c.asked, c.conditions()), c.conditionAge)
+	}
+}
+
+// kept returns the words of which the oldest is so old.
+func kept(words [][]Load, age time.Duration) [][]Load {
+	if keep := int(age/(200*time.Millisecond)) + 1; len(words) > keep {
+		return words[1:]
 	}
+	return words
+}
+
+// conditions returns what the cards say of themselves.
+func (c *crowd) conditions() []Load {
+	out := make([]Load, len(c.truth))
+	for i, l := range c.truth {
+		s := c.cs[i].Server
+		out[i].Full = l.KVUsed / c.engine.KVRoom(s.Kind, s.Held.Len())
+		if out[i].Full > 1 {
+			out[i] = Load{Full: 1, Waiting: 1}
+		}
+	}
+	return out
 }
 
 func (c *crowd) begin(daemon int, q *Query, choose func(int, *Query, []Candidate) (Choice, error)) {
-	counts := c.now >= crowdWarm
+	counts := c.now >= c.warm
 	if counts {
 		c.requests++
 	}
@@ -350,9 +387,31 @@
 	})
 }
 
+// endedDaemon is the daemon of requests that daemons left as they ended.
+const endedDaemon = -1
+
+// restart has all daemons end with so many requests under way, spread as their split does,
+// and start again: the cards go on with them for as long as they last.
+func (c *crowd) restart(requests float64) {
+	d := evenly(requests)
+	for _, domain := range fleetDomains {
+		for _, sh := range Split(c.engine, c.cs, d, domain) {
+			lasts := time.Duration(sh.LastsMS * float64(time.Millisecond))
+			for range int(sh.Rate * requests * d.Domains[domain]) {
+				c.add(endedDaemon, sh.Choice.Path, 1)
+				c.ends = append(c.ends, ending{at: time.Duration(c.rng.Int64N(int64(lasts))), daemon: endedDaemon, path: sh.Choice.Path})
+			}
+		}
+	}
+}
+
 func (c *crowd) add(daemon int, p site.Path, sign float64) {
 	for i, h := range p {
-		for _, l := range []*Load{&c.truth[c.index[h.Server.ID]], &c.own[daemon][c.index[h.Server.ID]]} {
+		of := c.left
+		if daemon != endedDaemon {
+			of = c.own[daemon]
+		}
+		for _, l := range []*Load{&c.truth[c.index[h.Server.ID]], &of[c.index[h.Server.ID]]} {
 			l.Running += sign
 			l.KVUsed += sign * Usual(c.engine).Mean() * float64(h.Layers.Len())
 			if i == 0 {
@@ -436,3 +495,31 @@
 		Split(e, cs, d, "a")
 	}
 }
+
+// playRestart plays the first four seconds after a start of all daemons of a fleet, with
+// twice as many callers as usual, while the cards go on with the requests of before.
+func playRestart(t testing.TB, conditionAge time.Duration) *crowd {
+	c := newCrowd(t, 75, 3*time.Second)
+	c.warm, c.conditionAge, c.until = 0, conditionAge, 4*time.Second
+	load := 0.8 * room(c.engine, c.cs)
+	rate := 2 * rateOf(c.engine, c.cs, 0.8)
+	c.restart(load)
+	c.follow(evenly(load))
+	c.run(rate, func(daemon int, q *Query, cs []Candidate) (Choice, error) {
+		if got, ok := c.spreads[daemon].Next(q, cs, c.newsAge); ok {
+			return got, nil
+		}
+		return Choose(q, cs, c.rng)
+	})
+	return c
+}
+
+// After a start of all daemons nobody counts the requests that the cards still run. By the
+// cards' own word, a second old, few requests are sent to where they wait for memory; who
+// cannot be served hears it at once.
+func TestCardsTellWhatNobodyCounts(t *testing.T) {
+	before, after := playRestart(t, 0), playRestart(t, time.Second)
+	t.Logf("wait for memory %.3f, before %.3f; refused %.3f, before %.3f", after.lateShare(), before.lateShare(), after.refusedShare(), before.refusedShare())
+	require.Less(t, after.lateShare(), 0.5*before.lateShare())
+	require.Less(t, after.lateShare()+after.refusedShare(), before.lateShare()+before.refusedShare())
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -63,10 +63,10 @@
 		}
 		l = &loadLink{conn: c, heard: listener{refused: n.book.RefuseLoads}}
 		links[domain] = l
-		n.slow.link(domain, true)
+		n.conditions.link(domain, true)
 	}
 	c := l.conn
-	p := &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: withLoads, LoadsOnly: true, Suspects: n.slow.collect(domain)}
+	p := &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: withLoads, LoadsOnly: true, Suspects: n.conditions.collect(domain)}
 	p.Crashes = l.crashes.next(n.opts.Quarantine)
 	answer, err := exchange(ctx, c, p)
 	if err != nil {
@@ -79,15 +79,15 @@
 		n.otherDomains.put(domain, told{at: boottime.Now(), domain: domain, loads: answer.told(&l.heard, n.serverNames())})
 	}
 	n.hearCrashes(answer.Crashes)
-	if answer.HasSlow {
-		n.hearSlow(domain, answer.Slow)
+	if answer.HasConditions {
+		n.hearConditions(domain, answer.Conditions)
 	}
 }
 
 // forgetDomain says that the source of another domain cannot be asked any more.
 func (n *Node) forgetDomain(domain string) {
-	n.slow.link(domain, false)
-	n.hearSlow(domain, nil)
+	n.conditions.link(domain, false)
+	n.hearConditions(domain, nil)
 }
 
 // exchange sends a ping and returns the answer.
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -155,7 +155,7 @@
 	wg.Go(func() { n.inv.Follow(sctx, first, longest) })
 	wg.Go(func() { n.exchangeLoads(sctx) })
 	if n.opts.Asker != nil {
-		wg.Go(func() { n.watchSlow(sctx) })
+		wg.Go(func() { n.watchConditions(sctx) })
 	}
 	n.readingSince.Store(time.Now().UnixNano())
 	n.reading.Store(true)
--- a/relay/node.go
+++ b/relay/node.go
@@ -34,7 +34,7 @@
 	// ConfigWithin is the time within which a configuration is to be in force, 0 for
 	// shortestConfigWithin.
 	ConfigWithin time.Duration
-	// Asker asks backend servers that are suspected to be slow, nil for none.
+	// Asker asks backend servers that may be slow or crowded, nil for none.
 	Asker Asker
 	// Quarantine is kept alike with those of the other daemons, nil for none.
 	Quarantine *quarantine.Book
@@ -50,16 +50,16 @@
 
 // Node is one daemon's part in the relay.
 type Node struct {
-	opts    Options
-	inv     Inventory
-	book    LoadBook
-	members Members
-	logger  log.Logger
-	ledger  *ledger
-	dialer  *http.Client // opens links
-	frames  frames
-	names   names
-	slow    *slowBook
+	opts       Options
+	inv        Inventory
+	book       LoadBook
+	members    Members
+	logger     log.Logger
+	ledger     *ledger
+	dialer     *http.Client // opens links
+	frames     frames
+	names      names
+	conditions *conditionBook
 
 	beforeStore  sync.Once
 	begun        atomic.Bool  // this daemon has been a sound source
@@ -95,7 +95,7 @@
 		o.ConfigWithin = shortestConfigWithin
 	}
 	return &Node{
-		opts: o, inv: inv, book: book, members: m, logger: logger, ledger: newLedger(), dialer: newDialer(o.Connect, o.Stalls), slow: newSlowBook(),
+		opts: o, inv: inv, book: book, members: m, logger: logger, ledger: newLedger(), dialer: newDialer(o.Connect, o.Stalls), conditions: newConditionBook(),
 		otherDomains: newLedger(), above: newLedger(), source: context.Background(),
 	}
 }
--- a/relay/session.go
+++ b/relay/session.go
@@ -34,7 +34,7 @@
 	defer s.silent.Stop()
 	if probe == nil {
 		defer n.forgetUpstream()
-		defer n.hearSlow(sourceLoads, nil)
+		defer n.hearConditions(sourceLoads, nil)
 	}
 	go s.pings(ctx)
 	if probe == nil {
@@ -138,7 +138,7 @@
 	p := &ping{Sender: s.node.opts.Name, Domain: s.node.opts.Domain}
 	if s.probe == nil {
 		s.node.gatherSuspects()
-		p.Suspects = s.node.slow.takeSuspects()
+		p.Suspects = s.node.conditions.takeSuspects()
 	}
 	s.mu.Lock()
 	s.number++
@@ -174,6 +174,8 @@
 					return err
 				}
 			}
+		case f.Conditions != nil && s.probe == nil:
+			s.node.hearConditions(sourceLoads, f.Conditions.Known)
 		case f.Crashes != nil:
 			s.node.hearCrashes(f.Crashes)
 		case f.Pong != nil:
@@ -237,9 +239,6 @@
 		s.node.above.put(sourceLoads, told{at: now, loads: p.told(&s.heard, s.node.serverNames())})
 		s.node.takeOthers(now)
 	}
-	if p.HasSlow {
-		s.node.hearSlow(sourceLoads, p.Slow)
-	}
 	if s.complete {
 		s.node.noteUpstream(ctx, p.Heard, now)
 	}
--- a/relay/source.go
+++ b/relay/source.go
@@ -39,9 +39,9 @@
 	// TakeSuspects returns the backend servers that this daemon suspects to be slow
 	// since the last call.
 	TakeSuspects() []string
-	// TakeSlow takes all that are known to be slow, with how many times longer they
-	// take. The map must not be changed.
-	TakeSlow(slow map[string]float64)
+	// TakeConditions takes all that are known to be slow or crowded. The map must not be
+	// changed.
+	TakeConditions(known map[string]Condition)
 }
 
 // serveLink serves one follower until the link ends: changes as they come, and
@@ -85,6 +85,7 @@
 		return // the follower is gone
 	}
 	go n.tellCrashes(ctx, c, &crashes)
+	go n.pushConditions(ctx, c)
 	n.pushChanges(ctx, c)
 }
 
@@ -199,7 +200,7 @@
 	follower, toldAt := "", time.Time{}
 	fromFollower := listener{refused: n.book.RefuseLoads}
 	var toFollower teller
-	var slowTold uint64
+	var conditionsTold uint64
 	var crashes crashTeller
 	defer func() { n.ledger.drop(follower, toldAt) }()
 	for {
@@ -227,8 +228,10 @@
 			loads := n.loadsFor(p.Sender, sameDomain, now)
 			answer.Loads, answer.Daemons, answer.LoadsAge = toFollower.changes(loads.Items), loads.Daemons, loads.Age
 		}
-		n.slow.suspect(p.Suspects)
-		slowTold = n.tellSlow(answer, sameDomain, slowTold)
+		n.conditions.suspect(p.Suspects)
+		if !sameDomain {
+			conditionsTold = n.tellConditions(answer, conditionsTold)
+		}
 		if p.LoadsOnly {
 			n.hearCrashes(p.Crashes)
 			answer.Crashes = crashes.next(n.opts.Quarantine)
@@ -242,15 +245,15 @@
 	}
 }
 
-// tellSlow adds to an answer the slow backend servers if they have changed since the
-// version told: all that are known for a daemon of this domain, what this daemon found
-// out itself for the source of another. It returns the version told now.
-func (n *Node) tellSlow(answer *pong, sameDomain bool, told uint64) uint64 {
-	slow, version := n.slow.all(func(from string) bool { return sameDomain || from == own })
+// tellConditions adds to an answer for the source of another domain what this daemon
+// found out itself of slow and crowded backend servers, if that has changed since the
+// version told. It returns the version told now.
+func (n *Node) tellConditions(answer *pong, told uint64) uint64 {
+	known, version := n.conditions.all(func(from string) bool { return from == own })
 	if version == told {
 		return told
 	}
-	answer.HasSlow, answer.Slow = true, packSlow(slow)
+	answer.HasConditions, answer.Conditions = true, packConditions(known)
 	return version
 }
 
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -80,8 +80,8 @@
 	refused int // loads
 	cut     bool
 
-	suspects []string
-	slow     map[string]float64
+	suspects   []string
+	conditions map[string]Condition
 }
 
 func newCopied(s *copySource) *copied {
@@ -185,10 +185,10 @@
 	return out
 }
 
-func (c *copied) TakeSlow(slow map[string]float64) {
+func (c *copied) TakeConditions(known map[string]Condition) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.slow = slow
+	c.conditions = known
 }
 
 func (c *copied) RefuseLoads(n int) {
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -45,6 +45,13 @@
 	Packed []byte `cbor:"4,keyasint,omitempty"`
 	// Crashes are changes of what is known of requests under which backend servers ended.
 	Crashes []packedCrash `cbor:"5,keyasint,omitempty"`
+	// Conditions are those of the backend servers that are slow or crowded.
+	Conditions *conditions `cbor:"6,keyasint,omitempty"`
+}
+
+// conditions are those of all backend servers that are known to be slow or crowded.
+type conditions struct {
+	Known []packedCondition `cbor:"1,keyasint"`
 }
 
 // update carries what changed at the source.
@@ -93,10 +100,11 @@
 	Daemons int           `cbor:"5,keyasint"`           // whose loads are added up
 	// LoadsAge is their mean age.
 	LoadsAge time.Duration `cbor:"7,keyasint,omitempty"`
-	// HasSlow says that Slow are all backend servers that are known to be slow; other
-	// pongs say that nothing has changed.
-	HasSlow bool         `cbor:"8,keyasint,omitempty"`
-	Slow    []packedSlow `cbor:"9,keyasint,omitempty"`
+	// HasConditions says that Conditions are those of all backend servers of the sender's
+	// domain that are known to be slow or crowded; other pongs say that nothing has
+	// changed. Followers of the own domain are told as it changes.
+	HasConditions bool              `cbor:"8,keyasint,omitempty"`
+	Conditions    []packedCondition `cbor:"9,keyasint,omitempty"`
 	// Crashes are told here to the source of another domain.
 	Crashes []packedCrash `cbor:"10,keyasint,omitempty"`
 	// Config is the configuration in force, if it was asked for.
