--- a/forward/deadlines.go
+++ b/forward/deadlines.go
@@ -58,6 +58,7 @@
 
 // wake is called when the VM has been suspended for a time.
 func (f *Forwarder) wake(suspended time.Duration) {
+	f.loads.forgetOthers()
 	f.log.Add("woken", "suspended", suspended.Round(time.Millisecond), "deadlines_passed", f.deadlines.passed(),
 		"config_age", f.inv.Age(boottime.Now()).Round(time.Millisecond))
 }
--- a/forward/loads.go
+++ b/forward/loads.go
@@ -146,6 +146,15 @@
 	l.observe(others.Age)
 }
 
+// forgetOthers forgets what was told of the other daemons' loads and of backend servers:
+// it was true before the VM was suspended. What is told next counts again.
+func (l *Loads) forgetOthers() {
+	l.mu.Lock()
+	l.others, l.othersAt, l.othersDaemons = nil, time.Time{}, 0
+	l.mu.Unlock()
+	l.TakeConditions(map[string]relay.Condition{})
+}
+
 // RefuseLoads implements relay.LoadBook.
 func (l *Loads) RefuseLoads(n int) { l.refused(n) }
 
--- a/pipeline/choose_test.go
+++ b/pipeline/choose_test.go
@@ -119,3 +119,31 @@
 	_, err = ChooseWithin(q, cs[1:3], nil)
 	require.ErrorIs(t, err, ErrNoPath)
 }
+
+// A card is as full as the larger of what the daemons have promised it and its own word,
+// and one at which requests wait has no room, whatever was promised.
+func TestCardsOwnWordCounts(t *testing.T) {
+	e := choiceEngine()
+	q := &Query{Engine: e, Tokens: Tokens{Prompt: 500, Answer: 100}}
+	n := twoPipelines(e)[0].Server.Held.Len()
+	full := func(l Load) float64 {
+		c := twoPipelines(e)[0]
+		c.Load = l
+		return fullness(q, &c, n)
+	}
+	room := e.KVRoom("fast", n)
+	one := full(Load{})
+	require.InDelta(t, 0.5+one, full(Load{KVUsed: room / 2}), 1e-9)
+	require.InDelta(t, 0.8+one, full(Load{KVUsed: room / 2, Full: 0.8}), 1e-9)
+	require.InDelta(t, 0.9+one, full(Load{KVUsed: 0.9 * room, Full: 0.8}), 1e-9)
+	require.Greater(t, full(Load{Waiting: 1}), 1.0)
+
+	cs := twoPipelines(e)
+	cs[0].Load.Waiting = 1
+	c, err := Choose(q, cs, nil)
+	require.NoError(t, err)
+	require.Equal(t, cs[2].Server.ID, c.Path[0].Server.ID)
+	cs[2].Load.Full = 1
+	_, err = Choose(q, cs, nil)
+	require.ErrorIs(t, err, ErrFull, "who cannot be served hears it at once")
+}
