--- /dev/null
+++ b/relay/eras_test.go
@@ -0,0 +1,485 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/internal/virtual"
+	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/site"
+	"github.com/snowspoke/snowspoke/store"
+)
+
+var eraHistories = flag.Int("era-histories", 100, "generated histories of a fleet before a store that comes back from copies")
+
+// eraObject is an object of an eraStore: a version of the configuration or the record of a
+// backend server.
+type eraObject struct {
+	Revision uint64
+	Version  uint64
+	Draining bool
+}
+
+// eraStore is a store in memory that comes back from copies. It implements inventory.Feed.
+type eraStore struct {
+	mu      sync.Mutex
+	era     uint64
+	rev     uint64
+	config  eraObject
+	servers map[string]eraObject
+	gone    map[string]uint64 // revision of the removal
+	changed chan struct{}
+	calls   int
+}
+
+func newEraStore() *eraStore {
+	return &eraStore{era: 1, servers: map[string]eraObject{}, gone: map[string]uint64{}, changed: make(chan struct{})}
+}
+
+func (s *eraStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// edit changes the store under its lock.
+func (s *eraStore) edit(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	f()
+	s.wake()
+}
+
+func (s *eraStore) putConfig(version uint64) {
+	s.edit(func() { s.config = eraObject{Revision: s.rev, Version: version} })
+}
+
+func (s *eraStore) putServer(id string, draining bool) {
+	s.edit(func() { s.servers[id] = eraObject{Revision: s.rev, Draining: draining} })
+}
+
+func (s *eraStore) remove(id string) {
+	s.edit(func() {
+		if _, there := s.servers[id]; there {
+			delete(s.servers, id)
+			s.gone[id] = s.rev
+		}
+	})
+}
+
+// copied returns the state now, as what brings it back.
+func (s *eraStore) copied() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rev, config, servers, gone := s.rev, s.config, maps.Clone(s.servers), maps.Clone(s.gone)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.era++
+		s.rev, s.config, s.servers, s.gone = rev, config, maps.Clone(servers), maps.Clone(gone)
+		s.wake()
+	}
+}
+
+func encoded(o eraObject) []byte {
+	data, err := json.Marshal(o)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func (s *eraStore) DecodeConfig(raw []byte) (*site.Config, error) {
+	var o eraObject
+	err := json.Unmarshal(raw, &o)
+	return site.NewConfig(o.Version, site.Limits{}, nil, nil, nil), err
+}
+
+func (s *eraStore) DecodeServer(id string, raw []byte) (*site.BackendServer, error) {
+	var o eraObject
+	err := json.Unmarshal(raw, &o)
+	return &site.BackendServer{ID: id, Incarnation: site.Incarnation{Name: id}, Service: "s", Address: id, Draining: o.Draining}, err
+}
+
+// read makes a call: take gathers what lies after a revision; a watch waits for that.
+func (s *eraStore) read(ctx context.Context, since store.Position, wait time.Duration, take func(after uint64) int) (store.Position, error) {
+	time.Sleep(4 * time.Millisecond)
+	timeout := time.After(wait)
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	for over := wait == 0; ; {
+		s.mu.Lock()
+		if since != 0 && since.Era() != s.era {
+			s.mu.Unlock()
+			return 0, store.ErrRestored
+		}
+		at, n, changed := store.At(s.era, s.rev), take(since.Revision()), s.changed
+		s.mu.Unlock()
+		if n > 0 || over {
+			return at, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-timeout:
+			over = true
+		case <-changed:
+		}
+	}
+}
+
+func (s *eraStore) Config(ctx context.Context) (inventory.Read[inventory.ConfigRecord], error) {
+	return s.ConfigChanges(ctx, 0, 0)
+}
+
+func (s *eraStore) ConfigChanges(ctx context.Context, since store.Position, wait time.Duration) (r inventory.Read[inventory.ConfigRecord], err error) {
+	r.At, err = s.read(ctx, since, wait, func(after uint64) int {
+		if s.config.Revision <= after {
+			return 0
+		}
+		raw := encoded(s.config)
+		c, derr := s.DecodeConfig(raw)
+		if derr != nil {
+			panic(derr)
+		}
+		r.Items = []inventory.ConfigRecord{{Raw: raw, Config: c}}
+		return 1
+	})
+	return r, err
+}
+
+func (s *eraStore) Servers(ctx context.Context) (inventory.Read[inventory.ServerRecord], error) {
+	return s.ServerChanges(ctx, 0, 0)
+}
+
+func (s *eraStore) ServerChanges(ctx context.Context, since store.Position, wait time.Duration) (r inventory.Read[inventory.ServerRecord], err error) {
+	r.At, err = s.read(ctx, since, wait, func(after uint64) int {
+		r.Items = nil
+		for id, o := range s.servers {
+			if o.Revision > after {
+				raw := encoded(o)
+				server, derr := s.DecodeServer(id, raw)
+				if derr != nil {
+					panic(derr)
+				}
+				r.Items = append(r.Items, inventory.ServerRecord{ID: id, At: store.At(s.era, o.Revision), Raw: raw, Server: server})
+			}
+		}
+		for id, rev := range s.gone {
+			if since != 0 && rev > after {
+				r.Items = append(r.Items, inventory.ServerRecord{ID: id, At: store.At(s.era, rev), Gone: true})
+			}
+		}
+		return len(r.Items)
+	})
+	return r, err
+}
+
+// eraFeed is a daemon's way to the store, which may be cut.
+type eraFeed struct {
+	*eraStore
+	cut atomic.Bool
+}
+
+func (f *eraFeed) Config(ctx context.Context) (inventory.Read[inventory.ConfigRecord], error) {
+	return f.ConfigChanges(ctx, 0, 0)
+}
+
+func (f *eraFeed) ConfigChanges(ctx context.Context, since store.Position, wait time.Duration) (inventory.Read[inventory.ConfigRecord], error) {
+	if f.cut.Load() {
+		return inventory.Read[inventory.ConfigRecord]{}, store.ErrUnavailable
+	}
+	return f.eraStore.ConfigChanges(ctx, since, wait)
+}
+
+func (f *eraFeed) Servers(ctx context.Context) (inventory.Read[inventory.ServerRecord], error) {
+	return f.ServerChanges(ctx, 0, 0)
+}
+
+func (f *eraFeed) ServerChanges(ctx context.Context, since store.Position, wait time.Duration) (inventory.Read[inventory.ServerRecord], error) {
+	if f.cut.Load() {
+		return inventory.Read[inventory.ServerRecord]{}, store.ErrUnavailable
+	}
+	return f.eraStore.ServerChanges(ctx, since, wait)
+}
+
+// eraFleet is a fleet whose sources follow the store and whose other daemons get their
+// states, two milliseconds a step later.
+type eraFleet struct {
+	t       *testing.T
+	store   *eraStore
+	feeds   []*eraFeed
+	sources int
+	all     []*inventory.Inventory
+	follow  []context.CancelFunc // of those that are no source
+	known   []eraKnown
+}
+
+// eraKnown is what a daemon knew at most: it may not unlearn that.
+type eraKnown struct {
+	version  uint64
+	draining map[string]bool
+	left     map[string]bool
+	there    map[string]bool
+}
+
+func newEraFleet(t *testing.T, ctx context.Context, daemons, sources int) *eraFleet {
+	f := &eraFleet{t: t, store: newEraStore(), sources: sources, follow: make([]context.CancelFunc, daemons), known: make([]eraKnown, daemons)}
+	f.store.putConfig(3)
+	for i := range 12 {
+		f.store.putServer(fmt.Sprint("s-", i), false)
+	}
+	for i := range daemons {
+		feed := &eraFeed{eraStore: f.store}
+		f.feeds = append(f.feeds, feed)
+		inv := inventory.New(feed, log.NewNopLogger())
+		f.all = append(f.all, inv)
+		f.known[i] = eraKnown{draining: map[string]bool{}, left: map[string]bool{}, there: map[string]bool{}}
+		if i < sources {
+			go inv.Follow(ctx, quickPause, quickPauseMost)
+			continue
+		}
+		above := i % sources
+		if n := i / sources; n > fanOut {
+			above = (n-1)/fanOut*sources + i%sources
+		}
+		f.attach(ctx, i, above)
+	}
+	return f
+}
+
+// attach has a daemon follow another one, from its full state on.
+func (f *eraFleet) attach(ctx context.Context, i, above int) {
+	if f.follow[i] != nil {
+		f.follow[i]()
+	}
+	ctx, f.follow[i] = context.WithCancel(ctx)
+	inv, source := f.all[i], f.all[above]
+	go func() {
+		var sent *inventory.State
+		for ctx.Err() == nil {
+			changed, now := source.Changed(), source.State()
+			if u := diff(sent, now); u != nil && now.Complete {
+				time.Sleep(2 * time.Millisecond)
+				inv.Apply(toUpdate(u))
+				sent = now
+			}
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
+		}
+	}()
+}
+
+// check looks at every daemon: nothing that it knew is unlearnt.
+func (f *eraFleet) check() {
+	for i, inv := range f.all {
+		v, k := inv.View(), &f.known[i]
+		if v.Config == nil {
+			continue
+		}
+		require.GreaterOrEqual(f.t, v.Config.Version, k.version, "daemon %d: the configuration reverts", i)
+		k.version = v.Config.Version
+		for id := range k.there {
+			if v.Servers[id] == nil {
+				delete(k.there, id)
+				k.left[id] = true
+			}
+		}
+		for id, s := range v.Servers {
+			require.False(f.t, k.left[id], "daemon %d: %s is back", i, id)
+			require.False(f.t, k.draining[id] && !s.Draining, "daemon %d: %s drains no more", i, id)
+			k.there[id], k.draining[id] = true, s.Draining
+		}
+	}
+}
+
+// isTruth reports whether every daemon knows what the store has.
+func (f *eraFleet) isTruth() bool {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	for _, inv := range f.all {
+		v := inv.View()
+		if v.Config == nil || v.Config.Version != f.store.config.Version || len(v.Servers) != len(f.store.servers) {
+			return false
+		}
+		for id, o := range f.store.servers {
+			if v.Servers[id] == nil || v.Servers[id].Draining != o.Draining {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// awaitTruth waits until every daemon knows what the store has, and returns for how long.
+func (f *eraFleet) awaitTruth(most time.Duration) time.Duration {
+	began := time.Now()
+	for !f.isTruth() {
+		require.Less(f.t, time.Since(began), most, "not all daemons know what the store has")
+		f.check()
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// writer is the operator and the backend servers: what they wrote they write again after
+// the store has come back from a copy.
+type writer struct {
+	store   *eraStore
+	version uint64
+	servers map[string]bool // whether it drains
+	left    map[string]bool
+	next    int
+}
+
+func newWriter(s *eraStore) *writer {
+	w := &writer{store: s, version: 3, servers: map[string]bool{}, left: map[string]bool{}, next: 12}
+	for i := range 12 {
+		w.servers[fmt.Sprint("s-", i)] = false
+	}
+	return w
+}
+
+func (w *writer) pick(rng *rand.Rand) string {
+	ids := slices.Sorted(maps.Keys(w.servers))
+	return ids[rng.IntN(len(ids))]
+}
+
+func (w *writer) change(rng *rand.Rand) {
+	switch rng.IntN(4) {
+	case 0:
+		w.version += 1 + uint64(rng.IntN(3))
+		w.store.putConfig(w.version)
+	case 1:
+		id := w.pick(rng)
+		w.servers[id] = true
+		w.store.putServer(id, true)
+	case 2:
+		if len(w.servers) > 3 {
+			id := w.pick(rng)
+			delete(w.servers, id)
+			w.left[id] = true
+			w.store.remove(id)
+		}
+	case 3:
+		id := fmt.Sprint("s-", w.next)
+		w.next++
+		w.servers[id] = false
+		w.store.putServer(id, false)
+	}
+}
+
+func (w *writer) writeAgain() {
+	w.store.putConfig(w.version)
+	for id, draining := range w.servers {
+		w.store.putServer(id, draining)
+	}
+	for id := range w.left {
+		w.store.remove(id)
+	}
+}
+
+// In generated histories of changes, of daemons that change their source, of sources that
+// are cut off from the store and of a store that comes back from copies, no daemon unlearns anything: no
+// configuration reverts, nothing that has left is back, what drains stays so, and what has
+// registered stays. At last all know what the store has.
+func TestNothingIsUnlearntThroughRestores(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		for seed := range *eraHistories {
+			playEras(t, rand.New(rand.NewPCG(uint64(seed), 31)))
+		}
+	})
+}
+
+func playEras(t *testing.T, rng *rand.Rand) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer func() {
+		cancel()
+		time.Sleep(10 * time.Second)
+	}()
+	f := newEraFleet(t, ctx, 9, 3)
+	w := newWriter(f.store)
+	f.awaitTruth(3 * time.Second)
+	copies, restored := []func(){f.store.copied()}, time.Now().Add(-time.Hour)
+	for range 60 {
+		time.Sleep(time.Duration(20+rng.IntN(400)) * time.Millisecond)
+		f.check()
+		switch rng.IntN(9) {
+		case 8:
+			// One that has not heard from the store for longer is left by its followers.
+			feed := f.feeds[rng.IntN(f.sources)]
+			feed.cut.Store(true)
+			time.AfterFunc(time.Duration(rng.Int64N(int64(leastUnheard))), func() { feed.cut.Store(false) })
+		case 0:
+			f.attach(ctx, f.sources+rng.IntN(len(f.all)-f.sources), rng.IntN(f.sources))
+		case 1:
+			if time.Since(restored) < 8*time.Second {
+				continue
+			}
+			restored = time.Now()
+			copies[max(0, len(copies)-1-rng.IntN(10))]()
+			for end := time.Now().Add(time.Duration(100+rng.IntN(2300)) * time.Millisecond); time.Now().Before(end); {
+				time.Sleep(20 * time.Millisecond)
+				f.check()
+			}
+			w.writeAgain()
+			copies = nil
+		default:
+			w.change(rng)
+		}
+		copies = append(copies, f.store.copied())
+	}
+	f.awaitTruth(8 * time.Second)
+}
+
+// After a return of the store all daemons of a fleet of 3, 73 and 300 know what is written
+// next within the bound on configurations, and only its sources call the store for it.
+func TestNewEraIsKnownToAFleet(t *testing.T) {
+	for daemons, sources := range map[int]int{3: 1, 73: 3, 300: 5} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer func() {
+					cancel()
+					time.Sleep(10 * time.Second)
+				}()
+				f := newEraFleet(t, ctx, daemons, sources)
+				w := newWriter(f.store)
+				f.awaitTruth(3 * time.Second)
+				restore := f.store.copied()
+				for range 20 {
+					w.change(rand.New(rand.NewPCG(1, 2)))
+					time.Sleep(100 * time.Millisecond)
+				}
+				f.awaitTruth(3 * time.Second)
+				before := f.store.calls
+				restore()
+				time.Sleep(500 * time.Millisecond)
+				f.check()
+				w.writeAgain()
+				w.version++
+				f.store.putConfig(w.version)
+				took := f.awaitTruth(2 * time.Second)
+				calls := f.store.calls - before
+				t.Logf("%d daemons: all know after %s, %d calls", daemons, took, calls)
+				require.LessOrEqual(t, calls, 12*sources, "sources alone call the store")
+			})
+		})
+	}
+}
