What lapsed in an outage is buried at the list that lacked it

It was buried at the last change that had been heard of, so that a copy with a later one brought it back for some seconds. Change: it is buried at the position of the list that lacked it.

--- a/inventory/era.go
+++ b/inventory/era.go
@@ -106,7 +106,7 @@
 	now, missing := time.Now(), 0
 	for id, r := range i.servers {
 		if r.at.Era() < era {
-			i.lapseOne(id, now)
+			i.lapseOne(id, 0, now)
 			missing++
 		}
 	}
--- a/inventory/era_test.go
+++ b/inventory/era_test.go
@@ -139,3 +139,22 @@
 		require.NotContains(t, i.View().Servers, "left")
 	})
 }
+
+// A backend server that left while this daemon had no way to the store stays away, also
+// where the copy has a later record of it than was ever heard of here.
+func TestCopyDoesNotBringBackWhatLeftUnheard(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		i := newTest()
+		i.takeServers(store.At(1, 10), []ServerRecord{listed("left", store.At(1, 4), false)}, true)
+		i.takeServers(store.At(1, 100), nil, true) // it drained at 27 and left at 29
+		time.Sleep(lapseGrace + time.Millisecond)
+		synctest.Wait()
+		require.Empty(t, i.View().Servers)
+		i.takeServers(store.At(2, 28), []ServerRecord{listed("left", store.At(2, 27), true)}, true)
+		require.Empty(t, i.View().Servers)
+		i.takeServers(store.At(2, 30), []ServerRecord{{ID: "left", At: store.At(2, 29), Gone: true}}, false)
+		time.Sleep(settleAfter)
+		synctest.Wait()
+		require.Empty(t, i.View().Servers)
+	})
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -106,6 +106,7 @@
 	raw      []byte
 	at       store.Position // of its last change
 	lapsedAt time.Time      // missing since an outage, zero while it is there
+	lapsedIn store.Position // of the list that lacked it
 }
 
 // New returns an empty inventory; Follow fills it, or Apply does.
@@ -204,7 +205,7 @@
 	i.logChanged(changed)
 	if full {
 		i.listed = true
-		i.lapse(listed, now)
+		i.lapse(at, listed, now)
 		maps.DeleteFunc(i.doubted, func(id string, _ ServerRecord) bool { return !listed[id] })
 	}
 	i.publishServers()
@@ -336,20 +337,21 @@
 }
 
 // lapse marks the records that a full list lacks and drops them after a grace.
-func (i *Inventory) lapse(listed map[string]bool, now time.Time) {
+func (i *Inventory) lapse(at store.Position, listed map[string]bool, now time.Time) {
 	for id, r := range i.servers {
 		if !listed[id] && !i.awaited(r.at) {
-			i.lapseOne(id, now)
+			i.lapseOne(id, at, now)
 		}
 	}
 }
 
-func (i *Inventory) lapseOne(id string, now time.Time) {
+// lapseOne marks one record that a list at a position lacks, or 0 where that is not known.
+func (i *Inventory) lapseOne(id string, at store.Position, now time.Time) {
 	r, known := i.servers[id]
 	if !known || !r.lapsedAt.IsZero() {
 		return
 	}
-	r.lapsedAt = now
+	r.lapsedAt, r.lapsedIn = now, at
 	i.servers[id] = r
 	i.state = nil
 	time.AfterFunc(lapseGrace, func() { i.dropLapsed(id) })
@@ -362,6 +364,9 @@
 	if !ok || r.lapsedAt.IsZero() {
 		return
 	}
+	// What was written up to the list is over, also what was never heard of here: a copy
+	// from before the list may have it.
+	r.at = max(r.at, r.lapsedIn)
 	i.bury(id, r)
 	_ = level.Info(i.logger).Log("msg", "backend server gone", "id", id, "address", r.server.Address, "reason", "record not back after an outage")
 	i.publishServers()
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -100,7 +100,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, id := range lapsed {
-		i.lapseOne(id, time.Now())
+		i.lapseOne(id, 0, time.Now())
 	}
 	i.state = nil
 }
