One read of what is held back; the keeper asks its store for what it uses

Found at the last reading of the change: load and read each made the same call with the same check and log line, and the keeper's store had a read that may be old, which nothing used. One function makes the call now.

--- a/gateway/held.go
+++ b/gateway/held.go
@@ -40,7 +40,6 @@
 // heldStore is what keeping needs of the platform's store.
 type heldStore interface {
 	Get(ctx context.Context, kind, name string) (store.Object, error)
-	GetStale(ctx context.Context, kind, name string) (store.Object, error)
 	Put(ctx context.Context, kind, name string, spec []byte, ifVersion store.Position) (store.Position, error)
 	Era() uint64
 }
@@ -79,18 +78,27 @@
 // load reads what is kept into the book, before this daemon sends its first request on.
 func (k *heldKeeper) load(ctx context.Context) {
 	for range heldTries {
-		o, err := k.store.Get(ctx, kindQuarantine, heldObject)
-		if err == nil || errors.Is(err, store.ErrNotFound) {
+		if o, answered := k.fetch(ctx); answered {
 			k.join(o)
 			return
 		}
-		_ = level.Warn(k.logger).Log("msg", "held back requests not read", "err", err)
 		if !wait.For(ctx, heldPause) {
 			return
 		}
 	}
 }
 
+// fetch reads the object, one without a revision where there is none; answered is false
+// if the store did not say.
+func (k *heldKeeper) fetch(ctx context.Context) (o store.Object, answered bool) {
+	o, err := k.store.Get(ctx, kindQuarantine, heldObject)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		_ = level.Warn(k.logger).Log("msg", "held back requests not read", "err", err)
+		return o, false
+	}
+	return o, true
+}
+
 // join takes what an object keeps into the book. One that cannot be read is written over.
 func (k *heldKeeper) join(o store.Object) []quarantine.Entry {
 	if o.Version.Revision() == 0 {
@@ -158,9 +166,8 @@
 
 // read learns what is kept now, and joins it.
 func (k *heldKeeper) read(ctx context.Context) bool {
-	o, err := k.store.Get(ctx, kindQuarantine, heldObject)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		_ = level.Warn(k.logger).Log("msg", "held back requests not read", "err", err)
+	o, answered := k.fetch(ctx)
+	if !answered {
 		return false
 	}
 	k.known, k.kept, k.version = true, k.join(o), o.Version
