Logs and a metric say which backend servers have named a limit, and what reaches them

Hypothesis: nobody can tell from logs whether a limit was named, who knew of it and what the fleet sent meanwhile; the header was read nowhere.

Change: the limit is read from any kind of answer and kept in quota.Limits. A line kind=limit says when it is learnt, changes and ends, by which call and request, and how many calls this daemon has made there within four seconds; snowspoke_limits_known counts them. Nothing is decided by it yet. The stand-in names limits and keeps what reached it.

Only the answer to a request that ran, sent after the limit was last named, ends one: answers overtake one another, and a refusal or a report may leave it out.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -67,6 +67,28 @@
 	Stalled []Stall
 }
 
+// CallKind is what reaches a backend server from a daemon.
+type CallKind string
+
+// The kinds of calls.
+const (
+	CallRequest CallKind = "request" // a caller's, also one that is sent again
+	CallReport  CallKind = "report"
+	CallOrder   CallKind = "order" // also one that moves a stream
+)
+
+// LimitWord is what one answer of a backend server says of the requests that it takes from
+// all daemons together.
+type LimitWord struct {
+	Server    string // ID
+	Call      CallKind
+	RequestID string // "" unless the call is a caller's request
+	Ran       bool   // the backend server ran the request
+	Named     bool   // the answer names a limit
+	Rate      float64
+	SentAt    time.Time // on the clock of package boottime
+}
+
 // Backends calls backend servers. Errors of Send wrap those of package execution.
 type Backends interface {
 	Send(ctx context.Context, o *Outgoing) (*Answer, error)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/quarantine"
+	"github.com/snowspoke/snowspoke/quota"
 	"github.com/snowspoke/snowspoke/site"
 	"github.com/snowspoke/snowspoke/stall"
 )
@@ -46,6 +47,8 @@
 	EndedUnder()
 	// HeldBack is told that a request is not sent because of that.
 	HeldBack()
+	// Limits is told how many limits of backend servers are known, as that changes.
+	Limits(known int)
 }
 
 // Options are the settings of a forwarder.
@@ -95,6 +98,8 @@
 	deadlines  *deadlines
 	splits     *splits
 	crossings  crossings
+	limits     *quota.Limits
+	sends      *quota.Sends
 
 	started      time.Time    // earlier by a window where nothing ran before
 	keysFreshFor atomic.Int64 // see Options
@@ -118,9 +123,10 @@
 	if p.Quarantine == nil {
 		p.Quarantine = quarantine.NewBook(quarantine.DefaultPolicy)
 	}
+	sends := quota.NewSends()
 	f := &Forwarder{
-		quarantine: p.Quarantine, stalls: p.Stalls, deadlines: newDeadlines(),
-		started: time.Now(), opts: o, inv: p.Inventory, fleet: p.Fleet, backends: p.Backends, log: p.Log, observe: p.Observer,
+		limits: quota.NewLimits(), sends: sends, quarantine: p.Quarantine, stalls: p.Stalls, deadlines: newDeadlines(),
+		started: time.Now(), opts: o, inv: p.Inventory, fleet: p.Fleet, backends: counted{p.Backends, sends}, log: p.Log, observe: p.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
 	}
@@ -190,6 +196,9 @@
 	f.probes.prune(known)
 	f.silences.prune(known)
 	f.quarantine.Forget(time.Now())
+	there := func(id string) bool { return known[id] != nil }
+	f.limits.Forget(there)
+	f.sends.Forget(there)
 }
 
 func (f *Forwarder) finish(r *run, err error) {
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -276,6 +276,9 @@
 	l.heldBack++
 }
 
+// Limits implements Observer.
+func (l *lab) Limits(int) {}
+
 // Recovered implements Observer.
 func (l *lab) Recovered(_ string, gap time.Duration) {
 	l.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,6 +128,7 @@
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetrySlack: set.RetrySlack,
 		RetryWindow: set.RetryWindow, Restarted: !set.FirstStart, KeysFreshFor: keysFreshFor(set),
 	}, forward.Parts{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}, Quarantine: book, Stalls: stalls})
+	g.backends.OnLimit(g.forward.HearLimit)
 	g.relay = relay.New(relay.Options{
 		Name: set.Name, Domain: set.FailureDomain, ConfigWithin: set.ConfigWithin, Asker: g.forward, Quarantine: book, Stalls: stalls, BeforeStore: g.held.load,
 		Restored: func() bool { return g.store.Era() > store.FirstEra },
@@ -328,6 +329,9 @@
 // HeldBack implements forward.Observer.
 func (o observer) HeldBack() { o.m.HeldBack() }
 
+// Limits implements forward.Observer.
+func (o observer) Limits(known int) { o.m.Limits(known) }
+
 // Bound implements placer.Observer.
 func (o observer) Bound(service string, requests int) {
 	o.m.TaggedGauge("bound_requests", "service", service, float64(requests))
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -100,6 +100,9 @@
 // HeldBack counts requests that were not sent since backend servers had ended under them.
 func (m *Metrics) HeldBack() { m.scope.Counter("held_back_total").Inc(1) }
 
+// Limits records how many limits of backend servers are known.
+func (m *Metrics) Limits(known int) { m.scope.Gauge("limits_known").Update(float64(known)) }
+
 // Dropped implements dispatch.Observer.
 func (m *Metrics) Dropped(d dispatch.Drops) {
 	for i, n := range []int{d.Foreign, d.Stale, d.Repeated, d.Overflow} {
--- /dev/null
+++ b/quota/limits_test.go
@@ -0,0 +1,42 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestLimitEndsByALaterRequestAlone(t *testing.T) {
+	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+	b := NewLimits()
+	hear := func(named bool, rate float64, sent, came int) Change {
+		c, _, _ := b.Hear(Word{Server: "s", Named: named, Rate: rate, SentAt: at(sent), At: at(came)})
+		return c
+	}
+	require.Equal(t, Unchanged, hear(false, 0, 0, 10), "nothing was named")
+	require.Equal(t, Learnt, hear(true, 4, 0, 20))
+	require.Equal(t, Unchanged, hear(false, 0, 15, 30), "made before the limit was named, or after: nobody knows")
+	require.Equal(t, Unchanged, hear(true, 4, 25, 40))
+	require.Equal(t, Changed, hear(true, 0, 30, 50), "zero is a limit")
+	l, known := b.Of("s")
+	require.True(t, known)
+	require.Equal(t, Limit{Server: "s", Rate: 0, Since: at(20), At: at(50)}, l)
+	require.Equal(t, Ended, hear(false, 0, 51, 60))
+	require.Equal(t, Learnt, hear(true, 1, 60, 70))
+	require.Equal(t, 1, b.Size())
+	b.Forget(func(string) bool { return false })
+	require.Zero(t, b.Size())
+}
+
+func TestSendsWithinTheWindow(t *testing.T) {
+	s := NewSends()
+	for i := range 80 {
+		s.Add("s", t0.Add(time.Duration(i)*100*time.Millisecond))
+	}
+	now := t0.Add(7900 * time.Millisecond)
+	require.InDelta(t, 41, s.Recent("s", now), 3, "a slot more than the window at most")
+	require.GreaterOrEqual(t, s.Recent("s", now), 41)
+	require.Zero(t, s.Recent("s", now.Add(Window+slot)))
+	require.Zero(t, s.Recent("other", now))
+}
