Limits in fleets of 3 to 300 forwarders; reports leave them to requests; parts of daemons that left wait

Hypothesis: a report to a head with a limit, which had an order's priority, takes what callers want: a crowded card is asked four times a second, more than the limits seen.

Change: reports come last, and a card with a limit is not asked whether it is crowded; a daemon's part is shared by the others a window after it was last listed.

--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -185,6 +185,9 @@
 	if s == nil {
 		return relay.Condition{}, errUnknownServer
 	}
+	if _, limited := f.limits.Of(id); limited {
+		return relay.Condition{}, ErrNoPermit // its limit bounds what it gets
+	}
 	r, err := f.ask(ctx, s)
 	c := relay.Condition{Slowdown: r.Pace, Waiting: r.Waiting}
 	if r.KVTotal > 0 {
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -22,7 +22,7 @@
 
 // Report implements placer.Backends.
 func (o permittedOrders) Report(ctx context.Context, s *site.BackendServer) (forward.Report, error) {
-	if err := o.g.forward.MayCall(ctx, s.ID); err != nil {
+	if err := o.g.forward.MayOrder(ctx, s.ID); err != nil {
 		return forward.Report{}, err
 	}
 	return o.g.backends.Report(ctx, s)
@@ -30,7 +30,7 @@
 
 // Hold implements placer.Backends.
 func (o permittedOrders) Hold(ctx context.Context, s *site.BackendServer, layers site.Range, atOnce bool, after, fence uint64) error {
-	if err := o.g.forward.MayCall(ctx, s.ID); err != nil {
+	if err := o.g.forward.MayOrder(ctx, s.ID); err != nil {
 		return err
 	}
 	return o.g.backends.Hold(ctx, s, layers, atOnce, after, fence)
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -98,7 +98,7 @@
 		}
 	}
 	for _, d := range f.daemons {
-		d.pool.SetFleet(names)
+		d.pool.SetFleet(names, f.now)
 	}
 }
 
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -65,8 +66,9 @@
 	sends  *Sends // of this daemon
 
 	mu        sync.Mutex
-	fleet     []string // names of all daemons, sorted; empty while not known
-	lentTo    string   // the daemon to which the own part was contributed last
+	fleet     []string             // names of all daemons, sorted; empty while not known
+	departed  map[string]time.Time // when a daemon was last among them that is not any more
+	lentTo    string               // the daemon to which the own part was contributed last
 	lentUntil time.Time
 	parts     map[string]*contribution // of other daemons
 	lines     map[string]*line         // by incarnation
@@ -82,16 +84,24 @@
 
 // NewPool returns the pool of a daemon, which has its own part.
 func NewPool(self string, limits *Limits, sends *Sends) *Pool {
-	return &Pool{self: self, limits: limits, sends: sends, parts: map[string]*contribution{}, lines: map[string]*line{}}
+	return &Pool{self: self, limits: limits, sends: sends, departed: map[string]time.Time{}, parts: map[string]*contribution{}, lines: map[string]*line{}}
 }
 
-// SetFleet sets the names of all daemons.
-func (p *Pool) SetFleet(names []string) {
+// SetFleet sets the names of all daemons. The part of one that has left is shared by the
+// others once what it has sent is out of the window.
+func (p *Pool) SetFleet(names []string, now time.Time) {
 	sorted := slices.Clone(names)
 	slices.Sort(sorted)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.fleet
 	p.fleet = sorted
+	for _, name := range before {
+		if !p.listed(name) {
+			p.departed[name] = now
+		}
+	}
+	maps.DeleteFunc(p.departed, func(name string, at time.Time) bool { return p.listed(name) || now.Sub(at) > Window })
 }
 
 // Lend says that this daemon's own part is contributed to another one's pool until then.
@@ -207,10 +217,8 @@
 		held++
 	}
 	for daemon, c := range p.parts {
-		if now.Sub(c.until) > Window {
-			delete(p.parts, daemon)
-		}
 		if !now.Before(c.until) {
+			delete(p.parts, daemon)
 			continue
 		}
 		held++
@@ -221,8 +229,8 @@
 	if !p.listed(p.self) {
 		unlisted++
 	}
-	daemons := len(p.fleet)
-	if daemons == 0 {
+	daemons := len(p.fleet) + len(p.departed)
+	if len(p.fleet) == 0 {
 		daemons = unknownDaemons
 	}
 	return float64(held) / float64(max(1, daemons+unlisted, held))
@@ -243,17 +251,14 @@
 }
 
 // sent returns what the daemons whose parts this pool holds have sent to a backend server
-// within the window. The part of one that has left is shared by the others, and what it
-// sent counts on.
+// within the window.
 func (p *Pool) sent(server string, now time.Time) int {
 	n := 0
 	if !now.Before(p.lentUntil) {
 		n = p.sends.Recent(server, now)
 	}
-	for daemon, c := range p.parts {
-		if now.Before(c.until) || !p.listed(daemon) {
-			n += c.sent[server] + c.before[server] + c.since[server]
-		}
+	for _, c := range p.parts {
+		n += c.sent[server] + c.before[server] + c.since[server]
 	}
 	return n
 }
--- a/relay/allocator.go
+++ b/relay/allocator.go
@@ -77,7 +77,7 @@
 	for i, m := range all {
 		names[i] = m.Name
 	}
-	n.opts.Pool.SetFleet(names)
+	n.opts.Pool.SetFleet(names, boottime.Now())
 }
 
 // followAllocator follows the first daemon that can be reached until that fails or one
