--- a/forward/limits.go
+++ b/forward/limits.go
@@ -20,18 +20,21 @@
 
 // HearLimitFrom takes what another daemon tells of a backend server's limit.
 func (f *Forwarder) HearLimitFrom(w quota.Word, daemon string) {
-	f.takeLimit(w, "told_by", daemon)
+	if f.takeLimit(w, "told_by", daemon) == quota.Unchanged && !w.Named {
+		f.limits.Retell(w.Server)
+	}
 }
 
-func (f *Forwarder) takeLimit(w quota.Word, source ...any) {
+func (f *Forwarder) takeLimit(w quota.Word, source ...any) quota.Change {
 	change, before, limit := f.limits.Hear(w)
 	if change == quota.Unchanged {
-		return
+		return change
 	}
 	now := boottime.Now()
 	f.observe.Limits(f.limits.Size())
 	f.log.Add("limit", append([]any{"server", w.Server, "change", change, "rate", limit.Rate, "rate_before", before.Rate,
 		"known_for", ageOf(before, now), "sent_recently", f.sends.Recent(w.Server, now), "daemons", f.fleet.Daemons()}, source...)...)
+	return change
 }
 
 // ageOf returns how long a limit has been known, 0 for none.
--- a/forward/permit.go
+++ b/forward/permit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"sync"
@@ -132,9 +134,15 @@
 	return left, back
 }
 
-// limitReached refuses a request that could be served but for limits.
-func (r *run) limitReached(err error, back time.Time) error {
-	r.f.observe.LimitReached()
+// errLimits says that a request could be served but for limits.
+var errLimits = errors.New("forward: backend servers have named limits")
+
+// limitReached refuses a request that could be served but for limits. Its caller may come
+// back when a call for it is due, or before if another backend server is asked again.
+func (r *run) limitReached(err error, back, now time.Time) error {
 	wait := max(0, boottime.Until(back)) + rand.N(returnSpread)
-	return apierror.Wrap(apierror.Overloaded, err).WithRetryAfter(wait)
+	if again := r.f.nextBack(r.req.Service, now); !again.IsZero() {
+		wait = min(wait, r.f.returnAfter(r.req.Service, now))
+	}
+	return apierror.Wrap(apierror.Overloaded, fmt.Errorf("%w: %w", errLimits, err)).WithRetryAfter(wait)
 }
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -34,6 +34,9 @@
 			if ctx.Err() != nil {
 				return nil, r.ended(ctx)
 			}
+			if errors.Is(err, errLimits) {
+				r.f.observe.LimitReached()
+			}
 			return nil, r.sayWhen(err, now)
 		}
 	}
@@ -50,7 +53,7 @@
 	cs, back := r.withRoom(cs)
 	t, err := r.findAmong(cs, view, now)
 	if err != nil && !back.IsZero() {
-		return nil, r.limitReached(err, back)
+		return nil, r.limitReached(err, back, now)
 	}
 	return t, err
 }
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -98,9 +98,6 @@
 		b.known++
 	case c == Ended:
 		b.known--
-	case c == Unchanged && !w.Named && h.named:
-		// Who said that it has ended does not know what was named since.
-		b.touch(h)
 	}
 	if c != Unchanged {
 		b.touch(h)
@@ -108,6 +105,16 @@
 	return c, before, h.limit
 }
 
+// Retell has a limit that holds told again: another daemon takes it to have ended, and does
+// not know what was named since.
+func (b *Limits) Retell(server string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h := b.words[server]; h != nil && h.named {
+		b.touch(h)
+	}
+}
+
 // name takes a word that names a limit.
 func (h *heard) name(w Word) Change {
 	if w.At.Before(h.limit.At) || !w.At.After(h.endedBy.SentAt) {
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -166,12 +166,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	share := p.share(now)
+	if daemon != p.self && p.parts[daemon] == nil {
+		return Decision{Server: r.Servers[0], After: soonest, Back: soonest} // its part is its own again, or about to be
+	}
 	var limited []*line
 	var servers []string
 	for _, server := range r.Servers {
 		limit, known := p.limits.Of(server)
 		if !known {
-			delete(p.lines, server)
 			continue
 		}
 		l := p.line(server, now)
@@ -190,7 +192,7 @@
 
 func (p *Pool) decide(l *line, server string, limit, share float64, c Class, now time.Time) Decision {
 	if share == 0 {
-		after := max(0, p.lentUntil.Sub(now))
+		after := max(soonest, p.lentUntil.Sub(now))
 		return Decision{Server: server, After: after, Back: after}
 	}
 	if sent := p.sent(server, now); float64(sent+1) > max(1, share*windowOf(limit)) {
@@ -286,13 +288,12 @@
 	return l
 }
 
-// Forget drops what is known of backend servers that are gone.
-func (p *Pool) Forget(known func(server string) bool) {
+// Forget drops what is known of backend servers that name no limit any more.
+func (p *Pool) Forget() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for server := range p.lines {
-		if !known(server) {
-			delete(p.lines, server)
-		}
-	}
+	maps.DeleteFunc(p.lines, func(server string, _ *line) bool {
+		_, known := p.limits.Of(server)
+		return !known
+	})
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,7 +1,11 @@
-// Package quota divides a limit of the whole fleet among the daemons in
-// proportion to demand. It is pure: demands and a clock in, shares out.
+// Package quota divides limits of the whole fleet among the daemons. It is pure: demands
+// and a clock in, shares and permits out.
 //
-// One daemon, the owner, grants shares of a workspace's limit. A fifth of the
+// Limits that backend servers name are kept call by call (Pool): few calls, each of which
+// counts. Quotas of workspaces are divided in proportion to demand (Owner, Tracker): many
+// requests, none of which may wait for another daemon.
+//
+// For quotas one daemon, the owner, grants shares of a workspace's limit. A fifth of the
 // limit is split evenly, so that a daemon without demand so far can begin at
 // once; the rest goes by demand. Grants of one owner add up to at most 1. A
 // daemon without a grant uses 1/N; so while an owner is replaced the shares add
--- a/relay/allocator.go
+++ b/relay/allocator.go
@@ -67,6 +67,7 @@
 	n.tellFleet()
 	for wait.For(ctx, fleetEvery) {
 		n.tellFleet()
+		n.opts.Pool.Forget()
 	}
 }
 
