--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -272,6 +272,7 @@
 		cr := rand.New(rand.NewPCG(seed, uint64(i+2)))
 		wg.Go(func() { keepCalling(ctx, callers, all, cr) })
 	}
+	wg.Go(func() { f.nameLimits(ctx, rand.New(rand.NewPCG(seed, 0))) })
 	until := time.Now().Add(*duration)
 	for time.Now().Before(until) {
 		f.inject()
@@ -280,8 +281,10 @@
 	f.heal()
 	stop()
 	wg.Wait()
+	f.endLimits()
 	f.servesAgain(callers)
 	f.nothingPanicked()
+	f.keptLimits(seed)
 	sent, served, refused := callers.Counts()
 	t.Logf("seed %d: sent %d, served %d, refused %d, faults %v", seed, sent, served, refused, f.names)
 	problems := callers.Verify()
@@ -312,6 +315,11 @@
 	r     *rand.Rand
 	names []string
 	back  sync.WaitGroup // faults that end by themselves
+
+	limiting sync.WaitGroup // backend servers that name limits
+
+	mu       sync.Mutex
+	excusing []time.Time // when a daemon was started, frozen, thawed or cut off
 }
 
 func (f *faults) inject() {
@@ -342,6 +350,9 @@
 	k := kinds[f.r.IntN(len(kinds))]
 	f.names = append(f.names, k.name)
 	k.do()
+	if strings.Contains(" kill stop freeze ", " "+k.name+" ") || strings.HasSuffix(k.name, " for one") {
+		f.excuse()
+	}
 }
 
 // during starts a fault and ends it a moment later.
@@ -373,7 +384,7 @@
 }
 
 func (f *faults) freeze(p *process) {
-	f.during(func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
+	f.during(func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT); f.excuse() })
 }
 
 // restart stops a daemon as planned and starts it again.
