An allocator gives parts back only when it stops; eight are tried at most

Found by reading the change: the end of any link took the part of its daemon out of the pool, also where a newer link had brought it; a daemon that could reach nobody dialled all others one after the other, and one whose allocator had just ended dialled it without a pause. One function waits for a better allocator now, for both uses. The generated fleets are played four at a time.

--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -185,6 +185,16 @@
 	}
 }
 
+// call sends streams for a time and waits for all of them.
+func (l *limitedLab) call(length time.Duration) {
+	var calls sync.WaitGroup
+	for n, end := 0, time.Now().Add(length); time.Now().Before(end); n++ {
+		time.Sleep(time.Duration(l.rng.ExpFloat64() / limitRate * float64(time.Second)))
+		calls.Go(func() { l.request(n) })
+	}
+	calls.Wait()
+}
+
 // over returns by how many the calls to a head exceed what the users allow, at worst, in
 // windows that end at from or later.
 func (l *limitedLab) over(head string, from time.Time) float64 {
@@ -220,13 +230,7 @@
 					named = time.Now()
 					l.limit(c.heads, 1.0/3)
 				})
-				end := time.Now().Add(limitLength)
-				var calls sync.WaitGroup
-				for n := 0; time.Now().Before(end); n++ {
-					time.Sleep(time.Duration(l.rng.ExpFloat64() / limitRate * float64(time.Second)))
-					calls.Go(func() { l.request(n) })
-				}
-				calls.Wait()
+				l.call(limitLength)
 				cancel()
 				wg.Wait()
 				require.Len(t, l.named, c.heads)
@@ -278,13 +282,7 @@
 						assert.Zero(t, limits.Size())
 					}
 				})
-				end := time.Now().Add(2*limitAfter + 2*time.Second)
-				var calls sync.WaitGroup
-				for n := 0; time.Now().Before(end); n++ {
-					time.Sleep(time.Duration(l.rng.ExpFloat64() / limitRate * float64(time.Second)))
-					calls.Go(func() { l.request(n) })
-				}
-				calls.Wait()
+				l.call(2*limitAfter + 2*time.Second)
 				cancel()
 				wg.Wait()
 			})
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -260,20 +260,32 @@
 // However daemons come, go, freeze and are cut off, those that were told send no more than
 // is allowed. A daemon that is frozen, cut off or gone is not excused here.
 func TestLimitIsKeptThroughTroubles(t *testing.T) {
-	for seed := *limitSeed; seed < *limitSeed+*limitSeeds; seed++ {
-		rng := rand.New(rand.NewPCG(seed, 3))
-		daemons := []int{3, 8, 8, 73}[rng.IntN(4)]
-		limit := []float64{0, 0.3, 1, 3.6, 7.4, 30}[rng.IntN(6)]
-		f := newLimitedFleet(seed, daemons, limit, 3*limit+1, anyClass)
-		f.run(4 * time.Second)
-		f.name()
-		named := f.now
-		for range 8 {
-			f.trouble(rng)
-			f.run(time.Duration(200+rng.IntN(2500)) * time.Millisecond)
-		}
-		require.LessOrEqual(t, f.over(named.Add(3*time.Second)), 0.0, "seed %d: %d daemons, limit %g", seed, daemons, limit)
+	for shard := range uint64(seedShards) {
+		t.Run(fmt.Sprint(shard), func(t *testing.T) {
+			t.Parallel()
+			for seed := *limitSeed + shard; seed < *limitSeed+*limitSeeds; seed += seedShards {
+				limitThroughTroubles(t, seed)
+			}
+		})
+	}
+}
+
+// seedShards is how many seeds are played at the same time.
+const seedShards = 4
+
+func limitThroughTroubles(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	daemons := []int{3, 8, 8, 73}[rng.IntN(4)]
+	limit := []float64{0, 0.3, 1, 3.6, 7.4, 30}[rng.IntN(6)]
+	f := newLimitedFleet(seed, daemons, limit, 3*limit+1, anyClass)
+	f.run(4 * time.Second)
+	f.name()
+	named := f.now
+	for range 8 {
+		f.trouble(rng)
+		f.run(time.Duration(200+rng.IntN(2500)) * time.Millisecond)
 	}
+	require.LessOrEqual(t, f.over(named.Add(3*time.Second)), 0.0, "seed %d: %d daemons, limit %g", seed, daemons, limit)
 }
 
 // trouble changes the state of some daemons.
--- a/relay/allocator.go
+++ b/relay/allocator.go
@@ -19,7 +19,7 @@
 // Times of following an allocator.
 const (
 	// betterEvery is how often one that comes before the present one is looked for, and
-	// allocatorPause the pause after no daemon at all could be reached.
+	// allocatorPause the pause after a link has ended or none could be made.
 	betterEvery    = 2 * time.Second
 	allocatorPause = 200 * time.Millisecond
 	// fleetEvery is how often the pool is told which daemons there are.
@@ -56,9 +56,8 @@
 	defer n.stopServing()
 	go n.keepFleet(ctx)
 	for ctx.Err() == nil {
-		if !n.followAllocator(ctx) {
-			wait.For(ctx, allocatorPause)
-		}
+		n.followAllocator(ctx)
+		wait.For(ctx, allocatorPause)
 	}
 }
 
@@ -82,31 +81,26 @@
 }
 
 // followAllocator follows the first daemon that can be reached until that fails or one
-// before it can be reached again. It returns false if there was none, not even this one.
-func (n *Node) followAllocator(ctx context.Context) bool {
+// before it can be reached again. It returns at once if there is none.
+func (n *Node) followAllocator(ctx context.Context) {
 	for rank, m := range n.allocators() {
 		if m.Name == n.opts.Name {
-			n.awaitBetter(ctx, rank)
-			return true
+			n.awaitBetter(ctx, rank, m)
+			return
 		}
-		c, err := n.dialAllocator(ctx, m)
-		if err != nil {
-			continue
+		if c, err := n.dialAllocator(ctx, m); err == nil {
+			n.contribute(ctx, m, rank, c)
+			return
 		}
-		n.contribute(ctx, m, rank, c)
-		return true
 	}
-	return false
 }
 
-// awaitBetter returns when one of the first daemons in the order may be followed.
-func (n *Node) awaitBetter(ctx context.Context, rank int) {
+// awaitBetter returns when a daemon that comes before a present allocator can be reached,
+// or the list of daemons has changed so that it is not of that rank any more.
+func (n *Node) awaitBetter(ctx context.Context, rank int, present Member) {
 	for wait.For(ctx, betterEvery) {
 		all := n.allocators()
-		if rank >= len(all) || all[rank].Name != n.opts.Name {
-			return // the list has changed
-		}
-		if n.anyReached(ctx, all[:rank]) {
+		if rank >= len(all) || all[rank].Name != present.Name || n.anyReached(ctx, all[:rank]) {
 			return
 		}
 	}
@@ -146,9 +140,10 @@
 	_ = level.Info(n.logger).Log("msg", "following the allocator", "name", m.Name, "rank", rank)
 	go n.tellWords(ctx, c)
 	go a.watch(ctx, cancel)
-	if rank > 0 {
-		go n.lookForBetterAllocator(ctx, rank, m, cancel)
-	}
+	go func() {
+		n.awaitBetter(ctx, rank, m)
+		cancel(errBetter)
+	}()
 	n.allocator.Store(a)
 	err := a.read(ctx)
 	n.allocator.Store(nil)
@@ -158,16 +153,6 @@
 	_ = level.Info(n.logger).Log("msg", "allocator left", "name", m.Name, "err", err)
 }
 
-func (n *Node) lookForBetterAllocator(ctx context.Context, rank int, m Member, leave context.CancelCauseFunc) {
-	for wait.For(ctx, betterEvery) {
-		all := n.allocators()
-		if rank >= len(all) || all[rank].Name != m.Name || n.anyReached(ctx, all[:rank]) {
-			leave(errBetter)
-			return
-		}
-	}
-}
-
 // watch ends the link when the allocator does not ask for the part although a limit is
 // known: the link may have gone silent for good while nothing was said on it.
 func (a *allocator) watch(ctx context.Context, leave context.CancelCauseFunc) {
--- a/relay/permits.go
+++ b/relay/permits.go
@@ -140,13 +140,17 @@
 	return &f, nil
 }
 
-// allocators returns the daemons in the order in which all try them.
+// allocatorsMost is how many daemons are tried: where that many cannot be reached, a daemon
+// is better off alone.
+const allocatorsMost = 8
+
+// allocators returns the first daemons of the order in which all try them.
 func (n *Node) allocators() []Member {
 	all := slices.Clone(n.members.All())
 	slices.SortFunc(all, func(x, y Member) int {
 		return cmp.Or(cmp.Compare(allocatorWeight(x), allocatorWeight(y)), byName(x, y))
 	})
-	return all
+	return all[:min(len(all), allocatorsMost)]
 }
 
 func allocatorWeight(m Member) uint64 { return xxhash.Sum64String("allocator " + m.Name) }
@@ -209,27 +213,36 @@
 	sentAt atomic.Int64  // of it, in nanoseconds of this process's clock
 }
 
-// polls asks for the part while a limit is known. An allocator that stops gives it back.
+// polls asks for the part while a limit is known, until the link ends.
 func (l *contributor) polls(ctx context.Context, end func()) {
 	defer end()
-	n := l.node
-	for {
-		changed := n.opts.Limits.Changed()
-		if n.opts.Limits.Size() == 0 {
+	limits := l.node.opts.Limits
+	for ctx.Err() == nil {
+		changed := limits.Changed()
+		if limits.Size() == 0 {
 			select {
 			case <-ctx.Done():
 			case <-changed:
 			}
-		} else if err := l.poll(ctx); err != nil {
-			return
-		} else {
-			wait.For(ctx, pollEvery)
+			continue
 		}
-		if ctx.Err() != nil {
-			n.opts.Pool.Withdraw(l.name)
-			_ = writePermit(context.WithoutCancel(ctx), l.conn, &permitFrame{Poll: &poll{Returned: true}}) // else it ends by itself
-			return
+		if l.poll(ctx) != nil {
+			return // the link is over
 		}
+		wait.For(ctx, pollEvery)
+	}
+	if l.node.serving.Err() != nil {
+		l.giveBack(ctx)
+	}
+}
+
+// giveBack gives the part back when this daemon stops: else it would be nobody's until its
+// time is over.
+func (l *contributor) giveBack(ctx context.Context) {
+	l.node.opts.Pool.Withdraw(l.name)
+	err := writePermit(context.WithoutCancel(ctx), l.conn, &permitFrame{Poll: &poll{Returned: true}})
+	if err != nil {
+		_ = level.Info(l.node.logger).Log("msg", "part not given back, it ends by itself", "name", l.name, "err", err)
 	}
 }
 
