--- /dev/null
+++ b/forward/bench_test.go
@@ -0,0 +1,73 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/boottime"
+	"github.com/snowspoke/snowspoke/quota"
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// BenchmarkPlainRequest measures what a daemon does for a plain request beside sockets,
+// before 3 backend servers: without a limit, and where all three have named one.
+func BenchmarkPlainRequest(b *testing.B) {
+	for _, limited := range []bool{false, true} {
+		b.Run(fmt.Sprintf("limits=%t", limited), func(b *testing.B) {
+			f := plainForwarder(3, &scripted{})
+			if limited {
+				f.permits = everyPermit{}
+				for id := range f.inv.View().Servers {
+					f.HearLimit(LimitWord{Server: id, Call: CallReport, Named: true, Rate: 1e9, SentAt: boottime.Now()})
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now := time.Now()
+				err := f.Do(context.Background(), &Request{
+					ID: "r", Service: "cards", Received: now, Deadline: now.Add(3 * time.Second),
+					Route: &site.Route{Repeat: site.Safe, MaxAttempts: 2, Timeout: 3 * time.Second},
+				}, &taken{})
+				require.NoError(b, err)
+			}
+		})
+	}
+}
+
+// everyPermit grants all. It implements Permits.
+type everyPermit struct{}
+
+func (everyPermit) Permit(context.Context, quota.PermitRequest) quota.Decision {
+	return quota.Decision{Granted: true}
+}
+
+// BenchmarkChoice measures the choice of a path before 41 cards, without a limit and with
+// two heads that have no room for the request.
+func BenchmarkChoice(b *testing.B) {
+	for _, denied := range []int{0, 2} {
+		b.Run(fmt.Sprintf("denied=%d", denied), func(b *testing.B) {
+			l := newLab(1)
+			f := l.forward[0]
+			r := &run{f: f, engine: l.engine, req: &Request{
+				ID: "r", Service: labService, Prompt: labPrompt, Received: time.Now(), Deadline: time.Now().Add(time.Minute),
+				Route: &site.Route{Repeat: site.Stream, Resumable: true, MaxAttempts: 2, Timeout: 20 * time.Second},
+			}}
+			for id, s := range l.view.Servers {
+				if denied > 0 && s.Held.Has(0) {
+					denied--
+					f.HearLimit(LimitWord{Server: id, Call: CallReport, Named: true, Rate: 1, SentAt: boottime.Now()})
+					f.denials.add(r.class(), quota.Decision{Server: id, After: time.Hour, Back: time.Hour}, boottime.Now())
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := r.find()
+				require.NoError(b, err)
+			}
+		})
+	}
+}
