--- a/capacity/platform.go
+++ b/capacity/platform.go
@@ -50,6 +50,14 @@
 	recordBytes = 45.0
 )
 
+// Bytes of permits for backend servers that have named limits, as
+// relay.TestPermitsCostABoundedRate prints them: a second for each daemon while a limit is
+// known, and for each permit that is asked for.
+const (
+	partBytes   = 60.0
+	permitBytes = 75.0
+)
+
 // Periods of the relay, as set in package relay.
 const (
 	pingsPerSecond  = 1 / 0.4
@@ -95,6 +103,8 @@
 		fmt.Fprintf(b, "| loads told in a fleet of %d before %d backend servers: middle, busiest daemon | %.2f; %.1f KB/s: **missed** at the busiest | 3 KB/s |\n", m.Daemons, m.BackendServers, m.KB, m.BusiestKB)
 		fmt.Fprintf(b, "| their age as they come, p50, p99 | %.1f; %.1f s: **missed** | 1 s |\n", m.Age, m.OldestAge)
 	}
+	fmt.Fprintf(b, "| permits while a backend server has named a limit: a daemon; the allocator, and %.0f B a permit | %.2f; %.1f KB/s: **missed** at the allocator | 3 KB/s |\n",
+		permitBytes, partBytes/1000, partBytes*(t.Daemons-1)/1000)
 	fmt.Fprintf(b, "| full state to one follower | %.0f KB compressed | |\n", recordBytes*t.BackendServers/1000)
 	fmt.Fprintf(b, "| store calls of the whole fleet | %.1f a second, and %.0f lists that may be old, whatever the daemons | |\n",
 		t.Domains*storeCallsASrc+leaseCallsASite+1/secondsABeat, 1/secondsAList)
