The gauge of known limits falls when backend servers with limits leave

Found by reading: limits of backend servers that are gone were forgotten without the gauge being told, so that it showed them until the next change of any limit.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -211,6 +211,7 @@
 	f.quarantine.Forget(time.Now())
 	there := func(id string) bool { return known[id] != nil }
 	f.limits.Forget(there, boottime.Now())
+	f.observe.Limits(f.limits.Size())
 	f.sends.Forget(there)
 }
 
