Daemons are listed at once after a suspension

Cause: the list of daemons was read every 8 s (30 s among 300) whatever had happened, so that a VM that woke went on with a list of before for as long: whom it follows, and its parts of retries and limits.

Change: a wake has the list read at once.

One cheap read for each wake.

Loads, keys, leases and deadlines were right before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,6 +122,7 @@
 	}
 	self := relay.Member{Name: set.Name, Domain: set.FailureDomain, Address: g.listeners.links.Addr().String()}
 	g.members = newMembers(self, set.FirstStart, g.store, g.log)
+	stalls.OnWake(g.members.wake)
 	book := quarantine.NewBook(quarantine.DefaultPolicy)
 	g.quarantine = book
 	g.held = newHeldKeeper(book, g.store, g.heldTurn, g.log)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -84,6 +84,7 @@
 	beats   uint64
 	alive   atomic.Int64
 	found   chan struct{} // closed after the first list
+	woken   chan struct{} // the VM was suspended: who is there must be read again
 
 	firstStart bool // of the whole system: nobody has left a record
 
@@ -101,7 +102,7 @@
 }
 
 func newMembers(self relay.Member, firstStart bool, s memberStore, logger log.Logger) *members {
-	return &members{self: self, firstStart: firstStart, store: s, logger: logger, seen: map[string]seenMember{}, found: make(chan struct{})}
+	return &members{self: self, firstStart: firstStart, store: s, logger: logger, seen: map[string]seenMember{}, found: make(chan struct{}), woken: make(chan struct{}, 1)}
 }
 
 // Daemons implements forward.Fleet; before the first list it is 0.
@@ -151,6 +152,8 @@
 		case <-beat.C:
 			m.beat(ctx)
 			beat.Reset(beatEvery(m.Daemons()))
+		case <-m.woken:
+			list.Reset(0)
 		case <-list.C:
 			m.list(ctx, false)
 			if m.version == 0 {
@@ -161,6 +164,15 @@
 	}
 }
 
+// wake has the daemons listed at once: others may have come and gone while the VM was
+// suspended.
+func (m *members) wake(time.Duration) {
+	select {
+	case m.woken <- struct{}{}:
+	default: // it is about to
+	}
+}
+
 // untilList returns the time until the next list.
 func (m *members) untilList() time.Duration {
 	if m.Daemons() == 0 {
--- a/gateway/suspend_test.go
+++ b/gateway/suspend_test.go
@@ -59,3 +59,17 @@
 	require.Error(t, a.Err, "an answer that is not whole does not look complete")
 	require.Less(t, time.Since(began), 3*time.Second)
 }
+
+// A daemon whose VM was suspended looks at once who else is there: whom it follows, and its
+// parts of what the fleet shares, go by that.
+func TestDaemonsAreListedAfterASuspension(t *testing.T) {
+	w := newWorld(t)
+	w.putConfig()
+	w.servers("plain", "", "plain-1")
+	first := w.daemon("daemon-1", nil).ready(t, 1)
+	second := w.daemon("daemon-2", nil).ready(t, 1)
+	require.Equal(t, 2, second.members.Daemons())
+	require.Equal(t, 1, first.members.Daemons(), "its next list comes later")
+	boottime.Pretend(6 * time.Second)
+	require.Eventually(t, func() bool { return first.members.Daemons() == 2 }, time.Second, 10*time.Millisecond)
+}
