News of a limit that came just now is not dropped for an age below zero

Cause: the age of a word on a limit is told over links, and one below zero is taken for impossible. The clock that counts suspensions is two readings and steps back by a microsecond, so that news told at once could have such an age; it was dropped and not told again, and a daemon heard of the limit only by its own next answer.

Change: ages are told from zero on.

--- a/relay/permits.go
+++ b/relay/permits.go
@@ -59,10 +59,13 @@
 	Age     time.Duration
 }
 
+// packWords makes words ready for a link. The clock that counts suspensions is read twice
+// and may step back by a microsecond: what came just now has no age.
 func packWords(words []quota.Word, now time.Time) []packedWord {
 	out := make([]packedWord, len(words))
 	for i, w := range words {
-		out[i] = packedWord{Server: w.Server, Named: w.Named, Rate: w.Rate, SentAge: now.Sub(w.SentAt), Age: now.Sub(w.At)}
+		age := max(0, now.Sub(w.At))
+		out[i] = packedWord{Server: w.Server, Named: w.Named, Rate: w.Rate, SentAge: max(age, now.Sub(w.SentAt)), Age: age}
 	}
 	return out
 }
--- /dev/null
+++ b/relay/permits_fleet_test.go
@@ -0,0 +1,158 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/boottime"
+	"github.com/snowspoke/snowspoke/internal/memnet"
+	"github.com/snowspoke/snowspoke/internal/virtual"
+	"github.com/snowspoke/snowspoke/internal/wait"
+	"github.com/snowspoke/snowspoke/quota"
+)
+
+// virtualFleet is a number of daemons that keep limits together over links in memory.
+type virtualFleet struct {
+	net    *memnet.Net
+	all    everybody
+	nodes  []*Node
+	limits []*quota.Limits
+
+	mu    sync.Mutex
+	calls []time.Time // that were permitted
+}
+
+func newVirtualFleet(t *testing.T, ctx context.Context, daemons int) *virtualFleet {
+	f := &virtualFleet{net: memnet.New()}
+	for i := range daemons {
+		f.all = append(f.all, Member{Name: daemonName(i), Domain: string(rune('a' + i%3)), Address: host(i) + ":80"})
+	}
+	inv := newCopied(&copySource{version: 1})
+	for i := range daemons {
+		limits, sends := quota.NewLimits(), quota.NewSends()
+		here := f.net.Host(host(i))
+		node := New(Options{
+			Name: daemonName(i), Domain: f.all[i].Domain, Connect: here.DialContext,
+			Limits: limits, Sends: sends, Pool: quota.NewPool(daemonName(i), limits, sends),
+			HearLimit: func(w quota.Word, _ string) { limits.Hear(w) },
+		}, inv, inv, f.all, log.NewNopLogger())
+		f.nodes, f.limits = append(f.nodes, node), append(f.limits, limits)
+		server := &memnet.Server{Net: hostNet{here, f.all[i].Address}, Handler: node.Handler()}
+		require.NoError(t, server.Start())
+		t.Cleanup(server.Close)
+		go node.RunPermits(ctx)
+	}
+	return f
+}
+
+// hostNet listens at one address of a host whatever it is asked for.
+type hostNet struct {
+	*memnet.Host
+	address string
+}
+
+// Listen implements network.Network.
+func (h hostNet) Listen(string) (net.Listener, error) { return h.Host.Listen(h.address) }
+
+// host returns a daemon's address without its port.
+func host(i int) string { return fmt.Sprintf("10.0.%d.%d", i/250, 1+i%250) }
+
+// know returns how many daemons know a limit.
+func (f *virtualFleet) know() int {
+	n := 0
+	for _, l := range f.limits {
+		n += l.Size()
+	}
+	return n
+}
+
+// call has callers at all daemons want so many calls a second together, until ctx ends.
+func (f *virtualFleet) call(ctx context.Context, perSecond float64, rng *rand.Rand) {
+	for wait.For(ctx, time.Duration(rng.ExpFloat64()/perSecond*float64(time.Second))) {
+		n := f.nodes[rng.IntN(len(f.nodes))]
+		if n.Permit(ctx, quota.PermitRequest{Servers: []string{"s"}, Class: quota.Class{Workspace: "w"}}).Granted {
+			f.mu.Lock()
+			f.calls = append(f.calls, time.Now())
+			f.mu.Unlock()
+		}
+	}
+}
+
+// between returns how many calls there were from one time to another.
+func (f *virtualFleet) between(from, to time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, at := range f.calls {
+		if at.After(from) && !at.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// cutOff cuts a daemon off from all others.
+func (f *virtualFleet) cutOff(i int) {
+	for j := range f.nodes {
+		if j != i {
+			f.net.Cut(host(i), host(j))
+		}
+	}
+}
+
+// What one daemon hears of a limit all know within half a second, and all use it together
+// and keep it, while the allocator is cut off from the others and comes back.
+func TestFleetKeepsALimitWhileItsAllocatorIsCutOff(t *testing.T) {
+	const rate = 8.0
+	for _, c := range []struct {
+		daemons int
+		least   float64
+	}{{3, 0.9}, {8, 0.9}, {73, 0.8}, {300, 0.8}} {
+		t.Run(fmt.Sprint(c.daemons), func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newVirtualFleet(t, ctx, c.daemons)
+				time.Sleep(2*betterEvery + time.Second) // all have found the first
+				began := time.Now()
+				now := boottime.Now()
+				f.limits[c.daemons/2].Hear(quota.Word{Server: "s", Named: true, Rate: rate, SentAt: now, At: now})
+				for f.know() < c.daemons && time.Since(began) < time.Second {
+					time.Sleep(time.Millisecond)
+				}
+				t.Logf("known to all after %s", time.Since(began))
+				assert.LessOrEqual(t, time.Since(began), 500*time.Millisecond)
+
+				go f.call(ctx, 3*rate, rand.New(rand.NewPCG(uint64(c.daemons), 5)))
+				time.Sleep(20 * time.Second)
+				used := float64(f.between(time.Now().Add(-15*time.Second), time.Now())) / rate / 15
+				first := slices.IndexFunc(f.all, func(m Member) bool { return m.Name == f.nodes[0].allocators()[0].Name })
+				f.cutOff(first)
+				time.Sleep(6 * time.Second)
+				cut := float64(f.between(time.Now().Add(-3*time.Second), time.Now())) / rate / 3
+				f.net.Heal()
+				time.Sleep(8 * time.Second)
+				cancel()
+				t.Logf("used %.2f of the limit, %.2f without the allocator", used, cut)
+				assert.GreaterOrEqual(t, used, c.least)
+				assert.GreaterOrEqual(t, cut, 0.5, "the others are together again")
+				most := 0
+				for _, end := range f.calls {
+					most = max(most, f.between(end.Add(-quota.Window), end))
+				}
+				t.Logf("%d calls in four seconds at most", most)
+				assert.LessOrEqual(t, float64(most), 1.5*rate*quota.Window.Seconds()+5)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
