--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -14,9 +14,11 @@
 
 	"github.com/snowspoke/snowspoke/admission"
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/invariant"
 	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/quota"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -74,6 +76,18 @@
 	return nil
 }
 
+// scriptedPermits grants permits or not as it is told, then all. It implements Permits.
+type scriptedPermits struct{ script []bool }
+
+// Permit implements Permits.
+func (s *scriptedPermits) Permit(_ context.Context, r quota.PermitRequest) quota.Decision {
+	granted := true
+	if len(s.script) > 0 {
+		granted, s.script = s.script[0], s.script[1:]
+	}
+	return quota.Decision{Granted: granted, Server: r.Servers[0], After: time.Minute, Back: time.Minute}
+}
+
 // fixed is an inventory that does not change.
 type fixed struct{ view *inventory.View }
 
@@ -85,14 +99,14 @@
 
 type noObserver struct{}
 
-func (noObserver) Limits(int)                      {}
-func (noObserver) LimitReached()                   {}
 func (noObserver) Finished(string, time.Duration)  {}
 func (noObserver) FirstEvent(time.Duration)        {}
 func (noObserver) LoadsAge(time.Duration)          {}
 func (noObserver) LoadsRefused(int)                {}
 func (noObserver) EndedUnder()                     {}
 func (noObserver) HeldBack()                       {}
+func (noObserver) Limits(int)                      {}
+func (noObserver) LimitReached()                   {}
 func (noObserver) Recovered(string, time.Duration) {}
 
 // taken keeps what the caller got.
@@ -120,8 +134,9 @@
 		Parts{Inventory: inv, Fleet: inv, Backends: backends, Log: NewLog(io.Discard), Observer: noObserver{}})
 }
 
-// Whatever backend servers do, a request that may not be repeated runs at most
-// once, "not run" is true, and only the answer of one that ran is a success.
+// Whatever backend servers do, with limits that leave room for it or not, a request that
+// may not be repeated runs at most once, "not run" is true, and only the answer of one that
+// ran is a success.
 func TestOutcomesAreTrue(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		script := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) behaviour {
@@ -130,6 +145,12 @@
 		repeat := rapid.SampledFrom([]site.Repeat{site.Safe, site.Unsafe}).Draw(t, "repeat")
 		b := &scripted{script: script}
 		f := plainForwarder(rapid.IntRange(1, 4).Draw(t, "servers"), b)
+		f.permits = &scriptedPermits{script: rapid.SliceOfN(rapid.Bool(), 0, 6).Draw(t, "permits")}
+		for id := range f.inv.View().Servers {
+			if rapid.Bool().Draw(t, "limited") {
+				f.HearLimit(LimitWord{Server: id, Call: CallReport, Named: true, Rate: 1, SentAt: boottime.Now()})
+			}
+		}
 		before := invariant.Total()
 		now := time.Now()
 		req := &Request{
