--- a/relay/permits_fleet_test.go
+++ b/relay/permits_fleet_test.go
@@ -132,7 +132,8 @@
 				t.Logf("known to all after %s", time.Since(began))
 				assert.LessOrEqual(t, time.Since(began), 500*time.Millisecond)
 
-				go f.call(ctx, 3*rate, rand.New(rand.NewPCG(uint64(c.daemons), 5)))
+				var callers sync.WaitGroup
+				callers.Go(func() { f.call(ctx, 3*rate, rand.New(rand.NewPCG(uint64(c.daemons), 5))) })
 				time.Sleep(20 * time.Second)
 				used := float64(f.between(time.Now().Add(-15*time.Second), time.Now())) / rate / 15
 				first := slices.IndexFunc(f.all, func(m Member) bool { return m.Name == f.nodes[0].allocators()[0].Name })
@@ -142,6 +143,7 @@
 				f.net.Heal()
 				time.Sleep(8 * time.Second)
 				cancel()
+				callers.Wait()
 				t.Logf("used %.2f of the limit, %.2f without the allocator", used, cut)
 				assert.GreaterOrEqual(t, used, c.least)
 				assert.GreaterOrEqual(t, cut, 0.5, "the others are together again")
