The test of records that lapse in an outage waits until the outage is noticed

Cause: the test. Its outage of 300 ms was over before the daemon's watches had noticed it, and the daemon was told of two backend servers that had left, which it rightly dropped. The test waits until the daemon has lost the store; its assertions and times are as they were.

--- a/gateway/planned_test.go
+++ b/gateway/planned_test.go
@@ -78,6 +78,7 @@
 	servers := w.servers("plain", "", "plain-1", "plain-2")
 	d := w.daemon("daemon-1", nil).ready(t, 2)
 	w.store.SetTrouble(standin.Refusing)
+	require.Eventually(t, func() bool { return d.inv.Heard().IsZero() }, 3*time.Second, time.Millisecond, "the daemon has lost the store")
 	w.store.Remove("servers", "plain-1")
 	w.store.Remove("servers", "plain-2")
 	time.Sleep(300 * time.Millisecond)
