A send that reaches no backend server is no retry

What callers saw: requests refused with 'connection refused' as soon as the head that was chosen for them had died, at daemons without a retry left, while the fleet had hundreds. In virtual time, 300 daemons that have just started and one of the heads dying: of some 300 streams 66 refused (TestDeadHeadIsLeftWithoutRetries on the code as it was). Cause: a retry was taken out of the fleet's budget before any further send, also where the sends before had not been connected. The budget bounds what reaches backend servers beyond the first send of each request, and such a send reaches nobody. Two more of the same kind: a head that was not reached counted among those that the request may be sent to, and a begun stream whose next head was dead paused as behind one that is full (0.2 s, doubling). Change: no retry is needed until a send has reached a backend server; the retry of a send that reached none goes back into the budget, at the time at which it was taken, so that it counts when something may arrive; heads that were not reached are no attempts; a begun stream behind a dead head goes on after one look. The bound on sends stays. Before, after, same test: refused 66, 1; whole 207, 278. All six new tests failed before but TestArrivalsStayWithinTheBudget, which holds the budget over 300 generated plays.

--- a/admission/budget.go
+++ b/admission/budget.go
@@ -104,6 +104,16 @@
 	return true
 }
 
+// Return gives back a retry that was spent at a time and was not made.
+func (b *Budget) Return(spent time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slot := spent.UnixNano() / int64(b.window/budgetSlots)
+	if slot > b.slot-slotsKept && b.retries[slot%slotsKept] > 0 {
+		b.retries[slot%slotsKept]--
+	}
+}
+
 // Idle reports whether nothing happened within the window, so that a new budget
 // would be no different.
 func (b *Budget) Idle(now time.Time) bool {
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/snowspoke/snowspoke/admission"
+	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/wait"
 )
 
@@ -46,27 +47,54 @@
 	return retryPart(r.f.fleet.Daemons(), r.headSent.Load(), now.Sub(r.f.started), r.f.opts.RetryWindow)
 }
 
-// spendRetry takes a retry of the request out of the budget.
-func (r *run) spendRetry() bool {
+// spendRetry takes a retry of the request out of the budget and returns when, the zero
+// time if none is left.
+func (r *run) spendRetry() time.Time {
 	now := time.Now()
-	return r.f.budget.Spend(now, r.retryPart(now))
+	if !r.f.budget.Spend(now, r.retryPart(now)) {
+		return time.Time{}
+	}
+	return now
 }
 
 // reserveRetry takes a retry before a send is ended that may still be going on:
 // many streams stand still together, and one that ends without a retry left is
 // an answer cut off for nothing but silence.
 func (r *run) reserveRetry() bool {
-	if r.reserved.Load() {
+	if r.reserved.Load() != nil {
 		return true
 	}
-	ok := r.spendRetry()
-	r.reserved.Store(ok)
-	return ok
+	at := r.spendRetry()
+	if at.IsZero() {
+		return false
+	}
+	r.reserved.Store(&at)
+	return true
 }
 
-// takeRetry uses what was reserved, or takes a retry now.
+// takeRetry uses what was reserved, or takes a retry now. Until a send has reached a
+// backend server none is needed: the budget bounds what reaches them beyond the first
+// send of each request. Of 300 daemons, with a retry in some minutes each, most refused the
+// requests for which they chose a head that had just died.
 func (r *run) takeRetry() bool {
-	return r.reserved.Swap(false) || r.spendRetry()
+	r.paidAt = time.Time{}
+	if reserved := r.reserved.Swap(nil); reserved != nil {
+		r.paidAt = *reserved
+		return true
+	}
+	if !r.reached {
+		return true
+	}
+	r.paidAt = r.spendRetry()
+	return !r.paidAt.IsZero()
+}
+
+// returnRetry gives the retry of a send back that reached no backend server.
+func (r *run) returnRetry() {
+	if !r.paidAt.IsZero() {
+		r.f.budget.Return(r.paidAt)
+		r.paidAt = time.Time{}
+	}
 }
 
 // awaitRetry takes a retry. A stream that has begun waits for one as it waits for
@@ -87,11 +115,20 @@
 	return false
 }
 
-// pauseRefused pauses before the next send of a begun stream that was refused:
-// backend servers that are full have room again after a while. It returns false
-// once the stream has stood still for longer than its caller stays.
-func (r *run) pauseRefused(ctx context.Context) bool {
+// pauseBegun pauses before the next send of a begun stream that did not run: backend
+// servers that are full have room again after a while, others than one that is dead have it
+// now. It returns false once the stream has stood still for longer than its caller stays.
+func (r *run) pauseBegun(ctx context.Context) bool {
 	r.refusals++
+	pause := holdStep
+	if r.life.State() == execution.Refused {
+		pause = r.nextPause()
+	}
+	return time.Since(r.lastAt) < recoverHold && wait.For(ctx, pause)
+}
+
+// nextPause returns the pause after a refusal, which grows with each.
+func (r *run) nextPause() time.Duration {
 	if r.pause == nil {
 		r.pause = backoff.NewExponentialBackOff()
 		r.pause.InitialInterval = refusedPause
@@ -99,5 +136,5 @@
 		r.pause.Multiplier = 2
 		r.pause.RandomizationFactor = refusedJitter
 	}
-	return time.Since(r.lastAt) < recoverHold && wait.For(ctx, r.pause.NextBackOff())
+	return r.pause.NextBackOff()
 }
--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"syscall"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/admission"
+	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -109,6 +111,104 @@
 	require.Len(t, r.byID, 1)
 }
 
+// A retry is what reaches a backend server beyond the first send of a request that does. A
+// send that could not be connected reaches nobody: with no retry left, requests were refused
+// for want of one as soon as the first backend server that was chosen for them had died.
+func TestSendThatReachesNobodyNeedsNoRetry(t *testing.T) {
+	for _, repeat := range []site.Repeat{site.Safe, site.Unsafe} {
+		b := &scripted{script: []behaviour{unreachable, unreachable, serving}}
+		f := plainForwarder(4, b)
+		f.budget = admission.NewBudget(0, 0, testWindow)
+		require.NoError(t, f.Do(t.Context(), plainRequest(repeat), &taken{}))
+		require.Equal(t, 1, b.arrivals)
+
+		b.script = []behaviour{refusing, serving}
+		require.Error(t, f.Do(t.Context(), plainRequest(repeat), &taken{}), "a refused send has arrived")
+	}
+}
+
+// A retry that reached nobody goes back into the budget: with one retry in a window, it is
+// there for the send after it.
+func TestRetryThatReachesNobodyIsGivenBack(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		b := &scripted{script: []behaviour{refusing, unreachable, unreachable, serving}}
+		f := plainForwarder(6, b)
+		f.budget = admission.NewBudget(0, 1/(budgetUse*freshUse)+0.01, testWindow)
+		f.started = time.Now().Add(-time.Minute)
+		require.NoError(t, f.Do(t.Context(), plainRequest(site.Safe), &taken{}))
+		require.Equal(t, 2, b.arrivals)
+	})
+}
+
+// Whatever backend servers do, what reaches them beyond the first send of each request
+// stays within the budget.
+func TestArrivalsStayWithinTheBudget(t *testing.T) {
+	for seed := range uint64(300) {
+		virtual.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			b := &scripted{}
+			f := plainForwarder(1+rng.IntN(6), b)
+			slack := rng.IntN(5)
+			f.budget = admission.NewBudget(0, float64(slack), testWindow)
+			f.started = time.Now().Add(-time.Minute)
+			beyond := 0
+			for range 1 + rng.IntN(8) {
+				b.arrivals, b.script = 0, nil
+				for range rng.IntN(7) {
+					b.script = append(b.script, behaviour(rng.IntN(int(behaviours))))
+				}
+				_ = f.Do(t.Context(), plainRequest(site.Safe), &taken{})
+				beyond += max(0, b.arrivals-1)
+			}
+			require.LessOrEqual(t, beyond, slack, "arrivals beyond the first ones, seed %d", seed)
+		})
+	}
+}
+
+// A send that did not reach its head is not one of those that a request may be made at:
+// behind two that could not be connected, a request that may be sent to two goes to a third.
+func TestHeadThatWasNotReachedIsNoAttempt(t *testing.T) {
+	b := &scripted{script: []behaviour{unreachable, unreachable, unreachable, serving}}
+	f := plainForwarder(6, b)
+	req := plainRequest(site.Safe)
+	req.Route.MaxAttempts = 2
+	require.NoError(t, f.Do(t.Context(), req, &taken{}))
+}
+
+// 300 daemons that have just started have a retry in half an hour each. One card that dies
+// costs the requests that were on it, and no other: those that meet it dead go elsewhere.
+func TestDeadHeadIsLeftWithoutRetries(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		l := newFleetLab(1, 300)
+		time.AfterFunc(4*time.Second, func() { l.kill(0, false) })
+		l.run(30, 10*time.Second)
+		t.Logf("whole %d, refused %d, cut %d", l.whole, l.refused, l.cut)
+		require.LessOrEqual(t, l.refused, 3, "of some 300")
+	})
+}
+
+// A begun stream whose next head is dead too is not kept waiting as behind one that is full.
+func TestBegunStreamPassesADeadHeadAtOnce(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		r := &run{f: plainForwarder(2, &scripted{}), req: &Request{Route: &site.Route{Repeat: site.Stream}}, lastAt: time.Now(), life: execution.New(true)}
+		r.headSent.Store(true)
+		require.NoError(t, r.life.Move(execution.Sent))
+		require.NoError(t, r.life.Move(execution.NotSent))
+		began := time.Now()
+		require.True(t, r.Retry(t.Context(), execution.NotRunHere))
+		require.LessOrEqual(t, time.Since(began), holdStep)
+	})
+}
+
+// plainRequest is a request to a plain service.
+func plainRequest(repeat site.Repeat) *Request {
+	now := time.Now()
+	return &Request{
+		ID: "r", Service: "cards", Received: now, Deadline: now.Add(3 * time.Second),
+		Route: &site.Route{Repeat: repeat, MaxAttempts: 3, Timeout: 3 * time.Second, Objective: time.Millisecond},
+	}
+}
+
 // A head whose record is gone may serve on, so it counts among those that a request may
 // be sent to; one that has shown signs of its death does not, also later.
 func TestHeadWhoseRecordIsGoneCountsAsAnAttempt(t *testing.T) {
--- a/forward/run.go
+++ b/forward/run.go
@@ -30,11 +30,13 @@
 	engine    *site.Engine
 	tried     heads // first hops that it was sent to
 	sends     int
-	refusals  int // sends of the begun stream that were refused
+	refusals  int       // sends of the begun stream that did not run
+	reached   bool      // some send may have reached a backend server
+	paidAt    time.Time // when a retry was taken for the last send, the zero time if none was
 	life      execution.Life
-	headSent  atomic.Bool // the caller has the head of the answer
-	reserved  atomic.Bool // a retry was taken for the next send
-	lastEvent string      // ID of the last event that the caller has
+	headSent  atomic.Bool               // the caller has the head of the answer
+	reserved  atomic.Pointer[time.Time] // when a retry was taken for the next send, nil if none was
+	lastEvent string                    // ID of the last event that the caller has
 	lastAt    time.Time
 	firstIn   time.Duration               // from the request to its first event
 	longest   time.Duration               // longest pause between two events
@@ -44,46 +46,64 @@
 	pause     *backoff.ExponentialBackOff // between sends of an interrupted stream that are refused
 }
 
-// heads are the first hops that a request was sent to, by ID, with whether they have
-// surely ended since. It is safe for concurrent use: a stream's timer asks while the next send
-// may begin.
+// heads are the first hops that a request was sent to, by ID. It is safe for concurrent
+// use: a stream's timer asks while the next send may begin.
 type heads struct {
 	mu  sync.Mutex
-	ids map[string]bool // true: has ended
+	ids map[string]headState
 }
 
+// headState says whether a head counts among those that a request may be sent to.
+type headState uint8
+
+const (
+	headCounts     headState = iota
+	headEnded                // has surely ended since
+	headNotReached           // no send has reached it
+)
+
+// add notes a send that may reach a head.
 func (h *heads) add(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.ids == nil {
-		h.ids = map[string]bool{}
+		h.ids = map[string]headState{}
 	}
-	h.ids[id] = false
+	h.ids[id] = headCounts
 }
 
+// drop notes that the only send to a head has not reached it.
+func (h *heads) drop(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ids[id] = headNotReached
+}
+
+// has reports whether a send may have reached a head.
 func (h *heads) has(id string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	_, has := h.ids[id]
-	return has
+	state, known := h.ids[id]
+	return known && state != headNotReached
 }
 
-// count returns how many there are.
+// count returns how many there are, with those that were not reached.
 func (h *heads) count() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return len(h.ids)
 }
 
-// living returns how many of them have not ended, as ended told at any time.
+// living returns how many of them count, as ended told at any time.
 func (h *heads) living(hasEnded func(id string) bool) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := 0
-	for id, ended := range h.ids {
-		ended = ended || hasEnded(id)
-		h.ids[id] = ended
-		if !ended {
+	for id, state := range h.ids {
+		if state == headCounts && hasEnded(id) {
+			h.ids[id] = headEnded
+		}
+		if h.ids[id] == headCounts {
 			n++
 		}
 	}
@@ -137,6 +157,7 @@
 func (r *run) Send(ctx context.Context) (execution.Verdict, error) {
 	t, err := r.pick(ctx)
 	if err != nil {
+		r.returnRetry()
 		return execution.Answered, err
 	}
 	v, err := r.send(ctx, t)
@@ -149,7 +170,7 @@
 // Retry implements execution.Sender.
 func (r *run) Retry(ctx context.Context, v execution.Verdict) bool {
 	if v == execution.NotRunHere && r.headSent.Load() {
-		return r.pauseRefused(ctx) && r.awaitRetry(ctx)
+		return r.pauseBegun(ctx) && r.awaitRetry(ctx)
 	}
 	if v == execution.MayHaveRun && r.heldBack() {
 		return false
@@ -171,6 +192,7 @@
 		return execution.Answered, r.ended(ctx)
 	}
 	r.sends++
+	again := r.tried.has(t.head().ID)
 	r.tried.add(t.head().ID)
 	r.logRoute(t, left)
 	if err := r.life.Move(execution.Sent); err != nil {
@@ -184,6 +206,14 @@
 	if lerr := r.life.Move(stateAfter(v, err)); lerr != nil {
 		return execution.Answered, lerr
 	}
+	if r.life.State() != execution.NotSent {
+		r.reached = true
+		return v, err
+	}
+	r.returnRetry()
+	if !again {
+		r.tried.drop(t.head().ID)
+	}
 	return v, err
 }
 
