The links of permits are a package of their own, for both faces

Hypothesis: the links over which daemons contribute parts of limits stood in package relay and used nothing of it but its list of daemons and its client, so our own interface, whose daemons know each other by package peer, could not have them. Change: package permit, with its members, client, scheme and headers as options; relay.Node and permit.Node are handlers themselves. The later of two times, which stood in quota, quarantine and here, stands once, in boottime. No behaviour is changed, tests moved with the code.

--- a/boottime/boottime.go
+++ b/boottime/boottime.go
@@ -26,6 +26,14 @@
 // Until returns how long it is until a time of this clock.
 func Until(t time.Time) time.Duration { return t.Sub(Now()) }
 
+// Later returns the later of two times.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Suspended returns for how long the VM has been suspended since this process started.
 func Suspended() time.Duration { return max(0, suspended()-atStart) + time.Duration(pretended.Load()) }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/lease"
 	"github.com/snowspoke/snowspoke/metrics"
+	"github.com/snowspoke/snowspoke/permit"
 	"github.com/snowspoke/snowspoke/placer"
 	"github.com/snowspoke/snowspoke/platform"
 	"github.com/snowspoke/snowspoke/quarantine"
@@ -64,6 +65,7 @@
 	inv        *inventory.Inventory
 	members    *members
 	relay      *relay.Node
+	permits    *permit.Node
 	forward    *forward.Forwarder
 	keeper     *lease.Keeper
 	placer     *placer.Placer
@@ -136,10 +138,13 @@
 	g.backends.OnLimit(g.forward.HearLimit)
 	g.relay = relay.New(relay.Options{
 		Name: set.Name, Domain: set.FailureDomain, ConfigWithin: set.ConfigWithin, Asker: g.forward, Quarantine: book, Stalls: stalls, BeforeStore: g.held.load,
-		Limits: limits, Pool: pool, Sends: sends, HearLimit: g.forward.HearLimitFrom,
 		Restored: func() bool { return g.store.Era() > store.FirstEra },
 	}, g.inv, g.forward.Loads(), g.members, g.log)
-	g.links = &http.Server{Handler: g.relay.Handler()}
+	g.permits = permit.New(permit.Options{
+		Name: set.Name, Members: g.members.permitted, Limits: limits, Pool: pool, Sends: sends, HearLimit: g.forward.HearLimitFrom,
+		Client: relay.NewDialer(nil, stalls), Scheme: "http", Stalls: stalls, Logger: g.log,
+	})
+	g.links = &http.Server{Handler: g.linksHandler()}
 	g.keeper = lease.NewKeeper(kindLease, placingDuty, set.Name, dutyPeriod, leaseStore{g.store}, g.log)
 	g.placer = placer.New(g.keeper, g.inv, permittedOrders{g}, g.forward, observer{m}, g.log)
 	g.conns = newCallerConns()
@@ -154,6 +159,14 @@
 	return g, nil
 }
 
+// linksHandler serves the links of other daemons.
+func (g *Gateway) linksHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(relay.Path, g.relay)
+	mux.Handle(permit.Path, g.permits)
+	return mux
+}
+
 func keysFreshFor(set site.Settings) time.Duration {
 	if !set.FailClosed {
 		return 0
@@ -193,7 +206,7 @@
 	wg.Go(func() { g.log.Run(work.Done()) })
 	wg.Go(func() { g.stalls.Run(work) })
 	wg.Go(func() { g.follow(work) })
-	wg.Go(func() { g.relay.RunPermits(work) })
+	wg.Go(func() { g.permits.Run(work) })
 	wg.Go(func() { g.backends.Run(work) })
 	wg.Go(func() { g.members.Run(duty) })
 	wg.Go(func() { g.conns.Run(work, g.idleTimeout) })
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/snowspoke/snowspoke/forward"
+	"github.com/snowspoke/snowspoke/permit"
 	"github.com/snowspoke/snowspoke/quota"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -13,7 +14,17 @@
 
 // Permit implements forward.Permits.
 func (p permits) Permit(ctx context.Context, r quota.PermitRequest) quota.Decision {
-	return p.g.relay.Permit(ctx, r)
+	return p.g.permits.Permit(ctx, r)
+}
+
+// permitted returns the daemons that keep limits together.
+func (m *members) permitted() []permit.Member {
+	all := m.All()
+	out := make([]permit.Member, len(all))
+	for i, other := range all {
+		out[i] = permit.Member{Name: other.Name, Address: other.Address}
+	}
+	return out
 }
 
 // permittedOrders makes reports and orders of the placement duty with permits where a
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -22,7 +22,7 @@
 	"monitor": 4, "peer": 4, "dispatch": 4,
 	"metrics": 5, "api": 5, "control": 5,
 	"daemon": 6, "client": 6, "trial": 8, "load": 8, "cmd": 9,
-	"site": 1, "inventory": 2, "pipeline": 3, "relay": 4, "forward": 5, "placer": 6, "platform": 6, "gateway": 7,
+	"site": 1, "inventory": 2, "pipeline": 3, "permit": 4, "relay": 4, "forward": 5, "placer": 6, "platform": 6, "gateway": 7,
 }
 
 // adapters lists what a package that only translates may import of this module,
--- a/relay/permits_fleet_test.go
+++ b/permit/fleet_test.go
@@ -1,4 +1,4 @@
-package relay
+package permit
 
 import (
 	"context"
@@ -18,13 +18,14 @@
 	"github.com/snowspoke/snowspoke/internal/memnet"
 	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/internal/wait"
+	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/quota"
 )
 
 // virtualFleet is a number of daemons that keep limits together over links in memory.
 type virtualFleet struct {
 	net    *memnet.Net
-	all    everybody
+	all    []Member
 	nodes  []*Node
 	limits []*quota.Limits
 
@@ -35,22 +36,21 @@
 func newVirtualFleet(t *testing.T, ctx context.Context, daemons int) *virtualFleet {
 	f := &virtualFleet{net: memnet.New()}
 	for i := range daemons {
-		f.all = append(f.all, Member{Name: daemonName(i), Domain: string(rune('a' + i%3)), Address: host(i) + ":80"})
+		f.all = append(f.all, Member{Name: daemonName(i), Address: host(i) + ":80"})
 	}
-	inv := newCopied(&copySource{version: 1})
 	for i := range daemons {
 		limits, sends := quota.NewLimits(), quota.NewSends()
 		here := f.net.Host(host(i))
 		node := New(Options{
-			Name: daemonName(i), Domain: f.all[i].Domain, Connect: here.DialContext,
-			Limits: limits, Sends: sends, Pool: quota.NewPool(daemonName(i), limits, sends),
+			Name: daemonName(i), Members: func() []Member { return f.all }, Client: network.Client(here, 1), Scheme: "http",
+			Limits: limits, Sends: sends, Pool: quota.NewPool(daemonName(i), limits, sends), Logger: log.NewNopLogger(),
 			HearLimit: func(w quota.Word, _ string) { limits.Hear(w) },
-		}, inv, inv, f.all, log.NewNopLogger())
+		})
 		f.nodes, f.limits = append(f.nodes, node), append(f.limits, limits)
-		server := &memnet.Server{Net: hostNet{here, f.all[i].Address}, Handler: node.Handler()}
+		server := &memnet.Server{Net: hostNet{here, f.all[i].Address}, Handler: node}
 		require.NoError(t, server.Start())
 		t.Cleanup(server.Close)
-		go node.RunPermits(ctx)
+		go node.Run(ctx)
 	}
 	return f
 }
--- a/relay/allocator.go
+++ b/permit/follow.go
@@ -1,4 +1,4 @@
-package relay
+package permit
 
 import (
 	"context"
@@ -24,15 +24,17 @@
 	allocatorPause = 200 * time.Millisecond
 	// fleetEvery is how often the pool is told which daemons there are.
 	fleetEvery = time.Second
+	// dialTimeout bounds the opening of a link.
+	dialTimeout = 400 * time.Millisecond
 	// watchEvery is how often it is looked at whether the allocator still asks.
 	watchEvery = 100 * time.Millisecond
 )
 
 // What ends the link to an allocator.
 var (
-	errUnasked  = errors.New("relay: allocator does not ask")
-	errReturned = errors.New("relay: allocator stops")
-	errBetter   = errors.New("relay: a better allocator can be reached")
+	errUnasked  = errors.New("permit: allocator does not ask")
+	errReturned = errors.New("permit: allocator stops")
+	errBetter   = errors.New("permit: a better allocator can be reached")
 )
 
 // allocator is a daemon's link to its allocator.
@@ -47,12 +49,9 @@
 	askedAt time.Time // when the allocator last asked for the part
 }
 
-// RunPermits keeps a link to the allocator until ctx ends. A daemon that comes before all
-// that it can reach is its own.
-func (n *Node) RunPermits(ctx context.Context) {
-	if n.opts.Pool == nil {
-		return
-	}
+// Run keeps a link to the allocator until ctx ends. A daemon that comes before all that it
+// can reach is its own.
+func (n *Node) Run(ctx context.Context) {
 	defer n.stopServing()
 	go n.keepFleet(ctx)
 	for ctx.Err() == nil {
@@ -72,7 +71,7 @@
 
 // tellFleet tells the pool which daemons there are.
 func (n *Node) tellFleet() {
-	all := n.members.All()
+	all := n.opts.Members()
 	names := make([]string, len(all))
 	for i, m := range all {
 		names[i] = m.Name
@@ -121,11 +120,11 @@
 	ctx, cancel := n.opts.Stalls.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	query := url.Values{nameParam: {n.opts.Name}}
-	c, resp, err := websocket.Dial(ctx, "ws://"+m.Address+PermitPath+"?"+query.Encode(), &websocket.DialOptions{
-		HTTPClient: n.dialer, CompressionMode: websocket.CompressionDisabled,
+	c, resp, err := websocket.Dial(ctx, n.opts.Scheme+"://"+m.Address+Path+"?"+query.Encode(), &websocket.DialOptions{
+		HTTPClient: n.opts.Client, HTTPHeader: n.opts.Header, CompressionMode: websocket.CompressionDisabled,
 	})
 	if err != nil && resp != nil {
-		return nil, fmt.Errorf("relay: %s: status %d", m.Name, resp.StatusCode)
+		return nil, fmt.Errorf("permit: %s: status %d", m.Name, resp.StatusCode)
 	}
 	return c, err
 }
@@ -137,7 +136,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a := &allocator{node: n, name: m.Name, conn: c, pending: map[uint64]*asked{}, askedAt: boottime.Now()}
-	_ = level.Info(n.logger).Log("msg", "following the allocator", "name", m.Name, "rank", rank)
+	_ = level.Info(n.opts.Logger).Log("msg", "following the allocator", "name", m.Name, "rank", rank)
 	go n.tellWords(ctx, c)
 	go a.watch(ctx, cancel)
 	go func() {
@@ -150,7 +149,7 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
-	_ = level.Info(n.logger).Log("msg", "allocator left", "name", m.Name, "err", err)
+	_ = level.Info(n.opts.Logger).Log("msg", "allocator left", "name", m.Name, "err", err)
 }
 
 // watch ends the link when the allocator does not ask for the part although a limit is
@@ -169,7 +168,7 @@
 			continue
 		}
 		a.mu.Lock()
-		since := later(a.askedAt, known)
+		since := boottime.Later(a.askedAt, known)
 		a.mu.Unlock()
 		if now.Sub(since)-n.opts.Stalls.Held(since, now) > pollSilent {
 			leave(errUnasked)
@@ -179,16 +178,9 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func (a *allocator) read(ctx context.Context) error {
 	for {
-		f, err := readPermit(ctx, a.conn)
+		f, err := readFrame(ctx, a.conn)
 		if err != nil {
 			return err
 		}
@@ -221,7 +213,7 @@
 		return nil // it comes with a later poll
 	}
 	pool.Lend(a.name, now.Add(lentFor), now)
-	return writePermit(ctx, a.conn, &permitFrame{Part: &part{Number: p.Number, Sent: a.node.sentToLimited(now)}})
+	return writeFrame(ctx, a.conn, &frame{Part: &part{Number: p.Number, Sent: a.node.sentToLimited(now)}})
 }
 
 // sentToLimited returns what this daemon has sent within the window to each backend server
@@ -236,17 +228,6 @@
 	return sent
 }
 
-// Permit asks for one call to each of some backend servers with limits. What is granted
-// counts as sent.
-func (n *Node) Permit(ctx context.Context, r quota.PermitRequest) quota.Decision {
-	now := boottime.Now()
-	a := n.allocator.Load()
-	if a == nil || n.opts.Pool.LentTo(now) != a.name {
-		return n.opts.Pool.Decide(n.opts.Name, r, now)
-	}
-	return a.ask(ctx, r)
-}
-
 // asked is a request that waits for its decision.
 type asked struct {
 	request quota.PermitRequest
@@ -263,7 +244,7 @@
 	a.mu.Unlock()
 	ctx, cancel := a.node.opts.Stalls.WithTimeout(ctx, decideWithin)
 	defer cancel()
-	err := writePermit(ctx, a.conn, &permitFrame{Ask: &ask{Number: number, Servers: r.Servers, Priority: r.Class.Priority, Workspace: r.Class.Workspace}})
+	err := writeFrame(ctx, a.conn, &frame{Ask: &ask{Number: number, Servers: r.Servers, Priority: r.Class.Priority, Workspace: r.Class.Workspace}})
 	if err == nil {
 		select {
 		case d := <-q.decided:
--- a/relay/permits_test.go
+++ b/permit/permit_test.go
@@ -1,7 +1,9 @@
-package relay
+package permit
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"sync"
@@ -18,9 +20,12 @@
 	"github.com/snowspoke/snowspoke/quota"
 )
 
+// daemonName names the i-th daemon.
+func daemonName(i int) string { return fmt.Sprintf("d-%03d", i) }
+
 // limited is a number of daemons that keep the limits of backend servers together.
 type limited struct {
-	all    everybody
+	all    []Member
 	nodes  []*Node
 	stop   []func()
 	limits []*quota.Limits
@@ -32,22 +37,22 @@
 	servers := make([]*httptest.Server, daemons)
 	for i := range daemons {
 		servers[i] = httptest.NewUnstartedServer(nil)
-		l.all = append(l.all, Member{Name: daemonName(i), Domain: "d", Address: servers[i].Listener.Addr().String()})
+		l.all = append(l.all, Member{Name: daemonName(i), Address: servers[i].Listener.Addr().String()})
 	}
-	inv := newCopied(&copySource{version: 1})
 	for i := range daemons {
 		limits, sends := quota.NewLimits(), quota.NewSends()
 		node := New(Options{
-			Name: daemonName(i), Domain: "d", Limits: limits, Sends: sends, Pool: quota.NewPool(daemonName(i), limits, sends),
+			Name: daemonName(i), Members: func() []Member { return l.all }, Client: http.DefaultClient, Scheme: "http",
+			Limits: limits, Sends: sends, Pool: quota.NewPool(daemonName(i), limits, sends), Logger: log.NewNopLogger(),
 			HearLimit: func(w quota.Word, _ string) { limits.Hear(w) },
-		}, inv, inv, l.all, log.NewNopLogger())
-		servers[i].Config.Handler = node.Handler()
+		})
+		servers[i].Config.Handler = node
 		servers[i].Start()
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
-			node.RunPermits(ctx)
+			node.Run(ctx)
 		}()
 		stop := sync.OnceFunc(func() {
 			cancel()
@@ -162,9 +167,9 @@
 			Server: rapid.String().Draw(t, "server"), Named: rapid.Bool().Draw(t, "named"),
 			Rate: rapid.Float64Range(0, 1e6).Draw(t, "rate"), SentAt: now.Add(-sent), At: now.Add(-came),
 		}
-		data, err := cbor.Marshal(&permitFrame{Words: packWords([]quota.Word{w}, now)})
+		data, err := cbor.Marshal(&frame{Words: packWords([]quota.Word{w}, now)})
 		require.NoError(t, err)
-		var f permitFrame
+		var f frame
 		require.NoError(t, cbor.Unmarshal(data, &f))
 		require.True(t, f.Words[0].possible())
 		got := f.Words[0].unpack(now)
@@ -186,15 +191,15 @@
 // What the daemons send each other while a limit is known, for each of them and for the
 // allocator: a poll and a part twice a second, and two messages a permit that is asked for.
 func TestPermitsCostABoundedRate(t *testing.T) {
-	size := func(f *permitFrame) int {
+	size := func(f *frame) int {
 		data, err := cbor.Marshal(f)
 		require.NoError(t, err)
 		return len(data)
 	}
 	id := "i-7a8aaead84"
-	poll := size(&permitFrame{Poll: &poll{Number: 1000}}) + size(&permitFrame{Part: &part{Number: 1000, Sent: map[string]int{id: 12}}})
-	decided := size(&permitFrame{Ask: &ask{Number: 1000, Servers: []string{id}, Workspace: "workspace-17"}}) +
-		size(&permitFrame{Decision: &decision{Number: 1000, Server: id, After: time.Second, Back: 5 * time.Second}})
+	poll := size(&frame{Poll: &poll{Number: 1000}}) + size(&frame{Part: &part{Number: 1000, Sent: map[string]int{id: 12}}})
+	decided := size(&frame{Ask: &ask{Number: 1000, Servers: []string{id}, Workspace: "workspace-17"}}) +
+		size(&frame{Decision: &decision{Number: 1000, Server: id, After: time.Second, Back: 5 * time.Second}})
 	perSecond := float64(poll) * float64(time.Second) / float64(pollEvery)
 	t.Logf("%.0f bytes a second a daemon and %d bytes a request; the allocator of 8 daemons %.0f bytes a second, of 300 %.0f", perSecond, decided, 7*perSecond, 299*perSecond)
 	require.Less(t, perSecond, 150.0)
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/snowspoke/snowspoke/boottime"
 )
 
 // Policy says when a request is held back. A request that only happened to be where
@@ -100,7 +102,7 @@
 	known := &e.Ends[i]
 	news := end.Weight > known.Weight || end.At.Sub(known.At) > sameTime
 	if news {
-		known.Weight, known.At = max(known.Weight, end.Weight), later(known.At, end.At)
+		known.Weight, known.At = max(known.Weight, end.Weight), boottime.Later(known.At, end.At)
 	}
 	return news
 }
@@ -189,7 +191,7 @@
 	case v.Score >= b.policy.HoldAll:
 		v.Until = last.Add(b.policy.Keep)
 	default:
-		v.Until = later(last, e.TriedAt).Add(b.policy.TrialAfter)
+		v.Until = boottime.Later(last, e.TriedAt).Add(b.policy.TrialAfter)
 	}
 	v.Held = now.Before(v.Until)
 	v.Trial = !v.Held
@@ -366,10 +368,3 @@
 	})
 	return out
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/quota/line.go
+++ b/quota/line.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/snowspoke/snowspoke/boottime"
 )
 
 // Class is who a call is for.
@@ -60,7 +62,7 @@
 func (l *line) accrue(limit, share float64, held, now time.Time) {
 	l.rate = rateUse * share * max(limit, leastRate)
 	l.most = burstOf(l.rate)
-	due := l.rate * max(0, now.Sub(later(l.at, held)).Seconds())
+	due := l.rate * max(0, now.Sub(boottime.Later(l.at, held)).Seconds())
 	l.at = now
 	l.calls = min(l.most, l.calls+due)
 	l.credit(due, now)
@@ -178,13 +180,6 @@
 	return l.rate / float64(max(1, n))
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func bounded(seconds float64, least, most time.Duration) time.Duration {
 	if seconds >= most.Seconds() {
 		return most
--- a/relay/node.go
+++ b/relay/node.go
@@ -12,7 +12,6 @@
 	"github.com/go-kit/log"
 
 	"github.com/snowspoke/snowspoke/quarantine"
-	"github.com/snowspoke/snowspoke/quota"
 	"github.com/snowspoke/snowspoke/stall"
 )
 
@@ -39,13 +38,6 @@
 	Asker Asker
 	// Quarantine is kept alike with those of the other daemons, nil for none.
 	Quarantine *quarantine.Book
-	// Limits are those that backend servers have named, kept alike with those of the other
-	// daemons, Pool what this one may give out for them, and Sends what it has sent to each;
-	// all nil for none. HearLimit takes what another daemon tells of limits.
-	Limits    *quota.Limits
-	Pool      *quota.Pool
-	Sends     *quota.Sends
-	HearLimit func(w quota.Word, from string)
 	// Stalls are those of this process, which no other daemon is judged by; nil for none.
 	Stalls *stall.Monitor
 	// BeforeStore is called once, before this daemon first follows the store itself and
@@ -69,10 +61,6 @@
 	names      names
 	conditions *conditionBook
 
-	allocator   atomic.Pointer[allocator] // nil while there is no link
-	serving     context.Context           // ends when this daemon stops to be an allocator
-	stopServing context.CancelFunc
-
 	beforeStore  sync.Once
 	begun        atomic.Bool  // this daemon has been a sound source
 	reading      atomic.Bool  // this daemon follows the store itself
@@ -106,21 +94,12 @@
 	if o.ConfigWithin == 0 {
 		o.ConfigWithin = shortestConfigWithin
 	}
-	serving, stop := context.WithCancel(context.Background())
 	return &Node{
-		serving: serving, stopServing: stop, opts: o, inv: inv, book: book, members: m, logger: logger, ledger: newLedger(), dialer: newDialer(o.Connect, o.Stalls), conditions: newConditionBook(),
+		opts: o, inv: inv, book: book, members: m, logger: logger, ledger: newLedger(), dialer: NewDialer(o.Connect, o.Stalls), conditions: newConditionBook(),
 		otherDomains: newLedger(), above: newLedger(), source: context.Background(),
 	}
 }
 
-// Handler serves links to other daemons.
-func (n *Node) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc(Path, n.serveLink)
-	mux.HandleFunc(PermitPath, n.servePermits)
-	return mux
-}
-
 // Reading reports whether this daemon follows the store itself.
 func (n *Node) Reading() bool { return n.reading.Load() }
 
--- a/relay/session.go
+++ b/relay/session.go
@@ -47,9 +47,9 @@
 	return s.followed, err
 }
 
-// newDialer returns the client that opens links over connections of connect, nil for
+// NewDialer returns the client that opens links over connections of connect, nil for
 // the usual ones.
-func newDialer(connect func(ctx context.Context, network, address string) (net.Conn, error), stalls *stall.Monitor) *http.Client {
+func NewDialer(connect func(ctx context.Context, network, address string) (net.Conn, error), stalls *stall.Monitor) *http.Client {
 	if connect == nil {
 		connect = new(net.Dialer).DialContext
 	}
--- a/relay/source.go
+++ b/relay/source.go
@@ -44,9 +44,9 @@
 	TakeConditions(known map[string]Condition)
 }
 
-// serveLink serves one follower until the link ends: changes as they come, and
+// ServeHTTP serves one follower until the link ends: changes as they come, and
 // an answer to each ping.
-func (n *Node) serveLink(w http.ResponseWriter, r *http.Request) {
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	sameDomain := query.Get(domainParam) == n.opts.Domain
 	now := boottime.Now()
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -232,7 +232,7 @@
 
 // start runs a node behind a server until the test ends or stop is called.
 func start(t *testing.T, node *Node, server *httptest.Server) (stop func()) {
-	server.Config.Handler = node.Handler()
+	server.Config.Handler = node
 	server.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -367,7 +367,7 @@
 	inv.heard = time.Now()
 	n := New(Options{Name: daemonName(0), Domain: "d"}, inv, inv, everybody{}, log.NewNopLogger())
 	n.reading.Store(true)
-	srv := httptest.NewServer(n.Handler())
+	srv := httptest.NewServer(n)
 	t.Cleanup(srv.Close)
 	follower := New(Options{Name: daemonName(1), Domain: "d"}, inv, inv, everybody{}, log.NewNopLogger())
 	first := Member{Name: daemonName(0), Domain: "d", Address: srv.Listener.Addr().String()}
@@ -386,7 +386,7 @@
 	inv := newCopied(&copySource{})
 	inv.state = &inventory.State{ConfigVersion: 1, Complete: true}
 	n := New(Options{Name: daemonName(1), Domain: "d"}, inv, inv, everybody{}, log.NewNopLogger())
-	srv := httptest.NewServer(n.Handler())
+	srv := httptest.NewServer(n)
 	t.Cleanup(srv.Close)
 	above := Member{Name: daemonName(1), Domain: "d", Address: srv.Listener.Addr().String()}
 	follower := New(Options{Name: daemonName(2), Domain: "d"}, inv, inv, everybody{}, log.NewNopLogger())
