Operators declare what a backend server takes from all daemons together

Hypothesis: on our own interface a limit that is known beforehand could not be set, and a daemon alone cannot keep it: what a backend server gets is the sum of what all daemons decide. Even parts were weighed and not taken: at many daemons a part is less than a call, and in a change of their owner the shares of quotas add up to twice the limit. Change: `requestsPerSecond` of a backend server or of an endpoint, checked, is kept by the permits of package permit: each call takes one for every hop that has a limit, goes elsewhere without one, and is refused at once with a time to return where there is nobody else. The limits are in the configuration, so daemons tell each other none and have no links while none is declared. The part of a daemon that is dead stays its own for ten minutes, as a region that is cut off goes on with it. The table of denials moved from forward to quota, for both. The client library reads the time to return of a refused call of a plain service.

--- a/client/client.go
+++ b/client/client.go
@@ -263,6 +263,12 @@
 	if r.Kind == "" {
 		r.Whole = true
 		r.Text = string(data)
+		return r, nil
 	}
+	var a answer
+	if err := json.Unmarshal(data, &a); err != nil {
+		return r, fmt.Errorf("client: %w", err)
+	}
+	r.take(&a)
 	return r, nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -64,6 +64,7 @@
 	key       []byte
 	sealer    *dispatch.Sealer
 	book      *claims.Book
+	limits    limits
 
 	callers   *http.Server
 	operators *http.Server
@@ -103,11 +104,13 @@
 		return nil, err
 	}
 	d.buildState()
+	d.buildLimits()
 	d.buildServers()
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
 	d.buildNode()
+	d.linkLimits()
 	return d, nil
 }
 
@@ -174,7 +177,7 @@
 	}, dispatch.Parts{
 		Engine: engine, Catalog: d.catalog, Table: d.table, Planner: d.planner, Gate: d.gate,
 		Health: d.monitor, Alive: d.monitor, Warm: d.prefixes, Sealer: d.sealer, Log: d.decisions,
-		Observer: d.metrics, Clock: time.Now,
+		Observer: d.metrics, Clock: time.Now, Limits: d.limits.calls,
 	})
 }
 
@@ -265,6 +268,7 @@
 	wg.Go(func() { d.node.Run(work) })
 	wg.Go(func() { d.readVMs(work) })
 	wg.Go(func() { d.node.ReportQuotas(work) })
+	wg.Go(func() { d.limits.node.Run(work) })
 	wg.Go(func() { d.placeWeights(work) })
 	d.peers = d.newServer(d.peersHandler(work))
 	failed := make(chan error, 3)
@@ -319,6 +323,7 @@
 	for {
 		changed := d.catalog.Changed()
 		d.table.SetConfig(d.catalog.Snapshot().BackendServers)
+		d.declareLimits()
 		d.gate.Wake()
 		select {
 		case <-ctx.Done():
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -13,6 +13,7 @@
 	"github.com/snowspoke/snowspoke/catalog"
 	"github.com/snowspoke/snowspoke/claims"
 	"github.com/snowspoke/snowspoke/peer"
+	"github.com/snowspoke/snowspoke/permit"
 	"github.com/snowspoke/snowspoke/store"
 )
 
@@ -49,6 +50,7 @@
 	d.node.ServeClaims(mux, d.book)
 	d.node.ServeQuotas(mux)
 	d.node.ServeDemand(mux, d.ownDemand)
+	mux.HandleFunc(permit.Path, d.servePermits)
 	return mux
 }
 
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -29,6 +29,9 @@
 	if err := r.beforeSend(); err != nil {
 		return result{err: err, failed: r.leavingHop(), final: !errors.Is(err, errLeaving)}
 	}
+	if full := r.d.limits.enter(ctx, r.route.BackendServers(), classOf(r.req.Workspace.Name, r.req.Priority)); full != nil {
+		return result{err: full, failed: full.server}
+	}
 	if err := r.beginAttempt(); err != nil {
 		return result{err: err, final: true}
 	}
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -64,6 +64,7 @@
 func (quiet) Finished(string, time.Duration)                  {}
 func (quiet) FirstToken(time.Duration)                        {}
 func (quiet) Recovered(time.Duration)                         {}
+func (quiet) LimitReached()                                   {}
 func (quiet) Dropped(Drops)                                   {}
 
 type fixed struct{ snap *topology.Snapshot }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -35,6 +35,8 @@
 	FirstToken(d time.Duration)
 	Recovered(gap time.Duration)
 	Dropped(d Drops)
+	// LimitReached counts a request that was refused since backend servers take no more.
+	LimitReached()
 }
 
 // Options are the settings of a dispatcher.
@@ -63,6 +65,7 @@
 	observe Observer
 	clock   Clock
 	policy  Policy
+	limits  *CallLimits
 }
 
 // Parts are what a dispatcher works with.
@@ -79,7 +82,8 @@
 	Log      *decision.Log
 	Observer Observer
 	Clock    Clock
-	Choose   Policy // nil for routing.Choose
+	Choose   Policy      // nil for routing.Choose
+	Limits   *CallLimits // nil for none
 }
 
 // Policy picks a route for a new request.
@@ -93,7 +97,7 @@
 	return &Dispatcher{
 		opts: o, engine: p.Engine, catalog: p.Catalog, table: p.Table, planner: p.Planner, gate: p.Gate,
 		health: p.Health, alive: p.Alive, warm: p.Warm, sealer: p.Sealer, log: p.Log, observe: p.Observer,
-		clock: p.Clock, policy: p.Choose,
+		clock: p.Clock, policy: p.Choose, limits: p.Limits,
 	}
 }
 
--- a/dispatch/lab_test.go
+++ b/dispatch/lab_test.go
@@ -153,6 +153,7 @@
 func (labObserver) FirstToken(time.Duration)       {}
 func (labObserver) Recovered(time.Duration)        {}
 func (labObserver) Dropped(dispatch.Drops)         {}
+func (labObserver) LimitReached()                  {}
 
 func (l *lab) addDaemon(ctx context.Context, i int) {
 	table := fleet.NewTable()
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -178,6 +178,7 @@
 func (r *run) openResume(ctx context.Context, from int) (backend.Stream, error) {
 	rctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(resumeTimeout, cancel)
+	r.d.limits.again(r.route[0].BackendServer)
 	s, err := r.d.engine.Resume(rctx, r.head(), r.req.ID, r.attempt, from)
 	if err != nil || !timer.Stop() {
 		cancel()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -209,7 +209,7 @@
 	}
 	if r.attempt+1 >= r.d.opts.MaxAttempts {
 		r.abandon()
-		return false, r.GaveUp(res.err)
+		return false, r.giveUp(res.err)
 	}
 	if res.move != nil {
 		r.moveAway(ctx, res)
@@ -245,9 +245,21 @@
 
 func (r *run) progress() string { return fmt.Sprintf("after %d tokens", r.delivery.Next()) }
 
+// giveUp is the answer to a request that is not sent again after err.
+func (r *run) giveUp(err error) error {
+	var full *limitReached
+	if errors.As(err, &full) && r.NotRun() {
+		r.d.observe.LimitReached()
+		return full.refusal()
+	}
+	return r.GaveUp(err)
+}
+
 // elsewhere sends an attempt that surely did not run to another route. A new
-// request takes each such retry out of the budget; a stream that has begun, or a
-// route that began to leave at the last moment, does not.
+// request takes each such retry out of the budget; a stream that has begun does not, nor one
+// that was not sent as its route began to leave or had no room by a declared limit. The last
+// is refused at once where no other route is left: waiting would only put it behind those
+// that come later.
 func (r *run) elsewhere(ctx context.Context, res result) error {
 	if res.failed != "" {
 		r.avoid[res.failed] = true
@@ -255,11 +267,16 @@
 	if r.HasRun() {
 		return r.reroute(ctx, res, "recover")
 	}
-	if !errors.Is(res.err, errLeaving) && !r.d.gate.SpendRetry(r.req.Workspace.Name, r.model.Name) {
+	var full *limitReached
+	atLimit := errors.As(res.err, &full)
+	if !atLimit && !errors.Is(res.err, errLeaving) && !r.d.gate.SpendRetry(r.req.Workspace.Name, r.model.Name) {
 		return r.GaveUp(res.err)
 	}
 	b := r.binding()
 	c, err := r.d.policy(b.Plan, b.At(r.d.clock()), r.routeOptions(), rand.New(rand.NewPCG(rand.Uint64(), 1)))
+	if err != nil && atLimit {
+		return r.giveUp(full)
+	}
 	if err != nil {
 		return r.reroute(ctx, res, "retry")
 	}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -42,6 +42,7 @@
 	observe Observer
 	clock   Clock
 
+	limits *CallLimits
 	health *health.Cooldowns // by endpoint
 
 	mu       sync.Mutex
@@ -51,13 +52,13 @@
 type endpointKey struct{ service, endpoint string }
 
 // String names the endpoint in the table of cooldowns.
-func (k endpointKey) String() string { return k.service + "/" + k.endpoint }
+func (k endpointKey) String() string { return topology.EndpointID(k.service, k.endpoint) }
 
 // NewServices returns a Services that works with the same parts as d.
 func NewServices(d *Dispatcher, client backend.Services) *Services {
 	return &Services{
 		opts: d.opts, client: client, catalog: d.catalog, table: d.table, gate: d.gate, log: d.log,
-		observe: d.observe, clock: d.clock, health: health.NewCooldowns(endpointCooldowns), inFlight: map[endpointKey]int{},
+		observe: d.observe, clock: d.clock, limits: d.limits, health: health.NewCooldowns(endpointCooldowns), inFlight: map[endpointKey]int{},
 	}
 }
 
@@ -105,11 +106,10 @@
 
 // Send implements execution.Sender.
 func (c *call) Send(ctx context.Context) (execution.Verdict, error) {
-	e := c.s.pick(c.svc, c.tried)
-	if e == nil {
-		return execution.Answered, apierror.New(apierror.NoRoute, "service %s has no endpoint in service", c.svc.Name)
+	e, err := c.endpoint(ctx)
+	if err != nil {
+		return execution.Answered, err
 	}
-	c.tried[e.Name] = true
 	reply, err := c.send(ctx, c.svc, e)
 	if err == nil {
 		c.reply = reply
@@ -122,6 +122,26 @@
 	return execution.MayHaveRun, err
 }
 
+// endpoint takes the best endpoint that has room by its declared limit, if it has one.
+func (c *call) endpoint(ctx context.Context) (*topology.Endpoint, error) {
+	var full *limitReached
+	for {
+		e := c.s.pick(c.svc, c.tried)
+		if e == nil && full != nil {
+			c.s.observe.LimitReached()
+			return nil, full.refusal()
+		}
+		if e == nil {
+			return nil, apierror.New(apierror.NoRoute, "service %s has no endpoint in service", c.svc.Name)
+		}
+		c.tried[e.Name] = true
+		limited := []string{topology.EndpointID(c.svc.Name, e.Name)}
+		if full = c.s.limits.enter(ctx, limited, classOf(c.req.Workspace.Name, 0)); full == nil {
+			return e, nil
+		}
+	}
+}
+
 // Retry implements execution.Sender: it takes a retry only if there is another
 // endpoint for it.
 func (c *call) Retry(context.Context, execution.Verdict) bool {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -108,7 +108,7 @@
 	limits     *quota.Limits
 	sends      *quota.Sends
 	permits    Permits
-	denials    *denials
+	denials    *quota.Denials
 
 	started      time.Time    // earlier by a window where nothing ran before
 	keysFreshFor atomic.Int64 // see Options
@@ -137,7 +137,7 @@
 		p.Permits = alone{quota.NewPool(aloneName, p.Limits, p.Sends), aloneName}
 	}
 	f := &Forwarder{
-		limits: p.Limits, sends: p.Sends, permits: p.Permits, denials: newDenials(), quarantine: p.Quarantine, stalls: p.Stalls, deadlines: newDeadlines(),
+		limits: p.Limits, sends: p.Sends, permits: p.Permits, denials: quota.NewDenials(), quarantine: p.Quarantine, stalls: p.Stalls, deadlines: newDeadlines(),
 		started: time.Now(), opts: o, inv: p.Inventory, fleet: p.Fleet, log: p.Log, observe: p.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newRecent[Report](reportAge), probes: newRecent[struct{}](probeAge), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
--- a/forward/permit.go
+++ b/forward/permit.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
@@ -39,45 +37,6 @@
 	return a.pool.Decide(a.name, r, boottime.Now())
 }
 
-// denials keeps which backend servers have no room for a class for a while, so that the
-// fleet is not asked for each request. It is safe for concurrent use.
-type denials struct {
-	mu  sync.Mutex
-	all map[denialKey]denial
-}
-
-type denialKey struct {
-	server string
-	class  quota.Class
-}
-
-type denial struct {
-	until time.Time // when a permit is asked for again
-	back  time.Time // when a refused caller may come back
-}
-
-// denialsMost is the number of denials from which those that are over are dropped.
-const denialsMost = 1024
-
-func newDenials() *denials { return &denials{all: map[denialKey]denial{}} }
-
-func (d *denials) add(class quota.Class, of quota.Decision, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.all) >= denialsMost {
-		maps.DeleteFunc(d.all, func(_ denialKey, v denial) bool { return !now.Before(v.until) })
-	}
-	d.all[denialKey{of.Server, class}] = denial{until: now.Add(of.After), back: now.Add(of.Back)}
-}
-
-// of returns the denial of a class by a backend server that still counts.
-func (d *denials) of(server string, class quota.Class, now time.Time) (denial, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	v, known := d.all[denialKey{server, class}]
-	return v, known && now.Before(v.until)
-}
-
 // class returns for whom the request's permits are.
 func (r *run) class() quota.Class {
 	c := quota.Class{Priority: r.priority()}
@@ -105,7 +64,7 @@
 		_, t.permitted = r.f.limits.Of(t.head().ID)
 		return true
 	}
-	r.f.denials.add(class, d, boottime.Now())
+	r.f.denials.Add(class, d, boottime.Now())
 	limit, _ := r.f.limits.Of(d.Server)
 	r.f.log.Add("limit_reached", "request", r.req.ID, "server", d.Server, "rate", limit.Rate, "known_for", ageOf(limit, boottime.Now()),
 		"priority", class.Priority, "workspace", class.Workspace, "after", d.After.Round(time.Millisecond), "back", d.Back.Round(time.Millisecond))
@@ -122,13 +81,13 @@
 	class, now := r.class(), boottime.Now()
 	left = make([]pipeline.Candidate, 0, len(cs))
 	for _, c := range cs {
-		d, denied := r.f.denials.of(c.Server.ID, class, now)
+		again, denied := r.f.denials.Of(c.Server.ID, class, now)
 		if !denied {
 			left = append(left, c)
 			continue
 		}
-		if back.IsZero() || d.back.Before(back) {
-			back = d.back
+		if back.IsZero() || again.Before(back) {
+			back = again
 		}
 	}
 	return left, back
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,7 @@
 	kv       map[string]int // tokens in the KV cache, by request
 	status   backend.Status
 	inFlight int
+	arrivals []time.Time
 }
 
 // Add starts an engine that holds the given parts.
@@ -131,6 +133,19 @@
 	return e.inFlight
 }
 
+// Arrivals returns when requests came to the engine, as any hop of their routes.
+func (e *Engine) Arrivals() []time.Time {
+	e.state.Lock()
+	defer e.state.Unlock()
+	return slices.Clone(e.arrivals)
+}
+
+func (e *Engine) arrive() {
+	e.state.Lock()
+	defer e.state.Unlock()
+	e.arrivals = append(e.arrivals, time.Now())
+}
+
 func (e *Engine) enter(d int) {
 	e.state.Lock()
 	defer e.state.Unlock()
@@ -230,6 +245,7 @@
 	hops := make([]*Engine, len(g.Route))
 	for i, h := range g.Route {
 		hops[i] = e.fleet.Engine(h.BackendServer)
+		hops[i].arrive()
 		hops[i].enter(1)
 		defer hops[i].enter(-1)
 		hops[i].prefill(g.RequestID, len(g.Prior), h.Layers)
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +20,16 @@
 	RefuseAll atomic.Bool  // refuses without running
 	CutAfter  atomic.Int64 // cuts the next answers after the call ran
 	Delay     atomic.Int64 // nanoseconds that a call takes
+
+	mu       sync.Mutex
+	arrivals []time.Time
+}
+
+// Arrivals returns when calls came.
+func (s *Service) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
 }
 
 // NewService starts a service.
@@ -28,6 +40,9 @@
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	s.mu.Unlock()
 	body, err := io.ReadAll(r.Body)
 	if err != nil || s.RefuseAll.Load() {
 		refuse(w, http.StatusServiceUnavailable, "refused")
--- a/peer/duties.go
+++ b/peer/duties.go
@@ -22,6 +22,19 @@
 	return n.members.All()
 }
 
+// Sharing returns every daemon that may hold a part of what all daemons keep together: all
+// that are known but those that have been dead for partKept. A daemon that cannot be reached
+// goes on with its part, on its side of a partition.
+func (n *Node) Sharing(now time.Time) []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.NotLongDead(partKept, now)
+}
+
+// partKept is how long the part of a dead daemon stays its own: regions lose each other for
+// minutes.
+const partKept = 10 * time.Minute
+
 // Owns reports whether this daemon reads the status of a backend server.
 func (n *Node) Owns(server string) bool {
 	n.mu.Lock()
--- a/peer/member.go
+++ b/peer/member.go
@@ -157,6 +157,14 @@
 	return out
 }
 
+// NotLongDead returns every daemon known, the daemon itself included, but those that have
+// been dead for a time.
+func (t *Members) NotLongDead(dead time.Duration, now time.Time) []Member {
+	return slices.DeleteFunc(t.All(), func(m Member) bool {
+		return m.State == Dead && now.Sub(t.others[m.Name].since) >= dead
+	})
+}
+
 // touch notes a change.
 func (t *Members) touch() {
 	t.working = nil
--- a/permit/follow.go
+++ b/permit/follow.go
@@ -55,11 +55,30 @@
 	defer n.stopServing()
 	go n.keepFleet(ctx)
 	for ctx.Err() == nil {
+		if n.opts.HearLimit == nil {
+			n.awaitLimit(ctx)
+		}
 		n.followAllocator(ctx)
 		wait.For(ctx, allocatorPause)
 	}
 }
 
+// awaitLimit waits until a limit is known: daemons that tell each other none need no link
+// before.
+func (n *Node) awaitLimit(ctx context.Context) {
+	for {
+		changed := n.opts.Limits.Changed()
+		if n.opts.Limits.Size() > 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // keepFleet tells the pool again and again which daemons there are.
 func (n *Node) keepFleet(ctx context.Context) {
 	n.tellFleet()
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -93,16 +93,71 @@
 	} else {
 		c = h.end(w)
 	}
-	switch {
-	case c == Learnt:
+	b.note(h, c)
+	return c, before, h.limit
+}
+
+// note counts a change and tells of it.
+func (b *Limits) note(h *heard, c Change) {
+	switch c {
+	case Unchanged:
+		return
+	case Learnt:
 		b.known++
-	case c == Ended:
+	case Ended:
 		b.known--
 	}
-	if c != Unchanged {
-		b.touch(h)
+	b.touch(h)
+}
+
+// Declare takes the limits that are known beforehand, in requests a second by backend
+// server: one that is not named has none. It returns what has changed. Limits of a book are
+// either declared or heard.
+func (b *Limits) Declare(rates map[string]float64, now time.Time) []Declared {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Declared
+	for server, rate := range rates {
+		if b.words[server] == nil {
+			b.words[server] = &heard{}
+		}
+		out = b.declare(out, server, true, rate, now)
 	}
-	return c, before, h.limit
+	for server, h := range b.words {
+		if _, still := rates[server]; !still && h.named {
+			out = b.declare(out, server, false, 0, now)
+		}
+	}
+	return out
+}
+
+// Declared is what a declaration has changed.
+type Declared struct {
+	Server string
+	Change Change
+	Rate   float64 // now
+}
+
+func (b *Limits) declare(out []Declared, server string, named bool, rate float64, now time.Time) []Declared {
+	h := b.words[server]
+	c := Unchanged
+	switch {
+	case named && !h.named:
+		c = Learnt
+		h.limit = Limit{Server: server, Rate: rate, Since: now, At: now}
+	case named && h.limit.Rate != rate:
+		c = Changed
+		h.limit.Rate, h.limit.At = rate, now
+	case !named:
+		c = Ended
+		h.limit, h.endedBy = Limit{}, Word{Server: server, SentAt: now, At: now}
+	}
+	h.named = named
+	b.note(h, c)
+	if c == Unchanged {
+		return out
+	}
+	return append(out, Declared{Server: server, Change: c, Rate: rate})
 }
 
 // Retell has a limit that holds told again: another daemon takes it to have ended, and does
--- a/topology/layers.go
+++ b/topology/layers.go
@@ -40,6 +40,15 @@
 // Route is a pipeline: hops whose layer ranges tile [0, L) in order.
 type Route []Hop
 
+// BackendServers returns the names of the hops, in order.
+func (r Route) BackendServers() []string {
+	names := make([]string, len(r))
+	for i, h := range r {
+		names[i] = h.BackendServer
+	}
+	return names
+}
+
 // CheckTiling asserts that the route covers [0, layers) exactly once, in order.
 // It is called where a route is built and again by the engine that accepts it.
 func (r Route) CheckTiling(layers int) error {
--- a/topology/objects.go
+++ b/topology/objects.go
@@ -44,6 +44,9 @@
 	ChecksFencing   bool    `json:"checksFencing"`   // refuses orders with an old fencing number
 	Links           []Link  `json:"links"`           // capacity towards next hops, first match counts
 	Labels          Labels  `json:"labels"`
+	// RequestsPerSecond is what it takes from all daemons together, as any hop of a route;
+	// nil for no limit. At 0 it is still called now and then.
+	RequestsPerSecond *float64 `json:"requestsPerSecond,omitempty"`
 }
 
 // Link states the capacity of the links to the backend servers that To selects.
@@ -151,8 +154,13 @@
 	Address       string `json:"address"`
 	FailureDomain string `json:"failureDomain"`
 	Drain         bool   `json:"drain"`
+	// RequestsPerSecond is what it takes from all daemons together; nil for no limit.
+	RequestsPerSecond *float64 `json:"requestsPerSecond,omitempty"`
 }
 
+// EndpointID names an endpoint of a service among all backend servers and endpoints.
+func EndpointID(service, endpoint string) string { return service + "/" + endpoint }
+
 // CallPattern selects calls by method and path prefix; "" matches any.
 type CallPattern struct {
 	Method     string `json:"method"`
--- a/topology/parse.go
+++ b/topology/parse.go
@@ -87,6 +87,7 @@
 	if b.TokensPerSecond < 0 {
 		f = append(f, fmt.Errorf("tokensPerSecond: %v, write a number from 0", b.TokensPerSecond))
 	}
+	f = append(f, checkLimit("requestsPerSecond", b.RequestsPerSecond)...)
 	for i, l := range b.Links {
 		if l.TokensPerSecond <= 0 {
 			f = append(f, fmt.Errorf("links[%d].tokensPerSecond: %v, write a number above 0", i, l.TokensPerSecond))
@@ -95,6 +96,13 @@
 	return f
 }
 
+func checkLimit(field string, rate *float64) []error {
+	if rate != nil && *rate < 0 {
+		return []error{fmt.Errorf("%s: %v, write a number from 0 or leave it out", field, *rate)}
+	}
+	return nil
+}
+
 func checkAddress(field, address string) []error {
 	if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
 		return []error{fmt.Errorf("%s: %q, write host:port", field, address)}
@@ -156,6 +164,7 @@
 	seen := make(map[string]bool, len(s.Endpoints))
 	for i, e := range s.Endpoints {
 		f = append(f, checkAddress(fmt.Sprintf("endpoints[%d].address", i), e.Address)...)
+		f = append(f, checkLimit(fmt.Sprintf("endpoints[%d].requestsPerSecond", i), e.RequestsPerSecond)...)
 		if e.Name == "" || seen[e.Name] {
 			f = append(f, fmt.Errorf("endpoints[%d].name: %q, give each endpoint a name of its own", i, e.Name))
 		}
--- a/topology/snapshot.go
+++ b/topology/snapshot.go
@@ -36,6 +36,26 @@
 	}
 }
 
+// CallLimits returns the requests a second that backend servers, by name, and endpoints of
+// services, by EndpointID, take from all daemons together, of those that declare it.
+func (s *Snapshot) CallLimits() map[string]float64 {
+	limits := map[string]float64{}
+	for name, b := range s.BackendServers {
+		if b.RequestsPerSecond != nil {
+			limits[name] = *b.RequestsPerSecond
+		}
+	}
+	for name, service := range s.Services {
+		for i := range service.Endpoints {
+			e := &service.Endpoints[i]
+			if e.RequestsPerSecond != nil {
+				limits[EndpointID(name, e.Name)] = *e.RequestsPerSecond
+			}
+		}
+	}
+	return limits
+}
+
 // IndexTokens builds the token index; it must be called before WorkspaceOf and
 // after the workspaces changed.
 func (s *Snapshot) IndexTokens() {
--- /dev/null
+++ b/trial/declared_test.go
@@ -0,0 +1,205 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/client"
+	"github.com/snowspoke/snowspoke/internal/memnet"
+	"github.com/snowspoke/snowspoke/quota"
+	"github.com/snowspoke/snowspoke/topology"
+)
+
+// callRate is how many calls a second the callers of these tests want.
+const callRate = 24
+
+// declare sets what some engines take from all daemons together, nil for no limit.
+func (w *World) declare(rate *float64, names ...string) {
+	for _, name := range names {
+		for _, s := range engines {
+			if s.name == name {
+				w.Platform.Set(string(topology.KindBackendServer), name, &topology.BackendServer{
+					Address: w.Fleet.Engine(name).Address(), FailureDomain: s.domain, Region: "bogota", Accelerator: s.accelerator,
+					TokensPerSecond: s.rate, ChecksFencing: true, Labels: topology.Labels{"name": name}, RequestsPerSecond: rate,
+				})
+			}
+		}
+	}
+	time.Sleep(2 * time.Second) // in force, parts contributed
+}
+
+// outcomes counts the answers that callers got.
+type outcomes struct {
+	whole, refused int
+	slowest        time.Duration // refusal
+	untold         int           // refusals without a time to return
+}
+
+// callFor has callers want callRate calls a second at all daemons for a time.
+func callFor(length time.Duration, daemons int, call func(daemon, n int) (client.Reply, error)) outcomes {
+	var mu sync.Mutex
+	var o outcomes
+	var wg sync.WaitGroup
+	for n := range int(length.Seconds() * callRate) {
+		wg.Go(func() {
+			began := time.Now()
+			reply, err := call(n%daemons, n)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && reply.Whole {
+				o.whole++
+				return
+			}
+			if err == nil && reply.Kind == apierror.Overloaded {
+				o.refused++
+				o.slowest = max(o.slowest, time.Since(began))
+				if reply.RetryAfter == 0 {
+					o.untold++
+				}
+			}
+		})
+		time.Sleep(time.Second / callRate)
+	}
+	wg.Wait()
+	return o
+}
+
+// mostInWindow returns the most arrivals within any window of a limit.
+func mostInWindow(at []time.Time, since time.Time) int {
+	most := 0
+	for i, first := range at {
+		n := 0
+		for _, t := range at[i:] {
+			if t.Sub(first) < quota.Window {
+				n++
+			}
+		}
+		if !first.Before(since) {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+func countSince(at []time.Time, since time.Time) int {
+	n := 0
+	for _, t := range at {
+		if !t.Before(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// allowed is what a backend server may get within a window.
+func allowed(rate float64) int { return int(1.5*rate*quota.Window.Seconds()) + 5 }
+
+// A limit that an operator has declared is kept by all daemons together and used: requests
+// beyond it go to the other backend server of the stage. Where both have one, who finds no
+// room is refused at once and told when to return. Without the limit the load is back.
+func TestDeclaredLimitIsKeptByAllDaemons(t *testing.T) {
+	inWorld(t, 3, func(w *World, hc *http.Client, _ *memnet.Net) {
+		call := func(daemon, n int) (client.Reply, error) {
+			return w.clientOf(daemon, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: fmt.Sprint("p", n), MaxTokens: 5, Repeatable: true})
+		}
+		rate := 4.0
+		w.declare(&rate, "engine-1")
+		began := time.Now()
+		o := callFor(16*time.Second, 3, call)
+		at := w.Fleet.Engine("engine-1").Arrivals()
+		used := float64(countSince(at, began)) / rate / 16
+		t.Logf("%+v, %.2f of the limit used, %d calls in a window", o, used, mostInWindow(at, began))
+		assert.Equal(t, 16*callRate, o.whole)
+		assert.LessOrEqual(t, mostInWindow(at, began), allowed(rate))
+		assert.GreaterOrEqual(t, used, 0.8)
+
+		w.declare(&rate, "engine-2")
+		began = time.Now()
+		o = callFor(16*time.Second, 3, call)
+		t.Logf("%+v", o)
+		for _, name := range []string{"engine-1", "engine-2"} {
+			at = w.Fleet.Engine(name).Arrivals()
+			used = float64(countSince(at, began)) / rate / 16
+			t.Logf("%s: %.2f used, %d in a window", name, used, mostInWindow(at, began))
+			assert.LessOrEqual(t, mostInWindow(at, began), allowed(rate), name)
+			assert.GreaterOrEqual(t, used, 0.8, name)
+		}
+		assert.Equal(t, 16*callRate, o.whole+o.refused)
+		assert.LessOrEqual(t, o.slowest, 50*time.Millisecond)
+		assert.Zero(t, o.untold)
+
+		w.declare(nil, "engine-1", "engine-2")
+		o = callFor(4*time.Second, 3, call)
+		assert.Equal(t, 4*callRate, o.whole)
+	})
+}
+
+// The same while daemons are killed and started again.
+func TestDeclaredLimitIsKeptWhileDaemonsRestart(t *testing.T) {
+	inWorld(t, 3, func(w *World, hc *http.Client, _ *memnet.Net) {
+		rate := 6.0
+		w.declare(&rate, "engine-1")
+		began := time.Now()
+		var cycles sync.WaitGroup
+		cycles.Go(func() {
+			for i := range 3 {
+				time.Sleep(4 * time.Second)
+				assert.NoError(t, w.Daemons[i].Cycle(i%2 == 0, time.Second))
+			}
+		})
+		callFor(20*time.Second, 3, func(daemon, n int) (client.Reply, error) {
+			return w.clientOf(daemon, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: fmt.Sprint("p", n), MaxTokens: 5, Repeatable: true})
+		})
+		cycles.Wait()
+		at := w.Fleet.Engine("engine-1").Arrivals()
+		t.Logf("%d calls, %d in a window", countSince(at, began), mostInWindow(at, began))
+		assert.LessOrEqual(t, mostInWindow(at, began), allowed(rate))
+	})
+}
+
+// Endpoints of plain services have limits as backend servers do.
+func TestDeclaredLimitOfAnEndpoint(t *testing.T) {
+	inWorld(t, 3, func(w *World, hc *http.Client, _ *memnet.Net) {
+		rate := 3.0
+		spec := &topology.Service{Repeatable: []topology.CallPattern{{Method: http.MethodGet}}}
+		for i, s := range w.Services {
+			spec.Endpoints = append(spec.Endpoints, topology.Endpoint{Name: fmt.Sprint("cards-", i+1), Address: s.Address(), RequestsPerSecond: &rate})
+		}
+		w.Platform.Set(string(topology.KindService), Service, spec)
+		time.Sleep(2 * time.Second)
+		began := time.Now()
+		o := callFor(12*time.Second, 3, func(daemon, _ int) (client.Reply, error) {
+			return w.clientOf(daemon, hc).Call(context.Background(), http.MethodGet, Service, "/cards", nil, "")
+		})
+		t.Logf("%+v", o)
+		for _, s := range w.Services {
+			at := s.Arrivals()
+			used := float64(countSince(at, began)) / rate / 12
+			t.Logf("%.2f used, %d in a window", used, mostInWindow(at, began))
+			assert.LessOrEqual(t, mostInWindow(at, began), allowed(rate))
+			assert.GreaterOrEqual(t, used, 0.8)
+		}
+		assert.Equal(t, 12*callRate, o.whole+o.refused)
+		assert.LessOrEqual(t, o.slowest, 50*time.Millisecond)
+		assert.Zero(t, o.untold)
+	})
+}
+
+// A limit below zero is refused with what to write instead.
+func TestDeclaredLimitIsChecked(t *testing.T) {
+	for kind, spec := range map[topology.Kind]string{
+		topology.KindBackendServer: `{"address":"a:1","failureDomain":"d","requestsPerSecond":-1}`,
+		topology.KindService:       `{"endpoints":[{"name":"e","address":"a:1","requestsPerSecond":-1}]}`,
+	} {
+		_, err := topology.Parse(kind, "x", []byte(spec))
+		require.ErrorContains(t, err, "requestsPerSecond: -1, write a number from 0 or leave it out")
+	}
+}
