Daemons share the idle connections that a backend server takes

Hypothesis (by reading, the class of the limits that were not kept): each daemon kept up to 64 idle connections to a backend server, whatever the others kept; 300 daemons may so hold ten times what one takes, which then resets connections that carry requests. Change: a send says how many may be idle afterwards: an even part of what the backend server takes beside one for each of its slots, one at least. Reports and probes put back what they took, as before.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -35,6 +35,21 @@
 	Priority  int    // 0 is the most urgent
 	Fresh     bool   // on a new connection, or one that was used a moment ago
 	Permitted bool   // the call is counted already, by its permit
+	IdleMost  int    // idle connections that may be kept to the backend server
+}
+
+// IdleMost bounds the idle connections of one daemon to one backend server.
+const IdleMost = 64
+
+// idlePart returns how many idle connections a daemon may keep to one backend server: an
+// even part of those that it takes from all daemons beside one for each of its slots, 0 for
+// any number. One that has more resets connections, and 300 daemons that each kept as many
+// as it can use itself might have ten times what it takes.
+func idlePart(takes, slots, daemons int) int {
+	if takes <= 0 {
+		return IdleMost
+	}
+	return min(IdleMost, max(1, (takes-slots)/max(1, daemons)))
 }
 
 // Answer is the head of a backend server's answer. Body must be closed; it gives
--- a/forward/run.go
+++ b/forward/run.go
@@ -28,6 +28,7 @@
 	sink      Sink
 	until     time.Time // when the request must have its answer, on the clock of package boottime
 	engine    *site.Engine
+	maxConns  int   // connections that a backend server of the service takes, 0 for any number
 	tried     heads // first hops that it was sent to
 	sends     int
 	refusals  int       // sends of the begun stream that did not run
@@ -144,7 +145,7 @@
 // could not be sent.
 func (r *run) serve(ctx context.Context) error {
 	if s := r.f.inv.View().Config.Services[r.req.Service]; s != nil {
-		r.engine = s.Engine
+		r.engine, r.maxConns = s.Engine, s.MaxConns
 	}
 	err := r.life.Run(ctx, r)
 	if apierror.Is(err, apierror.BackendUnreachable) || apierror.Is(err, apierror.BackendRefused) {
@@ -254,6 +255,7 @@
 	o := &Outgoing{
 		Request: r.req, Server: t.head(), Left: left, LastEvent: r.lastEvent,
 		Priority: r.priority(), Fresh: !r.req.Route.Repeatable(), Permitted: t.permitted,
+		IdleMost: idlePart(r.maxConns, t.head().Slots, r.f.fleet.Daemons()),
 	}
 	if r.engine != nil {
 		o.Path = t.path
