Few daemons go by what they have sent, not by the word of cards on their memory

So it is the memory in the choice of a path: the word is half a second old and the same for all six daemons, which go to the same cards at once. Change: the word on memory counts where the daemons' loads say too little: after a start, and where a service's requests are too few for each daemon to spread them by itself, which is also where cards are asked. That requests wait, and that a card is slow, counts everywhere.

--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -212,17 +212,13 @@
 // nothing (-0.004 +- 0.003 of worth over 25 days and seeds).
 func (f *Forwarder) MaybeCrowded() []string {
 	now, daemons := time.Now(), float64(max(1, f.fleet.Daemons()))
-	unknown := f.loads.newsAge(now) == 0 || now.Sub(f.started) < startUnknown
-	view := f.inv.View()
+	unknown, view := f.loadsUnknown(now), f.inv.View()
 	if view.Config == nil {
 		return nil
 	}
 	var out []string
 	for name, svc := range view.Config.Services {
-		if svc.Engine == nil {
-			continue
-		}
-		if !unknown && !f.splits.needed(name) {
+		if svc.Engine == nil || !f.wordCounts(name, now) {
 			continue
 		}
 		for _, s := range view.OfService(name) {
--- a/forward/conditions_test.go
+++ b/forward/conditions_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/snowspoke/snowspoke/internal/virtual"
+	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/relay"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -57,6 +59,37 @@
 	require.Zero(t, l.Of("s", 10, time.Now()).Full)
 }
 
+// A card's own word on its memory counts where the daemons know too little by themselves:
+// after a start, and where they are many. Few daemons that all go by the same word go to the
+// same cards at once. That requests wait counts everywhere.
+func TestWordOnMemoryCountsWhereLoadsAreUnknown(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		l := newLab(1)
+		f := l.forwarder("a", labFleet(6))
+		var some string
+		for id := range l.view.Servers {
+			some = max(some, id)
+		}
+		f.loads.TakeConditions(map[string]relay.Condition{some: {Full: 0.96, Waiting: 3}})
+		seen := func() pipeline.Load {
+			for _, c := range f.candidates(l.view, labService, l.engine, time.Now()) {
+				if c.Server.ID == some {
+					return c.Load
+				}
+			}
+			return pipeline.Load{}
+		}
+		require.InDelta(t, 0.96, seen().Full, 0, "nothing was told of the others")
+		time.Sleep(startUnknown)
+		f.loads.TakeOthers(relay.Loads{Daemons: 5})
+		time.Sleep(time.Millisecond)
+		require.Zero(t, seen().Full)
+		require.Equal(t, 3, seen().Waiting)
+		f.splits.byService[labService] = &split{needed: true}
+		require.InDelta(t, 0.96, seen().Full, 0, "too few requests to know by them")
+	})
+}
+
 // What was told before a suspension of the VM is not acted on after it.
 func TestWordsOfBeforeASuspensionAreForgotten(t *testing.T) {
 	l := newLab(1)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -239,7 +239,7 @@
 	if engine != nil {
 		waits = f.live.waits(now)
 	}
-	begin := rand.IntN(max(1, len(servers)))
+	begin, wordCounts := rand.IntN(max(1, len(servers))), f.wordCounts(service, now)
 	for i := range servers {
 		s := servers[(begin+i)%len(servers)]
 		if !f.takesWork(s, engine, now) {
@@ -249,12 +249,31 @@
 			continue
 		}
 		load := f.loads.Of(s.ID, daemons, now)
+		if !wordCounts {
+			load.Full = 0
+		}
 		load.WaitMS = max(0, float64(waits[s.ID]-queueFrom)/float64(time.Millisecond))
 		out = append(out, pipeline.Candidate{Server: s, Load: load})
 	}
 	return out
 }
 
+// loadsUnknown reports whether this daemon knows little of what the others have sent, or
+// their predecessors.
+func (f *Forwarder) loadsUnknown(now time.Time) bool {
+	return f.loads.newsAge(now) == 0 || now.Sub(f.started) < startUnknown
+}
+
+// wordCounts reports whether the word of a service's backend servers on their memory counts:
+// where the loads are unknown, or the service's requests too few for each daemon to spread
+// them by itself. Daemons that see many requests spread them evenly by what they have sent.
+// The word is half a second old and the same for all, so that they all go to the same
+// backend servers at once: at one and a half times the load of a site of six daemons that
+// cost 0.03 of what was served in time.
+func (f *Forwarder) wordCounts(service string, now time.Time) bool {
+	return f.loadsUnknown(now) || f.splits.needed(service)
+}
+
 // takesWork reports whether a backend server may be on a path: it is not leaving,
 // holds layers where the service has an engine, and is not known to have failed.
 func (f *Forwarder) takesWork(s *site.BackendServer, engine *site.Engine, now time.Time) bool {
--- a/pipeline/split_test.go
+++ b/pipeline/split_test.go
@@ -523,3 +523,20 @@
 	require.Less(t, after.lateShare(), 0.5*before.lateShare())
 	require.Less(t, after.lateShare()+after.refusedShare(), before.lateShare()+before.refusedShare())
 }
+
+// Six daemons that know each other's loads of a second ago, at one and a half times what the
+// layout holds, send fewer requests to where they wait for memory by what they have sent
+// themselves than by the cards' own word of half a second ago, which is the same for all of
+// them.
+func TestFewDaemonsKnowBetterThanTheWordOfTheCards(t *testing.T) {
+	play := func(conditionAge time.Duration) *crowd {
+		c := newCrowd(t, 6, time.Second)
+		c.conditionAge, c.warm, c.until = conditionAge, 5*time.Second, 13*time.Second
+		c.run(rateOf(c.engine, c.cs, 1.5), func(_ int, q *Query, cs []Candidate) (Choice, error) { return Choose(q, cs, c.rng) })
+		return c
+	}
+	own, word := play(0), play(500*time.Millisecond)
+	t.Logf("wait for memory %.3f, by the cards' word %.3f; refused %.3f, %.3f", own.lateShare(), word.lateShare(), own.refusedShare(), word.refusedShare())
+	require.Less(t, own.lateShare(), 0.8*word.lateShare())
+	require.LessOrEqual(t, own.refusedShare(), word.refusedShare()+0.03)
+}
