--- a/forward/permit.go
+++ b/forward/permit.go
@@ -61,7 +61,7 @@
 	class := r.class()
 	d := r.f.permits.Permit(ctx, quota.PermitRequest{Servers: limited, Class: class})
 	if d.Granted {
-		_, t.permitted = r.f.limits.Of(t.head().ID)
+		t.permitted = limited[0] == t.head().ID
 		return true
 	}
 	r.f.denials.Add(class, d, boottime.Now())
