--- a/trial/declared_test.go
+++ b/trial/declared_test.go
@@ -147,6 +147,10 @@
 	inWorld(t, 3, func(w *World, hc *http.Client, _ *memnet.Net) {
 		rate := 6.0
 		w.declare(&rate, "engine-1")
+		var clients []*client.Client // daemons come back at the addresses that they had
+		for i := range w.Daemons {
+			clients = append(clients, w.clientOf(i, hc))
+		}
 		began := time.Now()
 		var cycles sync.WaitGroup
 		cycles.Go(func() {
@@ -156,7 +160,7 @@
 			}
 		})
 		callFor(20*time.Second, 3, func(daemon, n int) (client.Reply, error) {
-			return w.clientOf(daemon, hc).Complete(context.Background(), client.Request{Model: Model, Prompt: fmt.Sprint("p", n), MaxTokens: 5, Repeatable: true})
+			return clients[daemon].Complete(context.Background(), client.Request{Model: Model, Prompt: fmt.Sprint("p", n), MaxTokens: 5, Repeatable: true})
 		})
 		cycles.Wait()
 		at := w.Fleet.Engine("engine-1").Arrivals()
