--- a/peer/duties.go
+++ b/peer/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -24,11 +25,27 @@
 
 // Sharing returns every daemon that may hold a part of what all daemons keep together: all
 // that are known but those that have been dead for partKept. A daemon that cannot be reached
-// goes on with its part, on its side of a partition.
+// goes on with its part, on its side of a partition. One that has just started, or is cut off
+// from its start on, knows no other and must not take itself for the only one: nobody is
+// returned for joinGrace, and after that those at the addresses where others may be found.
 func (n *Node) Sharing(now time.Time) []Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.members.NotLongDead(partKept, now)
+	all := n.members.NotLongDead(partKept, now)
+	if len(all) > 1 || len(n.opts.Seeds) == 0 {
+		return all
+	}
+	if now.Sub(n.started) < joinGrace {
+		return nil
+	}
+	seeds := slices.Clone(n.opts.Seeds)
+	slices.Sort(seeds)
+	for _, address := range slices.Compact(seeds) {
+		if address != n.opts.Self.Address {
+			all = append(all, Member{Name: address, Address: address})
+		}
+	}
+	return all
 }
 
 // partKept is how long the part of a dead daemon stays its own: regions lose each other for
--- a/peer/member_test.go
+++ b/peer/member_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -86,3 +87,24 @@
 		})
 	}
 }
+
+// A daemon that knows no other does not take itself for the only one that holds a part of
+// what all keep together, while others may be found; one that is dead keeps its part for a
+// while.
+func TestWhoHoldsAPart(t *testing.T) {
+	self := Member{Name: "a", Address: "10.0.0.1:1"}
+	node := func(seeds ...string) *Node {
+		return New(Options{Self: self, Seeds: seeds, Dead: time.Second}, nil, nil, nil, log.NewNopLogger())
+	}
+	now := time.Now()
+	require.Len(t, node().Sharing(now), 1, "nowhere to find others")
+	n := node("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.2:1")
+	require.Empty(t, n.Sharing(now), "just started")
+	require.Len(t, n.Sharing(now.Add(joinGrace+time.Second)), 3, "itself and two that it cannot reach")
+
+	n.members.Apply(Member{Name: "b", Address: "10.0.0.2:1"}, now)
+	require.Len(t, n.Sharing(now), 2, "as the others tell")
+	n.members.Apply(Member{Name: "b", Address: "10.0.0.2:1", State: Dead}, now)
+	require.Len(t, n.Sharing(now.Add(partKept-time.Second)), 2)
+	require.Len(t, n.Sharing(now.Add(partKept)), 3, "itself and two that it cannot reach")
+}
