A connection that is refused is no proof that a head has ended

Cause: a refused connection was taken for proof that nobody runs at that address. A cut that resets refuses too. Change: a head is left out of the attempts only if its record is gone and it was refused there or looks dead. The price: a begun stream whose first head lives, or has just crashed, and whose second one crashes too has no third until the record lapses, 3.6 s. Test: TestHeadThatOnlyLooksDeadCountsAsAnAttempt asserted the opposite for refused connections, by a wrong reading of what they prove; it now asserts that they count and that a head whose record is gone besides does not. It failed on the code before.

--- a/forward/pick.go
+++ b/forward/pick.go
@@ -103,13 +103,13 @@
 	return r.tried.living(r.f.surelyEnded) >= r.req.Route.MaxAttempts
 }
 
-// surelyEnded reports whether a backend server's process is gone: nobody listens at its
-// address, or its record is gone as well as it looks dead. Neither of the last two is
-// enough: one whose record is gone may serve on, and streams of a head that drained went
-// to three heads where two are allowed; one that looks dead may live, and living streams
-// went to four.
+// surelyEnded reports whether a backend server's process is gone: its record is gone, and
+// nobody listened at its address or it looks dead. None of these is enough by itself, and
+// streams went to more heads than they may be sent to by each: one whose record is gone may
+// serve on, since it drains; one that looks dead may live; and a network that is cut may
+// refuse connections for one that serves others.
 func (f *Forwarder) surelyEnded(id string) bool {
-	return f.health.Ended(id) || f.inv.View().Servers[id] == nil && f.health.Dead(id, time.Now())
+	return f.inv.View().Servers[id] == nil && (f.health.Ended(id) || f.health.Dead(id, time.Now()))
 }
 
 // onlyTried keeps those candidates that may be a first hop only if they were
--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"syscall"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/snowspoke/snowspoke/admission"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/virtual"
+	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -230,9 +232,9 @@
 	})
 }
 
-// A head that only looks dead counts as an attempt: streams that were believed to have
-// lost their head, which lived, once ran on four heads where two are allowed. One at
-// whose address nobody listens has ended.
+// A head that only looks dead counts as an attempt, also where connections to it are
+// refused: streams of two daemons that a cut kept from a head, by resets, went to a third
+// while it served the other daemons. One whose record is gone besides has ended.
 func TestHeadThatOnlyLooksDeadCountsAsAnAttempt(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		f := plainForwarder(3, &scripted{})
@@ -244,7 +246,13 @@
 		require.True(t, f.Failed("b0"))
 		require.True(t, r.attemptsUsed(), "silence is no proof")
 		f.fail(head("b1"), "probe", syscall.ECONNREFUSED, time.Now())
-		require.False(t, r.attemptsUsed())
+		require.True(t, r.attemptsUsed(), "nor is a connection that is refused")
+
+		time.Sleep(2 * cooldowns.FailedMost)
+		servers := maps.Clone(f.inv.View().Servers)
+		delete(servers, "b1")
+		f.inv = fixed{inventory.NewView(f.inv.View().Config, servers)}
+		require.False(t, r.attemptsUsed(), "its record is gone as well")
 		r.tried.add("b2")
 		require.True(t, r.attemptsUsed())
 	})
