A resumed call is counted in one way

Reading the change again: CallLimits.again counted in two branches that do the same, with a limit and without. Behaviour as it was; tests of dispatch and of declared limits passed.

--- a/dispatch/calllimits.go
+++ b/dispatch/calllimits.go
@@ -71,11 +71,7 @@
 	if l == nil {
 		return
 	}
-	now := boottime.Now()
-	l.count(server, now)
-	if _, has := l.declared.Of(server); has {
-		l.sends.Add(server, now)
-	}
+	l.sends.Add(server, boottime.Now())
 }
 
 // count counts a call to a backend server without a limit: one may be declared for it
