quota, gateway, relay: a joining daemon owns no part, and sources tell the list of daemons

The period of lists grew with the fleet, as every daemon read them from the store.

Change: the daemon that leads a failure domain lists every 2 s (500 records a second at most), the others receive the list over the relay as it changes, and list themselves only without a source, when the source lacks them, or when the store was restored. Leaders exchange the position of their lists, so a daemon knows when all failure domains have its record; until then it owns no part of a limit, contributes none, and gets permits from its allocator.

--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -123,7 +123,7 @@
 				sent[limit.Server] = l.forward[n+1].sends.Recent(limit.Server, now)
 			}
 			l.pools[0].Polled(daemonName(n + 1))
-			l.pools[0].AddContribution(daemonName(n+1), now.Add(contributionTTL), sent)
+			l.pools[0].AddContribution(daemonName(n+1), quota.Part{Until: now.Add(contributionTTL), Sent: sent})
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -141,8 +141,9 @@
 		Name: set.Name, Domain: set.FailureDomain, MaxConfigDelay: set.MaxConfigDelay, ConditionReader: g.forward, Quarantine: registry, Stalls: stalls, BeforeStore: g.quarantineSync.load,
 		Restored: func() bool { return g.store.Era() > store.FirstEra },
 	}, g.inv, g.forward.Loads(), g.members, g.log)
+	g.members.setRelay(g.relay)
 	g.permits = permit.New(permit.Options{
-		Name: set.Name, Members: g.members.permitMembers, Limits: limits, Pool: pool, Sends: sends, ApplyLimit: g.forward.ApplyLimitFrom,
+		Name: set.Name, Members: g.members.permitMembers, Joined: g.members.Joined, Limits: limits, Pool: pool, Sends: sends, ApplyLimit: g.forward.ApplyLimitFrom,
 		Client: relay.NewDialer(nil, stalls), Scheme: "http", Stalls: stalls, Logger: g.log,
 	})
 	g.links = &http.Server{Handler: g.linksHandler()}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,17 +19,28 @@
 	"github.com/snowspoke/snowspoke/store"
 )
 
-// Periods of membership. Calls to the store are expensive. Records may be out of
-// date, since a daemon that cannot be reached is skipped.
+// Periods of membership. Calls to the store are expensive, so the daemons that lead
+// their failure domains list the others, and the rest receive the list over the relay. A
+// daemon without a source lists by itself. Records may be out of date, since a daemon that
+// cannot be reached is skipped.
 const (
 	minHeartbeatInterval = 30 * time.Second
 	minListInterval      = 8 * time.Second
 	leaveTimeout         = time.Second
 	// heartbeatPerDaemon and listPerDaemon lengthen the periods in large fleets, so
-	// that all daemons together write at most five records and read at most ten stale
-	// lists a second.
+	// that all daemons together write at most five records and, even if none has a
+	// source, read at most ten stale lists a second.
 	heartbeatPerDaemon = 200 * time.Millisecond
 	listPerDaemon      = 100 * time.Millisecond
+	// minLeaderListInterval is the period of the lists of a daemon that leads its failure
+	// domain. leaderListPerDaemon lengthens it in large fleets, so that a leader reads at
+	// most 500 records a second.
+	minLeaderListInterval = 2 * time.Second
+	leaderListPerDaemon   = 2 * time.Millisecond
+	// listCheckInterval is the interval at which a daemon checks whether a list is due.
+	listCheckInterval = 500 * time.Millisecond
+	// maxListAge is how old a stale list of the store may be.
+	maxListAge = 3 * time.Second
 	// joinInterval and joinTimeout bound how long a daemon of a fleet that starts for
 	// the first time waits for a stale list that has its own record, and so all records
 	// written before it. After that it reads a fresh list, which is more expensive.
@@ -54,6 +66,17 @@
 	return max(minListInterval, time.Duration(daemons)*listPerDaemon)
 }
 
+// leaderListInterval returns the period of the lists of a leading daemon, by the number of
+// daemons.
+func leaderListInterval(daemons int) time.Duration {
+	return max(minLeaderListInterval, time.Duration(daemons)*leaderListPerDaemon)
+}
+
+// joinDelay returns the time from when a daemon finds its own record in a list until all
+// leaders that reach the store have it too, by the number of daemons: a leader may have
+// missed one list.
+func joinDelay(daemons int) time.Duration { return 2*leaderListInterval(daemons) + maxListAge }
+
 // memberTTL returns how long an unchanged record counts as alive.
 func memberTTL(daemons int) time.Duration { return 5 * heartbeatInterval(daemons) / 2 }
 
@@ -73,6 +96,17 @@
 	Heartbeat uint64 `cbor:"3,keyasint"`
 }
 
+// memberRelay is the part of the relay that membership uses.
+type memberRelay interface {
+	// Leading reports whether this daemon leads its failure domain.
+	Leading() bool
+	// ReceivesMembers reports whether a source sends the list of the daemons.
+	ReceivesMembers() bool
+	// ListedByAll returns the position up to which all failure domains have listed the
+	// records of the daemons.
+	ListedByAll() store.Position
+}
+
 // members tracks the daemons of the fleet. Each daemon writes a record to the store
 // periodically. A daemon whose record stays unchanged for memberTTL counts as dead.
 // members implements forward.Fleet and relay.Members.
@@ -87,12 +121,20 @@
 	woken      chan struct{} // receives when the daemons must be listed again after a suspension
 
 	firstStart bool // of the whole system: no earlier records exist
+	relay      memberRelay
 
-	mu        sync.Mutex
-	seen      map[string]seenMember
-	all       []relay.Member
-	era       uint64    // of the store, from the last list
-	keepUntil time.Time // until then members missing from lists of a new era are kept
+	mu         sync.Mutex
+	seen       map[string]seenMember
+	all        []relay.Member
+	changed    chan struct{}  // closed at the next change of all
+	era        uint64         // of the store, from the last list
+	keepUntil  time.Time      // until then members missing from lists of a new era are kept
+	lastListed time.Time      // when this daemon last listed the others itself
+	relayedEra uint64         // latest era of a list from the source
+	unlisted   time.Time      // since when the lists from the source lack this daemon, zero if they have it
+	joinedAt   time.Time      // from when all daemons count this one at the latest, zero while it is in no list
+	listedAt   store.Position // of the last list
+	recordAt   store.Position // of the first own record, 0 until written
 }
 
 // seenMember is the last known record of a daemon.
@@ -102,9 +144,12 @@
 }
 
 func newMembers(self relay.Member, firstStart bool, s memberStore, logger log.Logger) *members {
-	return &members{self: self, firstStart: firstStart, store: s, logger: logger, seen: map[string]seenMember{}, found: make(chan struct{}), woken: make(chan struct{}, 1)}
+	return &members{self: self, firstStart: firstStart, store: s, logger: logger, seen: map[string]seenMember{}, changed: make(chan struct{}), found: make(chan struct{}), woken: make(chan struct{}, 1)}
 }
 
+// setRelay sets the relay; without one, all lists are read from the store.
+func (m *members) setRelay(r memberRelay) { m.relay = r }
+
 // Daemons implements forward.Fleet; before the first list it is 0.
 func (m *members) Daemons() int { return int(m.alive.Load()) }
 
@@ -128,6 +173,89 @@
 	return m.all
 }
 
+// Era implements relay.Members.
+func (m *members) Era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
+// Changed implements relay.Members.
+func (m *members) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// ListedAt implements relay.Members.
+func (m *members) ListedAt() store.Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listedAt
+}
+
+// Joined reports whether all other daemons count this one.
+func (m *members) Joined() bool {
+	listedByAll := store.Position(0)
+	if m.relay != nil {
+		listedByAll = m.relay.ListedByAll()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if m.recordAt > 0 && m.recordAt <= listedByAll && (m.joinedAt.IsZero() || now.Before(m.joinedAt)) {
+		m.joinedAt = now
+	}
+	return !m.joinedAt.IsZero() && !now.Before(m.joinedAt)
+}
+
+// Apply implements relay.Members. A list that lacks this daemon is completed. One of an
+// earlier era than the last list is ignored.
+func (m *members) Apply(all []relay.Member, era uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if era < m.era {
+		return
+	}
+	now := time.Now()
+	m.relayedEra = max(m.relayedEra, era)
+	at, listed := slices.BinarySearchFunc(all, m.self.Name, func(o relay.Member, name string) int { return strings.Compare(o.Name, name) })
+	if listed {
+		m.unlisted = time.Time{}
+		m.noteListed(len(all), now)
+	} else {
+		if m.unlisted.IsZero() {
+			m.unlisted = now
+		}
+		all = slices.Insert(slices.Clone(all), at, m.self)
+	}
+	m.set(all)
+}
+
+// set sets the list of the daemons. m.mu is held.
+func (m *members) set(all []relay.Member) {
+	if slices.Equal(all, m.all) {
+		return
+	}
+	_ = level.Info(m.logger).Log("msg", "daemons", "count", len(all), "before", len(m.all), "era", m.era)
+	m.all = all
+	m.alive.Store(int64(max(1, len(all))))
+	m.notify()
+}
+
+// notify closes the channel of Changed. m.mu is held.
+func (m *members) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// noteListed records that a list contains this daemon. m.mu is held.
+func (m *members) noteListed(daemons int, now time.Time) {
+	if m.joinedAt.IsZero() {
+		m.joinedAt = now.Add(joinDelay(daemons))
+	}
+}
+
 // Found returns a channel that is closed after the first list of the daemons, or when
 // none has succeeded within firstListTimeout.
 func (m *members) Found() <-chan struct{} { return m.found }
@@ -141,7 +269,7 @@
 	if m.version == 0 {
 		m.heartbeat(ctx)
 	}
-	heartbeat, list := time.NewTimer(heartbeatInterval(m.Daemons())), time.NewTimer(m.untilNextList())
+	heartbeat, list := time.NewTimer(heartbeatInterval(m.Daemons())), time.NewTicker(listCheckInterval)
 	defer heartbeat.Stop()
 	defer list.Stop()
 	for {
@@ -153,17 +281,46 @@
 			m.heartbeat(ctx)
 			heartbeat.Reset(heartbeatInterval(m.Daemons()))
 		case <-m.woken:
-			list.Reset(0)
+			m.refresh(ctx)
 		case <-list.C:
-			m.list(ctx, false)
-			if m.version == 0 {
-				m.heartbeat(ctx)
+			if m.listDue(time.Now()) {
+				m.refresh(ctx)
 			}
-			list.Reset(m.untilNextList())
 		}
 	}
 }
 
+// refresh lists the daemons, and writes the own record if the store lacks it.
+func (m *members) refresh(ctx context.Context) {
+	m.list(ctx, false)
+	if m.version == 0 {
+		m.heartbeat(ctx)
+	}
+}
+
+// listDue reports whether this daemon must list the others itself. A daemon that receives
+// the list from a source does so only if the source does not list this daemon, or knows
+// that the store was restored and may lack its record.
+func (m *members) listDue(now time.Time) bool {
+	daemons := m.Daemons()
+	leads, receives := false, false
+	if m.relay != nil {
+		leads, receives = m.relay.Leading(), m.relay.ReceivesMembers()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	since := now.Sub(m.lastListed)
+	switch {
+	case daemons == 0:
+		return since >= listRetryInterval
+	case leads:
+		return since >= leaderListInterval(daemons)
+	case receives && m.relayedEra <= m.era:
+		return !m.unlisted.IsZero() && min(since, now.Sub(m.unlisted)) >= listInterval(daemons)
+	}
+	return since >= listInterval(daemons)
+}
+
 // wake triggers a list of the daemons. Others may have joined and left while the VM
 // was suspended.
 func (m *members) wake(time.Duration) {
@@ -173,14 +330,6 @@
 	}
 }
 
-// untilNextList returns the time until the next list.
-func (m *members) untilNextList() time.Duration {
-	if m.Daemons() == 0 {
-		return listRetryInterval
-	}
-	return listInterval(m.Daemons())
-}
-
 // join announces this daemon and finds the others. If the system ran before, it only
 // lists the records, and adopts the record that an earlier process of this VM has left.
 func (m *members) join(ctx context.Context) {
@@ -249,22 +398,29 @@
 		return err
 	}
 	v, err := m.store.Put(ctx, kindDaemon, m.self.Name, spec, m.version)
-	if err == nil {
-		m.version = v
+	if err != nil {
+		return err
+	}
+	m.version = v
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.recordAt == 0 {
+		m.recordAt = v
 	}
-	return err
+	return nil
 }
 
 // list reads the records of all daemons. On an error the last list stays.
 func (m *members) list(ctx context.Context, fresh bool) {
 	objects, err := m.store.List(ctx, kindDaemon, fresh)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	m.lastListed = now
 	if err != nil {
 		_ = level.Warn(m.logger).Log("msg", "listing daemons failed, keeping the last list", "err", err)
 		return
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := time.Now()
 	if !m.noteEra(objects, now) {
 		return // older than the last list
 	}
@@ -293,8 +449,24 @@
 			all = append(all, relay.Member{Name: name, Domain: s.spec.Domain, Address: s.spec.Address})
 		}
 	}
-	m.seen, m.all = seen, all
+	m.seen = seen
+	if _, listed := seen[m.self.Name]; listed {
+		m.noteListed(len(all), now)
+	}
+	m.set(all)
 	m.alive.Store(int64(max(1, len(all))))
+	m.noteListedAt(objects)
+}
+
+// noteListedAt records the position of a list. m.mu is held.
+func (m *members) noteListedAt(objects []store.Object) {
+	before := m.listedAt
+	for _, o := range objects {
+		m.listedAt = max(m.listedAt, o.Version)
+	}
+	if m.listedAt != before {
+		m.notify()
+	}
 }
 
 // noteEra records the era of a list and reports whether it is the current one. A store
@@ -329,10 +501,14 @@
 }
 
 // adopt takes over the daemon's own record if the store holds it with the same domain
-// and address: an earlier process has left it, or a restored store has it.
+// and address: an earlier process has left it, or a restored store has it. The others know
+// a daemon whose earlier process has left the record. m.mu is held.
 func (m *members) adopt(o store.Object, spec memberSpec) {
 	if m.version == 0 && o.Name == m.self.Name && spec.Domain == m.self.Domain && spec.Address == m.self.Address {
 		m.version, m.heartbeats = o.Version, max(m.heartbeats, spec.Heartbeat)
+		if !m.firstStart && m.joinedAt.IsZero() {
+			m.joinedAt = time.Now()
+		}
 	}
 }
 
--- a/permit/allocator.go
+++ b/permit/allocator.go
@@ -101,7 +101,8 @@
 		}
 		switch {
 		case f.Part != nil && f.Part.Number == l.number.Load():
-			pool.AddContribution(l.name, processStart.Add(time.Duration(l.sentAt.Load())).Add(partTTL), f.Part.Sent)
+			until := processStart.Add(time.Duration(l.sentAt.Load())).Add(partTTL)
+			pool.AddContribution(l.name, quota.Part{Until: until, Sent: f.Part.Sent, Joining: f.Part.Joining})
 		case f.Request != nil:
 			if l.decide(ctx, f.Request) != nil {
 				return // the link has ended
--- a/permit/follow.go
+++ b/permit/follow.go
@@ -96,6 +96,9 @@
 		names[i] = m.Name
 	}
 	n.opts.Pool.SetFleet(names, boottime.Now())
+	if n.opts.Joined != nil {
+		n.opts.Pool.SetJoining(!n.opts.Joined())
+	}
 }
 
 // followAllocator follows the first reachable daemon until the link fails or a preferred
@@ -233,7 +236,7 @@
 		return nil // contributed at a later poll
 	}
 	pool.ContributeTo(a.name, now.Add(partTTL), now)
-	return writeFrame(ctx, a.conn, &frame{Part: &part{Number: p.Number, Sent: a.node.sentToLimited(now)}})
+	return writeFrame(ctx, a.conn, &frame{Part: &part{Number: p.Number, Sent: a.node.sentToLimited(now), Joining: pool.Joining()}})
 }
 
 // sentToLimited returns how many calls this daemon has sent within the window to each
--- a/permit/node.go
+++ b/permit/node.go
@@ -61,6 +61,8 @@
 type Options struct {
 	Name    string
 	Members func() []Member // all daemons, including this one
+	// Joined reports whether all other daemons count this one. It is nil if they always do.
+	Joined func() bool
 	// Limits are the known limits, Pool grants this daemon's permits for them, and Sends
 	// counts its calls to each backend server.
 	Limits *quota.Limits
--- a/permit/wire.go
+++ b/permit/wire.go
@@ -66,6 +66,8 @@
 type part struct {
 	Number uint64         `cbor:"1,keyasint"`           // of the poll
 	Sent   map[string]int `cbor:"2,keyasint,omitempty"` // calls within the window by backend server with a limit
+	// Joining is set while the sender owns no part.
+	Joining bool `cbor:"3,keyasint,omitempty"`
 }
 
 // permitRequest requests permits.
--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -20,7 +20,7 @@
 			}
 			p.SetFleet(names, t0)
 			for _, name := range names[1:] {
-				p.AddContribution(name, t0.Add(24*time.Hour), map[string]int{})
+				p.AddContribution(name, Part{Until: t0.Add(24 * time.Hour)})
 			}
 			now := t0
 			b.ReportAllocs()
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -60,9 +60,10 @@
 	demand       float64        // calls a second
 	classes      []Class
 	pending      float64
-	limitAt      time.Time // when it receives the limit
-	limitKnownAt time.Time // when it first knew the limit
-	isolated     bool      // from the other daemons
+	limitAt      time.Time                   // when it receives the limit
+	limitKnownAt time.Time                   // when it first knew the limit
+	knows        func(o *limitedDaemon) bool // whether its list has another daemon, nil for all
+	isolated     bool                        // from the other daemons
 	paused       bool
 	removed      bool
 }
@@ -144,7 +145,7 @@
 		d.to = nil
 	}
 	if d.to == nil {
-		i := slices.IndexFunc(f.daemons, func(o *limitedDaemon) bool { return o == d || d.reaches(o) })
+		i := slices.IndexFunc(f.daemons, func(o *limitedDaemon) bool { return o == d || d.reaches(o) && (d.knows == nil || d.knows(o)) })
 		d.to, d.polled = f.daemons[i], f.now.Add(-time.Duration(f.rng.Int64N(int64(pollInterval))))
 	}
 	o := d.to
@@ -157,7 +158,7 @@
 		return
 	}
 	d.pool.ContributeTo(o.name, f.now.Add(partTTL), f.now)
-	o.pool.AddContribution(d.name, f.now.Add(partTTL), map[string]int{limitedServer: d.sends.Recent(limitedServer, f.now)})
+	o.pool.AddContribution(d.name, Part{Until: f.now.Add(partTTL), Sent: map[string]int{limitedServer: d.sends.Recent(limitedServer, f.now)}, Joining: d.pool.Joining()})
 }
 
 // call makes the calls that are due from a daemon's callers.
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -14,7 +14,9 @@
 // After the contribution has expired, the daemon decides alone on its own part. Each
 // allocator grants only the parts contributed to it. The granted parts therefore never
 // exceed the limit, even if daemons are partitioned, paused or new, or if there are several
-// allocators. All times are of the clock of package boottime, so that a suspended VM
+// allocators. A daemon that joins owns no part until all others count it: they divide the
+// limit among those that they know, and a joining daemon knows more than they do. It still
+// requests permits from its allocator. All times are of the clock of package boottime, so that a suspended VM
 // grants nothing from contributions that expired during the suspension.
 
 // Bounds of permits.
@@ -66,6 +68,7 @@
 
 	mu               sync.Mutex
 	fleet            []string             // names of all daemons, sorted; empty while not known
+	joining          bool                 // the other daemons may not count this one yet
 	departed         map[string]time.Time // when a daemon was found to have left the fleet
 	contributedTo    string               // the daemon that the own part was last contributed to
 	contributedUntil time.Time
@@ -73,10 +76,19 @@
 	buckets          map[string]*bucket       // by incarnation
 }
 
-// contribution is another daemon's part, with the calls sent by that daemon.
+// Part is what a daemon contributes to another daemon's pool.
+type Part struct {
+	Until time.Time
+	// Sent counts the calls that the daemon has sent within the window, by backend server
+	// with a limit.
+	Sent map[string]int
+	// Joining is set by a daemon that owns no part yet.
+	Joining bool
+}
+
+// contribution is another daemon's part, with the calls granted to that daemon.
 type contribution struct {
-	until          time.Time
-	sent           map[string]int // within the window, as last reported
+	Part
 	beforeLastPoll map[string]int // granted before the last poll and not included in sent
 	sinceLastPoll  map[string]int // granted since the last poll
 }
@@ -103,6 +115,21 @@
 	maps.DeleteFunc(p.departed, func(name string, at time.Time) bool { return p.listed(name) || now.Sub(at) > Window })
 }
 
+// SetJoining sets whether the other daemons may not count this one yet, so that it owns no
+// part.
+func (p *Pool) SetJoining(joining bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.joining = joining
+}
+
+// Joining returns the last value of SetJoining.
+func (p *Pool) Joining() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.joining
+}
+
 // ContributeTo records that this daemon's own part is contributed to another daemon's pool
 // until the given time. Saved calls are discarded: otherwise many daemons that decide alone
 // for short times could spend all their saved calls together.
@@ -139,9 +166,8 @@
 	clear(c.sinceLastPoll)
 }
 
-// AddContribution adds another daemon's part until the given time, with the calls that it
-// has sent within the window to backend servers with a limit.
-func (p *Pool) AddContribution(daemon string, until time.Time, sent map[string]int) {
+// AddContribution sets another daemon's part.
+func (p *Pool) AddContribution(daemon string, part Part) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.parts[daemon]
@@ -149,7 +175,7 @@
 		c = &contribution{sinceLastPoll: map[string]int{}}
 		p.parts[daemon] = c
 	}
-	c.until, c.sent, c.beforeLastPoll = until, sent, map[string]int{}
+	c.Part, c.beforeLastPoll = part, map[string]int{}
 }
 
 // Withdraw removes another daemon's part.
@@ -214,15 +240,17 @@
 // share returns the fraction of the limits that this pool holds now.
 func (p *Pool) share(now time.Time) float64 {
 	held, unlisted := 0, 0
-	if !now.Before(p.contributedUntil) {
+	if !now.Before(p.contributedUntil) && !p.joining {
 		held++
 	}
 	for daemon, c := range p.parts {
-		if !now.Before(c.until) {
+		if !now.Before(c.Until) {
 			delete(p.parts, daemon)
 			continue
 		}
-		held++
+		if !c.Joining {
+			held++
+		}
 		if !p.listed(daemon) {
 			unlisted++
 		}
@@ -260,7 +288,7 @@
 		n = p.sends.Recent(server, now)
 	}
 	for _, c := range p.parts {
-		n += c.sent[server] + c.beforeLastPoll[server] + c.sinceLastPoll[server]
+		n += c.Sent[server] + c.beforeLastPoll[server] + c.sinceLastPoll[server]
 	}
 	return n
 }
--- a/relay/candidates.go
+++ b/relay/candidates.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // Member is a daemon of the fleet.
@@ -12,8 +14,20 @@
 	Address string // where it serves links
 }
 
-// Members lists the daemons, this one included.
-type Members interface{ All() []Member }
+// Members lists the daemons, this one included, and receives the list of the source.
+type Members interface {
+	// All returns the daemons in the order of names. The slice must not be changed.
+	All() []Member
+	// Era returns the era of the store in which the list was read.
+	Era() uint64
+	// ListedAt returns the position of the last list that this daemon has read from the
+	// store: the list has all records up to that position.
+	ListedAt() store.Position
+	// Changed returns a channel that is closed at the next change of the list.
+	Changed() <-chan struct{}
+	// Apply sets the list that the source has read in an era of the store.
+	Apply(all []Member, era uint64)
+}
 
 // candidates returns the daemons that this one may follow, best first: its parent in the
 // tree of its domain, then the first daemons of the domain, then the first daemon of each
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -78,6 +78,7 @@
 		n.domainLoads.put(domain, loadReport{at: boottime.Now(), domain: domain, loads: answer.report(&l.received, n.serverNames())})
 	}
 	n.applyCrashes(answer.Crashes)
+	n.noteDomainListed(domain, answer.ListedAt)
 	if answer.HasConditions {
 		n.applyConditions(domain, answer.Conditions)
 	}
--- a/relay/node.go
+++ b/relay/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/stall"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // Errors that end a link or a probe.
@@ -73,6 +74,11 @@
 	mu        sync.Mutex
 	sourceCtx context.Context // ends when this daemon stops being a source
 	upstream  *upstream       // nil unless this daemon follows a source
+	// membersReceived is set once the source has sent the list of the daemons, and
+	// listedByAll is the position that it sent with the list.
+	membersReceived bool
+	listedByAll     store.Position
+	domainListedAt  map[string]store.Position // ListedAt of the sources of other domains
 }
 
 // upstream is the freshness that the source of this daemon reported.
@@ -98,7 +104,8 @@
 	}
 	return &Node{
 		opts: o, inv: inv, loadExchange: loadExchange, members: m, logger: logger, followerLoads: newLoadTable(), dialer: NewDialer(o.Connect, o.Stalls), conditions: newConditionRegistry(),
-		domainLoads: newLoadTable(), sourceLoads: newLoadTable(), sourceCtx: context.Background(),
+		domainListedAt: map[string]store.Position{},
+		domainLoads:    newLoadTable(), sourceLoads: newLoadTable(), sourceCtx: context.Background(),
 	}
 }
 
@@ -161,7 +168,7 @@
 func (n *Node) clearUpstream() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.upstream = nil
+	n.upstream, n.membersReceived, n.listedByAll = nil, false, 0
 }
 
 // starting reports whether this daemon is about to be a source for the first time. It
--- a/relay/session.go
+++ b/relay/session.go
@@ -90,8 +90,8 @@
 // sourceKey is the key of loads and conditions received from the source.
 const sourceKey = "source"
 
-// session is a link to a source. followed, complete, received and config are used by the
-// reading goroutine alone.
+// session is a link to a source. followed, complete, received, config and members are used
+// by the reading goroutine alone.
 type session struct {
 	node         *Node
 	conn         *websocket.Conn
@@ -104,6 +104,7 @@
 
 	received loadReceiver // loads from the source
 	config   []byte       // last configuration received over the link
+	members  []Member     // last list of the daemons received over the link
 
 	pingMu   sync.Mutex   // held while a ping is built and sent, so that changes of loads stay in order
 	reporter loadReporter // loads sent to the source; guarded by pingMu
@@ -177,6 +178,8 @@
 			}
 		case f.Conditions != nil && s.probe == nil:
 			s.node.applyConditions(sourceKey, f.Conditions.Known)
+		case f.Members != nil && s.probe == nil:
+			s.applyMembers(f.Members)
 		case f.Crashes != nil:
 			s.node.applyCrashes(f.Crashes)
 		case f.Pong != nil:
--- a/relay/source.go
+++ b/relay/source.go
@@ -90,6 +90,7 @@
 	}
 	go n.sendCrashes(ctx, c, &crashes)
 	go n.pushConditions(ctx, c)
+	go n.pushMembers(ctx, c)
 	n.pushChanges(ctx, c)
 }
 
@@ -236,6 +237,7 @@
 		n.conditions.addSuspects(p.Suspects)
 		if !sameDomain {
 			conditionsVersion = n.addConditions(answer, conditionsVersion)
+			answer.ListedAt = n.members.ListedAt()
 		}
 		if p.LoadsOnly {
 			n.applyCrashes(p.Crashes)
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/store"
 )
 
 // daemonName returns the name of the i-th daemon; names sort in order of i.
@@ -21,7 +22,11 @@
 
 type memberList []Member
 
-func (l memberList) All() []Member { return l }
+func (l memberList) All() []Member          { return l }
+func (memberList) Era() uint64              { return 0 }
+func (memberList) Changed() <-chan struct{} { return nil }
+func (memberList) Apply([]Member, uint64)   {}
+func (memberList) ListedAt() store.Position { return 0 }
 
 // Each daemon of a domain follows one whose name sorts before its own, no daemon has more
 // than defaultFanOut followers, and the tree is at most two levels deep.
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -41,11 +41,12 @@
 	Update *update `cbor:"1,keyasint,omitempty"`
 	Ping   *ping   `cbor:"2,keyasint,omitempty"`
 	Pong   *pong   `cbor:"3,keyasint,omitempty"`
-	// Packed is an encoded and compressed frame with an update.
+	// Packed is an encoded and compressed frame.
 	Packed []byte `cbor:"4,keyasint,omitempty"`
 	// Crashes are changed entries of the quarantine registry.
 	Crashes    []packedCrash `cbor:"5,keyasint,omitempty"`
 	Conditions *conditions   `cbor:"6,keyasint,omitempty"`
+	Members    *memberUpdate `cbor:"7,keyasint,omitempty"`
 }
 
 // conditions holds all backend servers that are known to be slow or saturated.
@@ -108,6 +109,10 @@
 	Crashes []packedCrash `cbor:"10,keyasint,omitempty"`
 	// Config is the configuration in force, if requested.
 	Config []byte `cbor:"11,keyasint,omitempty"`
+	// ListedAt is Members.ListedAt of the sender. It is set only between domains.
+	ListedAt store.Position `cbor:"12,keyasint,omitempty"`
+	// CrossesDomains reports that the sender has its state from another failure domain.
+	CrossesDomains bool `cbor:"13,keyasint,omitempty"`
 }
 
 // report returns the reported loads, with IDs resolved by ids.
@@ -120,12 +125,15 @@
 	return Loads{Items: r.apply(p.Loads, ids), Daemons: max(0, p.Daemons), Age: max(0, p.LoadsAge)}
 }
 
-// compressThreshold is the size in bytes from which an update is compressed.
+// compressThreshold is the size in bytes from which a frame of encodeFrame is compressed.
 const compressThreshold = 1 << 10
 
 // encodeUpdate encodes an update as a frame, compressed if it is large.
-func encodeUpdate(u *update) ([]byte, error) {
-	data, err := cbor.Marshal(&frame{Update: u})
+func encodeUpdate(u *update) ([]byte, error) { return encodeFrame(&frame{Update: u}) }
+
+// encodeFrame encodes a frame, compressed if it is large.
+func encodeFrame(f *frame) ([]byte, error) {
+	data, err := cbor.Marshal(f)
 	if err != nil {
 		return nil, fmt.Errorf("relay: encode: %w", err)
 	}
