relay: heads of a failure domain look for the store when their sources have lost it

In a real outage each daemon of a fleet probed the first daemon of each domain once a second.

Change: eight heads a domain ask the store by a cheap read once the first daemons have had time to take over, and follow it if it answers; they also sample heads of other domains. Later daemons follow their parent or one of the heads, spread over them, never another domain. A daemon that follows the store does not leave it for a source that has its state from another domain, which could be itself.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,7 +139,8 @@
 	g.backends.OnLimit(g.forward.ApplyLimit)
 	g.relay = relay.New(relay.Options{
 		Name: set.Name, Domain: set.FailureDomain, MaxConfigDelay: set.MaxConfigDelay, ConditionReader: g.forward, Quarantine: registry, Stalls: stalls, BeforeStore: g.quarantineSync.load,
-		Restored: func() bool { return g.store.Era() > store.FirstEra },
+		StoreAnswers: g.storeAnswers,
+		Restored:     func() bool { return g.store.Era() > store.FirstEra },
 	}, g.inv, g.forward.Loads(), g.members, g.log)
 	g.members.setRelay(g.relay)
 	g.permits = permit.New(permit.Options{
@@ -169,6 +170,12 @@
 	return mux
 }
 
+// storeAnswers reads a small object that may be old and reports whether the store answered.
+func (g *Gateway) storeAnswers(ctx context.Context) bool {
+	_, err := g.store.GetStale(ctx, kindLease, placementLease)
+	return err == nil || errors.Is(err, store.ErrNotFound)
+}
+
 // maxKeyAge returns the maximum age of the configuration up to which its keys are
 // accepted, 0 for no maximum.
 func maxKeyAge(set site.Settings) time.Duration {
--- a/relay/candidates.go
+++ b/relay/candidates.go
@@ -30,32 +30,33 @@
 }
 
 // candidates returns the daemons that this one may follow, best first: its parent in the
-// tree of its domain, then the first daemons of the domain, then the first daemon of each
-// other domain. The first two daemons of a domain get none from other domains.
+// tree of its domain, then the heads of the domain. For a head, the first daemon of each
+// other domain comes next. The first two daemons of a domain get none from other domains.
 //
 // There are no cycles: within a domain a daemon follows only daemons whose names sort
 // before its own, and it follows a daemon of another domain only while that daemon follows
 // the store itself.
 func (n *Node) candidates() []Member {
-	all := n.members.All()
-	var before []Member
-	for _, m := range all {
-		if m.Domain == n.opts.Domain && m.Name < n.opts.Name {
-			before = append(before, m)
-		}
-	}
-	slices.SortFunc(before, byName)
+	before := n.predecessors()
 	if len(before) < sourcesPerDomain {
 		return before
 	}
 	parent := (len(before) - 1) / n.opts.FanOut
 	out := []Member{before[parent]}
-	for i, m := range before[:sourcesPerDomain] {
-		if i != parent {
-			out = append(out, m)
+	heads := before[:min(len(before), headsPerDomain)]
+	first := 0
+	if len(before) >= headsPerDomain {
+		first = len(before) % headsPerDomain // spreads the later daemons over the heads
+	}
+	for i := range heads {
+		if head := (first + i) % len(heads); head != parent {
+			out = append(out, heads[head])
 		}
 	}
-	others := make([]Member, 0, len(all))
+	if len(before) >= headsPerDomain {
+		return out
+	}
+	var others []Member
 	for _, m := range n.otherSources() {
 		others = append(others, m)
 	}
@@ -63,6 +64,21 @@
 	return append(out, others...)
 }
 
+// predecessors returns the daemons of this domain whose names sort before this one's.
+func (n *Node) predecessors() []Member {
+	var before []Member
+	for _, m := range n.members.All() {
+		if m.Domain == n.opts.Domain && m.Name < n.opts.Name {
+			before = append(before, m)
+		}
+	}
+	slices.SortFunc(before, byName)
+	return before
+}
+
+// isHead reports whether this daemon is one of the heads of its domain.
+func (n *Node) isHead() bool { return len(n.predecessors()) < headsPerDomain }
+
 // successors returns the daemons of this domain that follow the store while this one is
 // down.
 func (n *Node) successors() []Member {
@@ -76,6 +92,19 @@
 	return next[:min(len(next), sourcesPerDomain)]
 }
 
+// otherHeads returns the heads of the other domains.
+func (n *Node) otherHeads() []Member {
+	var out []Member
+	count := map[string]int{}
+	for _, m := range n.members.All() {
+		if m.Domain != n.opts.Domain && count[m.Domain] < headsPerDomain {
+			count[m.Domain]++
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 func byName(a, b Member) int { return strings.Compare(a.Name, b.Name) }
 
 // otherSources returns the first daemon of each other domain, usually the source of that
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -15,55 +15,105 @@
 // Run keeps the inventory up to date until ctx ends: from a source if there is a healthy
 // one, otherwise from the store.
 func (n *Node) Run(ctx context.Context) {
-	found := n.awaitInitialSource(ctx)
+	if !n.awaitInitialSource(ctx) {
+		n.followStore(ctx) // returns once there is a source
+	}
+	var found []Member // by the last search
 	for ctx.Err() == nil {
-		if !found || !n.followSource(ctx) && !n.searchSource(ctx) {
+		if n.followSource(ctx, found) {
+			found = nil
+			continue
+		}
+		if found = n.searchSource(ctx); len(found) == 0 {
 			n.followStore(ctx)
 		}
-		found = true // followStore returns once a source is found
 	}
 }
 
 // searchSource searches for a healthy source before a daemon that is not among the first
 // of its domain follows the store itself. It searches while an earlier daemon of its
-// domain is starting or has lost the store, and stops early enough for a configuration to
-// be in force within MaxConfigDelay. While daemons of several domains have lost the store,
-// it searches for up to maxOutageSearch. It reports whether a source was found.
-func (n *Node) searchSource(ctx context.Context) bool {
+// domain is starting or has lost the store. A head stops as soon as the store answers it,
+// but not before an earlier daemon has had time to become a source, and early enough for a
+// configuration to be in force within MaxConfigDelay. The others follow a head then. It
+// returns the source, none if this daemon must follow the store.
+func (n *Node) searchSource(ctx context.Context) (source []Member) {
 	began := time.Now()
-	bound := n.opts.MaxConfigDelay - contactTimeout(n.opts.MaxConfigDelay) - maxSwitchDelay
-	interval := searchInterval
-	for len(n.candidates()) >= sourcesPerDomain && time.Since(began) < bound {
-		if !wait.For(ctx, min(interval/2+rand.N(interval), bound-time.Since(began))) {
-			return false
-		}
-		found, lost := n.probeAll(ctx)
-		switch {
-		case found:
-			return true
-		case !lost[n.opts.Domain]:
-			return false
-		case len(lost) > 1:
-			bound, interval = maxOutageSearch, outageSearchInterval
+	takeover := n.opts.MaxConfigDelay - contactTimeout(n.opts.MaxConfigDelay) - maxSwitchDelay
+	longest, interval := takeover, searchInterval
+	for len(n.candidates()) >= sourcesPerDomain && time.Since(began) < longest {
+		if !wait.For(ctx, min(interval/2+rand.N(interval), longest-time.Since(began))) {
+			return nil
+		}
+		source, lost := n.probeAll(ctx)
+		if len(source) > 0 {
+			return source
+		}
+		if !lost {
+			n.logSearch("no earlier daemon answers", began)
+			return nil
+		}
+		if time.Since(began) < takeover {
+			continue
 		}
+		if n.isHead() && n.storeAnswers(ctx) {
+			n.logSearch("the store answers this daemon", began)
+			return nil
+		}
+		longest, interval = maxOutageSearch, outageSearchInterval
 	}
-	return false
+	n.logSearch("no source found", began)
+	return nil
 }
 
-// probeAll probes all candidates once. found reports whether one is a healthy source; lost
-// holds the failure domains in which a daemon has lost the store or is about to read it.
-func (n *Node) probeAll(ctx context.Context) (found bool, lost map[string]bool) {
-	lost = map[string]bool{}
-	for _, m := range n.candidates() {
+func (n *Node) logSearch(reason string, began time.Time) {
+	_ = level.Info(n.logger).Log("msg", "decision", "kind", "store followed", "reason", reason, "searched", time.Since(began).Round(time.Millisecond),
+		"config", n.inv.State().ConfigVersion)
+}
+
+// storeAnswers reports whether the store answers this daemon.
+func (n *Node) storeAnswers(ctx context.Context) bool {
+	return n.opts.StoreAnswers != nil && n.opts.StoreAnswers(ctx)
+}
+
+// probeAll probes the daemons of probedCandidates once. source is the first that is a
+// healthy source, if any; lost reports whether a daemon of this domain has lost the store
+// or is about to read it.
+func (n *Node) probeAll(ctx context.Context) (source []Member, lost bool) {
+	for _, m := range n.probedCandidates() {
 		err := n.probe(ctx, m)
-		if errors.Is(err, errHealthy) {
-			return true, lost
+		if isHealthy(err) {
+			return []Member{m}, lost
 		}
-		if errors.Is(err, errStoreLost) || errors.Is(err, errStarting) {
-			lost[m.Domain] = true
+		if m.Domain == n.opts.Domain && (errors.Is(err, errStoreLost) || errors.Is(err, errStarting)) {
+			lost = true
 		}
 	}
-	return false, lost
+	return nil, lost
+}
+
+// probedCandidates returns the daemons that one step of a search probes: of a head all
+// candidates and some heads of other domains, of a later daemon its parent and some heads
+// of its own domain. Daemons whose parent is one of the first two of the domain probe all
+// heads: those two have no source while the store turns them away.
+func (n *Node) probedCandidates() []Member {
+	all := n.candidates()
+	rank := len(n.predecessors())
+	switch {
+	case rank < headsPerDomain:
+		return append(all, sample(n.otherHeads(), otherHeadsPerProbe)...)
+	case rank <= sourcesPerDomain*n.opts.FanOut:
+		return all
+	}
+	return append(all[:1:1], sample(all[1:], headsPerProbe)...)
+}
+
+// sample returns up to size members at random.
+func sample(members []Member, size int) []Member {
+	out := make([]Member, 0, size)
+	for _, i := range rand.Perm(len(members))[:min(size, len(members))] {
+		out = append(out, members[i])
+	}
+	return out
 }
 
 // awaitInitialSource waits at the start for a source of this domain, since a full state
@@ -100,7 +150,7 @@
 			break
 		}
 		err := n.probe(ctx, m)
-		if errors.Is(err, errHealthy) {
+		if isHealthy(err) {
 			return errHealthy
 		}
 		if errors.Is(err, errStarting) {
@@ -110,11 +160,12 @@
 	return nil
 }
 
-// followSource follows the first reachable source until the link fails. It reports whether
-// one was followed.
-func (n *Node) followSource(ctx context.Context) bool {
+// followSource follows the first reachable source until the link fails, of the candidates
+// and then of found. It reports whether one was followed. A head leaves it once an earlier candidate is healthy, a later daemon
+// once its parent is.
+func (n *Node) followSource(ctx context.Context, found []Member) bool {
 	better := []Member{}
-	for _, m := range n.candidates() {
+	for _, m := range append(n.candidates(), found...) {
 		sctx, cancel := context.WithCancel(ctx)
 		go n.awaitBetterSource(sctx, better, cancel)
 		followed, err := n.session(sctx, m, nil)
@@ -126,7 +177,9 @@
 			_ = level.Info(n.logger).Log("msg", "source left", "source", m.Name, "address", m.Address, "err", err)
 			return true
 		}
-		better = append(better, m)
+		if len(better) == 0 || n.isHead() {
+			better = append(better, m)
+		}
 	}
 	return false
 }
@@ -136,11 +189,13 @@
 	if len(better) == 0 {
 		return
 	}
-	n.awaitHealthy(ctx, func() []Member { return better })
+	n.awaitSource(ctx, func() []Member { return better }, isHealthy)
 	leave()
 }
 
-// followStore follows the store until a source is found.
+// followStore follows the store until a source is found. It does not leave the store for a
+// source that follows another domain: daemons that cannot reach the store may have their
+// state from this one.
 func (n *Node) followStore(ctx context.Context) {
 	sctx, cancel := context.WithCancel(ctx)
 	n.mu.Lock()
@@ -160,14 +215,15 @@
 	n.followsStoreSince.Store(time.Now().UnixNano())
 	n.followsStore.Store(true)
 	_ = level.Info(n.logger).Log("msg", "following the store", "domain", n.opts.Domain)
-	n.awaitHealthy(ctx, n.candidates)
+	n.awaitSource(ctx, n.candidates, func(err error) bool { return errors.Is(err, errHealthy) })
 	n.followsStore.Store(false)
 	cancel()
 	wg.Wait()
 }
 
-// awaitHealthy returns when one of the candidates is a healthy source, or when ctx ends.
-func (n *Node) awaitHealthy(ctx context.Context, candidates func() []Member) {
+// awaitSource returns when the result of probing one of the candidates is accepted, or when
+// ctx ends.
+func (n *Node) awaitSource(ctx context.Context, candidates func() []Member, accept func(result error) bool) {
 	t := time.NewTicker(sourceCheckInterval)
 	defer t.Stop()
 	for {
@@ -177,14 +233,19 @@
 		case <-t.C:
 		}
 		for _, m := range candidates() {
-			if errors.Is(n.probe(ctx, m), errHealthy) {
+			if accept(n.probe(ctx, m)) {
 				return
 			}
 		}
 	}
 }
 
-// probe returns errHealthy for a healthy source, errStarting for a daemon that is about to
+// isHealthy reports whether the result of a probe is that of a healthy source.
+func isHealthy(result error) bool {
+	return errors.Is(result, errHealthy) || errors.Is(result, errCrossing)
+}
+
+// probe returns errHealthy or errCrossing for a healthy source, errStarting for a daemon that is about to
 // be a source, and otherwise the reason why the daemon is not a source.
 func (n *Node) probe(ctx context.Context, m Member) error {
 	_, err := n.session(ctx, m, errHealthy)
--- a/relay/node.go
+++ b/relay/node.go
@@ -23,6 +23,7 @@
 	errStarting  = errors.New("relay: source is starting")
 	errStoreLost = errors.New("relay: daemon has lost the store")
 	errHealthy   = errors.New("relay: source is healthy")
+	errCrossing  = errors.New("relay: source is healthy and follows another domain")
 )
 
 // Options are the settings of a node.
@@ -46,6 +47,9 @@
 	// without a source it returns before the daemon has a state, and so before the daemon
 	// or one of its followers forwards a request. It may be nil.
 	BeforeStore func(ctx context.Context)
+	// StoreAnswers makes a cheap call to the store and reports whether it was answered. It
+	// may be nil: a head then searches for a source as long as the others.
+	StoreAnswers func(ctx context.Context) bool
 	// Restored reports whether the store is known to have been restored from an older
 	// copy. It is called after BeforeStore; nil if it never was.
 	Restored func() bool
@@ -81,10 +85,11 @@
 	domainListedAt  map[string]store.Position // ListedAt of the sources of other domains
 }
 
-// upstream is the freshness that the source of this daemon reported.
+// upstream is what the source of this daemon reported.
 type upstream struct {
-	sinceContact time.Duration // since the store last answered the source, at receivedAt
-	receivedAt   time.Time
+	crossesDomains bool          // the source, or one that it follows, is in another domain
+	sinceContact   time.Duration // since the store last answered the source, at receivedAt
+	receivedAt     time.Time
 }
 
 // age returns how long ago the store last answered. Only a pause beyond two ping intervals
@@ -153,15 +158,22 @@
 	return n.upstream.age(now), true
 }
 
-// setUpstream records the freshness reported by the source. Until ctx ends this daemon may
-// then be a source itself.
-func (n *Node) setUpstream(ctx context.Context, sinceContact time.Duration, now time.Time) {
+// setUpstream records what the source has reported. Until ctx ends this daemon may then be
+// a source itself.
+func (n *Node) setUpstream(ctx context.Context, u *upstream) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.upstream == nil {
 		n.sourceCtx = ctx
 	}
-	n.upstream = &upstream{sinceContact: sinceContact, receivedAt: now}
+	n.upstream = u
+}
+
+// crossesDomains reports whether this daemon has its state from another domain.
+func (n *Node) crossesDomains() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.upstream != nil && n.upstream.crossesDomains
 }
 
 // clearUpstream records that this daemon follows no source.
--- a/relay/session.go
+++ b/relay/session.go
@@ -27,7 +27,7 @@
 	}
 	defer func() { _ = c.CloseNow() }()
 	s := &session{
-		node: n, conn: c, sent: map[uint64]time.Time{}, probe: probe, cancel: cancel,
+		node: n, otherDomain: m.Domain != n.opts.Domain, conn: c, sent: map[uint64]time.Time{}, probe: probe, cancel: cancel,
 		received: loadReceiver{refused: n.loadExchange.RefuseLoads},
 	}
 	s.silenceTimer = n.opts.Stalls.AfterFunc(silenceTimeout, func() { cancel(errSilent) })
@@ -94,6 +94,7 @@
 // by the reading goroutine alone.
 type session struct {
 	node         *Node
+	otherDomain  bool // the source is in another domain
 	conn         *websocket.Conn
 	silenceTimer *stall.Timer
 	probe        error // nil unless this is a probe
@@ -234,6 +235,9 @@
 	if p.SinceContact > contactTimeout(s.node.opts.MaxConfigDelay) {
 		return errStale
 	}
+	if s.probe != nil && p.CrossesDomains {
+		return errCrossing
+	}
 	if s.probe != nil {
 		return s.probe
 	}
@@ -245,7 +249,7 @@
 		s.node.updateOthers(now)
 	}
 	if s.complete {
-		s.node.setUpstream(ctx, p.SinceContact, now)
+		s.node.setUpstream(ctx, &upstream{sinceContact: p.SinceContact, receivedAt: now, crossesDomains: p.CrossesDomains || s.otherDomain})
 	}
 	return nil
 }
--- a/relay/source.go
+++ b/relay/source.go
@@ -229,7 +229,7 @@
 		if !ok || sinceContact >= contactTimeout(n.opts.MaxConfigDelay) {
 			return // closes the link, so that the follower leaves at once
 		}
-		answer := &pong{Number: p.Number, Age: n.inv.Age(now), SinceContact: sinceContact, Version: n.inv.State().ConfigVersion}
+		answer := &pong{Number: p.Number, Age: n.inv.Age(now), SinceContact: sinceContact, Version: n.inv.State().ConfigVersion, CrossesDomains: n.crossesDomains()}
 		if p.HasLoads {
 			loads := n.loadsFor(p.Sender, sameDomain, now)
 			answer.Loads, answer.Daemons, answer.LoadsAge = toFollower.changes(loads.Items), loads.Daemons, loads.Age
--- a/relay/times.go
+++ b/relay/times.go
@@ -30,6 +30,16 @@
 	// sourcesPerDomain is the number of daemons of a domain that follow the store or are
 	// next to do so: the second does when the first is lost.
 	sourcesPerDomain = 2
+	// headsPerDomain is the number of daemons of a domain that look for the store
+	// themselves while the daemons before them have lost it. The store may turn away some
+	// VMs and serve the others: a domain has a source unless all its heads are turned away.
+	headsPerDomain = 8
+	// headsPerProbe is the number of heads of its domain that a later daemon probes in one
+	// step of a search, otherHeadsPerProbe the number of heads of other domains that a head
+	// probes. They are chosen at random, so that the probes of a large fleet do not
+	// overload its heads.
+	headsPerProbe      = 3
+	otherHeadsPerProbe = 8
 	// defaultFanOut is the maximum number of followers of a daemon. It bounds the time to
 	// send the full state and the control traffic. A domain of up to eight daemons has one
 	// level of followers, one of up to 57 has two.
@@ -52,8 +62,8 @@
 	minLaterRetryDelay = 2 * time.Second
 	maxLaterRetryDelay = 4 * time.Second
 	// searchInterval is the time between two searches of a later daemon that has lost its
-	// source. outageSearchInterval applies while the store seems to be unavailable to all,
-	// for up to maxOutageSearch.
+	// source. outageSearchInterval applies while the store seems to be unavailable to the
+	// daemons of the domain, for up to maxOutageSearch.
 	searchInterval       = 500 * time.Millisecond
 	outageSearchInterval = time.Second
 	maxOutageSearch      = 10 * time.Second
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -164,6 +164,16 @@
 	}
 }
 
+// storeAnswers reports whether the store answers this daemon.
+func (f *fakeInventory) storeAnswers(context.Context) bool {
+	f.store.mu.Lock()
+	unavailable := f.store.unavailable
+	f.store.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !unavailable && !f.cut
+}
+
 // cutOff makes the store unavailable to this daemon alone.
 func (f *fakeInventory) cutOff() {
 	f.mu.Lock()
@@ -229,7 +239,7 @@
 		inv := newFakeInventory(c.store)
 		inv.own = []LoadItem{{Server: "s", Running: 1 << i}}
 		o := o
-		o.Name, o.Domain = daemonName(i), "d"
+		o.Name, o.Domain, o.StoreAnswers = daemonName(i), "d", inv.storeAnswers
 		node := New(o, inv, inv, all, log.NewNopLogger())
 		c.nodes, c.invs, c.stop = append(c.nodes, node), append(c.invs, inv), append(c.stop, start(t, node, servers[i]))
 	}
@@ -397,7 +407,7 @@
 	source := Member{Name: daemonName(1), Domain: "d", Address: srv.Listener.Addr().String()}
 	follower := New(Options{Name: daemonName(2), Domain: "d"}, inv, inv, memberList{}, log.NewNopLogger())
 	require.ErrorIs(t, follower.probe(t.Context(), source), errStarting)
-	n.setUpstream(t.Context(), 0, time.Now())
+	n.setUpstream(t.Context(), &upstream{receivedAt: time.Now()})
 	require.ErrorIs(t, follower.probe(t.Context(), source), errHealthy)
 	n.clearUpstream()
 	err := follower.probe(t.Context(), source)
