relay: daemons rank by the capacity of their VM

Cause: a daemon that starts needs the full state from its source, and each level of the relay's tree takes as long as its VMs need to receive, decode and send it. The tree was in the order of names with seven followers each: four levels among 197 daemons of a domain, over VMs of 0.2 cores and 20 Mbit/s, although each domain has ten with 1.6 cores and 1,000 Mbit/s.

Change: a daemon has 7 to 56 followers, by the processors and the bandwidth that its settings tell, and writes the number into its record; daemons rank by it, then by name. A source rejects a follower that ranks before it, so lists that differ make no cycle.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,7 +123,8 @@
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
-	self := relay.Member{Name: set.Name, Domain: set.FailureDomain, Address: g.listeners.links.Addr().String()}
+	fanOut := relay.FanOut(set.CPUs, set.LinkMbps)
+	self := relay.Member{Name: set.Name, Domain: set.FailureDomain, Address: g.listeners.links.Addr().String(), FanOut: fanOut}
 	g.members = newMembers(self, set.FirstStart, g.store, g.log)
 	stalls.OnWake(g.members.wake)
 	registry := quarantine.NewRegistry(quarantine.DefaultPolicy)
@@ -138,7 +139,7 @@
 		Limits: limits, Sends: sends, Permits: permits{g}})
 	g.backends.OnLimit(g.forward.ApplyLimit)
 	g.relay = relay.New(relay.Options{
-		Name: set.Name, Domain: set.FailureDomain, MaxConfigDelay: set.MaxConfigDelay, ConditionReader: g.forward, Quarantine: registry, Stalls: stalls, BeforeStore: g.quarantineSync.load,
+		Name: set.Name, Domain: set.FailureDomain, FanOut: fanOut, MaxConfigDelay: set.MaxConfigDelay, ConditionReader: g.forward, Quarantine: registry, Stalls: stalls, BeforeStore: g.quarantineSync.load,
 		StoreAnswers: g.storeAnswers,
 		Restored:     func() bool { return g.store.Era() > store.FirstEra },
 	}, g.inv, g.forward.Loads(), g.members, g.log)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -94,6 +94,7 @@
 	Domain    string `cbor:"1,keyasint"`
 	Address   string `cbor:"2,keyasint"` // of its links to other daemons
 	Heartbeat uint64 `cbor:"3,keyasint"`
+	FanOut    int    `cbor:"4,keyasint,omitempty"` // maximum number of its followers
 }
 
 // memberRelay is the part of the relay that membership uses.
@@ -393,7 +394,7 @@
 
 func (m *members) write(ctx context.Context) error {
 	m.heartbeats++
-	spec, err := cbor.Marshal(memberSpec{Domain: m.self.Domain, Address: m.self.Address, Heartbeat: m.heartbeats})
+	spec, err := cbor.Marshal(memberSpec{Domain: m.self.Domain, Address: m.self.Address, Heartbeat: m.heartbeats, FanOut: m.self.FanOut})
 	if err != nil {
 		return err
 	}
@@ -446,7 +447,7 @@
 	for _, name := range slices.Sorted(maps.Keys(seen)) {
 		s := seen[name]
 		if now.Sub(s.firstSeen) < ttl {
-			all = append(all, relay.Member{Name: name, Domain: s.spec.Domain, Address: s.spec.Address})
+			all = append(all, relay.Member{Name: name, Domain: s.spec.Domain, Address: s.spec.Address, FanOut: s.spec.FanOut})
 		}
 	}
 	m.seen = seen
@@ -500,11 +501,11 @@
 	}
 }
 
-// adopt takes over the daemon's own record if the store holds it with the same domain
-// and address: an earlier process has left it, or a restored store has it. The others know
+// adopt takes over the daemon's own record if the store holds it with the same domain,
+// address and fan-out: an earlier process has left it, or a restored store has it. The others know
 // a daemon whose earlier process has left the record. m.mu is held.
 func (m *members) adopt(o store.Object, spec memberSpec) {
-	if m.version == 0 && o.Name == m.self.Name && spec.Domain == m.self.Domain && spec.Address == m.self.Address {
+	if m.version == 0 && o.Name == m.self.Name && spec.Domain == m.self.Domain && spec.Address == m.self.Address && spec.FanOut == m.self.FanOut {
 		m.version, m.heartbeats = o.Version, max(m.heartbeats, spec.Heartbeat)
 		if !m.firstStart && m.joinedAt.IsZero() {
 			m.joinedAt = time.Now()
--- a/relay/candidates.go
+++ b/relay/candidates.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/snowspoke/snowspoke/store"
 )
@@ -12,6 +11,7 @@
 	Name    string
 	Domain  string
 	Address string // where it serves links
+	FanOut  int    // maximum number of its followers, 0 for defaultFanOut
 }
 
 // Members lists the daemons, this one included, and receives the list of the source.
@@ -33,15 +33,15 @@
 // tree of its domain, then the heads of the domain. For a head, the first daemon of each
 // other domain comes next. The first two daemons of a domain get none from other domains.
 //
-// There are no cycles: within a domain a daemon follows only daemons whose names sort
-// before its own, and it follows a daemon of another domain only while that daemon follows
-// the store itself.
+// There are no cycles: within a domain a daemon follows only daemons that rank before it,
+// which the source checks, and it follows a daemon of another domain only while that daemon
+// follows the store itself.
 func (n *Node) candidates() []Member {
 	before := n.predecessors()
 	if len(before) < sourcesPerDomain {
 		return before
 	}
-	parent := (len(before) - 1) / n.opts.FanOut
+	parent := parent(before)
 	out := []Member{before[parent]}
 	heads := before[:min(len(before), headsPerDomain)]
 	first := 0
@@ -60,25 +60,10 @@
 	for _, m := range n.otherSources() {
 		others = append(others, m)
 	}
-	slices.SortFunc(others, byName)
+	slices.SortFunc(others, byRank)
 	return append(out, others...)
 }
 
-// predecessors returns the daemons of this domain whose names sort before this one's.
-func (n *Node) predecessors() []Member {
-	var before []Member
-	for _, m := range n.members.All() {
-		if m.Domain == n.opts.Domain && m.Name < n.opts.Name {
-			before = append(before, m)
-		}
-	}
-	slices.SortFunc(before, byName)
-	return before
-}
-
-// isHead reports whether this daemon is one of the heads of its domain.
-func (n *Node) isHead() bool { return len(n.predecessors()) < headsPerDomain }
-
 // successors returns the daemons of this domain that follow the store while this one is
 // down.
 func (n *Node) successors() []Member {
@@ -88,25 +73,26 @@
 			next = append(next, m)
 		}
 	}
-	slices.SortFunc(next, byName)
+	slices.SortFunc(next, byRank)
 	return next[:min(len(next), sourcesPerDomain)]
 }
 
 // otherHeads returns the heads of the other domains.
 func (n *Node) otherHeads() []Member {
-	var out []Member
-	count := map[string]int{}
+	domains := map[string][]Member{}
 	for _, m := range n.members.All() {
-		if m.Domain != n.opts.Domain && count[m.Domain] < headsPerDomain {
-			count[m.Domain]++
-			out = append(out, m)
+		if m.Domain != n.opts.Domain {
+			domains[m.Domain] = append(domains[m.Domain], m)
 		}
 	}
+	var out []Member
+	for _, daemons := range domains {
+		slices.SortFunc(daemons, byRank)
+		out = append(out, daemons[:min(len(daemons), headsPerDomain)]...)
+	}
 	return out
 }
 
-func byName(a, b Member) int { return strings.Compare(a.Name, b.Name) }
-
 // otherSources returns the first daemon of each other domain, usually the source of that
 // domain.
 func (n *Node) otherSources() map[string]Member {
@@ -115,7 +101,7 @@
 		if m.Domain == n.opts.Domain {
 			continue
 		}
-		if first, ok := out[m.Domain]; !ok || m.Name < first.Name {
+		if first, ok := out[m.Domain]; !ok || byRank(m, first) < 0 {
 			out[m.Domain] = m
 		}
 	}
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -28,7 +28,7 @@
 	servers := make([]*httptest.Server, len(domains))
 	for i, domain := range domains {
 		servers[i] = httptest.NewUnstartedServer(nil)
-		all = append(all, Member{Name: daemonName(i), Domain: domain, Address: servers[i].Listener.Addr().String()})
+		all = append(all, Member{Name: daemonName(i), Domain: domain, Address: servers[i].Listener.Addr().String(), FanOut: 1})
 	}
 	s := &fakeStore{version: 1}
 	for i, domain := range domains {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -96,12 +96,11 @@
 // of its own domain. Daemons whose parent is one of the first two of the domain probe all
 // heads: those two have no source while the store turns them away.
 func (n *Node) probedCandidates() []Member {
-	all := n.candidates()
-	rank := len(n.predecessors())
+	all, before := n.candidates(), n.predecessors()
 	switch {
-	case rank < headsPerDomain:
+	case len(before) < headsPerDomain:
 		return append(all, sample(n.otherHeads(), otherHeadsPerProbe)...)
-	case rank <= sourcesPerDomain*n.opts.FanOut:
+	case len(before) < levelOneSize(before):
 		return all
 	}
 	return append(all[:1:1], sample(all[1:], headsPerProbe)...)
--- a/relay/membership.go
+++ b/relay/membership.go
@@ -35,14 +35,15 @@
 	Name    string
 	Domain  string
 	Address string
+	FanOut  int
 }
 
 func packMember(m Member) packedMember {
-	return packedMember{Name: m.Name, Domain: m.Domain, Address: m.Address}
+	return packedMember{Name: m.Name, Domain: m.Domain, Address: m.Address, FanOut: m.FanOut}
 }
 
 func (p packedMember) unpack() Member {
-	return Member{Name: p.Name, Domain: p.Domain, Address: p.Address}
+	return Member{Name: p.Name, Domain: p.Domain, Address: p.Address, FanOut: p.FanOut}
 }
 
 // diffMembers returns the changes between two lists of daemons.
--- a/relay/node.go
+++ b/relay/node.go
@@ -30,7 +30,7 @@
 type Options struct {
 	Name   string
 	Domain string
-	FanOut int // maximum followers of a daemon, 0 for defaultFanOut
+	FanOut int // maximum followers of this daemon, 0 for defaultFanOut
 	// Connect opens a connection to another daemon, nil for net.Dialer.
 	Connect func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxConfigDelay is the time within which a configuration must be in force, 0 for
--- a/relay/session.go
+++ b/relay/session.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
@@ -64,7 +65,7 @@
 func (n *Node) dial(ctx context.Context, m Member, probe bool) (*websocket.Conn, error) {
 	ctx, cancel := n.opts.Stalls.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	query := url.Values{domainParam: {n.opts.Domain}}
+	query := url.Values{domainParam: {n.opts.Domain}, nameParam: {n.opts.Name}, fanOutParam: {strconv.Itoa(n.opts.FanOut)}}
 	if probe {
 		query.Set(probeParam, "")
 	}
--- a/relay/source.go
+++ b/relay/source.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
@@ -62,6 +64,9 @@
 	case !sameDomain && !n.followsStore.Load():
 		http.Error(w, "no source of this domain", http.StatusMisdirectedRequest)
 		return
+	case sameDomain && !query.Has(probeParam) && byRank(n.self(), followerOf(query)) >= 0:
+		http.Error(w, "ranks before this daemon", http.StatusMisdirectedRequest)
+		return
 	case !n.healthy(now):
 		http.Error(w, "the store is lost", http.StatusServiceUnavailable)
 		return
@@ -94,6 +99,16 @@
 	n.pushChanges(ctx, c)
 }
 
+// followerOf returns the daemon that opened a link with this query. An invalid fan-out
+// ranks last.
+func followerOf(query url.Values) Member {
+	fanOut, err := strconv.Atoi(query.Get(fanOutParam))
+	if err != nil {
+		fanOut = 1
+	}
+	return Member{Name: query.Get(nameParam), Domain: query.Get(domainParam), FanOut: fanOut}
+}
+
 // pushChanges sends the full state, then changes, until the link ends.
 func (n *Node) pushChanges(ctx context.Context, c *websocket.Conn) {
 	var sent *inventory.State
--- a/relay/times.go
+++ b/relay/times.go
@@ -40,10 +40,6 @@
 	// overload its heads.
 	headsPerProbe      = 3
 	otherHeadsPerProbe = 8
-	// defaultFanOut is the maximum number of followers of a daemon. It bounds the time to
-	// send the full state and the control traffic. A domain of up to eight daemons has one
-	// level of followers, one of up to 57 has two.
-	defaultFanOut = 7
 	// startWait is how long a daemon waits at its start for a source that starts at the
 	// same time, and maxStartWait for a source that reports that it is starting, so that
 	// daemons that start together do not exhaust the rate limit of the store. The second
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -233,7 +233,7 @@
 	servers := make([]*httptest.Server, n)
 	for i := range n {
 		servers[i] = httptest.NewUnstartedServer(nil)
-		all = append(all, Member{Name: daemonName(i), Domain: "d", Address: servers[i].Listener.Addr().String()})
+		all = append(all, Member{Name: daemonName(i), Domain: "d", Address: servers[i].Listener.Addr().String(), FanOut: o.FanOut})
 	}
 	for i := range n {
 		inv := newFakeInventory(c.store)
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -20,12 +20,14 @@
 	"github.com/snowspoke/snowspoke/store"
 )
 
-// Path is the URL path at which a daemon serves its links. In the query, domainParam is
-// the failure domain of the follower, and probeParam marks a probe, which checks whether
-// this daemon is a healthy source and receives no state.
+// Path is the URL path at which a daemon serves its links. In the query, domainParam,
+// nameParam and fanOutParam are those of the follower, and probeParam marks a probe, which
+// checks whether this daemon is a healthy source and receives no state.
 const (
 	Path        = "/relay"
 	domainParam = "domain"
+	nameParam   = "name"
+	fanOutParam = "fanout"
 	probeParam  = "probe"
 )
 
--- a/site/settings.go
+++ b/site/settings.go
@@ -16,7 +16,9 @@
 	PeerPort      int    // port for connections between daemons
 	MemoryMB      int
 	Descriptors   int
-	FirstStart    bool // the whole system starts for the first time
+	CPUs          float64 // processors that the VM may use, 0 if not set
+	LinkMbps      float64 // bandwidth of the VM in Mbit/s, 0 if not set
+	FirstStart    bool    // the whole system starts for the first time
 
 	Contact            time.Duration // time without faults after which a VM counts as healthy
 	MaxLeaveDelay      time.Duration // from when a backend server starts draining until it gets no new requests
