--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,9 @@
 	// revocationMargin is subtracted from the bound on revoked keys to allow for
 	// clock drift. The bound counts from when the caller sent the request.
 	revocationMargin = 150 * time.Millisecond
+	// idleDescriptorsDivisor limits the idle connections to backend servers to a fraction of
+	// the VM's file descriptors. The daemon that places layers calls every backend server.
+	idleDescriptorsDivisor = 4
 )
 
 // Kinds and names of the objects that daemons keep in the store.
@@ -109,6 +112,7 @@
 		set: set, opts: o, killed: make(chan struct{}), log: forward.NewLog(out), metrics: m, stalls: stalls,
 		store: platform.NewStore(set.Store, stalls), backends: platform.NewBackends(stalls),
 	}
+	g.backends.SetMaxIdle(set.Descriptors / idleDescriptorsDivisor)
 	g.inv = inventory.New(g.store, g.log)
 	g.backends.OnRestart(g.inv.NoteRestart)
 	g.store.OnRefused(func(kind string, err error) {
