--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -20,6 +21,7 @@
 
 // staleStore is a memberStore whose stale lists show its state of lag ago.
 type staleStore struct {
+	mu      sync.Mutex
 	lag     time.Duration
 	version store.Position
 	objects []store.Object
@@ -31,11 +33,13 @@
 }
 
 func (s *staleStore) Get(_ context.Context, kind, name string) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.gets++
 	return s.newest(kind, name)
 }
 
-// newest returns the last version of an object.
+// newest returns the last version of an object. s.mu is held.
 func (s *staleStore) newest(kind, name string) (store.Object, error) {
 	for _, o := range slices.Backward(s.objects) {
 		if o.Kind == kind && o.Name == name && !s.unavailable.Load() {
@@ -46,10 +50,14 @@
 }
 
 func (s *staleStore) GetStale(_ context.Context, kind, name string) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.newest(kind, name)
 }
 
 func (s *staleStore) Put(_ context.Context, kind, name string, spec []byte, ifVersion store.Position) (store.Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.unavailable.Load() {
 		return 0, store.ErrUnavailable
 	}
@@ -57,11 +65,18 @@
 	if o, err := s.newest(kind, name); err == nil && o.Version != ifVersion {
 		return 0, store.ErrConflict
 	}
-	s.add(kind, name, spec)
+	s.append(kind, name, spec)
 	return s.version, nil
 }
 
 func (s *staleStore) add(kind, name string, spec []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append(kind, name, spec)
+}
+
+// append adds an object. s.mu is held.
+func (s *staleStore) append(kind, name string, spec []byte) {
 	s.version++
 	s.objects = append(s.objects, store.Object{Kind: kind, Name: name, Version: s.version, Spec: spec})
 	s.times = append(s.times, time.Now())
@@ -72,6 +87,8 @@
 }
 
 func (s *staleStore) List(_ context.Context, kind string, fresh bool) ([]store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.unavailable.Load() {
 		return nil, store.ErrUnavailable
 	}
