--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -96,6 +96,7 @@
 	if !slices.Contains(all, m.self) {
 		return errNotInRoster
 	}
+	m.rosterWritten, m.rosterVersion = all, o.Version
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
--- a/gateway/roster_test.go
+++ b/gateway/roster_test.go
@@ -36,6 +36,21 @@
 	})
 }
 
+// A leader that restarts does not write the roster that it has just read.
+func TestUnchangedRosterIsNotWrittenAgain(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		s := &staleStore{}
+		s.add(kindDaemon, thisDaemon.Name, recordOf(t, thisDaemon))
+		addRoster(t, s, thisDaemon)
+		m := newMembers(thisDaemon, false, s, log.NewNopLogger())
+		m.setRelay(fakeRelay{leads: true})
+		go m.Run(t.Context())
+		time.Sleep(2 * rosterInterval)
+		synctest.Wait()
+		require.Zero(t, s.writes)
+	})
+}
+
 // A roster without this daemon, or with its former address, was written before its record.
 func TestRosterWithoutThisDaemonIsNotUsed(t *testing.T) {
 	for name, listed := range map[string][]relay.Member{
