--- a/capacity/platform.go
+++ b/capacity/platform.go
@@ -110,4 +110,5 @@
 	fmt.Fprintf(b, "| store calls of the whole fleet | %.1f a second, and %.0f lists that may be old, whatever the daemons | |\n",
 		t.Domains*storeCallsPerSource+leaseCalls+1/recordPeriodPerDaemon, 1/listPeriodPerDaemon)
 	b.WriteString("\nA flat star that told all loads took 153 KB/s at each of the 7 sources.\n")
+	writeFleet(b)
 }
