relay: heads prefer the store to another domain, and exchange with whoever follows it

Cause, found by a test of loads in a partial outage: where the store turned away the first two daemons of a failure domain, its heads followed the first daemon of another domain at once. Their domain's loads then reached the followers of that daemon alone, not that daemon nor the third domain, and full states crossed domains. And sources exchanged loads, conditions and crashes with the first daemon of each other domain only, whether it followed the store or not: nothing while it was turned away, and for the time of a dead record (8 minutes at 985 daemons) once it was gone.

Change: candidates are of the own domain; a head asks the store before it probes heads of other domains. Sources try the heads of a domain in turn until one answers as its source.

Shown: TestLoadsAreExchangedWithWhoeverFollowsTheStore fails before either change and passes 25 times; the tests of partial outages pass 25 times.

--- a/relay/candidates.go
+++ b/relay/candidates.go
@@ -29,9 +29,8 @@
 	Apply(all []Member, era uint64)
 }
 
-// candidates returns the daemons that this one may follow, best first: its parent in the
-// tree of its domain, then the heads of the domain. For a head, the first daemon of each
-// other domain comes next. The first two daemons of a domain get none from other domains.
+// candidates returns the daemons of this domain that this one may follow, best first: its
+// parent in the tree of the domain, then the heads of the domain.
 //
 // There are no cycles: within a domain a daemon follows only daemons that rank before it,
 // which the source checks, and it follows a daemon of another domain only while that daemon
@@ -53,15 +52,7 @@
 			out = append(out, heads[head])
 		}
 	}
-	if len(before) >= headsPerDomain {
-		return out
-	}
-	var others []Member
-	for _, m := range n.otherSources() {
-		others = append(others, m)
-	}
-	slices.SortFunc(others, byRank)
-	return append(out, others...)
+	return out
 }
 
 // successors returns the daemons of this domain that follow the store while this one is
@@ -77,18 +68,17 @@
 	return next[:min(len(next), sourcesPerDomain)]
 }
 
-// otherHeads returns the heads of the other domains.
-func (n *Node) otherHeads() []Member {
-	domains := map[string][]Member{}
+// otherHeads returns the heads of the other domains, those of each in the order of ranks.
+func (n *Node) otherHeads() map[string][]Member {
+	out := map[string][]Member{}
 	for _, m := range n.members.All() {
 		if m.Domain != n.opts.Domain {
-			domains[m.Domain] = append(domains[m.Domain], m)
+			out[m.Domain] = append(out[m.Domain], m)
 		}
 	}
-	var out []Member
-	for _, daemons := range domains {
+	for domain, daemons := range out {
 		slices.SortFunc(daemons, byRank)
-		out = append(out, daemons[:min(len(daemons), headsPerDomain)]...)
+		out[domain] = daemons[:min(len(daemons), headsPerDomain)]
 	}
 	return out
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -20,9 +20,10 @@
 const exchangeInterval = 500 * time.Millisecond
 
 // exchangeLoads exchanges loads, suspects, conditions and crashes with the sources of the
-// other domains while this daemon follows the store.
+// other domains while this daemon follows the store. The source of a domain is usually its
+// first daemon; while that does not follow the store, the other heads are tried in turn.
 func (n *Node) exchangeLoads(ctx context.Context) {
-	links := map[string]*domainLink{}
+	links, failures := map[string]*domainLink{}, map[string]int{}
 	defer func() {
 		for domain, l := range links {
 			_ = l.conn.CloseNow()
@@ -32,8 +33,10 @@
 	loadsSentAt := boottime.Now()
 	for wait.For(ctx, exchangeInterval) {
 		withLoads := boottime.Since(loadsSentAt) >= exchangeFactor*loadsInterval(len(n.inv.State().Servers))
-		for domain, m := range n.otherSources() {
-			n.exchangeWith(ctx, links, domain, m, withLoads)
+		for domain, heads := range n.otherHeads() {
+			if !n.exchangeWith(ctx, links, domain, heads[failures[domain]%len(heads)], withLoads) {
+				failures[domain]++
+			}
 		}
 		if withLoads {
 			loadsSentAt = boottime.Now()
@@ -49,16 +52,17 @@
 	crashes  crashReporter
 }
 
-// exchangeWith makes one exchange with the source of another domain. If that fails, the
-// conditions received from it are dropped.
-func (n *Node) exchangeWith(ctx context.Context, links map[string]*domainLink, domain string, m Member, withLoads bool) {
+// exchangeWith makes one exchange with the source of another domain, m unless there is a
+// link. If that fails, the conditions received from it are dropped. It reports whether the
+// exchange was made.
+func (n *Node) exchangeWith(ctx context.Context, links map[string]*domainLink, domain string, m Member, withLoads bool) bool {
 	ctx, cancel := n.opts.Stalls.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	l := links[domain]
 	if l == nil {
 		c, err := n.dial(ctx, m, true)
 		if err != nil {
-			return // retried at the next exchange; its last loads expire
+			return false // retried at the next exchange; its last loads expire
 		}
 		l = &domainLink{conn: c, received: loadReceiver{refused: n.loadExchange.RefuseLoads}}
 		links[domain] = l
@@ -72,7 +76,7 @@
 		_ = c.CloseNow()
 		delete(links, domain)
 		n.dropDomain(domain)
-		return
+		return false
 	}
 	if withLoads {
 		n.domainLoads.put(domain, loadReport{at: boottime.Now(), domain: domain, loads: answer.report(&l.received, n.serverNames())})
@@ -82,6 +86,7 @@
 	if answer.HasConditions {
 		n.applyConditions(domain, answer.Conditions)
 	}
+	return true
 }
 
 // dropDomain drops the conditions and the outbox of a domain whose source cannot be
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,10 +34,11 @@
 
 // searchSource searches for a healthy source before a daemon that is not among the first
 // of its domain follows the store itself. It searches while an earlier daemon of its
-// domain is starting or has lost the store. A head stops as soon as the store answers it,
-// but not before an earlier daemon has had time to become a source, and early enough for a
-// configuration to be in force within MaxConfigDelay. The others follow a head then. It
-// returns the source, none if this daemon must follow the store.
+// domain is starting or has lost the store. A head gives an earlier daemon time to become a
+// source, but stops early enough for a configuration to be in force within MaxConfigDelay.
+// Then it follows the store if that answers, or else a head of another domain. The later
+// daemons follow a head. searchSource returns the source, none if this daemon must follow
+// the store.
 func (n *Node) searchSource(ctx context.Context) (source []Member) {
 	began := time.Now()
 	takeover := n.opts.MaxConfigDelay - contactTimeout(n.opts.MaxConfigDelay) - maxSwitchDelay
@@ -44,7 +47,7 @@
 		if !wait.For(ctx, min(interval/2+rand.N(interval), longest-time.Since(began))) {
 			return nil
 		}
-		source, lost := n.probeAll(ctx)
+		source, lost := n.probeAll(ctx, n.probedCandidates())
 		if len(source) > 0 {
 			return source
 		}
@@ -55,11 +58,17 @@
 		if time.Since(began) < takeover {
 			continue
 		}
-		if n.isHead() && n.storeAnswers(ctx) {
+		longest, interval = maxOutageSearch, outageSearchInterval
+		if !n.isHead() {
+			continue
+		}
+		if n.storeAnswers(ctx) {
 			n.logSearch("the store answers this daemon", began)
 			return nil
 		}
-		longest, interval = maxOutageSearch, outageSearchInterval
+		if source, _ := n.probeAll(ctx, n.probedOthers()); len(source) > 0 {
+			return source
+		}
 	}
 	n.logSearch("no source found", began)
 	return nil
@@ -75,37 +84,40 @@
 	return n.opts.StoreAnswers != nil && n.opts.StoreAnswers(ctx)
 }
 
-// probeAll probes the daemons of probedCandidates once. source is the first that is a
-// healthy source, if any; lost reports whether a daemon of this domain has lost the store
-// or is about to read it.
-func (n *Node) probeAll(ctx context.Context) (source []Member, lost bool) {
-	for _, m := range n.probedCandidates() {
+// probeAll probes daemons. source is the first that is a healthy source, if any; lost
+// reports whether one before it has lost the store or is about to read it.
+func (n *Node) probeAll(ctx context.Context, members []Member) (source []Member, lost bool) {
+	for _, m := range members {
 		err := n.probe(ctx, m)
 		if isHealthy(err) {
 			return []Member{m}, lost
 		}
-		if m.Domain == n.opts.Domain && (errors.Is(err, errStoreLost) || errors.Is(err, errStarting)) {
+		if errors.Is(err, errStoreLost) || errors.Is(err, errStarting) {
 			lost = true
 		}
 	}
 	return nil, lost
 }
 
-// probedCandidates returns the daemons that one step of a search probes: of a head all
-// candidates and some heads of other domains, of a later daemon its parent and some heads
-// of its own domain. Daemons whose parent is one of the first two of the domain probe all
-// heads: those two have no source while the store turns them away.
+// probedCandidates returns the candidates that one step of a search probes: of a later
+// daemon its parent and some heads. Daemons whose parent is one of the first two of the
+// domain probe all heads: those two have no source while the store turns them away.
 func (n *Node) probedCandidates() []Member {
 	all, before := n.candidates(), n.predecessors()
-	switch {
-	case len(before) < headsPerDomain:
-		return append(all, sample(n.otherHeads(), otherHeadsPerProbe)...)
-	case len(before) < levelOneSize(before):
+	if len(before) < max(headsPerDomain, levelOneSize(before)) {
 		return all
 	}
 	return append(all[:1:1], sample(all[1:], headsPerProbe)...)
 }
 
+// probedOthers returns the daemons of other domains that one step of a search probes: the
+// first of each domain, and some heads.
+func (n *Node) probedOthers() []Member {
+	firsts := slices.SortedFunc(maps.Values(n.otherSources()), byRank)
+	heads := slices.Concat(slices.Collect(maps.Values(n.otherHeads()))...)
+	return append(firsts, sample(heads, otherHeadsPerProbe)...)
+}
+
 // sample returns up to size members at random.
 func sample(members []Member, size int) []Member {
 	out := make([]Member, 0, size)
--- a/relay/partial_outage_test.go
+++ b/relay/partial_outage_test.go
@@ -98,3 +98,25 @@
 		require.Equal(t, domains, f.storeFollowers())
 	})
 }
+
+// The daemons of a failure domain must learn the loads of another one also while the store
+// turns away that domain's first daemons, which are not its source then.
+func TestLoadsAreExchangedWithWhoeverFollowsTheStore(t *testing.T) {
+	const domains = 3
+	inVirtualFleet(t, 86, domains, func(f *virtualFleet) {
+		f.awaitVersion(t, f.daemonsOf(everyDaemon), 1, 10*time.Second)
+		f.invs[0].cutOff()
+		f.invs[domains].cutOff()
+		time.Sleep(2 * maxDelay)
+		f.invs[60].mu.Lock()
+		f.invs[60].own = []LoadItem{{Server: "s", Running: 5}}
+		f.invs[60].mu.Unlock()
+		time.Sleep(loadTTL(1) + 2*time.Second)
+		for _, i := range []int{1, 2, 40, 85} {
+			f.invs[i].mu.Lock()
+			others := f.invs[i].others
+			f.invs[i].mu.Unlock()
+			require.Equal(t, []LoadItem{{Server: "s", Running: 5}}, others, f.all[i].Name)
+		}
+	})
+}
