gateway, relay: a daemon in the roster alone has not joined; simpler initial probe

Found by reading: a leader that restarts from a roster which lists it, but whose record is deleted, wrote its record again and counted as joined at once. Candidates are of the own domain now, so the initial probe needs no check of it. TestLeaderInTheRosterAloneWritesItsRecord.

--- a/gateway/memberlist.go
+++ b/gateway/memberlist.go
@@ -92,7 +92,7 @@
 			m.unlisted = now
 		}
 		if m.recordAssumed {
-			m.recordAssumed, m.joinedAt = false, time.Time{}
+			m.noteMissing()
 			m.wake(0)
 		}
 		all = slices.Insert(slices.Clone(all), at, m.self)
@@ -124,6 +124,14 @@
 	}
 }
 
+// noteMissing records that a list lacks this daemon. If only the roster had it, the others
+// do not count it. m.mu is held.
+func (m *members) noteMissing() {
+	if m.recordAssumed {
+		m.recordAssumed, m.joinedAt = false, time.Time{}
+	}
+}
+
 // listDue reports whether this daemon must list the others itself. A daemon that receives
 // the list from a source does so only if the source does not list this daemon, or knows
 // that the store was restored and may lack its record.
@@ -158,7 +166,6 @@
 		_ = level.Warn(m.logger).Log("msg", "listing daemons failed, keeping the last list", "err", err)
 		return
 	}
-	m.recordAssumed = false
 	if !m.noteEra(objects, now) {
 		return // older than the last list
 	}
@@ -190,7 +197,10 @@
 	m.seen = seen
 	if _, listed := seen[m.self.Name]; listed {
 		m.noteListed(len(all), now)
+	} else {
+		m.noteMissing()
 	}
+	m.recordAssumed = false
 	m.set(all)
 	m.alive.Store(int64(max(1, len(all))))
 	m.noteListedAt(objects)
--- a/gateway/roster_test.go
+++ b/gateway/roster_test.go
@@ -89,6 +89,21 @@
 	})
 }
 
+// The same for a daemon that lists the others itself.
+func TestLeaderInTheRosterAloneWritesItsRecord(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		s := &staleStore{}
+		addRoster(t, s, thisDaemon)
+		m := newMembers(thisDaemon, false, s, log.NewNopLogger())
+		m.setRelay(fakeRelay{leads: true})
+		go m.Run(t.Context())
+		time.Sleep(leaderListInterval(1) + listCheckInterval)
+		synctest.Wait()
+		require.NotZero(t, m.recordAt)
+		require.False(t, m.Joined())
+	})
+}
+
 // The leading daemon of the first failure domain writes the roster when the list changes,
 // also over one that another daemon has written.
 func TestLeaderOfTheFirstDomainWritesTheRoster(t *testing.T) {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -127,8 +127,7 @@
 	return out
 }
 
-// awaitInitialSource waits at the start for a source of this domain, since a full state
-// from another domain is large and traffic between domains is billed. The first daemon of
+// awaitInitialSource waits at the start for a source of this domain. The first daemon of
 // a domain does not wait. The second waits for a shorter time: if it did not wait, others
 // would follow it and be cut off when it finds the first; if it waited longer, a domain
 // whose first daemon is gone would have no configuration for longer. It reports whether a
@@ -140,7 +139,7 @@
 		timeout = secondStartWait
 	}
 	for ctx.Err() == nil && len(n.candidates()) > 0 && time.Since(began) < timeout {
-		switch n.probeOwnDomain(ctx) {
+		switch n.probeInOrder(ctx) {
 		case errHealthy:
 			return true
 		case errStarting:
@@ -151,15 +150,12 @@
 	return false
 }
 
-// probeOwnDomain probes the candidates of this domain in order. At the first that is
-// healthy or starting it returns errHealthy or errStarting; nil if there is none. It does
-// not go on after a starting one: all daemons would then follow the first of the domain
-// instead of their parent.
-func (n *Node) probeOwnDomain(ctx context.Context) error {
+// probeInOrder probes the candidates in order. At the first that is healthy or starting it
+// returns errHealthy or errStarting; nil if there is none. It does not go on after a
+// starting one: all daemons would then follow the first of the domain instead of their
+// parent.
+func (n *Node) probeInOrder(ctx context.Context) error {
 	for _, m := range n.candidates() {
-		if m.Domain != n.opts.Domain {
-			break
-		}
 		err := n.probe(ctx, m)
 		if isHealthy(err) {
 			return errHealthy
