relay: search for a source concurrently, without waiting for frozen VMs

A frozen VM accepts connections and does not answer, 0.4 s for each probe. Daemons probed one after the other, the lost source first; the head took 2.1 s to turn to the store and the last of its domain 3.7 s to a source.

Change: the steps of a search probe concurrently, wait 0.1 s for others once one has answered, come at 0.1 s and then longer intervals, and begin with the loss of the source. A later daemon concludes that nobody answers only from all candidates.

--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,6 +70,7 @@
 	nodes   []*Node
 	invs    []*fakeInventory
 	members []*fakeMembers
+	frozen  []atomic.Bool // accept connections and answer none
 }
 
 // hostNet listens at one address of a host, whatever address is requested.
@@ -89,12 +92,13 @@
 	for i := range daemons {
 		f.all = append(f.all, Member{Name: fmt.Sprintf("d-%04d", i), Domain: fmt.Sprint("domain-", i%domains), Address: host(i) + ":80"})
 	}
+	f.frozen = make([]atomic.Bool, daemons)
 	var ended sync.WaitGroup
 	for i, m := range f.all {
 		inv, members := newFakeInventory(f.store), newFakeMembers(f.all)
 		h := f.net.Host(host(i))
 		node := New(Options{Name: m.Name, Domain: m.Domain, MaxConfigDelay: maxConfigDelay, StoreAnswers: inv.storeAnswers, Connect: h.DialContext}, inv, inv, members, log.NewNopLogger())
-		server := &memnet.Server{Net: hostNet{h, m.Address}, Handler: node}
+		server := &memnet.Server{Net: hostNet{h, m.Address}, Handler: f.freezable(i, node)}
 		require.NoError(t, server.Start())
 		t.Cleanup(server.Close)
 		f.nodes, f.invs, f.members = append(f.nodes, node), append(f.invs, inv), append(f.members, members)
@@ -104,6 +108,30 @@
 	return f
 }
 
+// freezable returns a handler that does not answer while the daemon is frozen.
+func (f *virtualFleet) freezable(i int, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.frozen[i].Load() {
+			<-r.Context().Done()
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// freeze freezes daemons and ends their links.
+func (f *virtualFleet) freeze(daemons []int) {
+	for _, i := range daemons {
+		f.frozen[i].Store(true)
+		for j := range f.all {
+			if j != i {
+				f.net.Cut(host(i), host(j))
+			}
+		}
+	}
+	f.net.Heal()
+}
+
 // storeFollowers returns how many daemons follow the store.
 func (f *virtualFleet) storeFollowers() (n int) {
 	for _, node := range f.nodes {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -17,16 +17,15 @@
 // Run keeps the inventory up to date until ctx ends: from a source if there is a healthy
 // one, otherwise from the store.
 func (n *Node) Run(ctx context.Context) {
-	if !n.awaitInitialSource(ctx) {
+	if n.awaitInitialSource(ctx) {
+		n.followParent(ctx)
+	} else {
 		n.followStore(ctx) // returns once there is a source
 	}
-	var found []Member // by the last search
 	for ctx.Err() == nil {
-		if n.followSource(ctx, found) {
-			found = nil
-			continue
-		}
-		if found = n.searchSource(ctx); len(found) == 0 {
+		if source, found := n.searchSource(ctx); found {
+			n.followSource(ctx, source)
+		} else {
 			n.followStore(ctx)
 		}
 	}
@@ -37,41 +36,40 @@
 // domain is starting or has lost the store. A head gives an earlier daemon time to become a
 // source, but stops early enough for a configuration to be in force within MaxConfigDelay.
 // Then it follows the store if that answers, or else a head of another domain. The later
-// daemons follow a head. searchSource returns the source, none if this daemon must follow
-// the store.
-func (n *Node) searchSource(ctx context.Context) (source []Member) {
+// daemons follow a head. Without a source this daemon must follow the store.
+func (n *Node) searchSource(ctx context.Context) (source Member, found bool) {
 	began := time.Now()
 	takeover := n.opts.MaxConfigDelay - contactTimeout(n.opts.MaxConfigDelay) - maxSwitchDelay
-	longest, interval := takeover, searchInterval
-	for len(n.candidates()) >= sourcesPerDomain && time.Since(began) < longest {
-		if !wait.For(ctx, min(interval/2+rand.N(interval), longest-time.Since(began))) {
-			return nil
-		}
-		source, lost := n.probeAll(ctx, n.probedCandidates())
-		if len(source) > 0 {
-			return source
-		}
-		if !lost {
-			n.logSearch("no earlier daemon answers", began)
-			return nil
-		}
-		if time.Since(began) < takeover {
-			continue
-		}
-		longest, interval = maxOutageSearch, outageSearchInterval
-		if !n.isHead() {
-			continue
-		}
-		if n.storeAnswers(ctx) {
+	pause := minSearchPause
+	for ctx.Err() == nil && len(n.candidates()) > 0 {
+		source, found, lost := n.probeCandidates(ctx)
+		isOutage := time.Since(began) >= takeover
+		switch {
+		case found:
+			return source, true
+		case !lost || len(n.candidates()) < sourcesPerDomain:
+			n.logSearch("no earlier daemon is a source", began)
+			return Member{}, false
+		case time.Since(began) >= maxOutageSearch:
+			n.logSearch("no source found", began)
+			return Member{}, false
+		case isOutage && n.isHead() && n.storeAnswers(ctx):
 			n.logSearch("the store answers this daemon", began)
-			return nil
+			return Member{}, false
+		}
+		if isOutage && n.isHead() {
+			if source, found, _ := n.probeAll(ctx, n.probedOthers()); found {
+				return source, true
+			}
 		}
-		if source, _ := n.probeAll(ctx, n.probedOthers()); len(source) > 0 {
-			return source
+		next := pause/2 + rand.N(pause)
+		if !isOutage {
+			next = min(next, takeover-time.Since(began))
 		}
+		wait.For(ctx, next)
+		pause = min(2*pause, maxSearchPause)
 	}
-	n.logSearch("no source found", began)
-	return nil
+	return Member{}, false
 }
 
 func (n *Node) logSearch(reason string, began time.Time) {
@@ -84,19 +82,55 @@
 	return n.opts.StoreAnswers != nil && n.opts.StoreAnswers(ctx)
 }
 
-// probeAll probes daemons. source is the first that is a healthy source, if any; lost
-// reports whether one before it has lost the store or is about to read it.
-func (n *Node) probeAll(ctx context.Context, members []Member) (source []Member, lost bool) {
-	for _, m := range members {
-		err := n.probe(ctx, m)
-		if isHealthy(err) {
-			return []Member{m}, lost
+// probeCandidates makes one step of a search. Where a part of the candidates was probed and
+// none has answered, it probes all of them.
+func (n *Node) probeCandidates(ctx context.Context) (source Member, found, lost bool) {
+	all, probed := n.candidates(), n.probedCandidates()
+	if len(probed) < len(all) {
+		sampleCtx, cancel := context.WithTimeout(ctx, sampleTimeout)
+		defer cancel()
+		if source, found, lost = n.probeAll(sampleCtx, probed); found || lost {
+			return source, found, lost
+		}
+	}
+	return n.probeAll(ctx, all)
+}
+
+// probeAll probes daemons concurrently. source is the first in order that is healthy, if
+// any. lost reports whether one has lost the store or is about to read it. Once a daemon
+// has answered so, or that it is healthy, the others have probeSettleDelay to answer.
+func (n *Node) probeAll(ctx context.Context, members []Member) (source Member, found, lost bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		index  int
+		result error
+	}
+	answers := make(chan answer, len(members))
+	for i, m := range members {
+		go func() { answers <- answer{i, n.probe(ctx, m)} }()
+	}
+	best := len(members)
+	var settled <-chan time.Time
+	for pending := len(members); pending > 0; {
+		select {
+		case a := <-answers:
+			pending--
+			if isHealthy(a.result) {
+				best = min(best, a.index)
+			}
+			lost = lost || errors.Is(a.result, errStoreLost) || errors.Is(a.result, errStarting)
+		case <-settled:
+			pending = 0
 		}
-		if errors.Is(err, errStoreLost) || errors.Is(err, errStarting) {
-			lost = true
+		if settled == nil && (lost || best < len(members)) {
+			settled = time.After(probeSettleDelay)
 		}
 	}
-	return nil, lost
+	if best == len(members) {
+		return Member{}, false, lost
+	}
+	return members[best], true, lost
 }
 
 // probedCandidates returns the candidates that one step of a search probes: of a later
@@ -167,28 +201,40 @@
 	return nil
 }
 
-// followSource follows the first reachable source until the link fails, of the candidates
-// and then of found. It reports whether one was followed. A head leaves it once an earlier candidate is healthy, a later daemon
-// once its parent is.
-func (n *Node) followSource(ctx context.Context, found []Member) bool {
-	better := []Member{}
-	for _, m := range append(n.candidates(), found...) {
-		sctx, cancel := context.WithCancel(ctx)
-		go n.awaitBetterSource(sctx, better, cancel)
-		followed, err := n.session(sctx, m, nil)
-		cancel()
-		if ctx.Err() != nil {
-			return true
-		}
-		if followed {
-			_ = level.Info(n.logger).Log("msg", "source left", "source", m.Name, "address", m.Address, "err", err)
-			return true
-		}
-		if len(better) == 0 || n.isHead() {
-			better = append(better, m)
-		}
+// followParent follows the first candidate until the link fails. It reports whether that
+// was a healthy source.
+func (n *Node) followParent(ctx context.Context) bool {
+	candidates := n.candidates()
+	return len(candidates) > 0 && n.followSource(ctx, candidates[0])
+}
+
+// followSource follows a source until the link fails. It reports whether the source was
+// healthy. A head leaves it once an earlier candidate is healthy, a later daemon once its
+// parent is.
+func (n *Node) followSource(ctx context.Context, source Member) bool {
+	sctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go n.awaitBetterSource(sctx, n.betterSources(source), cancel)
+	followed, err := n.session(sctx, source, nil)
+	if ctx.Err() != nil {
+		return true
 	}
-	return false
+	if followed {
+		_ = level.Info(n.logger).Log("msg", "source left", "source", source.Name, "address", source.Address, "err", err)
+	}
+	return followed
+}
+
+// betterSources returns the candidates for which this daemon leaves a source.
+func (n *Node) betterSources(source Member) []Member {
+	better := n.candidates()
+	if at := slices.Index(better, source); at >= 0 {
+		better = better[:at]
+	}
+	if len(better) > 0 && !n.isHead() {
+		better = better[:1]
+	}
+	return better
 }
 
 // awaitBetterSource calls leave once a better source is healthy.
--- a/relay/partial_outage_test.go
+++ b/relay/partial_outage_test.go
@@ -120,3 +120,26 @@
 		}
 	})
 }
+
+// The first daemons of a failure domain may be frozen: their VMs accept connections and
+// answer none. The others must not wait for one after the other before they have a source.
+func TestConfigIsInForceWhileSourcesAreFrozen(t *testing.T) {
+	for _, c := range []struct{ daemons, domains, first int }{{12, 3, 2}, {86, 3, 2}, {86, 3, 4}, {300, 5, 3}} {
+		t.Run(fmt.Sprintf("daemons=%d/first=%d", c.daemons, c.first), func(t *testing.T) {
+			inVirtualFleet(t, c.daemons, c.domains, func(f *virtualFleet) {
+				f.awaitVersion(t, f.daemonsOf(everyDaemon), 1, 10*time.Second)
+				time.Sleep(2 * time.Second)
+				rng := rand.New(rand.NewPCG(uint64(c.daemons), 2))
+				isFrozen := make([]bool, c.daemons)
+				for i := range isFrozen {
+					isFrozen[i] = i/c.domains < c.first || rng.Float64() < 0.2
+				}
+				f.freeze(f.daemonsOf(func(i int) bool { return isFrozen[i] }))
+				f.publish(2)
+				running := f.daemonsOf(func(i int) bool { return !isFrozen[i] })
+				took := f.awaitVersion(t, running, 2, maxDelay-silenceTimeout)
+				t.Logf("in force after %s, %d daemons follow the store", took, f.storeFollowers())
+			})
+		})
+	}
+}
--- a/relay/times.go
+++ b/relay/times.go
@@ -57,12 +57,16 @@
 	maxRetryDelay      = 400 * time.Millisecond
 	minLaterRetryDelay = 2 * time.Second
 	maxLaterRetryDelay = 4 * time.Second
-	// searchInterval is the time between two searches of a later daemon that has lost its
-	// source. outageSearchInterval applies while the store seems to be unavailable to the
-	// daemons of the domain, for up to maxOutageSearch.
-	searchInterval       = 500 * time.Millisecond
-	outageSearchInterval = time.Second
-	maxOutageSearch      = 10 * time.Second
+	// minSearchPause and maxSearchPause bound the pauses between two steps of a search,
+	// which double from one to the next. A search ends after maxOutageSearch.
+	minSearchPause  = 100 * time.Millisecond
+	maxSearchPause  = 400 * time.Millisecond
+	maxOutageSearch = 10 * time.Second
+	// sampleTimeout bounds the probes of a part of the candidates.
+	sampleTimeout = 200 * time.Millisecond
+	// probeSettleDelay is how long a step of a search waits for further answers after the
+	// first. A VM that is frozen accepts connections and does not answer.
+	probeSettleDelay = 100 * time.Millisecond
 	// maxSwitchDelay bounds the time from when a source exceeds contactTimeout until its
 	// follower has read the store itself: a ping and a list.
 	maxSwitchDelay = 650 * time.Millisecond
