relay: the search for a source in its own file; a failed link is not retried at once

A source that was healthy when it was probed and rejects the link would have been probed again without a pause.

--- a/relay/candidates.go
+++ b/relay/candidates.go
@@ -40,7 +40,7 @@
 	if len(before) < sourcesPerDomain {
 		return before
 	}
-	parent := parent(before)
+	parent := parentIndex(before)
 	out := []Member{before[parent]}
 	heads := before[:min(len(before), headsPerDomain)]
 	first := 0
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -23,142 +21,15 @@
 		n.followStore(ctx) // returns once there is a source
 	}
 	for ctx.Err() == nil {
-		if source, found := n.searchSource(ctx); found {
-			n.followSource(ctx, source)
-		} else {
+		source, found := n.searchSource(ctx)
+		if !found {
 			n.followStore(ctx)
+			continue
 		}
-	}
-}
-
-// searchSource searches for a healthy source before a daemon that is not among the first
-// of its domain follows the store itself. It searches while an earlier daemon of its
-// domain is starting or has lost the store. A head gives an earlier daemon time to become a
-// source, but stops early enough for a configuration to be in force within MaxConfigDelay.
-// Then it follows the store if that answers, or else a head of another domain. The later
-// daemons follow a head. Without a source this daemon must follow the store.
-func (n *Node) searchSource(ctx context.Context) (source Member, found bool) {
-	began := time.Now()
-	takeover := n.opts.MaxConfigDelay - contactTimeout(n.opts.MaxConfigDelay) - maxSwitchDelay
-	pause := minSearchPause
-	for ctx.Err() == nil && len(n.candidates()) > 0 {
-		source, found, lost := n.probeCandidates(ctx)
-		isOutage := time.Since(began) >= takeover
-		switch {
-		case found:
-			return source, true
-		case !lost || len(n.candidates()) < sourcesPerDomain:
-			n.logSearch("no earlier daemon is a source", began)
-			return Member{}, false
-		case time.Since(began) >= maxOutageSearch:
-			n.logSearch("no source found", began)
-			return Member{}, false
-		case isOutage && n.isHead() && n.storeAnswers(ctx):
-			n.logSearch("the store answers this daemon", began)
-			return Member{}, false
-		}
-		if isOutage && n.isHead() {
-			if source, found, _ := n.probeAll(ctx, n.probedOthers()); found {
-				return source, true
-			}
-		}
-		next := pause/2 + rand.N(pause)
-		if !isOutage {
-			next = min(next, takeover-time.Since(began))
-		}
-		wait.For(ctx, next)
-		pause = min(2*pause, maxSearchPause)
-	}
-	return Member{}, false
-}
-
-func (n *Node) logSearch(reason string, began time.Time) {
-	_ = level.Info(n.logger).Log("msg", "decision", "kind", "store followed", "reason", reason, "searched", time.Since(began).Round(time.Millisecond),
-		"config", n.inv.State().ConfigVersion)
-}
-
-// storeAnswers reports whether the store answers this daemon.
-func (n *Node) storeAnswers(ctx context.Context) bool {
-	return n.opts.StoreAnswers != nil && n.opts.StoreAnswers(ctx)
-}
-
-// probeCandidates makes one step of a search. Where a part of the candidates was probed and
-// none has answered, it probes all of them.
-func (n *Node) probeCandidates(ctx context.Context) (source Member, found, lost bool) {
-	all, probed := n.candidates(), n.probedCandidates()
-	if len(probed) < len(all) {
-		sampleCtx, cancel := context.WithTimeout(ctx, sampleTimeout)
-		defer cancel()
-		if source, found, lost = n.probeAll(sampleCtx, probed); found || lost {
-			return source, found, lost
+		if !n.followSource(ctx, source) {
+			wait.For(ctx, minSearchPause) // it was healthy when it was probed
 		}
 	}
-	return n.probeAll(ctx, all)
-}
-
-// probeAll probes daemons concurrently. source is the first in order that is healthy, if
-// any. lost reports whether one has lost the store or is about to read it. Once a daemon
-// has answered so, or that it is healthy, the others have probeSettleDelay to answer.
-func (n *Node) probeAll(ctx context.Context, members []Member) (source Member, found, lost bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type answer struct {
-		index  int
-		result error
-	}
-	answers := make(chan answer, len(members))
-	for i, m := range members {
-		go func() { answers <- answer{i, n.probe(ctx, m)} }()
-	}
-	best := len(members)
-	var settled <-chan time.Time
-	for pending := len(members); pending > 0; {
-		select {
-		case a := <-answers:
-			pending--
-			if isHealthy(a.result) {
-				best = min(best, a.index)
-			}
-			lost = lost || errors.Is(a.result, errStoreLost) || errors.Is(a.result, errStarting)
-		case <-settled:
-			pending = 0
-		}
-		if settled == nil && (lost || best < len(members)) {
-			settled = time.After(probeSettleDelay)
-		}
-	}
-	if best == len(members) {
-		return Member{}, false, lost
-	}
-	return members[best], true, lost
-}
-
-// probedCandidates returns the candidates that one step of a search probes: of a later
-// daemon its parent and some heads. Daemons whose parent is one of the first two of the
-// domain probe all heads: those two have no source while the store turns them away.
-func (n *Node) probedCandidates() []Member {
-	all, before := n.candidates(), n.predecessors()
-	if len(before) < max(headsPerDomain, levelOneSize(before)) {
-		return all
-	}
-	return append(all[:1:1], sample(all[1:], headsPerProbe)...)
-}
-
-// probedOthers returns the daemons of other domains that one step of a search probes: the
-// first of each domain, and some heads.
-func (n *Node) probedOthers() []Member {
-	firsts := slices.SortedFunc(maps.Values(n.otherSources()), byRank)
-	heads := slices.Concat(slices.Collect(maps.Values(n.otherHeads()))...)
-	return append(firsts, sample(heads, otherHeadsPerProbe)...)
-}
-
-// sample returns up to size members at random.
-func sample(members []Member, size int) []Member {
-	out := make([]Member, 0, size)
-	for _, i := range rand.Perm(len(members))[:min(size, len(members))] {
-		out = append(out, members[i])
-	}
-	return out
 }
 
 // awaitInitialSource waits at the start for a source of this domain. The first daemon of
@@ -201,11 +72,11 @@
 	return nil
 }
 
-// followParent follows the first candidate until the link fails. It reports whether that
-// was a healthy source.
-func (n *Node) followParent(ctx context.Context) bool {
-	candidates := n.candidates()
-	return len(candidates) > 0 && n.followSource(ctx, candidates[0])
+// followParent follows the first candidate until the link fails.
+func (n *Node) followParent(ctx context.Context) {
+	if candidates := n.candidates(); len(candidates) > 0 {
+		n.followSource(ctx, candidates[0])
+	}
 }
 
 // followSource follows a source until the link fails. It reports whether the source was
--- a/relay/rank.go
+++ b/relay/rank.go
@@ -63,9 +63,9 @@
 	return before
 }
 
-// parent returns the index of a daemon's parent among its predecessors, of which there must
+// parentIndex returns the index of a daemon's parent among its predecessors, of which there must
 // be one: the followers of a daemon come after those of all earlier daemons.
-func parent(before []Member) int {
+func parentIndex(before []Member) int {
 	followers := 0
 	for i, m := range before {
 		followers += m.fanOut()
