forward: requests wait for the first proof that the keys are current

If a newer configuration passes at that moment and the answer, which tells the newer version, comes before it, the answer proves nothing, and the daemon refuses each request with a key for a ping's interval, 0.4 s, although it says it is ready.

Change: a request at a daemon that has never had such a proof waits for it, as it waits for the configuration, 0.9 s at most.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -12,22 +12,30 @@
 )
 
 // maxStartHold is the maximum wait of a request at a daemon that has just started and does
-// not know the configuration and the backend servers yet. After a restart of all daemons,
+// not know the configuration and the backend servers yet, or whether its keys are current.
+// After a restart of all daemons,
 // callers retry within milliseconds and do not retry a second refusal. They leave a daemon
 // that does not read their request within a second.
 const maxStartHold = 900 * time.Millisecond
 
-// AwaitStart blocks until the configuration and the backend servers are known, the
-// request's deadline is near, or maxStartHold has passed.
+// AwaitStart blocks until the daemon has started, the request's deadline is near, or
+// maxStartHold has passed.
 func (f *Forwarder) AwaitStart(ctx context.Context, deadline time.Time) {
 	until := earlier(boottime.Now().Add(maxStartHold), deadline.Add(-minTimeLeft))
-	for !f.inv.Complete() && boottime.Now().Before(until) {
+	for !f.hasStarted() && boottime.Now().Before(until) {
 		if !wait.For(ctx, pollInterval) {
 			return
 		}
 	}
 }
 
+// hasStarted reports whether this daemon can admit requests. Keys that may have been taken
+// away are refused, and a follower has the state shortly before the proof that it is
+// current.
+func (f *Forwarder) hasStarted() bool {
+	return f.inv.Complete() && (f.maxKeyAge.Load() == 0 || f.inv.Confirmed())
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -26,6 +26,8 @@
 	Age(now time.Time) time.Duration
 	// Complete reports whether the configuration and all backend servers are known.
 	Complete() bool
+	// Confirmed reports whether the configuration was ever known to be current.
+	Confirmed() bool
 }
 
 // Fleet provides the number and distribution of the daemons that share the load.
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -143,6 +143,7 @@
 }
 func (i labInventory) Age(time.Time) time.Duration { return 0 }
 func (i labInventory) Complete() bool              { return true }
+func (i labInventory) Confirmed() bool             { return true }
 
 // labFleet is a number of daemons, spread evenly over the failure domains. It implements
 // Fleet.
--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -102,6 +102,7 @@
 func (f fixed) View() *inventory.View       { return f.view }
 func (f fixed) Age(time.Time) time.Duration { return 0 }
 func (f fixed) Complete() bool              { return true }
+func (f fixed) Confirmed() bool             { return true }
 func (f fixed) Daemons() int                { return 1 }
 func (f fixed) Shares() map[string]float64  { return map[string]float64{"": 1} }
 
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -127,6 +127,13 @@
 	return i.listed && i.view.Load().Config != nil
 }
 
+// Confirmed reports whether a proof was ever received that the configuration is current.
+func (i *Inventory) Confirmed() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !i.fresh.IsZero()
+}
+
 // Changed returns a channel that is closed at the next change of the view.
 func (i *Inventory) Changed() <-chan struct{} {
 	i.mu.Lock()
