--- a/quota/pool.go
+++ b/quota/pool.go
@@ -14,10 +14,10 @@
 // After the contribution has expired, the daemon decides alone on its own part. Each
 // allocator grants only the parts contributed to it. The granted parts therefore never
 // exceed the limit, even if daemons are partitioned, paused or new, or if there are several
-// allocators. A daemon that joins owns no part until all others count it: they divide the
-// limit among those that they know, and a joining daemon knows more than they do. It still
-// requests permits from its allocator. All times are of the clock of package boottime, so that a suspended VM
-// grants nothing from contributions that expired during the suspension.
+// allocators. A daemon that joins owns no part until all others count it, because they
+// divide the limit among those that they know; it still gets permits from its allocator.
+// All times are of the clock of package boottime, so that a suspended VM grants nothing
+// from contributions that expired during the suspension.
 
 // Bounds of permits.
 const (
