--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -21,6 +21,7 @@
 var FleetDays = []FleetDay{
 	{"quiet-1", "90d3fdb", 0.891, 0.997, 0.77, 4.84, 82.8, 2943, 2021},
 	{"scale-1", "90d3fdb", 0.647, 0.914, 0.79, 3.75, 75.2, 2942, 2374},
+	{"scale-1", "9bae9d1", 0.742, 0.944, 0.75, 4.93, 86.8, 2991, 2319},
 }
 
 // Bytes of membership, as measured on the largest deployment.
