--- a/capacity/platform.go
+++ b/capacity/platform.go
@@ -94,8 +94,8 @@
 	}
 	fmt.Fprintf(b, "\nServed at 300 VMs over served at 30: %.2f (target 0.7). Callers' traffic is part of processor and bytes.\n"+
 		"The busiest daemon grows as the VMs to the power of 0.49 (processor), 0.51 (memory) and 0.94 (bytes); carried on to 379 VMs 16.9%%, 56.1 MB and 627 KB/s: **missed** (1%% of a core and 3 KB/s for control), callers' traffic included; 64 MB are kept. "+
-		"It holds 1,087 connections at 300 VMs, a quarter of the descriptors and those in use. The sweep of quetzal-lentes-grown, at 301 VMs before 3,000 backend servers: 0.971 served, 4.2 and 6.1%% of a core, 25.2 and 66.4 MB, 14 and 602 KB/s, 30 s. "+
-		"Both ran beside other work; the sweep of kiplaw before had 13.9%%, 68.6 MB and 990 KB/s at the busiest. First and second site weren't swept since. No backend server names a limit in a sweep.\n\n", Sweep[2].Served/Sweep[0].Served)
+		"It holds 1,087 connections at 300 VMs, a quarter of the descriptors and those in use. The sweep of the demands' first deployment, at 301 VMs before 3,000 backend servers: 0.971 served, 4.2 and 6.1%% of a core, 25.2 and 66.4 MB, 14 and 602 KB/s, 30 s. "+
+		"Both ran beside other work; the sweep before had 13.9%%, 68.6 MB and 990 KB/s at the busiest. First and second site weren't swept since. No backend server names a limit in a sweep.\n\n", Sweep[2].Served/Sweep[0].Served)
 	b.WriteString("Worked out for the target from the relay's periods and sizes of messages:\n\n| figure | value | target |\n|---|---|---|\n")
 	fmt.Fprintf(b, "| control traffic of a follower; when every load changes | %.2f; %.1f KB/s | 3 KB/s |\n", link/1000, highest/1000)
 	fmt.Fprintf(b, "| of the %.0f of %.0f daemons with %.0f followers; when every load changes | %.1f; %.0f KB/s: **missed** when every load changes | 3 KB/s |\n",
