forward: loads of few daemons do not make the fleet look full

Cause: the loads of the other daemons are a mean of the newest sum and the one before, multiplied by the daemons whose loads are unknown. In an outage of the store, or just after a daemon has taken over as the source of its failure domain, the newest sum covers no daemon or few, while the residue of the one before covers all: with 8 daemons it counted eightfold, and requests were refused with "every path is full" for seconds.

Change: the residue is scaled by the ratio of the daemons in both sums, and a report that covers no daemon is not used.

Shown: TestLoadsOfFewerDaemonsAreNotOverestimated fails before (336 requests assumed where 70 run).

--- a/forward/loads.go
+++ b/forward/loads.go
@@ -141,8 +141,12 @@
 	return out
 }
 
-// SetOthers implements relay.LoadExchange: it sets the loads that other daemons cause.
+// SetOthers implements relay.LoadExchange: it sets the loads that other daemons cause. The
+// previous loads stay in use if those of no daemon are known.
 func (l *Loads) SetOthers(others relay.Loads) {
+	if others.Daemons == 0 {
+		return
+	}
 	byServer := make(map[string]otherLoad, len(others.Items))
 	for _, i := range others.Items {
 		byServer[i.Server] = otherLoad{running: float64(i.Running), heads: float64(i.Heads), kv: i.KV}
@@ -167,7 +171,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if time.Since(l.othersAt) < othersTTL {
-		smooth(byServer, l.others)
+		smooth(byServer, l.others, float64(1+others.Daemons)/float64(1+l.othersDaemons))
 	}
 	l.others, l.othersAt, l.othersDaemons, l.othersAge = byServer, time.Now(), others.Daemons, others.Age
 }
@@ -180,9 +184,10 @@
 // the newest loads do not contain has ended.
 const minOtherRunning = 0.05
 
-// smooth replaces the loads in now by their weighted mean with those in before.
-func smooth(now, before map[string]otherLoad) {
-	mix := func(a, b float64) float64 { return othersSmoothing*a + (1-othersSmoothing)*b }
+// smooth replaces the loads in now by their weighted mean with those in before. coverage is
+// the ratio of the daemons in now to those in before.
+func smooth(now, before map[string]otherLoad, coverage float64) {
+	mix := func(a, b float64) float64 { return othersSmoothing*a + (1-othersSmoothing)*coverage*b }
 	for id, b := range before {
 		n := now[id]
 		n.running, n.heads, n.kv = mix(n.running, b.running), mix(n.heads, b.heads), mix(n.kv, b.kv)
--- a/forward/loads_test.go
+++ b/forward/loads_test.go
@@ -33,3 +33,23 @@
 		}
 	}
 }
+
+// While the loads of fewer daemons are known, or of none, the load of the whole fleet must
+// not be overestimated: requests would be refused although backend servers are free.
+func TestLoadsOfFewerDaemonsAreNotOverestimated(t *testing.T) {
+	const daemons = 8
+	for _, known := range []int{0, 1, 3, 7} {
+		l := NewLoads()
+		report := func(reporting int) {
+			l.SetOthers(relay.Loads{Daemons: reporting, Items: []relay.LoadItem{{Server: "s", Running: 10 * reporting, Heads: reporting, KV: float64(1000 * reporting)}}})
+		}
+		report(daemons - 1)
+		for range 3 {
+			report(known)
+			got := l.Of("s", daemons, time.Now())
+			require.InDelta(t, 70, got.Running, 32, "%d daemons known", known)
+			require.LessOrEqual(t, got.Running, 70.0, "%d daemons known", known)
+			require.LessOrEqual(t, got.KVUsed, 7000.0, "%d daemons known", known)
+		}
+	}
+}
