relay: pace loads by what was sent, not by the backend servers that exist

Cause: the pause between two exchanges of loads was 10 ms for each backend server, whether it had load or not: 30 s at 3,005, at each step of the tree, and twice that between failure domains. Where loads arrived they were used for 10 s and unknown for the other 20.

Change: each end of a link pauses by the number of loads that it sent last, at most 100 a second and at least 0.8 s apart. Loads are valid until the next are overdue. Sources exchange loads as soon as they follow the store. Loads received before the list of backend servers are resolved once it is there, in place of another request.

--- a/forward/loads.go
+++ b/forward/loads.go
@@ -19,6 +19,7 @@
 	othersAt      time.Time            // when the loads were received
 	othersDaemons int                  // number of daemons in the sum
 	othersAge     time.Duration        // age of the loads when they were received
+	othersTTL     time.Duration        // time for which the loads are used
 	conditions    *conditions
 	onAge         func(age time.Duration)
 	onRefused     func(n int)
@@ -38,9 +39,9 @@
 	kv      float64 // tokens x layers
 }
 
-// othersTTL is the time for which received loads of other daemons are used. Afterwards the
-// other daemons are assumed to be as busy as this one.
-const othersTTL = 10 * time.Second
+// minOthersTTL is the least time for which received loads of other daemons are used.
+// Afterwards the other daemons are assumed to be as busy as this one.
+const minOthersTTL = 10 * time.Second
 
 // maxAssumedDaemons bounds the number of daemons that are assumed to be as busy as this
 // one. After a restart all callers return at once, and an estimate must not cause refusals.
@@ -99,7 +100,7 @@
 	if s := l.servers[id]; s != nil {
 		own = *s
 	}
-	if now.Sub(l.othersAt) > othersTTL {
+	if now.Sub(l.othersAt) > l.othersTTL {
 		daemons = min(daemons, maxAssumedDaemons)
 		return pipeline.Load{
 			Running: float64(own.running) * daemons, KVUsed: own.kv * daemons, Heads: float64(own.heads) * daemons,
@@ -122,7 +123,7 @@
 func (l *Loads) othersLoadAge(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.othersAt) > othersTTL {
+	if now.Sub(l.othersAt) > l.othersTTL {
 		return 0
 	}
 	return now.Sub(l.othersAt) + l.othersAge
@@ -170,10 +171,11 @@
 func (l *Loads) setOthers(byServer map[string]otherLoad, others relay.Loads) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if time.Since(l.othersAt) < othersTTL {
+	if time.Since(l.othersAt) < l.othersTTL {
 		smooth(byServer, l.others, float64(1+others.Daemons)/float64(1+l.othersDaemons))
 	}
 	l.others, l.othersAt, l.othersDaemons, l.othersAge = byServer, time.Now(), others.Daemons, others.Age
+	l.othersTTL = max(minOthersTTL, others.ValidFor)
 }
 
 // othersSmoothing is the weight of newly received loads in the mean with the previous ones.
--- a/relay/age_test.go
+++ b/relay/age_test.go
@@ -17,18 +17,28 @@
 // domains, each a tree below its source. It runs on a virtual clock without links and uses
 // the real sums and encodings.
 type fleetModel struct {
-	rng      *rand.Rand
-	now      time.Time
-	interval time.Duration
-	all      []*modelDaemon
+	rng   *rand.Rand
+	now   time.Time
+	paths [][]string // that requests may take
+	all   []*modelDaemon
 }
 
+// modelRequest passes through the backend servers of its path.
+type modelRequest struct {
+	path   []string
+	endsAt time.Time
+}
+
+const requestLength = 2400 * time.Millisecond
+
 // modelDaemon is a daemon with the two ends of the link to its parent.
 type modelDaemon struct {
 	node           *Node
 	inv            *fakeInventory
+	requests       []modelRequest
 	parent         *modelDaemon // nil for a source
 	next           time.Time    // of the next exchange
+	answerDueAt    time.Time    // when the parent sends loads next
 	reporter       loadReporter // at this daemon
 	parentReceiver loadReceiver
 	parentReporter loadReporter
@@ -43,31 +53,35 @@
 	receiver loadReceiver
 }
 
-const (
-	modelDomains = 5
-	modelServers = 222
-	// modelOwnLoads is the number of backend servers that the requests of one daemon pass
-	// through: two requests with eleven hops each.
-	modelOwnLoads = 22
-)
+const modelDomains = 5
+
+// modelSize is the size of a modeled fleet. Each daemon has a number of requests at a time,
+// which take one of the paths, each of a number of random backend servers.
+type modelSize struct{ daemons, servers, requests, paths, hops int }
 
-func newFleetModel(daemons int) *fleetModel {
+func (s modelSize) String() string { return fmt.Sprintf("daemons=%d/servers=%d", s.daemons, s.servers) }
+
+// smallFleet is a fleet whose requests pass through all its backend servers, largeFleet one
+// of which most are idle.
+func smallFleet(daemons int) modelSize { return modelSize{daemons, 222, 2, 888, 11} }
+func largeFleet(daemons int) modelSize { return modelSize{daemons, 3 * daemons, 1, 64, 8} }
+
+func newFleetModel(size modelSize) *fleetModel {
 	f := &fleetModel{rng: rand.New(rand.NewPCG(3, 4)), now: time.Unix(1000, 0)}
 	servers := map[string]inventory.Entry{}
-	for i := range modelServers {
-		servers[fmt.Sprintf("i-%010x", i)] = inventory.Entry{}
+	for i := range size.servers {
+		servers[modelServer(i)] = inventory.Entry{}
 	}
+	f.addPaths(size)
 	state := &inventory.State{ConfigVersion: 1, Complete: true, Servers: servers}
-	// Loads are sent with pings, so the interval is a multiple of pingInterval.
-	f.interval = (loadsInterval(modelServers) + pingInterval - 1) / pingInterval * pingInterval
 	for d := range modelDomains {
 		first := len(f.all)
-		for i := range daemons / modelDomains {
+		for i := range size.daemons / modelDomains {
 			inv := newFakeInventory(&fakeStore{})
 			inv.state = state
 			o := Options{Name: daemonName(len(f.all)), Domain: string(rune('a' + d))}
-			daemon := &modelDaemon{node: New(o, inv, inv, memberList{}, log.NewNopLogger()), inv: inv, toPeer: map[*modelDaemon]*peerLink{}}
-			daemon.next = f.now.Add(time.Duration(f.rng.Int64N(int64(f.interval))))
+			daemon := &modelDaemon{node: New(o, inv, inv, memberList{}, log.NewNopLogger()), inv: inv, requests: make([]modelRequest, size.requests), toPeer: map[*modelDaemon]*peerLink{}}
+			daemon.next = f.now.Add(time.Duration(f.rng.Int64N(int64(minLoadsInterval))))
 			if i > 0 {
 				daemon.parent = f.all[first+(i-1)/defaultFanOut]
 			} else {
@@ -79,6 +93,24 @@
 	return f
 }
 
+func modelServer(i int) string { return fmt.Sprintf("i-%010x", i) }
+
+// addPaths adds the paths that requests may take.
+func (f *fleetModel) addPaths(size modelSize) {
+	for range size.paths {
+		var path []string
+		for range size.hops {
+			path = append(path, modelServer(f.rng.IntN(size.servers)))
+		}
+		f.paths = append(f.paths, path)
+	}
+}
+
+// pingsUntil returns the time until the first ping from which the next exchange is due.
+func pingsUntil(due time.Duration) time.Duration {
+	return (due + pingInterval - 1) / pingInterval * pingInterval
+}
+
 func (f *fleetModel) run(length time.Duration) {
 	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
 		for _, d := range f.all {
@@ -87,41 +119,54 @@
 			}
 			f.newLoads(d)
 			if d.parent != nil {
-				d.exchange(f.now)
-				d.next = d.next.Add(f.interval)
+				d.next = d.next.Add(pingsUntil(loadsInterval(d.exchange(f.now))))
 			} else {
-				f.querySources(d)
-				d.next = d.next.Add(exchangeFactor * f.interval)
+				d.next = d.next.Add(pingsUntil(exchangeFactor * loadsInterval(f.querySources(d))))
+				d.node.updateOthers(f.now)
 			}
-			d.node.updateOthers(f.now)
 		}
 	}
 }
 
-// newLoads replaces the daemon's requests, which last about one interval.
+// newLoads replaces those of the daemon's requests that have ended.
 func (f *fleetModel) newLoads(d *modelDaemon) {
 	d.inv.own = d.inv.own[:0]
-	for range modelOwnLoads {
-		d.inv.own = append(d.inv.own, LoadItem{Server: fmt.Sprintf("i-%010x", f.rng.IntN(modelServers)), Running: 1, KV: 6000})
+	for i, r := range d.requests {
+		if !f.now.Before(r.endsAt) {
+			r = modelRequest{path: f.paths[f.rng.IntN(len(f.paths))], endsAt: f.now.Add(requestLength)}
+			d.requests[i] = r
+		}
+		for _, server := range r.path {
+			d.inv.own = append(d.inv.own, LoadItem{Server: server, Running: 1, KV: 6000})
+		}
 	}
 }
 
-// exchange sends the daemon's loads to its parent and receives those of the others.
-func (d *modelDaemon) exchange(now time.Time) {
+// exchange sends the daemon's loads to its parent and receives those of the others if they
+// are due. It returns the number of changed loads that it sent.
+func (d *modelDaemon) exchange(now time.Time) int {
 	n, source := d.node, d.parent.node
 	below := n.subtreeLoads(now)
 	p := &ping{Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: true, Loads: d.reporter.changes(below.Items), Daemons: below.Daemons, LoadsAge: below.Age}
-	source.followerLoads.put(n.opts.Name, loadReport{at: now, domain: n.opts.Domain, loads: p.report(&d.parentReceiver, source.serverNames())})
-	others := source.loadsFor(n.opts.Name, true, now)
-	a := &pong{Loads: d.parentReporter.changes(others.Items), Daemons: others.Daemons, LoadsAge: others.Age}
-	n.sourceLoads.put(sourceKey, loadReport{at: now, loads: a.report(&d.receiver, n.serverNames())})
+	source.followerLoads.put(n.opts.Name, loadReport{at: now, ttl: loadTTL(len(p.Loads)), domain: n.opts.Domain, loads: p.report(&d.parentReceiver, source.serverNames())})
+	a := &pong{}
+	if !now.Before(d.answerDueAt) {
+		others := source.loadsFor(n.opts.Name, true, now)
+		a.Loads, a.Daemons, a.LoadsAge = d.parentReporter.changes(others.Items), others.Daemons, others.Age
+		d.answerDueAt = loadsDue(now, len(a.Loads))
+		n.sourceLoads.put(sourceKey, loadReport{at: now, ttl: loadTTL(max(len(p.Loads), len(a.Loads))), loads: a.report(&d.receiver, n.serverNames())})
+		n.updateOthers(now)
+	}
 	size := frameSize(&frame{Ping: p}) + frameSize(&frame{Pong: a})
 	d.bytes += size
 	d.parent.bytes += size
+	return len(p.Loads)
 }
 
-// querySources queries the other sources for the loads of their domains.
-func (f *fleetModel) querySources(d *modelDaemon) {
+// querySources queries the other sources for the loads of their domains. It returns the
+// number of changed loads in the longest answer.
+func (f *fleetModel) querySources(d *modelDaemon) (changes int) {
+	links := map[string]*domainLink{}
 	for _, o := range f.all {
 		if o.parent != nil || o == d {
 			continue
@@ -132,11 +177,17 @@
 		link := o.toPeer[d]
 		loads := o.node.loadsFor(d.node.opts.Name, false, f.now)
 		a := &pong{Loads: link.reporter.changes(loads.Items), Daemons: loads.Daemons, LoadsAge: loads.Age}
-		d.node.domainLoads.put(o.node.opts.Domain, loadReport{at: f.now, domain: o.node.opts.Domain, loads: a.report(&link.receiver, d.node.serverNames())})
+		links[o.node.opts.Domain] = &domainLink{loads: loadReport{at: f.now, domain: o.node.opts.Domain, loads: a.report(&link.receiver, d.node.serverNames())}}
+		changes = max(changes, len(a.Loads))
 		size := frameSize(&frame{Pong: a})
 		d.bytes += size
 		o.bytes += size
 	}
+	for domain, l := range links {
+		l.loads.ttl = loadTTL(changes)
+		d.node.domainLoads.put(domain, l.loads)
+	}
+	return changes
 }
 
 func frameSize(f *frame) int {
@@ -151,10 +202,10 @@
 // typical daemon and the busiest one spend on them, without pings.
 func BenchmarkLoadsOfAFleet(b *testing.B) {
 	const length = time.Minute
-	for _, daemons := range []int{30, 300, 380} {
-		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) {
+	for _, size := range []modelSize{smallFleet(30), smallFleet(300), smallFleet(380), largeFleet(985), largeFleet(2000)} {
+		b.Run(size.String(), func(b *testing.B) {
 			for b.Loop() {
-				f := newFleetModel(daemons)
+				f := newFleetModel(size)
 				f.run(length)
 				var ages []time.Duration
 				var bytes []int
@@ -175,7 +226,7 @@
 
 // Every daemon of a fleet receives the loads of all others.
 func TestLoadsOfAFleetReachAll(t *testing.T) {
-	f := newFleetModel(300)
+	f := newFleetModel(smallFleet(300))
 	f.run(30 * time.Second)
 	for _, d := range f.all {
 		if d.inv.daemons != 299 {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -30,26 +30,44 @@
 			n.dropDomain(domain)
 		}
 	}()
-	loadsSentAt := boottime.Now()
+	var loadsDueAt time.Time
 	for wait.For(ctx, exchangeInterval) {
-		withLoads := boottime.Since(loadsSentAt) >= exchangeFactor*loadsInterval(len(n.inv.State().Servers))
+		now := boottime.Now()
+		withLoads := !now.Before(loadsDueAt)
 		for domain, heads := range n.otherHeads() {
 			if !n.exchangeWith(ctx, links, domain, heads[failures[domain]%len(heads)], withLoads) {
 				failures[domain]++
 			}
 		}
 		if withLoads {
-			loadsSentAt = boottime.Now()
-			n.updateOthers(loadsSentAt)
+			loadsDueAt = now.Add(exchangeFactor * n.applyDomainLoads(links))
 		}
 	}
 }
 
+// applyDomainLoads applies the loads that an exchange with the sources of the other domains
+// returned, and returns the interval that follows it.
+func (n *Node) applyDomainLoads(links map[string]*domainLink) time.Duration {
+	changes := 0
+	for _, l := range links {
+		changes = max(changes, l.loadChanges)
+	}
+	for domain, l := range links {
+		l.loads.ttl = loadTTL(changes)
+		n.domainLoads.put(domain, l.loads)
+	}
+	n.updateOthers(boottime.Now())
+	return loadsInterval(changes)
+}
+
 // domainLink is a link to the source of another domain. It carries no state.
 type domainLink struct {
 	conn     *websocket.Conn
 	received loadReceiver
 	crashes  crashReporter
+
+	loads       loadReport // of the last exchange with loads
+	loadChanges int        // that it sent
 }
 
 // exchangeWith makes one exchange with the source of another domain, m unless there is a
@@ -79,7 +97,8 @@
 		return false
 	}
 	if withLoads {
-		n.domainLoads.put(domain, loadReport{at: boottime.Now(), domain: domain, loads: answer.report(&l.received, n.serverNames())})
+		l.loads = loadReport{at: boottime.Now(), domain: domain, loads: answer.report(&l.received, n.serverNames())}
+		l.loadChanges = len(answer.Loads)
 	}
 	n.applyCrashes(answer.Crashes)
 	n.noteDomainListed(domain, answer.ListedAt)
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -10,21 +10,29 @@
 	"github.com/snowspoke/snowspoke/inventory"
 )
 
-// Loads are sent every minLoadsInterval, or every loadsIntervalPerServer per backend
-// server if that is longer, which bounds the rate on a link to less than 2 KB/s.
+// Each end of a link sends loads every minLoadsInterval, or loadsIntervalPerChange per load
+// that it sent last if that is longer, which bounds the rate to less than 2 KB/s.
 const (
 	minLoadsInterval       = 800 * time.Millisecond
-	loadsIntervalPerServer = 10 * time.Millisecond
+	loadsIntervalPerChange = 10 * time.Millisecond
 	// loadTTLIntervals is the number of intervals for which reported loads are valid.
 	loadTTLIntervals = 3
 )
 
-// loadsInterval returns the time between two exchanges of loads.
-func loadsInterval(servers int) time.Duration {
-	return max(minLoadsInterval, time.Duration(servers)*loadsIntervalPerServer)
+// loadsInterval returns the time after which loads are sent again, by the number of changes
+// sent.
+func loadsInterval(changes int) time.Duration {
+	return max(minLoadsInterval, time.Duration(changes)*loadsIntervalPerChange)
 }
 
-func loadTTL(servers int) time.Duration { return loadTTLIntervals * loadsInterval(servers) }
+// loadsDue returns from when loads are sent again after changes were sent now. They travel
+// with pings, and go with the ping that is nearest to the end of the interval.
+func loadsDue(now time.Time, changes int) time.Time {
+	return now.Add(loadsInterval(changes) - pingInterval/2)
+}
+
+// loadTTL returns how long loads are valid, by the number of changes received.
+func loadTTL(changes int) time.Duration { return loadTTLIntervals * loadsInterval(changes) }
 
 // LoadItem is the load that daemons cause on a backend server.
 type LoadItem struct {
@@ -112,9 +120,8 @@
 	refused func(n int)
 }
 
-// apply applies changes and returns all loads by server ID. Loads of backend servers that
-// are not in ids are kept but not returned. Invalid changes are dropped, so the previous
-// load stays.
+// apply applies changes and returns all loads by server ID. Invalid changes are dropped, so
+// the previous load stays.
 func (r *loadReceiver) apply(changes []packedLoad, ids map[uint32]string) []LoadItem {
 	if r.loads == nil {
 		r.loads = map[uint32]packedLoad{}
@@ -134,6 +141,12 @@
 	if invalid > 0 && r.refused != nil {
 		r.refused(invalid)
 	}
+	return r.resolve(ids)
+}
+
+// resolve returns all loads by server ID. Loads of backend servers that are not in ids are
+// kept but not returned.
+func (r *loadReceiver) resolve(ids map[uint32]string) []LoadItem {
 	out := make([]LoadItem, 0, len(r.loads))
 	for _, p := range r.loads {
 		if id, known := ids[p.Server]; known {
@@ -175,6 +188,7 @@
 // the source of another domain reported.
 type loadReport struct {
 	at     time.Time
+	ttl    time.Duration
 	domain string
 	loads  Loads
 }
@@ -184,13 +198,16 @@
 	Items   []LoadItem
 	Daemons int           // number of daemons included
 	Age     time.Duration // mean age over the daemons
+	// ValidFor is the time after which newer loads of some daemons are overdue.
+	ValidFor time.Duration
 }
 
 // loadSum adds up loads.
 type loadSum struct {
-	items   map[string]LoadItem
-	daemons int
-	ages    time.Duration // summed over the daemons
+	items    map[string]LoadItem
+	daemons  int
+	ages     time.Duration // summed over the daemons
+	validFor time.Duration // longest of the reports
 }
 
 func newLoadSum() *loadSum { return &loadSum{items: map[string]LoadItem{}} }
@@ -214,7 +231,7 @@
 
 // loads returns the sum. Backend servers without requests are omitted.
 func (s *loadSum) loads() Loads {
-	out := Loads{Items: make([]LoadItem, 0, len(s.items)), Daemons: s.daemons}
+	out := Loads{Items: make([]LoadItem, 0, len(s.items)), Daemons: s.daemons, ValidFor: s.validFor}
 	for _, i := range s.items {
 		if i.Running != 0 || i.Heads != 0 {
 			out.Items = append(out.Items, i)
@@ -245,19 +262,20 @@
 	}
 }
 
-// addTo adds the reports that are not older than ttl to sum. It skips the report of
-// the reporter except and those of domains that keep rejects. It removes expired reports.
-func (l *loadTable) addTo(sum *loadSum, except string, keep func(domain string) bool, ttl time.Duration, now time.Time) {
+// addTo adds the valid reports to sum. It skips the report of the reporter except and
+// those of domains that keep rejects. It removes expired reports.
+func (l *loadTable) addTo(sum *loadSum, except string, keep func(domain string) bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, r := range l.reports {
 		age := now.Sub(r.at)
-		if age > ttl {
+		if age > r.ttl {
 			delete(l.reports, name)
 			continue
 		}
 		if name != except && keep(r.domain) {
 			sum.add(r.loads, age)
+			sum.validFor = max(sum.validFor, r.ttl-age)
 		}
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -72,12 +72,12 @@
 func TestLoadSumExcludesSender(t *testing.T) {
 	l := newLoadTable()
 	now := time.Unix(1000, 0)
-	l.put("a", loadReport{at: now, domain: "d1", loads: Loads{Items: []LoadItem{{Server: "s", Running: 2, Heads: 1, KV: 10}}, Daemons: 1}})
-	l.put("b", loadReport{at: now, domain: "d1", loads: Loads{Items: []LoadItem{{Server: "s", Running: 3, KV: 20}}, Daemons: 1, Age: time.Second}})
-	l.put("c", loadReport{at: now, domain: "d2", loads: Loads{Items: []LoadItem{{Server: "s", Running: 100}}, Daemons: 1}})
+	l.put("a", loadReport{at: now, ttl: time.Second, domain: "d1", loads: Loads{Items: []LoadItem{{Server: "s", Running: 2, Heads: 1, KV: 10}}, Daemons: 1}})
+	l.put("b", loadReport{at: now, ttl: time.Second, domain: "d1", loads: Loads{Items: []LoadItem{{Server: "s", Running: 3, KV: 20}}, Daemons: 1, Age: time.Second}})
+	l.put("c", loadReport{at: now, ttl: time.Second, domain: "d2", loads: Loads{Items: []LoadItem{{Server: "s", Running: 100}}, Daemons: 1}})
 	total := func(except string, keep func(string) bool, now time.Time) Loads {
 		sum := newLoadSum()
-		l.addTo(sum, except, keep, time.Second, now)
+		l.addTo(sum, except, keep, now)
 		return sum.loads()
 	}
 	got := total("a", func(d string) bool { return d == "d1" }, now.Add(500*time.Millisecond))
--- a/relay/session.go
+++ b/relay/session.go
@@ -28,7 +28,7 @@
 	}
 	defer func() { _ = c.CloseNow() }()
 	s := &session{
-		node: n, otherDomain: m.Domain != n.opts.Domain, conn: c, sent: map[uint64]time.Time{}, probe: probe, cancel: cancel,
+		node: n, otherDomain: m.Domain != n.opts.Domain, conn: c, sent: map[uint64]sentPing{}, probe: probe, cancel: cancel,
 		received: loadReceiver{refused: n.loadExchange.RefuseLoads},
 	}
 	s.silenceTimer = n.opts.Stalls.AfterFunc(silenceTimeout, func() { cancel(errSilent) })
@@ -91,7 +91,8 @@
 // sourceKey is the key of loads and conditions received from the source.
 const sourceKey = "source"
 
-// session is a link to a source. followed, complete, received, config and members are used
+// session is a link to a source. followed, complete, received, loads, config and members are
+// used
 // by the reading goroutine alone.
 type session struct {
 	node         *Node
@@ -105,16 +106,23 @@
 	complete bool // the full state was received
 
 	received loadReceiver // loads from the source
+	loads    loadReport   // last loads received over the link
 	config   []byte       // last configuration received over the link
 	members  []Member     // last list of the daemons received over the link
 
-	pingMu   sync.Mutex   // held while a ping is built and sent, so that changes of loads stay in order
-	reporter loadReporter // loads sent to the source; guarded by pingMu
+	pingMu     sync.Mutex   // held while a ping is built and sent, so that changes of loads stay in order
+	reporter   loadReporter // loads sent to the source; guarded by pingMu
+	loadsDueAt time.Time    // when they are sent next; guarded by pingMu
 
-	mu          sync.Mutex
-	lastNumber  uint64 // of pings
-	loadsSentAt time.Time
-	sent        map[uint64]time.Time // send time of unanswered pings, by number
+	mu         sync.Mutex
+	lastNumber uint64              // of pings
+	sent       map[uint64]sentPing // unanswered pings, by number
+}
+
+// sentPing is a ping that has not been answered.
+type sentPing struct {
+	at          time.Time
+	loadChanges int // number of loads that it reports
 }
 
 func (s *session) pings(ctx context.Context) {
@@ -144,22 +152,34 @@
 		s.node.collectSuspects()
 		p.Suspects = s.node.conditions.takeSuspects()
 	}
-	s.mu.Lock()
-	s.lastNumber++
-	p.Number = s.lastNumber
-	s.sent[p.Number] = now
-	p.HasLoads = now.Sub(s.loadsSentAt) >= loadsInterval(len(s.node.inv.State().Servers))
-	if p.HasLoads {
-		s.loadsSentAt = now
-	}
-	s.mu.Unlock()
+	p.HasLoads = !now.Before(s.loadsDueAt)
 	if p.HasLoads {
 		loads := s.node.subtreeLoads(now)
 		p.Loads, p.Daemons, p.LoadsAge = s.reporter.changes(loads.Items), loads.Daemons, loads.Age
+		s.loadsDueAt = loadsDue(now, len(p.Loads))
 	}
+	p.Number = s.noteSent(sentPing{at: now, loadChanges: len(p.Loads)})
 	return writeFrame(ctx, s.conn, &frame{Ping: p})
 }
 
+// noteSent records a ping and returns its number.
+func (s *session) noteSent(p sentPing) (number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastNumber++
+	s.sent[s.lastNumber] = p
+	return s.lastNumber
+}
+
+// takeSent returns the unanswered ping of a number and forgets it.
+func (s *session) takeSent(number uint64) (p sentPing, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok = s.sent[number]
+	delete(s.sent, number)
+	return p, ok
+}
+
 func (s *session) read(ctx context.Context) error {
 	for {
 		f, err := readFrame(ctx, s.conn)
@@ -210,26 +230,30 @@
 }
 
 // onFullState pings at once, since earlier pings were answered before the configuration
-// was known here. The ping also requests loads. Loads that were received before the list
-// of backend servers could not be resolved, so the servers would count as idle for up to
-// an interval.
+// was known here. Loads that were received before the list of backend servers could not be
+// resolved and are resolved now.
 func (s *session) onFullState(ctx context.Context) error {
 	s.complete = true
-	s.mu.Lock()
-	s.loadsSentAt = time.Time{}
-	s.mu.Unlock()
+	if s.loads.loads.Daemons > 0 {
+		s.loads.loads.Items = s.received.resolve(s.node.serverNames())
+		s.applyLoads(s.loads)
+	}
 	return s.ping(ctx)
 }
 
+// applyLoads applies loads received from the source.
+func (s *session) applyLoads(r loadReport) {
+	s.loads = r
+	s.node.sourceLoads.put(sourceKey, r)
+	s.node.updateOthers(boottime.Now())
+}
+
 // pong handles the answer to a ping. The reported freshness counts from when the ping was
 // sent. Loads are applied before setUpstream makes this daemon a source, so that its
 // followers receive them.
 func (s *session) pong(ctx context.Context, p *pong) error {
 	s.silenceTimer.Reset(silenceTimeout)
-	s.mu.Lock()
-	sent, ok := s.sent[p.Number]
-	delete(s.sent, p.Number)
-	s.mu.Unlock()
+	sent, ok := s.takeSent(p.Number)
 	if !ok {
 		return nil
 	}
@@ -243,11 +267,11 @@
 		return s.probe
 	}
 	s.followed = true
-	s.node.inv.ConfirmFresh(p.Version, sent.Add(-p.Age))
+	s.node.inv.ConfirmFresh(p.Version, sent.at.Add(-p.Age))
 	now := boottime.Now()
 	if p.Daemons > 0 {
-		s.node.sourceLoads.put(sourceKey, loadReport{at: now, loads: p.report(&s.received, s.node.serverNames())})
-		s.node.updateOthers(now)
+		ttl := loadTTL(max(sent.loadChanges, len(p.Loads)))
+		s.applyLoads(loadReport{at: now, ttl: ttl, loads: p.report(&s.received, s.node.serverNames())})
 	}
 	if s.complete {
 		s.node.setUpstream(ctx, &upstream{sinceContact: p.SinceContact, receivedAt: now, crossesDomains: p.CrossesDomains || s.otherDomain})
--- a/relay/source.go
+++ b/relay/source.go
@@ -221,6 +221,7 @@
 	follower, reportedAt := "", time.Time{}
 	fromFollower := loadReceiver{refused: n.loadExchange.RefuseLoads}
 	var toFollower loadReporter
+	var loadsDueAt time.Time
 	var conditionsVersion uint64
 	var crashes crashReporter
 	defer func() { n.followerLoads.drop(follower, reportedAt) }()
@@ -238,16 +239,17 @@
 		sameDomain := p.Domain == n.opts.Domain
 		if p.HasLoads && !p.LoadsOnly {
 			follower, reportedAt = p.Sender, now
-			n.followerLoads.put(follower, loadReport{at: now, domain: p.Domain, loads: p.report(&fromFollower, n.serverNames())})
+			n.followerLoads.put(follower, loadReport{at: now, ttl: loadTTL(len(p.Loads)), domain: p.Domain, loads: p.report(&fromFollower, n.serverNames())})
 		}
 		sinceContact, ok := n.sinceContact(now)
 		if !ok || sinceContact >= contactTimeout(n.opts.MaxConfigDelay) {
 			return // closes the link, so that the follower leaves at once
 		}
 		answer := &pong{Number: p.Number, Age: n.inv.Age(now), SinceContact: sinceContact, Version: n.inv.State().ConfigVersion, CrossesDomains: n.crossesDomains()}
-		if p.HasLoads {
+		if p.HasLoads && !now.Before(loadsDueAt) {
 			loads := n.loadsFor(p.Sender, sameDomain, now)
 			answer.Loads, answer.Daemons, answer.LoadsAge = toFollower.changes(loads.Items), loads.Daemons, loads.Age
+			loadsDueAt = loadsDue(now, len(answer.Loads))
 		}
 		n.conditions.addSuspects(p.Suspects)
 		if !sameDomain {
@@ -284,11 +286,11 @@
 // loads of this domain.
 func (n *Node) loadsFor(sender string, sameDomain bool, now time.Time) Loads {
 	keep := func(domain string) bool { return sameDomain || domain == n.opts.Domain }
-	ttl, sum := n.ttl(), newLoadSum()
-	n.followerLoads.addTo(sum, sender, keep, ttl, now)
+	sum := newLoadSum()
+	n.followerLoads.addTo(sum, sender, keep, now)
 	sum.addOwn(n.loadExchange.OwnLoads())
 	if sameDomain {
-		n.outsideLoads().addTo(sum, "", allDomains, ttl, now)
+		n.outsideLoads().addTo(sum, "", allDomains, now)
 	}
 	return sum.loads()
 }
@@ -307,16 +309,16 @@
 // subtreeLoads returns the loads of this daemon and its followers.
 func (n *Node) subtreeLoads(now time.Time) Loads {
 	sum := newLoadSum()
-	n.followerLoads.addTo(sum, "", n.ownDomain, n.ttl(), now)
+	n.followerLoads.addTo(sum, "", n.ownDomain, now)
 	sum.addOwn(n.loadExchange.OwnLoads())
 	return sum.loads()
 }
 
 // updateOthers passes the loads of all other daemons to the LoadExchange.
 func (n *Node) updateOthers(now time.Time) {
-	ttl, sum := n.ttl(), newLoadSum()
-	n.followerLoads.addTo(sum, "", n.ownDomain, ttl, now)
-	n.outsideLoads().addTo(sum, "", allDomains, ttl, now)
+	sum := newLoadSum()
+	n.followerLoads.addTo(sum, "", n.ownDomain, now)
+	n.outsideLoads().addTo(sum, "", allDomains, now)
 	n.loadExchange.SetOthers(sum.loads())
 }
 
@@ -324,6 +326,3 @@
 func (n *Node) serverNames() map[uint32]string { return n.servers.forState(n.inv.State()) }
 
 func (n *Node) ownDomain(domain string) bool { return domain == n.opts.Domain }
-
-// ttl returns how long reported loads are valid.
-func (n *Node) ttl() time.Duration { return loadTTL(len(n.inv.State().Servers)) }
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -78,8 +78,8 @@
 	Daemons int `cbor:"7,keyasint,omitempty"`
 	// LoadsAge is the mean age of Loads.
 	LoadsAge time.Duration `cbor:"8,keyasint,omitempty"`
-	// HasLoads reports that Loads are set and that loads are requested. Other pings query
-	// freshness alone.
+	// HasLoads reports that Loads are set and that loads are requested, if they are due.
+	// Other pings query freshness alone.
 	HasLoads bool `cbor:"6,keyasint,omitempty"`
 	// LoadsOnly marks an exchange between sources: the sender follows the store itself.
 	LoadsOnly bool `cbor:"5,keyasint,omitempty"`
