forward: deliver a backend server's error if no retry is left

Cause: a failed plain request was put up for another send before a retry was taken. If none was left, the backend server's answer had been dropped and the caller got a 502 of the daemon's own.

Change: the retry is taken before the answer is dropped; without one the caller gets the answer that is there.

Shown: TestServerErrorIsDeliveredWithoutARetry fails before (outcome unknown in place of the 500).

--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -128,6 +129,22 @@
 	}
 }
 
+// Without a retry left, the caller must receive the backend server's own error, not one
+// that the daemon makes in its place.
+func TestServerErrorIsDeliveredWithoutARetry(t *testing.T) {
+	for retries, want := range map[float64]int{0: http.StatusInternalServerError, 1: http.StatusOK} {
+		virtual.Test(t, func(t *testing.T) {
+			b := &scriptedBackends{script: []behaviour{failing, serving}}
+			f := plainForwarder(2, b)
+			f.budget = admission.NewBudget(0, retries/(budgetShare*freshShare)+0.01*retries, testWindow)
+			f.started = time.Now().Add(-time.Minute)
+			sink := &recordingSink{}
+			require.NoError(t, f.Do(t.Context(), plainRequest(site.Safe), sink))
+			require.Equal(t, want, sink.status, "%g retries", retries)
+		})
+	}
+}
+
 // A retry for a send that reached no server is returned to the budget and is available for
 // the next send.
 func TestRetryOfUnreachedSendIsReturned(t *testing.T) {
--- a/forward/run.go
+++ b/forward/run.go
@@ -242,7 +242,7 @@
 const maxAnswerBytes = 32 << 20
 
 // relayComplete buffers an answer and writes it to the caller. It writes a server error
-// only if the request cannot be repeated.
+// only if the request cannot be repeated or no retry is left.
 func (r *run) relayComplete(ctx context.Context, t *target, a *Answer) (execution.Result, error) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
@@ -265,7 +265,7 @@
 		return execution.MayHaveRun, errFailed
 	}
 	failed := a.Status >= http.StatusInternalServerError || impliesNotRun(a.Status)
-	if failed && r.mayRepeat() {
+	if failed && r.mayRepeat() && r.reserveRetry() {
 		return execution.MayHaveRun, errFailed
 	}
 	if impliesNotRun(a.Status) {
