--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -35,8 +35,8 @@
 	fleetServers = flag.Int("fleet-servers", 0, "backend servers of TestFleetLearnsOfEvents")
 )
 
-// A fleet whose daemons run the real membership, relay, inventory, loads and quarantine on
-// a network and a store in memory.
+// virtualFleet is a fleet whose daemons run the real membership, relay, inventory, loads
+// and quarantine on a network and a store in memory.
 type virtualFleet struct {
 	net     *memnet.Net
 	store   *memstore.Store
--- a/relay/membership.go
+++ b/relay/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -90,6 +91,29 @@
 	return out
 }
 
+// errNoMembers is returned for a frame without a list of daemons.
+var errNoMembers = errors.New("relay: no list of daemons")
+
+// EncodeMembers encodes a list of daemons in the same way as the first list on a link,
+// compressed if it is long.
+func EncodeMembers(all []Member) ([]byte, error) {
+	u := diffMembers(nil, all)
+	u.Full = true
+	return encodeFrame(&frame{Members: u})
+}
+
+// DecodeMembers returns a list that EncodeMembers has encoded, in the order of names.
+func DecodeMembers(data []byte) ([]Member, error) {
+	f, err := unpackFrame(data)
+	if err != nil {
+		return nil, err
+	}
+	if f.Members == nil {
+		return nil, errNoMembers
+	}
+	return f.Members.applyTo(nil), nil
+}
+
 // pushMembers sends a follower the list of the daemons, then its changes, until the link
 // ends.
 func (n *Node) pushMembers(ctx context.Context, c *websocket.Conn) {
--- a/relay/session.go
+++ b/relay/session.go
@@ -92,8 +92,7 @@
 const sourceKey = "source"
 
 // session is a link to a source. followed, complete, received, loads, config and members are
-// used
-// by the reading goroutine alone.
+// used by the reading goroutine alone.
 type session struct {
 	node         *Node
 	otherDomain  bool // the source is in another domain
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -184,6 +184,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return unpackFrame(data)
+}
+
+// unpackFrame decodes a frame that may be compressed.
+func unpackFrame(data []byte) (*frame, error) {
 	f, err := decodeFrame(data)
 	if err == nil && f.Packed != nil {
 		return f.decompress()
