--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -32,7 +32,7 @@
 	Delays [5][3]float64
 }
 
-// FleetSizes are the numbers of daemons of Events and Roles. Each size has 3.05 backend
+// FleetSizes are the numbers of daemons of Events and Traffic. Each size has 3.05 backend
 // servers a daemon.
 var FleetSizes = [5]float64{30, 100, 300, 985, 2000}
 
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -43,6 +43,7 @@
 	daemons []*virtualDaemon
 	decoded sync.Map // backend server by raw record, shared by all daemons
 	slow    atomic.Pointer[string]
+	records staleList // of the daemons
 }
 
 const (
@@ -52,12 +53,14 @@
 	strongFanOut       = 56
 	weakFanOut         = 7
 	fleetStoreLatency  = 4 * time.Millisecond
+	fleetListLag       = 1500 * time.Millisecond
 	fleetPollInterval  = 10 * time.Millisecond
 	fleetConfigKind    = "configs"
 	fleetServerKind    = "servers"
 	fleetConfigName    = "current"
 	fleetConfigDelay   = 5 * time.Second
 	fleetRestartPause  = 1400 * time.Millisecond
+	fleetStormInterval = 330 * time.Millisecond
 	fleetSettlingDelay = 12 * time.Second
 	fleetLinger        = 2 * time.Second // until the last connections have ended
 	// Each daemon serves one request at a time, on one of fleetPaths paths. The first
@@ -68,7 +71,7 @@
 	quietServers       = 3
 )
 
-// virtualDaemon is one process of a daemon. Its store is cut off once it is killed.
+// virtualDaemon is one process of a daemon.
 type virtualDaemon struct {
 	fleet    *virtualFleet
 	self     relay.Member
@@ -77,7 +80,7 @@
 	relay    *relay.Node
 	loads    *fleetLoads
 	registry *quarantine.Registry
-	killed   atomic.Bool
+	cut      atomic.Bool        // the store turns it away
 	bytes    atomic.Int64       // sent and received over links to other daemons
 	links    atomic.Int64       // accepted
 	leave    context.CancelFunc // ends membership, which deletes the record
@@ -117,6 +120,15 @@
 	return m
 }
 
+// hostOf returns the address of a daemon without its port.
+func hostOf(m relay.Member) string {
+	host, _, err := net.SplitHostPort(m.Address)
+	if err != nil {
+		panic(err)
+	}
+	return host
+}
+
 // newVirtualFleet starts a fleet for the first time.
 func newVirtualFleet(t *testing.T, daemons, servers int) *virtualFleet {
 	f := &virtualFleet{net: memnet.New(), store: memstore.New()}
@@ -151,8 +163,7 @@
 // start starts a process of a daemon.
 func (f *virtualFleet) start(t *testing.T, self relay.Member, firstStart bool) *virtualDaemon {
 	t.Helper()
-	host, _, err := net.SplitHostPort(self.Address)
-	require.NoError(t, err)
+	host := f.net.Host(hostOf(self))
 	logger := log.NewNopLogger()
 	d := &virtualDaemon{fleet: f, self: self, loads: &fleetLoads{Loads: forward.NewLoads()}, registry: quarantine.NewRegistry(quarantine.DefaultPolicy)}
 	d.inv = inventory.New(fleetFeed{d}, logger)
@@ -162,7 +173,7 @@
 		ConditionReader: fleetConditions{f}, Quarantine: d.registry, StoreAnswers: d.storeAnswers,
 	}, d.inv, d.loads, d.members, logger)
 	d.members.setRelay(d.relay)
-	listener, err := f.net.Host(host).Listen(self.Address)
+	listener, err := host.Listen(self.Address)
 	require.NoError(t, err)
 	server := &http.Server{Handler: d.relay}
 	run, stop := context.WithCancel(t.Context())
@@ -189,11 +200,7 @@
 
 // connect opens a connection to another daemon.
 func (d *virtualDaemon) connect(ctx context.Context, network, address string) (net.Conn, error) {
-	host, _, err := net.SplitHostPort(d.self.Address)
-	if err != nil {
-		return nil, err
-	}
-	c, err := d.fleet.net.Host(host).DialContext(ctx, network, address)
+	c, err := d.fleet.net.Host(hostOf(d.self)).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -266,7 +273,7 @@
 
 // kill ends the process without a word to the store or to the others.
 func (d *virtualDaemon) kill() {
-	d.killed.Store(true)
+	d.cut.Store(true)
 	d.end()
 }
 
@@ -289,7 +296,7 @@
 type fleetRecords struct{ d *virtualDaemon }
 
 func (r fleetRecords) Get(ctx context.Context, kind, name string) (store.Object, error) {
-	if r.d.killed.Load() {
+	if r.d.cut.Load() {
 		return store.Object{}, store.ErrUnavailable
 	}
 	return r.d.fleet.store.Get(ctx, kind, name)
@@ -300,32 +307,68 @@
 }
 
 func (r fleetRecords) Put(ctx context.Context, kind, name string, spec []byte, ifVersion store.Position) (store.Position, error) {
-	if r.d.killed.Load() {
+	if r.d.cut.Load() {
 		return 0, store.ErrUnavailable
 	}
 	return r.d.fleet.store.Put(ctx, kind, name, spec, ifVersion)
 }
 
 func (r fleetRecords) Delete(ctx context.Context, kind, name string, ifVersion store.Position) (store.Position, error) {
-	if r.d.killed.Load() {
+	if r.d.cut.Load() {
 		return 0, store.ErrUnavailable
 	}
 	return r.d.fleet.store.Delete(ctx, kind, name, ifVersion)
 }
 
-func (r fleetRecords) List(ctx context.Context, kind string, _ bool) ([]store.Object, error) {
-	if r.d.killed.Load() {
+func (r fleetRecords) List(ctx context.Context, kind string, fresh bool) ([]store.Object, error) {
+	if r.d.cut.Load() {
 		return nil, store.ErrUnavailable
 	}
-	all, _, err := r.d.fleet.store.List(ctx, kind)
-	return all, err
+	if fresh {
+		all, _, err := r.d.fleet.store.List(ctx, kind)
+		return all, err
+	}
+	return r.d.fleet.records.list(ctx, r.d.fleet.store, kind)
+}
+
+// staleList is a list of the store that is up to fleetListLag old.
+type staleList struct {
+	mu       sync.Mutex
+	readAt   time.Time
+	contents []store.Object
+}
+
+func (l *staleList) list(ctx context.Context, s *memstore.Store, kind string) ([]store.Object, error) {
+	if contents := l.recent(); contents != nil {
+		return contents, nil
+	}
+	contents, _, err := s.List(ctx, kind)
+	if err == nil {
+		l.set(contents)
+	}
+	return contents, err
+}
+
+func (l *staleList) recent() []store.Object {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.readAt) >= fleetListLag {
+		return nil
+	}
+	return l.contents
+}
+
+func (l *staleList) set(contents []store.Object) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readAt, l.contents = time.Now(), contents
 }
 
 // fleetFeed is the store as the inventory follows it.
 type fleetFeed struct{ d *virtualDaemon }
 
 func (f fleetFeed) list(ctx context.Context, kind string) ([]store.Object, store.Position, error) {
-	if f.d.killed.Load() {
+	if f.d.cut.Load() {
 		return nil, 0, store.ErrUnavailable
 	}
 	return f.d.fleet.store.List(ctx, kind)
@@ -333,7 +376,7 @@
 
 // changes watches a kind until there are changes or wait is over.
 func (f fleetFeed) changes(ctx context.Context, kind string, since store.Position, wait time.Duration) ([]store.Object, store.Position, error) {
-	if f.d.killed.Load() {
+	if f.d.cut.Load() {
 		return nil, 0, store.ErrUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
@@ -500,6 +543,107 @@
 	}
 }
 
+// A version of the configuration must be in force everywhere within the bound, and the
+// parts of a shared limit must not add up to more than one, also while sources are killed,
+// failure domains are cut off from each other, the store turns some daemons away,
+// configurations follow each other and as many daemons join as there are.
+func TestFleetUnderFaults(t *testing.T) {
+	daemons, servers := 40, 120
+	if *fleetDaemons > 0 {
+		daemons, servers = *fleetDaemons, *fleetServers
+	}
+	faults := map[string]func(t *testing.T, f *virtualFleet){
+		"sources are killed":                     killSources,
+		"a failure domain is cut off":            cutOffDomain,
+		"the store turns away some":              turnAway,
+		"configurations follow each other":       publishMany,
+		"as many daemons join as there are":      joinMany,
+		"as many daemons are killed as are left": killHalf,
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				f := newVirtualFleet(t, daemons, servers)
+				f.await(t, "first start", 10*time.Second, func(d *virtualDaemon) bool { return d.configured(1) })
+				time.Sleep(fleetSettlingDelay)
+				fault(t, f)
+				f.publish(100)
+				f.await(t, "configuration", fleetConfigDelay, func(d *virtualDaemon) bool { return d.configured(100) })
+				for range 20 {
+					time.Sleep(500 * time.Millisecond)
+					require.LessOrEqual(t, f.parts(), 1.0001, "parts of a limit")
+				}
+			})
+		})
+	}
+}
+
+// parts returns the sum of the parts of a limit that the daemons take, each an even one.
+func (f *virtualFleet) parts() (sum float64) {
+	for _, d := range f.daemons {
+		if d.members.Joined() {
+			sum += 1 / float64(d.members.Daemons())
+		}
+	}
+	return sum
+}
+
+func killSources(_ *testing.T, f *virtualFleet) {
+	f.killWhere(func(d *virtualDaemon) bool { return d.relay.FollowsStore() })
+}
+
+func killHalf(_ *testing.T, f *virtualFleet) {
+	f.killWhere(func(*virtualDaemon) bool { return rand.IntN(2) == 0 })
+}
+
+// killWhere kills the daemons that a function selects.
+func (f *virtualFleet) killWhere(selects func(d *virtualDaemon) bool) {
+	f.daemons = slices.DeleteFunc(f.daemons, func(d *virtualDaemon) bool {
+		if !selects(d) {
+			return false
+		}
+		d.kill()
+		return true
+	})
+}
+
+func cutOffDomain(_ *testing.T, f *virtualFleet) {
+	isolated := f.daemons[0].self.Domain
+	for _, a := range f.daemons {
+		for _, b := range f.daemons {
+			if a.self.Domain == isolated && b.self.Domain != isolated {
+				f.net.Cut(hostOf(a.self), hostOf(b.self))
+			}
+		}
+	}
+}
+
+// turnAway lets the store turn away the first daemons of two failure domains and a third of
+// the others.
+func turnAway(_ *testing.T, f *virtualFleet) {
+	for i, d := range f.daemons {
+		first := i < 2*fleetDomains && i%fleetDomains < 2
+		d.cut.Store(first || rand.IntN(3) == 0)
+	}
+}
+
+func publishMany(_ *testing.T, f *virtualFleet) {
+	for version := uint64(2); version < 20; version++ {
+		f.publish(version)
+		time.Sleep(fleetStormInterval)
+	}
+}
+
+func joinMany(t *testing.T, f *virtualFleet) {
+	for i := range len(f.daemons) {
+		f.daemons = append(f.daemons, f.start(t, fleetMember(len(f.daemons)), true))
+		if i%10 == 9 {
+			time.Sleep(fleetPollInterval)
+			require.LessOrEqual(t, f.parts(), 1.0001, "parts of a limit")
+		}
+	}
+}
+
 func learnConfiguration(t *testing.T, f *virtualFleet) {
 	f.publish(2)
 	f.await(t, "configuration", time.Second, func(d *virtualDaemon) bool { return d.configured(2) })
