relay: a failure domain restarts without a first daemon that is turned away

Cause: a daemon that starts and cannot reach the store answers that it is starting, and the others of its failure domain wait ten seconds for one that is starting.

Change: a daemon that has not reached the store half a second after its start reports that it has lost it. A head of the domain that the store answers then follows the store; the second does after 0.6 s, as before. The later daemons go on waiting for a head, so an outage for all does not bring the fleet to the store.

Packages relay and gateway pass.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -675,6 +675,34 @@
 	f.await(t, "crash", 2*time.Second, func(d *virtualDaemon) bool { return d.registry.Size() > 0 })
 }
 
+// restart kills all daemons and starts them again. The store turns away the ones that
+// turnedAway selects.
+func (f *virtualFleet) restart(t *testing.T, turnedAway func(i int) bool) {
+	time.Sleep(rosterInterval)
+	f.kill()
+	time.Sleep(fleetRestartPause)
+	for i, d := range f.daemons {
+		f.daemons[i] = f.start(t, d.self, false)
+		f.daemons[i].cut.Store(turnedAway(i))
+	}
+}
+
+// While all daemons restart, the store may turn away the first of a failure domain. The
+// others of the domain must not wait for it.
+func TestDomainRestartsWithoutAFirstDaemonThatIsTurnedAway(t *testing.T) {
+	for _, count := range []int{1, 2} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				f := newVirtualFleet(t, 60, 180)
+				f.await(t, "first start", 10*time.Second, func(d *virtualDaemon) bool { return d.configured(1) })
+				time.Sleep(fleetSettlingDelay)
+				f.restart(t, func(i int) bool { return i%fleetDomains == 3 && i/fleetDomains < count })
+				f.await(t, "restarted", 3*time.Second, func(d *virtualDaemon) bool { return d.configured(1) || d.cut.Load() })
+			})
+		})
+	}
+}
+
 func learnMembers(t *testing.T, f *virtualFleet) {
 	joining := fleetMember(len(f.daemons))
 	f.daemons = append(f.daemons, f.start(t, joining, true))
@@ -687,12 +715,7 @@
 }
 
 func learnRestart(t *testing.T, f *virtualFleet) {
-	time.Sleep(rosterInterval)
-	f.kill()
-	time.Sleep(fleetRestartPause)
-	for i, d := range f.daemons {
-		f.daemons[i] = f.start(t, d.self, false)
-	}
+	f.restart(t, func(int) bool { return false })
 	f.await(t, "all restarted", 3*time.Second, func(d *virtualDaemon) bool { return d.configured(2) })
 	f.await(t, "list after a restart", 5*time.Second, func(d *virtualDaemon) bool { return len(d.members.All()) == len(f.daemons) })
 }
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -15,6 +15,7 @@
 // Run keeps the inventory up to date until ctx ends: from a source if there is a healthy
 // one, otherwise from the store.
 func (n *Node) Run(ctx context.Context) {
+	n.running.Store(true)
 	if n.awaitInitialSource(ctx) {
 		n.followParent(ctx)
 	} else {
@@ -38,28 +39,39 @@
 // whose first daemon is gone would have no configuration for longer. It reports whether a
 // source was found.
 func (n *Node) awaitInitialSource(ctx context.Context) bool {
-	began := time.Now()
-	timeout := startWait
+	minWait := startWait
 	if len(n.candidates()) < sourcesPerDomain {
-		timeout = secondStartWait
+		minWait = secondStartWait
 	}
-	for ctx.Err() == nil && len(n.candidates()) > 0 && time.Since(began) < timeout {
-		switch n.probeInOrder(ctx) {
-		case errHealthy:
+	for began := time.Now(); ctx.Err() == nil && len(n.candidates()) > 0 && time.Since(began) < maxStartWait; {
+		result := n.probeInOrder(ctx)
+		if errors.Is(result, errHealthy) {
 			return true
-		case errStarting:
-			timeout = maxStartWait
+		}
+		isAwaited := errors.Is(result, errStarting) || time.Since(began) < minWait
+		if !isAwaited && n.takesOver(ctx, result) {
+			return false
 		}
 		wait.For(ctx, startPollInterval)
 	}
 	return false
 }
 
+// takesOver reports whether this daemon follows the store at its start, by the result of
+// probeInOrder. If all earlier daemons have lost the store, only a head does that the store
+// answers: in an outage for all, the later daemons wait.
+func (n *Node) takesOver(ctx context.Context, result error) bool {
+	if !errors.Is(result, errStoreLost) || len(n.candidates()) < sourcesPerDomain {
+		return true
+	}
+	return n.isHead() && n.storeAnswers(ctx)
+}
+
 // probeInOrder probes the candidates in order. At the first that is healthy or starting it
-// returns errHealthy or errStarting; nil if there is none. It does not go on after a
-// starting one: all daemons would then follow the first of the domain instead of their
-// parent.
-func (n *Node) probeInOrder(ctx context.Context) error {
+// returns errHealthy or errStarting; if there is none errStoreLost if one has lost the
+// store, nil otherwise. It does not go on after a starting one: all daemons would then
+// follow the first of the domain instead of their parent.
+func (n *Node) probeInOrder(ctx context.Context) (result error) {
 	for _, m := range n.candidates() {
 		err := n.probe(ctx, m)
 		if isHealthy(err) {
@@ -68,8 +80,11 @@
 		if errors.Is(err, errStarting) {
 			return errStarting
 		}
+		if errors.Is(err, errStoreLost) {
+			result = errStoreLost
+		}
 	}
-	return nil
+	return result
 }
 
 // followParent follows the first candidate until the link fails.
--- a/relay/node.go
+++ b/relay/node.go
@@ -69,12 +69,15 @@
 	conditions    *conditionRegistry
 
 	beforeStore       sync.Once
+	running           atomic.Bool  // Run was called
 	wasHealthy        atomic.Bool  // this daemon has been a healthy source
 	followsStore      atomic.Bool  // this daemon follows the store itself
 	followsStoreSince atomic.Int64 // Unix nanoseconds
 	domainLoads       *loadTable   // loads of the other domains, while following the store
 	sourceLoads       *loadTable   // loads received from the source, while following one
 
+	createdAt time.Time
+
 	mu        sync.Mutex
 	sourceCtx context.Context // ends when this daemon stops being a source
 	upstream  *upstream       // nil unless this daemon follows a source
@@ -109,8 +112,8 @@
 	}
 	return &Node{
 		opts: o, inv: inv, loadExchange: loadExchange, members: m, logger: logger, followerLoads: newLoadTable(), dialer: NewDialer(o.Connect, o.Stalls), conditions: newConditionRegistry(),
-		domainListedAt: map[string]store.Position{},
-		domainLoads:    newLoadTable(), sourceLoads: newLoadTable(), sourceCtx: context.Background(),
+		domainListedAt: map[string]store.Position{}, createdAt: time.Now(),
+		domainLoads: newLoadTable(), sourceLoads: newLoadTable(), sourceCtx: context.Background(),
 	}
 }
 
@@ -183,6 +186,16 @@
 	n.upstream, n.membersReceived, n.listedByAll = nil, false, 0
 }
 
+// hasFailedToStart reports whether this daemon, which is starting, has had time to read the
+// store and could not: it neither follows a source nor has the store answered it.
+func (n *Node) hasFailedToStart() bool {
+	if n.followsStore.Load() {
+		since := time.Unix(0, n.followsStoreSince.Load())
+		return n.inv.LastContact().IsZero() && time.Since(since) > startGrace
+	}
+	return !n.running.Load() && time.Since(n.createdAt) > startGrace
+}
+
 // starting reports whether this daemon is about to be a source for the first time. It
 // needs a configuration and a full list of backend servers, since followers would treat
 // the missing ones as gone. It also needs a freshness report from its own source. Until
--- a/relay/source.go
+++ b/relay/source.go
@@ -58,6 +58,9 @@
 	sameDomain := query.Get(domainParam) == n.opts.Domain
 	now := boottime.Now()
 	switch {
+	case n.starting(now) && n.hasFailedToStart():
+		http.Error(w, "the store is lost", http.StatusServiceUnavailable)
+		return
 	case n.starting(now):
 		http.Error(w, "starting", http.StatusTooEarly)
 		return
--- a/relay/times.go
+++ b/relay/times.go
@@ -49,6 +49,9 @@
 	secondStartWait   = 600 * time.Millisecond
 	maxStartWait      = 10 * time.Second
 	startPollInterval = 100 * time.Millisecond
+	// startGrace is the time after its start from which a daemon that has not reached the
+	// store reports that it has lost it, so that the others do not wait for it.
+	startGrace = 500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delays after failed calls to the store of
 	// the first daemons of a domain, minLaterRetryDelay and maxLaterRetryDelay those of
 	// later ones. Later daemons retry less often, since they find a source as soon as one
