--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -23,6 +23,7 @@
 	{"scale-1", "90d3fdb", 0.647, 0.914, 0.79, 3.75, 75.2, 2942, 2374},
 	{"scale-1", "9bae9d1", 0.742, 0.944, 0.75, 4.93, 86.8, 2991, 2319},
 	{"scale-2", "2a96f70", 0.853, 0.997, 0.65, 5.06, 87.3, 2992, 2002},
+	{"scale-1", "42f9a03", 0.749, 0.946, 0.67, 3.94, 84.5, 2991, 2325},
 }
 
 // EventDelays holds the seconds until half, 99% and all daemons know of an event, by the
