gateway: one start for the tests of the fleet in virtual time

Cause: three tests repeated the start of a fleet, its wait and its pause; a flag's help named one of the two tests that use it; a list was emptied to be filled with one entry.

Change: newSettledFleet serves all three; the help names both; the list is set. A field of the relay's node says what it counts from. No assertion, bound or behaviour changes; the daemons' code differs by that comment.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -31,8 +31,8 @@
 )
 
 var (
-	fleetDaemons = flag.Int("fleet-daemons", 0, "daemons of TestFleetLearnsOfEvents, 0 for small fleets")
-	fleetServers = flag.Int("fleet-servers", 0, "backend servers of TestFleetLearnsOfEvents")
+	fleetDaemons = flag.Int("fleet-daemons", 0, "daemons of TestFleetLearnsOfEvents and TestFleetUnderFaults, 0 for small fleets")
+	fleetServers = flag.Int("fleet-servers", 0, "backend servers of these fleets")
 )
 
 // virtualFleet is a fleet whose daemons run the real membership, relay, inventory, loads
@@ -147,6 +147,15 @@
 	return f
 }
 
+// newSettledFleet starts a fleet and waits until its daemons serve and know each other.
+func newSettledFleet(t *testing.T, daemons, servers int) *virtualFleet {
+	t.Helper()
+	f := newVirtualFleet(t, daemons, servers)
+	f.await(t, "first start", 10*time.Second, func(d *virtualDaemon) bool { return d.configured(1) })
+	time.Sleep(fleetSettlingDelay)
+	return f
+}
+
 // kill kills all daemons.
 func (f *virtualFleet) kill() {
 	var killed sync.WaitGroup
@@ -500,15 +509,12 @@
 func TestFleetLearnsOfEvents(t *testing.T) {
 	sizes := []struct{ daemons, servers int }{{15, 45}, {60, 1000}}
 	if *fleetDaemons > 0 {
-		sizes = sizes[:0]
-		sizes = append(sizes, struct{ daemons, servers int }{*fleetDaemons, *fleetServers})
+		sizes = []struct{ daemons, servers int }{{*fleetDaemons, *fleetServers}}
 	}
 	for _, size := range sizes {
 		t.Run(fmt.Sprintf("daemons=%d/servers=%d", size.daemons, size.servers), func(t *testing.T) {
 			virtual.Test(t, func(t *testing.T) {
-				f := newVirtualFleet(t, size.daemons, size.servers)
-				f.await(t, "first start", 10*time.Second, func(d *virtualDaemon) bool { return d.configured(1) })
-				time.Sleep(fleetSettlingDelay)
+				f := newSettledFleet(t, size.daemons, size.servers)
 				logTraffic(t, f)
 				learnConfiguration(t, f)
 				learnServers(t, f)
@@ -563,9 +569,7 @@
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
 			virtual.Test(t, func(t *testing.T) {
-				f := newVirtualFleet(t, daemons, servers)
-				f.await(t, "first start", 10*time.Second, func(d *virtualDaemon) bool { return d.configured(1) })
-				time.Sleep(fleetSettlingDelay)
+				f := newSettledFleet(t, daemons, servers)
 				fault(t, f)
 				f.publish(100)
 				f.await(t, "configuration", fleetConfigDelay, func(d *virtualDaemon) bool { return d.configured(100) })
@@ -693,9 +697,7 @@
 	for _, count := range []int{1, 2} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			virtual.Test(t, func(t *testing.T) {
-				f := newVirtualFleet(t, 60, 180)
-				f.await(t, "first start", 10*time.Second, func(d *virtualDaemon) bool { return d.configured(1) })
-				time.Sleep(fleetSettlingDelay)
+				f := newSettledFleet(t, 60, 180)
 				f.restart(t, func(i int) bool { return i%fleetDomains == 3 && i/fleetDomains < count })
 				f.await(t, "restarted", 3*time.Second, func(d *virtualDaemon) bool { return d.configured(1) || d.cut.Load() })
 			})
--- a/relay/node.go
+++ b/relay/node.go
@@ -76,7 +76,7 @@
 	domainLoads       *loadTable   // loads of the other domains, while following the store
 	sourceLoads       *loadTable   // loads received from the source, while following one
 
-	createdAt time.Time
+	createdAt time.Time // of this node, at the start of the process
 
 	mu        sync.Mutex
 	sourceCtx context.Context // ends when this daemon stops being a source
