platform, forward: log what answers state about backend servers

Retry-After and Server-Leaving were read nowhere, and a further header of that family would have gone unnoticed again.

Package availability keeps pauses and leaving by incarnation; nothing decides by it yet. New lines kind=availability and kind=header_ignored (once a name), head_state and head_pause_left in kind=route, three counters. The adapter platform may import internal/retryafter, which parses and decides nothing.

--- /dev/null
+++ b/availability/availability.go
@@ -0,0 +1,111 @@
+// Package availability records what backend servers state about accepting requests: that
+// they want none from this daemon for some time, or that they are leaving. Both faces of a
+// daemon use it. It does no I/O: callers pass in statements and times.
+package availability
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// State is what a backend server has stated.
+type State uint8
+
+// The states.
+const (
+	Accepting State = iota // has stated nothing else
+	Paused                 // accepts no call until a time
+	Leaving                // accepts no new request any more
+)
+
+// String returns the state's name.
+func (s State) String() string { return [...]string{"accepting", "paused", "leaving"}[s] }
+
+// Status is the state of a backend server at one time.
+type Status struct {
+	State State
+	Until time.Time // end of a pause, zero without one; a leaving backend server may have one too
+}
+
+// Statement is what one answer states about the backend server that sent it.
+type Statement struct {
+	Server  string        // incarnation
+	Pause   time.Duration // from the receipt of the answer, 0 for none
+	Leaving bool
+}
+
+// MaxPause is the longest pause that is kept. A backend server that asks for more is
+// called again after it, since nothing else would show that the value was wrong.
+const MaxPause = 10 * time.Minute
+
+// retention is how long an incarnation that is not known is kept. A list of backend
+// servers may be incomplete for some time, and must not end a pause.
+const retention = MaxPause
+
+// Table holds the stated availability of backend servers by incarnation. A restarted
+// backend server is another incarnation, which has stated nothing. Times are of one steady
+// clock. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	servers map[string]entry
+}
+
+type entry struct {
+	until    time.Time // end of the pause
+	leaving  bool
+	statedAt time.Time // of the last statement
+}
+
+// NewTable returns a table in which all backend servers accept requests.
+func NewTable() *Table { return &Table{servers: map[string]entry{}} }
+
+// Apply applies a statement received now, and returns the status before and after it. A
+// statement never shortens a pause and never ends Leaving: answers over different
+// connections may be reordered.
+func (t *Table) Apply(s Statement, now time.Time) (before, after Status) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.servers[s.Server]
+	before = e.status(now)
+	if s.Pause <= 0 && !s.Leaving {
+		return before, before
+	}
+	if until := now.Add(min(MaxPause, s.Pause)); until.After(e.until) {
+		e.until = until
+	}
+	e.leaving = e.leaving || s.Leaving
+	e.statedAt = now
+	t.servers[s.Server] = e
+	return before, e.status(now)
+}
+
+// Of returns the status of a backend server.
+func (t *Table) Of(server string, now time.Time) Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.servers[server].status(now)
+}
+
+func (e entry) status(now time.Time) Status {
+	var s Status
+	if now.Before(e.until) {
+		s = Status{State: Paused, Until: e.until}
+	}
+	if e.leaving {
+		s.State = Leaving
+	}
+	return s
+}
+
+// Forget removes ended pauses, and backend servers that have been unknown for long.
+func (t *Table) Forget(known func(server string) bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.servers, func(server string, e entry) bool {
+		if e.status(now).State == Accepting {
+			return true
+		}
+		return !known(server) && now.Sub(e.statedAt) > retention
+	})
+}
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -92,18 +92,32 @@
 	CallOrder   CallKind = "order" // including those that move a stream
 )
 
-// LimitReport is what one answer of a backend server states about its limit on requests,
-// which applies to all daemons together.
-type LimitReport struct {
+// Statement is what one answer states about the backend server that sent it.
+type Statement struct {
 	Server    string // ID
 	Call      CallKind
 	RequestID string    // empty unless Call is CallRequest
 	Ran       bool      // the backend server ran the request
-	Stated    bool      // the answer states a limit
-	Rate      float64   // the limit in requests per second, if stated
-	SentAt    time.Time // on the clock of package boottime
+	SentAt    time.Time // of the call, on the clock of package boottime
+	Limit     StatedLimit
+	// RetryAfter is the time for which the backend server wants no call from this daemon,
+	// 0 for none.
+	RetryAfter time.Duration
+	Leaving    bool            // the backend server accepts no new requests any more
+	Ignored    []IgnoredHeader // headers about the backend server that are unknown or invalid
 }
 
+// StatedLimit is what an answer states about the backend server's limit on requests, which
+// applies to all daemons together.
+type StatedLimit struct {
+	Stated     bool
+	Rate       float64 // in requests per second, if stated
+	Unreadable bool    // the answer says neither what the limit is nor that there is none
+}
+
+// IgnoredHeader is a header of an answer that has no effect.
+type IgnoredHeader struct{ Name, Value string }
+
 // Backends makes calls to backend servers. Errors of Send wrap an error of package
 // execution.
 type Backends interface {
--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -22,7 +22,7 @@
 			if limited {
 				f.permits = allPermits{}
 				for id := range f.inv.View().Servers {
-					f.ApplyLimit(LimitReport{Server: id, Call: CallReport, Stated: true, Rate: 1e9, SentAt: boottime.Now()})
+					f.ApplyStatement(Statement{Server: id, Call: CallReport, Limit: StatedLimit{Stated: true, Rate: 1e9}, SentAt: boottime.Now()})
 				}
 			}
 			b.ReportAllocs()
@@ -59,7 +59,7 @@
 			for id, s := range l.view.Servers {
 				if denied > 0 && s.Held.Has(0) {
 					denied--
-					f.ApplyLimit(LimitReport{Server: id, Call: CallReport, Stated: true, Rate: 1, SentAt: boottime.Now()})
+					f.ApplyStatement(Statement{Server: id, Call: CallReport, Limit: StatedLimit{Stated: true, Rate: 1}, SentAt: boottime.Now()})
 					f.denials.Add(r.class(), quota.Decision{Server: id, After: time.Hour, RetryAfter: time.Hour}, boottime.Now())
 				}
 			}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -8,6 +8,7 @@
 
 	"github.com/snowspoke/snowspoke/admission"
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/health"
@@ -58,6 +59,12 @@
 	Limits(known int)
 	// LimitReached reports that a request was refused because of limits.
 	LimitReached()
+	// Unavailable reports that a backend server has stated that it is paused or leaving.
+	Unavailable(availability.State)
+	// CallWhileUnavailable reports a call to a backend server that is paused or leaving.
+	CallWhileUnavailable(availability.State)
+	// HeaderIgnored reports a header about a backend server that has no effect.
+	HeaderIgnored()
 }
 
 // Options configures a Forwarder.
@@ -118,6 +125,9 @@
 	permits    Permits
 	denials    *quota.Denials
 
+	availability *availability.Table
+	ignored      ignoredHeaders
+
 	started   time.Time    // one window earlier if there was no previous process
 	maxKeyAge atomic.Int64 // time.Duration, see Options.MaxKeyAge
 	requests  atomic.Int64 // number of requests since the start
@@ -149,6 +159,7 @@
 		started: time.Now(), opts: o, inv: d.Inventory, fleet: d.Fleet, log: d.Log, observer: d.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
+		availability: availability.NewTable(),
 	}
 	f.backends = metered{d.Backends, f}
 	f.maxKeyAge.Store(int64(o.MaxKeyAge))
@@ -222,6 +233,7 @@
 	f.limits.Forget(exists, boottime.Now())
 	f.observer.Limits(f.limits.Size())
 	f.sends.Forget(exists)
+	f.availability.Forget(exists, time.Now())
 }
 
 func (f *Forwarder) finish(r *run, err error) {
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/inventory"
@@ -288,6 +289,15 @@
 // LimitReached implements Observer.
 func (l *lab) LimitReached() {}
 
+// Unavailable implements Observer.
+func (l *lab) Unavailable(availability.State) {}
+
+// CallWhileUnavailable implements Observer.
+func (l *lab) CallWhileUnavailable(availability.State) {}
+
+// HeaderIgnored implements Observer.
+func (l *lab) HeaderIgnored() {}
+
 // Recovered implements Observer.
 func (l *lab) Recovered(_ string, gap time.Duration) {
 	l.mu.Lock()
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -7,15 +7,15 @@
 	"github.com/snowspoke/snowspoke/quota"
 )
 
-// ApplyLimit updates a backend server's limit from one of its answers. Any answer may state
-// a limit. Only the answer to a request that ran ends a limit by not stating one, since
-// refusals, reports and answers to orders may omit it.
-func (f *Forwarder) ApplyLimit(report LimitReport) {
-	if !report.Stated && !(report.Call == CallRequest && report.Ran) {
+// applyStatedLimit updates a backend server's limit from one of its answers. Any answer may
+// state a limit. Only the answer to a request that ran ends a limit by not stating one,
+// since refusals, reports and answers to orders may omit it.
+func (f *Forwarder) applyStatedLimit(s *Statement) {
+	if s.Limit.Unreadable || !s.Limit.Stated && !(s.Call == CallRequest && s.Ran) {
 		return
 	}
-	update := quota.LimitReport{Server: report.Server, Stated: report.Stated, Rate: report.Rate, SentAt: report.SentAt, At: boottime.Now()}
-	f.applyLimit(update, "by", report.Call, "request", report.RequestID)
+	update := quota.LimitReport{Server: s.Server, Stated: s.Limit.Stated, Rate: s.Limit.Rate, SentAt: s.SentAt, At: boottime.Now()}
+	f.applyLimit(update, "by", s.Call, "request", s.RequestID)
 }
 
 // ApplyLimitFrom updates a backend server's limit by a report of another daemon.
--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -59,7 +59,7 @@
 	b.mu.Unlock()
 	a, err := b.lab.Send(ctx, o)
 	if err == nil {
-		b.forward[b.daemon].ApplyLimit(LimitReport{Server: o.Server.ID, Call: CallRequest, Ran: !a.NotRun, Stated: named, Rate: rate, SentAt: sentAt})
+		b.forward[b.daemon].ApplyStatement(Statement{Server: o.Server.ID, Call: CallRequest, Ran: !a.NotRun, Limit: StatedLimit{Stated: named, Rate: rate}, SentAt: sentAt})
 	}
 	return a, err
 }
@@ -305,7 +305,7 @@
 		for _, s := range l.view.Servers {
 			head = s
 		}
-		f.ApplyLimit(LimitReport{Server: head.ID, Call: CallReport, Stated: true, Rate: rate, SentAt: boottime.Now()})
+		f.ApplyStatement(Statement{Server: head.ID, Call: CallReport, Limit: StatedLimit{Stated: true, Rate: rate}, SentAt: boottime.Now()})
 		requests, reports, orders := 0, 0, 0
 		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 			for range 3 {
--- a/forward/metered.go
+++ b/forward/metered.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
+	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/quota"
@@ -35,6 +37,7 @@
 	if !o.Permitted {
 		m.f.sends.Add(o.Server.ID, boottime.Now())
 	}
+	m.f.countCall(o.Server.ID)
 	return m.Backends.Send(ctx, o)
 }
 
@@ -63,6 +66,7 @@
 // permitCall takes a permit for one call if the backend server has a limit, and counts the
 // call.
 func (f *Forwarder) permitCall(ctx context.Context, server string, priority int) error {
+	f.countCall(server)
 	if _, limited := f.limits.Of(server); !limited {
 		f.sends.Add(server, boottime.Now())
 		return nil
@@ -73,3 +77,10 @@
 	}
 	return nil
 }
+
+// countCall counts a call to a backend server that is paused or leaving.
+func (f *Forwarder) countCall(server string) {
+	if s := f.availability.Of(server, time.Now()); s.State != availability.Accepting {
+		f.observer.CallWhileUnavailable(s.State)
+	}
+}
--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/snowspoke/snowspoke/admission"
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/invariant"
@@ -119,6 +120,10 @@
 func (noObserver) LimitReached()                   {}
 func (noObserver) Recovered(string, time.Duration) {}
 
+func (noObserver) Unavailable(availability.State)          {}
+func (noObserver) CallWhileUnavailable(availability.State) {}
+func (noObserver) HeaderIgnored()                          {}
+
 // recordingSink records a complete answer. It implements Sink.
 type recordingSink struct {
 	status int
@@ -159,7 +164,7 @@
 		f.permits = &scriptedPermits{script: rapid.SliceOfN(rapid.Bool(), 0, 6).Draw(t, "permits")}
 		for id := range f.inv.View().Servers {
 			if rapid.Bool().Draw(t, "limited") {
-				f.ApplyLimit(LimitReport{Server: id, Call: CallReport, Stated: true, Rate: 1, SentAt: boottime.Now()})
+				f.ApplyStatement(Statement{Server: id, Call: CallReport, Limit: StatedLimit{Stated: true, Rate: 1}, SentAt: boottime.Now()})
 			}
 		}
 		before := invariant.Total()
--- a/forward/run.go
+++ b/forward/run.go
@@ -179,10 +179,13 @@
 }
 
 func (r *run) logRoute(t *target, left time.Duration) {
+	now := time.Now()
+	head := r.f.availability.Of(t.head().ID, now)
 	r.f.log.Add("route", "request", r.req.ID, "attempt", r.sends, "route", r.req.Route.Name, "service", r.req.Service,
 		"config", r.f.inv.View().Config.Version, "config_age", r.f.inv.Age(boottime.Now()).Round(time.Millisecond),
 		"path", t.path.String(), "predicted_first_ms", int(t.choice.FirstMS), "predicted_step_ms", int(t.choice.StepMS),
-		"fullest", int(100*t.choice.Fullest), "after_event", r.lastEvent, "left", left.Round(time.Millisecond))
+		"fullest", int(100*t.choice.Fullest), "after_event", r.lastEvent, "left", left.Round(time.Millisecond),
+		"head_state", head.State, "head_pause_left", pauseLeft(head, now))
 }
 
 func (r *run) outgoing(t *target, left time.Duration) *Outgoing {
--- /dev/null
+++ b/forward/statement.go
@@ -0,0 +1,69 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/snowspoke/snowspoke/availability"
+)
+
+// ApplyStatement applies what an answer states about its backend server.
+func (f *Forwarder) ApplyStatement(s Statement) {
+	f.applyStatedLimit(&s)
+	f.applyAvailability(&s, time.Now())
+	for _, h := range s.Ignored {
+		f.observer.HeaderIgnored()
+		if f.ignored.isNew(h.Name) {
+			f.log.Add("header_ignored", "server", s.Server, "name", h.Name, "value", truncate(h.Value, maxIgnoredValue), "by", s.Call, "request", s.RequestID)
+		}
+	}
+}
+
+// applyAvailability records a pause or the leaving of a backend server, and logs a change.
+func (f *Forwarder) applyAvailability(s *Statement, now time.Time) {
+	before, after := f.availability.Apply(availability.Statement{Server: s.Server, Pause: s.RetryAfter, Leaving: s.Leaving}, now)
+	if before == after {
+		return
+	}
+	f.observer.Unavailable(after.State)
+	f.log.Add("availability", "server", s.Server, "state", after.State, "before", before.State, "asked", s.RetryAfter,
+		"pause_left", pauseLeft(after, now), "pause_left_before", pauseLeft(before, now), "by", s.Call, "request", s.RequestID)
+}
+
+// pauseLeft returns the time until the end of a backend server's pause, 0 without one.
+func pauseLeft(s availability.Status, now time.Time) time.Duration {
+	if s.Until.IsZero() {
+		return 0
+	}
+	return s.Until.Sub(now).Round(time.Millisecond)
+}
+
+// Bounds of the log of ignored headers.
+const (
+	maxIgnoredNames = 64 // names that are logged
+	maxIgnoredValue = 64 // bytes of a logged value
+)
+
+// ignoredHeaders is the set of ignored headers that were logged. It is safe for concurrent
+// use.
+type ignoredHeaders struct {
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+// isNew reports whether a header is to be logged, which is the case once for each of the
+// first maxIgnoredNames names.
+func (i *ignoredHeaders) isNew(name string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.names[name] || len(i.names) >= maxIgnoredNames {
+		return false
+	}
+	if i.names == nil {
+		i.names = map[string]bool{}
+	}
+	i.names[name] = true
+	return true
+}
+
+func truncate(s string, maxBytes int) string { return s[:min(len(s), maxBytes)] }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/forward"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/invariant"
@@ -141,7 +142,7 @@
 		RetryWindow: set.RetryWindow, Restarted: !set.FirstStart, MaxKeyAge: maxKeyAge(set),
 	}, forward.Dependencies{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}, Quarantine: registry, Stalls: stalls,
 		Limits: limits, Sends: sends, Permits: permits{g}})
-	g.backends.OnLimit(g.forward.ApplyLimit)
+	g.backends.OnStatement(g.forward.ApplyStatement)
 	g.relay = relay.New(relay.Options{
 		Name: set.Name, Domain: set.FailureDomain, FanOut: fanOut, MaxConfigDelay: set.MaxConfigDelay, ConditionReader: g.forward, Quarantine: registry, Stalls: stalls, BeforeStore: g.quarantineSync.load,
 		StoreAnswers: g.storeAnswers,
@@ -375,6 +376,15 @@
 // LimitReached implements forward.Observer.
 func (o observer) LimitReached() { o.m.LimitReached() }
 
+// Unavailable implements forward.Observer.
+func (o observer) Unavailable(s availability.State) { o.m.Unavailable(s) }
+
+// CallWhileUnavailable implements forward.Observer.
+func (o observer) CallWhileUnavailable(s availability.State) { o.m.CallWhileUnavailable(s) }
+
+// HeaderIgnored implements forward.Observer.
+func (o observer) HeaderIgnored() { o.m.HeaderIgnored() }
+
 // Bound implements placer.Observer.
 func (o observer) Bound(service string, requests int) {
 	o.m.TaggedGauge("bound_requests", "service", service, float64(requests))
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -17,7 +17,7 @@
 // rank orders the packages: a package imports only packages of a lower rank. Packages
 // without a rank may be imported by all.
 var rank = map[string]int{
-	"topology": 1, "execution": 1, "fleet": 2, "catalog": 2,
+	"topology": 1, "execution": 1, "availability": 1, "fleet": 2, "catalog": 2,
 	"boottime": 1, "stall": 2, "quarantine": 3, "routing": 3, "admission": 3, "health": 3, "placement": 3, "claims": 3, "lease": 3, "quota": 3,
 	"monitor": 4, "peer": 4, "dispatch": 4,
 	"metrics": 5, "api": 5, "control": 5,
@@ -31,7 +31,7 @@
 // allowed, as timeouts are set where calls are made.
 var adapters = map[string]struct{ imports, importedBy []string }{
 	"platform": {
-		imports:    []string{"apierror", "boottime", "execution", "forward", "inventory", "site", "stall", "store"},
+		imports:    []string{"apierror", "boottime", "execution", "forward", "internal/retryafter", "inventory", "site", "stall", "store"},
 		importedBy: []string{"gateway", "cmd", "platform"},
 	},
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/dispatch"
 	"github.com/snowspoke/snowspoke/invariant"
 )
@@ -110,6 +111,19 @@
 // backend servers.
 func (m *Metrics) LimitReached() { m.scope.Counter("limit_refused_total").Inc(1) }
 
+// Unavailable counts statements of backend servers that they are paused or leaving.
+func (m *Metrics) Unavailable(s availability.State) {
+	m.scope.Tagged(map[string]string{"state": s.String()}).Counter("backend_unavailable_total").Inc(1)
+}
+
+// CallWhileUnavailable counts calls to backend servers that are paused or leaving.
+func (m *Metrics) CallWhileUnavailable(s availability.State) {
+	m.scope.Tagged(map[string]string{"state": s.String()}).Counter("calls_while_unavailable_total").Inc(1)
+}
+
+// HeaderIgnored counts headers about backend servers that are unknown or invalid.
+func (m *Metrics) HeaderIgnored() { m.scope.Counter("headers_ignored_total").Inc(1) }
+
 // Dropped implements dispatch.Observer.
 func (m *Metrics) Dropped(d dispatch.Drops) {
 	for i, n := range []int{d.Foreign, d.Stale, d.Repeated, d.Overflow} {
