forward, platform: no call to a backend server within its Retry-After

Cause: Retry-After was read nowhere, and a refusal of any kind kept requests away for 250 ms. A plain backend server that had refused stayed a candidate at a higher cost, and reports, orders, resumed streams and sends that were chosen before the refusal did not ask at all.

Change: forward.CheckCall decides by package availability whether a call may be made now. The choice of paths, plain servers and split leaves paused backend servers out; metered asks for each request, report and order, and platform asks again once the connection is open. A paused hop that runs a stream stays on a repaired path. If all are paused a request is refused at once as overloaded, with the time of the first end of a pause; only a pause that ends within a cooldown is waited for. A caller whose attempts are used up is told to return at once unless most backend servers are paused. The backend server's own failure is handed on if no other one accepts requests.

--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -185,6 +185,9 @@
 	if _, limited := f.limits.Of(id); limited {
 		return relay.Condition{}, ErrNoPermit // reports would use up its limit
 	}
+	if f.isPaused(id, time.Now()) {
+		return relay.Condition{}, ErrNotAccepting
+	}
 	r, err := f.ask(ctx, s)
 	c := relay.Condition{Slowdown: r.Slowdown, Waiting: r.Waiting}
 	if r.KVTotal > 0 {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -61,8 +61,9 @@
 	LimitReached()
 	// Unavailable reports that a backend server has stated that it is paused or leaving.
 	Unavailable(availability.State)
-	// CallWhileUnavailable reports a call to a backend server that is paused or leaving.
-	CallWhileUnavailable(availability.State)
+	// CallPrevented reports that a call was not made because the backend server is paused or
+	// leaving.
+	CallPrevented(availability.State)
 	// HeaderIgnored reports a header about a backend server that has no effect.
 	HeaderIgnored()
 }
@@ -266,7 +267,7 @@
 		if !f.isUsable(s, engine, now) {
 			continue
 		}
-		if engine != nil && f.health.Cooling(s.ID, now) {
+		if engine != nil && f.health.Cooling(s.ID, now) || f.isPaused(s.ID, now) {
 			continue
 		}
 		load := f.loads.Of(s.ID, daemons, now)
@@ -300,6 +301,11 @@
 	return !s.Draining && (engine == nil || s.Held.Len() > 0) && !f.health.Dead(s.ID, now)
 }
 
+// isPaused reports whether a backend server wants no calls from this daemon now.
+func (f *Forwarder) isPaused(id string, now time.Time) bool {
+	return !f.availability.Of(id, now).Until.IsZero()
+}
+
 // queueWaitThreshold is the wait for a first event above which the rest of the wait adds to
 // the cost of a head. Shorter waits are normal while a prompt is processed. The waits of
 // this daemon's own streams are more recent than the loads received from other daemons.
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -292,8 +292,8 @@
 // Unavailable implements Observer.
 func (l *lab) Unavailable(availability.State) {}
 
-// CallWhileUnavailable implements Observer.
-func (l *lab) CallWhileUnavailable(availability.State) {}
+// CallPrevented implements Observer.
+func (l *lab) CallPrevented(availability.State) {}
 
 // HeaderIgnored implements Observer.
 func (l *lab) HeaderIgnored() {}
--- a/forward/metered.go
+++ b/forward/metered.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
-	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/quota"
@@ -16,6 +16,15 @@
 // is reached.
 var ErrNoPermit = fmt.Errorf("forward: the backend server's limit is reached: %w", execution.ErrNotSent)
 
+// ErrNotAccepting is returned for a call that was not made, or was turned away, because the
+// backend server has stated that it accepts no such call now.
+var ErrNotAccepting = errors.New("forward: the backend server accepts no such call now")
+
+// isHeldBack reports whether a call was not made although the backend server may be sound.
+func isHeldBack(err error) bool {
+	return errors.Is(err, ErrNoPermit) || errors.Is(err, ErrNotAccepting)
+}
+
 // Priorities of calls other than requests. Orders are few and precede all requests,
 // because requests in progress depend on them. Reports come last, because the many reports
 // on stalled streams would use up the limit.
@@ -24,9 +33,9 @@
 	reportPriority = 1 << 10
 )
 
-// metered counts all calls of this daemon to backend servers. It takes permits for reports
-// and orders to a server with a limit; the permit for a request is taken before Send. A
-// connection alone is not a call. It implements Backends.
+// metered counts all calls of this daemon to backend servers, and makes none that CheckCall
+// forbids. It takes permits for reports and orders to a server with a limit; the permit for
+// a request is taken before Send. A connection alone is not a call. It implements Backends.
 type metered struct {
 	Backends
 	f *Forwarder
@@ -34,16 +43,18 @@
 
 // Send implements Backends.
 func (m metered) Send(ctx context.Context, o *Outgoing) (*Answer, error) {
+	if err := m.f.CheckCall(o.Server.ID, CallRequest); err != nil {
+		return nil, err
+	}
 	if !o.Permitted {
 		m.f.sends.Add(o.Server.ID, boottime.Now())
 	}
-	m.f.countCall(o.Server.ID)
 	return m.Backends.Send(ctx, o)
 }
 
 // Report implements Backends.
 func (m metered) Report(ctx context.Context, s *site.BackendServer) (Report, error) {
-	if err := m.f.permitCall(ctx, s.ID, reportPriority); err != nil {
+	if err := m.f.permitCall(ctx, s.ID, CallReport); err != nil {
 		return Report{}, err
 	}
 	return m.Backends.Report(ctx, s)
@@ -58,19 +69,26 @@
 }
 
 // MayOrder takes a permit for an order, or for the report that precedes it, and counts
-// the call. It returns ErrNoPermit if the backend server's limit is reached.
+// the call. It returns ErrNoPermit if the backend server's limit is reached, and
+// ErrNotAccepting if CheckCall forbids the order.
 func (f *Forwarder) MayOrder(ctx context.Context, server string) error {
-	return f.permitCall(ctx, server, orderPriority)
+	return f.permitCall(ctx, server, CallOrder)
 }
 
-// permitCall takes a permit for one call if the backend server has a limit, and counts the
-// call.
-func (f *Forwarder) permitCall(ctx context.Context, server string, priority int) error {
-	f.countCall(server)
+// permitCall takes a permit for a report or an order if the backend server has a limit, and
+// counts the call.
+func (f *Forwarder) permitCall(ctx context.Context, server string, call CallKind) error {
+	if err := f.CheckCall(server, call); err != nil {
+		return err
+	}
 	if _, limited := f.limits.Of(server); !limited {
 		f.sends.Add(server, boottime.Now())
 		return nil
 	}
+	priority := reportPriority
+	if call == CallOrder {
+		priority = orderPriority
+	}
 	d := f.permits.Permit(ctx, quota.PermitRequest{Servers: []string{server}, Class: quota.Class{Priority: priority}})
 	if !d.Granted {
 		return fmt.Errorf("%s: %w", server, ErrNoPermit)
@@ -78,9 +96,14 @@
 	return nil
 }
 
-// countCall counts a call to a backend server that is paused or leaving.
-func (f *Forwarder) countCall(server string) {
-	if s := f.availability.Of(server, time.Now()); s.State != availability.Accepting {
-		f.observer.CallWhileUnavailable(s.State)
+// CheckCall returns ErrNotAccepting if a backend server has stated that it accepts no such
+// call from this daemon now. It is asked before any call, also right before the call is
+// written to a connection.
+func (f *Forwarder) CheckCall(server string, call CallKind) error {
+	s := f.availability.Of(server, time.Now())
+	if s.Until.IsZero() {
+		return nil
 	}
+	f.observer.CallPrevented(s.State)
+	return fmt.Errorf("%w: %w: %s is %s", execution.ErrNotSent, ErrNotAccepting, server, s.State)
 }
--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -120,9 +120,9 @@
 func (noObserver) LimitReached()                   {}
 func (noObserver) Recovered(string, time.Duration) {}
 
-func (noObserver) Unavailable(availability.State)          {}
-func (noObserver) CallWhileUnavailable(availability.State) {}
-func (noObserver) HeaderIgnored()                          {}
+func (noObserver) Unavailable(availability.State)   {}
+func (noObserver) CallPrevented(availability.State) {}
+func (noObserver) HeaderIgnored()                   {}
 
 // recordingSink records a complete answer. It implements Sink.
 type recordingSink struct {
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
@@ -55,7 +56,25 @@
 	if err != nil && !availableAt.IsZero() {
 		return nil, r.limitReached(err, availableAt, now)
 	}
-	return t, err
+	if err != nil {
+		return nil, r.withPauses(err, view, now)
+	}
+	return t, nil
+}
+
+// withPauses returns the refusal of a request without a target. If backend servers of the
+// service are paused, it is Overloaded.
+func (r *run) withPauses(err error, view *inventory.View, now time.Time) error {
+	paused := 0
+	for _, s := range view.OfService(r.req.Service) {
+		if r.f.isPaused(s.ID, now) {
+			paused++
+		}
+	}
+	if paused == 0 {
+		return err
+	}
+	return apierror.Wrap(apierror.Overloaded, fmt.Errorf("%d backend servers are paused: %w", paused, err))
 }
 
 // findAmong returns a target among some candidates.
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -47,8 +47,8 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if errors.Is(err, ErrNoPermit) {
-		s.timer.Reset(askRetryInterval) // the hops are probed without permits
+	if isHeldBack(err) {
+		s.timer.Reset(askRetryInterval) // the hops are probed all the same
 		return
 	}
 	if err != nil {
@@ -159,7 +159,7 @@
 			s.setPath(p)
 			return
 		}
-		if errors.Is(err, ErrNoPermit) && s.reserveResume() {
+		if isHeldBack(err) && s.reserveResume() {
 			s.cancel(errResumeElsewhere)
 			return
 		}
@@ -228,6 +228,7 @@
 		q.Keep[h.Server.ID] = h.Layers
 	}
 	cs := r.withoutNewLimits(r.f.candidates(view, r.req.Service, r.engine, now), q.Keep)
+	cs = r.f.withPaused(cs, old, now)
 	if !containsServer(cs, old[0].Server.ID) {
 		cs = append(cs, pipeline.Candidate{Server: old[0].Server})
 	}
@@ -238,6 +239,18 @@
 	return c.Path, checkLayers(c.Path.CheckOrder(r.engine.Layers))
 }
 
+// withPaused adds the paused hops of a path to the candidates. They still run the request,
+// and moving it away from them would process its prompt again.
+func (f *Forwarder) withPaused(cs []pipeline.Candidate, path site.Path, now time.Time) []pipeline.Candidate {
+	for _, h := range path {
+		id := h.Server.ID
+		if f.isPaused(id, now) && !f.health.Dead(id, now) && !containsServer(cs, id) {
+			cs = append(cs, pipeline.Candidate{Server: h.Server, Load: f.loads.Of(id, float64(max(1, f.fleet.Daemons())), now)})
+		}
+	}
+	return cs
+}
+
 // withoutNewLimits removes the backend servers with a limit that are not on the stream's
 // path. Moving the stream to such a server would be a call that needs a permit.
 func (r *run) withoutNewLimits(cs []pipeline.Candidate, kept map[string]site.Range) []pipeline.Candidate {
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/availability"
+	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -29,12 +31,17 @@
 
 // holdUntil returns the time until which a request without a path is held: a begun stream
 // for maxRecoveryHold, another request until a backend server that refused work is
-// available again. It returns the zero time if the request is not held.
+// available again. It returns the zero time if the request is not held, as when that takes
+// longer than a cooldown.
 func (r *run) holdUntil(began, now time.Time) time.Time {
 	if r.headSent.Load() {
 		return began.Add(maxRecoveryHold)
 	}
-	return r.f.nextAvailable(r.req.Service, now)
+	at := r.f.nextAvailable(r.req.Service, now)
+	if at.Sub(now) > cooldowns.AfterRefusal {
+		return time.Time{}
+	}
+	return at
 }
 
 // withRetryAfter adds a retry time to a refusal that has none.
@@ -43,7 +50,29 @@
 	if !errors.As(err, &refusal) || refusal.RetryAfter > 0 || refusal.Kind != apierror.Overloaded && refusal.Kind != apierror.NoRoute {
 		return err
 	}
-	return refusal.WithRetryAfter(r.f.retryAfter(r.req.Service, now))
+	return refusal.WithRetryAfter(r.retryAfter(now))
+}
+
+// retryAfter returns the retry time of the refusal of this request. If it has used up its
+// attempts, a new request may be served now, unless most backend servers are paused: the
+// others then have little room.
+func (r *run) retryAfter(now time.Time) time.Duration {
+	if r.sends > 0 && !r.f.mostPaused(r.req.Service, now) && r.isServable(now) {
+		return defaultRetryAfter + rand.N(retryAfterSpread)
+	}
+	return r.f.retryAfter(r.req.Service, now)
+}
+
+// isServable reports whether a new request like this one has a target now.
+func (r *run) isServable(now time.Time) bool {
+	cs := r.f.candidates(r.f.inv.View(), r.req.Service, r.engine, now)
+	if r.engine == nil {
+		fresh := &run{f: r.f, req: r.req}
+		_, err := fresh.findPlain(cs)
+		return err == nil
+	}
+	_, err := pipeline.Choose(r.f.query(r.req, r.engine), cs, newRand())
+	return err == nil
 }
 
 // linksFull returns the refusal of a request that may not use the cross-domain links of a
@@ -66,14 +95,40 @@
 }
 
 // nextAvailable returns the earliest time at which a backend server of a service that
-// refused work is available again, the zero time if there is none.
+// refused work or is paused is available again, the zero time if there is none.
 func (f *Forwarder) nextAvailable(service string, now time.Time) time.Time {
 	var first time.Time
 	for _, s := range f.inv.View().OfService(service) {
-		at := f.health.RefusedUntil(s.ID, now)
+		at := f.availableAt(s.ID, now)
 		if !at.IsZero() && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
 	}
 	return first
 }
+
+// availableAt returns when a backend server that refused work or is paused is available
+// again, the zero time if it is available, has failed or is leaving.
+func (f *Forwarder) availableAt(id string, now time.Time) time.Time {
+	stated := f.availability.Of(id, now)
+	if stated.State == availability.Leaving || f.health.Dead(id, now) {
+		return time.Time{}
+	}
+	at := f.health.RefusedUntil(id, now)
+	if stated.Until.After(at) {
+		return stated.Until
+	}
+	return at
+}
+
+// mostPaused reports whether more than half of the backend servers of a service are paused.
+func (f *Forwarder) mostPaused(service string, now time.Time) bool {
+	servers := f.inv.View().OfService(service)
+	paused := 0
+	for _, s := range servers {
+		if f.isPaused(s.ID, now) {
+			paused++
+		}
+	}
+	return 2*paused > len(servers)
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -82,7 +83,7 @@
 	}
 	err := r.tracker.Run(ctx, r)
 	if apierror.Is(err, apierror.BackendUnreachable) || apierror.Is(err, apierror.BackendRefused) {
-		return apierror.Wrap(apierror.BackendRefused, errors.Unwrap(err)).WithRetryAfter(r.f.retryAfter(r.req.Service, time.Now()))
+		return apierror.Wrap(apierror.BackendRefused, errors.Unwrap(err)).WithRetryAfter(r.retryAfter(time.Now()))
 	}
 	return err
 }
@@ -215,6 +216,9 @@
 func (r *run) refused(t *target, a *Answer, err error) (execution.Result, error) {
 	now := time.Now()
 	head := t.head()
+	if errors.Is(err, ErrNotAccepting) {
+		return execution.NotRunHere, err
+	}
 	if errors.Is(err, execution.ErrNotSent) {
 		r.f.markFailed(head, "cannot be connected to", err, now)
 		return execution.NotRunHere, err
@@ -290,8 +294,15 @@
 // mayRepeat reports whether a failed request may be sent to another backend server. It does
 // not take a retry.
 func (r *run) mayRepeat() bool {
-	view := r.f.inv.View()
-	return r.req.Route.Repeatable() && !r.attemptsExhausted() && len(view.OfService(r.req.Service)) > r.tried.count()
+	return r.req.Route.Repeatable() && !r.attemptsExhausted() && r.hasUntried(time.Now())
+}
+
+// hasUntried reports whether a backend server to which the request was not sent accepts
+// requests as a first hop.
+func (r *run) hasUntried(now time.Time) bool {
+	return slices.ContainsFunc(r.f.inv.View().OfService(r.req.Service), func(s *site.BackendServer) bool {
+		return !r.tried.has(s.ID) && (r.engine == nil || s.Held.Has(0)) && r.f.isUsable(s, r.engine, now) && !r.f.isPaused(s.ID, now)
+	})
 }
 
 // impliesNotRun reports whether a status implies to the caller that the request did not run.
--- a/forward/split.go
+++ b/forward/split.go
@@ -102,11 +102,11 @@
 }
 
 // usableServers returns the backend servers of a service that may be part of a path,
-// including those that refused work recently.
+// including those that refused work recently without a pause.
 func (f *Forwarder) usableServers(view *inventory.View, service string, e *site.Engine, now time.Time) []pipeline.Candidate {
 	var out []pipeline.Candidate
 	for _, s := range view.OfService(service) {
-		if f.isUsable(s, e, now) {
+		if f.isUsable(s, e, now) && !f.isPaused(s.ID, now) {
 			out = append(out, pipeline.Candidate{Server: s, Load: pipeline.Load{Slowdown: f.loads.conditions.of(s.ID).Slowdown}})
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -143,6 +143,7 @@
 	}, forward.Dependencies{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}, Quarantine: registry, Stalls: stalls,
 		Limits: limits, Sends: sends, Permits: permits{g}})
 	g.backends.OnStatement(g.forward.ApplyStatement)
+	g.backends.SetCheck(g.forward.CheckCall)
 	g.relay = relay.New(relay.Options{
 		Name: set.Name, Domain: set.FailureDomain, FanOut: fanOut, MaxConfigDelay: set.MaxConfigDelay, ConditionReader: g.forward, Quarantine: registry, Stalls: stalls, BeforeStore: g.quarantineSync.load,
 		StoreAnswers: g.storeAnswers,
@@ -379,8 +380,8 @@
 // Unavailable implements forward.Observer.
 func (o observer) Unavailable(s availability.State) { o.m.Unavailable(s) }
 
-// CallWhileUnavailable implements forward.Observer.
-func (o observer) CallWhileUnavailable(s availability.State) { o.m.CallWhileUnavailable(s) }
+// CallPrevented implements forward.Observer.
+func (o observer) CallPrevented(s availability.State) { o.m.CallPrevented(s) }
 
 // HeaderIgnored implements forward.Observer.
 func (o observer) HeaderIgnored() { o.m.HeaderIgnored() }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -116,9 +116,10 @@
 	m.scope.Tagged(map[string]string{"state": s.String()}).Counter("backend_unavailable_total").Inc(1)
 }
 
-// CallWhileUnavailable counts calls to backend servers that are paused or leaving.
-func (m *Metrics) CallWhileUnavailable(s availability.State) {
-	m.scope.Tagged(map[string]string{"state": s.String()}).Counter("calls_while_unavailable_total").Inc(1)
+// CallPrevented counts calls that were not made because the backend server is paused or
+// leaving.
+func (m *Metrics) CallPrevented(s availability.State) {
+	m.scope.Tagged(map[string]string{"state": s.String()}).Counter("calls_prevented_total").Inc(1)
 }
 
 // HeaderIgnored counts headers about backend servers that are unknown or invalid.
