forward: a request that no backend server may take is not held

Cause: a request without a path was held until any backend server that had refused work was available again, also one that the request had tried or that its attempts no longer allow.

Change: holdUntil looks only at backend servers to which the request may be sent; maySendTo serves filterTried too.

--- a/forward/permit.go
+++ b/forward/permit.go
@@ -101,7 +101,7 @@
 // available before that.
 func (r *run) limitReached(err error, availableAt, now time.Time) error {
 	wait := max(0, boottime.Until(availableAt)) + rand.N(retryAfterSpread)
-	if again := r.f.nextAvailable(r.req.Service, now); !again.IsZero() {
+	if again := r.f.nextAvailable(r.req.Service, now, anyServer); !again.IsZero() {
 		wait = min(wait, r.f.retryAfter(r.req.Service, now))
 	}
 	return apierror.Wrap(apierror.Overloaded, fmt.Errorf("%w: %w", errLimits, err)).WithRetryAfter(wait)
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -135,7 +135,7 @@
 func (r *run) filterTried(cs []pipeline.Candidate) []pipeline.Candidate {
 	var out []pipeline.Candidate
 	for _, c := range cs {
-		if r.tried.has(c.Server.ID) || r.engine != nil && !c.Server.Held.Has(0) {
+		if r.maySendTo(c.Server, true) {
 			out = append(out, c)
 		}
 	}
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -30,20 +30,31 @@
 )
 
 // holdUntil returns the time until which a request without a path is held: a begun stream
-// for maxRecoveryHold, another request until a backend server that refused work is
-// available again. It returns the zero time if the request is not held, as when that takes
-// longer than a cooldown.
+// for maxRecoveryHold, another request until a backend server that refused work and to
+// which it may be sent is available again. It returns the zero time if the request is not
+// held, as when that takes longer than a cooldown.
 func (r *run) holdUntil(began, now time.Time) time.Time {
 	if r.headSent.Load() {
 		return began.Add(maxRecoveryHold)
 	}
-	at := r.f.nextAvailable(r.req.Service, now)
+	exhausted := r.attemptsExhausted()
+	at := r.f.nextAvailable(r.req.Service, now, func(s *site.BackendServer) bool { return r.maySendTo(s, exhausted) })
 	if at.Sub(now) > cooldowns.AfterRefusal {
 		return time.Time{}
 	}
 	return at
 }
 
+// maySendTo reports whether a backend server may be a hop of the next send, whatever its
+// state. exhausted is the value of attemptsExhausted.
+func (r *run) maySendTo(s *site.BackendServer, exhausted bool) bool {
+	tried := r.tried.has(s.ID)
+	if r.engine == nil {
+		return !tried && !exhausted
+	}
+	return tried || !exhausted || !s.Held.Has(0)
+}
+
 // withRetryAfter adds a retry time to a refusal that has none.
 func (r *run) withRetryAfter(err error, now time.Time) error {
 	var refusal *apierror.Error
@@ -87,18 +98,24 @@
 
 // retryAfter returns the retry time for a refused caller.
 func (f *Forwarder) retryAfter(service string, now time.Time) time.Duration {
-	availableAt := f.nextAvailable(service, now)
+	availableAt := f.nextAvailable(service, now, anyServer)
 	if availableAt.IsZero() {
 		return defaultRetryAfter
 	}
 	return availableAt.Sub(now) + rand.N(retryAfterSpread)
 }
 
+func anyServer(*site.BackendServer) bool { return true }
+
 // nextAvailable returns the earliest time at which a backend server of a service that
-// refused work or is paused is available again, the zero time if there is none.
-func (f *Forwarder) nextAvailable(service string, now time.Time) time.Time {
+// refused work or is paused is available again, the zero time if there is none. allowed
+// selects the backend servers.
+func (f *Forwarder) nextAvailable(service string, now time.Time, allowed func(*site.BackendServer) bool) time.Time {
 	var first time.Time
 	for _, s := range f.inv.View().OfService(service) {
+		if !allowed(s) {
+			continue
+		}
 		at := f.availableAt(s.ID, now)
 		if !at.IsZero() && (first.IsZero() || at.Before(first)) {
 			first = at
--- a/forward/refuse_test.go
+++ b/forward/refuse_test.go
@@ -67,6 +67,30 @@
 	})
 }
 
+// A request is not held for a backend server that its attempts do not allow.
+func TestRequestWithoutAttemptsIsNotHeld(t *testing.T) {
+	for name, c := range map[string]struct {
+		attempts int
+		paused   int // backend servers that have not been tried
+	}{"one attempt": {1, 0}, "all tried": {3, 0}, "the rest paused": {3, 1}} {
+		t.Run(name, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				f := plainForwarder(2, &scriptedBackends{script: []behaviour{refusing, refusing, refusing}})
+				if c.paused > 0 {
+					f.pause("b0", time.Minute)
+				}
+				now := time.Now()
+				err := f.Do(context.Background(), &Request{
+					ID: "r", Service: "cards", Received: now, Deadline: now.Add(3 * time.Second),
+					Route: &site.Route{Kind: site.Unsafe, MaxAttempts: c.attempts, Timeout: 3 * time.Second},
+				}, discardSink{})
+				require.True(t, apierror.From(err).NotRun(), "%v", err)
+				require.Zero(t, time.Since(now))
+			})
+		})
+	}
+}
+
 // The retry time of a refusal is when the first head that refused work is available again.
 func TestRefusalHasRetryTime(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
