forward, placer: nothing new for a backend server that states it leaves

Change: a backend server that has stated in any answer that it is leaving counts as draining for the choice of paths, for placement and for what a departure means; CheckCall forbids requests to it. Reports and orders for the streams that it still runs go on. The state lasts for the incarnation.

TestServerThatStatesLeavingIsReplaced fails without the placer's part.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -189,6 +189,12 @@
 // Failed reports whether this daemon considers a backend server dead.
 func (f *Forwarder) Failed(id string) bool { return f.health.Dead(id, time.Now()) }
 
+// Leaving reports whether a backend server has stated that it is leaving. Its record may
+// still call it ready.
+func (f *Forwarder) Leaving(id string) bool {
+	return f.availability.Of(id, time.Now()).State == availability.Leaving
+}
+
 // Do forwards a request and writes its answer to the sink. Its errors are of type
 // *apierror.Error and state whether the request ran. If Sink.Head was called before an
 // error, the caller's connection must be cut.
@@ -295,10 +301,10 @@
 	return f.loadsUnknown(now) || f.splits.needed(service)
 }
 
-// isUsable reports whether a backend server may be part of a path: it is not draining,
-// holds layers if the service has an engine, and is not known to have failed.
+// isUsable reports whether a backend server may be part of a path: it is not draining or
+// leaving, holds layers if the service has an engine, and is not known to have failed.
 func (f *Forwarder) isUsable(s *site.BackendServer, engine *site.Engine, now time.Time) bool {
-	return !s.Draining && (engine == nil || s.Held.Len() > 0) && !f.health.Dead(s.ID, now)
+	return !s.Draining && !f.Leaving(s.ID) && (engine == nil || s.Held.Len() > 0) && !f.health.Dead(s.ID, now)
 }
 
 // isPaused reports whether a backend server wants no calls from this daemon now.
--- a/forward/metered.go
+++ b/forward/metered.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/quota"
@@ -101,7 +102,8 @@
 // written to a connection.
 func (f *Forwarder) CheckCall(server string, call CallKind) error {
 	s := f.availability.Of(server, time.Now())
-	if s.Until.IsZero() {
+	paused, leaves := !s.Until.IsZero(), s.State == availability.Leaving && call == CallRequest
+	if !paused && !leaves {
 		return nil
 	}
 	f.observer.CallPrevented(s.State)
--- a/forward/statement_test.go
+++ b/forward/statement_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/boottime"
+	"github.com/snowspoke/snowspoke/site"
 )
 
 func TestUnreadableLimitDoesNotEndALimit(t *testing.T) {
@@ -37,3 +38,17 @@
 	require.Equal(t, 1, strings.Count(out.String(), "kind=header_ignored server=s name=Server-Tide"))
 	require.Less(t, out.Len(), 1000)
 }
+
+// A leaving backend server keeps its streams: reports on them and orders that move them are
+// still made.
+func TestLeavingBackendServerGetsReportsAndOrders(t *testing.T) {
+	l := newLab(1)
+	f := l.forward[0]
+	var head *site.BackendServer
+	l.eachHead(func(id string) { head = l.view.Servers[id] })
+	f.ApplyStatement(Statement{Server: head.ID, Leaving: true})
+	require.True(t, f.Leaving(head.ID))
+	require.ErrorIs(t, f.CheckCall(head.ID, CallRequest), ErrNotAccepting)
+	require.NoError(t, f.CheckCall(head.ID, CallReport))
+	require.NoError(t, f.CheckCall(head.ID, CallOrder))
+}
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -45,16 +45,20 @@
 	return largest
 }
 
+// startThree starts, by the path of a route, three backend servers that may get its
+// requests.
+var startThree = map[string]func(env *testEnv) []*standin.Server{
+	"/plain/": func(env *testEnv) []*standin.Server { return env.servers("plain", "", "plain-1", "plain-2", "plain-3") },
+	"/once/":  func(env *testEnv) []*standin.Server { return env.servers("plain", "", "plain-1", "plain-2", "plain-3") },
+	"/stream/": func(env *testEnv) []*standin.Server {
+		heads, _ := env.pipeline(3, 1)
+		return heads
+	},
+}
+
 func TestNoRequestsWithinRetryAfterOfARefusal(t *testing.T) {
 	const length, interval = 4 * time.Second, 25 * time.Millisecond
-	for path, service := range map[string]func(env *testEnv) []*standin.Server{
-		"/plain/": func(env *testEnv) []*standin.Server { return env.servers("plain", "", "plain-1", "plain-2", "plain-3") },
-		"/once/":  func(env *testEnv) []*standin.Server { return env.servers("plain", "", "plain-1", "plain-2", "plain-3") },
-		"/stream/": func(env *testEnv) []*standin.Server {
-			heads, _ := env.pipeline(3, 1)
-			return heads
-		},
-	} {
+	for path, service := range startThree {
 		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
 			t.Parallel()
 			env := newTestEnv(t)
@@ -78,3 +82,25 @@
 		})
 	}
 }
+
+// The record of a backend server that leaves may still call it ready.
+func TestNoRequestsAfterAnAnswerThatStatesLeaving(t *testing.T) {
+	const requests, interval = 80, 10 * time.Millisecond
+	for path, service := range startThree {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.putConfig()
+			servers := service(env)
+			d := env.daemon("daemon-1", nil).ready(t, len(servers))
+			servers[0].Leave()
+			for n := range requests {
+				a := d.call(t, call{method: "POST", path: path, body: fmt.Sprint("b", n), id: fmt.Sprint("r-", n)})
+				require.Equal(t, http.StatusOK, a.Status)
+				time.Sleep(interval)
+			}
+			require.Len(t, servers[0].Runs(), 1, "its first answer says that it leaves")
+			require.Positive(t, totalRuns(servers[1:]))
+		})
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -83,6 +83,8 @@
 // Health reports the backend servers that this daemon considers dead.
 type Health interface {
 	Failed(id string) bool
+	// Leaving reports whether a backend server has stated that it is leaving.
+	Leaving(id string) bool
 }
 
 // Observer receives the bound of each service, the number of requests that its layout can
@@ -189,7 +191,7 @@
 		}
 		delete(p.holders, id)
 		restarted := addresses[s.Address] // another incarnation has its address
-		if _, dead := p.dead[id]; !dead && !restarted && !s.Draining && !p.health.Failed(id) {
+		if _, dead := p.dead[id]; !dead && !restarted && !s.Draining && !p.health.Leaving(id) && !p.health.Failed(id) {
 			p.lastDeparture = now
 			_ = level.Info(p.logger).Log("msg", "decision", "kind", "left", "server", id, "address", s.Address, "from", s.Held.From, "to", s.Held.To)
 		}
@@ -294,6 +296,11 @@
 		if _, dead := p.dead[s.ID]; dead {
 			continue
 		}
+		if !s.Draining && p.health.Leaving(s.ID) {
+			draining := *s
+			draining.Draining = true
+			s = &draining
+		}
 		state := pipeline.ServerState{Server: s, Assigned: s.Held}
 		if o, ok := p.pending[s.ID]; ok {
 			if s.Held == o.layers || now.After(o.until) {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -28,6 +28,7 @@
 	orders  map[string][]site.Range
 	delays  map[string]time.Duration // delay of the first order, which gets no answer
 	failed  map[string]bool
+	leaving map[string]bool
 	dead    map[string]bool
 	changed chan struct{}
 	onOrder func()
@@ -40,7 +41,7 @@
 func newCluster(servers int) *cluster {
 	c := &cluster{
 		held: true, load: time.Second, servers: map[string]*site.BackendServer{}, orders: map[string][]site.Range{}, delays: map[string]time.Duration{},
-		failed: map[string]bool{}, dead: map[string]bool{}, changed: make(chan struct{}),
+		failed: map[string]bool{}, leaving: map[string]bool{}, dead: map[string]bool{}, changed: make(chan struct{}),
 	}
 	for i := range servers {
 		c.add(fmt.Sprintf("card-%d", i))
@@ -101,6 +102,12 @@
 	return c.failed[id]
 }
 
+func (c *cluster) Leaving(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving[id]
+}
+
 func (c *cluster) Report(_ context.Context, s *site.BackendServer) (forward.Report, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -269,6 +276,24 @@
 	})
 }
 
+// The record of the backend server that leaves still calls it ready.
+func TestServerThatStatesLeavingIsReplaced(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		c := newCluster(3)
+		startPlacer(t, c)
+		time.Sleep(10 * time.Second)
+		c.mu.Lock()
+		c.leaving["card-0"] = true
+		c.mu.Unlock()
+		orders := c.orderCount("card-0")
+		c.add("card-new")
+		time.Sleep(2 * pollInterval)
+		require.Equal(t, 1, c.orderCount("card-new"), "it is not reserved for another that leaves")
+		time.Sleep(10 * time.Second)
+		require.Equal(t, orders, c.orderCount("card-0"))
+	})
+}
+
 func TestFreshServerIsReserved(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		c := newCluster(2)
