dispatch: no requests within Retry-After on our own interface

Symptom: none seen. The incident's cause looked for on the other face: a plain endpoint that refuses got calls again at once, since a refusal starts no cooldown there, and an engine as soon as its window of requests allowed.

Cause: Retry-After was not read in package httpbackend either.

Change: a refusal with status 503 and Retry-After is a backend.PauseError. Routes and endpoints leave paused servers out, also between the choice and the send; if no other is left a request is refused at once as overloaded, with the end of the first pause. A pause is by configured name, so a restart does not end it; health checks, cancels and orders go on.

--- a/availability/availability.go
+++ b/availability/availability.go
@@ -87,6 +87,23 @@
 	return t.servers[server].status(now)
 }
 
+// Pauses returns the ends of the pauses by backend server, nil if there are none.
+func (t *Table) Pauses(now time.Time) map[string]time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out map[string]time.Time
+	for server, e := range t.servers {
+		if !now.Before(e.until) {
+			continue
+		}
+		if out == nil {
+			out = map[string]time.Time{}
+		}
+		out[server] = e.until
+	}
+	return out
+}
+
 func (e entry) status(now time.Time) Status {
 	var s Status
 	if now.Before(e.until) {
--- a/backend/engine.go
+++ b/backend/engine.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"time"
 
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -19,6 +21,19 @@
 	ErrUnsupported = errors.New("backend: not supported")
 )
 
+// PauseError is a refusal by a backend server that wants no further requests from this
+// daemon for some time.
+type PauseError struct {
+	After time.Duration
+	Err   error
+}
+
+// Error implements error.
+func (e *PauseError) Error() string { return fmt.Sprintf("%v, and none for %s", e.Err, e.After) }
+
+// Unwrap returns the wrapped error.
+func (e *PauseError) Unwrap() error { return e.Err }
+
 // HopError is an error caused by a backend server of the route other than the one
 // that was called.
 type HopError struct {
--- a/backend/httpbackend/engine.go
+++ b/backend/httpbackend/engine.go
@@ -16,6 +16,7 @@
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/internal/retryafter"
 )
 
 // maxResponseBytes bounds a response that is not a stream.
@@ -181,9 +182,9 @@
 		}
 		err := fmt.Errorf("%w: status %d", execution.ErrRefused, resp.StatusCode)
 		if hop := resp.Header.Get(HeaderHop); hop != "" {
-			return &backend.HopError{BackendServer: hop, Err: err}
+			err = &backend.HopError{BackendServer: hop, Err: err}
 		}
-		return err
+		return withPause(err, resp)
 	}
 	switch resp.StatusCode {
 	case http.StatusGone, http.StatusNotFound:
@@ -194,6 +195,16 @@
 	return fmt.Errorf("%w: status %d", execution.ErrLost, resp.StatusCode)
 }
 
+// withPause adds the Retry-After of a refusal with status 503 to its error. It concerns the
+// backend server that answers, also if another hop caused the refusal.
+func withPause(err error, resp *http.Response) error {
+	after, _ := retryafter.Parse(resp.Header, time.Now())
+	if resp.StatusCode != http.StatusServiceUnavailable || after <= 0 {
+		return err
+	}
+	return &backend.PauseError{After: after, Err: err}
+}
+
 type stream struct {
 	body io.ReadCloser
 	sse  *sseReader
--- a/backend/httpbackend/service.go
+++ b/backend/httpbackend/service.go
@@ -48,7 +48,7 @@
 	}
 	if resp.StatusCode >= 500 && resp.Header.Get(HeaderRan) == RanNo {
 		resp.Body.Close()
-		return nil, fmt.Errorf("%w: status %d", execution.ErrRefused, resp.StatusCode)
+		return nil, withPause(fmt.Errorf("%w: status %d", execution.ErrRefused, resp.StatusCode), resp)
 	}
 	stripHopHeaders(resp.Header)
 	return &backend.ServiceReply{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -26,6 +26,7 @@
 	Placement Kind = "placement"
 	Claim     Kind = "claim"
 	Move      Kind = "move"
+	Pause     Kind = "pause"
 )
 
 // Record is one decision with its reasons.
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -34,6 +34,9 @@
 	if limitErr := r.d.limits.acquire(ctx, r.route.BackendServers(), classOf(r.req.Workspace.Name, r.req.Priority)); limitErr != nil {
 		return result{err: limitErr, failed: limitErr.server}
 	}
+	if err := r.checkPaused(); err != nil {
+		return result{err: err, failed: r.route[0].BackendServer}
+	}
 	if err := r.beginAttempt(); err != nil {
 		return result{err: err, final: true}
 	}
@@ -71,6 +74,15 @@
 	return nil
 }
 
+// checkPaused returns a *pausedError if the head of the route has been paused since the
+// route was chosen.
+func (r *run) checkPaused() error {
+	if at := r.d.pauses.until(r.route[0].BackendServer); !at.IsZero() {
+		return r.d.pauses.newPausedError([]time.Time{at})
+	}
+	return nil
+}
+
 // leavingGrace is how long new work may still be sent to a backend server that is
 // known to be leaving.
 const leavingGrace = 3 * time.Second
@@ -116,6 +128,7 @@
 // returns the result of the attempt.
 func (r *run) handleSendError(ctx, actx context.Context, err error) result {
 	head := r.route[0].BackendServer
+	r.d.pauses.note(head, r.req.ID, err)
 	if ctx.Err() != nil {
 		if errors.Is(err, execution.ErrNotSent) {
 			_ = r.Transition(execution.NotSent)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -74,6 +74,7 @@
 	clock   Clock
 	policy  Policy
 	limits  *CallLimits
+	pauses  *pauses
 }
 
 // Dependencies are the dependencies of a dispatcher.
@@ -105,7 +106,7 @@
 	return &Dispatcher{
 		opts: o, engine: p.Engine, catalog: p.Catalog, table: p.Table, planner: p.Planner, gate: p.Gate,
 		health: p.Health, prober: p.Prober, warm: p.Warm, sealer: p.Sealer, log: p.Log, observe: p.Observer,
-		clock: p.Clock, policy: p.Choose, limits: p.Limits,
+		clock: p.Clock, policy: p.Choose, limits: p.Limits, pauses: newPauses(p.Clock, p.Log),
 	}
 }
 
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -121,7 +122,7 @@
 			g.mu.Unlock()
 			return t, nil
 		}
-		if err != routing.ErrFull && !q.buffering(now) {
+		if err != routing.ErrFull && (isPaused(err) || !q.buffering(now)) {
 			g.mu.Unlock()
 			return nil, routeError(m.Name, err)
 		}
@@ -137,6 +138,10 @@
 }
 
 func routeError(model string, err error) *apierror.Error {
+	var paused *pausedError
+	if errors.As(err, &paused) {
+		return paused.apiError()
+	}
 	return apierror.New(apierror.NoRoute, "model %s: %v", model, err)
 }
 
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -140,17 +141,55 @@
 		return routing.Choice{}, routing.ErrNoRoute
 	}
 	b := r.binding()
-	return r.d.policy(b.Plan, b.At(r.d.clock()), r.routeOptions(), rng)
+	return r.chooseIn(b, rng)
+}
+
+// chooseIn picks a route of a plan. The error is a *pausedError if only paused backend
+// servers are left for some layers.
+func (r *run) chooseIn(b *routing.Binding, rng *rand.Rand) (routing.Choice, error) {
+	c, err := r.d.policy(b.Plan, b.At(r.d.clock()), r.routeOptions(), rng)
+	if errors.Is(err, routing.ErrNoRoute) {
+		return c, r.withPauses(b.Plan, err)
+	}
+	return c, err
+}
+
+// withPauses returns a *pausedError instead of err if servers of the plan are paused.
+func (r *run) withPauses(p *routing.Plan, err error) error {
+	var ends []time.Time
+	for i := range p.Servers {
+		if at := r.d.pauses.until(p.Servers[i].Name); !at.IsZero() {
+			ends = append(ends, at)
+		}
+	}
+	if len(ends) == 0 {
+		return err
+	}
+	return r.d.pauses.newPausedError(ends)
 }
 
 func (r *run) routeOptions() routing.Options {
-	o := routing.Options{FailureDomain: r.d.opts.FailureDomain, Avoid: r.avoid}
+	o := routing.Options{FailureDomain: r.d.opts.FailureDomain, Avoid: r.avoidNow()}
 	if r.req.CacheKey != 0 {
 		o.Warm = r.d.warm.Servers(r.req.CacheKey)
 	}
 	return o
 }
 
+// avoidNow returns the backend servers that have failed this request and those that are
+// paused.
+func (r *run) avoidNow() map[string]bool {
+	paused := r.d.pauses.all()
+	if len(paused) == 0 {
+		return r.avoid
+	}
+	avoid := maps.Clone(r.avoid)
+	for name := range paused {
+		avoid[name] = true
+	}
+	return avoid
+}
+
 // useRoute sets the route of the next attempt and logs the decision.
 func (r *run) useRoute(c routing.Choice, kind decision.Kind, reason string) {
 	r.route = c.Route
@@ -249,6 +288,10 @@
 
 // giveUp returns the error of a request that is not sent again after err.
 func (r *run) giveUp(err error) error {
+	var paused *pausedError
+	if errors.As(err, &paused) && r.NotRun() {
+		return paused.apiError()
+	}
 	var limitErr *limitReached
 	if errors.As(err, &limitErr) && r.NotRun() {
 		r.d.observe.LimitReached()
@@ -258,10 +301,10 @@
 }
 
 // retryElsewhere prepares another route for an attempt that did not run. The retry
-// is taken out of the budget, except in three cases: the request has already run in
-// part, a backend server of its route is leaving, or its route reached a declared
-// limit. A request stopped by a declared limit is refused at once if no other route
-// is left, since later requests would overtake it while it waits.
+// is taken out of the budget, except in these cases: the request has already run in
+// part, a backend server of its route is leaving or paused, or its route reached a
+// declared limit. A request stopped by a declared limit or a pause is refused at once if no
+// other route is left, since later requests would overtake it while it waits.
 func (r *run) retryElsewhere(ctx context.Context, res result) error {
 	if res.failed != "" {
 		r.avoid[res.failed] = true
@@ -271,14 +314,17 @@
 	}
 	var limitErr *limitReached
 	atLimit := errors.As(res.err, &limitErr)
-	if !atLimit && !errors.Is(res.err, errLeaving) && !r.d.gate.SpendRetry(r.req.Workspace.Name, r.model.Name) {
+	if !atLimit && !errors.Is(res.err, errLeaving) && !isPaused(res.err) && !r.d.gate.SpendRetry(r.req.Workspace.Name, r.model.Name) {
 		return r.FinalError(res.err)
 	}
-	b := r.binding()
-	c, err := r.d.policy(b.Plan, b.At(r.d.clock()), r.routeOptions(), rand.New(rand.NewPCG(rand.Uint64(), 1)))
+	c, err := r.chooseIn(r.binding(), rand.New(rand.NewPCG(rand.Uint64(), 1)))
 	if err != nil && atLimit {
 		return r.giveUp(limitErr)
 	}
+	var paused *pausedError
+	if errors.As(err, &paused) && r.NotRun() {
+		return paused.apiError()
+	}
 	if err != nil {
 		return r.reroute(ctx, res, "retry")
 	}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -44,6 +44,7 @@
 	clock   Clock
 
 	limits *CallLimits
+	pauses *pauses
 	health *health.Cooldowns // by endpoint
 
 	mu       sync.Mutex
@@ -59,7 +60,7 @@
 func NewServices(d *Dispatcher, client backend.Services) *Services {
 	return &Services{
 		opts: d.opts, client: client, catalog: d.catalog, table: d.table, gate: d.gate, log: d.log,
-		observe: d.observe, clock: d.clock, limits: d.limits, health: health.NewCooldowns(endpointCooldowns), inFlight: map[endpointKey]int{},
+		observe: d.observe, clock: d.clock, limits: d.limits, pauses: d.pauses, health: health.NewCooldowns(endpointCooldowns), inFlight: map[endpointKey]int{},
 	}
 }
 
@@ -134,16 +135,33 @@
 			return nil, limitErr.apiError()
 		}
 		if e == nil {
-			return nil, apierror.New(apierror.NoRoute, "service %s has no endpoint in service", c.svc.Name)
+			return nil, c.s.noEndpointError(c.svc)
 		}
 		c.tried[e.Name] = true
-		limited := []string{topology.EndpointID(c.svc.Name, e.Name)}
-		if limitErr = c.s.limits.acquire(ctx, limited, classOf(c.req.Workspace.Name, 0)); limitErr == nil {
+		id := topology.EndpointID(c.svc.Name, e.Name)
+		if limitErr = c.s.limits.acquire(ctx, []string{id}, classOf(c.req.Workspace.Name, 0)); limitErr != nil {
+			continue
+		}
+		if c.s.pauses.until(id).IsZero() { // a permit may have taken time
 			return e, nil
 		}
 	}
 }
 
+// noEndpointError returns the refusal of a call for which no endpoint is left.
+func (s *Services) noEndpointError(svc *topology.Service) error {
+	var ends []time.Time
+	for i := range svc.Endpoints {
+		if at := s.pauses.until(topology.EndpointID(svc.Name, svc.Endpoints[i].Name)); !at.IsZero() {
+			ends = append(ends, at)
+		}
+	}
+	if len(ends) > 0 {
+		return s.pauses.newPausedError(ends).apiError()
+	}
+	return apierror.New(apierror.NoRoute, "service %s has no endpoint in service", svc.Name)
+}
+
 // Retry implements execution.Sender. It takes a retry out of the budget only if
 // another endpoint is left.
 func (c *call) Retry(context.Context, execution.Result) bool {
@@ -186,6 +204,7 @@
 		reply.Body = &countedBody{body: reply.Body, onEnd: func(complete bool) { c.s.callEnded(k, complete) }}
 		return reply, c.Transition(execution.Delivered)
 	}
+	c.s.pauses.note(k.String(), c.req.Call.RequestID, err)
 	c.s.callEnded(k, errors.Is(err, execution.ErrRefused))
 	if verr := c.Transition(execution.StateAfter(err)); verr != nil {
 		return nil, verr
@@ -198,7 +217,7 @@
 
 // pickEndpoint returns the untried endpoint with the fewest calls in flight, or nil.
 // Among equals it prefers one in this daemon's failure domain. Endpoints that failed
-// recently come last.
+// recently come last; paused ones are left out.
 func (s *Services) pickEndpoint(svc *topology.Service, tried map[string]bool) *topology.Endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -211,6 +230,9 @@
 			continue
 		}
 		k := endpointKey{svc.Name, e.Name}
+		if !s.pauses.until(k.String()).IsZero() {
+			continue
+		}
 		cost := 2 * s.inFlight[k]
 		if e.FailureDomain != s.opts.FailureDomain {
 			cost++
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -67,6 +67,8 @@
 	DieAfter      atomic.Int64 // number of tokens after which the engine dies, 0 for never
 	Frozen        atomic.Bool  // accepts connections but does not answer
 	RefuseAll     atomic.Bool  // refuses all requests as not run
+	Pause         atomic.Int64 // Retry-After of these refusals in seconds, 0 for none
+	Refused       atomic.Int64 // number of these refusals
 	Shuffle       atomic.Bool  // reorders and repeats token events
 	IgnoreFencing atomic.Bool  // accepts orders with old fencing numbers
 	LoadAge       atomic.Int64 // age of load reports in nanoseconds
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/backend/httpbackend"
+	"github.com/snowspoke/snowspoke/internal/retryafter"
 )
 
 func (e *Engine) routes() http.Handler {
@@ -35,6 +37,13 @@
 	http.Error(w, reason, status)
 }
 
+// statePause adds a Retry-After to an answer, unless it is 0.
+func statePause(w http.ResponseWriter, seconds int64) {
+	if seconds > 0 {
+		w.Header().Set(retryafter.Header, strconv.FormatInt(seconds, 10))
+	}
+}
+
 // decode parses a JSON body into v. If that fails it refuses the request and returns
 // false.
 func decode(w http.ResponseWriter, r *http.Request, v any) bool {
@@ -51,6 +60,9 @@
 		return
 	}
 	if reason, hop := e.refusal(&g); reason != "" {
+		if hop == "" {
+			statePause(w, e.Pause.Load())
+		}
 		w.Header().Set(httpbackend.HeaderHop, hop)
 		refuse(w, http.StatusServiceUnavailable, reason)
 		return
@@ -82,6 +94,7 @@
 // causes it, if any.
 func (e *Engine) refusal(g *httpbackend.GenerateBody) (reason, hop string) {
 	if e.RefuseAll.Load() {
+		e.Refused.Add(1)
 		return "busy", ""
 	}
 	if err := g.Route.CheckTiling(g.Layers); err != nil {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -19,6 +19,7 @@
 	memnet.Server
 	Ledger    *Ledger
 	RefuseAll atomic.Bool  // refuses all calls as not run
+	Pause     atomic.Int64 // Retry-After of these refusals in seconds, 0 for none
 	CutNext   atomic.Int64 // number of calls to run and then cut off without an answer
 	Delay     atomic.Int64 // duration of a call in nanoseconds
 
@@ -46,6 +47,7 @@
 	s.mu.Unlock()
 	body, err := io.ReadAll(r.Body)
 	if err != nil || s.RefuseAll.Load() {
+		statePause(w, s.Pause.Load())
 		refuse(w, http.StatusServiceUnavailable, "refused")
 		return
 	}
