soak: backend servers that ask for pauses or leave by their answers alone

Change: random backend servers refuse for 0.2 to 2 s with a Retry-After of 0.2 to 5 s, and some state that they leave up to 4 s before their record goes. Checked from what they received: at most two requests of a daemon from half a second after its refusal to the end of the pause, and none that a caller sent two seconds after the daemon got an answer that states leaving. Only a daemon that was started, frozen or resumed in between is excused.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -271,6 +271,7 @@
 		wg.Go(func() { keepCalling(ctx, callers, all, cr) })
 	}
 	wg.Go(func() { f.reportLimits(ctx, rand.New(rand.NewPCG(seed, 0))) })
+	wg.Go(func() { f.pauseServers(ctx, rand.New(rand.NewPCG(seed, 1<<32))) })
 	until := time.Now().Add(*duration)
 	for time.Now().Before(until) {
 		f.inject()
@@ -283,6 +284,7 @@
 	f.checkServing(callers)
 	f.checkNoPanics()
 	f.checkLimits(seed)
+	f.checkAvailability(seed, callers)
 	sent, served, refused := callers.Counts()
 	t.Logf("seed %d: sent %d, served %d, refused %d, faults %v", seed, sent, served, refused, f.names)
 	problems := callers.Verify()
@@ -318,7 +320,8 @@
 	reporters sync.WaitGroup // running calls of reportLimit
 
 	mu          sync.Mutex
-	disturbedAt []time.Time // times at which a daemon was started, frozen, resumed or cut off
+	disturbedAt []time.Time            // times at which a daemon was started, frozen, resumed or cut off
+	restartedAt map[string][]time.Time // by address, times at which the daemon was started, frozen or resumed
 }
 
 func (f *faults) inject() {
@@ -343,12 +346,16 @@
 		{"backend server faults", f.failAnswers},
 		{"backend server leaves", f.replaceServer},
 		{"backend server restarts", f.restartServer},
+		{"backend server states that it leaves", f.leaveByHeader},
 		{"foreign entry", f.addForeignEntry},
 		{"request that crashes backend servers", f.sendCrashRequest},
 	}
 	k := kinds[f.r.IntN(len(kinds))]
 	f.names = append(f.names, k.name)
 	k.do()
+	if strings.Contains(" kill stop freeze ", " "+k.name+" ") {
+		f.noteRestart(p)
+	}
 	if strings.Contains(" kill stop freeze ", " "+k.name+" ") || strings.HasSuffix(k.name, " for one") {
 		f.noteDisturbance()
 	}
@@ -385,7 +392,7 @@
 }
 
 func (f *faults) freeze(p *process) {
-	f.during(func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT); f.noteDisturbance() })
+	f.during(func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT); f.noteDisturbance(); f.noteRestart(p) })
 }
 
 // restartDaemon stops a daemon gracefully and starts it again.
@@ -411,12 +418,7 @@
 func (f *faults) replaceServer() {
 	all := f.site.Servers()
 	old := all[f.r.IntN(len(all))]
-	srv := standin.NewServer(fmt.Sprintf("%s-%d", old.ID, len(all)))
-	srv.Events, srv.EventGap = streamEvents, streamGap
-	if from, to := old.Held(); to > 0 {
-		srv.Hold(from, to)
-	}
-	f.site.Add(srv, old.Service, old.Kind, old.Domain)
+	f.addLike(old, fmt.Sprintf("%s-%d", old.ID, len(all)))
 	f.site.Remove(old)
 }
 
