availability: no lock while no backend server has stated anything

Cause: each choice of a path asks twice for each backend server whether it is paused or leaving, almost always of an empty table.

Change: an atomic size answers then; Leaving needs no time.

Measured: BenchmarkChoice (41 backend servers), four alternating runs on an idle machine: 49.9 to 55.7 us before, 42.5 to 43.9 us after.

--- a/availability/availability.go
+++ b/availability/availability.go
@@ -6,6 +6,7 @@
 import (
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -47,6 +48,8 @@
 // backend server is another incarnation, which has stated nothing. Times are of one steady
 // clock. It is safe for concurrent use.
 type Table struct {
+	size atomic.Int64 // of servers; usually 0, and then the lock is not taken
+
 	mu      sync.Mutex
 	servers map[string]entry
 }
@@ -77,18 +80,35 @@
 	e.leaving = e.leaving || s.Leaving
 	e.statedAt = now
 	t.servers[s.Server] = e
+	t.size.Store(int64(len(t.servers)))
 	return before, e.status(now)
 }
 
 // Of returns the status of a backend server.
 func (t *Table) Of(server string, now time.Time) Status {
+	if t.size.Load() == 0 {
+		return Status{}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.servers[server].status(now)
 }
 
+// Leaving reports whether a backend server has stated that it is leaving.
+func (t *Table) Leaving(server string) bool {
+	if t.size.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.servers[server].leaving
+}
+
 // Pauses returns the ends of the pauses by backend server, nil if there are none.
 func (t *Table) Pauses(now time.Time) map[string]time.Time {
+	if t.size.Load() == 0 {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out map[string]time.Time
@@ -125,4 +145,5 @@
 		}
 		return !known(server) && now.Sub(e.statedAt) > retention
 	})
+	t.size.Store(int64(len(t.servers)))
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -192,7 +192,7 @@
 // Leaving reports whether a backend server has stated that it is leaving. Its record may
 // still call it ready.
 func (f *Forwarder) Leaving(id string) bool {
-	return f.availability.Of(id, time.Now()).State == availability.Leaving
+	return f.availability.Leaving(id)
 }
 
 // Do forwards a request and writes its answer to the sink. Its errors are of type
