relay: later daemons find the new source of their domain sooner

Symptom: TestConfigIsInForceWhileSourcesAreFrozen/daemons=300/first=3 red in 2 of 60 runs, alone as well: one of 240 daemons had a configuration after 1.9 s.

Cause, by a trace of the last daemon's search: (1) the pauses of a search had grown to 0.2 to 0.6 s when the heads of the domain took over, 0.6 s after the sources had ended; (2) a step whose sampled heads were all frozen counted the word of its parent, which searched as well, as that of the heads, and probed no others.

Change: pauses start again at their least when the heads take over; a step in which only the parent has answered probes all heads.

--- a/relay/search.go
+++ b/relay/search.go
@@ -22,10 +22,12 @@
 func (n *Node) searchSource(ctx context.Context) (source Member, found bool) {
 	began := time.Now()
 	takeover := n.opts.MaxConfigDelay - contactTimeout(n.opts.MaxConfigDelay) - maxSwitchDelay
-	pause := minSearchPause
+	pause, isOutage := minSearchPause, false
 	for ctx.Err() == nil && len(n.candidates()) > 0 {
 		source, found, lost := n.probeCandidates(ctx)
-		isOutage := time.Since(began) >= takeover
+		if !isOutage && time.Since(began) >= takeover {
+			isOutage, pause = true, minSearchPause // the heads find a source about now
+		}
 		switch {
 		case found:
 			return source, true
@@ -65,23 +67,25 @@
 }
 
 // probeCandidates makes one step of a search. Where a part of the candidates was probed and
-// none has answered, it probes all of them.
+// none but the parent has answered, which may search as well, it probes all of them.
 func (n *Node) probeCandidates(ctx context.Context) (source Member, found, lost bool) {
 	all, probed := n.candidates(), n.probedCandidates()
 	if len(probed) < len(all) {
 		sampleCtx, cancel := context.WithTimeout(ctx, sampleTimeout)
 		defer cancel()
-		if source, found, lost = n.probeAll(sampleCtx, probed); found || lost {
-			return source, found, lost
+		source, found, lost := n.probeAll(sampleCtx, probed)
+		if found || slices.ContainsFunc(lost, func(m Member) bool { return m != probed[0] }) {
+			return source, found, len(lost) > 0
 		}
 	}
-	return n.probeAll(ctx, all)
+	source, found, without := n.probeAll(ctx, all)
+	return source, found, len(without) > 0
 }
 
 // probeAll probes daemons concurrently. source is the first in order that is healthy, if
-// any. lost reports whether one has lost the store or is about to read it. Once a daemon
-// has answered so, or that it is healthy, the others have probeSettleDelay to answer.
-func (n *Node) probeAll(ctx context.Context, members []Member) (source Member, found, lost bool) {
+// any. lost has those that have lost the store or are about to read it. Once a daemon has
+// answered so, or that it is healthy, the others have probeSettleDelay to answer.
+func (n *Node) probeAll(ctx context.Context, members []Member) (source Member, found bool, lost []Member) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type answer struct {
@@ -101,11 +105,13 @@
 			if isHealthy(a.result) {
 				best = min(best, a.index)
 			}
-			lost = lost || errors.Is(a.result, errStoreLost) || errors.Is(a.result, errStarting)
+			if errors.Is(a.result, errStoreLost) || errors.Is(a.result, errStarting) {
+				lost = append(lost, members[a.index])
+			}
 		case <-settled:
 			pending = 0
 		}
-		if settled == nil && (lost || best < len(members)) {
+		if settled == nil && (len(lost) > 0 || best < len(members)) {
 			settled = time.After(probeSettleDelay)
 		}
 	}
