availability, dispatch, forward: one copy of what a pause means

Cause: a second reading of the diff found the time left of a pause, the first end of several pauses and the count of paused backend servers twice each, and a field that nothing reads.

Change: Status.IsPaused and PauseLeft serve both faces; pauses.errorOf and asPausedError replace four copies; countPaused two. No behaviour, test or bound changes.

--- a/availability/availability.go
+++ b/availability/availability.go
@@ -29,6 +29,17 @@
 	Until time.Time // end of a pause, zero without one; a leaving backend server may have one too
 }
 
+// IsPaused reports whether the backend server is paused.
+func (s Status) IsPaused() bool { return !s.Until.IsZero() }
+
+// PauseLeft returns the time until the end of the pause, 0 without one.
+func (s Status) PauseLeft(now time.Time) time.Duration {
+	if !s.IsPaused() {
+		return 0
+	}
+	return s.Until.Sub(now).Round(time.Millisecond)
+}
+
 // Statement is what one answer states about the backend server that sent it.
 type Statement struct {
 	Server  string        // incarnation
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -34,8 +34,8 @@
 	if limitErr := r.d.limits.acquire(ctx, r.route.BackendServers(), classOf(r.req.Workspace.Name, r.req.Priority)); limitErr != nil {
 		return result{err: limitErr, failed: limitErr.server}
 	}
-	if err := r.checkPaused(); err != nil {
-		return result{err: err, failed: r.route[0].BackendServer}
+	if paused := r.d.pauses.errorOf(r.route[0].BackendServer); paused != nil {
+		return result{err: paused, failed: r.route[0].BackendServer} // since the route was chosen
 	}
 	if err := r.beginAttempt(); err != nil {
 		return result{err: err, final: true}
@@ -74,15 +74,6 @@
 	return nil
 }
 
-// checkPaused returns a *pausedError if the head of the route has been paused since the
-// route was chosen.
-func (r *run) checkPaused() error {
-	if at := r.d.pauses.until(r.route[0].BackendServer); !at.IsZero() {
-		return r.d.pauses.newPausedError([]time.Time{at})
-	}
-	return nil
-}
-
 // leavingGrace is how long new work may still be sent to a backend server that is
 // known to be leaving.
 const leavingGrace = 3 * time.Second
--- a/dispatch/calllimits.go
+++ b/dispatch/calllimits.go
@@ -21,8 +21,8 @@
 
 // CallLimits enforces the declared request rates of backend servers and of
 // endpoints of plain services. A declared rate applies to all daemons together, which
-// may exceed it by far while each of them stays below it, so each call needs a permit. It is safe for concurrent use; a nil CallLimits
-// enforces nothing.
+// may exceed it by far while each of them stays below it, so each call needs a permit. It
+// is safe for concurrent use; a nil CallLimits enforces nothing.
 type CallLimits struct {
 	declared *quota.Limits
 	sends    *quota.Sends
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -122,7 +121,7 @@
 			g.mu.Unlock()
 			return t, nil
 		}
-		if err != routing.ErrFull && (isPaused(err) || !q.buffering(now)) {
+		if err != routing.ErrFull && (asPausedError(err) != nil || !q.buffering(now)) {
 			g.mu.Unlock()
 			return nil, routeError(m.Name, err)
 		}
@@ -138,8 +137,7 @@
 }
 
 func routeError(model string, err error) *apierror.Error {
-	var paused *pausedError
-	if errors.As(err, &paused) {
+	if paused := asPausedError(err); paused != nil {
 		return paused.apiError()
 	}
 	return apierror.New(apierror.NoRoute, "model %s: %v", model, err)
--- a/dispatch/pauses.go
+++ b/dispatch/pauses.go
@@ -38,41 +38,37 @@
 	if before != after {
 		p.log.Add(decision.Record{
 			Time: now, Kind: decision.Pause, RequestID: requestID, Subject: server,
-			Reason: fmt.Sprintf("asked for %s, paused for %s, before for %s", pause.After, left(after, now), left(before, now)),
+			Reason: fmt.Sprintf("asked for %s, paused for %s, before for %s", pause.After, after.PauseLeft(now), before.PauseLeft(now)),
 		})
 	}
 }
 
-func left(s availability.Status, now time.Time) time.Duration {
-	if s.Until.IsZero() {
-		return 0
-	}
-	return s.Until.Sub(now).Round(time.Millisecond)
-}
-
-// until returns the end of a server's pause, zero if it is not paused.
-func (p *pauses) until(server string) time.Time { return p.table.Of(server, p.clock()).Until }
+// has reports whether a server is paused.
+func (p *pauses) has(server string) bool { return p.table.Of(server, p.clock()).IsPaused() }
 
 // all returns the ends of all pauses by server.
 func (p *pauses) all() map[string]time.Time { return p.table.Pauses(p.clock()) }
 
-// pausedError refuses a request because the backend servers that could run it are paused.
-type pausedError struct {
-	until time.Time // end of the first pause
-	left  time.Duration
-}
-
-// newPausedError returns the refusal of a request that these pauses prevent.
-func (p *pauses) newPausedError(ends []time.Time) *pausedError {
-	first := ends[0]
-	for _, at := range ends {
-		if at.Before(first) {
-			first = at
+// errorOf returns the refusal of a request that the pauses of these servers prevent, nil
+// if none of them is paused.
+func (p *pauses) errorOf(servers ...string) *pausedError {
+	now := p.clock()
+	var first time.Time
+	for _, server := range servers {
+		s := p.table.Of(server, now)
+		if s.IsPaused() && (first.IsZero() || s.Until.Before(first)) {
+			first = s.Until
 		}
 	}
-	return &pausedError{until: first, left: first.Sub(p.clock())}
+	if first.IsZero() {
+		return nil
+	}
+	return &pausedError{left: first.Sub(now)}
 }
 
+// pausedError refuses a request because the backend servers that could run it are paused.
+type pausedError struct{ left time.Duration } // until the end of the first pause
+
 // Error implements error.
 func (e *pausedError) Error() string {
 	return fmt.Sprintf("backend servers are paused for %s", e.left.Round(time.Millisecond))
@@ -86,7 +82,11 @@
 	return apierror.Wrap(apierror.Overloaded, e).WithRetryAfter(e.left + rand.N(retryJitter))
 }
 
-func isPaused(err error) bool {
+// asPausedError returns the *pausedError that err wraps, nil if there is none.
+func asPausedError(err error) *pausedError {
 	var paused *pausedError
-	return errors.As(err, &paused)
+	if errors.As(err, &paused) {
+		return paused
+	}
+	return nil
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -156,16 +156,14 @@
 
 // withPauses returns a *pausedError instead of err if servers of the plan are paused.
 func (r *run) withPauses(p *routing.Plan, err error) error {
-	var ends []time.Time
+	names := make([]string, len(p.Servers))
 	for i := range p.Servers {
-		if at := r.d.pauses.until(p.Servers[i].Name); !at.IsZero() {
-			ends = append(ends, at)
-		}
+		names[i] = p.Servers[i].Name
 	}
-	if len(ends) == 0 {
-		return err
+	if paused := r.d.pauses.errorOf(names...); paused != nil {
+		return paused
 	}
-	return r.d.pauses.newPausedError(ends)
+	return err
 }
 
 func (r *run) routeOptions() routing.Options {
@@ -288,8 +286,7 @@
 
 // giveUp returns the error of a request that is not sent again after err.
 func (r *run) giveUp(err error) error {
-	var paused *pausedError
-	if errors.As(err, &paused) && r.NotRun() {
+	if paused := asPausedError(err); paused != nil && r.NotRun() {
 		return paused.apiError()
 	}
 	var limitErr *limitReached
@@ -314,15 +311,14 @@
 	}
 	var limitErr *limitReached
 	atLimit := errors.As(res.err, &limitErr)
-	if !atLimit && !errors.Is(res.err, errLeaving) && !isPaused(res.err) && !r.d.gate.SpendRetry(r.req.Workspace.Name, r.model.Name) {
+	if !atLimit && !errors.Is(res.err, errLeaving) && asPausedError(res.err) == nil && !r.d.gate.SpendRetry(r.req.Workspace.Name, r.model.Name) {
 		return r.FinalError(res.err)
 	}
 	c, err := r.chooseIn(r.binding(), rand.New(rand.NewPCG(rand.Uint64(), 1)))
 	if err != nil && atLimit {
 		return r.giveUp(limitErr)
 	}
-	var paused *pausedError
-	if errors.As(err, &paused) && r.NotRun() {
+	if paused := asPausedError(err); paused != nil && r.NotRun() {
 		return paused.apiError()
 	}
 	if err != nil {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -142,7 +142,7 @@
 		if limitErr = c.s.limits.acquire(ctx, []string{id}, classOf(c.req.Workspace.Name, 0)); limitErr != nil {
 			continue
 		}
-		if c.s.pauses.until(id).IsZero() { // a permit may have taken time
+		if !c.s.pauses.has(id) { // a permit may have taken time
 			return e, nil
 		}
 	}
@@ -150,14 +150,12 @@
 
 // noEndpointError returns the refusal of a call for which no endpoint is left.
 func (s *Services) noEndpointError(svc *topology.Service) error {
-	var ends []time.Time
+	ids := make([]string, len(svc.Endpoints))
 	for i := range svc.Endpoints {
-		if at := s.pauses.until(topology.EndpointID(svc.Name, svc.Endpoints[i].Name)); !at.IsZero() {
-			ends = append(ends, at)
-		}
+		ids[i] = topology.EndpointID(svc.Name, svc.Endpoints[i].Name)
 	}
-	if len(ends) > 0 {
-		return s.pauses.newPausedError(ends).apiError()
+	if paused := s.pauses.errorOf(ids...); paused != nil {
+		return paused.apiError()
 	}
 	return apierror.New(apierror.NoRoute, "service %s has no endpoint in service", svc.Name)
 }
@@ -230,7 +228,7 @@
 			continue
 		}
 		k := endpointKey{svc.Name, e.Name}
-		if !s.pauses.until(k.String()).IsZero() {
+		if s.pauses.has(k.String()) {
 			continue
 		}
 		cost := 2 * s.inFlight[k]
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -145,7 +145,7 @@
 			continue
 		}
 		t, err := g.grant(key, p.choose)
-		if err == routing.ErrFull || err != nil && !isPaused(err) && q.buffering(g.clock()) {
+		if err == routing.ErrFull || err != nil && asPausedError(err) == nil && q.buffering(g.clock()) {
 			blocked[key] = true
 			continue
 		}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -309,7 +309,18 @@
 
 // isPaused reports whether a backend server wants no calls from this daemon now.
 func (f *Forwarder) isPaused(id string, now time.Time) bool {
-	return !f.availability.Of(id, now).Until.IsZero()
+	return f.availability.Of(id, now).IsPaused()
+}
+
+// countPaused returns the number of paused backend servers of a service, and of all of it.
+func (f *Forwarder) countPaused(view *inventory.View, service string, now time.Time) (paused, all int) {
+	servers := view.OfService(service)
+	for _, s := range servers {
+		if f.isPaused(s.ID, now) {
+			paused++
+		}
+	}
+	return paused, len(servers)
 }
 
 // queueWaitThreshold is the wait for a first event above which the rest of the wait adds to
--- a/forward/metered.go
+++ b/forward/metered.go
@@ -102,8 +102,8 @@
 // written to a connection.
 func (f *Forwarder) CheckCall(server string, call CallKind) error {
 	s := f.availability.Of(server, time.Now())
-	paused, leaves := !s.Until.IsZero(), s.State == availability.Leaving && call == CallRequest
-	if !paused && !leaves {
+	refusesRequests := s.State == availability.Leaving
+	if !s.IsPaused() && !(refusesRequests && call == CallRequest) {
 		return nil
 	}
 	f.observer.CallPrevented(s.State)
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -65,12 +65,7 @@
 // withPauses returns the refusal of a request without a target. If backend servers of the
 // service are paused, it is Overloaded.
 func (r *run) withPauses(err error, view *inventory.View, now time.Time) error {
-	paused := 0
-	for _, s := range view.OfService(r.req.Service) {
-		if r.f.isPaused(s.ID, now) {
-			paused++
-		}
-	}
+	paused, _ := r.f.countPaused(view, r.req.Service, now)
 	if paused == 0 {
 		return err
 	}
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -68,7 +68,8 @@
 // attempts, a new request may be served now, unless most backend servers are paused: the
 // others then have little room.
 func (r *run) retryAfter(now time.Time) time.Duration {
-	if r.sends > 0 && !r.f.mostPaused(r.req.Service, now) && r.isServable(now) {
+	paused, all := r.f.countPaused(r.f.inv.View(), r.req.Service, now)
+	if r.sends > 0 && 2*paused <= all && r.isServable(now) {
 		return defaultRetryAfter + rand.N(retryAfterSpread)
 	}
 	return r.f.retryAfter(r.req.Service, now)
@@ -137,15 +138,3 @@
 	}
 	return at
 }
-
-// mostPaused reports whether more than half of the backend servers of a service are paused.
-func (f *Forwarder) mostPaused(service string, now time.Time) bool {
-	servers := f.inv.View().OfService(service)
-	paused := 0
-	for _, s := range servers {
-		if f.isPaused(s.ID, now) {
-			paused++
-		}
-	}
-	return 2*paused > len(servers)
-}
--- a/forward/run.go
+++ b/forward/run.go
@@ -187,7 +187,7 @@
 		"config", r.f.inv.View().Config.Version, "config_age", r.f.inv.Age(boottime.Now()).Round(time.Millisecond),
 		"path", t.path.String(), "predicted_first_ms", int(t.choice.FirstMS), "predicted_step_ms", int(t.choice.StepMS),
 		"fullest", int(100*t.choice.Fullest), "after_event", r.lastEvent, "left", left.Round(time.Millisecond),
-		"head_state", head.State, "head_pause_left", pauseLeft(head, now))
+		"head_state", head.State, "head_pause_left", head.PauseLeft(now))
 }
 
 func (r *run) outgoing(t *target, left time.Duration) *Outgoing {
--- a/forward/statement.go
+++ b/forward/statement.go
@@ -27,15 +27,7 @@
 	}
 	f.observer.Unavailable(after.State)
 	f.log.Add("availability", "server", s.Server, "state", after.State, "before", before.State, "asked", s.RetryAfter,
-		"pause_left", pauseLeft(after, now), "pause_left_before", pauseLeft(before, now), "by", s.Call, "request", s.RequestID)
-}
-
-// pauseLeft returns the time until the end of a backend server's pause, 0 without one.
-func pauseLeft(s availability.Status, now time.Time) time.Duration {
-	if s.Until.IsZero() {
-		return 0
-	}
-	return s.Until.Sub(now).Round(time.Millisecond)
+		"pause_left", after.PauseLeft(now), "pause_left_before", before.PauseLeft(now), "by", s.Call, "request", s.RequestID)
 }
 
 // Bounds of the log of ignored headers.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -52,8 +52,8 @@
 	rebuildDelay = 3500 * time.Millisecond
 	// departureGracePeriod is how long a backend server may still serve after its
 	// record was removed without a sign of failure, for example while it drains, which
-	// takes 2 to 4 s or more. No layers are dropped at once during this time, so that requests that pass through
-	// it are not interrupted.
+	// takes 2 to 4 s or more. No layers are dropped at once during this time, so that
+	// requests that pass through it are not interrupted.
 	departureGracePeriod = 8 * time.Second
 	// maxConcurrentOrders bounds the orders that are sent concurrently.
 	maxConcurrentOrders = 8
