forward: count paused backend servers only for a request that was sent

Cause: a last reading of the diff found that each refusal counted the paused backend servers of the service, also of a request that was never sent, for which the count decides nothing.

Change: the count comes after that check; a comment in dispatch says in full why the head is asked again. No behaviour, test or bound changes.

Measured: vet, packages dispatch and layout, and the tests of pauses, refusals, retries and limits of forward and trial pass.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -34,8 +34,9 @@
 	if limitErr := r.d.limits.acquire(ctx, r.route.BackendServers(), classOf(r.req.Workspace.Name, r.req.Priority)); limitErr != nil {
 		return result{err: limitErr, failed: limitErr.server}
 	}
+	// The head may have been paused after the route was chosen.
 	if paused := r.d.pauses.errorOf(r.route[0].BackendServer); paused != nil {
-		return result{err: paused, failed: r.route[0].BackendServer} // since the route was chosen
+		return result{err: paused, failed: r.route[0].BackendServer}
 	}
 	if err := r.beginAttempt(); err != nil {
 		return result{err: err, final: true}
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -68,8 +68,11 @@
 // attempts, a new request may be served now, unless most backend servers are paused: the
 // others then have little room.
 func (r *run) retryAfter(now time.Time) time.Duration {
+	if r.sends == 0 {
+		return r.f.retryAfter(r.req.Service, now)
+	}
 	paused, all := r.f.countPaused(r.f.inv.View(), r.req.Service, now)
-	if r.sends > 0 && 2*paused <= all && r.isServable(now) {
+	if 2*paused <= all && r.isServable(now) {
 		return defaultRetryAfter + rand.N(retryAfterSpread)
 	}
 	return r.f.retryAfter(r.req.Service, now)
