forward: failing test for loads that lead to the same pause again

A plain backend server is filled to twice its slots, each time anew after the pause that this led to.

--- a/forward/pause_test.go
+++ b/forward/pause_test.go
@@ -211,6 +211,20 @@
 	return fl
 }
 
+// callOnce makes a request that does not return.
+func (fl *sheddingFleet) callOnce(n int) {
+	now := time.Now()
+	err := fl.daemons[n%len(fl.daemons)].Do(context.Background(), &Request{
+		ID: fmt.Sprint("r", n), Service: "cards", Received: now, Deadline: now.Add(shedDeadline),
+		Route: &site.Route{Kind: site.Safe, MaxAttempts: 2, Timeout: shedDeadline},
+	}, discardSink{})
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if err == nil {
+		fl.served = append(fl.served, time.Now())
+	}
+}
+
 // call makes a request that returns after each refusal until its deadline.
 func (fl *sheddingFleet) call(n int) {
 	first := time.Now()
@@ -290,6 +304,31 @@
 	}
 }
 
+// A plain backend server that refuses requests beyond its slots and asks for pauses is not
+// filled beyond them again, so that it serves as many after each pause.
+func TestServerIsNotFilledToALoadThatLedToAPause(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		fl := newSheddingFleet(1, 1)
+		burst := func() (served int) {
+			before := len(fl.served)
+			var wg sync.WaitGroup
+			for n := range 2 * shedSlots {
+				wg.Go(func() { fl.callOnce(n) })
+				time.Sleep(time.Millisecond)
+			}
+			wg.Wait()
+			return len(fl.served) - before
+		}
+		require.Equal(t, shedSlots, burst())
+		require.Equal(t, 1, fl.refusals, "how many requests the server queues is not known before")
+		for range 3 {
+			time.Sleep(shedPause)
+			require.Equal(t, shedSlots, burst())
+		}
+		require.Equal(t, 1, fl.refusals)
+	})
+}
+
 // A stream is not moved away from a paused hop that still runs it.
 func TestRepairedPathKeepsPausedHops(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
