--- a/forward/metered.go
+++ b/forward/metered.go
@@ -21,8 +21,8 @@
 // backend server has stated that it accepts no such call now.
 var ErrNotAccepting = errors.New("forward: the backend server accepts no such call now")
 
-// isHeldBack reports whether a call was not made although the backend server may be sound.
-func isHeldBack(err error) bool {
+// IsHeldBack reports whether a call was not made although the backend server may be sound.
+func IsHeldBack(err error) bool {
 	return errors.Is(err, ErrNoPermit) || errors.Is(err, ErrNotAccepting)
 }
 
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -47,7 +47,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if isHeldBack(err) {
+	if IsHeldBack(err) {
 		s.timer.Reset(askRetryInterval) // the hops are probed all the same
 		return
 	}
@@ -159,7 +159,7 @@
 			s.setPath(p)
 			return
 		}
-		if isHeldBack(err) && s.reserveResume() {
+		if IsHeldBack(err) && s.reserveResume() {
 			s.cancel(errResumeElsewhere)
 			return
 		}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -242,7 +242,7 @@
 		}
 		_, err := p.backends.Report(ctx, s)
 		switch {
-		case errors.Is(err, forward.ErrNoPermit), errors.Is(err, forward.ErrNotAccepting): // retried in the next round
+		case forward.IsHeldBack(err): // retried in the next round
 		case err == nil && dead:
 			delete(p.dead, s.ID)
 			_ = level.Info(p.logger).Log("msg", "decision", "kind", "probe", "server", s.ID, "state", "answers again")
