forward: a plain backend server that asks for pauses is not filled beyond its slots

Cause: a plain backend server counts as full at twice its slots, on the assumption that it queues. One that refuses beyond its slots and asks for a pause was filled to that again after each pause, so each daemon was paused again and again: 33 refusals at half of the capacity, 9 of them by the outage. The requests that waited for the end of a pause arrive together, and the whole service is paused once more. Now and then it does not get out of this within the callers' 12 s.

Ruled out: load of the machine (same rate alone, virtual time); the race between a choice and its count (no refusal but by the outage with the bound at the slots).

Change: for a minute after a statement of a pause a plain backend server is full at its slots. It may refuse a caller at once where a queue would have had room, which a return after 0.15 to 0.25 s makes good.

--- a/forward/pick.go
+++ b/forward/pick.go
@@ -141,6 +141,7 @@
 // those not tried before. The cost is the load per slot plus plainCrossDomainCost and
 // plainRefusedCost where they apply.
 func (r *run) findPlain(cs []pipeline.Candidate) (*target, error) {
+	now := time.Now()
 	var best *pipeline.Candidate
 	bestCost := 0.0
 	full := false
@@ -149,8 +150,8 @@
 		if r.tried.has(c.Server.ID) {
 			continue // it would refuse or fail the request again
 		}
-		refused := r.f.health.Cooling(c.Server.ID, time.Now())
-		if c.Server.Slots > 0 && c.Load.Running >= 2*float64(c.Server.Slots) {
+		refused := r.f.health.Cooling(c.Server.ID, now)
+		if fullAt := r.f.fullAt(c.Server, now); fullAt > 0 && c.Load.Running >= fullAt {
 			full = true
 			continue
 		}
