Tests: delays and lost ports of the machine are no failures; an own failure beside paused servers

- TestDaemonStartedOnOlderCopyAsksOthers failed once beside load: a write proves freshness for half a second, which a test that is delayed by more misses.
It writes again until the age is below 950 ms, the bound that only a write meets, as before.
- TestDaemonRetriesWithOtherPorts failed once as another process took a port.

--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -145,6 +145,16 @@
 	}
 }
 
+// A server's own failure is delivered if the request may be repeated, but all others are
+// paused.
+func TestServerErrorIsDeliveredIfAllOthersArePaused(t *testing.T) {
+	f := plainForwarder(2, &scriptedBackends{script: []behaviour{failing, serving}})
+	f.pause("b1", time.Minute)
+	sink := &recordingSink{}
+	require.NoError(t, f.Do(t.Context(), plainRequest(site.Safe), sink))
+	require.Equal(t, http.StatusInternalServerError, sink.status)
+}
+
 // A retry for a send that reached no server is returned to the budget and is available for
 // the next send.
 func TestRetryOfUnreachedSendIsReturned(t *testing.T) {
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -56,53 +56,55 @@
 	},
 }
 
-func TestNoRequestsWithinRetryAfterOfARefusal(t *testing.T) {
-	const length, interval = 4 * time.Second, 25 * time.Millisecond
-	for path, service := range startThree {
+// forEachRoute runs a test once for each path of startThree, before three backend servers.
+// post sends the request with a number and returns its status.
+func forEachRoute(t *testing.T, test func(t *testing.T, path string, servers []*standin.Server, post func(n int) int)) {
+	for path, start := range startThree {
 		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
 			t.Parallel()
 			env := newTestEnv(t)
 			env.putConfig()
-			servers := service(env)
+			servers := start(env)
 			d := env.daemon("daemon-1", nil).ready(t, len(servers))
-			servers[0].Refuse("3")
-			var wg sync.WaitGroup
-			for n := range int(length / interval) {
-				wg.Go(func() {
-					a := d.call(t, call{method: "POST", path: path, body: fmt.Sprint("b", n), id: fmt.Sprint("r-", n)})
-					if path != "/once/" { // one attempt, which the refusal may use up
-						assert.Equal(t, http.StatusOK, a.Status, "two others have capacity for all")
-					}
-				})
-				time.Sleep(interval)
-			}
-			wg.Wait()
-			require.NotEmpty(t, servers[0].Arrivals(), "it was asked")
-			require.LessOrEqual(t, callsInPause(servers[0].Arrivals()), maxCallsInPause)
+			test(t, path, servers, func(n int) int {
+				return d.call(t, call{method: "POST", path: path, body: fmt.Sprint("b", n), id: fmt.Sprint("r-", n)}).Status
+			})
 		})
 	}
 }
 
+func TestNoRequestsWithinRetryAfterOfARefusal(t *testing.T) {
+	const length, interval = 4 * time.Second, 25 * time.Millisecond
+	forEachRoute(t, func(t *testing.T, path string, servers []*standin.Server, post func(n int) int) {
+		servers[0].Refuse("3")
+		var wg sync.WaitGroup
+		for n := range int(length / interval) {
+			wg.Go(func() {
+				status := post(n)
+				if path != "/once/" { // one attempt, which the refusal may use up
+					assert.Equal(t, http.StatusOK, status, "two others have capacity for all")
+				}
+			})
+			time.Sleep(interval)
+		}
+		wg.Wait()
+		require.NotEmpty(t, servers[0].Arrivals(), "it was asked")
+		require.LessOrEqual(t, callsInPause(servers[0].Arrivals()), maxCallsInPause)
+	})
+}
+
 // The record of a backend server that leaves may still call it ready. Its first answer, to a
 // request or a report, says that it leaves.
 func TestNoRequestsAfterAnAnswerThatStatesLeaving(t *testing.T) {
 	const requests, interval = 80, 10 * time.Millisecond
-	for path, service := range startThree {
-		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
-			t.Parallel()
-			env := newTestEnv(t)
-			env.putConfig()
-			servers := service(env)
-			d := env.daemon("daemon-1", nil).ready(t, len(servers))
-			servers[0].Leave()
-			for n := range requests {
-				a := d.call(t, call{method: "POST", path: path, body: fmt.Sprint("b", n), id: fmt.Sprint("r-", n)})
-				require.Equal(t, http.StatusOK, a.Status)
-				time.Sleep(interval)
-			}
-			require.NotEmpty(t, servers[0].Arrivals())
-			require.LessOrEqual(t, len(servers[0].Runs()), 1)
-			require.Positive(t, totalRuns(servers[1:]))
-		})
-	}
+	forEachRoute(t, func(t *testing.T, _ string, servers []*standin.Server, post func(n int) int) {
+		servers[0].Leave()
+		for n := range requests {
+			require.Equal(t, http.StatusOK, post(n))
+			time.Sleep(interval)
+		}
+		require.NotEmpty(t, servers[0].Arrivals())
+		require.LessOrEqual(t, len(servers[0].Runs()), 1)
+		require.Positive(t, totalRuns(servers[1:]))
+	})
 }
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -97,6 +97,10 @@
 	require.Equal(t, inForce, again.inv.View().Config.Version)
 	time.Sleep(1500 * time.Millisecond)
 	require.Greater(t, again.inv.Age(boottime.Now()), time.Second, "the copy is no proof of freshness")
-	env.store.Set("config", "main", env.config)
-	require.Eventually(t, func() bool { return again.inv.Age(boottime.Now()) < 950*time.Millisecond }, 3*time.Second, 5*time.Millisecond)
+	// A write proves freshness for about half a second, which a test that is delayed may miss.
+	require.Eventually(t, func() bool {
+		env.store.Set("config", "main", env.config)
+		time.Sleep(10 * time.Millisecond)
+		return again.inv.Age(boottime.Now()) < 950*time.Millisecond
+	}, 3*time.Second, 100*time.Millisecond)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -185,26 +186,42 @@
 	return false // readiness is checked by the caller
 }
 
-// A daemon whose port is in use is started again with other ports.
+// A daemon whose port is in use is started again with other ports, and no daemon is without
+// such a port.
 func TestDaemonRetriesWithOtherPorts(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = taken.Close() })
-	picks := 0
+	var picks []int
 	pickPort = func(t *testing.T) int {
-		if picks++; picks == 3 {
-			return taken.Addr().(*net.TCPAddr).Port
+		port := freePort(t)
+		if len(picks) == 2 {
+			port = taken.Addr().(*net.TCPAddr).Port
 		}
-		return freePort(t)
+		picks = append(picks, port)
+		return port
 	}
 	t.Cleanup(func() { pickPort = freePort })
 	site := sitetrial.New([]string{"a"}, 2, 2, 2)
 	t.Cleanup(site.Close)
 	p := newProcess(t, "daemon-0", "a", site.Store.Address())
-	require.Equal(t, 6, picks)
+	starts := slices.Collect(slices.Chunk(picks, 3))
+	require.Greater(t, len(starts), 1)
+	for _, ports := range starts[:len(starts)-1] {
+		require.True(t, slices.ContainsFunc(ports, isInUse), "%v", ports)
+	}
 	require.Eventually(t, p.isReady, 10*time.Second, 20*time.Millisecond)
 }
 
+func isInUse(port int) bool {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	if err != nil {
+		return true
+	}
+	_ = l.Close()
+	return false
+}
+
 func (p *process) settings() string { return filepath.Join(p.dir, "local.toml") }
 
 func (p *process) start(t *testing.T) {
