--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -102,7 +102,7 @@
 	if err := c.s.gate.CheckService(c.req.Workspace); err != nil {
 		return err
 	}
-	c.Tracker = execution.New(c.req.Repeatable && c.svc.IsRepeatable(c.req.Call.Method, trimQuery(c.req.Call.Path)))
+	c.Tracker = execution.New(c.req.Repeatable && c.svc.IsRepeatable(c.req.Call.Method, c.req.Call.Path))
 	return c.Run(ctx, c)
 }
 
@@ -175,16 +175,6 @@
 	return fmt.Sprintf("after %d sends to service %s", c.attempt+1, c.req.Service)
 }
 
-// trimQuery returns path without its query.
-func trimQuery(path string) string {
-	for i := range len(path) {
-		if path[i] == '?' {
-			return path[:i]
-		}
-	}
-	return path
-}
-
 // sendTo makes one attempt at an endpoint.
 func (c *call) sendTo(ctx context.Context, svc *topology.Service, e *topology.Endpoint) (*backend.ServiceReply, error) {
 	c.s.log.Add(decision.Record{
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -48,7 +48,7 @@
 		defer timer.Stop()
 		tooLate = timer.C
 	}
-	recheck := time.NewTimer(bufferTimeout + bufferSlack)
+	recheck := time.NewTicker(bufferTimeout + bufferSlack)
 	defer recheck.Stop()
 	for {
 		select {
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -211,6 +211,12 @@
 			}
 		}
 		f.kill("daemon-002")
+		time.Sleep(500 * time.Millisecond)
+		for _, other := range f.daemons {
+			for _, m := range other.node.working() {
+				require.NotEqual(t, "daemon-002", m.Name, "its links have ended")
+			}
+		}
 	})
 }
 
--- a/peer/member.go
+++ b/peer/member.go
@@ -107,8 +107,8 @@
 	return t.self, true
 }
 
-// MarkSuspect marks a daemon as suspect and returns the update. It returns false if
-// the daemon is unknown or already suspect or dead.
+// MarkSuspect marks a daemon as suspect, or as dead if it was leaving, and returns the
+// update. It returns false if the daemon is unknown or already suspect or dead.
 func (t *Members) MarkSuspect(name string, now time.Time) (Member, bool) {
 	r := t.others[name]
 	if r == nil || r.State >= Suspect {
@@ -116,6 +116,9 @@
 	}
 	update := r.Member
 	update.State = Suspect
+	if r.State == Leaving {
+		update.State = Dead // suspect daemons count as working
+	}
 	return t.Apply(update, now)
 }
 
--- a/peer/member_test.go
+++ b/peer/member_test.go
@@ -43,6 +43,21 @@
 	require.False(t, changed)
 }
 
+// A daemon that has announced its leaving does not count as working again when its links
+// end.
+func TestLeavingDaemonWhoseLinksEndIsNotWorking(t *testing.T) {
+	now := time.Now()
+	m := NewMembers(Member{Name: "x"}, time.Hour, time.Hour)
+	m.Apply(Member{Name: "y", Incarnation: 1, State: Leaving}, now)
+	update, changed := m.MarkSuspect("y", now)
+	require.True(t, changed)
+	require.Equal(t, []Member{m.Self()}, m.Working())
+	other := NewMembers(Member{Name: "z"}, time.Hour, time.Hour)
+	other.Apply(Member{Name: "y", Incarnation: 1}, now)
+	other.Apply(update, now)
+	require.Equal(t, []Member{other.Self()}, other.Working())
+}
+
 // Every daemon is reached in few hops, and every daemon has few links.
 func TestNeighbors(t *testing.T) {
 	for _, n := range []int{1, 2, 8, 32, 128, 380} {
--- a/peer/node.go
+++ b/peer/node.go
@@ -219,7 +219,8 @@
 	n.serveLink(ctx, c)
 }
 
-// markSuspect marks a daemon as suspect and broadcasts the change.
+// markSuspect marks a daemon as suspect, or as dead if it was leaving, and broadcasts the
+// change.
 func (n *Node) markSuspect(name string) {
 	n.mu.Lock()
 	update, changed := n.members.MarkSuspect(name, time.Now())
--- a/store/httpstore/client.go
+++ b/store/httpstore/client.go
@@ -78,8 +78,8 @@
 	return o.Version, err
 }
 
-// do sends one bounded call. Unless the response has a definite status, a write
-// fails with store.ErrAmbiguous and a read with store.ErrUnavailable.
+// do sends one bounded call. Without a definite status it returns the error of
+// store.CallError.
 func (c *Client) do(ctx context.Context, method, path string, h http.Header, body []byte, limit int64, out any) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, store.RequestTimeout)
 	defer cancel()
@@ -90,29 +90,26 @@
 	for k, v := range h {
 		req.Header[k] = v
 	}
-	outcomeErr := store.ErrUnavailable
-	if method != http.MethodGet {
-		outcomeErr = store.ErrAmbiguous
-	}
+	isWrite := method != http.MethodGet
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", outcomeErr, err)
+		return nil, store.CallError(isWrite, err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, limit))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", outcomeErr, err)
+		return nil, store.CallError(isWrite, err)
 	}
-	if err := statusError(resp.StatusCode, outcomeErr); err != nil {
+	if err := statusError(resp.StatusCode, isWrite); err != nil {
 		return nil, err
 	}
 	if err := json.Unmarshal(data, out); err != nil {
-		return nil, fmt.Errorf("%w: %v", outcomeErr, err)
+		return nil, store.CallError(isWrite, err)
 	}
 	return resp.Header, nil
 }
 
-func statusError(code int, outcomeErr error) error {
+func statusError(code int, isWrite bool) error {
 	switch code {
 	case http.StatusOK, http.StatusCreated:
 		return nil
@@ -125,7 +122,7 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return fmt.Errorf("%w: status %d", store.ErrUnavailable, code)
 	}
-	return fmt.Errorf("%w: status %d", outcomeErr, code)
+	return store.CallError(isWrite, fmt.Errorf("status %d", code))
 }
 
 // Watch implements store.Store with a long-lived GET whose response has one
@@ -141,7 +138,7 @@
 		return fmt.Errorf("%w: %v", store.ErrUnavailable, err)
 	}
 	defer resp.Body.Close()
-	if err := statusError(resp.StatusCode, store.ErrUnavailable); err != nil {
+	if err := statusError(resp.StatusCode, false); err != nil {
 		return err
 	}
 	sc := bufio.NewScanner(resp.Body)
--- a/store/store.go
+++ b/store/store.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
 	"time"
 )
 
@@ -25,6 +27,17 @@
 	ErrRestored = errors.New("store: restored from an older copy")
 )
 
+// CallError returns the error of a call that ended with err instead of a definite answer:
+// ErrUnavailable for a read and for a write that was not sent, and ErrAmbiguous for another
+// write. It wraps err.
+func CallError(isWrite bool, err error) error {
+	var op *net.OpError
+	if !isWrite || errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return fmt.Errorf("%w: %w", ErrAmbiguous, err)
+}
+
 // MaxValueBytes is the maximum size of a spec.
 const MaxValueBytes = 1 << 20
 
--- a/topology/objects.go
+++ b/topology/objects.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -175,8 +176,9 @@
 }
 
 // IsRepeatable reports whether the service declares that the call may be
-// retried.
+// retried. The query of the path is not considered.
 func (s *Service) IsRepeatable(method, path string) bool {
+	path, _, _ = strings.Cut(path, "?")
 	for _, p := range s.Repeatable {
 		if p.matches(method, path) {
 			return true
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -119,3 +119,11 @@
 		require.NoError(t, err, "a valid object does not parse after encoding: %s", again)
 	})
 }
+
+// A path prefix that ends before the query must match the same calls for all who ask.
+func TestQueryDoesNotDecideWhetherACallIsRepeatable(t *testing.T) {
+	s := &Service{Repeatable: []CallPattern{{PathPrefix: "/cards?all"}}}
+	require.False(t, s.IsRepeatable("GET", "/cards?all=1"))
+	s.Repeatable[0].PathPrefix = "/cards"
+	require.True(t, s.IsRepeatable("GET", "/cards?all=1"))
+}
