--- a/dispatch/gate_test.go
+++ b/dispatch/gate_test.go
@@ -15,8 +15,7 @@
 	"github.com/snowspoke/snowspoke/topology"
 )
 
-// A queued request is refused soon after the last route is lost, although it has waited for
-// long and nothing else happens.
+// Nothing else wakes the queue after the loss.
 func TestQueuedRequestIsRefusedIfTheRouteIsLostLate(t *testing.T) {
 	const lostAfter = 10 * time.Second
 	virtual.Test(t, func(t *testing.T) {
--- a/forward/pause_test.go
+++ b/forward/pause_test.go
@@ -304,8 +304,7 @@
 	}
 }
 
-// A plain backend server that refuses requests beyond its slots and asks for pauses is not
-// filled beyond them again, so that it serves as many after each pause.
+// The server refuses requests beyond its slots and asks for a pause.
 func TestServerIsNotFilledToALoadThatLedToAPause(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		fl := newSheddingFleet(1, 1)
--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -145,8 +145,7 @@
 	}
 }
 
-// A server's own failure is delivered if the request may be repeated, but all others are
-// paused.
+// The request may be repeated, but nobody is left to take it.
 func TestServerErrorIsDeliveredIfAllOthersArePaused(t *testing.T) {
 	f := plainForwarder(2, &scriptedBackends{script: []behaviour{failing, serving}})
 	f.pause("b1", time.Minute)
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -56,8 +56,8 @@
 	},
 }
 
-// forEachRoute runs a test once for each path of startThree, before three backend servers.
-// post sends the request with a number and returns its status.
+// forEachRoute runs a test for each path of startThree. post sends a request and returns
+// its status.
 func forEachRoute(t *testing.T, test func(t *testing.T, path string, servers []*standin.Server, post func(n int) int)) {
 	for path, start := range startThree {
 		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
--- a/peer/member_test.go
+++ b/peer/member_test.go
@@ -43,8 +43,7 @@
 	require.False(t, changed)
 }
 
-// A daemon that has announced its leaving does not count as working again when its links
-// end.
+// Roles are not given back to it.
 func TestLeavingDaemonWhoseLinksEndIsNotWorking(t *testing.T) {
 	now := time.Now()
 	m := NewMembers(Member{Name: "x"}, time.Hour, time.Hour)
--- a/store/httpstore/client_test.go
+++ b/store/httpstore/client_test.go
@@ -10,8 +10,7 @@
 	"github.com/snowspoke/snowspoke/store"
 )
 
-// A write that could not connect has certainly not taken effect, unlike one whose answer
-// was lost.
+// It has certainly not taken effect, unlike a write whose answer was lost.
 func TestWriteThatCouldNotConnectIsNotAmbiguous(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -120,7 +120,7 @@
 	})
 }
 
-// A path prefix that ends before the query must match the same calls for all who ask.
+// The two packages that ask pass paths with their queries.
 func TestQueryDoesNotDecideWhetherACallIsRepeatable(t *testing.T) {
 	s := &Service{Repeatable: []CallPattern{{PathPrefix: "/cards?all"}}}
 	require.False(t, s.IsRepeatable("GET", "/cards?all=1"))
