availability: one record of pauses, also for plain backend servers that shed

Found by reading the whole change: forward.shedders kept by incarnation, with its own lock and pruning, when a backend server asked for a pause, which availability.Table knows from the same statement. No lock is taken while nothing has stated anything. One difference: an incarnation that a list lacks for a moment keeps its bound to the end of the minute, as it keeps its pause. The requests of three tests in forward/pause_test.go are built in one place.

--- a/availability/availability.go
+++ b/availability/availability.go
@@ -55,6 +55,10 @@
 // servers may be incomplete for some time, and must not end a pause.
 const retention = MaxPause
 
+// sheddingTTL is the time from a statement of a pause in which a backend server is assumed
+// to refuse requests beyond its slots rather than queue them.
+const sheddingTTL = time.Minute
+
 // Table holds the stated availability of backend servers by incarnation. A restarted
 // backend server is another incarnation, which has stated nothing. Times are of one steady
 // clock. It is safe for concurrent use.
@@ -69,6 +73,7 @@
 	until    time.Time // end of the pause
 	leaving  bool
 	statedAt time.Time // of the last statement
+	pausedAt time.Time // of the last statement of a pause
 }
 
 // NewTable returns a table in which all backend servers accept requests.
@@ -88,6 +93,9 @@
 	if until := now.Add(min(MaxPause, s.Pause)); until.After(e.until) {
 		e.until = until
 	}
+	if s.Pause > 0 {
+		e.pausedAt = now
+	}
 	e.leaving = e.leaving || s.Leaving
 	e.statedAt = now
 	t.servers[s.Server] = e
@@ -115,6 +123,19 @@
 	return t.servers[server].leaving
 }
 
+// Sheds reports whether a backend server is assumed to refuse requests beyond its slots rather
+// than queue them, as it asked for a pause recently. One request too many costs a further
+// pause, and all backend servers of a service may then be paused again by the requests that
+// waited for the end of the first pause.
+func (t *Table) Sheds(server string, now time.Time) bool {
+	if t.size.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.servers[server].sheds(now)
+}
+
 // Pauses returns the ends of the pauses by backend server, nil if there are none.
 func (t *Table) Pauses(now time.Time) map[string]time.Time {
 	if t.size.Load() == 0 {
@@ -146,12 +167,14 @@
 	return s
 }
 
-// Forget removes ended pauses, and backend servers that have been unknown for long.
+func (e entry) sheds(now time.Time) bool { return now.Before(e.pausedAt.Add(sheddingTTL)) }
+
+// Forget removes pauses that ended and no longer matter to Sheds, and backend servers that have been unknown for long.
 func (t *Table) Forget(known func(server string) bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.servers, func(server string, e entry) bool {
-		if e.status(now).State == Accepting {
+		if e.status(now).State == Accepting && !e.sheds(now) {
 			return true
 		}
 		return !known(server) && now.Sub(e.statedAt) > retention
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -127,7 +127,6 @@
 	denials    *quota.Denials
 
 	availability *availability.Table
-	shedders     *shedders
 	ignored      ignoredHeaders
 
 	started   time.Time    // one window earlier if there was no previous process
@@ -161,7 +160,7 @@
 		started: time.Now(), opts: o, inv: d.Inventory, fleet: d.Fleet, log: d.Log, observer: d.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
-		availability: availability.NewTable(), shedders: newShedders(),
+		availability: availability.NewTable(),
 	}
 	f.backends = metered{d.Backends, f}
 	f.maxKeyAge.Store(int64(o.MaxKeyAge))
@@ -235,7 +234,6 @@
 	f.health.Prune(func(id string) bool { return known[id] != nil })
 	f.reports.prune(known)
 	f.probes.prune(known)
-	f.shedders.prune(known, time.Now())
 	f.silences.prune(known)
 	f.quarantine.Forget(time.Now())
 	exists := func(id string) bool { return known[id] != nil }
--- a/forward/pause_test.go
+++ b/forward/pause_test.go
@@ -52,9 +52,7 @@
 	fl.refuses = time.Now().Add(time.Hour)
 	call := func() *apierror.Error {
 		now := time.Now()
-		err := fl.daemons[0].Do(context.Background(), &Request{
-			ID: "r", Service: "cards", Received: now, Deadline: now.Add(shedDeadline), Route: &site.Route{Kind: site.Unsafe, MaxAttempts: 1, Timeout: shedDeadline},
-		}, discardSink{})
+		err := fl.daemons[0].Do(context.Background(), shedRequest("r", site.Unsafe, 1, now.Add(shedDeadline)), discardSink{})
 		var refusal *apierror.Error
 		require.ErrorAs(t, err, &refusal)
 		return refusal
@@ -211,13 +209,18 @@
 	return fl
 }
 
+// shedRequest returns a request that is received now.
+func shedRequest(id string, kind site.RequestKind, maxAttempts int, deadline time.Time) *Request {
+	return &Request{
+		ID: id, Service: "cards", Received: time.Now(), Deadline: deadline,
+		Route: &site.Route{Kind: kind, MaxAttempts: maxAttempts, Timeout: shedDeadline},
+	}
+}
+
 // callOnce makes a request that does not return.
 func (fl *sheddingFleet) callOnce(n int) {
-	now := time.Now()
-	err := fl.daemons[n%len(fl.daemons)].Do(context.Background(), &Request{
-		ID: fmt.Sprint("r", n), Service: "cards", Received: now, Deadline: now.Add(shedDeadline),
-		Route: &site.Route{Kind: site.Safe, MaxAttempts: 2, Timeout: shedDeadline},
-	}, discardSink{})
+	req := shedRequest(fmt.Sprint("r", n), site.Safe, 2, time.Now().Add(shedDeadline))
+	err := fl.daemons[n%len(fl.daemons)].Do(context.Background(), req, discardSink{})
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	if err == nil {
@@ -230,11 +233,8 @@
 	first := time.Now()
 	deadline := first.Add(shedDeadline)
 	for try := 0; ; try++ {
-		now := time.Now()
-		err := fl.daemons[(n+try)%len(fl.daemons)].Do(context.Background(), &Request{
-			ID: fmt.Sprint("r", n, "-", try), Service: "cards", Received: now, Deadline: deadline,
-			Route: &site.Route{Kind: site.Safe, MaxAttempts: 2, Timeout: shedDeadline},
-		}, discardSink{})
+		req := shedRequest(fmt.Sprint("r", n, "-", try), site.Safe, 2, deadline)
+		err := fl.daemons[(n+try)%len(fl.daemons)].Do(context.Background(), req, discardSink{})
 		fl.mu.Lock()
 		if err == nil {
 			fl.served = append(fl.served, time.Now())
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -176,6 +176,19 @@
 	return &target{path: site.Path{{Server: best.Server}}, tokens: 0}, nil
 }
 
+// fullAt returns the number of requests in progress at which a plain backend server is full,
+// 0 if there is none.
+func (f *Forwarder) fullAt(s *site.BackendServer, now time.Time) float64 {
+	if f.availability.Sheds(s.ID, now) {
+		return float64(s.Slots)
+	}
+	return assumedQueue * float64(s.Slots)
+}
+
+// assumedQueue is the number of requests that a plain backend server is assumed to hold,
+// running and queued, as a multiple of its slots.
+const assumedQueue = 2
+
 // plainCrossDomainCost is the extra cost of a server in another failure domain, as a
 // fraction of its slots. It weighs billed traffic between failure domains against the
 // caller's wait.
--- a/forward/statement.go
+++ b/forward/statement.go
@@ -21,9 +21,6 @@
 
 // applyAvailability records a pause or the leaving of a backend server, and logs a change.
 func (f *Forwarder) applyAvailability(s *Statement, now time.Time) {
-	if s.RetryAfter > 0 {
-		f.shedders.add(s.Server, now)
-	}
 	before, after := f.availability.Apply(availability.Statement{Server: s.Server, Pause: s.RetryAfter, Leaving: s.Leaving}, now)
 	if before == after {
 		return
