forward, platform: framing and end of each answer that is not known to be complete are logged

The log of an answer that ended early did not tell its framing, nor whether bytes of an event were left, so the hypotheses of the incident could not be told apart. Answer.Framing is known to the forwarder; kind=answer_end and a counter report each body that ended with its connection, inside an event or with an error.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -52,7 +53,7 @@
 }
 
 // Answer is the head of a backend server's answer. Body must be closed; it returns io.EOF
-// only if the answer is complete.
+// at the end of the body. Unless Framing is delimited, a broken connection may end it too.
 type Answer struct {
 	Status  int
 	Header  http.Header
@@ -61,6 +62,7 @@
 	AtFault string // address of the backend server that caused a refusal, "" if unknown
 	Signed  bool   // the answer has the backend server's signature
 	Length  int64  // length of the body in bytes, -1 if unknown
+	Framing framing.Framing
 }
 
 // Stall is a stalled stream with the address of the hop at fault.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/pipeline"
@@ -66,6 +67,8 @@
 	CallPrevented(availability.State)
 	// HeaderIgnored reports a header about a backend server that has no effect.
 	HeaderIgnored()
+	// AnswerEnded reports the end of an answer that its framing does not show to be complete.
+	AnswerEnded(framing.Framing)
 }
 
 // Options configures a Forwarder.
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/pipeline"
@@ -298,6 +299,9 @@
 // HeaderIgnored implements Observer.
 func (l *lab) HeaderIgnored() {}
 
+// AnswerEnded implements Observer.
+func (l *lab) AnswerEnded(framing.Framing) {}
+
 // Recovered implements Observer.
 func (l *lab) Recovered(_ string, gap time.Duration) {
 	l.mu.Lock()
--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -17,6 +17,7 @@
 	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/invariant"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/quota"
@@ -123,6 +124,7 @@
 func (noObserver) Unavailable(availability.State)   {}
 func (noObserver) CallPrevented(availability.State) {}
 func (noObserver) HeaderIgnored()                   {}
+func (noObserver) AnswerEnded(framing.Framing)      {}
 
 // recordingSink records a complete answer. It implements Sink.
 type recordingSink struct {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -95,7 +95,7 @@
 		return r.relayComplete(ctx, t, a)
 	}
 	s.begin(max(minNextSilence, silenceFactor*time.Duration(t.choice.StepMS*2*float64(time.Millisecond))))
-	return s.relay(ctx, sctx, a)
+	return s.relay(ctx, sctx, t, a)
 }
 
 // probeAfter returns the silence after which the hops are probed.
@@ -142,17 +142,23 @@
 }
 
 // relay forwards complete events to the caller until the stream ends.
-func (s *stream) relay(ctx, sctx context.Context, a *Answer) (execution.Result, error) {
+func (s *stream) relay(ctx, sctx context.Context, t *target, a *Answer) (execution.Result, error) {
 	var pending []byte
 	buf := make([]byte, readSize)
 	for {
 		n, err := a.Body.Read(buf)
 		pending = append(pending, buf[:n]...)
 		var sinkErr error
-		if pending, sinkErr = s.forwardEvents(a, pending, err == io.EOF); sinkErr != nil {
+		if pending, sinkErr = s.forwardEvents(a, pending); sinkErr != nil {
 			return execution.Answered, apierror.Wrap(apierror.CallerGone, sinkErr)
 		}
+		if err != nil {
+			s.r.noteAnswerEnd(t, answerEnd{framing: a.Framing, partial: len(pending), err: unlessEOF(err)})
+		}
 		if err == io.EOF {
+			if sinkErr := s.write(a, pending); sinkErr != nil {
+				return execution.Answered, apierror.Wrap(apierror.CallerGone, sinkErr)
+			}
 			s.r.f.markServed(s.currentPath())
 			return execution.Answered, nil
 		}
@@ -168,8 +174,8 @@
 }
 
 // forwardEvents writes the complete events of a buffer that the caller has not received yet,
-// and returns the rest. With last set it also writes the rest.
-func (s *stream) forwardEvents(a *Answer, pending []byte, last bool) (rest []byte, sinkErr error) {
+// and returns the rest.
+func (s *stream) forwardEvents(a *Answer, pending []byte) (rest []byte, sinkErr error) {
 	r := s.r
 	var out []byte
 	rest = pending
@@ -187,13 +193,15 @@
 		}
 		out = append(out, ev.raw...)
 	}
-	if last {
-		out = append(out, rest...)
-		rest = nil
-	}
-	if len(out) == 0 && !last {
+	if len(out) == 0 {
 		return rest, nil
 	}
+	return append(pending[:0], rest...), s.write(a, out)
+}
+
+// write writes a part of the stream to the caller, after the head of the answer.
+func (s *stream) write(a *Answer, out []byte) error {
+	r := s.r
 	if len(out) > 0 {
 		s.eventsReceived()
 	}
@@ -201,10 +209,10 @@
 		r.headSent.Store(true)
 		r.f.observer.FirstEvent(boottime.Since(r.req.Received))
 		if err := r.sink.Head(a.Status, a.Header); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return append(pending[:0], rest...), r.sink.Events(out)
+	return r.sink.Events(out)
 }
 
 // eventsReceived updates the state of the stream when events are received.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/forward"
+	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/invariant"
 	"github.com/snowspoke/snowspoke/inventory"
@@ -386,6 +387,9 @@
 // HeaderIgnored implements forward.Observer.
 func (o observer) HeaderIgnored() { o.m.HeaderIgnored() }
 
+// AnswerEnded implements forward.Observer.
+func (o observer) AnswerEnded(f framing.Framing) { o.m.AnswerEnded(f) }
+
 // Bound implements placer.Observer.
 func (o observer) Bound(service string, requests int) {
 	o.m.TaggedGauge("bound_requests", "service", service, float64(requests))
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -14,6 +14,7 @@
 
 	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/dispatch"
+	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/invariant"
 )
 
@@ -125,6 +126,12 @@
 // HeaderIgnored counts headers about backend servers that are unknown or invalid.
 func (m *Metrics) HeaderIgnored() { m.scope.Counter("headers_ignored_total").Inc(1) }
 
+// AnswerEnded counts answers of backend servers whose framing does not show that they are
+// complete.
+func (m *Metrics) AnswerEnded(f framing.Framing) {
+	m.scope.Tagged(map[string]string{"framing": f.String()}).Counter("answers_without_end_total").Inc(1)
+}
+
 // Dropped implements dispatch.Observer.
 func (m *Metrics) Dropped(d dispatch.Drops) {
 	for i, n := range []int{d.Foreign, d.Stale, d.Repeated, d.Overflow} {
