forward: the end of a connection is no longer taken for the end of an answer

Cause: a body with neither a length nor chunks ends with its connection, io.EOF in both cases, and io.EOF was taken for completeness: the bytes of a partial event were written, and the answer ended as a complete one.

Change: Answer.Framing tells what io.EOF is worth, and run.checkEnd decides for streams and plain answers. A stream that ends inside an event, or without an event, was broken off whatever its framing. A body until close is complete only if its backend server still accepts connections after that end, and no other hop of the path has failed. What was broken off goes on after the last whole event, or fails so that the caller sees it. Partial events are never written.

Fakes of the tests state that their answers are delimited; Answer.Length, which nothing read, is gone.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -61,7 +61,6 @@
 	NotRun  bool   // the backend server reports that the request did not run
 	AtFault string // address of the backend server that caused a refusal, "" if unknown
 	Signed  bool   // the answer has the backend server's signature
-	Length  int64  // length of the body in bytes, -1 if unknown
 	Framing framing.Framing
 }
 
--- a/forward/events_test.go
+++ b/forward/events_test.go
@@ -86,3 +86,13 @@
 	l.Flush()
 	require.Contains(t, string(l.buf), "log lines dropped")
 }
+
+// A stream that ends inside an event was broken off; comments may follow the last event.
+func TestPartialEventsAreRecognized(t *testing.T) {
+	for _, partial := range []string{"i", "id: 3", "id: 3\n", "data: x\r\n", ":", ": comment", ": comment\ndata: x\n", "\r"} {
+		require.True(t, isInsideEvent([]byte(partial)), "%q", partial)
+	}
+	for _, complete := range []string{"", ": comment\n", ": a\r\n: b\n"} {
+		require.False(t, isInsideEvent([]byte(complete)), "%q", complete)
+	}
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -67,8 +67,8 @@
 	CallPrevented(availability.State)
 	// HeaderIgnored reports a header about a backend server that has no effect.
 	HeaderIgnored()
-	// AnswerEnded reports the end of an answer that its framing does not show to be complete.
-	AnswerEnded(framing.Framing)
+	// AnswerEnded reports the end of an answer that was broken off or is not delimited.
+	AnswerEnded(f framing.Framing, complete bool)
 }
 
 // Options configures a Forwarder.
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -300,7 +300,7 @@
 func (l *lab) HeaderIgnored() {}
 
 // AnswerEnded implements Observer.
-func (l *lab) AnswerEnded(framing.Framing) {}
+func (l *lab) AnswerEnded(framing.Framing, bool) {}
 
 // Recovered implements Observer.
 func (l *lab) Recovered(_ string, gap time.Duration) {
@@ -321,7 +321,7 @@
 		<-ctx.Done()
 		return nil, execution.ErrLost
 	}
-	a := &Answer{Status: http.StatusOK, Signed: true, Header: http.Header{}, Length: -1}
+	a := &Answer{Status: http.StatusOK, Signed: true, Header: http.Header{}, Framing: framing.Chunked}
 	at := l.deadHop(o.Path)
 	if at != "" {
 		l.mu.Lock()
--- a/forward/live.go
+++ b/forward/live.go
@@ -107,7 +107,8 @@
 
 type cachedResult[T any] struct {
 	sem   chan struct{} // mutex; virtual time does not advance while a goroutine waits for a sync.Mutex
-	at    time.Time
+	began time.Time     // start of the fetch
+	at    time.Time     // its end
 	value T
 	err   error
 }
@@ -119,6 +120,17 @@
 // get returns the cached result for a backend server, or that of fetch if the cached one
 // is older than maxAge.
 func (r *resultCache[T]) get(id string, fetch func() (T, error)) (T, error) {
+	return r.getIf(id, func(e *cachedResult[T]) bool { return time.Since(e.at) < r.maxAge }, fetch)
+}
+
+// getSince returns a result whose fetch began at a time or later.
+func (r *resultCache[T]) getSince(id string, since time.Time, fetch func() (T, error)) (T, error) {
+	return r.getIf(id, func(e *cachedResult[T]) bool { return !e.began.Before(since) }, fetch)
+}
+
+// getIf returns the cached result for a backend server if it is recent, otherwise that of
+// fetch.
+func (r *resultCache[T]) getIf(id string, isRecent func(*cachedResult[T]) bool, fetch func() (T, error)) (T, error) {
 	r.mu.Lock()
 	e := r.byID[id]
 	if e == nil {
@@ -128,7 +140,8 @@
 	r.mu.Unlock()
 	e.sem <- struct{}{}
 	defer func() { <-e.sem }()
-	if time.Since(e.at) >= r.maxAge {
+	if !isRecent(e) {
+		e.began = time.Now()
 		e.value, e.err = fetch()
 		e.at = time.Now()
 	}
@@ -167,12 +180,26 @@
 	return all
 }
 
-// probe connects to a backend server, marks it as failed if that fails, and returns the
-// error.
+// probe connects to a backend server, unless it did so recently, marks it as failed if that
+// fails, and returns the error.
 func (f *Forwarder) probe(ctx context.Context, s *site.BackendServer) error {
-	_, err := f.probes.get(s.ID, func() (struct{}, error) {
+	_, err := f.probes.get(s.ID, f.reach(ctx, s))
+	return f.noteProbeResult(s, err)
+}
+
+// probeSince is like probe, but connects at a time or later.
+func (f *Forwarder) probeSince(ctx context.Context, s *site.BackendServer, since time.Time) error {
+	_, err := f.probes.getSince(s.ID, since, f.reach(ctx, s))
+	return f.noteProbeResult(s, err)
+}
+
+func (f *Forwarder) reach(ctx context.Context, s *site.BackendServer) func() (struct{}, error) {
+	return func() (struct{}, error) {
 		return struct{}{}, f.backends.Reach(context.WithoutCancel(ctx), s)
-	})
+	}
+}
+
+func (f *Forwarder) noteProbeResult(s *site.BackendServer, err error) error {
 	if err != nil {
 		f.markFailed(s, "probe", err, time.Now())
 	}
--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -59,7 +59,7 @@
 	if b.runs() {
 		s.ran++
 	}
-	a := &Answer{Status: http.StatusOK, Signed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("card"))}
+	a := &Answer{Status: http.StatusOK, Signed: true, Header: http.Header{}, Framing: framing.Length, Body: io.NopCloser(strings.NewReader("card"))}
 	switch b {
 	case unreachable:
 		return nil, execution.ErrNotSent
@@ -121,10 +121,10 @@
 func (noObserver) LimitReached()                   {}
 func (noObserver) Recovered(string, time.Duration) {}
 
-func (noObserver) Unavailable(availability.State)   {}
-func (noObserver) CallPrevented(availability.State) {}
-func (noObserver) HeaderIgnored()                   {}
-func (noObserver) AnswerEnded(framing.Framing)      {}
+func (noObserver) Unavailable(availability.State)    {}
+func (noObserver) CallPrevented(availability.State)  {}
+func (noObserver) HeaderIgnored()                    {}
+func (noObserver) AnswerEnded(framing.Framing, bool) {}
 
 // recordingSink records a complete answer. It implements Sink.
 type recordingSink struct {
--- a/forward/pause_test.go
+++ b/forward/pause_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/availability"
+	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/quota"
@@ -190,7 +191,7 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.running[id]--
-	return &Answer{Status: http.StatusOK, Signed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok"))}, nil
+	return &Answer{Status: http.StatusOK, Signed: true, Header: http.Header{}, Framing: framing.Length, Body: io.NopCloser(strings.NewReader("ok"))}, nil
 }
 
 func newSheddingFleet(daemons, servers int) *sheddingFleet {
--- a/forward/run.go
+++ b/forward/run.go
@@ -256,8 +256,7 @@
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errTooLong
 	}
-	r.noteAnswerEnd(t, answerEnd{framing: a.Framing, err: err})
-	if err != nil {
+	if err := r.checkEnd(ctx, t.path, answerEnd{framing: a.Framing, err: err}); err != nil {
 		if ctx.Err() != nil {
 			return execution.Answered, r.endError(ctx)
 		}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -70,6 +69,8 @@
 	probed      bool    // all hops were probed since the last event
 	moved       bool    // the path changed since the last event
 	ended       bool
+
+	hasEvents bool // this send has received an event with fields; only used by relay
 }
 
 // sendStream sends a streamed request to its first hop and forwards the answer to the
@@ -95,7 +96,7 @@
 		return r.relayComplete(ctx, t, a)
 	}
 	s.begin(max(minNextSilence, silenceFactor*time.Duration(t.choice.StepMS*2*float64(time.Millisecond))))
-	return s.relay(ctx, sctx, t, a)
+	return s.relay(ctx, sctx, a)
 }
 
 // probeAfter returns the silence after which the hops are probed.
@@ -142,7 +143,7 @@
 }
 
 // relay forwards complete events to the caller until the stream ends.
-func (s *stream) relay(ctx, sctx context.Context, t *target, a *Answer) (execution.Result, error) {
+func (s *stream) relay(ctx, sctx context.Context, a *Answer) (execution.Result, error) {
 	var pending []byte
 	buf := make([]byte, readSize)
 	for {
@@ -153,24 +154,38 @@
 			return execution.Answered, apierror.Wrap(apierror.CallerGone, sinkErr)
 		}
 		if err != nil {
-			s.r.noteAnswerEnd(t, answerEnd{framing: a.Framing, partial: len(pending), err: unlessEOF(err)})
-		}
-		if err == io.EOF {
-			if sinkErr := s.write(a, pending); sinkErr != nil {
-				return execution.Answered, apierror.Wrap(apierror.CallerGone, sinkErr)
-			}
-			s.r.f.markServed(s.currentPath())
-			return execution.Answered, nil
+			return s.finish(ctx, sctx, a, pending, unlessEOF(err))
 		}
-		if err != nil {
-			if ctx.Err() != nil {
-				return execution.Answered, s.r.endError(ctx)
-			}
-			err = withCause(ctx, sctx, fmt.Errorf("%w: %w", errBroken, err))
-			s.r.noteInterruption(err)
-			return execution.MayHaveRun, err
+	}
+}
+
+// finish ends the stream at the end of its body, or at a read error. pending are the bytes
+// after the last complete event.
+func (s *stream) finish(ctx, sctx context.Context, a *Answer, pending []byte, readErr error) (execution.Result, error) {
+	err := s.r.checkEnd(ctx, s.currentPath(), s.endOf(a, pending, readErr))
+	if err == nil {
+		if sinkErr := s.write(a, pending); sinkErr != nil {
+			return execution.Answered, apierror.Wrap(apierror.CallerGone, sinkErr)
 		}
+		s.r.f.markServed(s.currentPath())
+		return execution.Answered, nil
+	}
+	if ctx.Err() != nil {
+		return execution.Answered, s.r.endError(ctx)
+	}
+	err = withCause(ctx, sctx, fmt.Errorf("%w: %w", errBroken, err))
+	s.r.noteInterruption(err)
+	return execution.MayHaveRun, err
+}
+
+// endOf describes the end of the stream. Only a resumed stream may have no event, if the
+// caller has them all, and only if its framing shows that it is complete.
+func (s *stream) endOf(a *Answer, pending []byte, readErr error) answerEnd {
+	end := answerEnd{framing: a.Framing, err: readErr, empty: !s.hasEvents && (s.r.lastEvent == "" || !a.Framing.Delimited())}
+	if isInsideEvent(pending) {
+		end.partial = len(pending)
 	}
+	return end
 }
 
 // forwardEvents writes the complete events of a buffer that the caller has not received yet,
@@ -185,6 +200,7 @@
 			break
 		}
 		rest = left
+		s.hasEvents = s.hasEvents || ev.fields
 		if !after(ev.id, r.lastEvent) {
 			continue
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -388,7 +388,7 @@
 func (o observer) HeaderIgnored() { o.m.HeaderIgnored() }
 
 // AnswerEnded implements forward.Observer.
-func (o observer) AnswerEnded(f framing.Framing) { o.m.AnswerEnded(f) }
+func (o observer) AnswerEnded(f framing.Framing, complete bool) { o.m.AnswerEnded(f, complete) }
 
 // Bound implements placer.Observer.
 func (o observer) Bound(service string, requests int) {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -126,10 +127,10 @@
 // HeaderIgnored counts headers about backend servers that are unknown or invalid.
 func (m *Metrics) HeaderIgnored() { m.scope.Counter("headers_ignored_total").Inc(1) }
 
-// AnswerEnded counts answers of backend servers whose framing does not show that they are
-// complete.
-func (m *Metrics) AnswerEnded(f framing.Framing) {
-	m.scope.Tagged(map[string]string{"framing": f.String()}).Counter("answers_without_end_total").Inc(1)
+// AnswerEnded counts answers of backend servers that were broken off or are not delimited.
+func (m *Metrics) AnswerEnded(f framing.Framing, complete bool) {
+	tags := map[string]string{"framing": f.String(), "complete": strconv.FormatBool(complete)}
+	m.scope.Tagged(tags).Counter("answers_without_end_total").Inc(1)
 }
 
 // Dropped implements dispatch.Observer.
