--- a/forward/run.go
+++ b/forward/run.go
@@ -256,10 +256,10 @@
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errTooLong
 	}
+	if err != nil && ctx.Err() != nil {
+		return execution.Answered, r.endError(ctx)
+	}
 	if err := r.checkEnd(ctx, t.path, answerEnd{framing: a.Framing, err: err}); err != nil {
-		if ctx.Err() != nil {
-			return execution.Answered, r.endError(ctx)
-		}
 		return execution.MayHaveRun, errors.Join(execution.ErrLost, err)
 	}
 	if a.Status < http.StatusInternalServerError {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -162,7 +162,10 @@
 // finish ends the stream at the end of its body, or at a read error. pending are the bytes
 // after the last complete event.
 func (s *stream) finish(ctx, sctx context.Context, a *Answer, pending []byte, readErr error) (execution.Result, error) {
-	err := s.r.checkEnd(ctx, s.currentPath(), s.endOf(a, pending, readErr))
+	err := readErr
+	if err == nil || sctx.Err() == nil { // otherwise this daemon has ended the send
+		err = s.r.checkEnd(ctx, s.currentPath(), s.endOf(a, pending, readErr))
+	}
 	if err == nil {
 		if sinkErr := s.write(a, pending); sinkErr != nil {
 			return execution.Answered, apierror.Wrap(apierror.CallerGone, sinkErr)
