forward: an unanswered probe does not fail an answer that cannot be repeated

Two lost packets in a row after an answer that ended with its connection turned it into a failure, also for a request that may run only once. Only a refused connection shows that the process has ended. A request that may be repeated still goes on elsewhere if its backend server does not respond: the network may be gone with the process.

TestEndOfAnAnswer plays framing, end, kind of request and result of the probe; its row 'once, no response' fails on. The other tests hold what the fix decides: a new probe, a failed later hop, answers of any status.

--- a/forward/answerend.go
+++ b/forward/answerend.go
@@ -32,7 +32,7 @@
 func (r *run) checkEnd(ctx context.Context, path site.Path, e answerEnd) error {
 	err := e.check()
 	if err == nil && !e.framing.Delimited() {
-		err = r.f.checkPath(ctx, path)
+		err = r.checkPath(ctx, path)
 	}
 	if err != nil || !e.framing.Delimited() {
 		r.f.observer.AnswerEnded(e.framing, err == nil)
@@ -56,18 +56,21 @@
 }
 
 // checkPath returns an error if the head of a path does not accept connections, or if
-// another hop has failed: a head cuts streams that wait for a failed hop.
-func (f *Forwarder) checkPath(ctx context.Context, path site.Path) error {
+// another hop has failed: a head cuts streams that wait for a failed hop. If the network
+// does not answer, a request that may be repeated goes on elsewhere. For another one the
+// answer stands, because a refused connection alone shows that the process has ended.
+func (r *run) checkPath(ctx context.Context, path site.Path) error {
 	now := time.Now()
 	for _, h := range path[1:] {
-		if f.health.Dead(h.Server.ID, now) {
+		if r.f.health.Dead(h.Server.ID, now) {
 			return fmt.Errorf("%w: hop %s", errServerGone, h.Server.ID)
 		}
 	}
-	if err := f.probeSince(ctx, path[0].Server, now); err != nil {
-		return fmt.Errorf("%w: %w", errServerGone, err)
+	err := r.f.probeSince(ctx, path[0].Server, now)
+	if err == nil || !hasEnded(err) && !r.req.Route.Repeatable() {
+		return nil
 	}
-	return nil
+	return fmt.Errorf("%w: %w", errServerGone, err)
 }
 
 // unlessEOF returns err, or nil for io.EOF.
--- /dev/null
+++ b/forward/answerend_test.go
@@ -0,0 +1,102 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/framing"
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// reachBackends answers each probe with the next result of a script, then with success.
+type reachBackends struct {
+	scriptedBackends
+	results []error
+	probes  int
+}
+
+func (b *reachBackends) Reach(context.Context, *site.BackendServer) error {
+	b.probes++
+	if len(b.results) == 0 {
+		return nil
+	}
+	err := b.results[0]
+	b.results = b.results[1:]
+	return err
+}
+
+var errRefused = fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+
+func endedRun(b *reachBackends, kind site.RequestKind) (*run, site.Path) {
+	f := plainForwarder(1, b)
+	return &run{f: f, req: &Request{Route: &site.Route{Kind: kind}}}, site.Path{{Server: f.inv.View().Servers["b0"]}}
+}
+
+// The end of a connection completes an answer only if its backend server has not ended with it.
+func TestEndOfAnAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		end      answerEnd
+		kind     site.RequestKind
+		probe    error
+		complete bool
+		probes   int
+	}{
+		"length":                          {end: answerEnd{framing: framing.Length}, probe: errRefused, complete: true},
+		"chunked":                         {end: answerEnd{framing: framing.Chunked}, probe: errRefused, complete: true},
+		"chunked, inside an event":        {end: answerEnd{framing: framing.Chunked, partial: 3}},
+		"length, no event":                {end: answerEnd{framing: framing.Length, empty: true}},
+		"until close":                     {kind: site.Safe, complete: true, probes: 1},
+		"until close, reset":              {end: answerEnd{err: syscall.ECONNRESET}},
+		"until close, inside an event":    {end: answerEnd{partial: 3}},
+		"until close, server ended":       {kind: site.Safe, probe: errRefused, probes: 1},
+		"until close, once, server ended": {kind: site.Unsafe, probe: errRefused, probes: 1},
+		"until close, no response":        {kind: site.Safe, probe: context.DeadlineExceeded, probes: 1},
+		"until close, once, no response":  {kind: site.Unsafe, probe: context.DeadlineExceeded, complete: true, probes: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &reachBackends{results: []error{c.probe}}
+			r, path := endedRun(b, c.kind)
+			err := r.checkEnd(t.Context(), path, c.end)
+			require.Equal(t, c.complete, err == nil, "%v", err)
+			require.Equal(t, c.probes, b.probes)
+		})
+	}
+}
+
+// A connection that was accepted before the end of an answer says nothing about that end.
+func TestEndOfAnAnswerIsCheckedWithANewProbe(t *testing.T) {
+	b := &reachBackends{results: []error{nil, errRefused}}
+	r, path := endedRun(b, site.Safe)
+	require.NoError(t, r.f.probe(t.Context(), path[0].Server))
+	require.ErrorIs(t, r.checkEnd(t.Context(), path, answerEnd{}), errServerGone)
+	require.Equal(t, 2, b.probes)
+}
+
+// A stream whose later hop has failed is cut by its head, which still accepts connections.
+func TestEndOfAStreamWithAFailedHop(t *testing.T) {
+	b := &reachBackends{}
+	r, path := endedRun(b, site.Safe)
+	path = append(path, site.Hop{Server: &site.BackendServer{ID: "later"}})
+	r.f.health.Fail("later", time.Now())
+	require.ErrorIs(t, r.checkEnd(t.Context(), path, answerEnd{}), errServerGone)
+	require.NoError(t, r.checkEnd(t.Context(), path, answerEnd{framing: framing.Chunked}))
+}
+
+// An answer of an ended server is never passed on, whatever its status.
+func TestAnswerOfAnEndedServerIsNotWritten(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusInternalServerError} {
+		b := &reachBackends{results: []error{errRefused}}
+		r, path := endedRun(b, site.Unsafe)
+		sink := &recordingSink{}
+		r.sink = sink
+		_, err := r.relayComplete(t.Context(), &target{path: path}, &Answer{Status: status, Signed: true, Body: http.NoBody})
+		require.ErrorIs(t, err, errServerGone)
+		require.Zero(t, sink.status)
+	}
+}
