httpbackend: the end of a reply without a length is checked before it counts

What callers saw: a service whose replies end with their connection and whose process dies halfway through one. The caller got 200 with a Content-Length and half of the body, or half of it in chunks with a last chunk.

Cause: the end of the connection was io.EOF for every reader, which backend.ServiceReply promised to mean a complete reply, and api framed what had arrived anew.

Change: ServiceReply has the framing of its body, taken once where the response arrives. A reply that a living endpoint breaks off cannot be told from a complete one, as the comment says. The client does not decompress (network.TLSClient), so no length is lost there.

--- a/backend/service.go
+++ b/backend/service.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+
+	"github.com/snowspoke/snowspoke/framing"
 )
 
 // ServiceCall is a call to a plain service.
@@ -15,12 +17,15 @@
 	Body      []byte
 }
 
-// ServiceReply is the reply of a service. Reading Body returns io.EOF only after
-// the complete reply. The receiver must close it.
+// ServiceReply is the reply of a service. The receiver must close Body. Reading it
+// returns io.EOF only after the complete reply if Framing is delimited. Otherwise io.EOF
+// means that the connection was closed and that the endpoint still listens: a reply that
+// a living endpoint has broken off cannot be told from a complete one.
 type ServiceReply struct {
-	Status int
-	Header http.Header
-	Body   io.ReadCloser
+	Status  int
+	Header  http.Header
+	Framing framing.Framing
+	Body    io.ReadCloser
 }
 
 // Services is the client interface of plain services. Its errors wrap those of
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -163,7 +163,7 @@
 		Owner: peerAdapter{d}, Publisher: peerAdapter{d}, Cache: d.prefixes, Wake: d.gate.Wake, Clock: time.Now,
 	})
 	disp := d.dispatcher(engines)
-	services := dispatch.NewServices(disp, httpbackend.NewServices(d.client(backendConns), scheme))
+	services := dispatch.NewServices(disp, httpbackend.NewServices(d.client(backendConns), d.net.DialContext, scheme))
 	l := d.cfg.Limits
 	callers := api.NewCallers(api.CallerOptions{
 		BodyBytes: l.BodyBytes, BodyTimeout: l.BodyTimeout, WriteTimeout: l.WriteTimeout,
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -65,7 +65,8 @@
 }
 
 // Do sends a call. The caller must close the reply's body; a read error before
-// io.EOF means that the answer is incomplete.
+// io.EOF means that the answer is incomplete. What io.EOF means depends on its framing,
+// see backend.ServiceReply.
 func (s *Services) Do(ctx context.Context, req *ServiceRequest) (*backend.ServiceReply, error) {
 	began := s.clock()
 	c := &call{s: s, req: req, tried: map[string]bool{}}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,10 @@
 	CutNext   atomic.Int64 // number of calls to run and then cut off without an answer
 	Delay     atomic.Int64 // duration of a call in nanoseconds
 
+	UntilClose atomic.Bool // replies have no length and end with their connection
+	BreakNext  atomic.Bool // breaks the next reply off after half of its body
+	DieNext    atomic.Bool // like BreakNext, and closes the server
+
 	mu       sync.Mutex
 	arrivals []time.Time
 }
@@ -58,5 +63,21 @@
 	}
 	s.CutNext.Store(0)
 	w.Header().Set("Content-Type", "text/plain")
-	_, _ = w.Write(append([]byte(r.Method+" "+r.URL.Path+" "), body...))
+	reply := append([]byte(r.Method+" "+r.URL.Path+" "), body...)
+	if s.UntilClose.Load() {
+		w.Header().Set("Transfer-Encoding", "identity") // removed by the server, which closes the connection
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(len(reply)))
+	}
+	dies := s.DieNext.Swap(false)
+	if !s.BreakNext.Swap(false) && !dies {
+		_, _ = w.Write(reply)
+		return
+	}
+	_, _ = w.Write(reply[:len(reply)/2])
+	_ = http.NewResponseController(w).Flush()
+	if dies {
+		s.Close()
+	}
+	panic(http.ErrAbortHandler)
 }
