api: a reply that may be incomplete is not kept under an idempotency key

What callers could see: a service that lives on breaks off a reply that ends with its connection (a handler that fails). Half of the reply was kept under the key and handed out again by all daemons as the answer.

Cause: callOnce kept whatever was read until io.EOF.

Change: a reply whose framing is not delimited goes to its first caller, as one without a key does, and is not kept. Later uses of the key get already_ran (409, ran=yes), which is what the key knows; the call runs once. Services that answer until close lose the repetition of answers.

Before, go test ./trial -run ReplyUntilClose, second use of the key: expected "already_ran", actual "": kept: "POST /cards loss 7" and this is the whole reply; the broken one is the same code. After: pass, on both daemons, with one execution.

--- a/api/once.go
+++ b/api/once.go
@@ -89,9 +89,12 @@
 	return &claims.Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {contentType}, HeaderRequestID: {req.ID}}, Body: data}, nil
 }
 
-// callOnce runs a service call with an idempotency key.
+// callOnce runs a service call with an idempotency key. A reply that is not known to be
+// complete is given to the first caller but not kept: later uses of the key get
+// apierror.AlreadyRan.
 func (h *Callers) callOnce(ctx context.Context, w http.ResponseWriter, call *dispatch.ServiceRequest, key string) {
 	u := claims.Use{Workspace: call.Workspace.Name, Key: key, BodyHash: callHash(call), RequestID: call.Call.RequestID}
+	var unconfirmed *claims.Answer
 	a, err := h.claims.Once(ctx, u, func() (*claims.Answer, error) {
 		rctx, cancel := detach(ctx)
 		defer cancel()
@@ -107,8 +110,16 @@
 		hd := reply.Header.Clone()
 		hd.Del("Content-Length")
 		hd.Set(HeaderRequestID, call.Call.RequestID)
-		return &claims.Answer{Status: reply.Status, Header: hd, Body: body.Bytes()}, nil
+		answer := &claims.Answer{Status: reply.Status, Header: hd, Body: body.Bytes()}
+		if reply.Framing.Delimited() {
+			return answer, nil
+		}
+		unconfirmed = answer
+		return nil, apierror.New(apierror.AlreadyRan, "the service's answer had neither a length nor chunks and may have been incomplete")
 	})
+	if unconfirmed != nil {
+		a, err = unconfirmed, nil
+	}
 	h.writeAnswer(w, a, err)
 }
 
--- a/trial/reply_test.go
+++ b/trial/reply_test.go
@@ -37,3 +37,26 @@
 		}
 	}
 }
+
+// A reply that is not known to be complete is not kept under an idempotency key: a living
+// endpoint may have broken it off.
+func TestReplyUntilCloseIsNotRepeated(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		inWorld(t, 2, func(w *World, hc *http.Client, _ *memnet.Net) {
+			for _, s := range w.Services {
+				s.UntilClose.Store(true)
+				s.BreakNext.Store(broken)
+			}
+			for i := range 5 {
+				got, err := w.clientOf(i%2, hc).Call(context.Background(), http.MethodPost, Service, "/cards", []byte("loss 7"), "key-7")
+				require.NoError(t, err)
+				if i == 0 {
+					require.True(t, strings.HasPrefix("POST /cards loss 7", got.Text))
+					continue
+				}
+				require.Equal(t, apierror.AlreadyRan, got.Kind, "kept: %q", got.Text)
+			}
+			require.Equal(t, 1, w.Fleet.Ledger.Calls("loss 7"))
+		})
+	}
+}
