httpbackend: an event of an engine counts only with its empty line

What could be seen: an event of an engine that is cut behind its data, or whose lines are cut, counted as received: each line with data was an event, and a last line without its newline was one too. Cut inside its data, an event could not be decoded and the stream was lost as it should be (all prefixes tried).

Cause: the reader split lines, not events.

Change: internal/sse splits at the empty line that ends an event, joins the data lines of one, and returns io.ErrUnexpectedEOF within an event. Streams and cache events are read by it; Resume asks for what follows the last whole event, as before.

Before, TestCutStream, the first stream cut behind the brace of its first event: expected no event, actual one. After: each prefix of the stream, with LF and CRLF, read at once and byte by byte, delivers the events whose empty line arrived.

--- a/backend/httpbackend/engine.go
+++ b/backend/httpbackend/engine.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,8 +16,12 @@
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/retryafter"
+	"github.com/snowspoke/snowspoke/internal/sse"
 )
 
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 64 << 10
+
 // maxResponseBytes bounds a response that is not a stream.
 const maxResponseBytes = 8 << 20
 
@@ -81,14 +84,14 @@
 		return err
 	}
 	defer resp.Body.Close()
-	r := newSSEReader(resp.Body)
+	r := sse.NewReader(resp.Body, maxEventBytes)
 	for {
-		data, err := r.next()
+		received, err := r.Next()
 		if err != nil {
 			return fmt.Errorf("%w: %v", execution.ErrLost, err)
 		}
 		var ev backend.CacheEvent
-		if err := json.Unmarshal(data, &ev); err != nil {
+		if err := json.Unmarshal(received.Data, &ev); err != nil {
 			return fmt.Errorf("%w: cache event: %v", execution.ErrLost, err)
 		}
 		fn(ev)
@@ -121,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &stream{body: resp.Body, sse: newSSEReader(resp.Body)}, nil
+	return &stream{body: resp.Body, events: sse.NewReader(resp.Body, maxEventBytes)}, nil
 }
 
 // send makes one HTTP call. Every outcome except success becomes an error that wraps
@@ -206,21 +209,21 @@
 }
 
 type stream struct {
-	body io.ReadCloser
-	sse  *sseReader
+	body   io.ReadCloser
+	events *sse.Reader
 }
 
 // Next implements backend.Stream.
 func (s *stream) Next() (backend.Event, error) {
 	var ev backend.Event
-	data, err := s.sse.next()
+	received, err := s.events.Next()
 	if err != nil {
-		if errors.Is(err, io.EOF) {
+		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
 		}
 		return ev, fmt.Errorf("%w: %v", execution.ErrLost, err)
 	}
-	if err := fastjson.Unmarshal(data, &ev); err != nil {
+	if err := fastjson.Unmarshal(received.Data, &ev); err != nil {
 		return ev, fmt.Errorf("%w: event: %v", execution.ErrLost, err)
 	}
 	return ev, nil
--- a/backend/httpbackend/stream_test.go
+++ b/backend/httpbackend/stream_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/internal/sse"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -42,7 +43,7 @@
 	data, err := json.Marshal(backend.Event{Type: backend.EventToken, RequestID: strings.Repeat("r", 36), Index: 1000, Token: 77, Text: "word "})
 	require.NoError(b, err)
 	line := append(append([]byte("data: "), data...), '\n', '\n')
-	s := &stream{body: io.NopCloser(nil), sse: newSSEReader(&repeat{data: line, n: b.N})}
+	s := &stream{body: io.NopCloser(nil), events: sse.NewReader(&repeat{data: line, n: b.N}, maxEventBytes)}
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
@@ -106,7 +107,7 @@
 	f.Add([]byte("data: {\"type\":\"token\",\"request\":\"r\",\"index\":1}\n\n"))
 	f.Add([]byte(": comment\n\ndata: {}\ndata:"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		s := &stream{body: io.NopCloser(nil), sse: newSSEReader(bytes.NewReader(data))}
+		s := &stream{body: io.NopCloser(nil), events: sse.NewReader(bytes.NewReader(data), maxEventBytes)}
 		for range 1000 {
 			if _, err := s.Next(); err != nil {
 				require.True(t, errors.Is(err, execution.ErrLost))
