client: an event counts only with its empty line

What could be seen: an event of a stream that is cut behind its data counted as received, with its ID, and a marker in a last line without its end as the end of the stream. A response whose JSON is cut was an error whose Ran was empty, which reads like a refusal.

Cause: the reader split lines; a last line without its newline is one too.

Change: the client reads events by internal/sse, and each error after the head has Ran unknown.

A JSON response cut at any byte was an error already. After: each cut of both is an error, with the text and the event ID of the events that are whole.

--- a/client/client.go
+++ b/client/client.go
@@ -4,7 +4,6 @@
 package client
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -13,11 +12,11 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/snowspoke/snowspoke/api"
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/internal/sse"
 )
 
 // Request is one completion request.
@@ -148,14 +147,14 @@
 		return readStream(resp.Body, r, start)
 	}
 	data, err := io.ReadAll(resp.Body)
+	var a response
+	if err == nil {
+		err = json.Unmarshal(data, &a)
+	}
 	if err != nil {
 		r.Ran = apierror.RanUnknown
 		return r, fmt.Errorf("client: %w", err)
 	}
-	var a response
-	if err := json.Unmarshal(data, &a); err != nil {
-		return r, fmt.Errorf("client: %w", err)
-	}
 	r.add(&a)
 	r.Completed = a.Completed
 	return r, nil
@@ -164,29 +163,29 @@
 // errNoMarker is returned for a stream that ends without its completion marker.
 var errNoMarker = errors.New("client: stream ended without its completion marker")
 
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
 // readStream reads events up to the completion marker or an error event.
 func readStream(body io.Reader, r Reply, start time.Time) (Reply, error) {
 	r.Ran = apierror.RanUnknown
-	sc := bufio.NewScanner(body)
-	sc.Buffer(nil, 1<<20)
+	events := sse.NewReader(body, maxEventBytes)
 	last := start
 	id := ""
-	for sc.Scan() {
-		line := sc.Text()
-		if v, ok := strings.CutPrefix(line, "id: "); ok {
-			id = v
-			continue
+	for {
+		ev, err := events.Next()
+		if err != nil {
+			return r, errors.Join(errNoMarker, unlessEOF(err))
 		}
-		data, ok := strings.CutPrefix(line, "data: ")
-		if !ok {
-			continue
+		if ev.ID != nil {
+			id = string(ev.ID)
 		}
-		if data == "[DONE]" {
+		if string(ev.Data) == "[DONE]" {
 			r.Completed = true
 			return r, nil
 		}
 		var a response
-		if err := json.Unmarshal([]byte(data), &a); err != nil {
+		if err := json.Unmarshal(ev.Data, &a); err != nil {
 			return r, fmt.Errorf("client: %w", err)
 		}
 		r.add(&a)
@@ -199,7 +198,13 @@
 		r.EventID = id
 		last = r.recordToken(start, last)
 	}
-	return r, errors.Join(errNoMarker, sc.Err())
+}
+
+func unlessEOF(err error) error {
+	if err == io.EOF {
+		return nil
+	}
+	return err
 }
 
 // recordToken counts a token, records its delay and returns its time.
@@ -256,7 +261,7 @@
 		return Reply{Ran: apierror.RanUnknown}, fmt.Errorf("client: %w", err)
 	}
 	defer resp.Body.Close()
-	r := Reply{RequestID: resp.Header.Get(api.HeaderRequestID)}
+	r := Reply{RequestID: resp.Header.Get(api.HeaderRequestID), Ran: apierror.RanUnknown}
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return r, fmt.Errorf("client: %w", err)
