client: a call whose response ends with its connection is not complete

What could be seen: a response without a length or chunks, as a balancer that speaks HTTP/1.0 passes it on, counted as complete when the connection ended.

Cause: the end of the body was taken for the end of the response; its framing was not looked at.

Change: Call returns an error for a response that is not delimited. Daemons always send a length or chunks to this client.

Before, TestCallEndsWithConnection: "\r\nabc" expected an error, got none (Completed).

--- a/client/client.go
+++ b/client/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/snowspoke/snowspoke/api"
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/internal/sse"
 )
 
@@ -245,8 +246,12 @@
 	}
 }
 
+// errUnframed is returned for a response of a service without a length or chunks.
+var errUnframed = errors.New("client: the response ended with its connection and may be incomplete")
+
 // Call calls a plain service. key is an idempotency key; empty for none. It returns an error
-// if the connection fails before the response ends.
+// if the connection fails before the response ends, or if the response does not show that
+// it is complete.
 func (c *Client) Call(ctx context.Context, method, service, path string, payload []byte, key string) (Reply, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+"/services/"+service+path, bytes.NewReader(payload))
 	if err != nil {
@@ -266,6 +271,9 @@
 	if err != nil {
 		return r, fmt.Errorf("client: %w", err)
 	}
+	if !framing.Of(resp).Delimited() {
+		return r, errUnframed
+	}
 	r.Kind = apierror.Kind(resp.Header.Get(api.HeaderKind))
 	r.Ran = apierror.Ran(resp.Header.Get(api.HeaderRan))
 	if r.Kind == "" {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -42,3 +42,16 @@
 		}
 	}
 }
+
+// Only with a length or chunks does the end of a service's reply show that it is complete.
+func TestCallEndsWithConnection(t *testing.T) {
+	for answer, complete := range map[string]bool{
+		"Content-Length: 3\r\n\r\nabc": true, "Content-Length: 4\r\n\r\nabc": false, "\r\nabc": false,
+		"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n": true, "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n": false,
+	} {
+		r, err := serve(t, answer).Call(t.Context(), http.MethodGet, "s", "/", nil, "")
+		require.Equal(t, complete, err == nil, answer)
+		require.Equal(t, complete, r.Completed, answer)
+		require.Equal(t, complete, r.Ran != apierror.RanUnknown, answer)
+	}
+}
