internal/readall: a body beyond its bound is an error, not a shorter one

What could be seen: a body that is longer than its bound was cut there by an io.LimitReader without a word, so that what is whole before the bound counted as the answer.

Change: readall.AtMost reads one byte more and fails.

Before, TestCutAnswersOfStore with a list and padding beyond 8 MiB: expected ErrUnavailable, got nil and 2 entries. The lists of a decoder and of CBOR were never shorter by this: they don't end before their last bracket.

--- a/backend/httpbackend/engine.go
+++ b/backend/httpbackend/engine.go
@@ -15,6 +15,7 @@
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/internal/readall"
 	"github.com/snowspoke/snowspoke/internal/retryafter"
 	"github.com/snowspoke/snowspoke/internal/sse"
 )
@@ -106,7 +107,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := readall.AtMost(resp.Body, maxResponseBytes)
 	if err != nil {
 		return fmt.Errorf("%w: %v", execution.ErrLost, err)
 	}
--- a/peer/rpc.go
+++ b/peer/rpc.go
@@ -10,6 +10,7 @@
 
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/claims"
+	"github.com/snowspoke/snowspoke/internal/readall"
 )
 
 // Paths of the calls about claims.
@@ -58,7 +59,7 @@
 		return fmt.Errorf("peer: %w", err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCallBytes))
+	body, err := readall.AtMost(resp.Body, maxCallBytes)
 	if err != nil {
 		return fmt.Errorf("peer: %w", err)
 	}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"compress/gzip"
 	"fmt"
-	"io"
 	"math"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/catalog"
+	"github.com/snowspoke/snowspoke/internal/readall"
 	"github.com/snowspoke/snowspoke/store"
 )
 
@@ -102,7 +102,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer: snapshot: %w", err)
 	}
-	raw, err := io.ReadAll(io.LimitReader(r, maxSnapshotBytes))
+	raw, err := readall.AtMost(r, maxSnapshotBytes)
 	if err != nil {
 		return nil, fmt.Errorf("peer: snapshot: %w", err)
 	}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -10,12 +10,12 @@
 	"compress/flate"
 	"context"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/snowspoke/snowspoke/internal/readall"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/store"
 )
@@ -158,7 +158,7 @@
 
 // decompress decodes a compressed frame.
 func (f *frame) decompress() (*frame, error) {
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(f.Packed)), maxFrameBytes))
+	data, err := readall.AtMost(flate.NewReader(bytes.NewReader(f.Packed)), maxFrameBytes)
 	if err != nil {
 		return nil, fmt.Errorf("relay: decompress: %w", err)
 	}
--- a/store/httpstore/client.go
+++ b/store/httpstore/client.go
@@ -9,12 +9,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 
+	"github.com/snowspoke/snowspoke/internal/readall"
 	"github.com/snowspoke/snowspoke/store"
 )
 
@@ -96,7 +96,7 @@
 		return nil, store.CallError(isWrite, err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	data, err := readall.AtMost(resp.Body, limit)
 	if err != nil {
 		return nil, store.CallError(isWrite, err)
 	}
