dispatch: a service's reply that breaks off is not counted as whole

What could be seen: requests_total counted a call of a service as whole once its head had arrived, also if the reply broke off later, and no line of the log told how a reply had ended or how it was framed.

Cause: Services.Do finished the call before its reply was read.

Change: the call is finished when its reply ends: whole, backend_failed, or caller_gone if it was closed before its end, with a finish record that names the framing and the error. The duration now includes the reply.

Before, TestBrokenReplyIsNotCountedAsWhole: expected "backend_failed", actual "whole", and no finish record (0 of 1) in either case.

--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -1,15 +1,20 @@
 package dispatch
 
 import (
+	"errors"
 	"io"
 	"sync"
 )
 
+// errClosed reports that a body was closed before its end, since its receiver has gone.
+var errClosed = errors.New("closed before its end")
+
 // countedBody calls onEnd once: when the body is read to its end, fails or is
-// closed. The argument is false after a read error.
+// closed. The argument is the read error, nil for io.EOF and errClosed if the body was
+// closed before its end.
 type countedBody struct {
 	body  io.ReadCloser
-	onEnd func(complete bool)
+	onEnd func(err error)
 	once  sync.Once
 }
 
@@ -17,13 +22,20 @@
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
 	if err != nil {
-		b.once.Do(func() { b.onEnd(err == io.EOF) })
+		b.once.Do(func() { b.onEnd(unlessEOF(err)) })
 	}
 	return n, err
 }
 
 // Close implements io.Closer.
 func (b *countedBody) Close() error {
-	b.once.Do(func() { b.onEnd(true) })
+	b.once.Do(func() { b.onEnd(errClosed) })
 	return b.body.Close()
 }
+
+func unlessEOF(err error) error {
+	if err == io.EOF {
+		return nil
+	}
+	return err
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -12,6 +12,7 @@
 	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/fleet"
+	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -68,20 +69,37 @@
 // io.EOF means that the answer is incomplete. What io.EOF means depends on its framing,
 // see backend.ServiceReply.
 func (s *Services) Do(ctx context.Context, req *ServiceRequest) (*backend.ServiceReply, error) {
-	began := s.clock()
-	c := &call{s: s, req: req, tried: map[string]bool{}}
-	err := c.run(ctx)
-	kind := "whole"
-	if err != nil {
+	c := &call{s: s, req: req, tried: map[string]bool{}, began: s.clock()}
+	if err := c.run(ctx); err != nil {
 		e := c.Answer(err)
-		kind, err = string(e.Kind), e
-		s.log.Add(decision.Record{
-			Time: s.clock(), Kind: decision.Refuse, RequestID: req.Call.RequestID, Attempt: c.attempt,
-			Workspace: req.Workspace.Name, Subject: req.Service, Reason: e.Error(),
-		})
+		c.finish(decision.Refuse, string(e.Kind), e.Error())
+		return nil, e
+	}
+	return c.reply, nil
+}
+
+// finish logs and counts the end of a call.
+func (c *call) finish(kind decision.Kind, result, reason string) {
+	now := c.s.clock()
+	c.s.log.Add(decision.Record{
+		Time: now, Kind: kind, RequestID: c.req.Call.RequestID, Attempt: c.attempt,
+		Workspace: c.req.Workspace.Name, Subject: c.req.Service, Reason: reason,
+	})
+	c.s.observe.Finished(result, now.Sub(c.began))
+}
+
+// replyEnded finishes a call whose reply has ended; err is nil unless it broke off.
+func (c *call) replyEnded(k endpointKey, f framing.Framing, err error) {
+	closed := errors.Is(err, errClosed)
+	c.s.callEnded(k, err == nil || closed)
+	switch {
+	case err == nil:
+		c.finish(decision.Finish, "whole", fmt.Sprintf("whole, framed by %s", f))
+	case closed:
+		c.finish(decision.Finish, string(apierror.CallerGone), fmt.Sprintf("reply framed by %s: %v", f, err))
+	default:
+		c.finish(decision.Finish, string(apierror.BackendFailed), fmt.Sprintf("reply framed by %s broke off: %v", f, err))
 	}
-	s.observe.Finished(kind, s.clock().Sub(began))
-	return c.reply, err
 }
 
 // call is the state of one call. It implements execution.Sender.
@@ -92,6 +110,7 @@
 	svc     *topology.Service
 	tried   map[string]bool
 	attempt int
+	began   time.Time
 	reply   *backend.ServiceReply
 }
 
@@ -190,7 +209,7 @@
 	reply, err := c.s.client.Call(ctx, backend.Target{BackendServer: e.Name, Address: e.Address}, &c.req.Call)
 	if err == nil {
 		c.MarkRan()
-		reply.Body = &countedBody{body: reply.Body, onEnd: func(complete bool) { c.s.callEnded(k, complete) }}
+		reply.Body = &countedBody{body: reply.Body, onEnd: func(err error) { c.replyEnded(k, reply.Framing, err) }}
 		return reply, c.Transition(execution.Delivered)
 	}
 	c.s.pauses.note(k.String(), c.req.Call.RequestID, err)
--- a/dispatch/service_test.go
+++ b/dispatch/service_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -56,3 +57,40 @@
 		}
 	})
 }
+
+// bodyOnce replies with a body.
+type bodyOnce struct{ body io.Reader }
+
+func (s bodyOnce) Call(context.Context, backend.Target, *backend.ServiceCall) (*backend.ServiceReply, error) {
+	return &backend.ServiceReply{Status: http.StatusOK, Body: io.NopCloser(s.body)}, nil
+}
+
+type finishedObserver struct {
+	noop
+	kind *string
+}
+
+func (o finishedObserver) Finished(kind string, _ time.Duration) { *o.kind += kind }
+
+// A reply that breaks off is not counted as a whole one, and the log says how it ended.
+func TestBrokenReplyIsNotCountedAsWhole(t *testing.T) {
+	snap := topology.NewSnapshot()
+	snap.Services["cards"] = &topology.Service{Name: "cards", Endpoints: []topology.Endpoint{{Name: "a", Address: "a:1"}}}
+	for want, body := range map[string]io.Reader{"whole": strings.NewReader("abc"), "backend_failed": iotest.ErrReader(io.ErrUnexpectedEOF)} {
+		var kind string
+		table, decisions := fleet.NewTable(), decision.New(log.NewNopLogger(), 16)
+		s := NewServices(New(Options{}, Dependencies{
+			Catalog: staticCatalog{snap}, Table: table, Observer: finishedObserver{kind: &kind}, Clock: time.Now,
+			Gate: NewGate(GateOptions{MaxStreams: 10}, table, time.Now), Log: decisions,
+		}), bodyOnce{body})
+		reply, err := s.Do(t.Context(), &ServiceRequest{Workspace: &topology.Workspace{Name: "w"}, Service: "cards"})
+		require.NoError(t, err)
+		_, _ = io.ReadAll(reply.Body)
+		require.NoError(t, reply.Body.Close())
+		require.Equal(t, want, kind)
+		ends := decisions.Find(func(r *decision.Record) bool {
+			return r.Kind == decision.Finish && strings.Contains(r.Reason, "until_close")
+		})
+		require.Len(t, ends, 1)
+	}
+}
