gateway: failing tests of answers until close that the probe takes for complete

A connection that the head's address accepts does not show that the process that answered is still there: a restarted server accepts, and so does a listener that outlives the connections by 5 ms. The other hops are not probed, and a stream that was moved and closes before its next event counts as complete.

--- /dev/null
+++ b/gateway/review_test.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/framing"
+	"github.com/snowspoke/snowspoke/platform/standin"
+)
+
+// door passes connections on to a backend server. Its listener may outlive the server.
+type door struct {
+	net.Listener
+	mu      sync.Mutex
+	to      *standin.Server
+	next    *standin.Server       // takes over once the first one has ended, nil for none
+	onEnd   func(d *door)         // called once, before the first connection that the server closed is closed
+	ended   sync.Once             // for onEnd
+	rewrite func(p []byte) []byte // of what the daemon sends, nil for none
+	answers func(p []byte) []byte // of what the server answers, nil for none
+	interim string                // written before the first bytes of an answer
+}
+
+func openDoor(t *testing.T, to *standin.Server) *door {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &door{Listener: l, to: to}
+	t.Cleanup(func() { _ = l.Close() })
+	return d
+}
+
+// open starts to accept connections, and registers the door as the server's address.
+func (d *door) open(env *testEnv, service, kind string) {
+	r := d.to.Record(service, "domain-1", kind)
+	r["address"] = d.Addr().String()
+	env.store.Set("servers", d.to.ID, r)
+	go func() {
+		for {
+			c, err := d.Accept()
+			if err != nil {
+				return // closed
+			}
+			go d.pass(c)
+		}
+	}()
+}
+
+func (d *door) behind() *standin.Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.next != nil && d.to.Ended() {
+		return d.next
+	}
+	return d.to
+}
+
+func (d *door) pass(c net.Conn) {
+	defer c.Close()
+	up, err := net.Dial("tcp", d.behind().Address())
+	if err != nil {
+		return
+	}
+	defer up.Close()
+	go func() {
+		buf := make([]byte, 64<<10)
+		for {
+			n, err := c.Read(buf)
+			p := buf[:n]
+			if d.rewrite != nil {
+				p = d.rewrite(p)
+			}
+			if _, werr := up.Write(p); err != nil || werr != nil {
+				_ = up.Close()
+				return
+			}
+		}
+	}()
+	var total int
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := up.Read(buf)
+		p := buf[:n]
+		if n > 0 && total == 0 {
+			p = append([]byte(d.interim), p...)
+		}
+		if d.answers != nil {
+			p = d.answers(p)
+		}
+		total += n
+		if _, werr := c.Write(p); werr != nil {
+			return
+		}
+		if err != nil {
+			break
+		}
+	}
+	if total > 0 && d.onEnd != nil {
+		d.ended.Do(func() { d.onEnd(d) })
+	}
+}
+
+// untilCloseDoors starts a daemon before heads that are reached through doors and whose
+// answers end with their connection.
+func untilCloseDoors(t *testing.T, heads int, change func(d *door, s *standin.Server)) (*testDaemon, []*standin.Server) {
+	t.Helper()
+	env := newTestEnv(t)
+	env.putConfig()
+	h, _ := env.pipeline(heads, 1)
+	for _, s := range h {
+		s.Events = untilCloseEvents
+		s.SetFraming(framing.UntilClose)
+		d := openDoor(t, s)
+		change(d, s)
+		d.open(env, "model", "card")
+	}
+	return env.daemon("daemon-1", nil).ready(t, heads+1), h
+}
+
+// requireNotCut requires that a stream is whole or its caller sees that it is not.
+func requireNotCut(t *testing.T, a answer) {
+	t.Helper()
+	if a.Err == nil && a.Status == 200 && a.Body != events(1, untilCloseEvents) {
+		t.Fatalf("a complete answer with the body %q", a.Body)
+	}
+}
+
+// A backend server whose process ends may be restarted at its address at once. The new
+// incarnation accepts connections.
+func TestStreamOfARestartedServerIsNotComplete(t *testing.T) {
+	t.Parallel()
+	d, _ := untilCloseDoors(t, 1, func(d *door, s *standin.Server) {
+		s.AddCuts(standin.Cut{After: len(events(1, 2)), Ends: true})
+		d.next = standin.NewServer("restarted")
+		d.next.Hold(0, 2)
+		t.Cleanup(d.next.Kill)
+	})
+	requireNotCut(t, d.call(t, call{method: "POST", path: "/stream/"}))
+}
+
+// The same for a plain answer.
+func TestAnswerOfARestartedServerIsNotComplete(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.putConfig()
+	s := standin.NewServer("a")
+	t.Cleanup(s.Kill)
+	s.SetFraming(framing.UntilClose)
+	s.AddCuts(standin.Cut{After: 4, Ends: true})
+	front := openDoor(t, s)
+	front.next = standin.NewServer("restarted")
+	t.Cleanup(front.next.Kill)
+	front.open(env, "plain", "")
+	d := env.daemon("daemon-1", nil).ready(t, 1)
+	a := d.call(t, call{method: "POST", path: "/once/", body: "x"})
+	require.NotEqual(t, 200, a.Status, a.Body)
+}
+
+// A process that ends may close its connections shortly before its listener.
+func TestStreamOfAServerThatStopsListeningLaterIsNotComplete(t *testing.T) {
+	t.Parallel()
+	d, _ := untilCloseDoors(t, 1, func(d *door, s *standin.Server) {
+		s.AddCuts(standin.Cut{After: len(events(1, 2)), Ends: true})
+		d.onEnd = func(d *door) { time.AfterFunc(5*time.Millisecond, func() { _ = d.Close() }) }
+	})
+	requireNotCut(t, d.call(t, call{method: "POST", path: "/stream/"}))
+}
+
+// A head may close a stream because another hop has failed, which this daemon does not know
+// yet.
+func TestStreamCutAfterTheEndOfAHopIsNotComplete(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.putConfig()
+	heads, tails := env.pipeline(1, 1)
+	heads[0].Events, heads[0].EventGap = untilCloseEvents, 20*time.Millisecond
+	heads[0].SetFraming(framing.UntilClose)
+	heads[0].AddCuts(standin.Cut{After: len(events(1, 2))})
+	d := env.daemon("daemon-1", nil).ready(t, 2)
+	go func() {
+		for len(heads[0].Runs()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		tails[0].Kill()
+	}()
+	requireNotCut(t, d.call(t, call{method: "POST", path: "/stream/"}))
+}
+
+// A stalled stream that was moved to another path, and closes before its next event, was
+// broken off.
+func TestStreamClosedAfterAMoveIsNotComplete(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.putConfig()
+	heads, tails := env.pipeline(1, 2)
+	head := heads[0]
+	head.Events = untilCloseEvents
+	head.SetFraming(framing.UntilClose)
+	head.AddFaults(standin.StreamStall)
+	head.AddCuts(standin.Cut{After: len(events(1, 2))})
+	front := openDoor(t, head)
+	front.onEnd = func(*door) { time.Sleep(50 * time.Millisecond) } // the order is answered before
+	front.open(env, "model", "card")
+	d := env.daemon("daemon-1", nil).ready(t, 3)
+	go func() {
+		for len(head.Runs()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		for _, tail := range tails {
+			if strings.Contains(head.Runs()[0].Path, tail.Address()) {
+				head.Stall("req-1", tail.Address())
+			}
+		}
+	}()
+	a := d.call(t, call{method: "POST", path: "/stream/"})
+	require.Len(t, head.Orders(), 1, "the stream was moved")
+	requireNotCut(t, a)
+}
