--- a/gateway/review_test.go
+++ b/gateway/review_test.go
@@ -221,3 +221,18 @@
 	require.Len(t, head.Orders(), 1, "the stream was moved")
 	requireNotCut(t, a)
 }
+
+// The answers to streams of a service without an engine also have events, and may end inside
+// one.
+func TestStreamOfAPlainServiceClosedInsideAnEventIsNotComplete(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.config["routes"].([]map[string]any)[2]["service"] = "plain"
+	env.putConfig()
+	s := env.servers("plain", "", "a")[0]
+	s.Events = untilCloseEvents
+	s.SetFraming(framing.UntilClose)
+	s.AddCuts(standin.Cut{After: len(events(1, 2)) + 8})
+	d := env.daemon("daemon-1", nil).ready(t, 1)
+	requireNotCut(t, d.call(t, call{method: "POST", path: "/stream/"}))
+}
