--- a/gateway/review_test.go
+++ b/gateway/review_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"net"
 	"strings"
 	"sync"
@@ -236,3 +237,17 @@
 	d := env.daemon("daemon-1", nil).ready(t, 1)
 	requireNotCut(t, d.call(t, call{method: "POST", path: "/stream/"}))
 }
+
+// A resumed stream that ends before the last event that its caller has was broken off.
+func TestResumedStreamThatEndsBeforeItsStartIsNotComplete(t *testing.T) {
+	t.Parallel()
+	d, heads := untilCloseDoors(t, 1, func(d *door, s *standin.Server) {
+		s.AddCuts(standin.Cut{After: len(events(1, 5)) + 3}, standin.Cut{After: len(events(1, 3))})
+		d.rewrite = func(p []byte) []byte {
+			return bytes.Replace(p, []byte("Last-Event-Id:"), []byte("Xast-Event-Id:"), 1)
+		}
+	})
+	a := d.call(t, call{method: "POST", path: "/stream/"})
+	require.Greater(t, len(heads[0].Runs()), 1, "the stream was resumed")
+	requireNotCut(t, a)
+}
