gateway: failing tests of complete streams until close that never end

A resumed answer until close without an event is always taken for broken off, also from a healthy head.

--- a/gateway/review_test.go
+++ b/gateway/review_test.go
@@ -251,3 +251,38 @@
 	require.Greater(t, len(heads[0].Runs()), 1, "the stream was resumed")
 	requireNotCut(t, a)
 }
+
+// A complete stream whose head ends right after it costs at most one further send.
+func TestStreamThatEndsWithItsHeadIsServedWhole(t *testing.T) {
+	t.Parallel()
+	var first sync.Once
+	d, heads := untilCloseDoors(t, 2, func(d *door, _ *standin.Server) {
+		d.onEnd = func(d *door) { first.Do(func() { _ = d.Close() }) }
+	})
+	a := d.call(t, call{method: "POST", path: "/stream/"})
+	t.Logf("%d runs", totalRuns(heads))
+	require.NoError(t, a.Err)
+	require.Equal(t, events(1, untilCloseEvents), a.Body)
+	require.LessOrEqual(t, totalRuns(heads), 2)
+}
+
+// A stream that is resumed after its last event has nothing more to deliver.
+func TestStreamResumedAfterItsLastEventIsServed(t *testing.T) {
+	t.Parallel()
+	for _, f := range []framing.Framing{framing.Chunked, framing.UntilClose} {
+		t.Run(f.String(), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.putConfig()
+			heads, _ := env.pipeline(1, 1)
+			heads[0].Events = untilCloseEvents
+			heads[0].SetFraming(f)
+			d := env.daemon("daemon-1", nil).ready(t, 2)
+			a := d.call(t, call{method: "POST", path: "/stream/", header: map[string]string{"Last-Event-Id": "20"}})
+			t.Logf("%d runs", len(heads[0].Runs()))
+			require.NoError(t, a.Err)
+			require.Equal(t, 200, a.Status, a.Body)
+			require.Empty(t, a.Body)
+		})
+	}
+}
