gateway: failing test of complete answers of leaving servers that quarantine their request

An answer until close whose server has ended counts as lost, and its server's end as evidence against the request.

--- a/gateway/review_test.go
+++ b/gateway/review_test.go
@@ -286,3 +286,26 @@
 		})
 	}
 }
+
+// Leaving servers that end after complete answers are no evidence against the request.
+func TestEndsOfLeavingServersDoNotQuarantine(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.putConfig()
+	for _, id := range []string{"a", "b"} {
+		s := standin.NewServer(id)
+		t.Cleanup(s.Kill)
+		s.SetFraming(framing.UntilClose)
+		s.Leave()
+		front := openDoor(t, s)
+		front.onEnd = func(d *door) { _ = d.Close() }
+		front.open(env, "plain", "")
+	}
+	d := env.daemon("daemon-1", nil).ready(t, 2)
+	a := d.call(t, call{method: "POST", path: "/plain/", body: "x"})
+	t.Logf("first call: %d %v %q", a.Status, a.Err, a.Body)
+	env.servers("plain", "", "c")
+	d.ready(t, 3)
+	a = d.call(t, call{method: "POST", path: "/plain/", body: "x", id: "req-2"})
+	require.Equal(t, 200, a.Status, a.Body)
+}
