--- a/gateway/review_test.go
+++ b/gateway/review_test.go
@@ -252,6 +252,18 @@
 	requireNotCut(t, a)
 }
 
+// A stream whose events have no IDs cannot be resumed: its events would come twice.
+func TestStreamWithoutEventIDsIsNotResumed(t *testing.T) {
+	t.Parallel()
+	noIDs := func(p []byte) []byte { return bytes.ReplaceAll(p, []byte("id:"), []byte("xd:")) }
+	d, _ := untilCloseDoors(t, 1, func(d *door, s *standin.Server) {
+		s.AddCuts(standin.Cut{After: len(events(1, 2)) + 8})
+		d.answers = noIDs
+	})
+	a := d.call(t, call{method: "POST", path: "/stream/"})
+	require.LessOrEqual(t, strings.Count(a.Body, "data: token 1\n"), 1, "%q", a.Body)
+}
+
 // A complete stream whose head ends right after it costs at most one further send.
 func TestStreamThatEndsWithItsHeadIsServedWhole(t *testing.T) {
 	t.Parallel()
