--- a/gateway/review_test.go
+++ b/gateway/review_test.go
@@ -264,6 +264,23 @@
 	require.LessOrEqual(t, strings.Count(a.Body, "data: token 1\n"), 1, "%q", a.Body)
 }
 
+// An interim answer is not the answer.
+func TestInterimAnswerIsSkipped(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.putConfig()
+	s := standin.NewServer("a")
+	t.Cleanup(s.Kill)
+	front := openDoor(t, s)
+	front.interim = "HTTP/1.1 103 Early Hints\r\nSnowspoke-Request-Id: req-1\r\n\r\n"
+	front.open(env, "plain", "")
+	d := env.daemon("daemon-1", nil).ready(t, 1)
+	a := d.call(t, call{method: "POST", path: "/once/", body: "x"})
+	require.NoError(t, a.Err)
+	require.Equal(t, 200, a.Status)
+	require.Equal(t, "a ran x", a.Body)
+}
+
 // A complete stream whose head ends right after it costs at most one further send.
 func TestStreamThatEndsWithItsHeadIsServedWhole(t *testing.T) {
 	t.Parallel()
