--- a/gateway/review_test.go
+++ b/gateway/review_test.go
@@ -187,7 +187,7 @@
 		for len(heads[0].Runs()) == 0 {
 			time.Sleep(time.Millisecond)
 		}
-		tails[0].Kill()
+		tails[0].End()
 	}()
 	requireNotCut(t, d.call(t, call{method: "POST", path: "/stream/"}))
 }
