--- a/forward/answerend_test.go
+++ b/forward/answerend_test.go
@@ -11,10 +11,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/framing"
+	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/site"
 )
 
-// reachBackends answers each probe with the next result of a script, then with success.
+// reachBackends answers each probe with the next result of a script, then with the last one.
 type reachBackends struct {
 	scriptedBackends
 	results []error
@@ -27,7 +28,7 @@
 		return nil
 	}
 	err := b.results[0]
-	b.results = b.results[1:]
+	b.results = b.results[min(1, len(b.results)-1):]
 	return err
 }
 
@@ -38,6 +39,10 @@
 	return &run{f: f, req: &Request{Route: &site.Route{Kind: kind}}}, site.Path{{Server: f.inv.View().Servers["b0"]}}
 }
 
+func virtually(test func(*testing.T)) func(*testing.T) {
+	return func(t *testing.T) { virtual.Test(t, test) }
+}
+
 // The end of a connection completes an answer only if its backend server has not ended with it.
 func TestEndOfAnAnswer(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -56,16 +61,16 @@
 		"until close, inside an event":    {end: answerEnd{partial: 3}},
 		"until close, server ended":       {kind: site.Safe, probe: errRefused, probes: 1},
 		"until close, once, server ended": {kind: site.Unsafe, probe: errRefused, probes: 1},
-		"until close, no response":        {kind: site.Safe, probe: context.DeadlineExceeded, probes: 1},
-		"until close, once, no response":  {kind: site.Unsafe, probe: context.DeadlineExceeded, complete: true, probes: 1},
+		"until close, no response":        {kind: site.Safe, probe: context.DeadlineExceeded, probes: 16},
+		"until close, once, no response":  {kind: site.Unsafe, probe: context.DeadlineExceeded, complete: true, probes: 16},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(name, virtually(func(t *testing.T) {
 			b := &reachBackends{results: []error{c.probe}}
 			r, path := endedRun(b, c.kind)
 			err := r.checkEnd(t.Context(), path, c.end)
 			require.Equal(t, c.complete, err == nil, "%v", err)
 			require.Equal(t, c.probes, b.probes)
-		})
+		}))
 	}
 }
 
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -126,8 +126,8 @@
 		r.recordSurvival(now)
 		return
 	}
-	if !lostContact(err) {
-		return
+	if !lostContact(err) || errors.Is(err, errServerGone) && r.f.isLeaving(head.ID) {
+		return // a leaving backend server ends after its last answer
 	}
 	since := r.sinceHead(now)
 	stage := r.progress.stage(since)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -310,6 +310,12 @@
 	return !s.Draining && !f.Leaving(s.ID) && (engine == nil || s.Held.Len() > 0) && !f.health.Dead(s.ID, now)
 }
 
+// isLeaving reports whether the end of a backend server is planned, or its record is gone.
+func (f *Forwarder) isLeaving(id string) bool {
+	s := f.inv.View().Servers[id]
+	return s == nil || s.Draining || f.Leaving(id)
+}
+
 // isPaused reports whether a backend server wants no calls from this daemon now.
 func (f *Forwarder) isPaused(id string, now time.Time) bool {
 	return f.availability.Of(id, now).IsPaused()
--- a/forward/live.go
+++ b/forward/live.go
@@ -184,13 +184,10 @@
 // fails, and returns the error.
 func (f *Forwarder) probe(ctx context.Context, s *site.BackendServer) error {
 	_, err := f.probes.get(s.ID, f.reach(ctx, s))
-	return f.noteProbeResult(s, err)
-}
-
-// probeSince is like probe, but connects at a time or later.
-func (f *Forwarder) probeSince(ctx context.Context, s *site.BackendServer, since time.Time) error {
-	_, err := f.probes.getSince(s.ID, since, f.reach(ctx, s))
-	return f.noteProbeResult(s, err)
+	if err != nil {
+		f.markFailed(s, "probe", err, time.Now())
+	}
+	return err
 }
 
 func (f *Forwarder) reach(ctx context.Context, s *site.BackendServer) func() (struct{}, error) {
@@ -199,19 +196,16 @@
 	}
 }
 
-func (f *Forwarder) noteProbeResult(s *site.BackendServer, err error) error {
-	if err != nil {
-		f.markFailed(s, "probe", err, time.Now())
-	}
-	return err
-}
-
 // ask returns a report of a backend server that is at most reportAge old.
 func (f *Forwarder) ask(ctx context.Context, s *site.BackendServer) (Report, error) {
-	return f.reports.get(s.ID, func() (Report, error) {
+	return f.reports.get(s.ID, f.fetchReport(ctx, s))
+}
+
+func (f *Forwarder) fetchReport(ctx context.Context, s *site.BackendServer) func() (Report, error) {
+	return func() (Report, error) {
 		r, err := f.backends.Report(context.WithoutCancel(ctx), s)
 		f.log.Add("ask", "server", s.ID, "address", s.Address, "running", r.Running, "waiting", r.Waiting, "pace", r.Slowdown,
 			"kv_used", int(r.KVUsed), "kv_total", int(r.KVTotal), "stalled", len(r.Stalled), "err", err)
 		return r, err
-	})
+	}
 }
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -107,7 +107,7 @@
 // reserveSend reports whether the request may be sent once more, and takes a retry for that
 // send.
 func (s *stream) reserveSend() bool {
-	return s.r.req.Route.Repeatable() && s.attempt < maxSends && s.r.reserveRetry()
+	return s.r.req.Route.Repeatable() && s.r.canResume() && s.attempt < maxSends && s.r.reserveRetry()
 }
 
 // avoidHop routes the stream around a failed hop. It ends the send if the request is
--- a/forward/review_test.go
+++ b/forward/review_test.go
@@ -4,12 +4,13 @@
 	"context"
 	"os"
 	"testing"
-	"testing/synctest"
+
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/framing"
+	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -38,7 +39,7 @@
 // A connection that times out does not show that the process of a backend server has ended,
 // so it is tried again before a complete answer is discarded.
 func TestTimeoutOfAConnectionDoesNotDiscardAnAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
 		b := &slowToAccept{timeouts: 1}
 		f := plainForwarder(1, b)
 		now := time.Now()
--- a/forward/run.go
+++ b/forward/run.go
@@ -38,6 +38,7 @@
 	headSent        atomic.Bool               // the head of the answer was written to the caller
 	reserved        atomic.Pointer[time.Time] // when a retry was taken for the next send, nil if none
 	lastEvent       string                    // ID of the last event written to the caller
+	unfinished      bool                      // the last send ended before its stream did
 	lastEventAt     time.Time
 	firstEventAfter time.Duration               // from the request to its first event
 	longestPause    time.Duration               // longest pause between two events
@@ -108,12 +109,16 @@
 	if result == execution.NotRunHere && r.headSent.Load() {
 		return r.pauseBegun(ctx) && r.awaitRetry(ctx)
 	}
-	if result == execution.MayHaveRun && r.isQuarantined() {
+	if result == execution.MayHaveRun && (!r.canResume() || r.isQuarantined()) {
 		return false
 	}
 	return r.sends-r.refusals < maxSends && r.awaitRetry(ctx)
 }
 
+// canResume reports whether a further send would not repeat events that the caller has. The
+// events of a stream without IDs cannot be told apart.
+func (r *run) canResume() bool { return !r.headSent.Load() || r.lastEvent != "" }
+
 // Progress implements execution.Sender.
 func (r *run) Progress() string { return fmt.Sprintf("after %d sends", r.sends) }
 
@@ -259,7 +264,7 @@
 	if err != nil && ctx.Err() != nil {
 		return execution.Answered, r.endError(ctx)
 	}
-	if err := r.checkEnd(ctx, t.path, answerEnd{framing: a.Framing, err: err}); err != nil {
+	if err := r.checkEnd(ctx, t.path, answerEnd{framing: a.Framing, partial: r.partialEvent(a, body), err: err}); err != nil {
 		return execution.MayHaveRun, errors.Join(execution.ErrLost, err)
 	}
 	if a.Status < http.StatusInternalServerError {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -176,15 +176,20 @@
 	if ctx.Err() != nil {
 		return execution.Answered, s.r.endError(ctx)
 	}
+	s.r.unfinished = !errors.Is(err, errServerGone)
 	err = withCause(ctx, sctx, fmt.Errorf("%w: %w", errBroken, err))
 	s.r.noteInterruption(err)
 	return execution.MayHaveRun, err
 }
 
 // endOf describes the end of the stream. Only a resumed stream may have no event, if the
-// caller has them all, and only if its framing shows that it is complete.
+// caller has them all. Without a delimited framing it may not if the send before ended
+// before the stream did.
 func (s *stream) endOf(a *Answer, pending []byte, readErr error) answerEnd {
-	end := answerEnd{framing: a.Framing, err: readErr, empty: !s.hasEvents && (s.r.lastEvent == "" || !a.Framing.Delimited())}
+	s.mu.Lock()
+	end := answerEnd{framing: a.Framing, moved: s.moved, err: readErr}
+	s.mu.Unlock()
+	end.empty = !s.hasEvents && (s.r.lastEvent == "" || s.r.unfinished && !a.Framing.Delimited())
 	if isInsideEvent(pending) {
 		end.partial = len(pending)
 	}
@@ -203,7 +208,7 @@
 			break
 		}
 		rest = left
-		s.hasEvents = s.hasEvents || ev.fields
+		s.hasEvents = s.hasEvents || ev.fields && (ev.id == r.lastEvent || after(ev.id, r.lastEvent))
 		if !after(ev.id, r.lastEvent) {
 			continue
 		}
