gateway, internal/untilclose: an incomplete answer to an HTTP/1.0 caller ends with a reset

Callers that speak HTTP/1.0 got the first events of a stream that was broken off, then the end of the connection: nothing told it from a complete answer. The same when the daemon's process was killed in mid-stream. Such an answer has neither a length nor chunks, and both http.ErrAbortHandler and the kernel's close after the death of the process send FIN.

Package untilclose sets the socket to reset on close (SO_LINGER 0) while an HTTP/1.0 request is served. Once the handler has returned and a flush has passed all bytes to the kernel, that is undone, so that the server's own close, also in a planned stop, still delivers them. If the handler aborts or the flush fails, the connection is closed at once. Answers of HTTP/1.1 go past it.

With it all of these pass; -race -count 20 of untilclose, -count 2 of gateway's HTTP10 tests, -count 3 of the killed process.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/snowspoke/snowspoke/availability"
 	"github.com/snowspoke/snowspoke/forward"
 	"github.com/snowspoke/snowspoke/framing"
+	"github.com/snowspoke/snowspoke/internal/untilclose"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/invariant"
 	"github.com/snowspoke/snowspoke/inventory"
@@ -79,6 +80,7 @@
 	quarantine     *quarantine.Registry
 	quarantineSync *quarantineSyncer
 	conns          *callerConns
+	undelimited    untilclose.Guard // of answers to callers
 	callers        *http.Server
 	readiness      *http.Server
 	links          *http.Server // for other daemons
@@ -165,6 +167,7 @@
 		// Errors of the server itself, such as a handler that panicked.
 		ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Error(g.log)), "", 0),
 	}
+	g.undelimited.Protect(g.callers)
 	g.readiness = &http.Server{Handler: http.HandlerFunc(g.ready)}
 	g.admin = &http.Server{Handler: adminHandler(m.Handler(), g)}
 	return g, nil
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -143,6 +143,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection below.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
 // markIdle marks the connection as idle from now on.
 func (c *trackedConn) markIdle() {
 	c.mu.Lock()
