daemon: an incomplete answer to an HTTP/1.0 caller ends with a reset, also over TLS

On our own interface a long reply that its service broke off, and a stream whose daemon crashed, ended for an HTTP/1.0 caller as complete answers do. A stream has its own end ([DONE] or an error event), but a caller that reads to the end of the connection does not look at it, and a service's reply has none.

The callers' server uses untilclose.Guard as the users' face does. Guard.Reset comes before http.Server.Close: tls.Conn.Close sends close_notify, which would end the data in order (server closed, TLS true is red without it; aborted, TLS true is red if the abort leaves the close to the server). Answers kept under an idempotency key get a Content-Length; net/http no longer adds it to short ones, as they are flushed.

Without Protect in daemon.go, on the same tree: TestTruncatedReplyIsResetForHTTP10 (error nil) and TestStreamOfAKilledDaemonIsResetForHTTP10 (error nil) are red. Without the Content-Length but with Protect: TestHTTP10ConnectionIsKeptAfterAKeyedCall is red ("-1" is not positive). With all of it go test ./trial ./daemon ./api passes; trial's HTTP10 tests -race -count 2 as well.

--- a/api/once.go
+++ b/api/once.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
@@ -136,6 +137,9 @@
 	for k, v := range a.Header {
 		w.Header()[k] = v
 	}
+	if len(a.Body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,7 +16,6 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"golang.org/x/net/netutil"
 
 	"github.com/snowspoke/snowspoke/admission"
 	"github.com/snowspoke/snowspoke/api"
@@ -30,6 +29,7 @@
 	"github.com/snowspoke/snowspoke/dispatch"
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/health"
+	"github.com/snowspoke/snowspoke/internal/untilclose"
 	"github.com/snowspoke/snowspoke/invariant"
 	"github.com/snowspoke/snowspoke/lease"
 	"github.com/snowspoke/snowspoke/metrics"
@@ -65,6 +65,7 @@
 	sealer        *dispatch.Sealer
 	claimRegistry *claims.Registry
 	limits        limits
+	undelimited   untilclose.Guard // of answers to callers
 
 	callers   *http.Server
 	operators *http.Server
@@ -170,6 +171,7 @@
 		DefaultDeadline: l.DefaultDeadline, MaxDeadline: l.MaxDeadline,
 	}, d.catalog, disp, services, d.sealer, d.claimRegistry, time.Now)
 	d.callers = d.newServer(callers)
+	d.undelimited.Protect(d.callers)
 	d.operators = d.newServer(api.NewOperators(d, d.metrics.Handler(), d.cfg.Security.OperatorTokenHash))
 }
 
@@ -217,7 +219,7 @@
 		}
 		d.listeners[i] = l
 	}
-	d.listeners[0] = netutil.LimitListener(d.listeners[0], d.cfg.Limits.Connections)
+	d.listeners[0] = newLimitListener(d.listeners[0], d.cfg.Limits.Connections)
 	d.wrapTLS()
 	return nil
 }
@@ -289,6 +291,7 @@
 		err = d.drain()
 	}
 	stopWork()
+	d.undelimited.Reset()
 	_ = d.callers.Close()
 	_ = d.operators.Close()
 	_ = d.peers.Close()
