gateway, trial: tests that a request whose body ends early is not run

Both faces: a length that is not reached, chunks that end inside or before a chunk or before the final line, with and without an idempotency key on our own interface. No fault was found: the tests pass on the code as it is.

Trials on a changed copy: with the error of the body's read ignored, TestTruncatedRequestIsNotRun is red in trial. In gateway the first four cases stay green then, since the read of an early end also cancels the request; the case with an invalid chunk, which cancels nothing, is red (200, run with the truncated body).

--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -125,3 +125,26 @@
 		}
 	}
 }
+
+// A request whose body ends early is not run and gets no answer that looks complete.
+func TestTruncatedRequestIsNotRun(t *testing.T) {
+	for name, c := range map[string]struct{ framing, body string }{
+		"length":         {"Content-Length: 9", "four"},
+		"inside a chunk": {"Transfer-Encoding: chunked", "9\r\nfour"},
+		"before a chunk": {"Transfer-Encoding: chunked", "4\r\nfour\r\n"},
+		"final line":     {"Transfer-Encoding: chunked", "4\r\nfour\r\n0\r\n"},
+		// Read without an end of the connection, which would cancel the request.
+		"invalid chunk": {"Transfer-Encoding: chunked", "4\r\nfour\r\nno\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, servers := newPlainEnv(t)
+			conn := d.dial(t)
+			_, err := io.WriteString(conn, head("POST", "/once/", "short", c.framing)+c.body)
+			require.NoError(t, err)
+			require.NoError(t, conn.CloseWrite())
+			answer, _ := io.ReadAll(conn.r) // the connection may be reset
+			require.Empty(t, answer)
+			require.Zero(t, totalRuns(servers))
+		})
+	}
+}
--- a/trial/input_test.go
+++ b/trial/input_test.go
@@ -1,7 +1,9 @@
 package trial
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -121,3 +123,25 @@
 		require.True(t, reply.Completed)
 	})
 }
+
+// A request whose body ends early is not run.
+func TestTruncatedRequestIsNotRun(t *testing.T) {
+	w := loopbackWorld(t)
+	body := `{"model":"` + Model + `","prompt":"p","max_tokens":3}`
+	for _, path := range []string{"/v1/completions", "/services/" + Service + "/a"} {
+		for _, key := range []string{"", "k"} {
+			for framing, sent := range map[string]string{
+				fmt.Sprint("Content-Length: ", len(body)+1): body,
+				"Transfer-Encoding: chunked":                fmt.Sprintf("%x\r\n%s\r\n", len(body), body),
+			} {
+				c := w.send(t, path, "1.1", sent, framing, api.HeaderKey+": "+key)
+				require.NoError(t, c.CloseWrite())
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				require.NoError(t, err)
+				require.Equal(t, string(apierror.BadRequest), resp.Header.Get(api.HeaderKind))
+				require.Zero(t, w.Fleet.Ledger.Executions(resp.Header.Get(api.HeaderRequestID)))
+				require.Zero(t, w.Fleet.Ledger.Calls(body))
+			}
+		}
+	}
+}
