quota, forward: a backend server with a limit and without requests gets a trial

Two heads name a limit until second 8. The end of b's is found by the first call there, 12 to 112 ms later, and told to all. From then on every request, 27 to 29 in the second, takes b: it has few streams and is the fastest, so it is the cheapest path. None goes to the other head, a, although its permits lie unused from 0.3 s on. No stale report, no repeated report and no refused permit is involved.

Cause: only the answer to a request shows that a limit has ended, and nothing sees to it that there is one. The pool allows 0.75 calls a second at any limit, but the choice of paths does not use them where other paths are cheaper. A limit without requests is then known for as long as that lasts, and the first burst that needs the head is refused for it.

Change: a first send asks for a trial of a backend server with a limit whose limit no answer to this daemon has stated for 0.5 s. The pool, which knows the permits of all daemons, grants it within the limit, and only if it has granted no request there for 0.5 s; reports and orders do not count, since they end no limit. Daemons ask at 25 ms times their number, at random, so 40 times a second together. A trial keeps to paths with capacity inside one failure domain; a denied one takes the ordinary choice and delays no caller. kind=limit_trial logs it. A daemon that does not know the new field of the request for a permit decides as on any other call.

TestTrialIsGrantedToAnIdleServerOnly, TestDeniedTrialDelaysNoCaller, TestTrialOfAPlainServer, TestTrialIsDecidedByTheAllocator, TestRequiredFirstHop.

Conclusion: the end of a limit no longer depends on whether a path leads there.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -128,6 +128,7 @@
 	sends      *quota.Sends
 	permits    Permits
 	denials    *quota.Denials
+	trials     *limitTrials
 
 	availability *availability.Table
 	ignored      ignoredHeaders
@@ -159,7 +160,7 @@
 		d.Permits = localPermits{quota.NewPool(localDaemonName, d.Limits, d.Sends), localDaemonName}
 	}
 	f := &Forwarder{
-		limits: d.Limits, sends: d.Sends, permits: d.Permits, denials: quota.NewDenials(), quarantine: d.Quarantine, stalls: d.Stalls, deadlines: newDeadlines(),
+		limits: d.Limits, sends: d.Sends, permits: d.Permits, denials: quota.NewDenials(), trials: newLimitTrials(), quarantine: d.Quarantine, stalls: d.Stalls, deadlines: newDeadlines(),
 		started: time.Now(), opts: o, inv: d.Inventory, fleet: d.Fleet, log: d.Log, observer: d.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
@@ -238,6 +239,7 @@
 	f.reports.prune(known)
 	f.probes.prune(known)
 	f.silences.prune(known)
+	f.trials.prune(known)
 	f.quarantine.Forget(time.Now())
 	exists := func(id string) bool { return known[id] != nil }
 	f.limits.Forget(exists, boottime.Now())
--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -289,6 +289,78 @@
 	}
 }
 
+// A head with a limit gets requests from time to time although other paths are cheaper,
+// and the end of its limit is known within a second.
+func TestLimitOfAHeadWithoutRequestsEnds(t *testing.T) {
+	const (
+		head     = "a-middle-0"
+		rate     = 20.0
+		interval = 100 * time.Millisecond // of requests
+		length   = 6 * time.Second
+		idle     = 500 * time.Millisecond // between two trials
+	)
+	virtual.Test(t, func(t *testing.T) {
+		l := newLimitedLab(8)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { l.share(ctx) })
+		wg.Go(func() { l.propagate(ctx) })
+		n := 0
+		call := func(length time.Duration) {
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(interval) {
+				n++
+				number := n
+				wg.Go(func() { l.request(number) })
+			}
+		}
+		l.named[head] = rate
+		l.forward[0].ApplyStatement(Statement{Server: head, Call: CallReport, Limit: StatedLimit{Stated: true, Rate: rate}, SentAt: boottime.Now()})
+		call(length)
+		l.mu.Lock()
+		calls := len(l.sends[head])
+		clear(l.named)
+		l.mu.Unlock()
+		call(time.Second)
+		for _, limits := range l.limits {
+			assert.Zero(t, limits.Size())
+		}
+		t.Logf("%d calls in %v", calls, length)
+		assert.LessOrEqual(t, calls, int(length/idle), "all other requests take the cheaper paths")
+		assert.GreaterOrEqual(t, calls, int(length/idle)/2)
+		cancel()
+		wg.Wait()
+	})
+}
+
+// A trial of a plain backend server is the first send of a request and respects pauses.
+func TestTrialOfAPlainServer(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		f := plainForwarder(2, &scriptedBackends{})
+		pool := quota.NewPool(localDaemonName, f.limits, f.sends)
+		pool.SetFleet([]string{localDaemonName}, boottime.Now())
+		f.permits = localPermits{pool, localDaemonName}
+		f.ApplyStatement(Statement{Server: "b1", Call: CallReport, Limit: StatedLimit{Stated: true, Rate: 20}, SentAt: boottime.Now()})
+		newRun := func() *run {
+			time.Sleep(2 * limitIdle)
+			return &run{f: f, req: &Request{ID: "r", Service: "cards", Route: &site.Route{MaxAttempts: 2}}}
+		}
+		for range 2 { // schedules the first trial, and begins the count of requests
+			require.Nil(t, newRun().limitTrial(context.Background()))
+		}
+		trial := newRun().limitTrial(context.Background())
+		require.NotNil(t, trial)
+		require.Equal(t, "b1", trial.head().ID)
+		require.True(t, trial.permitted)
+		again := newRun()
+		again.tried.add("b0")
+		require.Nil(t, again.limitTrial(context.Background()), "not the first send")
+		f.pause("b1", time.Minute)
+		require.Nil(t, newRun().limitTrial(context.Background()))
+		time.Sleep(time.Minute)
+		require.NotNil(t, newRun().limitTrial(context.Background()))
+	})
+}
+
 // Reports leave the capacity of a limit to requests; orders precede both.
 func TestReportsLeaveTheLimitToRequests(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
--- a/forward/metered.go
+++ b/forward/metered.go
@@ -26,14 +26,6 @@
 	return errors.Is(err, ErrNoPermit) || errors.Is(err, ErrNotAccepting)
 }
 
-// Priorities of calls other than requests. Orders are few and precede all requests,
-// because requests in progress depend on them. Reports come last, because the many reports
-// on stalled streams would use up the limit.
-const (
-	orderPriority  = -1
-	reportPriority = 1 << 10
-)
-
 // metered counts all calls of this daemon to backend servers, and makes none that CheckCall
 // forbids. It takes permits for reports and orders to a server with a limit; the permit for
 // a request is taken before Send. A connection alone is not a call. It implements Backends.
@@ -86,9 +78,9 @@
 		f.sends.Add(server, boottime.Now())
 		return nil
 	}
-	priority := reportPriority
+	priority := quota.ReportPriority
 	if call == CallOrder {
-		priority = orderPriority
+		priority = quota.OrderPriority
 	}
 	d := f.permits.Permit(ctx, quota.PermitRequest{Servers: []string{server}, Class: quota.Class{Priority: priority}})
 	if !d.Granted {
--- a/forward/permit.go
+++ b/forward/permit.go
@@ -11,6 +11,7 @@
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/quota"
+	"github.com/snowspoke/snowspoke/site"
 )
 
 // A request is sent to a backend server with a limit only with a permit of the fleet, see
@@ -49,12 +50,7 @@
 // permit takes a permit for each hop of a target that has a limit. If a hop is denied, it
 // returns false, and the hop then counts as full for the request's class.
 func (r *run) permit(ctx context.Context, t *target) bool {
-	var limited []string
-	for _, h := range t.path {
-		if _, known := r.f.limits.Of(h.Server.ID); known {
-			limited = append(limited, h.Server.ID)
-		}
-	}
+	limited := r.f.limitedHops(t.path)
 	if len(limited) == 0 {
 		return true
 	}
@@ -71,6 +67,17 @@
 	return false
 }
 
+// limitedHops returns the IDs of the hops of a path that have limits, in order.
+func (f *Forwarder) limitedHops(p site.Path) []string {
+	var limited []string
+	for _, h := range p {
+		if _, known := f.limits.Of(h.Server.ID); known {
+			limited = append(limited, h.Server.ID)
+		}
+	}
+	return limited
+}
+
 // withoutDenied removes the backend servers that count as full for the request's class. It
 // returns the earliest time at which one of these is available again, the zero time if none
 // was removed.
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -17,6 +17,9 @@
 // pick returns a target for the next send. If there is none, it polls for one until the
 // time that holdUntil returns.
 func (r *run) pick(ctx context.Context) (*target, error) {
+	if t := r.limitTrial(ctx); t != nil {
+		return t, nil
+	}
 	began := time.Now()
 	var until time.Time
 	for {
--- a/permit/allocator.go
+++ b/permit/allocator.go
@@ -114,7 +114,7 @@
 }
 
 func (l *contributor) decide(ctx context.Context, in *permitRequest) error {
-	request := quota.PermitRequest{Servers: in.Servers, Class: quota.Class{Priority: in.Priority, Workspace: in.Workspace}}
+	request := quota.PermitRequest{Servers: in.Servers, Class: quota.Class{Priority: in.Priority, Workspace: in.Workspace}, IdleFor: in.IdleFor}
 	d := l.node.opts.Pool.Decide(l.name, request, boottime.Now())
 	return writeFrame(ctx, l.conn, &frame{Decision: &decision{Number: in.Number, Granted: d.Granted, Server: d.Server, After: d.After, RetryAfter: d.RetryAfter}})
 }
--- a/permit/follow.go
+++ b/permit/follow.go
@@ -267,7 +267,7 @@
 	a.mu.Unlock()
 	ctx, cancel := a.node.opts.Stalls.WithTimeout(ctx, decisionTimeout)
 	defer cancel()
-	err := writeFrame(ctx, a.conn, &frame{Request: &permitRequest{Number: number, Servers: r.Servers, Priority: r.Class.Priority, Workspace: r.Class.Workspace}})
+	err := writeFrame(ctx, a.conn, &frame{Request: &permitRequest{Number: number, Servers: r.Servers, Priority: r.Class.Priority, Workspace: r.Class.Workspace, IdleFor: r.IdleFor}})
 	if err == nil {
 		select {
 		case d := <-q.decided:
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -159,6 +159,26 @@
 	require.LessOrEqual(t, got, int64(rate*2+5))
 }
 
+// A trial is decided by the requests of all daemons.
+func TestTrialIsDecidedByTheAllocator(t *testing.T) {
+	t.Parallel()
+	f := newRealFleet(t, 2)
+	first := f.first()
+	f.waitForLinks(t, first, []int{0, 1})
+	other := 1 - first
+	f.stateLimit(other, 20)
+	request := quota.PermitRequest{Servers: []string{"s"}, Class: quota.Class{Workspace: "w"}}
+	require.Eventually(t, func() bool { return f.nodes[first].Permit(context.Background(), request).Granted }, 5*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return f.nodes[other].Permit(context.Background(), request).Granted }, 5*time.Second, 10*time.Millisecond)
+	trial := request
+	trial.IdleFor = time.Hour
+	d := f.nodes[other].Permit(context.Background(), trial)
+	require.False(t, d.Granted)
+	require.Greater(t, d.After, time.Hour/2)
+	trial.IdleFor = time.Millisecond
+	require.Eventually(t, func() bool { return f.nodes[other].Permit(context.Background(), trial).Granted }, 5*time.Second, 10*time.Millisecond)
+}
+
 func TestLimitReportsRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := boottime.Now()
--- a/permit/wire.go
+++ b/permit/wire.go
@@ -76,6 +76,9 @@
 	Servers   []string `cbor:"2,keyasint"`
 	Priority  int      `cbor:"3,keyasint"`
 	Workspace string   `cbor:"4,keyasint,omitempty"`
+	// IdleFor is that of a quota.PermitRequest. An allocator that does not know the field
+	// decides as on any other call.
+	IdleFor time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // decision answers the permitRequest with the same number.
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -56,6 +56,8 @@
 	Head *site.BackendServer
 	// HeadLayers are the layers that Head already runs for the request.
 	HeadLayers site.Range
+	// First is the first hop of a new path, nil for any.
+	First *site.BackendServer
 	// Keep maps the ID of each backend server that still holds the request's memory
 	// to the layers that it has run.
 	Keep map[string]site.Range
--- a/pipeline/choose_test.go
+++ b/pipeline/choose_test.go
@@ -47,6 +47,19 @@
 	require.Equal(t, "fast0", head(), "a wait counts only at the first hop")
 }
 
+// A path begins at the required first hop even if others are cheaper.
+func TestRequiredFirstHop(t *testing.T) {
+	e := choiceEngine()
+	cs := twoPipelines(e)
+	q := &Query{Engine: e, Tokens: Tokens{Prompt: 500, Answer: 100}, First: cs[2].Server}
+	c, err := Choose(q, cs, nil)
+	require.NoError(t, err)
+	require.Equal(t, "slow0", c.Path[0].Server.ID)
+	require.NoError(t, c.Path.CheckTiling(e.Layers))
+	_, err = Choose(q, cs[:2], nil)
+	require.ErrorIs(t, err, ErrNoPath)
+}
+
 // A path avoids a slow server if a faster one holds the same layers.
 func TestSlowServerIsBypassed(t *testing.T) {
 	e := choiceEngine()
--- a/pipeline/search.go
+++ b/pipeline/search.go
@@ -129,6 +129,9 @@
 			}
 			continue
 		}
+		if q.First != nil && s.ID != q.First.ID {
+			continue
+		}
 		if !s.Held.Has(0) || s.Slots > 0 && cs[i].Load.Heads >= float64(s.Slots) {
 			continue
 		}
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -10,10 +10,21 @@
 
 // Class groups calls by priority and workspace.
 type Class struct {
-	Priority  int // 0 is the most urgent
+	Priority  int // 0 is the most urgent of requests
 	Workspace string
 }
 
+// Priorities of calls other than requests. Orders are few and precede all requests,
+// because requests in progress depend on them. Reports come last, because the many reports
+// on stalled streams would use up the limit.
+const (
+	OrderPriority  = -1
+	ReportPriority = 1 << 10
+)
+
+// isRequest reports whether the calls of the class are requests.
+func (c Class) isRequest() bool { return c.Priority > OrderPriority && c.Priority < ReportPriority }
+
 // Bounds of a bucket.
 const (
 	// activePeriod is how long a class counts as active after a request.
@@ -42,6 +53,7 @@
 // credit while the bucket holds calls that no class has saved.
 type bucket struct {
 	updatedAt time.Time // of the last accrual
+	requestAt time.Time // of the last request, or of the creation
 	rate      float64   // calls a second
 	calls     float64   // available now
 	burst     float64   // maximum of calls
@@ -56,7 +68,9 @@
 	denied  slidingCount
 }
 
-func newBucket(calls float64, now time.Time) *bucket { return &bucket{updatedAt: now, calls: calls} }
+func newBucket(calls float64, now time.Time) *bucket {
+	return &bucket{updatedAt: now, requestAt: now, calls: calls}
+}
 
 // accrue adds the calls due since the last accrual, or since held, the time from which
 // this daemon holds its own part, if that is later.
@@ -151,11 +165,19 @@
 // take removes one call for a class for which allows returned true.
 func (b *bucket) take(c Class) {
 	b.calls--
+	if c.isRequest() {
+		b.requestAt = b.updatedAt
+	}
 	s := b.of(c, b.updatedAt)
 	s.calls = max(minCredit, s.calls-1)
 }
 
-func (b *bucket) deny(c Class, now time.Time) { b.of(c, now).denied.add(now) }
+// deny counts a denied request. A denied trial takes another path, so no caller returns for it.
+func (b *bucket) deny(r *PermitRequest, now time.Time) {
+	if r.IdleFor == 0 {
+		b.of(r.Class, now).denied.add(now)
+	}
+}
 
 // due returns the time until a class may make a call if all active classes continue to
 // request calls.
--- a/quota/limits_test.go
+++ b/quota/limits_test.go
@@ -40,3 +40,50 @@
 	require.Zero(t, s.Recent("s", now.Add(Window+slot)))
 	require.Zero(t, s.Recent("other", now))
 }
+
+// A trial is granted once its backend server has had no request for a time, within the
+// limit. Reports and orders do not count as requests.
+func TestTrialIsGrantedToAnIdleServerOnly(t *testing.T) {
+	const idle = 500 * time.Millisecond
+	limits, now := NewLimits(), t0
+	limits.Apply(LimitReport{Server: "s", Stated: true, Rate: 20, SentAt: now, At: now})
+	pool := NewPool("d", limits, NewSends())
+	pool.SetFleet([]string{"d"}, now)
+	decide := func(after time.Duration, priority int, idleFor time.Duration) Decision {
+		now = now.Add(after)
+		return pool.Decide("d", PermitRequest{Servers: []string{"s"}, Class: Class{Priority: priority}, IdleFor: idleFor}, now)
+	}
+	granted := func(after time.Duration, priority int, idleFor time.Duration) bool {
+		return decide(after, priority, idleFor).Granted
+	}
+	require.False(t, granted(0, 0, idle), "the pool has just begun to grant")
+	require.True(t, granted(idle, 0, idle))
+	require.False(t, granted(idle/2, 0, idle))
+	require.True(t, granted(0, 0, 0), "a request")
+	require.Equal(t, Decision{Server: "s", After: idle / 2, RetryAfter: idle / 2}, decide(idle/2, 0, idle))
+	require.True(t, granted(0, ReportPriority, 0))
+	require.True(t, granted(0, OrderPriority, 0))
+	require.True(t, granted(idle/2, 0, idle))
+}
+
+// A trial of a server without calls left is denied, and does not delay callers.
+func TestDeniedTrialDelaysNoCaller(t *testing.T) {
+	const idle = 500 * time.Millisecond
+	limits, now := NewLimits(), t0
+	limits.Apply(LimitReport{Server: "s", Stated: true, Rate: 0, SentAt: now, At: now})
+	pool := NewPool("d", limits, NewSends())
+	pool.SetFleet([]string{"d"}, now)
+	decide := func(idleFor time.Duration) Decision {
+		return pool.Decide("d", PermitRequest{Servers: []string{"s"}, IdleFor: idleFor}, now)
+	}
+	require.False(t, decide(idle).Granted)
+	now = now.Add(2 * time.Second)
+	require.True(t, decide(idle).Granted)
+	now = now.Add(idle)
+	for range 20 {
+		require.False(t, decide(idle).Granted)
+	}
+	d := decide(0)
+	require.False(t, d.Granted)
+	require.Less(t, d.RetryAfter, maxRetryAfter)
+}
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -50,6 +50,9 @@
 type PermitRequest struct {
 	Servers []string // incarnations
 	Class   Class
+	// IdleFor makes the request a trial of the first server: it is granted only if the pool
+	// has granted no request to that server for this time. 0 for other calls.
+	IdleFor time.Duration
 }
 
 // Decision answers a permit request.
@@ -196,14 +199,17 @@
 	}
 	var limited []*bucket
 	var servers []string
-	for _, server := range r.Servers {
+	for i, server := range r.Servers {
 		limit, known := p.limits.Of(server)
 		if !known {
 			continue
 		}
 		b := p.bucket(server, now)
+		if left := r.IdleFor - now.Sub(b.requestAt); i == 0 && r.IdleFor > 0 && left > 0 {
+			return Decision{Server: server, After: left, RetryAfter: left}
+		}
 		b.accrue(limit.Rate, share, p.heldSince(now), now)
-		if d := p.decide(b, server, limit.Rate, share, r.Class, now); !d.Granted {
+		if d := p.decide(b, server, limit.Rate, share, &r, now); !d.Granted {
 			return d
 		}
 		limited, servers = append(limited, b), append(servers, server)
@@ -215,17 +221,18 @@
 	return Decision{Granted: true}
 }
 
-func (p *Pool) decide(b *bucket, server string, limit, share float64, c Class, now time.Time) Decision {
+func (p *Pool) decide(b *bucket, server string, limit, share float64, r *PermitRequest, now time.Time) Decision {
+	c := r.Class
 	if share == 0 {
 		after := max(minWait, p.contributedUntil.Sub(now))
 		return Decision{Server: server, After: after, RetryAfter: after}
 	}
 	if sent := p.sent(server, now); float64(sent+1) > max(1, share*windowOf(limit)) {
-		b.deny(c, now)
+		b.deny(r, now)
 		return Decision{Server: server, After: windowRetryInterval, RetryAfter: max(windowRetryInterval, b.retryAfter(c, now))}
 	}
 	if !b.allows(c, now) {
-		b.deny(c, now)
+		b.deny(r, now)
 		return Decision{Server: server, After: b.due(c, now), RetryAfter: b.retryAfter(c, now)}
 	}
 	return Decision{Granted: true}
