platform: an answer to another request that ends with its connection is not read to its end

No answer follows it on that connection, and a server that does not close held the request for its whole time (1.5 s on a route of 1.5 s). The request fails at once now.

--- a/forward/run.go
+++ b/forward/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/internal/readall"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/site"
@@ -257,10 +257,7 @@
 // relayComplete buffers an answer and writes it to the caller. It writes a server error
 // only if the request cannot be repeated or no retry is left.
 func (r *run) relayComplete(ctx context.Context, t *target, a *Answer) (execution.Result, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errTooLong
-	}
+	body, err := readall.AtMost(a.Body, maxAnswerBytes)
 	if err != nil && ctx.Err() != nil {
 		return execution.Answered, r.endError(ctx)
 	}
@@ -294,7 +291,6 @@
 var (
 	errUnsigned = errors.New("forward: answer without a signature")
 	errFailed   = errors.New("forward: backend server failed the request")
-	errTooLong  = errors.New("forward: answer is too long to be collected")
 )
 
 // mayRepeat reports whether a failed request may be sent to another backend server. It does
--- a/gateway/until_close_test.go
+++ b/gateway/until_close_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -76,3 +77,20 @@
 		})
 	}
 }
+
+// An answer to another request that ends with its connection is not waited for.
+func TestForeignAnswerUntilCloseIsGivenUp(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.putConfig()
+	s := standin.NewServer("a")
+	t.Cleanup(s.Kill)
+	front := openDoor(t, s)
+	front.interim = "HTTP/1.1 200 OK\r\nSnowspoke-Request-Id: other\r\n\r\n"
+	front.open(env, "plain", "")
+	d := env.daemon("daemon-1", nil).ready(t, 1)
+	began := time.Now()
+	a := d.call(t, call{method: "POST", path: "/once/", body: "x"})
+	require.Equal(t, 502, a.Status)
+	require.Less(t, time.Since(began), time.Second)
+}
