stall: a test waits for its timer through a channel

Seen: TestStallBeforeTheFirstHeartbeatIsDetected fails under the race detector, "race detected during execution of test": the timer's goroutine writes a variable that the test reads after a sleep, which orders nothing.

Change: the time of the expiry comes through a channel. The check is the same.

--- a/stall/stall_test.go
+++ b/stall/stall_test.go
@@ -55,13 +55,13 @@
 		m.Start()
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		ended := began
-		timer := m.AfterFunc(delay, func() { ended = time.Now() })
+		ended := make(chan time.Time, 1)
+		timer := m.AfterFunc(delay, func() { ended <- time.Now() })
 		defer timer.Stop()
 		time.AfterFunc(delay, func() { m.Run(ctx) })
 		time.Sleep(2 * time.Second)
 		require.Equal(t, delay, m.StallTime(began, time.Now()))
-		require.GreaterOrEqual(t, ended.Sub(began), 2*delay, "the time-out does not count the stall")
+		require.GreaterOrEqual(t, (<-ended).Sub(began), 2*delay, "the time-out does not count the stall")
 	})
 }
 
