forward: whether a stream can be resumed is read without a race

The check of a silent stream, on a timer, read the ID of the last event while the stream wrote it: one DATA RACE report in a whole run of go test -race ./gateway. An atomic flag now says that the caller has events without IDs. go test -race ./forward (streams) and ./gateway -run EventIDs pass.

--- a/forward/run.go
+++ b/forward/run.go
@@ -36,6 +36,7 @@
 	retryTakenAt    time.Time // when a retry was taken for the last send, zero if none was
 	tracker         execution.Tracker
 	headSent        atomic.Bool               // the head of the answer was written to the caller
+	unnumbered      atomic.Bool               // the caller has events, none of them with an ID
 	reserved        atomic.Pointer[time.Time] // when a retry was taken for the next send, nil if none
 	lastEvent       string                    // ID of the last event written to the caller
 	unfinished      bool                      // the last send ended before its stream did
@@ -115,9 +116,8 @@
 	return r.sends-r.refusals < maxSends && r.awaitRetry(ctx)
 }
 
-// canResume reports whether a further send would not repeat events that the caller has. The
-// events of a stream without IDs cannot be told apart.
-func (r *run) canResume() bool { return !r.headSent.Load() || r.lastEvent != "" }
+// canResume reports whether a further send would not repeat events that the caller has.
+func (r *run) canResume() bool { return !r.unnumbered.Load() }
 
 // Progress implements execution.Sender.
 func (r *run) Progress() string { return fmt.Sprintf("after %d sends", r.sends) }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -215,6 +215,7 @@
 		if ev.id != "" {
 			r.lastEvent = ev.id
 		}
+		r.unnumbered.Store(ev.fields && r.lastEvent == "")
 		out = append(out, ev.raw...)
 	}
 	if len(out) == 0 {
