gateway: a suspension may end a stream before its first event

TestDeadlinesAndLeaseExpireDuringSuspension failed once in a whole run beside load: no error of an incomplete stream. With a first event after 300 ms it fails each time, with status 504 and the body deadline_while_running: the suspension came before the head of the answer was written, and the caller got a failure's status instead of an abort. Both are no complete answer; the test takes either and shows the status.

--- a/gateway/suspend_test.go
+++ b/gateway/suspend_test.go
@@ -56,7 +56,8 @@
 	_, held := d.leases.Held()
 	require.False(t, held, "others may hold the lease by now")
 	a := <-answers
-	require.Error(t, a.Err, "an incomplete answer does not look complete")
+	refused := a.Status == http.StatusGatewayTimeout // if no event was sent yet
+	require.True(t, a.Err != nil || refused, "an incomplete answer does not look complete: status %d", a.Status)
 	require.Less(t, time.Since(began), 3*time.Second)
 }
 
