--- a/soak/availability_test.go
+++ b/soak/availability_test.go
@@ -70,7 +70,7 @@
 // addLike adds a backend server of the same kind as another one.
 func (f *faults) addLike(old *sitetrial.Server, id string) {
 	srv := standin.NewServer(id)
-	srv.Events, srv.EventGap = streamEvents, streamGap
+	srv.BehaveLike(old.Server)
 	if from, to := old.Held(); to > 0 {
 		srv.Hold(from, to)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/platform/sitetrial"
 	"github.com/snowspoke/snowspoke/platform/standin"
 )
@@ -269,6 +270,7 @@
 	t.Cleanup(site.Close)
 	for _, srv := range site.Servers() {
 		srv.Events, srv.EventGap = streamEvents, streamGap
+		srv.SetFraming(framing.Framing(r.IntN(3)))
 	}
 	var all []*process
 	for i := range *daemons {
@@ -288,7 +290,7 @@
 	var wg sync.WaitGroup
 	for i := range 3 * len(all) {
 		cr := rand.New(rand.NewPCG(seed, uint64(i+2)))
-		wg.Go(func() { keepCalling(ctx, callers, all, cr) })
+		wg.Go(func() { keepCalling(ctx, callers, all, cr, i%3 == 0) })
 	}
 	wg.Go(func() { f.reportLimits(ctx, rand.New(rand.NewPCG(seed, 0))) })
 	wg.Go(func() { f.pauseServers(ctx, rand.New(rand.NewPCG(seed, 1<<32))) })
@@ -311,14 +313,18 @@
 	require.Positive(t, served)
 }
 
-// keepCalling sends requests to random daemons until ctx ends, over keep-alive
-// connections.
-func keepCalling(ctx context.Context, c *sitetrial.Callers, all []*process, r *rand.Rand) {
+// keepCalling sends requests to random daemons until ctx ends, over keep-alive connections.
+// A caller that stays leaves a daemon only after a failure, such as the end of its process.
+func keepCalling(ctx context.Context, c *sitetrial.Callers, all []*process, r *rand.Rand, stays bool) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	var p *process
+	var err error
 	for ctx.Err() == nil {
-		p := all[r.IntN(len(all))]
+		if p == nil || err != nil || !stays {
+			p = all[r.IntN(len(all))]
+		}
 		for range 1 + r.IntN(5) {
-			c.Send(context.WithoutCancel(ctx), client, p.callers, r)
+			err = c.Send(context.WithoutCancel(ctx), client, p.callers, r)
 		}
 		time.Sleep(time.Duration(r.IntN(40)) * time.Millisecond)
 	}
@@ -360,6 +366,7 @@
 		{"store restored from a copy", f.restoreStore},
 		{"configuration", func() { f.site.AddRoute() }},
 		{"backend server faults", f.failAnswers},
+		{"backend server cuts answers", f.cutAnswers},
 		{"backend server leaves", f.replaceServer},
 		{"backend server restarts", f.restartServer},
 		{"backend server states that it leaves", f.leaveByHeader},
@@ -430,6 +437,34 @@
 	}
 }
 
+// cutAnswers makes a backend server cut its next answers: at a random byte by a reset or by
+// the end of its process, or inside an event by closing the connection. Nothing tells a caller
+// of an answer until close that was cut elsewhere, by a server that still listens.
+func (f *faults) cutAnswers() {
+	all := f.site.Servers()
+	srv := all[f.r.IntN(len(all))]
+	length, ends := len("body of")+len(srv.ID), 2
+	if srv.Kind != "" {
+		length, ends = len(standin.Events(1, streamEvents)), 3
+	}
+	for range 1 + f.r.IntN(4) {
+		cut := standin.Cut{After: f.r.IntN(length)}
+		switch f.r.IntN(ends) {
+		case 0:
+			cut.Reset = true
+		case 1:
+			cut.Ends = true
+		case 2:
+			cut.InEvent = true
+		}
+		srv.AddCuts(cut)
+	}
+	f.active.Go(func() {
+		time.Sleep(time.Second)
+		f.site.RestartEnded(time.Now())
+	})
+}
+
 // replaceServer replaces a backend server with a new one of the same kind.
 func (f *faults) replaceServer() {
 	all := f.site.Servers()
@@ -438,10 +473,16 @@
 	f.site.Remove(old)
 }
 
-// restartServer kills a backend server and restarts it with the same ID.
+// restartServer ends a backend server, whose connections are reset or closed, and restarts it
+// with the same ID.
 func (f *faults) restartServer() {
 	all := f.site.Servers()
-	all[f.r.IntN(len(all))].Kill()
+	srv := all[f.r.IntN(len(all))]
+	if f.r.IntN(2) == 0 {
+		srv.Kill()
+	} else {
+		srv.End()
+	}
 	f.active.Go(func() {
 		time.Sleep(300 * time.Millisecond)
 		f.site.RestartEnded(time.Now())
@@ -482,6 +523,10 @@
 // heal waits for the faults that end by themselves and clears the others.
 func (f *faults) heal() {
 	f.active.Wait()
+	for _, srv := range f.site.Servers() {
+		srv.ClearCuts()
+	}
+	f.site.RestartEnded(time.Now())
 	f.site.Store.SetMode(standin.Healthy)
 	for _, p := range f.all {
 		p.proxy.Set(standin.Pass)
--- a/trial/site.go
+++ b/trial/site.go
@@ -127,7 +127,7 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			callers.Send(ctx, client, address, r)
+			_ = callers.Send(ctx, client, address, r) // callers note the answer
 		})
 	}
 	wg.Wait()
