--- a/gateway/env_test.go
+++ b/gateway/env_test.go
@@ -121,6 +121,7 @@
 type call struct {
 	method, path, body, key, id string
 	header                      map[string]string
+	http10                      bool
 	client                      *http.Client
 	ctx                         context.Context
 }
@@ -135,7 +136,7 @@
 	}
 	return sitetrial.Do(c.ctx, c.client, d.CallersAddr(), sitetrial.Call{
 		Method: c.method, Path: c.path, Body: c.body, Header: c.header,
-		Key: cmp.Or(c.key, sitetrial.Key), ID: cmp.Or(c.id, "req-1"),
+		Key: cmp.Or(c.key, sitetrial.Key), ID: cmp.Or(c.id, "req-1"), HTTP10: c.http10,
 	})
 }
 
