--- a/gateway/cuts_test.go
+++ b/gateway/cuts_test.go
@@ -167,8 +167,6 @@
 		return wholeAnswer, ""
 	case c.isIndistinguishable(runs, a.Body):
 		return maybeWhole, ""
-	case c.caller == 2 && c.kind.isStream() && !sitetrial.HTTP10SeesAborts:
-		outcome = visiblyBroken
 	default:
 		return visiblyBroken, "looks whole"
 	}
