--- a/client/client.go
+++ b/client/client.go
@@ -17,6 +17,7 @@
 	"github.com/snowspoke/snowspoke/api"
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/framing"
+	"github.com/snowspoke/snowspoke/internal/readall"
 	"github.com/snowspoke/snowspoke/internal/sse"
 )
 
@@ -176,7 +177,7 @@
 	for {
 		ev, err := events.Next()
 		if err != nil {
-			return r, errors.Join(errNoMarker, unlessEOF(err))
+			return r, errors.Join(errNoMarker, readall.UnlessEOF(err))
 		}
 		if ev.ID != nil {
 			id = string(ev.ID)
@@ -201,13 +202,6 @@
 	}
 }
 
-func unlessEOF(err error) error {
-	if err == io.EOF {
-		return nil
-	}
-	return err
-}
-
 // recordToken counts a token, records its delay and returns its time.
 func (r *Reply) recordToken(start, last time.Time) time.Time {
 	now := time.Now()
--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"sync"
+
+	"github.com/snowspoke/snowspoke/internal/readall"
 )
 
 // errClosed reports that a body was closed before its end, since its receiver has gone.
@@ -22,7 +24,7 @@
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
 	if err != nil {
-		b.once.Do(func() { b.onEnd(unlessEOF(err)) })
+		b.once.Do(func() { b.onEnd(readall.UnlessEOF(err)) })
 	}
 	return n, err
 }
@@ -32,10 +34,3 @@
 	b.once.Do(func() { b.onEnd(errClosed) })
 	return b.body.Close()
 }
-
-func unlessEOF(err error) error {
-	if err == io.EOF {
-		return nil
-	}
-	return err
-}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/internal/readall"
 	"github.com/snowspoke/snowspoke/site"
 	"github.com/snowspoke/snowspoke/stall"
 )
@@ -154,7 +155,7 @@
 			return execution.Answered, apierror.Wrap(apierror.CallerGone, sinkErr)
 		}
 		if err != nil {
-			return s.finish(ctx, sctx, a, pending, unlessEOF(err))
+			return s.finish(ctx, sctx, a, pending, readall.UnlessEOF(err))
 		}
 	}
 }
--- a/internal/readall/readall.go
+++ b/internal/readall/readall.go
@@ -19,3 +19,11 @@
 	}
 	return data, err
 }
+
+// UnlessEOF returns err, or nil for io.EOF.
+func UnlessEOF(err error) error {
+	if err == io.EOF {
+		return nil
+	}
+	return err
+}
