forward: a comment after events without IDs does not allow a stream to be resumed

Found by reading the diff: a comment line between events reset the flag that says that the caller has events without IDs, and the events could come twice. TestStreamWithoutEventIDsIsNotResumed has comments now and fails without the change.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -216,7 +216,9 @@
 		if ev.id != "" {
 			r.lastEvent = ev.id
 		}
-		r.unnumbered.Store(ev.fields && r.lastEvent == "")
+		if ev.fields {
+			r.unnumbered.Store(r.lastEvent == "")
+		}
 		out = append(out, ev.raw...)
 	}
 	if len(out) == 0 {
--- a/gateway/broken_answers_test.go
+++ b/gateway/broken_answers_test.go
@@ -255,7 +255,10 @@
 // A stream whose events have no IDs cannot be resumed: its events would come twice.
 func TestStreamWithoutEventIDsIsNotResumed(t *testing.T) {
 	t.Parallel()
-	noIDs := func(p []byte) []byte { return bytes.ReplaceAll(p, []byte("id:"), []byte("xd:")) }
+	noIDs := func(p []byte) []byte {
+		p = bytes.ReplaceAll(p, []byte("id:"), []byte("xd:"))
+		return bytes.ReplaceAll(p, []byte("\n\n"), []byte("\n\n: ping\n\n")) // a comment changes nothing
+	}
 	d, _ := untilCloseDoors(t, 1, func(d *door, s *standin.Server) {
 		s.AddCuts(standin.Cut{After: len(events(1, 2)) + 8})
 		d.answers = noIDs
