--- a/trial/http10_test.go
+++ b/trial/http10_test.go
@@ -19,15 +19,26 @@
 	"github.com/snowspoke/snowspoke/topology"
 )
 
-// loopbackWorld starts a world with one daemon on the operating system's network.
+// loopbackWorld starts a world with one daemon on the operating system's network, and waits
+// until the daemon serves.
 func loopbackWorld(t *testing.T) *World {
 	t.Helper()
 	w, err := NewWorld(1, Loopback, log.NewNopLogger())
 	require.NoError(t, err)
 	t.Cleanup(w.Close)
+	w.waitForToken(t)
 	return w
 }
 
+// waitForToken waits until the daemon can serve and knows the token of requests.
+func (w *World) waitForToken(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		resp, err := w.post10(t, "/services/"+Service+"/a", "wait")
+		return w.Daemons[0].canServe() && err == nil && resp.StatusCode == http.StatusOK
+	}, 5*time.Second, 50*time.Millisecond)
+}
+
 // send writes a request on a new connection. It does not check that the body is whole.
 func (w *World) send(t *testing.T, path, version, body string, headers ...string) *net.TCPConn {
 	t.Helper()
@@ -76,7 +87,7 @@
 	w := loopbackWorld(t)
 	body := fmt.Sprintf(`{"model":%q,"prompt":"p","max_tokens":500,"stream":true}`, Model)
 	for _, crash := range []bool{false, true} {
-		require.Eventually(t, w.Daemons[0].canServe, 5*time.Second, 10*time.Millisecond)
+		w.waitForToken(t)
 		resp, err := w.post10(t, "/v1/completions", body)
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, resp.StatusCode)
