forward: one search for a failed hop of a path

Reading the diff once more: the check of an answer's end had its own copy of stream.failedHop, without the head. Both call Forwarder.failedHop now; no change of behaviour.

--- a/forward/endcheck.go
+++ b/forward/endcheck.go
@@ -24,7 +24,8 @@
 // another one the answer stands, because the network alone may be at fault.
 func (r *run) checkPath(ctx context.Context, path site.Path) error {
 	since := time.Now()
-	if failed := r.f.failedLaterHop(path, since); failed != nil {
+	// A head closes streams when it loses another hop.
+	if failed := r.f.failedHop(path[1:], since); failed != nil {
 		return fmt.Errorf("%w: hop %s", errServerGone, failed.ID)
 	}
 	check := r.f.checkListening
@@ -45,17 +46,6 @@
 	return nil
 }
 
-// failedLaterHop returns a hop behind the head that is known to have failed, or nil. A head
-// closes streams when it loses another hop.
-func (f *Forwarder) failedLaterHop(path site.Path, now time.Time) *site.BackendServer {
-	for _, h := range path[1:] {
-		if f.health.Dead(h.Server.ID, now) {
-			return h.Server
-		}
-	}
-	return nil
-}
-
 // isGone reports whether an error shows that the process of a backend server has ended.
 func isGone(err error) bool { return hasEnded(err) || errors.Is(err, ErrRestarted) }
 
--- a/forward/recover.go
+++ b/forward/recover.go
@@ -31,7 +31,7 @@
 		probed = s.r.f.probePath(ctx, path)
 		s.noteProbe(path, probed)
 	}
-	if failed := s.failedHop(path); failed != nil {
+	if failed := s.r.f.failedHop(path, time.Now()); failed != nil {
 		s.avoidHop(ctx, head, failed)
 		return
 	}
@@ -125,10 +125,9 @@
 }
 
 // failedHop returns a hop of the path that is known to have failed, or nil.
-func (s *stream) failedHop(p site.Path) *site.BackendServer {
-	now := time.Now()
+func (f *Forwarder) failedHop(p site.Path, now time.Time) *site.BackendServer {
 	for _, h := range p {
-		if s.r.f.health.Dead(h.Server.ID, now) {
+		if f.health.Dead(h.Server.ID, now) {
 			return h.Server
 		}
 	}
