forward: a request under which a server has ended leaves one head of its service free

Cause: two ends are needed to quarantine a request. After the first one it was sent again to whatever head was left. Evidence: arrivals and ends printed with the heads left; two heads end at 2.060 s, all three requests go to the third at once, which ends at 2.120 s.

Change: such a request is a suspect for ten seconds and is not sent to the responding first hop with the lowest ID. It probes before the next send, 100 ms after the end, since a daemon knows only the ends it met itself.

--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -65,7 +65,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				_, err := r.find()
+				_, err := r.find(context.Background())
 				require.NoError(b, err)
 			}
 		})
--- a/forward/limittrial.go
+++ b/forward/limittrial.go
@@ -76,11 +76,15 @@
 }
 
 // limitTrial returns a target with permits whose first hop is a backend server that is due
-// for a trial, nil if there is none. Only the first send of a request may be a trial.
+// for a trial, nil if there is none. Only the first send of a request may be a trial, unless
+// the request is a suspect.
 func (r *run) limitTrial(ctx context.Context) *target {
 	if r.f.limits.Size() == 0 || r.tried.count() > 0 {
 		return nil
 	}
+	if _, suspect := r.suspicion(time.Now()); suspect {
+		return nil
+	}
 	view := r.f.inv.View()
 	for _, limit := range r.f.limits.All() {
 		s := view.Servers[limit.Server]
--- a/forward/live.go
+++ b/forward/live.go
@@ -184,10 +184,21 @@
 // fails, and returns the error.
 func (f *Forwarder) probe(ctx context.Context, s *site.BackendServer) error {
 	_, err := f.probes.get(s.ID, f.reach(ctx, s))
+	f.noteProbe(s, err)
+	return err
+}
+
+// probeSince is probe with a connection that began at since or later.
+func (f *Forwarder) probeSince(ctx context.Context, s *site.BackendServer, since time.Time) error {
+	_, err := f.probes.getSince(s.ID, since, f.reach(ctx, s))
+	f.noteProbe(s, err)
+	return err
+}
+
+func (f *Forwarder) noteProbe(s *site.BackendServer, err error) {
 	if err != nil {
 		f.markUnreachable(s, "probe", err, time.Now())
 	}
-	return err
 }
 
 func (f *Forwarder) reach(ctx context.Context, s *site.BackendServer) func() (struct{}, error) {
--- a/forward/pause_test.go
+++ b/forward/pause_test.go
@@ -336,7 +336,7 @@
 		f := l.forward[0]
 		now := time.Now()
 		r := &run{f: f, engine: l.engine, req: &Request{Service: labService, Prompt: labPrompt, Route: &site.Route{MaxAttempts: 2}}}
-		found, err := r.find()
+		found, err := r.find(context.Background())
 		require.NoError(t, err)
 		require.Greater(t, len(found.path), 2)
 		kept, lost := found.path[1].Server, found.path[len(found.path)-1].Server
@@ -346,7 +346,7 @@
 		require.NoError(t, err)
 		require.True(t, p.Uses(kept.ID))
 		require.False(t, p.Uses(lost.ID))
-		fresh, err := r.find()
+		fresh, err := r.find(context.Background())
 		require.NoError(t, err)
 		require.False(t, fresh.path.Uses(kept.ID), "a new request does not pass it")
 		require.Equal(t, availability.Paused, f.availability.Of(kept.ID, now).State)
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -20,10 +20,11 @@
 	if t := r.limitTrial(ctx); t != nil {
 		return t, nil
 	}
+	r.delaySuspect(ctx)
 	began := time.Now()
 	var until time.Time
 	for {
-		t, err := r.find()
+		t, err := r.find(ctx)
 		if err == nil && r.permit(ctx, t) {
 			return t, nil
 		}
@@ -41,21 +42,28 @@
 			if errors.Is(err, errLimits) {
 				r.f.observer.LimitReached()
 			}
+			if apierror.Is(err, apierror.Quarantined) {
+				r.noteReserved(now)
+			}
 			return nil, r.withRetryAfter(err, now)
 		}
 	}
 }
 
 // find returns a target among the backend servers that may take the request now.
-func (r *run) find() (*target, error) {
+func (r *run) find(ctx context.Context) (*target, error) {
 	now := time.Now()
 	view := r.f.inv.View()
 	cs := r.f.candidates(view, r.req.Service, r.engine, now)
 	if r.attemptsExhausted() {
 		cs = r.filterTried(cs)
 	}
+	cs, reserved := r.withoutReserved(ctx, cs, view, now)
 	cs, availableAt := r.withoutDenied(cs)
 	t, err := r.findAmong(cs, view, now)
+	if err != nil && reserved != nil {
+		return nil, reserved
+	}
 	if err != nil && !availableAt.IsZero() {
 		return nil, r.limitReached(err, availableAt, now)
 	}
--- /dev/null
+++ b/forward/suspect.go
@@ -0,0 +1,111 @@
+package forward
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/boottime"
+	"github.com/snowspoke/snowspoke/internal/wait"
+	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/pipeline"
+	"github.com/snowspoke/snowspoke/quarantine"
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// A request under which a backend server has just ended may end the next one as well. Until
+// that is known it is a suspect. One first hop of each service is reserved for requests that
+// are not suspects, so that several suspects at once do not end all of them.
+
+// Times of suspects.
+const (
+	// suspectDelay is the time from the end of a backend server to the next send of a suspect.
+	// Other suspects that were sent at the same time end their backend servers meanwhile.
+	suspectDelay = 100 * time.Millisecond
+	// suspectRetryAfter is the retry time of a suspect without another first hop. It exceeds
+	// the time after which all daemons know that the request is a suspect.
+	suspectRetryAfter = 2 * time.Second
+)
+
+// delaySuspect waits until a suspect may be sent again, or ctx ends.
+func (r *run) delaySuspect(ctx context.Context) {
+	d, suspect := r.suspicion(time.Now())
+	if suspect {
+		wait.For(ctx, time.Until(d.SuspectSince.Add(suspectDelay)))
+	}
+}
+
+// suspicion returns the evidence against the request, and whether it is a suspect. A request
+// whose caller has received an event is not, since a request that ends its backend server does
+// so when it begins to run.
+func (r *run) suspicion(now time.Time) (d quarantine.Decision, suspect bool) {
+	if r.headSent.Load() {
+		return d, false
+	}
+	d = r.f.quarantine.Check(r.fingerprint, now)
+	return d, !d.SuspectSince.IsZero()
+}
+
+// withoutReserved removes the reserved first hop of the service from the candidates for a
+// suspect. refusal is the error for a suspect that has no other first hop, nil if nothing was
+// removed.
+func (r *run) withoutReserved(ctx context.Context, cs []pipeline.Candidate, view *inventory.View, now time.Time) (rest []pipeline.Candidate, refusal error) {
+	d, suspect := r.suspicion(now)
+	if !suspect || r.countFirstHops(view) < 2 {
+		return cs, nil
+	}
+	reserved := r.reservedFirstHop(ctx, cs, boottime.Later(d.SuspectSince, now.Add(-probeAge)))
+	if reserved == nil {
+		return cs, nil
+	}
+	rest = slices.DeleteFunc(slices.Clone(cs), func(c pipeline.Candidate) bool {
+		return c.Server == reserved || r.f.health.Dead(c.Server.ID, now)
+	})
+	err := apierror.New(apierror.Quarantined, "%d backend servers ended as they ran it, %s is reserved for other requests", d.Ends, reserved.ID)
+	return rest, err.WithRetryAfter(suspectRetryAfter + rand.N(quarantineSpread))
+}
+
+// countFirstHops returns the number of first hops that the service has, including those that
+// do not respond.
+func (r *run) countFirstHops(view *inventory.View) int {
+	n := 0
+	for _, s := range view.OfService(r.req.Service) {
+		if r.isFirstHop(s) {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *run) isFirstHop(s *site.BackendServer) bool {
+	return r.engine == nil || s.Held.Has(0)
+}
+
+// reservedFirstHop returns the first hop that suspects of the service leave free: the one with
+// the lowest ID that responds to a probe begun at since or later, nil if none does. The order
+// is the same at all daemons, and the probe finds those that have ended at the same time under
+// another suspect.
+func (r *run) reservedFirstHop(ctx context.Context, cs []pipeline.Candidate, since time.Time) *site.BackendServer {
+	var hops []*site.BackendServer
+	for _, c := range cs {
+		if r.isFirstHop(c.Server) {
+			hops = append(hops, c.Server)
+		}
+	}
+	slices.SortFunc(hops, func(a, b *site.BackendServer) int { return cmp.Compare(a.ID, b.ID) })
+	for _, s := range hops {
+		if r.f.probeSince(ctx, s, since) == nil {
+			return s
+		}
+	}
+	return nil
+}
+
+// noteReserved logs and counts the refusal of a suspect without another first hop.
+func (r *run) noteReserved(now time.Time) {
+	r.logQuarantine("reserved", r.f.quarantine.Check(r.fingerprint, now))
+	r.f.observer.Quarantined()
+}
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -14,6 +14,9 @@
 type Policy struct {
 	// QuarantineScore is the score from which a request is quarantined, except for trials.
 	QuarantineScore int
+	// SuspectFor is the time from the last end during which a request with half of
+	// QuarantineScore is a suspect.
+	SuspectFor time.Duration
 	// NoTrialScore is the score from which there are no trials.
 	NoTrialScore int
 	// TrialAfter is the time from the last end or trial to the next trial.
@@ -30,9 +33,10 @@
 // DefaultPolicy quarantines a request after the ends of two backend servers that very likely
 // ran it, or of four that may have. Trials readmit frequent requests, such as health checks,
 // that were present at two ends by chance. The delay before a trial is long, since a third
-// end affects many other requests.
+// end affects many other requests. Most backend servers that restart do so within the time
+// for which a request is a suspect.
 var DefaultPolicy = Policy{
-	QuarantineScore: 2 * int(Likely), NoTrialScore: 3 * int(Likely), TrialAfter: time.Minute,
+	QuarantineScore: 2 * int(Likely), SuspectFor: 10 * time.Second, NoTrialScore: 3 * int(Likely), TrialAfter: time.Minute,
 	Keep: 10 * time.Minute, KeepServed: 30 * time.Second, MaxEntries: 4096,
 }
 
@@ -110,6 +114,9 @@
 	Trial       bool      // the request may be sent as a trial
 	Score       int
 	Ends        int // number of ends in the entry
+	// SuspectSince is the time of the last end if the request is a suspect, the zero time
+	// otherwise.
+	SuspectSince time.Time
 }
 
 // Registry holds the evidence against requests to which the ends of backend servers may be
@@ -181,6 +188,9 @@
 	}
 	last := e.lastEndAt()
 	d := Decision{Score: e.Score(), Ends: len(e.Ends)}
+	if 2*d.Score >= r.policy.QuarantineScore && now.Sub(last) < r.policy.SuspectFor {
+		d.SuspectSince = last
+	}
 	switch {
 	case d.Score < r.policy.QuarantineScore || now.Sub(last) >= r.policy.Keep:
 		return d
