forward: only streams are suspects, and a service with two heads reserves none

A request of a plain service that may be repeated, and a stream before its first event, got 502 where one of two servers had ended: the other one was reserved. The end of a plain server speaks against all requests in progress, and with two heads a single end, whatever its reason, left a suspect nowhere to go.

Change: suspects are streams of an engine, and a service has a reserved head from three first hops on.

--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -16,9 +16,9 @@
 	"github.com/snowspoke/snowspoke/site"
 )
 
-// A request under which a backend server has just ended may end the next one as well. Until
-// that is known it is a suspect. One first hop of each service is reserved for requests that
-// are not suspects, so that several suspects at once do not end all of them.
+// A stream under which a backend server has just ended may end the next one as well. Until that
+// is known it is a suspect. One first hop of each service is reserved for requests that are not
+// suspects, so that several suspects at once do not end all of them.
 
 // Times of suspects.
 const (
@@ -30,6 +30,10 @@
 	suspectRetryAfter = 2 * time.Second
 )
 
+// minReserving is the number of first hops from which a service has a reserved one. With two,
+// a suspect could be sent nowhere after the end of one, which may have had other reasons.
+const minReserving = 3
+
 // delaySuspect waits until a suspect may be sent again, or ctx ends.
 func (r *run) delaySuspect(ctx context.Context) {
 	d, suspect := r.suspicion(time.Now())
@@ -38,11 +42,12 @@
 	}
 }
 
-// suspicion returns the evidence against the request, and whether it is a suspect. A request
+// suspicion returns the evidence against the request, and whether it is a suspect. A stream
 // whose caller has received an event is not, since a request that ends its backend server does
-// so when it begins to run.
+// so when it begins to run. An answer that is no stream does not tell when that was, so each end
+// speaks against all requests in progress, which is too little.
 func (r *run) suspicion(now time.Time) (d quarantine.Decision, suspect bool) {
-	if r.headSent.Load() {
+	if !r.isStream() || r.headSent.Load() {
 		return d, false
 	}
 	d = r.f.quarantine.Check(r.fingerprint, now)
@@ -54,7 +59,7 @@
 // removed.
 func (r *run) withoutReserved(ctx context.Context, cs []pipeline.Candidate, view *inventory.View, now time.Time) (rest []pipeline.Candidate, refusal error) {
 	d, suspect := r.suspicion(now)
-	if !suspect || r.countFirstHops(view) < 2 {
+	if !suspect || r.countFirstHops(view) < minReserving {
 		return cs, nil
 	}
 	reserved := r.reservedFirstHop(ctx, cs, boottime.Later(d.SuspectSince, now.Add(-probeAge)))
@@ -73,17 +78,13 @@
 func (r *run) countFirstHops(view *inventory.View) int {
 	n := 0
 	for _, s := range view.OfService(r.req.Service) {
-		if r.isFirstHop(s) {
+		if s.Held.Has(0) {
 			n++
 		}
 	}
 	return n
 }
 
-func (r *run) isFirstHop(s *site.BackendServer) bool {
-	return r.engine == nil || s.Held.Has(0)
-}
-
 // reservedFirstHop returns the first hop that suspects of the service leave free: the one with
 // the lowest ID that responds to a probe begun at since or later, nil if none does. The order
 // is the same at all daemons, and the probe finds those that have ended at the same time under
@@ -91,7 +92,7 @@
 func (r *run) reservedFirstHop(ctx context.Context, cs []pipeline.Candidate, since time.Time) *site.BackendServer {
 	var hops []*site.BackendServer
 	for _, c := range cs {
-		if r.isFirstHop(c.Server) {
+		if c.Server.Held.Has(0) {
 			hops = append(hops, c.Server)
 		}
 	}
