forward, platform: the end of a plain answer is checked by a health check that names its server

What callers saw: a plain answer until close was cut as its process ended, another process listened at the address at once, and the caller got 200 with four bytes as a complete answer.

Cause: the end of such an answer was checked by a connection alone, which any process accepts. Evidence: kind=answer_end complete=true after a probe that the new process accepted; streams of an engine, whose check is a report that names its incarnation, pass the same test.

Change: a plain backend server gets a health check with the incarnation in the call. It takes a permit and is not made during a pause, when a connection is all there is.

--- a/forward/answerend_test.go
+++ b/forward/answerend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -75,6 +76,55 @@
 	}
 }
 
+// healthBackends answers each health check with the next result of a script, then with the
+// last one.
+type healthBackends struct {
+	reachBackends
+	health []error
+	checks int
+}
+
+func (b *healthBackends) CheckHealth(context.Context, *site.BackendServer, string) error {
+	b.checks++
+	err := b.health[0]
+	b.health = b.health[min(1, len(b.health)-1):]
+	return err
+}
+
+// A plain backend server that has started again accepts connections, so the end of its answer
+// is checked by its health check.
+func TestEndOfAPlainAnswerIsCheckedByAHealthCheck(t *testing.T) {
+	unclear := errors.New("status 404")
+	for name, c := range map[string]struct {
+		health         []error
+		kind           site.RequestKind
+		complete       bool
+		checks, probes int
+	}{
+		"same process":                  {health: []error{nil}, kind: site.Unsafe, complete: true, checks: 1},
+		"another process":               {health: []error{ErrRestarted}, kind: site.Unsafe, checks: 1},
+		"no process":                    {health: []error{errRefused}, kind: site.Unsafe, checks: 1},
+		"another process, later":        {health: []error{unclear, ErrRestarted}, kind: site.Unsafe, checks: 2},
+		"unclear":                       {health: []error{unclear}, kind: site.Safe, checks: 16},
+		"unclear, once":                 {health: []error{unclear}, kind: site.Unsafe, complete: true, checks: 16},
+		"not allowed, but it listens":   {health: []error{ErrNotAccepting}, kind: site.Safe, complete: true, checks: 1, probes: 1},
+		"no permit, and nobody listens": {health: []error{ErrNoPermit}, kind: site.Safe, checks: 1, probes: 1},
+	} {
+		t.Run(name, virtually(func(t *testing.T) {
+			b := &healthBackends{health: c.health}
+			if name == "no permit, and nobody listens" {
+				b.results = []error{errRefused}
+			}
+			r, path := endedRun(&b.reachBackends, c.kind)
+			r.f.backends, r.healthPath = b, "/health"
+			err := r.checkEnd(t.Context(), path, answerEnd{framing: framing.UntilClose})
+			require.Equal(t, c.complete, err == nil, "%v", err)
+			require.Equal(t, c.checks, b.checks)
+			require.Equal(t, c.probes, b.probes)
+		}))
+	}
+}
+
 // A connection that was accepted before the end of an answer says nothing about that end.
 func TestEndOfAnAnswerIsCheckedWithANewProbe(t *testing.T) {
 	b := &reachBackends{results: []error{nil, errRefused}}
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -91,6 +91,7 @@
 const (
 	CallRequest CallKind = "request" // a caller's request, including retries
 	CallReport  CallKind = "report"
+	CallHealth  CallKind = "health"
 	CallOrder   CallKind = "order" // including those that move a stream
 )
 
@@ -125,6 +126,9 @@
 type Backends interface {
 	Send(ctx context.Context, o *Outgoing) (*Answer, error)
 	Report(ctx context.Context, s *site.BackendServer) (Report, error)
+	// CheckHealth makes a health check of a plain backend server at a path. It returns nil if
+	// the incarnation s answers, whatever its state, and ErrRestarted if another one does.
+	CheckHealth(ctx context.Context, s *site.BackendServer, path string) error
 	// Reach connects to a backend server and returns an error if that fails.
 	Reach(ctx context.Context, s *site.BackendServer) error
 	// Repath moves a running stream to a path with the same first hop. It returns
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -109,30 +109,31 @@
 
 // Forwarder forwards requests to backend servers. It is safe for concurrent use.
 type Forwarder struct {
-	opts       Options
-	inv        Inventory
-	fleet      Fleet
-	backends   Backends
-	log        *Log
-	observer   Observer
-	loads      *Loads
-	health     *health.Cooldowns
-	budget     *admission.Budget
-	reports    *resultCache[Report]
-	probes     *resultCache[struct{}]
-	silences   *silences
-	live       *liveStreams
-	quarantine *quarantine.Registry
-	stalls     *stall.Monitor
-	way        func(address string) detour.Way // nil if it is not tracked
-	deadlines  *deadlines
-	splits     *splits
-	crossings  crossings
-	limits     *quota.Limits
-	sends      *quota.Sends
-	permits    Permits
-	denials    *quota.Denials
-	trials     *limitTrials
+	opts         Options
+	inv          Inventory
+	fleet        Fleet
+	backends     Backends
+	log          *Log
+	observer     Observer
+	loads        *Loads
+	health       *health.Cooldowns
+	budget       *admission.Budget
+	reports      *resultCache[Report]
+	probes       *resultCache[struct{}]
+	healthChecks *resultCache[struct{}] // only used with getSince
+	silences     *silences
+	live         *liveStreams
+	quarantine   *quarantine.Registry
+	stalls       *stall.Monitor
+	way          func(address string) detour.Way // nil if it is not tracked
+	deadlines    *deadlines
+	splits       *splits
+	crossings    crossings
+	limits       *quota.Limits
+	sends        *quota.Sends
+	permits      Permits
+	denials      *quota.Denials
+	trials       *limitTrials
 
 	availability *availability.Table
 	ignored      ignoredHeaders
@@ -168,7 +169,7 @@
 		limits: d.Limits, sends: d.Sends, permits: d.Permits, denials: quota.NewDenials(), trials: newLimitTrials(), quarantine: d.Quarantine, stalls: d.Stalls, deadlines: newDeadlines(),
 		started: time.Now(), opts: o, inv: d.Inventory, fleet: d.Fleet, log: d.Log, observer: d.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
-		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
+		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), healthChecks: newResultCache[struct{}](0), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
 		availability: availability.NewTable(),
 	}
 	f.backends = metered{d.Backends, f}
@@ -253,6 +254,7 @@
 	f.health.Prune(func(id string) bool { return known[id] != nil })
 	f.reports.prune(known)
 	f.probes.prune(known)
+	f.healthChecks.prune(known)
 	f.silences.prune(known)
 	f.trials.prune(known)
 	f.quarantine.Forget(time.Now())
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -460,6 +460,11 @@
 	return Report{}, l.Reach(ctx, s)
 }
 
+// CheckHealth implements Backends.
+func (l *lab) CheckHealth(ctx context.Context, s *site.BackendServer, _ string) error {
+	return l.Reach(ctx, s)
+}
+
 // Reach implements Backends.
 func (l *lab) Reach(ctx context.Context, s *site.BackendServer) error {
 	l.mu.Lock()
--- a/forward/metered.go
+++ b/forward/metered.go
@@ -27,7 +27,7 @@
 }
 
 // metered counts all calls of this daemon to backend servers, and makes none that CheckCall
-// forbids. It takes permits for reports and orders to a server with a limit; the permit for
+// forbids. It takes permits for reports, health checks and orders to a server with a limit; the permit for
 // a request is taken before Send. A connection alone is not a call. It implements Backends.
 type metered struct {
 	Backends
@@ -53,6 +53,14 @@
 	return m.Backends.Report(ctx, s)
 }
 
+// CheckHealth implements Backends.
+func (m metered) CheckHealth(ctx context.Context, s *site.BackendServer, path string) error {
+	if err := m.f.permitCall(ctx, s.ID, CallHealth); err != nil {
+		return err
+	}
+	return m.Backends.CheckHealth(ctx, s, path)
+}
+
 // Repath implements Backends.
 func (m metered) Repath(ctx context.Context, head *site.BackendServer, requestID string, p site.Path) error {
 	if err := m.f.MayOrder(ctx, head.ID); err != nil {
@@ -68,7 +76,7 @@
 	return f.permitCall(ctx, server, CallOrder)
 }
 
-// permitCall takes a permit for a report or an order if the backend server has a limit, and
+// permitCall takes a permit for a report, a health check or an order if the backend server has a limit, and
 // counts the call.
 func (f *Forwarder) permitCall(ctx context.Context, server string, call CallKind) error {
 	if err := f.CheckCall(server, call); err != nil {
--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -78,6 +78,11 @@
 	return a, nil
 }
 
+// CheckHealth implements Backends.
+func (s *scriptedBackends) CheckHealth(context.Context, *site.BackendServer, string) error {
+	return nil
+}
+
 func (s *scriptedBackends) Report(context.Context, *site.BackendServer) (Report, error) {
 	return Report{}, nil
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -29,6 +29,7 @@
 	sink            Sink
 	deadline        time.Time // on the clock of package boottime
 	engine          *site.Engine
+	healthPath      string     // of the service, "" for none
 	maxConns        int        // connections that a backend server of the service accepts, 0 for unlimited
 	tried           triedHeads // first hops of all sends
 	sends           int
@@ -83,7 +84,7 @@
 // for a request that did not run because it was refused or could not be sent.
 func (r *run) serve(ctx context.Context) error {
 	if s := r.f.inv.View().Config.Services[r.req.Service]; s != nil {
-		r.engine, r.maxConns = s.Engine, s.MaxConns
+		r.engine, r.healthPath, r.maxConns = s.Engine, s.HealthPath, s.MaxConns
 	}
 	err := r.tracker.Run(ctx, r)
 	if apierror.Is(err, apierror.BackendUnreachable) || apierror.Is(err, apierror.BackendRefused) {
--- a/gateway/until_close_test.go
+++ b/gateway/until_close_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -86,3 +87,46 @@
 	require.Equal(t, 502, a.Status)
 	require.Less(t, time.Since(began), time.Second)
 }
+
+// A request that may be repeated goes on elsewhere if a restarted server has cut its plain answer.
+func TestAnswerOfARestartedServerGoesOnElsewhere(t *testing.T) {
+	env := newConfiguredEnv(t)
+	cutting := standin.NewServer("a")
+	t.Cleanup(cutting.Kill)
+	cutting.SetFraming(framing.UntilClose)
+	cutting.AddCuts(standin.Cut{After: 4, Ends: true})
+	front := openDoor(t, cutting)
+	front.next = standin.NewServer("restarted")
+	t.Cleanup(front.next.Kill)
+	front.open(env, "plain", "")
+	env.servers("plain", "", "b")
+	d := env.daemon("daemon-1", nil).ready(t, 2)
+	for n := 0; !cutting.Ended(); n++ {
+		a := d.call(t, call{method: "POST", path: "/plain/", body: "x", id: fmt.Sprint("req-", n)})
+		require.NoError(t, a.Err)
+		require.Equal(t, 200, a.Status, a.Body)
+		require.Equal(t, "b ran x", a.Body)
+	}
+	require.Empty(t, front.next.Runs())
+}
+
+// A server that is full or leaving answers a health check too, so its whole answers are passed on.
+func TestAnswerOfARefusingServerIsServed(t *testing.T) {
+	for name, retryAfter := range map[string]string{"full": "", "pausing": "3"} {
+		t.Run(name, func(t *testing.T) {
+			env := newConfiguredEnv(t)
+			s := env.servers("plain", "", "a")[0]
+			s.SetFraming(framing.UntilClose)
+			s.PlainGap = 100 * time.Millisecond
+			d := env.daemon("daemon-1", nil).ready(t, 1)
+			go func() {
+				awaitRun([]*standin.Server{s})
+				s.Refuse(retryAfter)
+			}()
+			a := d.call(t, call{method: "POST", path: "/once/", body: "x"})
+			require.NoError(t, a.Err)
+			require.Equal(t, 200, a.Status, a.Body)
+			require.Equal(t, "a ran x", a.Body)
+		})
+	}
+}
