backend/httpbackend: a second connection tells the end of an endpoint's process from that of its reply

What callers of our own interface saw: a reply until close that was cut as its endpoint's process ended counted as complete if another process listened at the address at once.

Cause: a connection after the end of the reply was taken for evidence.

Change: a connection on which nothing is sent is opened before a call to an endpoint that has replied until close, or at the head of its first such reply. If it is closed within 0.25 s before or 20 ms after the end of the reply, the process has ended with it. Closed earlier, as by a timeout for idle connections, it says nothing, and the endpoint is connected to as before.

Failed before: TestReplyOfARestartedEndpointIsNotComplete (the cut reply counted as complete).

--- a/backend/httpbackend/service.go
+++ b/backend/httpbackend/service.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/execution"
@@ -20,10 +19,13 @@
 	http   *http.Client
 	dial   network.DialFunc
 	scheme string
+
+	untilClose untilCloseEndpoints
 }
 
 // NewServices returns a client; scheme is "http" or "https". The client must not
-// decompress replies. dial connects to endpoints to find out whether they still listen.
+// decompress replies. dial connects to endpoints to find out whether they
+// outlive their replies.
 func NewServices(hc *http.Client, dial network.DialFunc, scheme string) *Services {
 	return &Services{http: hc, dial: dial, scheme: scheme}
 }
@@ -48,6 +50,27 @@
 	}
 	req.Header.Set(HeaderRequestID, c.RequestID)
 	stripHopHeaders(req.Header)
+	var w *witness
+	if s.untilClose.has(t.Address) {
+		w = s.openWitness(ctx, t.Address)
+	}
+	reply, err := s.send(req)
+	if err == nil && !reply.Framing.Delimited() {
+		if w == nil {
+			w = s.openWitness(ctx, t.Address)
+		}
+		reply.Body = &untilCloseBody{ReadCloser: reply.Body, ctx: ctx, witness: w}
+	} else if w != nil {
+		w.close()
+	}
+	if err == nil {
+		s.untilClose.note(t.Address, !reply.Framing.Delimited())
+	}
+	return reply, err
+}
+
+// send sends a call and returns its reply.
+func (s *Services) send(req *http.Request) (*backend.ServiceReply, error) {
 	resp, err := sendOnce(s.http, req)
 	if err != nil {
 		return nil, err
@@ -57,33 +80,15 @@
 		return nil, withPause(fmt.Errorf("%w: status %d", execution.ErrRefused, resp.StatusCode), resp)
 	}
 	stripHopHeaders(resp.Header)
-	reply := &backend.ServiceReply{Status: resp.StatusCode, Header: resp.Header, Framing: framing.Of(resp), Body: resp.Body}
-	if !reply.Framing.Delimited() {
-		reply.Body = &untilCloseBody{ReadCloser: resp.Body, listens: func() error { return s.checkListens(ctx, t.Address) }}
-	}
-	return reply, nil
-}
-
-// listenTimeout bounds the check whether an endpoint still listens. It allows for one
-// lost packet, which is sent again after a second.
-const listenTimeout = 1500 * time.Millisecond
-
-func (s *Services) checkListens(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, listenTimeout)
-	defer cancel()
-	c, err := s.dial(ctx, "tcp", address)
-	if err != nil {
-		return fmt.Errorf("%w: the reply ended with its connection, and the endpoint no longer listens: %w", execution.ErrLost, err)
-	}
-	return c.Close()
+	return &backend.ServiceReply{Status: resp.StatusCode, Header: resp.Header, Framing: framing.Of(resp), Body: resp.Body}, nil
 }
 
 // untilCloseBody is a body that ends with its connection. Its end counts as that of the
-// reply only if the endpoint still listens: the death of a process closes its
-// connections as well.
+// reply only if the process of the endpoint has outlived it.
 type untilCloseBody struct {
 	io.ReadCloser
-	listens func() error
+	ctx     context.Context // of the call
+	witness *witness
 	err     error
 }
 
@@ -94,7 +99,7 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
-		if lost := b.listens(); lost != nil {
+		if lost := b.witness.check(b.ctx); lost != nil {
 			err = lost
 		}
 	}
@@ -102,6 +107,12 @@
 	return n, err
 }
 
+// Close implements io.Closer.
+func (b *untilCloseBody) Close() error {
+	b.witness.close()
+	return b.ReadCloser.Close()
+}
+
 func stripHopHeaders(h http.Header) {
 	for _, name := range hopHeaders {
 		h.Del(name)
--- a/backend/service.go
+++ b/backend/service.go
@@ -19,8 +19,8 @@
 
 // ServiceReply is the reply of a service. The receiver must close Body. Reading it
 // returns io.EOF only after the complete reply if Framing is delimited. Otherwise io.EOF
-// means that the connection was closed and that the endpoint still listens: a reply that
-// a living endpoint has broken off cannot be told from a complete one.
+// means that the connection was closed and that the endpoint's process has not ended with it:
+// a reply that a living endpoint has broken off cannot be told from a complete one.
 type ServiceReply struct {
 	Status  int
 	Header  http.Header
