gateway, platform/standin: the table of cuts also restarts servers at their address

A stand-in can end its process inside an answer and serve on as another one at the same address, with another ID. The table of cuts has it as a fourth end of each answer, and the random cuts draw it. The sample of the table is drawn at random, since every fourth case would now have the same end.

--- a/gateway/cuts_test.go
+++ b/gateway/cuts_test.go
@@ -78,7 +78,7 @@
 	name := "service-" + c.id
 	route = sitetrial.Route(name, c.path(), c.kind.kind, 2)
 	route["service"] = name
-	service = map[string]any{"name": name, "maxConns": 100}
+	service = map[string]any{"name": name, "maxConns": 100, "healthPath": standin.HealthPath}
 	kind := ""
 	if c.kind.isStream() {
 		route["resumable"], kind = c.kind.isRepeatable(), "card"
@@ -194,14 +194,14 @@
 }
 
 // isIndistinguishable reports whether nothing tells a body from a complete one: it ends with a
-// connection that was closed without a reset, by a server that still listens, and not inside
-// an event. A stream that ends without any event is told from a complete one.
+// connection that was closed without a reset, by a process that still runs, and not inside an
+// event. A stream that ends without any event is told from a complete one.
 func (c *cutCase) isIndistinguishable(runs []standin.Run, body string) bool {
 	if c.framing != framing.UntilClose || len(runs) > len(c.cuts) {
 		return false
 	}
 	last := c.cuts[len(runs)-1]
-	if last.Reset || last.Ends || last.InHead || last.Silent {
+	if last.Reset || last.Ends || last.Restart || last.InHead || last.Silent {
 		return false
 	}
 	if !c.kind.isStream() {
@@ -280,10 +280,10 @@
 				for _, lineEnd := range []string{"\n", "\r\n"} {
 					model := cutCase{kind: kind, framing: f, lineEnd: lineEnd}
 					for _, place := range model.cutPlaces() {
-						for end := range 3 {
+						for end := range 4 {
 							c, cut := model, place
-							cut.Reset, cut.Ends = end == 1, end == 2
-							c.cuts, c.caller = []standin.Cut{cut}, (len(cases)/3+end)%cutCallers
+							cut.Reset, cut.Ends, cut.Restart = end == 1, end == 2, end == 3
+							c.cuts, c.caller = []standin.Cut{cut}, (len(cases)/4+end)%cutCallers
 							cases = append(cases, &c)
 						}
 					}
@@ -297,14 +297,11 @@
 	}
 }
 
-// sampleOf returns one in cutShare cases, from a random one on. Each case has two servers, and
-// ports that are used up fail other tests.
+// sampleOf returns a random one in cutShare cases. Each case has two servers, and ports that are
+// used up fail other tests.
 func sampleOf(cases []*cutCase) []*cutCase {
-	var out []*cutCase
-	for i := rand.IntN(*cutShare); i < len(cases); i += *cutShare {
-		out = append(out, cases[i])
-	}
-	return out
+	rand.Shuffle(len(cases), func(i, j int) { cases[i], cases[j] = cases[j], cases[i] })
+	return cases[:(len(cases)+*cutShare-1) / *cutShare]
 }
 
 // The same for several answers in a row that are cut at random bytes.
@@ -325,6 +322,8 @@
 			c.Ends = true
 		case 6:
 			c.Silent = true
+		case 7:
+			c.Restart = true
 		}
 		return c
 	})
