forward: the reserved head is chosen among all heads of a service; calls in smaller steps

Cause, by reading: the reserved head was the first of the candidates left to a request. One that had used up its attempts had only the heads it had tried left, so that the one of them was reserved although another one was free, and the request refused. It is now the first usable head of the service that responds, whatever the request may still use.

httpbackend: the request is built apart from the call.

Result: tests of forward and backend pass.

--- a/backend/httpbackend/service.go
+++ b/backend/httpbackend/service.go
@@ -40,33 +40,43 @@
 // Call implements backend.Services. A response with any status is a reply, except a
 // server error with HeaderRan set to RanNo, which is a refusal.
 func (s *Services) Call(ctx context.Context, t backend.Target, c *backend.ServiceCall) (*backend.ServiceReply, error) {
-	req, err := http.NewRequestWithContext(ctx, c.Method, s.scheme+"://"+t.Address+c.Path, bytes.NewReader(c.Body))
+	req, err := s.newRequest(ctx, t, c)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", execution.ErrNotSent, err)
-	}
-	req.Header = c.Header.Clone()
-	if req.Header == nil {
-		req.Header = http.Header{}
+		return nil, err
 	}
-	req.Header.Set(HeaderRequestID, c.RequestID)
-	stripHopHeaders(req.Header)
 	var w *witness
 	if s.untilClose.has(t.Address) {
 		w = s.openWitness(ctx, t.Address)
 	}
 	reply, err := s.send(req)
-	if err == nil && !reply.Framing.Delimited() {
-		if w == nil {
-			w = s.openWitness(ctx, t.Address)
-		}
-		reply.Body = &untilCloseBody{ReadCloser: reply.Body, ctx: ctx, witness: w}
-	} else if w != nil {
+	if err != nil {
 		w.close()
+		return nil, err
 	}
-	if err == nil {
-		s.untilClose.note(t.Address, !reply.Framing.Delimited())
+	s.untilClose.note(t.Address, !reply.Framing.Delimited())
+	if reply.Framing.Delimited() {
+		w.close()
+		return reply, nil
 	}
-	return reply, err
+	if w == nil {
+		w = s.openWitness(ctx, t.Address)
+	}
+	reply.Body = &untilCloseBody{ReadCloser: reply.Body, ctx: ctx, witness: w}
+	return reply, nil
+}
+
+func (s *Services) newRequest(ctx context.Context, t backend.Target, c *backend.ServiceCall) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, c.Method, s.scheme+"://"+t.Address+c.Path, bytes.NewReader(c.Body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", execution.ErrNotSent, err)
+	}
+	req.Header = c.Header.Clone()
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	req.Header.Set(HeaderRequestID, c.RequestID)
+	stripHopHeaders(req.Header)
+	return req, nil
 }
 
 // send sends a call and returns its reply.
--- a/backend/httpbackend/witness.go
+++ b/backend/httpbackend/witness.go
@@ -84,9 +84,9 @@
 	return c.Close()
 }
 
-// close closes the connection.
+// close closes the connection. w may be nil.
 func (w *witness) close() {
-	if w.conn != nil {
+	if w != nil && w.conn != nil {
 		_ = w.conn.Close()
 	}
 }
--- a/forward/endcheck.go
+++ b/forward/endcheck.go
@@ -19,8 +19,9 @@
 	endCheckInterval = 100 * time.Millisecond
 )
 
-// checkPath returns an error if a hop of a path has ended or has started again. If there is no response, a request that may be repeated goes on elsewhere. For
-// another one the answer stands, because the network alone may be at fault.
+// checkPath returns an error if a hop of a path has ended or has started again. If there is no
+// response, a request that may be repeated goes on elsewhere. For another one the answer
+// stands, because the network alone may be at fault.
 func (r *run) checkPath(ctx context.Context, path site.Path) error {
 	since := time.Now()
 	// A head closes streams when it loses another hop.
--- a/forward/metered.go
+++ b/forward/metered.go
@@ -27,8 +27,9 @@
 }
 
 // metered counts all calls of this daemon to backend servers, and makes none that CheckCall
-// forbids. It takes permits for reports, health checks and orders to a server with a limit; the permit for
-// a request is taken before Send. A connection alone is not a call. It implements Backends.
+// forbids. It takes permits for reports, health checks and orders to a server with a limit; the
+// permit for a request is taken before Send. A connection alone is not a call. It implements
+// Backends.
 type metered struct {
 	Backends
 	f *Forwarder
@@ -76,8 +77,8 @@
 	return f.permitCall(ctx, server, CallOrder)
 }
 
-// permitCall takes a permit for a report, a health check or an order if the backend server has a limit, and
-// counts the call.
+// permitCall takes a permit for a report, a health check or an order if the backend server has
+// a limit, and counts the call.
 func (f *Forwarder) permitCall(ctx context.Context, server string, call CallKind) error {
 	if err := f.CheckCall(server, call); err != nil {
 		return err
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -55,10 +55,10 @@
 	now := time.Now()
 	view := r.f.inv.View()
 	cs := r.f.candidates(view, r.req.Service, r.engine, now)
+	cs, reserved := r.withoutReserved(ctx, cs, view, now)
 	if r.attemptsExhausted() {
 		cs = r.filterTried(cs)
 	}
-	cs, reserved := r.withoutReserved(ctx, cs, view, now)
 	cs, availableAt := r.withoutDenied(cs)
 	t, err := r.findAmong(cs, view, now)
 	if err != nil && reserved != nil {
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -54,15 +54,15 @@
 	return d, !d.SuspectSince.IsZero()
 }
 
-// withoutReserved removes the reserved first hop of the service from the candidates for a
-// suspect. refusal is the error for a suspect that has no other first hop, nil if nothing was
-// removed.
+// withoutReserved removes the reserved first hop of the service, and those that look dead, from
+// the candidates for a suspect. refusal is the error for a suspect that has no other first hop,
+// nil if nothing was removed.
 func (r *run) withoutReserved(ctx context.Context, cs []pipeline.Candidate, view *inventory.View, now time.Time) (rest []pipeline.Candidate, refusal error) {
 	d, suspect := r.suspicion(now)
-	if !suspect || r.countFirstHops(view) < minReserving {
+	if !suspect {
 		return cs, nil
 	}
-	reserved := r.reservedFirstHop(ctx, cs, boottime.Later(d.SuspectSince, now.Add(-probeAge)))
+	reserved := r.reservedFirstHop(ctx, view, boottime.Later(d.SuspectSince, now.Add(-probeAge)), now)
 	if reserved == nil {
 		return cs, nil
 	}
@@ -73,32 +73,18 @@
 	return rest, err.WithRetryAfter(suspectRetryAfter + rand.N(quarantineSpread))
 }
 
-// countFirstHops returns the number of first hops that the service has, including those that
-// do not respond.
-func (r *run) countFirstHops(view *inventory.View) int {
-	n := 0
-	for _, s := range view.OfService(r.req.Service) {
-		if s.Held.Has(0) {
-			n++
-		}
-	}
-	return n
-}
-
-// reservedFirstHop returns the first hop that suspects of the service leave free: the one with
-// the lowest ID that responds to a probe begun at since or later, nil if none does. The order
-// is the same at all daemons, and the probe finds those that have ended at the same time under
-// another suspect.
-func (r *run) reservedFirstHop(ctx context.Context, cs []pipeline.Candidate, since time.Time) *site.BackendServer {
-	var hops []*site.BackendServer
-	for _, c := range cs {
-		if c.Server.Held.Has(0) {
-			hops = append(hops, c.Server)
-		}
+// reservedFirstHop returns the first hop that suspects of the service leave free, nil if there
+// is none: the one with the lowest ID that responds to a probe begun at since or later. The
+// order is the same at all daemons, and the probe finds those that have ended at the same time
+// under another suspect.
+func (r *run) reservedFirstHop(ctx context.Context, view *inventory.View, since, now time.Time) *site.BackendServer {
+	hops := slices.DeleteFunc(slices.Clone(view.OfService(r.req.Service)), func(s *site.BackendServer) bool { return !s.Held.Has(0) })
+	if len(hops) < minReserving {
+		return nil
 	}
 	slices.SortFunc(hops, func(a, b *site.BackendServer) int { return cmp.Compare(a.ID, b.ID) })
 	for _, s := range hops {
-		if r.f.probeSince(ctx, s, since) == nil {
+		if r.f.isUsable(s, r.engine, now) && r.f.probeSince(ctx, s, since) == nil {
 			return s
 		}
 	}
