api: what an incomplete configuration lacks is refused with 503, not for good

What callers of our own interface saw: 401 for valid tokens, and 404 for services and models, at a daemon that had not read the whole configuration yet. Since such a daemon is not ready, but a caller may still reach it: over a direct connection, or by a balancer that lags or has no other. A caller does not repeat after 401.

Missing from what is known was taken for missing.

Change: the catalog is asked whether it is complete before a token is refused, and the token is looked up once more after that; unknown models and services likewise.

--- a/api/bench_test.go
+++ b/api/bench_test.go
@@ -42,6 +42,7 @@
 type staticConfig struct{ snap *topology.Snapshot }
 
 func (c staticConfig) Snapshot() *topology.Snapshot { return c.snap }
+func (staticConfig) Complete() bool                 { return true }
 
 func benchCallers(workspaces, n int) *Callers {
 	snap := topology.NewSnapshot()
--- a/api/callers.go
+++ b/api/callers.go
@@ -48,6 +48,8 @@
 // Configuration provides the configuration in force.
 type Configuration interface {
 	Snapshot() *topology.Snapshot
+	// Complete reports whether what a snapshot lacks does not exist. Once true it stays so.
+	Complete() bool
 }
 
 // CallerOptions holds the limits of the callers' interface.
@@ -100,11 +102,29 @@
 	if !ok || token == "" {
 		return nil, apierror.New(apierror.Unauthorized, "no bearer token")
 	}
-	w := h.config.Snapshot().WorkspaceOf(token)
-	if w == nil {
-		return nil, apierror.New(apierror.Unauthorized, "the token belongs to no workspace")
+	if w := h.config.Snapshot().WorkspaceOf(token); w != nil {
+		return w, nil
 	}
-	return w, nil
+	if !h.config.Complete() {
+		return nil, errIncompleteConfig
+	}
+	// The workspace may have been read before the configuration became complete.
+	if w := h.config.Snapshot().WorkspaceOf(token); w != nil {
+		return w, nil
+	}
+	return nil, apierror.New(apierror.Unauthorized, "the token belongs to no workspace")
+}
+
+var errIncompleteConfig = apierror.New(apierror.ConfigUnavailable, "this daemon has not read the whole configuration yet")
+
+// refuse answers a request that failed. While the configuration is incomplete, a model or a
+// service that it lacks may exist.
+func (h *Callers) refuse(w http.ResponseWriter, err error) {
+	isUnknown := apierror.Is(err, apierror.UnknownModel) || apierror.Is(err, apierror.UnknownService)
+	if isUnknown && !h.config.Complete() {
+		err = errIncompleteConfig
+	}
+	writeError(w, err)
 }
 
 // readBody reads a request body of at most BodyBytes within BodyTimeout.
--- a/api/completions.go
+++ b/api/completions.go
@@ -166,7 +166,7 @@
 	out, err := run(&s)
 	writeDeadline(w, h.opts.WriteTimeout)
 	if err != nil {
-		writeError(w, err)
+		h.refuse(w, err)
 		return
 	}
 	writeJSON(w, http.StatusOK, newCompletion(req, f, s.text.String(), &out, h.clock()))
--- a/api/once.go
+++ b/api/once.go
@@ -131,7 +131,7 @@
 func (h *Callers) writeAnswer(w http.ResponseWriter, a *claims.Answer, err error) {
 	writeDeadline(w, h.opts.WriteTimeout)
 	if err != nil {
-		writeError(w, err)
+		h.refuse(w, err)
 		return
 	}
 	for k, v := range a.Header {
--- a/api/services.go
+++ b/api/services.go
@@ -39,7 +39,7 @@
 	}
 	reply, err := h.services.Do(ctx, call)
 	if err != nil {
-		writeError(w, err)
+		h.refuse(w, err)
 		return
 	}
 	defer reply.Body.Close()
--- a/api/stream.go
+++ b/api/stream.go
@@ -156,7 +156,7 @@
 	case s.started:
 		s.fail(err)
 	default:
-		writeError(w, err)
+		h.refuse(w, err)
 	}
 }
 
