forward: a head that starts again at once counts as ended under a request that crashes it

What callers saw: a request that crashes what runs it was never quarantined where its backend server started again at once at its address. In a test with 20 heads all of them ended, and innocent streams got 503.

Whether the backend server has ended was asked by a connection, which the new process accepts. Evidence: no kind=ended line, 20 ends.

Change: where a connection is accepted, the server's report, or its health check, is asked as well; each names the incarnation. It has 100 ms, after which the server counts as running, as before.

Failed before: TestRequestThatRestartsServersIsQuarantined (innocent streams with 503).

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -30,6 +30,8 @@
 	// survivalThreshold is the time after the head of an answer from which the request
 	// counts as not crashing its backend server.
 	survivalThreshold = time.Second
+	// identifyTimeout bounds the check which process is at an address. A stream goes on after it.
+	identifyTimeout = 100 * time.Millisecond
 	// quarantineSpread is the range of the random delay that is added to the retry times
 	// of quarantined requests.
 	quarantineSpread = 500 * time.Millisecond
@@ -156,7 +158,7 @@
 // attributeEnd probes a backend server. If the server has ended, attributeEnd records this
 // against the request and reports whether the request is now quarantined.
 func (r *run) attributeEnd(ctx context.Context, s *site.BackendServer, stage sendStage) (quarantined bool) {
-	if !hasEnded(r.f.probe(context.WithoutCancel(ctx), s)) {
+	if !r.isEnded(context.WithoutCancel(ctx), s) {
 		return false
 	}
 	d := r.f.quarantine.RecordEnd(r.fingerprint, quarantineServer(s), stage.weight(r.isStream()), time.Now())
@@ -166,6 +168,32 @@
 	return d.Quarantined
 }
 
+// isEnded reports whether the process of a backend server has ended. A connection may be accepted
+// by another process that has started at the address at once.
+func (r *run) isEnded(ctx context.Context, s *site.BackendServer) bool {
+	err := r.f.probe(ctx, s)
+	if err == nil {
+		err = r.identify(ctx, s)
+	}
+	if errors.Is(err, ErrRestarted) {
+		r.f.markFailed(s, "another process has its address", err, time.Now())
+	}
+	return isGone(err)
+}
+
+// identify checks which process is at the address of a backend server. It returns nil if there is
+// no result within identifyTimeout.
+func (r *run) identify(ctx context.Context, s *site.BackendServer) error {
+	result := make(chan error, 1)
+	go func() { result <- r.endCheck()(ctx, s, time.Now()) }()
+	select {
+	case err := <-result:
+		return err
+	case <-time.After(identifyTimeout):
+		return nil
+	}
+}
+
 // isQuarantined reports whether a request that may have run must not be sent again, and
 // logs and counts it if so.
 func (r *run) isQuarantined() bool {
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -29,10 +29,18 @@
 	maxLateArrivals = 3
 )
 
-func TestCrashingRequestIsQuarantined(t *testing.T) {
+func TestCrashingRequestIsQuarantined(t *testing.T) { testQuarantine(t, false) }
+
+// A backend server that starts again at once accepts connections.
+func TestRequestThatRestartsServersIsQuarantined(t *testing.T) { testQuarantine(t, true) }
+
+// testQuarantine sends a crashing request at all daemons, one after the other. restarts is set
+// if crashed backend servers start again at once.
+func testQuarantine(t *testing.T, restarts bool) {
 	env := newConfiguredEnv(t)
 	heads, _ := env.pipeline(20, 2)
 	for _, h := range heads {
+		h.Restarts = restarts
 		h.CrashOn(crashing)
 	}
 	daemons := make([]*testDaemon, 3)
