--- a/control/controller_test.go
+++ b/control/controller_test.go
@@ -261,6 +261,41 @@
 	}
 }
 
+// A late write of the previous holder leaves an order that the new holder has not loaded. It is
+// loaded at the conflict and stays until it expires; then the change is ordered again.
+func TestOrderFoundAtAConflictIsNotOverwritten(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		f := newFixture(true)
+		f.engine.lose = true
+		f.controller(&fakeLease{fencing: 1}).Step(context.Background())
+		orders, _, err := f.store.List(context.Background(), string(topology.KindOrder))
+		require.NoError(t, err)
+		require.Len(t, orders, 2)
+		late := orders[0]
+		for _, o := range orders {
+			_, err := f.store.Delete(context.Background(), o.Kind, o.Name, o.Version)
+			require.NoError(t, err)
+		}
+		f.engine.orders, f.engine.lose = nil, false
+
+		c := f.controller(&fakeLease{fencing: 2})
+		require.True(t, c.takeOver(context.Background(), 2))
+		_, err = f.store.Put(context.Background(), late.Kind, late.Name, late.Spec, 0)
+		require.NoError(t, err)
+		for range 5 {
+			c.Step(context.Background())
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, 1, f.engine.count(), "only the change without a stored order")
+		require.Equal(t, 2, f.stored(t))
+		time.Sleep(c.opts.OrderExpiry)
+		for range 2 {
+			c.Step(context.Background())
+		}
+		require.Equal(t, 3, f.engine.count(), "both changes once more, after their orders have expired")
+	})
+}
+
 func (e *fakeEngine) count() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
