inventory: records that expire in an outage between two calls are kept for their grace

What callers would see: after a short outage of the store a daemon knew no backend server until their records were back, up to two seconds.

Cause: when the store is lost, a running watch of backend servers is canceled so that they are listed again. Between two calls there is none to cancel, and the next call was a watch from before the outage, which tells of expired records as of removed ones and may answer before it is canceled. With the loss in the pause after a list, in virtual time, each run fails.

Change: the request to list is looked for before each call.

Failed before: TestRecordThatExpiresBetweenCallsIsKeptForTheGrace.

--- a/inventory/follow.go
+++ b/inventory/follow.go
@@ -85,6 +85,9 @@
 		if f.before != nil {
 			f.before(ctx)
 		}
+		if f.takeRelist() {
+			at = 0
+		}
 		full := at == 0
 		r, fresh, err := f.read(ctx, at)
 		if err != nil {
@@ -104,6 +107,17 @@
 	}
 }
 
+// takeRelist reports whether the follower was asked to list again while it made no call. A
+// watch would tell of records that expired in an outage as of any other removal.
+func (f *follower[T]) takeRelist() bool {
+	select {
+	case <-f.relist:
+		return true
+	default: // also if relist is nil
+		return false
+	}
+}
+
 // errRelist is the cause when a watch is canceled because another read failed, or showed that
 // the store was restored.
 var errRelist = errors.New("inventory: store may be lost")
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -228,6 +228,68 @@
 	}
 }
 
+// lapseFeed is a store that is away from the first watch of the configuration until end. The
+// record of its backend server expires meanwhile.
+type lapseFeed struct {
+	scriptFeed
+	end atomic.Pointer[time.Time] // nil before the outage
+}
+
+func (f *lapseFeed) Config(ctx context.Context) (Read[ConfigRecord], error) {
+	if f.isAway() {
+		return Read[ConfigRecord]{}, errOutage
+	}
+	return f.scriptFeed.Config(ctx)
+}
+
+func (f *lapseFeed) isAway() bool {
+	end := f.end.Load()
+	return end != nil && time.Now().Before(*end)
+}
+
+func (f *lapseFeed) Servers(context.Context) (Read[ServerRecord], error) {
+	if f.end.Load() != nil {
+		return Read[ServerRecord]{At: 12}, nil
+	}
+	return Read[ServerRecord]{At: 10, Items: []ServerRecord{{ID: "a", At: 10, Server: &site.BackendServer{ID: "a"}}}}, nil
+}
+
+func (f *lapseFeed) ServerChanges(ctx context.Context, since store.Position, wait time.Duration) (Read[ServerRecord], error) {
+	if since >= 12 {
+		return f.scriptFeed.ServerChanges(ctx, since, wait)
+	}
+	return Read[ServerRecord]{At: 12, Items: []ServerRecord{{ID: "a", At: 12, Gone: true}}}, nil
+}
+
+// The follower of backend servers may be between two calls when the store is lost. A watch after
+// the outage would remove a record that has expired at once.
+func TestRecordThatExpiresBetweenCallsIsKeptForTheGrace(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		f := &lapseFeed{}
+		f.watch = func(ctx context.Context, d time.Duration) (Read[ConfigRecord], error) {
+			if f.end.Load() == nil {
+				end := time.Now().Add(time.Second)
+				f.end.Store(&end)
+				return Read[ConfigRecord]{}, errOutage
+			}
+			wait.For(ctx, d)
+			return Read[ConfigRecord]{At: 10}, ctx.Err()
+		}
+		i := New(f, log.NewNopLogger())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go i.Follow(ctx, 50*time.Millisecond, 100*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		require.Contains(t, i.View().Servers, "a", "the store is back for less than the grace")
+		time.Sleep(missingGrace)
+		synctest.Wait()
+		require.NotContains(t, i.View().Servers, "a")
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestFreshnessFollowsWatches(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		away := make(chan struct{})
