forward: the tests of the end of an answer share their scripts of results

Found on reading the change once more: two fakes popped their results in the same lines, and a case of the table was told apart by its name. Checks and cases are the same; package forward passes.

--- a/forward/answerend_test.go
+++ b/forward/answerend_test.go
@@ -26,11 +26,16 @@
 
 func (b *reachBackends) Reach(context.Context, *site.BackendServer) error {
 	b.probes++
-	if len(b.results) == 0 {
+	return nextResult(&b.results)
+}
+
+// nextResult returns the next result of a script, then the last one, nil if it has none.
+func nextResult(script *[]error) error {
+	if len(*script) == 0 {
 		return nil
 	}
-	err := b.results[0]
-	b.results = b.results[min(1, len(b.results)-1):]
+	err := (*script)[0]
+	*script = (*script)[min(1, len(*script)-1):]
 	return err
 }
 
@@ -86,9 +91,7 @@
 
 func (b *healthBackends) CheckHealth(context.Context, *site.BackendServer, string) error {
 	b.checks++
-	err := b.health[0]
-	b.health = b.health[min(1, len(b.health)-1):]
-	return err
+	return nextResult(&b.health)
 }
 
 // A plain backend server that has started again accepts connections, so the end of its answer
@@ -97,6 +100,7 @@
 	unclear := errors.New("status 404")
 	for name, c := range map[string]struct {
 		health         []error
+		listens        error // result of a connection
 		kind           site.RequestKind
 		complete       bool
 		checks, probes int
@@ -108,13 +112,11 @@
 		"unclear":                       {health: []error{unclear}, kind: site.Safe, checks: 16},
 		"unclear, once":                 {health: []error{unclear}, kind: site.Unsafe, complete: true, checks: 16},
 		"not allowed, but it listens":   {health: []error{ErrNotAccepting}, kind: site.Safe, complete: true, checks: 1, probes: 1},
-		"no permit, and nobody listens": {health: []error{ErrNoPermit}, kind: site.Safe, checks: 1, probes: 1},
+		"no permit, and nobody listens": {health: []error{ErrNoPermit}, listens: errRefused, kind: site.Safe, checks: 1, probes: 1},
 	} {
 		t.Run(name, virtually(func(t *testing.T) {
 			b := &healthBackends{health: c.health}
-			if name == "no permit, and nobody listens" {
-				b.results = []error{errRefused}
-			}
+			b.results = []error{c.listens}
 			r, path := endedRun(&b.reachBackends, c.kind)
 			r.f.backends, r.healthPath = b, "/health"
 			err := r.checkEnd(t.Context(), path, answerEnd{framing: framing.UntilClose})
