--- a/forward/backend.go
+++ b/forward/backend.go
@@ -166,6 +166,9 @@
 	MaxAnswer float64 // maximum number of output tokens, 0 for no maximum
 	Hint      float64 // the caller's estimate of the output tokens, 0 for none
 	LastEvent string  // ID of the event after which the caller resumes, "" for none
+	// Parts are the IDs of the parts of the prompt that other requests may share, in order.
+	// Equal IDs are equal content.
+	Parts []string
 }
 
 // Fingerprint identifies the content of the request. It is the same for each attempt, at
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -162,8 +162,8 @@
 		return false
 	}
 	d := r.f.quarantine.RecordEnd(r.fingerprint, quarantineServer(s), stage.weight(r.isStream()), time.Now())
-	r.f.log.Add("ended", "server", s.ID, "address", s.Address, "request", r.req.ID, "fingerprint", r.fingerprint, "stage", string(stage),
-		"ends", d.Ends, "score", d.Score, "held", d.Quarantined)
+	r.f.log.Add("ended", "server", s.ID, "address", s.Address, "request", r.req.ID, "fingerprint", r.fingerprint,
+		"parts", partsLabel(r.req.Parts), "stage", string(stage), "ends", d.Ends, "score", d.Score, "held", d.Quarantined)
 	r.f.observer.ServerEnded()
 	return d.Quarantined
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -273,7 +273,7 @@
 	}
 	took := boottime.Since(r.req.Received)
 	f.observer.Finished(kind, took)
-	f.log.Add("finish", "request", r.req.ID, "fingerprint", r.fingerprint, "route", r.req.Route.Name, "service", r.req.Service, "result", kind,
+	f.log.Add("finish", "request", r.req.ID, "fingerprint", r.fingerprint, "parts", partsLabel(r.req.Parts), "route", r.req.Route.Name, "service", r.req.Service, "result", kind,
 		"attempts", r.sends, "last_event", r.lastEvent, "took", took.Round(time.Millisecond),
 		"first_in", r.firstEventAfter.Round(time.Millisecond), "longest_pause", r.longestPause.Round(time.Millisecond), "detail", detail)
 }
--- a/forward/log.go
+++ b/forward/log.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -137,3 +138,21 @@
 		}
 	}
 }
+
+// Bounds of the parts of a prompt in one log line.
+const (
+	maxLoggedParts  = 8
+	maxLoggedPartID = 16 // bytes
+)
+
+// partsLabel returns the IDs of the parts of a prompt as they are logged.
+func partsLabel(ids []string) string {
+	var b strings.Builder
+	for i, id := range ids[:min(len(ids), maxLoggedParts)] {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(id[:min(len(id), maxLoggedPartID)])
+	}
+	return b.String()
+}
