forward, gateway: failing tests for a prompt part that crashes backend servers

Callers' requests are refused or cut off for as long as requests with one crashing part keep coming, since no two of them have the same fingerprint.

--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -36,12 +36,9 @@
 	propagationDelay   = 900 * time.Millisecond // until an end recorded by one daemon is known to all
 )
 
-// crashBody returns the body of a crashing request, or a body that no request has.
-func (l *lab) crashBody(r *Request) string {
-	if bytes.HasPrefix(r.Body, []byte(crashPrefix)) {
-		return string(r.Body)
-	}
-	return "no such body"
+// isCrashing reports whether a request ends the servers that run it.
+func (l *lab) isCrashing(r *Request) bool {
+	return bytes.HasPrefix(r.Body, []byte(crashPrefix)) || l.crashPart != "" && slices.Contains(r.Parts, l.crashPart)
 }
 
 // crash returns an answer whose body ends the server after crashDelay.
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -49,6 +49,7 @@
 	arrivals    map[string][]time.Time // of crashing requests, by body
 	ended       int                    // servers that ended and were restarted
 	quarantined int                    // quarantined attempts
+	crashPart   string                 // part of the prompt of crashing requests, "" for none
 }
 
 type labServer struct {
@@ -333,7 +334,7 @@
 		return a, nil
 	}
 	s := &labStream{lab: l, ctx: ctx, request: o.Request}
-	if string(o.Request.Body) == l.crashBody(o.Request) {
+	if l.isCrashing(o.Request) {
 		return l.crash(ctx, o.Server, o.Request, a)
 	}
 	if o.LastEvent != "" {
--- /dev/null
+++ b/gateway/crashpart_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/platform/standin"
+)
+
+// promptHeader lists the parts of a prompt.
+const promptHeader = "Snowspoke-Prompt-Prefix"
+
+// crashingPart is the part of a prompt that crashes the backend servers that begin to answer it.
+const crashingPart = "5c1e07a2"
+
+// Requests of which no two are alike stop reaching backend servers once the part that they share
+// has crashed some, and sound requests with their other part are served meanwhile.
+func TestCrashingPromptPartIsQuarantined(t *testing.T) {
+	env := newConfiguredEnv(t)
+	heads, _ := env.pipeline(24, 2)
+	for _, h := range heads {
+		h.CrashOnPart(crashingPart)
+	}
+	daemons := make([]*testDaemon, 3)
+	for i := range daemons {
+		daemons[i] = env.daemon(fmt.Sprint("daemon-", i+1), nil).ready(t, 26)
+	}
+	awaitFollowing(t, daemons[0], daemons[2])
+
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var sound []time.Time // sends of sound requests that were served
+	for n := range 30 {
+		wg.Go(func() {
+			daemons[n%3].call(t, promptCall("crashing", n, "a1:40,"+crashingPart+":40"))
+		})
+		wg.Go(func() {
+			sent := time.Now()
+			a := daemons[(n+1)%3].call(t, promptCall("sound", n, "a1:40,b2:40"))
+			mu.Lock()
+			defer mu.Unlock()
+			if a.Status == http.StatusOK && a.Err == nil {
+				sound = append(sound, sent)
+			}
+		})
+		time.Sleep(150 * time.Millisecond)
+	}
+	wg.Wait()
+	crashes := runsWithPart(heads, crashingPart)
+	require.GreaterOrEqual(t, len(crashes), 2, "one crash is no evidence")
+	late := 0
+	for _, at := range crashes {
+		if at.Sub(crashes[min(5, len(crashes))-1]) > reportDelay {
+			late++
+		}
+	}
+	t.Logf("%d backend servers crashed, %d late, %d of 30 sound requests served", len(crashes), late, len(sound))
+	assert.LessOrEqual(t, late, maxLateArrivals)
+	assert.GreaterOrEqual(t, len(sound), 29, "sound requests served, of 30")
+}
+
+// promptCall returns a stream request with shared parts and a last part of its own.
+func promptCall(kind string, n int, parts string) call {
+	id := fmt.Sprintf("%s-%d", kind, n)
+	return call{
+		method: "POST", path: "/stream/", body: "body of " + id, id: id,
+		header: map[string]string{promptHeader: fmt.Sprintf("%s,%x:100", parts, 0xf000+n)},
+	}
+}
+
+// runsWithPart returns when requests with a part of the prompt reached backend servers, in order.
+func runsWithPart(servers []*standin.Server, part string) []time.Time {
+	var at []time.Time
+	for _, s := range servers {
+		for _, r := range s.Runs() {
+			if strings.Contains(r.Header.Get(promptHeader), part) {
+				at = append(at, r.At)
+			}
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	return at
+}
