quarantine: one guard for a request, one form on links

The forwarder decided on a request in several steps over the registry, which our own interface needs as well. Guard holds them; the packed form of entries and the order of daemons for trials move to the package. No change of behaviour: tests of forward, gateway, relay as before.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -181,14 +181,13 @@
 	return quarantine.FingerprintOf([]byte(workspace), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body)
 }
 
-// fingerprints returns the fingerprint of the content and those of the shared parts of the prompt.
-func (r *Request) fingerprints() []quarantine.Fingerprint {
-	out := make([]quarantine.Fingerprint, 0, 1+len(r.Parts))
-	out = append(out, r.Fingerprint())
+// guard returns the guard of the request.
+func (r *Request) guard(registry *quarantine.Registry) *quarantine.Guard {
+	parts := make([]quarantine.Fingerprint, 0, len(r.Parts))
 	for _, id := range r.Parts {
-		out = append(out, quarantine.FingerprintOfPart(r.Service, id))
+		parts = append(parts, quarantine.FingerprintOfPart(r.Service, id))
 	}
-	return out
+	return quarantine.NewGuard(registry, r.Fingerprint(), parts...)
 }
 
 // Sink writes the answer to the caller. Its methods are called from one goroutine. An error
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -12,7 +12,6 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/detour"
 	"github.com/snowspoke/snowspoke/execution"
-	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -23,14 +22,6 @@
 
 // Times that decide whether the end of a backend server is attributed to a request.
 const (
-	// attributionWindow is the time after the head of an answer within which the end of
-	// the backend server is attributed to the request. A request that crashes its backend
-	// server does so when it begins to run, typically 40 to 110 ms after the head; most
-	// others have run for longer.
-	attributionWindow = 500 * time.Millisecond
-	// survivalThreshold is the time after the head of an answer from which the request
-	// counts as not crashing its backend server.
-	survivalThreshold = time.Second
 	// identifyTimeout bounds the check which process is at an address. A stream goes on after it.
 	identifyTimeout = 100 * time.Millisecond
 	// quarantineSpread is the range of the random delay that is added to the retry times
@@ -50,14 +41,14 @@
 // The stages of a send.
 const (
 	stageSent    sendStage = "sent"    // no answer yet
-	stageBegun   sendStage = "begun"   // the head of the answer was received within attributionWindow
-	stageRunning sendStage = "running" // running for longer than attributionWindow
+	stageBegun   sendStage = "begun"   // the head of the answer was received within quarantine.AttributionWindow
+	stageRunning sendStage = "running" // running for longer than quarantine.AttributionWindow
 )
 
 // progress is the state of one send.
 type progress struct {
 	headAt   time.Time // zero until the head of the answer is received
-	survived bool      // an event came survivalThreshold after the head
+	survived bool      // an event came quarantine.SurvivalThreshold after the head
 }
 
 // stage returns the stage of the send at the given time after the head of the answer.
@@ -65,7 +56,7 @@
 	switch {
 	case p.headAt.IsZero():
 		return stageSent
-	case sinceHead <= attributionWindow:
+	case sinceHead <= quarantine.AttributionWindow:
 		return stageBegun
 	}
 	return stageRunning
@@ -115,37 +106,26 @@
 
 // admit refuses a quarantined request.
 func (r *run) admit(ctx context.Context) error {
-	r.awaitVerdict(ctx)
-	now := time.Now()
-	d := r.f.quarantine.AdmitAll(r.fingerprints, now, r.f.trialDelay)
+	d := r.guard.Admit(ctx, r.f.trialDelay)
 	if d.Quarantined {
-		return r.quarantined("held back", d, now)
+		return r.quarantined("held back", d)
 	}
 	if d.Trial {
-		r.trial = true
 		r.logQuarantine("tried", d)
 	}
 	return nil
 }
 
 // quarantined logs and counts the refusal of a quarantined request and returns it.
-func (r *run) quarantined(outcome string, d quarantine.Decision, now time.Time) error {
+func (r *run) quarantined(outcome string, d quarantine.Decision) error {
 	r.logQuarantine(outcome, d)
 	r.f.observer.Quarantined()
-	wait := max(0, d.Until.Sub(now)) + rand.N(quarantineSpread)
-	return apierror.New(apierror.Quarantined, "%d backend servers ended as they ran it", d.Ends).WithRetryAfter(wait)
+	return quarantinedError(d)
 }
 
-// awaitVerdict waits while the evidence against a part of the prompt is so recent that requests
-// that run now may still clear the part.
-func (r *run) awaitVerdict(ctx context.Context) {
-	for {
-		now := time.Now()
-		d := r.f.quarantine.CheckAll(r.fingerprints, now)
-		if !d.Quarantined || !d.VerdictAt.After(now) || !wait.For(ctx, min(pollInterval, d.VerdictAt.Sub(now))) {
-			return
-		}
-	}
+func quarantinedError(d quarantine.Decision) error {
+	wait := max(0, time.Until(d.Until)) + rand.N(quarantineSpread)
+	return apierror.New(apierror.Quarantined, "%d backend servers ended as they ran it", d.Ends).WithRetryAfter(wait)
 }
 
 // trialDelay returns how much later than due this daemon may try a part of a prompt.
@@ -162,11 +142,11 @@
 func (r *run) recordOutcome(ctx context.Context, head *site.BackendServer, err error) {
 	now := time.Now()
 	if err == nil {
-		r.recordSurvival(now, r.fingerprints)
+		r.logCleared(r.guard.Survived(now))
 		return
 	}
 	if errors.Is(err, errFailed) {
-		r.recordSurvival(now, r.fingerprints[:1])
+		r.logCleared(r.guard.ContentSurvived(now))
 		return
 	}
 	if !lostContact(err) || errors.Is(err, errServerGone) && r.f.isLeaving(head.ID) {
@@ -175,8 +155,8 @@
 	since := r.sinceHead(now)
 	stage := r.progress.stage(since)
 	if stage == stageRunning {
-		if since >= survivalThreshold {
-			r.recordSurvival(now, r.fingerprints[:1])
+		if since >= quarantine.SurvivalThreshold {
+			r.logCleared(r.guard.ContentSurvived(now))
 		}
 		// The probe determines whether the head still counts as an attempt.
 		go func() { _ = r.f.probe(context.WithoutCancel(ctx), head) }()
@@ -188,21 +168,17 @@
 // noteEvent records that the backend server survived the request, at the first event that shows
 // it.
 func (r *run) noteEvent(now time.Time) {
-	if r.progress.survived || r.sinceHead(now) < survivalThreshold {
+	if r.progress.survived || r.sinceHead(now) < quarantine.SurvivalThreshold {
 		return
 	}
 	r.progress.survived = true
-	r.recordSurvival(now, r.fingerprints)
+	r.logCleared(r.guard.Survived(now))
 }
 
-// recordSurvival records that a backend server survived the request. fps are the fingerprints that
-// this clears: an answer that is a failure, or of which nothing is known but its head, says
-// nothing about the parts of the prompt.
-func (r *run) recordSurvival(now time.Time, fps []quarantine.Fingerprint) {
-	for _, fp := range fps {
-		if r.f.quarantine.Served(fp, now) {
-			r.f.log.Add("quarantine", "request", r.req.ID, "fingerprint", fp, "part", fp.IsPart(), "outcome", "cleared")
-		}
+// logCleared logs what a survival cleared.
+func (r *run) logCleared(cleared []quarantine.Fingerprint) {
+	for _, fp := range cleared {
+		r.f.log.Add("quarantine", "request", r.req.ID, "fingerprint", fp, "part", fp.IsPart(), "outcome", "cleared")
 	}
 }
 
@@ -247,11 +223,11 @@
 // counts: a request crashes one of them, and several end together for another reason.
 func (r *run) recordEnd(s *site.BackendServer, end sendEnd) (quarantined bool) {
 	if r.attributed.Swap(int32(end.send)) == int32(end.send) {
-		return r.f.quarantine.CheckAll(r.fingerprints, time.Now()).Quarantined
+		return r.guard.Check().Quarantined
 	}
 	stage := end.stage
-	d := r.f.quarantine.RecordEndOfAll(r.fingerprints, quarantineServer(s), stage.weight(r.isStream()), end.at)
-	r.f.log.Add("ended", "server", s.ID, "address", s.Address, "request", r.req.ID, "fingerprint", r.fingerprints[0],
+	d := r.guard.RecordEnd(quarantineServer(s), stage.weight(r.isStream()), end.at)
+	r.f.log.Add("ended", "server", s.ID, "address", s.Address, "request", r.req.ID, "fingerprint", r.guard.Content(),
 		"parts", partsLabel(r.req.Parts), "stage", string(stage), "ends", d.Ends, "score", d.Score, "part", d.Part, "held", d.Quarantined)
 	r.f.observer.ServerEnded()
 	return d.Quarantined
@@ -260,8 +236,7 @@
 // isQuarantined reports whether a request that may have run must not be sent again, and
 // logs and counts it if so.
 func (r *run) isQuarantined(ctx context.Context) bool {
-	r.awaitVerdict(ctx)
-	d := r.f.quarantine.CheckAll(r.fingerprints, time.Now())
+	d := r.guard.CheckRepeat(ctx)
 	if d.Quarantined {
 		r.logQuarantine("not sent again", d)
 		r.f.observer.Quarantined()
@@ -272,19 +247,14 @@
 // checkQuarantine returns the refusal of a request that became quarantined after it was admitted,
 // and nil for all others.
 func (r *run) checkQuarantine(ctx context.Context) error {
-	if r.trial {
-		return nil
-	}
-	r.awaitVerdict(ctx)
-	now := time.Now()
-	d := r.f.quarantine.CheckAll(r.fingerprints, now)
-	if !d.Quarantined && !d.Trial {
+	d, ok := r.guard.CheckSend(ctx)
+	if ok {
 		return nil
 	}
-	return r.quarantined("held back after it was admitted", d, now)
+	return r.quarantined("held back after it was admitted", d)
 }
 
 func (r *run) logQuarantine(outcome string, d quarantine.Decision) {
-	r.f.log.Add("quarantine", "request", r.req.ID, "fingerprint", r.fingerprints[0], "part", d.Part, "parts", partsLabel(r.req.Parts),
+	r.f.log.Add("quarantine", "request", r.req.ID, "fingerprint", r.guard.Content(), "part", d.Part, "parts", partsLabel(r.req.Parts),
 		"outcome", outcome, "ends", d.Ends, "score", d.Score, "until", d.Until.UTC().Format(time.RFC3339))
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -236,7 +236,7 @@
 	defer f.loads.end()
 	f.budget.Earn(time.Now())
 	r := &run{
-		f: f, req: req, sink: sink, deadline: deadline, lastEvent: req.LastEvent, fingerprints: req.fingerprints(),
+		f: f, req: req, sink: sink, deadline: deadline, lastEvent: req.LastEvent, guard: req.guard(f.quarantine),
 		tracker: execution.New(req.Route.Repeatable()),
 	}
 	err := r.admit(ctx)
@@ -277,7 +277,7 @@
 	}
 	took := boottime.Since(r.req.Received)
 	f.observer.Finished(kind, took)
-	f.log.Add("finish", "request", r.req.ID, "fingerprint", r.fingerprints[0], "parts", partsLabel(r.req.Parts), "route", r.req.Route.Name, "service", r.req.Service, "result", kind,
+	f.log.Add("finish", "request", r.req.ID, "fingerprint", r.guard.Content(), "parts", partsLabel(r.req.Parts), "route", r.req.Route.Name, "service", r.req.Service, "result", kind,
 		"attempts", r.sends, "last_event", r.lastEvent, "took", took.Round(time.Millisecond),
 		"first_in", r.firstEventAfter.Round(time.Millisecond), "longest_pause", r.longestPause.Round(time.Millisecond), "detail", detail)
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -25,9 +25,8 @@
 type run struct {
 	f               *Forwarder
 	req             *Request
-	fingerprints    []quarantine.Fingerprint // of the content, then of the shared parts of the prompt
-	trial           bool                     // admitted as a trial of its content or a part
-	attributed      atomic.Int32             // number of the last send to which the end of a backend server was attributed
+	guard           *quarantine.Guard
+	attributed      atomic.Int32 // number of the last send to which the end of a backend server was attributed
 	sink            Sink
 	deadline        time.Time // on the clock of package boottime
 	engine          *site.Engine
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -50,7 +50,7 @@
 	if !r.isStream() || r.headSent.Load() {
 		return d, false
 	}
-	d = r.f.quarantine.CheckAll(r.fingerprints, now)
+	d = r.guard.Check()
 	return d, !d.SuspectSince.IsZero()
 }
 
@@ -93,6 +93,6 @@
 
 // noteReserved logs and counts the refusal of a suspect without another first hop.
 func (r *run) noteReserved(now time.Time) {
-	r.logQuarantine("reserved", r.f.quarantine.CheckAll(r.fingerprints, now))
+	r.logQuarantine("reserved", r.guard.Check())
 	r.f.observer.Quarantined()
 }
--- a/gateway/memberlist.go
+++ b/gateway/memberlist.go
@@ -4,14 +4,13 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log/level"
 
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/relay"
 	"github.com/snowspoke/snowspoke/store"
 )
@@ -43,18 +42,11 @@
 	if len(all) == 0 {
 		return rankWithoutList
 	}
-	own, rank := orderOf(m.self.Name, key), 0
-	for _, d := range all {
-		if orderOf(d.Name, key) < own {
-			rank++
-		}
+	names := make([]string, len(all))
+	for i, d := range all {
+		names[i] = d.Name
 	}
-	return rank
-}
-
-// orderOf returns the place of a daemon in the order of a key.
-func orderOf(daemon string, key uint64) uint64 {
-	return xxhash.Sum64String(daemon + "/" + strconv.FormatUint(key, 16))
+	return quarantine.Rank(m.self.Name, names, key)
 }
 
 // All implements relay.Members.
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -98,13 +98,13 @@
 				registry.Admit(fingerprint, now.Add(quarantine.DefaultPolicy.TrialAfter))
 			}
 		}
-		var reporter crashReporter
-		data, err := cbor.Marshal(&frame{Crashes: reporter.next(registry)})
+		var reporter quarantine.Reporter
+		data, err := cbor.Marshal(&frame{Crashes: reporter.Next(registry, maxCrashesPerFrame)})
 		require.NoError(t, err)
 		f, err := decodeFrame(data)
 		require.NoError(t, err)
 		at := time.Now()
-		other.Merge(unpackCrashes(f.Crashes, at), at)
+		other.Merge(quarantine.Unpack(f.Crashes, at), at)
 		for fingerprint := range quarantine.Fingerprint(4) {
 			require.Equal(t, registry.Check(fingerprint, now).Score, other.Check(fingerprint, now).Score)
 		}
@@ -114,9 +114,9 @@
 // Entries out of range are dropped.
 func TestInvalidCrashesAreDropped(t *testing.T) {
 	now := time.Now()
-	require.Empty(t, unpackCrashes([]packedCrash{{Fingerprint: 1, Ends: []packedEnd{{Server: 1, Weight: 3}}}}, now))
-	require.Empty(t, unpackCrashes([]packedCrash{{Fingerprint: 1, Ends: make([]packedEnd, maxEnds+1)}}, now))
-	require.Len(t, unpackCrashes([]packedCrash{{Fingerprint: 1, Ends: []packedEnd{{Server: 1, Weight: 2}}}}, now), 1)
+	require.Empty(t, quarantine.Unpack([]quarantine.PackedEntry{{Fingerprint: 1, Ends: []quarantine.PackedEnd{{Server: 1, Weight: 3}}}}, now))
+	require.Empty(t, quarantine.Unpack([]quarantine.PackedEntry{{Fingerprint: 1, Ends: make([]quarantine.PackedEnd, quarantine.MaxPackedEnds+1)}}, now))
+	require.Len(t, quarantine.Unpack([]quarantine.PackedEntry{{Fingerprint: 1, Ends: []quarantine.PackedEnd{{Server: 1, Weight: 2}}}}, now), 1)
 }
 
 // When a backend server ends with 130 streams, each is sent once, in at most 30 bytes.
@@ -125,10 +125,10 @@
 	for range 130 {
 		registry.RecordEnd(quarantine.Fingerprint(rand.Uint64()), quarantine.Server(rand.Uint32()), quarantine.Likely, time.Now())
 	}
-	var reporter crashReporter
+	var reporter quarantine.Reporter
 	bytes, messages := 0, 0
 	for {
-		pending := reporter.next(registry)
+		pending := reporter.Next(registry, maxCrashesPerFrame)
 		if len(pending) == 0 {
 			break
 		}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/quarantine"
 )
 
 // exchangeFactor is the ratio of the interval at which domains exchange loads to the
@@ -64,7 +65,7 @@
 type domainLink struct {
 	conn     *websocket.Conn
 	received loadReceiver
-	crashes  crashReporter
+	crashes  quarantine.Reporter
 
 	loads       loadReport // of the last exchange with loads
 	loadChanges int        // that it sent
@@ -88,7 +89,7 @@
 	}
 	c := l.conn
 	p := &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: withLoads, LoadsOnly: true, Suspects: n.conditions.drainOutbox(domain)}
-	p.Crashes = l.crashes.next(n.opts.Quarantine)
+	p.Crashes = n.nextCrashes(&l.crashes)
 	answer, err := exchange(ctx, c, p)
 	if err != nil {
 		_ = c.CloseNow()
--- a/relay/session.go
+++ b/relay/session.go
@@ -14,6 +14,7 @@
 
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/network"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/stall"
 )
 
@@ -40,7 +41,7 @@
 	}
 	go s.pings(ctx)
 	if probe == nil {
-		go n.sendCrashes(ctx, c, new(crashReporter))
+		go n.sendCrashes(ctx, c, new(quarantine.Reporter))
 	}
 	err = s.read(ctx)
 	if cause := context.Cause(ctx); cause != nil {
--- a/relay/source.go
+++ b/relay/source.go
@@ -13,6 +13,7 @@
 
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/quarantine"
 )
 
 // Inventory holds the state that is passed on to followers and receives that of the
@@ -92,7 +93,7 @@
 		n.answerPings(ctx, c)
 	}()
 	// Known crashes are sent first: the follower forwards requests once it has the state.
-	var crashes crashReporter
+	var crashes quarantine.Reporter
 	if n.sendKnownCrashes(ctx, c, &crashes) != nil {
 		return // the follower is gone
 	}
@@ -226,7 +227,7 @@
 	var toFollower loadReporter
 	var loadsDueAt time.Time
 	var conditionsVersion uint64
-	var crashes crashReporter
+	var crashes quarantine.Reporter
 	defer func() { n.followerLoads.drop(follower, reportedAt) }()
 	for {
 		f, err := readFrame(ctx, c)
@@ -261,7 +262,7 @@
 		}
 		if p.LoadsOnly {
 			n.applyCrashes(p.Crashes)
-			answer.Crashes = crashes.next(n.opts.Quarantine)
+			answer.Crashes = n.nextCrashes(&crashes)
 		}
 		if p.RequestsConfig {
 			answer.Config = n.inv.State().Config
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -17,6 +17,7 @@
 
 	"github.com/snowspoke/snowspoke/internal/readall"
 	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/store"
 )
 
@@ -46,9 +47,9 @@
 	// Packed is an encoded and compressed frame.
 	Packed []byte `cbor:"4,keyasint,omitempty"`
 	// Crashes are changed entries of the quarantine registry.
-	Crashes    []packedCrash `cbor:"5,keyasint,omitempty"`
-	Conditions *conditions   `cbor:"6,keyasint,omitempty"`
-	Members    *memberUpdate `cbor:"7,keyasint,omitempty"`
+	Crashes    []quarantine.PackedEntry `cbor:"5,keyasint,omitempty"`
+	Conditions *conditions              `cbor:"6,keyasint,omitempty"`
+	Members    *memberUpdate            `cbor:"7,keyasint,omitempty"`
 }
 
 // conditions holds all backend servers that are known to be slow or saturated.
@@ -87,7 +88,7 @@
 	// serverHash.
 	Suspects []uint32 `cbor:"9,keyasint,omitempty"`
 	// Crashes are set only between sources of different domains.
-	Crashes []packedCrash `cbor:"10,keyasint,omitempty"`
+	Crashes []quarantine.PackedEntry `cbor:"10,keyasint,omitempty"`
 	// RequestsConfig requests the configuration in force.
 	RequestsConfig bool `cbor:"11,keyasint,omitempty"`
 }
@@ -108,7 +109,7 @@
 	HasConditions bool              `cbor:"8,keyasint,omitempty"`
 	Conditions    []packedCondition `cbor:"9,keyasint,omitempty"`
 	// Crashes are set only between sources of different domains.
-	Crashes []packedCrash `cbor:"10,keyasint,omitempty"`
+	Crashes []quarantine.PackedEntry `cbor:"10,keyasint,omitempty"`
 	// Config is the configuration in force, if requested.
 	Config []byte `cbor:"11,keyasint,omitempty"`
 	// ListedAt is Members.ListedAt of the sender. It is set only between domains.
