dispatch, peer: requests and messages that crash engines are quarantined

The fault on our own interface, which had no quarantine at all: requests that crash the engines that run them were sent on and on.

dispatch gives the same guard the ends of engines (refused connection or another boot) and the requests that they survived; peer exchanges the registry over its links; api names the shared parts: all messages but the last, or the first 512 bytes of a longer text. Plain services of this interface have none yet.

--- a/api/completions.go
+++ b/api/completions.go
@@ -92,6 +92,27 @@
 	return d.Sum64()
 }
 
+// parts identifies the parts of the prompt that other requests may share: the messages but the last,
+// or the start of a text that is longer.
+func (b *completionBody) parts() []string {
+	if len(b.Messages) == 0 {
+		if len(b.Prompt) <= maxPrefixBytes {
+			return nil
+		}
+		return []string{b.Prompt[:maxPrefixBytes]}
+	}
+	shared := b.Messages[:len(b.Messages)-1]
+	shared = shared[:min(len(shared), maxSharedMessages)]
+	out := make([]string, 0, len(shared))
+	for _, m := range shared {
+		out = append(out, m.Role+"\x00"+m.Content)
+	}
+	return out
+}
+
+// maxSharedMessages bounds the messages of a prompt that are looked at as shared parts.
+const maxSharedMessages = 64
+
 // serveCompletion handles both completion endpoints.
 func (h *Callers) serveCompletion(w http.ResponseWriter, r *http.Request, f format) {
 	req, b, err := h.readCompletion(w, r, f)
@@ -140,7 +161,7 @@
 	return &dispatch.Request{
 		ID: id, Workspace: ws, Model: b.Model, Adapter: b.Adapter, Prompt: b.Prompt, Messages: b.Messages,
 		MaxTokens: b.MaxTokens, Priority: o.priority, Labels: o.labels, Repeatable: o.repeatable,
-		Deadline: o.deadline, BodyHash: hash, CacheKey: b.cacheKey(),
+		Deadline: o.deadline, BodyHash: hash, CacheKey: b.cacheKey(), Parts: b.parts(),
 		Sampling: backend.Sampling{Temperature: b.Temperature, TopP: b.TopP, Seed: b.Seed, Stop: b.Stop},
 	}
 }
--- a/api/parse_test.go
+++ b/api/parse_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,3 +74,17 @@
 	require.Equal(t, http.StatusNotFound, get("/metrics", "secret"))
 	require.Equal(t, http.StatusOK, get("/healthz", ""))
 }
+
+// The last message, or a text that is short, belongs to the request alone.
+func TestSharedPartsOfPrompts(t *testing.T) {
+	parts := func(body string, f format) []string {
+		b, err := parseCompletion([]byte(body), f)
+		require.NoError(t, err)
+		return b.parts()
+	}
+	long := strings.Repeat("x", maxPrefixBytes)
+	require.Empty(t, parts(`{"model":"m","prompt":"p"}`, textFormat))
+	require.Equal(t, []string{long}, parts(`{"model":"m","prompt":"`+long+`and more"}`, textFormat))
+	require.Empty(t, parts(`{"model":"m","messages":[{"role":"user","content":"x"}]}`, chatFormat))
+	require.Equal(t, []string{"system\x00s"}, parts(`{"model":"m","messages":[{"role":"system","content":"s"},{"role":"user","content":"x"}]}`, chatFormat))
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -38,6 +38,7 @@
 	"github.com/snowspoke/snowspoke/monitor"
 	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/peer"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/routing"
 	"github.com/snowspoke/snowspoke/store/httpstore"
 	"github.com/snowspoke/snowspoke/tlsconf"
@@ -68,6 +69,7 @@
 	sealer           *dispatch.Sealer
 	claimRegistry    *claims.Registry
 	limits           limits
+	quarantine       *quarantine.Registry // of requests that crash engines, shared with the other daemons
 	paths            *detour.Paths
 	detours          *detour.Dialer
 	carrier          *detour.Server
@@ -97,7 +99,10 @@
 // the metrics cannot be set up, a certificate or the fleet key cannot be read, or an
 // address is not available.
 func New(cfg config.Config, n network.Network, logger log.Logger) (*Daemon, error) {
-	d := &Daemon{cfg: cfg, net: n, killed: make(chan struct{}), logger: log.With(logger, "daemon", cfg.Daemon.Name)}
+	d := &Daemon{
+		cfg: cfg, net: n, killed: make(chan struct{}), logger: log.With(logger, "daemon", cfg.Daemon.Name),
+		quarantine: quarantine.NewRegistry(quarantine.DefaultPolicy),
+	}
 	m, err := metrics.New()
 	if err != nil {
 		return nil, err
@@ -192,7 +197,8 @@
 	}, dispatch.Dependencies{
 		Engine: engine, Catalog: d.catalog, Table: d.table, Planner: d.planner, Gate: d.gate,
 		Health: d.monitor, Prober: d.monitor, Warm: d.prefixes, Sealer: d.sealer, Log: d.decisions,
-		Observer: d.metrics, Clock: time.Now, Limits: d.limits.calls,
+		Observer: d.metrics, Clock: time.Now, Limits: d.limits.calls, Quarantine: d.quarantine,
+		TrialRank: func(key uint64) int { return d.node.Rank(key) },
 	})
 }
 
@@ -297,6 +303,8 @@
 	wg.Go(func() { d.node.Run(workCtx) })
 	wg.Go(func() { d.readVMs(workCtx) })
 	wg.Go(func() { d.node.ReportQuotas(workCtx) })
+	wg.Go(func() { d.node.ShareCrashes(workCtx) })
+	wg.Go(func() { d.forgetCrashes(workCtx) })
 	wg.Go(func() { d.limits.node.Run(workCtx) })
 	wg.Go(func() { d.placeWeights(workCtx) })
 	wg.Go(func() { d.detours.Run(workCtx) })
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -13,6 +13,7 @@
 	"github.com/snowspoke/snowspoke/catalog"
 	"github.com/snowspoke/snowspoke/claims"
 	"github.com/snowspoke/snowspoke/detour"
+	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/peer"
 	"github.com/snowspoke/snowspoke/permit"
 	"github.com/snowspoke/snowspoke/store"
@@ -30,7 +31,7 @@
 	p := d.cfg.Peers
 	d.node = peer.New(peer.Options{
 		Self: self, Seeds: p.Seeds, Heartbeat: p.Heartbeat, Suspect: p.Suspect, Dead: p.Dead,
-		Degree: p.Degree, Watchers: p.Watchers, Token: d.peerToken(), Scheme: d.peerScheme(),
+		Degree: p.Degree, Watchers: p.Watchers, Token: d.peerToken(), Scheme: d.peerScheme(), Quarantine: d.quarantine,
 	}, d.client(peerConns), d.catalog, d.monitor, d.logger)
 	d.node.OnVMs(d.applyVMs)
 }
@@ -127,3 +128,13 @@
 func (p peerAdapter) Answer(ctx context.Context, daemon string, key claims.KeyHash, requestID string) (*claims.Answer, error) {
 	return p.d.node.Answer(ctx, daemon, key, requestID)
 }
+
+// forgetInterval is the time between two removals of expired entries of the quarantine.
+const forgetInterval = time.Minute
+
+// forgetCrashes removes expired entries of the quarantine until ctx ends.
+func (d *Daemon) forgetCrashes(ctx context.Context) {
+	for wait.For(ctx, forgetInterval) {
+		d.quarantine.Forget(time.Now())
+	}
+}
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -27,6 +27,8 @@
 	Claim     Kind = "claim"
 	Move      Kind = "move"
 	Pause     Kind = "pause"
+
+	Quarantine Kind = "quarantine"
 )
 
 // Record is one decision with its reasons.
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -31,6 +31,9 @@
 	if err := r.checkRoute(); err != nil {
 		return result{err: err, failed: r.leavingHop(), final: !errors.Is(err, errLeaving)}
 	}
+	if err := r.checkQuarantine(ctx, r.HasRun()); err != nil {
+		return result{err: err, final: true}
+	}
 	if limitErr := r.d.limits.acquire(ctx, r.route.BackendServers(), classOf(r.req.Workspace.Name, r.req.Priority)); limitErr != nil {
 		return result{err: limitErr, failed: limitErr.server}
 	}
@@ -59,6 +62,7 @@
 		return r.handleSendError(ctx, actx, err)
 	}
 	defer s.Close()
+	r.evidence.opened = true
 	r.d.warm.Sent(r.req.CacheKey, r.route[0].BackendServer)
 	return r.readEvents(ctx, actx, s, watch)
 }
@@ -95,6 +99,7 @@
 func (r *run) beginAttempt() error {
 	r.delivery.Begin(r.attempt)
 	r.produced = false
+	r.evidence = r.newEvidence()
 	eventIDs, err := r.d.sealer.Attempt(&Position{
 		Workspace: r.req.Workspace.Name, RequestID: r.req.ID, Attempt: r.attempt, Model: r.model.Name,
 		Version: r.version, Adapter: r.req.Adapter, Route: r.route, BodyHash: r.req.BodyHash, Repeatable: r.Repeatable(),
@@ -253,6 +258,7 @@
 // pause of a recovery.
 func (r *run) recordTimes() {
 	now := r.d.clock()
+	r.noteToken(now)
 	if r.firstAt.IsZero() {
 		r.firstAt = now
 		r.d.observe.FirstToken(now.Sub(r.began))
@@ -284,6 +290,7 @@
 		return result{err: err, final: true}
 	}
 	r.finishReason = ev.FinishReason
+	r.guard.Survived(r.d.clock())
 	for _, h := range r.route {
 		r.d.health.Signal(h.BackendServer, health.Success)
 	}
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -65,6 +65,8 @@
 func (noop) Finished(string, time.Duration)                        {}
 func (noop) FirstToken(time.Duration)                              {}
 func (noop) Recovered(time.Duration)                               {}
+func (noop) ServerEnded()                                          {}
+func (noop) Quarantined()                                          {}
 func (noop) LimitReached()                                         {}
 func (noop) Dropped(Drops)                                         {}
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/health"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/routing"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -45,6 +46,10 @@
 	Dropped(d Drops)
 	// LimitReached counts a request refused because of backend servers' limits.
 	LimitReached()
+	// ServerEnded counts a backend server that ended while it may have run a request.
+	ServerEnded()
+	// Quarantined counts a request that is not sent because backend servers crash as they run it.
+	Quarantined()
 }
 
 // Options are the settings of a dispatcher.
@@ -75,6 +80,7 @@
 	policy  Policy
 	limits  *CallLimits
 	pauses  *pauses
+	crashes *crashes
 }
 
 // Dependencies are the dependencies of a dispatcher.
@@ -93,6 +99,11 @@
 	Clock    Clock
 	Choose   Policy      // nil means routing.Choose
 	Limits   *CallLimits // nil means no limits
+	// Quarantine is shared with the other daemons, nil for a private registry.
+	Quarantine *quarantine.Registry
+	// TrialRank returns the position of this daemon in an order of all daemons that depends on
+	// the key and is the same at all of them. nil for a single daemon.
+	TrialRank func(key uint64) int
 }
 
 // Policy picks a route for a new request.
@@ -103,8 +114,12 @@
 	if p.Choose == nil {
 		p.Choose = routing.Choose
 	}
+	if p.Quarantine == nil {
+		p.Quarantine = quarantine.NewRegistry(quarantine.DefaultPolicy)
+	}
 	return &Dispatcher{
-		opts: o, engine: p.Engine, catalog: p.Catalog, table: p.Table, planner: p.Planner, gate: p.Gate,
+		crashes: &crashes{registry: p.Quarantine, trialRank: p.TrialRank},
+		opts:    o, engine: p.Engine, catalog: p.Catalog, table: p.Table, planner: p.Planner, gate: p.Gate,
 		health: p.Health, prober: p.Prober, warm: p.Warm, sealer: p.Sealer, log: p.Log, observe: p.Observer,
 		clock: p.Clock, policy: p.Choose, limits: p.Limits, pauses: newPauses(p.Clock, p.Log),
 	}
@@ -123,6 +138,7 @@
 		Tracker:  execution.New(req.Repeatable),
 		delivery: NewDelivery(req.ID, 0),
 		avoid:    map[string]bool{},
+		guard:    req.guard(d.crashes.registry),
 	}
 }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -28,6 +28,7 @@
 	Deadline   time.Time // zero for none
 	BodyHash   uint64    // binds event IDs to the request body
 	CacheKey   uint64    // hash of the prompt's prefix; 0 means none
+	Parts      []string  // identify the parts of the prompt that other requests may share, in order
 }
 
 // Token is one token of an answer.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -15,6 +15,7 @@
 	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/health"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/routing"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -46,7 +47,9 @@
 	firstAt      time.Time                   // of the first token delivered
 	lastAt       time.Time                   // of the last token delivered
 	failedAt     time.Time                   // set while the stream is interrupted
-	skipTo       int                         // the caller already has the tokens below this index
+	guard        *quarantine.Guard
+	evidence     evidence // of the current attempt
+	skipTo       int      // the caller already has the tokens below this index
 }
 
 // resolve sets the model, version and class of the request from the configuration
@@ -104,6 +107,9 @@
 		return err
 	}
 	r.boundTokens()
+	if err := r.admitQuarantine(ctx); err != nil {
+		return err
+	}
 	t, err := r.d.gate.Admit(ctx, r.req, r.model, r.key(), r.choose)
 	if err != nil {
 		return err
@@ -243,6 +249,13 @@
 		r.abandon()
 		return false, r.finalError(ctx, res.err)
 	}
+	if errors.Is(res.err, execution.ErrLost) && res.failed != "" {
+		r.attributeEnd(ctx, res.failed)
+		if err := r.checkQuarantine(ctx, true); err != nil {
+			r.abandon()
+			return false, err
+		}
+	}
 	if r.failedAt.IsZero() {
 		r.failedAt = r.d.clock()
 	}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -20,6 +21,7 @@
 	"github.com/snowspoke/snowspoke/fleet"
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/monitor"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/routing"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -38,6 +40,11 @@
 	mu         sync.Mutex
 	recomputed int // layer-tokens recomputed after failures
 	steps      int // hops passed by all tokens
+
+	crashingSends []time.Time            // sends of requests that crash engines
+	crashes       []time.Time            // ends of engines under them
+	registries    []*quarantine.Registry // of the daemons
+
 }
 
 // simSpec holds the parameters of a simulation.
@@ -73,6 +80,7 @@
 	inFlight int
 	history  []sample // for delayed reports
 	dead     bool
+	boot     uint64
 	kv       map[string]int
 }
 
@@ -115,7 +123,7 @@
 func (l *sim) addEngine(stage, i int, rng *rand.Rand) {
 	name := fmt.Sprintf("s%d-%d", stage, i)
 	kind := rng.IntN(4)
-	e := &simEngine{sim: l, name: name, rate: simBaseRate * float64(int(1)<<kind), kv: map[string]int{}}
+	e := &simEngine{sim: l, name: name, rate: simBaseRate * float64(int(1)<<kind), boot: 1, kv: map[string]int{}}
 	b := &topology.BackendServer{Name: name, Address: name + ":1", FailureDomain: fmt.Sprint("d", i%3), TokensPerSecond: e.rate}
 	if l.spec.slowLinks && rng.IntN(3) == 0 {
 		e.link = 4
@@ -152,6 +160,8 @@
 func (simObserver) FirstToken(time.Duration)       {}
 func (simObserver) Recovered(time.Duration)        {}
 func (simObserver) Dropped(dispatch.Drops)         {}
+func (simObserver) ServerEnded()                   {}
+func (simObserver) Quarantined()                   {}
 func (simObserver) LimitReached()                  {}
 
 func (l *sim) addDaemon(ctx context.Context, i int) {
@@ -180,11 +190,13 @@
 		policy = l.spec.policy()
 	}
 	l.tables = append(l.tables, table)
+	l.registries = append(l.registries, quarantine.NewRegistry(quarantine.DefaultPolicy))
 	l.daemons = append(l.daemons, dispatch.New(dispatch.Options{
 		FailureDomain: fmt.Sprint("d", i%3), FirstToken: 10 * time.Second, GapCeiling: 2 * time.Second, MaxAttempts: 8, RecoverTimeout: 10 * time.Second, MoveThreshold: time.Minute,
 	}, dispatch.Dependencies{
 		Engine: l, Catalog: simCatalog{l.snap}, Table: table, Planner: routing.NewPlanner(table, time.Now), Gate: gate,
 		Health: m, Prober: m, Warm: routing.NewPrefixes(), Sealer: sealer, Log: decisions, Observer: simObserver{l}, Clock: time.Now, Choose: policy,
+		Quarantine: l.registries[i], TrialRank: func(key uint64) int { return (i + int(key%uint64(l.spec.daemons))) % l.spec.daemons },
 	}))
 }
 
@@ -231,6 +243,23 @@
 	e.dead = true
 }
 
+// crash kills the engine and starts it again after crashRestart. It reports whether it ran.
+func (e *simEngine) crash() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return false
+	}
+	e.dead = true
+	time.AfterFunc(crashRestart, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.dead, e.kv = false, map[string]int{}
+		e.boot++
+	})
+	return true
+}
+
 // addInFlight adds d to the requests in flight.
 func (e *simEngine) addInFlight(d int) {
 	e.mu.Lock()
@@ -257,10 +286,13 @@
 
 func (e *simEngine) status() (backend.Status, error) {
 	if e.isDead() {
-		return backend.Status{}, execution.ErrNotSent
+		return backend.Status{}, fmt.Errorf("%w: %w", execution.ErrNotSent, syscall.ECONNREFUSED)
 	}
 	n, delay := e.reported()
-	st := backend.Status{BackendServer: e.name, Boot: 1, Seq: 1, InFlight: n, LoadAge: delay.Seconds(), Capacity: e.rate}
+	e.mu.Lock()
+	boot := e.boot
+	e.mu.Unlock()
+	st := backend.Status{BackendServer: e.name, Boot: boot, Seq: 1, InFlight: n, LoadAge: delay.Seconds(), Capacity: e.rate}
 	var stage, i int
 	_, _ = fmt.Sscanf(e.name, "s%d-%d", &stage, &i)
 	per := simLayers / e.sim.spec.stages
@@ -321,6 +353,11 @@
 		l.engines[h.BackendServer].addInFlight(1)
 	}
 	s := &simStream{sim: l, g: g, ctx: ctx, index: len(g.Prior)}
+	if isCrashing(g) {
+		l.mu.Lock()
+		l.crashingSends = append(l.crashingSends, time.Now())
+		l.mu.Unlock()
+	}
 	if len(g.Prior) > 0 {
 		s.prefill()
 	}
@@ -363,6 +400,11 @@
 	once  sync.Once
 }
 
+// isCrashing reports whether a request crashes the engines that begin to answer it.
+func isCrashing(g *backend.Generate) bool {
+	return slices.ContainsFunc(g.Messages, func(m backend.Message) bool { return m.Content == crashingMessage })
+}
+
 // prefillWork is the work of recomputing one known token, in tokens.
 const prefillWork = 0.1
 
@@ -390,6 +432,11 @@
 		s.release()
 		return ev, nil
 	}
+	if isCrashing(s.g) && s.index > 0 && s.sim.engines[s.g.Route[0].BackendServer].crash() {
+		s.sim.mu.Lock()
+		s.sim.crashes = append(s.sim.crashes, time.Now())
+		s.sim.mu.Unlock()
+	}
 	for i, h := range s.g.Route {
 		e := s.sim.engines[h.BackendServer]
 		began := time.Now()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -144,6 +144,13 @@
 	return newer
 }
 
+// Boot returns the boot that an engine last reported, 0 if none is known.
+func (t *Table) Boot(server string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reported[server].boot
+}
+
 // SetCapacity sets the capacity, in tokens per second, that an engine measured.
 func (t *Table) SetCapacity(server string, capacity float64) {
 	t.mu.Lock()
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/snowspoke/snowspoke/internal/memstore"
 	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/network"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/store"
 	"github.com/snowspoke/snowspoke/topology"
 )
@@ -91,7 +92,7 @@
 	d.node = New(Options{
 		Self:  Member{Name: name, Address: d.ip + ":7000", FailureDomain: fmt.Sprint("domain-", i%domains), Incarnation: uint64(time.Now().UnixMilli())},
 		Seeds: seeds, Heartbeat: 500 * time.Millisecond, Suspect: 2 * time.Second, Dead: 5 * time.Second, Degree: 4, Watchers: 2,
-		Token: "t", Scheme: "http",
+		Token: "t", Scheme: "http", Quarantine: quarantine.NewRegistry(quarantine.DefaultPolicy),
 	}, d.client, d.catalog, &statuses{known: map[string]backend.Status{}}, log.NewNopLogger())
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
@@ -102,6 +103,7 @@
 	d.server = &http.Server{Handler: d.node.Handler(ctx)}
 	d.done.Go(func() { _ = d.server.Serve(l) })
 	d.done.Go(func() { d.node.Run(ctx) })
+	d.done.Go(func() { d.node.ShareCrashes(ctx) })
 	d.done.Go(func() {
 		d.node.Follow(ctx, func(ctx context.Context) {
 			catalog.NewFollower(d.catalog, f.store, time.Minute, d.node.PublishObjects, log.NewNopLogger()).Run(ctx)
@@ -365,3 +367,27 @@
 		_, _ = unpackObjects(data)
 	})
 }
+
+// Ends of engines under requests are known to all daemons soon, and to one that joins later.
+func TestCrashPropagation(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		f := newFleet(30)
+		defer f.close()
+		time.Sleep(10 * time.Second)
+		part := quarantine.FingerprintOfPart("m", "p")
+		now := time.Now()
+		for n := range 3 {
+			from := f.daemons[fmt.Sprintf("daemon-%03d", n)].node.opts.Quarantine
+			from.RecordEnd(part, quarantine.Server(n), quarantine.Likely, now.Add(time.Duration(n-3)*time.Second))
+		}
+		knows := func(d *testDaemon) bool { return d.node.opts.Quarantine.Check(part, time.Now()).Quarantined }
+		time.Sleep(time.Second)
+		for name, d := range f.daemons {
+			require.True(t, knows(d), name)
+		}
+		joined := f.add()
+		time.Sleep(5 * time.Second)
+		require.True(t, knows(joined))
+		require.NotEqual(t, f.daemons["daemon-000"].node.Rank(1), f.daemons["daemon-001"].node.Rank(1))
+	})
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -145,6 +145,7 @@
 	n.mu.Unlock()
 	f.Statuses = n.statuses.Reports()
 	n.sendTo(l, f)
+	n.sendKnownCrashes(l)
 }
 
 func (n *Node) sendTo(l *link, f *Frame) {
@@ -206,6 +207,7 @@
 	for _, st := range f.Statuses {
 		n.applyStatus(st, l.peer.Name)
 	}
+	n.applyCrashes(f.Crashes, now)
 	if f.VMs != nil {
 		n.applyVMs(*f.VMs, l.peer.Name)
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/catalog"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/store"
 )
 
@@ -30,6 +31,8 @@
 	Watchers  int           // number of daemons in a failure domain that follow the store
 	Token     string        // shared by the fleet
 	Scheme    string        // "http" or "https"
+	// Quarantine is exchanged with the other daemons, nil for none.
+	Quarantine *quarantine.Registry
 }
 
 // Catalog is the configuration in force that a node synchronizes with its peers.
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -11,6 +11,7 @@
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/catalog"
 	"github.com/snowspoke/snowspoke/internal/readall"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/store"
 )
 
@@ -24,6 +25,8 @@
 	ConfigRequest *ConfigRequest   `cbor:"6,keyasint,omitempty"`
 	Snapshot      []byte           `cbor:"7,keyasint,omitempty"` // gzip of CBOR of objects
 	VMs           *VMList          `cbor:"8,keyasint,omitempty"`
+	// Crashes are changes of the quarantine registry.
+	Crashes []quarantine.PackedEntry `cbor:"9,keyasint,omitempty"`
 }
 
 // VMList is a VM list that a watcher read from the platform.
