--- a/forward/statement.go
+++ b/forward/statement.go
@@ -11,10 +11,19 @@
 func (f *Forwarder) ApplyStatement(s Statement) {
 	f.applyStatedLimit(&s)
 	f.applyAvailability(&s, time.Now())
-	for _, h := range s.Ignored {
+	f.noteIgnored(s.Ignored, "server", s.Server, "by", s.Call, "request", s.RequestID)
+}
+
+// NoteRequestHeaders logs and counts the headers of a caller's request that have no effect.
+func (f *Forwarder) NoteRequestHeaders(requestID string, headers []IgnoredHeader) {
+	f.noteIgnored(headers, "by", "caller", "request", requestID)
+}
+
+func (f *Forwarder) noteIgnored(headers []IgnoredHeader, kv ...any) {
+	for _, h := range headers {
 		f.observer.HeaderIgnored()
 		if f.ignored.isNew(h.Name) {
-			f.log.Add("header_ignored", "server", s.Server, "name", h.Name, "value", truncate(h.Value, maxIgnoredValue), "by", s.Call, "request", s.RequestID)
+			f.log.Add("header_ignored", append([]any{"name", h.Name, "value", truncate(h.Value, maxIgnoredValue)}, kv...)...)
 		}
 	}
 }
