--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -199,6 +199,7 @@
 		Health: d.monitor, Prober: d.monitor, Warm: d.prefixes, Sealer: d.sealer, Log: d.decisions,
 		Observer: d.metrics, Clock: time.Now, Limits: d.limits.calls, Quarantine: d.quarantine,
 		TrialRank: func(key uint64) int { return d.node.Rank(key) },
+		Isolated:  func(err error) bool { return errors.Is(err, detour.ErrIsolated) },
 	})
 }
 
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -16,7 +16,6 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/decision"
-	"github.com/snowspoke/snowspoke/detour"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/quarantine"
 )
@@ -39,6 +38,7 @@
 type crashes struct {
 	registry  *quarantine.Registry
 	trialRank func(key uint64) int // nil for a single daemon
+	isolated  func(err error) bool // nil if that is not tracked
 	checks    singleflight.Group   // by engine and boot
 }
 
@@ -182,7 +182,7 @@
 		defer cancel()
 		st, err := e.Status(ctx, t)
 		if err != nil {
-			return isRefusedConnection(err), nil
+			return c.isRefusedConnection(err), nil
 		}
 		return boot != 0 && st.Boot != boot, nil
 	})
@@ -190,6 +190,9 @@
 }
 
 // isRefusedConnection reports whether a call failed because nobody listens at the address.
-func isRefusedConnection(err error) bool {
-	return errors.Is(err, execution.ErrNotSent) && errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, detour.ErrIsolated)
+func (c *crashes) isRefusedConnection(err error) bool {
+	if c.isolated != nil && c.isolated(err) {
+		return false
+	}
+	return errors.Is(err, execution.ErrNotSent) && errors.Is(err, syscall.ECONNREFUSED)
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -104,6 +104,9 @@
 	// TrialRank returns the position of this daemon in an order of all daemons that depends on
 	// the key and is the same at all of them. nil for a single daemon.
 	TrialRank func(key uint64) int
+	// Isolated reports whether a call failed because this daemon reaches no backend server, so that
+	// it says nothing about the one that was called. nil if that is not tracked.
+	Isolated func(err error) bool
 }
 
 // Policy picks a route for a new request.
@@ -118,7 +121,7 @@
 		p.Quarantine = quarantine.NewRegistry(quarantine.DefaultPolicy)
 	}
 	return &Dispatcher{
-		crashes: &crashes{registry: p.Quarantine, trialRank: p.TrialRank},
+		crashes: &crashes{registry: p.Quarantine, trialRank: p.TrialRank, isolated: p.Isolated},
 		opts:    o, engine: p.Engine, catalog: p.Catalog, table: p.Table, planner: p.Planner, gate: p.Gate,
 		health: p.Health, prober: p.Prober, warm: p.Warm, sealer: p.Sealer, log: p.Log, observe: p.Observer,
 		clock: p.Clock, policy: p.Choose, limits: p.Limits, pauses: newPauses(p.Clock, p.Log),
