--- a/internal/virtual/norace.go
+++ b/internal/virtual/norace.go
@@ -2,5 +2,5 @@
 
 package virtual
 
-// raceDetector reports whether the program was built with the race detector.
-const raceDetector = false
+// RaceDetector reports whether the program was built with the race detector.
+const RaceDetector = false
--- a/internal/virtual/race.go
+++ b/internal/virtual/race.go
@@ -2,5 +2,5 @@
 
 package virtual
 
-// raceDetector reports whether the program was built with the race detector.
-const raceDetector = true
+// RaceDetector reports whether the program was built with the race detector.
+const RaceDetector = true
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -17,7 +17,7 @@
 // found, as the detector works by happens-before and not by concurrent execution.
 func Test(t *testing.T, fn func(t *testing.T)) {
 	t.Helper()
-	if raceDetector {
+	if RaceDetector {
 		bubbles.enter()
 		defer bubbles.leave()
 	}
