--- a/forward/statement.go
+++ b/forward/statement.go
@@ -11,19 +11,20 @@
 func (f *Forwarder) ApplyStatement(s Statement) {
 	f.applyStatedLimit(&s)
 	f.applyAvailability(&s, time.Now())
-	f.noteIgnored(s.Ignored, "server", s.Server, "by", s.Call, "request", s.RequestID)
+	f.noteIgnored(s.Ignored, s.Server, string(s.Call), s.RequestID)
 }
 
 // NoteRequestHeaders logs and counts the headers of a caller's request that have no effect.
 func (f *Forwarder) NoteRequestHeaders(requestID string, headers []IgnoredHeader) {
-	f.noteIgnored(headers, "by", "caller", "request", requestID)
+	f.noteIgnored(headers, "", "caller", requestID)
 }
 
-func (f *Forwarder) noteIgnored(headers []IgnoredHeader, kv ...any) {
+// noteIgnored logs and counts ignored headers of a backend server, "" for those of a caller.
+func (f *Forwarder) noteIgnored(headers []IgnoredHeader, server, by, requestID string) {
 	for _, h := range headers {
 		f.observer.HeaderIgnored()
 		if f.ignored.isNew(h.Name) {
-			f.log.Add("header_ignored", append([]any{"name", h.Name, "value", truncate(h.Value, maxIgnoredValue)}, kv...)...)
+			f.log.Add("header_ignored", "server", server, "name", h.Name, "value", truncate(h.Value, maxIgnoredValue), "by", by, "request", requestID)
 		}
 	}
 }
