quarantine: the entry of a part that is served all the time is not exchanged forever

Found by reading. A daemon adds its own, newer survival to an entry that it receives and sends the entry on. A survival is added only where it clears an end.

--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -237,3 +237,27 @@
 		}
 	})
 }
+
+// Daemons at which a part is served all the time do not send its entry to each other again and again
+// once its ends are cleared.
+func TestServedPartsAreNotExchangedForever(t *testing.T) {
+	registries := []*Registry{NewRegistry(DefaultPolicy), NewRegistry(DefaultPolicy)}
+	for _, r := range registries {
+		r.RecordEnd(soundPart, 1, Likely, start)
+	}
+	var versions [2]uint64
+	var underWay [2][]Entry
+	sent := 0
+	for at := time.Second; at < time.Minute; at += time.Second {
+		for i, r := range registries {
+			r.Served(soundPart, after(at))
+			r.Merge(underWay[1-i], after(at))
+			underWay[1-i] = nil
+		}
+		for i, r := range registries {
+			underWay[i], versions[i] = r.Since(versions[i], 99)
+			sent += len(underWay[i])
+		}
+	}
+	require.LessOrEqual(t, sent, 4)
+}
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -110,6 +110,11 @@
 	e.Ends = slices.DeleteFunc(e.Ends, func(end End) bool { return !end.At.After(e.ServedAt) })
 }
 
+// hasEndAfter reports whether the entry has an end later than at.
+func (e *Entry) hasEndAfter(at time.Time) bool {
+	return slices.ContainsFunc(e.Ends, func(end End) bool { return end.At.After(at) })
+}
+
 // compareEnds orders ends by time.
 func compareEnds(x, y End) int {
 	return cmp.Or(x.At.Compare(y.At), cmp.Compare(x.Server, y.Server))
@@ -241,7 +246,7 @@
 		k = r.add(e.Fingerprint, now)
 	}
 	changed := false
-	if survived := r.survivals[e.Fingerprint]; survived.Sub(k.ServedAt) > maxTimeSkew {
+	if survived := r.survivals[e.Fingerprint]; survived.Sub(k.ServedAt) > maxTimeSkew && e.hasEndAfter(k.ServedAt) {
 		k.ServedAt, changed = survived, true
 	}
 	if e.ServedAt.Sub(k.ServedAt) > maxTimeSkew {
