--- a/decision/decision.go
+++ b/decision/decision.go
@@ -16,18 +16,17 @@
 
 // The decision kinds.
 const (
-	Route     Kind = "route"
-	Admit     Kind = "admit"
-	Refuse    Kind = "refuse"
-	Recover   Kind = "recover"
-	Resume    Kind = "resume"
-	Finish    Kind = "finish"
-	Health    Kind = "health"
-	Placement Kind = "placement"
-	Claim     Kind = "claim"
-	Move      Kind = "move"
-	Pause     Kind = "pause"
-
+	Route      Kind = "route"
+	Admit      Kind = "admit"
+	Refuse     Kind = "refuse"
+	Recover    Kind = "recover"
+	Resume     Kind = "resume"
+	Finish     Kind = "finish"
+	Health     Kind = "health"
+	Placement  Kind = "placement"
+	Claim      Kind = "claim"
+	Move       Kind = "move"
+	Pause      Kind = "pause"
 	Quarantine Kind = "quarantine"
 )
 
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"strconv"
 	"syscall"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/singleflight"
 
-	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/execution"
@@ -24,15 +22,8 @@
 // prompt that others share. Package quarantine decides which requests are no longer sent; this file
 // gives it the ends of engines and the requests that they survived.
 
-const (
-	// endCheckTimeout bounds the check whether an engine has ended. A stream goes on after it.
-	endCheckTimeout = 100 * time.Millisecond
-	// quarantineSpread is the range of the random delay that is added to the retry times of
-	// quarantined requests.
-	quarantineSpread = 500 * time.Millisecond
-	// trialSpacing is the time after which a further daemon may try a part of a prompt.
-	trialSpacing = 2 * time.Second
-)
+// endCheckTimeout bounds the check whether an engine has ended. A stream goes on after it.
+const endCheckTimeout = 100 * time.Millisecond
 
 // crashes attributes the ends of engines to requests. It is safe for concurrent use.
 type crashes struct {
@@ -42,21 +33,9 @@
 	checks    singleflight.Group   // by engine and boot
 }
 
-// trialDelay returns how much later than due this daemon may try a part of a prompt.
-func (c *crashes) trialDelay(part quarantine.Fingerprint) time.Duration {
-	if c.trialRank == nil {
-		return 0
-	}
-	return time.Duration(c.trialRank(uint64(part))) * trialSpacing
-}
-
 // guard returns the guard of a request.
 func (r *Request) guard(registry *quarantine.Registry) *quarantine.Guard {
-	parts := make([]quarantine.Fingerprint, 0, len(r.Parts))
-	for _, id := range r.Parts {
-		parts = append(parts, quarantine.FingerprintOfPart(r.Model, id))
-	}
-	return quarantine.NewGuard(registry, r.contentFingerprint(), parts...)
+	return quarantine.NewGuard(registry, r.contentFingerprint(), r.Model, r.Parts)
 }
 
 // contentFingerprint identifies the content of the request. Requests without a body hash are all
@@ -101,7 +80,7 @@
 
 // admitQuarantine refuses a quarantined request.
 func (r *run) admitQuarantine(ctx context.Context) error {
-	d := r.guard.Admit(ctx, r.d.crashes.trialDelay)
+	d := r.guard.Admit(ctx, r.d.crashes.trialRank)
 	if d.Trial {
 		r.logQuarantine("tried", d)
 	}
@@ -129,8 +108,7 @@
 func (r *run) quarantined(outcome string, d quarantine.Decision) error {
 	r.logQuarantine(outcome, d)
 	r.d.observe.Quarantined()
-	wait := max(0, time.Until(d.Until)) + rand.N(quarantineSpread)
-	return apierror.New(apierror.Quarantined, "%d backend servers ended as they ran it", d.Ends).WithRetryAfter(wait)
+	return d.Refusal()
 }
 
 func (r *run) logQuarantine(outcome string, d quarantine.Decision) {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -44,7 +44,6 @@
 	crashingSends []time.Time            // sends of requests that crash engines
 	crashes       []time.Time            // ends of engines under them
 	registries    []*quarantine.Registry // of the daemons
-
 }
 
 // simSpec holds the parameters of a simulation.
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -181,15 +181,6 @@
 	return quarantine.FingerprintOf([]byte(workspace), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body)
 }
 
-// guard returns the guard of the request.
-func (r *Request) guard(registry *quarantine.Registry) *quarantine.Guard {
-	parts := make([]quarantine.Fingerprint, 0, len(r.Parts))
-	for _, id := range r.Parts {
-		parts = append(parts, quarantine.FingerprintOfPart(r.Service, id))
-	}
-	return quarantine.NewGuard(registry, r.Fingerprint(), parts...)
-}
-
 // Sink writes the answer to the caller. Its methods are called from one goroutine. An error
 // means that the caller is gone.
 type Sink interface {
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/detour"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/quarantine"
@@ -24,12 +22,6 @@
 const (
 	// identifyTimeout bounds the check which process is at an address. A stream goes on after it.
 	identifyTimeout = 100 * time.Millisecond
-	// quarantineSpread is the range of the random delay that is added to the retry times
-	// of quarantined requests.
-	quarantineSpread = 500 * time.Millisecond
-	// trialSpacing is the time after which a further daemon may try a part of a prompt. It
-	// exceeds the time after which all daemons know of a trial.
-	trialSpacing = 2 * time.Second
 )
 
 // errQuarantined ends a send of a request that has become quarantined.
@@ -106,7 +98,7 @@
 
 // admit refuses a quarantined request.
 func (r *run) admit(ctx context.Context) error {
-	d := r.guard.Admit(ctx, r.f.trialDelay)
+	d := r.guard.Admit(ctx, r.f.trialRank)
 	if d.Quarantined {
 		return r.quarantined("held back", d)
 	}
@@ -120,20 +112,7 @@
 func (r *run) quarantined(outcome string, d quarantine.Decision) error {
 	r.logQuarantine(outcome, d)
 	r.f.observer.Quarantined()
-	return quarantinedError(d)
-}
-
-func quarantinedError(d quarantine.Decision) error {
-	wait := max(0, time.Until(d.Until)) + rand.N(quarantineSpread)
-	return apierror.New(apierror.Quarantined, "%d backend servers ended as they ran it", d.Ends).WithRetryAfter(wait)
-}
-
-// trialDelay returns how much later than due this daemon may try a part of a prompt.
-func (f *Forwarder) trialDelay(part quarantine.Fingerprint) time.Duration {
-	if f.trialRank == nil {
-		return 0
-	}
-	return time.Duration(f.trialRank(uint64(part))) * trialSpacing
+	return d.Refusal()
 }
 
 // recordOutcome updates the quarantine with the outcome of a send. If the end of the head
@@ -247,11 +226,10 @@
 // checkQuarantine returns the refusal of a request that became quarantined after it was admitted,
 // and nil for all others.
 func (r *run) checkQuarantine(ctx context.Context) error {
-	d, ok := r.guard.CheckSend(ctx)
-	if ok {
-		return nil
+	if d, ok := r.guard.CheckSend(ctx); !ok {
+		return r.quarantined("held back after it was admitted", d)
 	}
-	return r.quarantined("held back after it was admitted", d)
+	return nil
 }
 
 func (r *run) logQuarantine(outcome string, d quarantine.Decision) {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -236,7 +236,7 @@
 	defer f.loads.end()
 	f.budget.Earn(time.Now())
 	r := &run{
-		f: f, req: req, sink: sink, deadline: deadline, lastEvent: req.LastEvent, guard: req.guard(f.quarantine),
+		f: f, req: req, sink: sink, deadline: deadline, lastEvent: req.LastEvent, guard: quarantine.NewGuard(f.quarantine, req.Fingerprint(), req.Service, req.Parts),
 		tracker: execution.New(req.Route.Repeatable()),
 	}
 	err := r.admit(ctx)
--- a/forward/limittrial.go
+++ b/forward/limittrial.go
@@ -82,7 +82,7 @@
 	if r.f.limits.Size() == 0 || r.tried.count() > 0 {
 		return nil
 	}
-	if _, suspect := r.suspicion(time.Now()); suspect {
+	if _, suspect := r.suspicion(); suspect {
 		return nil
 	}
 	view := r.f.inv.View()
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -49,7 +49,7 @@
 				r.f.observer.LimitReached()
 			}
 			if apierror.Is(err, apierror.Quarantined) {
-				r.noteReserved(now)
+				r.noteReserved()
 			}
 			return nil, r.withRetryAfter(err, now)
 		}
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -36,7 +36,7 @@
 
 // delaySuspect waits until a suspect may be sent again, or ctx ends.
 func (r *run) delaySuspect(ctx context.Context) {
-	d, suspect := r.suspicion(time.Now())
+	d, suspect := r.suspicion()
 	if suspect {
 		wait.For(ctx, time.Until(d.SuspectSince.Add(suspectDelay)))
 	}
@@ -46,7 +46,7 @@
 // whose caller has received an event is not, since a request that ends its backend server does
 // so when it begins to run. An answer that is no stream does not tell when that was, so each end
 // speaks against all requests in progress, which is too little.
-func (r *run) suspicion(now time.Time) (d quarantine.Decision, suspect bool) {
+func (r *run) suspicion() (d quarantine.Decision, suspect bool) {
 	if !r.isStream() || r.headSent.Load() {
 		return d, false
 	}
@@ -58,7 +58,7 @@
 // the candidates for a suspect. refusal is the error for a suspect that has no other first hop,
 // nil if nothing was removed.
 func (r *run) withoutReserved(ctx context.Context, cs []pipeline.Candidate, view *inventory.View, now time.Time) (rest []pipeline.Candidate, refusal error) {
-	d, suspect := r.suspicion(now)
+	d, suspect := r.suspicion()
 	if !suspect {
 		return cs, nil
 	}
@@ -70,7 +70,7 @@
 		return c.Server == reserved || r.f.health.Dead(c.Server.ID, now)
 	})
 	err := apierror.New(apierror.Quarantined, "%d backend servers ended as they ran it, %s is reserved for other requests", d.Ends, reserved.ID)
-	return rest, err.WithRetryAfter(suspectRetryAfter + rand.N(quarantineSpread))
+	return rest, err.WithRetryAfter(suspectRetryAfter + rand.N(quarantine.RetrySpread))
 }
 
 // reservedFirstHop returns the first hop that suspects of the service leave free, nil if there
@@ -92,7 +92,7 @@
 }
 
 // noteReserved logs and counts the refusal of a suspect without another first hop.
-func (r *run) noteReserved(now time.Time) {
+func (r *run) noteReserved() {
 	r.logQuarantine("reserved", r.guard.Check())
 	r.f.observer.Quarantined()
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -207,7 +207,7 @@
 	for _, st := range f.Statuses {
 		n.applyStatus(st, l.peer.Name)
 	}
-	n.applyCrashes(f.Crashes, now)
+	n.opts.Quarantine.MergePacked(f.Crashes, now)
 	if f.VMs != nil {
 		n.applyVMs(*f.VMs, l.peer.Name)
 	}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/internal/wait"
 )
 
@@ -29,19 +31,25 @@
 	trial    bool
 }
 
-// NewGuard returns a guard of a request with this content and these shared parts.
-func NewGuard(r *Registry, content Fingerprint, parts ...Fingerprint) *Guard {
-	return &Guard{registry: r, fps: append([]Fingerprint{content}, parts...)}
+// NewGuard returns a guard of a request for a service or model, with this content and the shared
+// parts of its prompt.
+func NewGuard(r *Registry, content Fingerprint, service string, parts []string) *Guard {
+	fps := make([]Fingerprint, 0, 1+len(parts))
+	fps = append(fps, content)
+	for _, part := range parts {
+		fps = append(fps, FingerprintOfPart(service, part))
+	}
+	return &Guard{registry: r, fps: fps}
 }
 
 // Content returns the fingerprint of the content.
 func (g *Guard) Content() Fingerprint { return g.fps[0] }
 
 // Admit decides on a request that was received from a caller, see Registry.AdmitAll. It waits for a
-// pending verdict on a part, or until ctx ends.
-func (g *Guard) Admit(ctx context.Context, trialDelay func(part Fingerprint) time.Duration) Decision {
-	g.awaitVerdict(ctx)
-	d := g.registry.AdmitAll(g.fps, time.Now(), trialDelay)
+// pending verdict on a part, or until ctx ends. rank is as for TrialDelay.
+func (g *Guard) Admit(ctx context.Context, rank func(key uint64) int) Decision {
+	g.CheckRepeat(ctx)
+	d := g.registry.AdmitAll(g.fps, time.Now(), TrialDelay(rank))
 	g.trial = d.Trial
 	return d
 }
@@ -52,15 +60,19 @@
 	if g.trial {
 		return Decision{}, true
 	}
-	g.awaitVerdict(ctx)
-	d = g.Check()
+	d = g.CheckRepeat(ctx)
 	return d, !d.Quarantined && !d.Trial
 }
 
-// CheckRepeat decides on a request that may have run. It waits like Admit.
+// CheckRepeat decides on a request that may have run. It waits while the evidence against a part is
+// so recent that requests that run now may still clear it.
 func (g *Guard) CheckRepeat(ctx context.Context) Decision {
-	g.awaitVerdict(ctx)
-	return g.Check()
+	for {
+		now, d := time.Now(), g.Check()
+		if !d.Quarantined || !d.VerdictAt.After(now) || !wait.For(ctx, min(verdictPoll, d.VerdictAt.Sub(now))) {
+			return d
+		}
+	}
 }
 
 // Check returns the current decision.
@@ -89,13 +101,12 @@
 	return cleared
 }
 
-// awaitVerdict waits while the evidence against a part is so recent that requests that run now may
-// still clear it.
-func (g *Guard) awaitVerdict(ctx context.Context) {
-	for {
-		now, d := time.Now(), g.Check()
-		if !d.Quarantined || !d.VerdictAt.After(now) || !wait.For(ctx, min(verdictPoll, d.VerdictAt.Sub(now))) {
-			return
-		}
-	}
+// RetrySpread is the range of the random delay that is added to the retry times of quarantined
+// requests.
+const RetrySpread = 500 * time.Millisecond
+
+// Refusal returns the refusal of a quarantined request.
+func (d *Decision) Refusal() error {
+	after := max(0, time.Until(d.Until)) + rand.N(RetrySpread)
+	return apierror.New(apierror.Quarantined, "%d backend servers ended as they ran it", d.Ends).WithRetryAfter(after)
 }
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -1,9 +1,14 @@
 package quarantine
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/snowspoke/snowspoke/internal/wait"
+)
 
 // MaxPackedEnds bounds the ends of an accepted entry.
-const MaxPackedEnds = 16
+const MaxPackedEnds = maxEnds
 
 // PackedEnd is an End on a link.
 type PackedEnd struct {
@@ -79,12 +84,64 @@
 	return now.Add(-time.Duration(packed-1) * time.Millisecond)
 }
 
+// Bounds of the frames with changes on one link.
+const (
+	maxPerFrame      = 64 // entries, of about 25 bytes each
+	MinFrameInterval = 100 * time.Millisecond
+)
+
 // Reporter records up to which version the changes of a registry were sent on one link.
 type Reporter struct{ sent uint64 }
 
-// Next returns up to most changes that were not sent yet.
-func (r *Reporter) Next(registry *Registry, most int) []PackedEntry {
-	entries, sent := registry.Since(r.sent, most)
+// Next returns the next changes that were not sent yet, as many as fit into a frame. A nil registry
+// has none.
+func (r *Reporter) Next(registry *Registry) []PackedEntry {
+	if registry == nil {
+		return nil
+	}
+	entries, sent := registry.Since(r.sent, maxPerFrame)
 	r.sent = sent
 	return Pack(entries, time.Now())
 }
+
+// SendKnown sends all changes that were not sent yet. It returns the first error of send.
+func (r *Reporter) SendKnown(registry *Registry, send func([]PackedEntry) error) error {
+	for {
+		known := r.Next(registry)
+		if len(known) == 0 {
+			return nil
+		}
+		if err := send(known); err != nil {
+			return err
+		}
+	}
+}
+
+// SendChanges sends the changes that were not sent yet, and then each further change, until ctx ends
+// or send returns an error. It returns at once for a nil registry.
+func (r *Reporter) SendChanges(ctx context.Context, registry *Registry, send func([]PackedEntry) error) {
+	if registry == nil {
+		return
+	}
+	for {
+		changed := registry.Changed()
+		if pending := r.Next(registry); len(pending) > 0 {
+			if send(pending) != nil || !wait.For(ctx, MinFrameInterval) {
+				return
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// MergePacked merges entries as another daemon sent them. A nil registry ignores them.
+func (r *Registry) MergePacked(packed []PackedEntry, now time.Time) {
+	if r != nil && len(packed) > 0 {
+		r.Merge(Unpack(packed, now), now)
+	}
+}
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -69,10 +69,10 @@
 	f.registries[2].RecordEnd(7, 1, quarantine.Likely, began)
 	f.registries[5].RecordEnd(7, 2, quarantine.Likely, began)
 	// Two steps up, the exchange, and two steps down.
-	require.Eventually(t, func() bool { return f.quarantinedBy(7) == 6 }, exchangeInterval+8*minCrashInterval+400*time.Millisecond, time.Millisecond)
+	require.Eventually(t, func() bool { return f.quarantinedBy(7) == 6 }, exchangeInterval+8*quarantine.MinFrameInterval+400*time.Millisecond, time.Millisecond)
 	require.Zero(t, f.quarantinedBy(8))
 	f.registries[0].Served(7, time.Now())
-	require.Eventually(t, func() bool { return f.quarantinedBy(7) == 0 }, exchangeInterval+8*minCrashInterval+400*time.Millisecond, time.Millisecond)
+	require.Eventually(t, func() bool { return f.quarantinedBy(7) == 0 }, exchangeInterval+8*quarantine.MinFrameInterval+400*time.Millisecond, time.Millisecond)
 	versions := func() (sum uint64) {
 		for _, registry := range f.registries {
 			_, version := registry.Since(0, 99)
@@ -99,7 +99,7 @@
 			}
 		}
 		var reporter quarantine.Reporter
-		data, err := cbor.Marshal(&frame{Crashes: reporter.Next(registry, maxCrashesPerFrame)})
+		data, err := cbor.Marshal(&frame{Crashes: reporter.Next(registry)})
 		require.NoError(t, err)
 		f, err := decodeFrame(data)
 		require.NoError(t, err)
@@ -128,7 +128,7 @@
 	var reporter quarantine.Reporter
 	bytes, messages := 0, 0
 	for {
-		pending := reporter.Next(registry, maxCrashesPerFrame)
+		pending := reporter.Next(registry)
 		if len(pending) == 0 {
 			break
 		}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -89,7 +89,7 @@
 	}
 	c := l.conn
 	p := &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: withLoads, LoadsOnly: true, Suspects: n.conditions.drainOutbox(domain)}
-	p.Crashes = n.nextCrashes(&l.crashes)
+	p.Crashes = l.crashes.Next(n.opts.Quarantine)
 	answer, err := exchange(ctx, c, p)
 	if err != nil {
 		_ = c.CloseNow()
@@ -101,7 +101,7 @@
 		l.loads = loadReport{at: boottime.Now(), domain: domain, loads: answer.report(&l.received, n.serverNames())}
 		l.loadChanges = len(answer.Loads)
 	}
-	n.applyCrashes(answer.Crashes)
+	n.opts.Quarantine.MergePacked(answer.Crashes, time.Now())
 	n.noteDomainListed(domain, answer.ListedAt)
 	if answer.HasConditions {
 		n.applyConditions(domain, answer.Conditions)
--- a/relay/session.go
+++ b/relay/session.go
@@ -41,7 +41,7 @@
 	}
 	go s.pings(ctx)
 	if probe == nil {
-		go n.sendCrashes(ctx, c, new(quarantine.Reporter))
+		go new(quarantine.Reporter).SendChanges(ctx, n.opts.Quarantine, sendCrashes(ctx, c))
 	}
 	err = s.read(ctx)
 	if cause := context.Cause(ctx); cause != nil {
@@ -204,7 +204,7 @@
 		case f.Members != nil && s.probe == nil:
 			s.applyMembers(f.Members)
 		case f.Crashes != nil:
-			s.node.applyCrashes(f.Crashes)
+			s.node.opts.Quarantine.MergePacked(f.Crashes, time.Now())
 		case f.Pong != nil:
 			if err := s.pong(ctx, f.Pong); err != nil {
 				return err
--- a/relay/source.go
+++ b/relay/source.go
@@ -94,10 +94,10 @@
 	}()
 	// Known crashes are sent first: the follower forwards requests once it has the state.
 	var crashes quarantine.Reporter
-	if n.sendKnownCrashes(ctx, c, &crashes) != nil {
+	if crashes.SendKnown(n.opts.Quarantine, sendCrashes(ctx, c)) != nil {
 		return // the follower is gone
 	}
-	go n.sendCrashes(ctx, c, &crashes)
+	go crashes.SendChanges(ctx, n.opts.Quarantine, sendCrashes(ctx, c))
 	go n.pushConditions(ctx, c)
 	go n.pushMembers(ctx, c)
 	n.pushChanges(ctx, c)
@@ -234,7 +234,7 @@
 		if err != nil {
 			return // the link has ended
 		}
-		n.applyCrashes(f.Crashes)
+		n.opts.Quarantine.MergePacked(f.Crashes, time.Now())
 		if f.Ping == nil {
 			continue
 		}
@@ -261,8 +261,8 @@
 			answer.ListedAt = n.members.ListedAt()
 		}
 		if p.LoadsOnly {
-			n.applyCrashes(p.Crashes)
-			answer.Crashes = n.nextCrashes(&crashes)
+			n.opts.Quarantine.MergePacked(p.Crashes, time.Now())
+			answer.Crashes = crashes.Next(n.opts.Quarantine)
 		}
 		if p.RequestsConfig {
 			answer.Config = n.inv.State().Config
