--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -71,10 +71,15 @@
 
 // runsOf returns when a request with this body reached backend servers, in order.
 func runsOf(servers []*standin.Server, body string) []time.Time {
+	return runsWhere(servers, func(r standin.Run) bool { return r.Body == body })
+}
+
+// runsWhere returns when matching requests reached backend servers, in order.
+func runsWhere(servers []*standin.Server, match func(standin.Run) bool) []time.Time {
 	var at []time.Time
 	for _, s := range servers {
 		for _, r := range s.Runs() {
-			if r.Body == body {
+			if match(r) {
 				at = append(at, r.At)
 			}
 		}
--- a/gateway/crashpart_test.go
+++ b/gateway/crashpart_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -80,7 +79,7 @@
 		time.Sleep(150 * time.Millisecond)
 	}
 	wg.Wait()
-	crashes := runsWithPart(heads, crashingPart)
+	crashes := runsWhere(heads, hasPart(crashingPart))
 	require.GreaterOrEqual(t, len(crashes), 2, "one crash is no evidence")
 	late := 0
 	for _, at := range crashes {
@@ -105,16 +104,7 @@
 	}
 }
 
-// runsWithPart returns when requests with a part of the prompt reached backend servers, in order.
-func runsWithPart(servers []*standin.Server, part string) []time.Time {
-	var at []time.Time
-	for _, s := range servers {
-		for _, r := range s.Runs() {
-			if strings.Contains(r.Header.Get(promptHeader), part) {
-				at = append(at, r.At)
-			}
-		}
-	}
-	slices.SortFunc(at, time.Time.Compare)
-	return at
+// hasPart reports whether a run is of a request with a part of the prompt.
+func hasPart(part string) func(standin.Run) bool {
+	return func(r standin.Run) bool { return strings.Contains(r.Header.Get(promptHeader), part) }
 }
