--- a/forward/loads.go
+++ b/forward/loads.go
@@ -142,6 +142,9 @@
 	return out
 }
 
+// OwnDemands implements relay.LoadExchange.
+func (l *Loads) OwnDemands() []relay.Demand { return nil }
+
 // SetOthers implements relay.LoadExchange: it sets the loads that other daemons cause. The
 // previous loads stay in use if those of no daemon are known.
 func (l *Loads) SetOthers(others relay.Loads) {
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -144,6 +144,15 @@
 	return r.resolve(ids)
 }
 
+// demands returns the valid demands of a frame.
+func (r *loadReceiver) demands(packed []packedDemand) []Demand {
+	out, invalid := unpackDemands(packed)
+	if invalid > 0 && r.refused != nil {
+		r.refused(invalid)
+	}
+	return out
+}
+
 // resolve returns all loads by server ID. Loads of backend servers that are not in ids are
 // kept but not returned.
 func (r *loadReceiver) resolve(ids map[uint32]string) []LoadItem {
@@ -196,6 +205,7 @@
 // Loads are the summed loads of several daemons.
 type Loads struct {
 	Items   []LoadItem
+	Demands []Demand
 	Daemons int           // number of daemons included
 	Age     time.Duration // mean age over the daemons
 	// ValidFor is the time after which newer loads of some daemons are overdue.
@@ -205,12 +215,13 @@
 // loadSum adds up loads.
 type loadSum struct {
 	items    map[string]LoadItem
+	demands  map[DemandKey]float64
 	daemons  int
 	ages     time.Duration // summed over the daemons
 	validFor time.Duration // longest of the reports
 }
 
-func newLoadSum() *loadSum { return &loadSum{items: map[string]LoadItem{}} }
+func newLoadSum() *loadSum { return &loadSum{items: map[string]LoadItem{}, demands: map[DemandKey]float64{}} }
 
 // add adds loads that were received age ago.
 func (s *loadSum) add(l Loads, age time.Duration) {
@@ -224,10 +235,15 @@
 		total.KV += i.KV
 		s.items[i.Server] = total
 	}
+	for _, d := range l.Demands {
+		s.demands[d.DemandKey] += d.KV
+	}
 }
 
 // addOwn adds the loads of this daemon.
-func (s *loadSum) addOwn(items []LoadItem) { s.add(Loads{Items: items, Daemons: 1}, 0) }
+func (s *loadSum) addOwn(own LoadExchange) {
+	s.add(Loads{Items: own.OwnLoads(), Demands: own.OwnDemands(), Daemons: 1}, 0)
+}
 
 // loads returns the sum. Backend servers without requests are omitted.
 func (s *loadSum) loads() Loads {
@@ -237,6 +253,9 @@
 			out.Items = append(out.Items, i)
 		}
 	}
+	for key, kv := range s.demands {
+		out.Demands = append(out.Demands, Demand{DemandKey: key, KV: kv})
+	}
 	if s.daemons > 0 {
 		out.Age = s.ages / time.Duration(s.daemons)
 	}
--- a/relay/session.go
+++ b/relay/session.go
@@ -157,6 +157,7 @@
 	if p.HasLoads {
 		loads := s.node.subtreeLoads(now)
 		p.Loads, p.Daemons, p.LoadsAge = s.reporter.changes(loads.Items), loads.Daemons, loads.Age
+		p.Demands = packDemands(loads.Demands)
 		s.loadsDueAt = loadsDue(now, len(p.Loads))
 	}
 	p.Number = s.noteSent(sentPing{at: now, loadChanges: len(p.Loads)})
--- a/relay/source.go
+++ b/relay/source.go
@@ -41,6 +41,8 @@
 type LoadExchange interface {
 	// OwnLoads returns the loads that this daemon causes.
 	OwnLoads() []LoadItem
+	// OwnDemands returns the demand of this daemon's callers.
+	OwnDemands() []Demand
 	// SetOthers sets the summed loads of the other daemons.
 	SetOthers(others Loads)
 	// RefuseLoads counts loads that were dropped as invalid.
@@ -253,6 +255,7 @@
 		if p.HasLoads && !now.Before(loadsDueAt) {
 			loads := n.loadsFor(p.Sender, sameDomain, now)
 			answer.Loads, answer.Daemons, answer.LoadsAge = toFollower.changes(loads.Items), loads.Daemons, loads.Age
+			answer.Demands = packDemands(loads.Demands)
 			loadsDueAt = loadsDue(now, len(answer.Loads))
 		}
 		n.conditions.addSuspects(p.Suspects)
@@ -292,7 +295,7 @@
 	keep := func(domain string) bool { return sameDomain || domain == n.opts.Domain }
 	sum := newLoadSum()
 	n.followerLoads.addTo(sum, sender, keep, now)
-	sum.addOwn(n.loadExchange.OwnLoads())
+	sum.addOwn(n.loadExchange)
 	if sameDomain {
 		n.outsideLoads().addTo(sum, "", allDomains, now)
 	}
@@ -314,7 +317,7 @@
 func (n *Node) subtreeLoads(now time.Time) Loads {
 	sum := newLoadSum()
 	n.followerLoads.addTo(sum, "", n.ownDomain, now)
-	sum.addOwn(n.loadExchange.OwnLoads())
+	sum.addOwn(n.loadExchange)
 	return sum.loads()
 }
 
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -185,6 +185,8 @@
 	f.cut = true
 }
 
+func (f *fakeInventory) OwnDemands() []Demand { return nil }
+
 func (f *fakeInventory) OwnLoads() []LoadItem {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -91,6 +91,8 @@
 	Crashes []quarantine.PackedEntry `cbor:"10,keyasint,omitempty"`
 	// RequestsConfig requests the configuration in force.
 	RequestsConfig bool `cbor:"11,keyasint,omitempty"`
+	// Demands are set together with Loads, of the same daemons.
+	Demands []packedDemand `cbor:"12,keyasint,omitempty"`
 }
 
 // pong answers the ping of the same number.
@@ -116,16 +118,18 @@
 	ListedAt store.Position `cbor:"12,keyasint,omitempty"`
 	// CrossesDomains reports that the sender has its state from another failure domain.
 	CrossesDomains bool `cbor:"13,keyasint,omitempty"`
+	// Demands are set together with Loads, of the same daemons.
+	Demands []packedDemand `cbor:"14,keyasint,omitempty"`
 }
 
 // report returns the reported loads, with IDs resolved by ids.
 func (p *ping) report(r *loadReceiver, ids map[uint32]string) Loads {
-	return Loads{Items: r.apply(p.Loads, ids), Daemons: max(1, p.Daemons), Age: max(0, p.LoadsAge)}
+	return Loads{Items: r.apply(p.Loads, ids), Demands: r.demands(p.Demands), Daemons: max(1, p.Daemons), Age: max(0, p.LoadsAge)}
 }
 
 // report returns the reported loads, with IDs resolved by ids.
 func (p *pong) report(r *loadReceiver, ids map[uint32]string) Loads {
-	return Loads{Items: r.apply(p.Loads, ids), Daemons: max(0, p.Daemons), Age: max(0, p.LoadsAge)}
+	return Loads{Items: r.apply(p.Loads, ids), Demands: r.demands(p.Demands), Daemons: max(0, p.Daemons), Age: max(0, p.LoadsAge)}
 }
 
 // compressThreshold is the size in bytes from which a frame of encodeFrame is compressed.
