forward: new requests are shed by class while the fleet's demand exceeds the capacity

Cause: under contention requests are refused by chance of arrival, the least urgent least. Change: services whose routes have different priorities admit each class by a fraction that all daemons compute from the demand and the usage of the fleet.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -66,6 +66,10 @@
 	// CallPrevented reports that a call was not made because the backend server is paused or
 	// leaving.
 	CallPrevented(availability.State)
+	// Shed reports that a request of a class was refused because of the demand.
+	Shed(class int)
+	// AdmittedFraction reports the fraction of the requests of a class that is admitted.
+	AdmittedFraction(class int, fraction float64)
 	// HeaderIgnored reports a header about a backend server that has no effect.
 	HeaderIgnored()
 	// AnswerEnded reports the end of an answer that was broken off or is not delimited.
@@ -132,6 +136,7 @@
 	way          func(address string) detour.Way // nil if it is not tracked
 	deadlines    *deadlines
 	splits       *splits
+	shedders     *shedders
 	crossings    crossings
 	limits       *quota.Limits
 	sends        *quota.Sends
@@ -173,11 +178,12 @@
 		limits: d.Limits, sends: d.Sends, permits: d.Permits, denials: quota.NewDenials(), trials: newLimitTrials(), quarantine: d.Quarantine, trialRank: d.TrialRank, stalls: d.Stalls, deadlines: newDeadlines(),
 		started: time.Now(), opts: o, inv: d.Inventory, fleet: d.Fleet, log: d.Log, observer: d.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
-		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), healthChecks: newResultCache[struct{}](0), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
+		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), healthChecks: newResultCache[struct{}](0), silences: newSilences(), live: newLiveStreams(), splits: newSplits(), shedders: newShedders(),
 		availability: availability.NewTable(),
 	}
 	f.backends = metered{d.Backends, f}
 	f.maxKeyAge.Store(int64(o.MaxKeyAge))
+	f.loads.ownDemands = f.ownDemands
 	f.loads.onAge = f.noteLoadsAge
 	f.loads.onRefused = f.noteRefusedLoads
 	f.loads.onConditions = f.noteConditions
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -300,6 +300,12 @@
 // CallPrevented implements Observer.
 func (l *lab) CallPrevented(availability.State) {}
 
+// Shed implements Observer.
+func (l *lab) Shed(int) {}
+
+// AdmittedFraction implements Observer.
+func (l *lab) AdmittedFraction(int, float64) {}
+
 // HeaderIgnored implements Observer.
 func (l *lab) HeaderIgnored() {}
 
--- a/forward/loads.go
+++ b/forward/loads.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/relay"
+	"github.com/snowspoke/snowspoke/shedding"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -17,10 +19,12 @@
 
 	others        map[string]otherLoad // by backend server ID, sum over the other daemons
 	othersAt      time.Time            // when the loads were received
+	othersDemands []relay.Demand       // sum over the other daemons
 	othersDaemons int                  // number of daemons in the sum
 	othersAge     time.Duration        // age of the loads when they were received
 	othersTTL     time.Duration        // time for which the loads are used
 	conditions    *conditions
+	ownDemands    func() []relay.Demand
 	onAge         func(age time.Duration)
 	onRefused     func(n int)
 	onConditions  func(known map[string]relay.Condition, slowChanged bool)
@@ -51,7 +55,8 @@
 func NewLoads() *Loads {
 	return &Loads{
 		servers: map[string]*serverLoad{}, conditions: newConditions(),
-		onAge: func(time.Duration) {}, onRefused: func(int) {}, onConditions: func(map[string]relay.Condition, bool) {},
+		ownDemands: func() []relay.Demand { return nil },
+		onAge:      func(time.Duration) {}, onRefused: func(int) {}, onConditions: func(map[string]relay.Condition, bool) {},
 	}
 }
 
@@ -142,8 +147,35 @@
 	return out
 }
 
-// OwnDemands implements relay.LoadExchange.
-func (l *Loads) OwnDemands() []relay.Demand { return nil }
+// OwnDemands implements relay.LoadExchange: it returns the demand of this daemon's callers.
+func (l *Loads) OwnDemands() []relay.Demand { return l.ownDemands() }
+
+// demands returns the demand of all daemons at a service. own is the demand of this daemon's
+// callers, and daemons the number of daemons in the fleet.
+func (l *Loads) demands(service uint32, own []shedding.Demand, daemons float64, now time.Time) []shedding.Demand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := slices.Clone(own)
+	if now.Sub(l.othersAt) > l.othersTTL {
+		for i := range out {
+			out[i].KV *= min(daemons, maxAssumedDaemons)
+		}
+		return out
+	}
+	unknown := max(1, daemons/float64(1+l.othersDaemons))
+	for _, d := range l.othersDemands {
+		if d.Service != service {
+			continue
+		}
+		class, kv := shedding.Class(d.Class), d.KV*unknown
+		if i := slices.IndexFunc(out, func(o shedding.Demand) bool { return o.Class == class }); i >= 0 {
+			out[i].KV += kv
+			continue
+		}
+		out = append(out, shedding.Demand{Class: class, KV: kv})
+	}
+	return out
+}
 
 // SetOthers implements relay.LoadExchange: it sets the loads that other daemons cause. The
 // previous loads stay in use if those of no daemon are known.
@@ -163,7 +195,7 @@
 // which are outdated after a suspension of the VM.
 func (l *Loads) forgetOthers() {
 	l.mu.Lock()
-	l.others, l.othersAt, l.othersDaemons = nil, time.Time{}, 0
+	l.others, l.othersDemands, l.othersAt, l.othersDaemons = nil, nil, time.Time{}, 0
 	l.mu.Unlock()
 	l.SetConditions(map[string]relay.Condition{})
 }
@@ -177,7 +209,7 @@
 	if time.Since(l.othersAt) < l.othersTTL {
 		smooth(byServer, l.others, float64(1+others.Daemons)/float64(1+l.othersDaemons))
 	}
-	l.others, l.othersAt, l.othersDaemons, l.othersAge = byServer, time.Now(), others.Daemons, others.Age
+	l.others, l.othersDemands, l.othersAt, l.othersDaemons, l.othersAge = byServer, others.Demands, time.Now(), others.Daemons, others.Age
 	l.othersTTL = max(minOthersTTL, others.ValidFor)
 }
 
--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -131,6 +131,8 @@
 func (noObserver) CallPrevented(availability.State)  {}
 func (noObserver) HeaderIgnored()                    {}
 func (noObserver) AnswerEnded(framing.Framing, bool) {}
+func (noObserver) Shed(int)                          {}
+func (noObserver) AdmittedFraction(int, float64)     {}
 
 // recordingSink records a complete answer. It implements Sink.
 type recordingSink struct {
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -20,6 +20,9 @@
 	if err := r.checkQuarantine(ctx); err != nil {
 		return nil, err
 	}
+	if err := r.shed(); err != nil {
+		return nil, err
+	}
 	if t := r.limitTrial(ctx); t != nil {
 		return t, nil
 	}
--- /dev/null
+++ b/forward/shedding.go
@@ -0,0 +1,218 @@
+package forward
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/boottime"
+	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/pipeline"
+	"github.com/snowspoke/snowspoke/relay"
+	"github.com/snowspoke/snowspoke/shedding"
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// shedders holds the state of load shedding of each service whose routes have different
+// priorities. It is safe for concurrent use.
+type shedders struct {
+	mu        sync.Mutex
+	byService map[string]*shedder
+}
+
+// shedder is the state of load shedding of one service.
+type shedder struct {
+	meter   *shedding.Meter
+	gate    *shedding.Gate
+	returns *shedding.Returns
+	hold    shedding.HoldTime
+	state   shedding.State // for which the fractions were computed last
+	at      time.Time      // when they were computed
+	logged  map[shedding.Class]float64
+}
+
+// shedInterval is the time after which the fractions of a service are computed again. Loads
+// and demands of other daemons arrive every 0.8 s, the usage by this daemon changes with each
+// request.
+const shedInterval = 100 * time.Millisecond
+
+func newShedders() *shedders { return &shedders{byService: map[string]*shedder{}} }
+
+func (s *shedders) of(service string) *shedder {
+	sh := s.byService[service]
+	if sh == nil {
+		sh = &shedder{
+			meter: shedding.NewMeter(), gate: shedding.NewGate(rand.Float64), returns: shedding.NewReturns(),
+			logged: map[shedding.Class]float64{},
+		}
+		s.byService[service] = sh
+	}
+	return sh
+}
+
+// urgency returns the class of the request. Requests of a workspace without a priority have that
+// of their route.
+func (r *run) urgency() shedding.Class { return shedding.ClassOf(r.priority(), r.req.Route.Priority) }
+
+// sheds reports whether load shedding applies to the requests of the service of this one.
+func (r *run) sheds(view *inventory.View) bool {
+	return r.engine != nil && view.Config.Prioritizes(r.req.Service)
+}
+
+// shed refuses a new request whose class is over its share of the capacity. Callers of begun
+// streams have events already and are not refused.
+func (r *run) shed() error {
+	view := r.f.inv.View()
+	if r.sends > 0 || r.headSent.Load() || r.req.LastEvent != "" || !r.sheds(view) {
+		return nil
+	}
+	now, class := time.Now(), r.urgency()
+	tokens := estimateTokens(r.req, r.engine)
+	s := r.f.shedders
+	s.mu.Lock()
+	sh := s.of(r.req.Service)
+	r.f.renewFractions(sh, r.req.Service, r.engine, view, now)
+	sh.meter.Add(class, tokens.Mean()*float64(r.engine.Layers), sh.hold.Of(tokens.Answer), now)
+	admitted := sh.gate.Admit(class, 1, now)
+	fraction := sh.gate.Fraction(class)
+	var after time.Duration
+	if !admitted {
+		latest := boottime.Until(r.deadline) / maxReturnDivisor
+		after = sh.returns.Next(class, fraction*sh.meter.Rate(class, now), latest-retryAfterSpread, now) + rand.N(retryAfterSpread)
+	}
+	s.mu.Unlock()
+	if admitted {
+		return nil
+	}
+	r.f.observer.Shed(int(class))
+	r.f.log.Add("shed", "request", r.req.ID, "service", r.req.Service, "class", int(class), "workspace", r.workspaceName(),
+		"fraction", math.Round(100*fraction)/100, "retry_after", after.Round(time.Millisecond))
+	return apierror.New(apierror.Overloaded, "%.2f of the requests of class %d are admitted", fraction, class).WithRetryAfter(after)
+}
+
+// maxReturnDivisor is the part of its remaining time that a caller waits before it returns: a
+// third. Callers ignore a longer Retry-After.
+const maxReturnDivisor = 3
+
+func (r *run) workspaceName() string {
+	if r.req.Workspace == nil {
+		return ""
+	}
+	return r.req.Workspace.Name
+}
+
+// renewFractions recomputes the fractions of a service if they are outdated; f.shedders.mu must
+// be held.
+func (f *Forwarder) renewFractions(sh *shedder, service string, e *site.Engine, view *inventory.View, now time.Time) {
+	if now.Sub(sh.at) < shedInterval {
+		return
+	}
+	sh.at = now
+	sh.state = f.shedState(sh, service, e, view, now)
+	sh.gate.SetFractions(shedding.Fractions(sh.state), now)
+	f.logFractions(sh, service, now)
+}
+
+// shedState returns what this daemon knows about the demand and the usage of a service.
+func (f *Forwarder) shedState(sh *shedder, service string, e *site.Engine, view *inventory.View, now time.Time) shedding.State {
+	s := shedding.State{Hold: sh.hold.Of(float64(e.Answer)), Horizon: f.loads.othersLoadAge(now) + shedHorizon}
+	s.Demands = f.loads.demands(relay.ServiceHash(service), sh.meter.Demands(now), float64(max(1, f.fleet.Daemons())), now)
+	s.InUse, s.Capacity = f.memoryUsage(service, e, view, now)
+	return s
+}
+
+// shedHorizon is the time beyond the age of the loads until a change of the fractions shows in
+// the loads of all daemons: an interval of the exchange.
+const shedHorizon = 800 * time.Millisecond
+
+// minUsageForCapacity is the usage, as a fraction, from which the capacity follows from the
+// usage. The usage of a nearly idle service says little about how evenly its paths fill.
+const minUsageForCapacity = 0.3
+
+// memoryUsage returns the memory that the requests of all daemons use at a service, and the
+// memory that its paths can use before layers with the least free memory are full, in
+// tokens x layers.
+func (f *Forwarder) memoryUsage(service string, e *site.Engine, view *inventory.View, now time.Time) (used, capacity float64) {
+	daemons := float64(max(1, f.fleet.Daemons()))
+	var u pipeline.Usage
+	cs := f.usableServers(view, service, e, now)
+	for i := range cs {
+		cs[i].Load = f.loads.Of(cs[i].Server.ID, daemons, now)
+		u.Add(e, cs[i].Server, cs[i].Load)
+	}
+	full, ok := f.splits.meanFullness(e, service, cs)
+	if !ok {
+		full = u.Fullest()
+	}
+	if full < minUsageForCapacity {
+		return u.Used(), u.Capacity()
+	}
+	return u.Used(), u.Used() / full
+}
+
+// predictHold sets the expected time for which a request uses its memory, until a stream has
+// completed.
+func (r *run) predictHold(t *target) {
+	if !r.sheds(r.f.inv.View()) {
+		return
+	}
+	s := r.f.shedders
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer := max(1, estimateTokens(r.req, r.engine).Answer)
+	s.of(r.req.Service).hold.Predict(time.Duration((t.choice.FirstMS/answer + t.choice.StepMS) * float64(time.Millisecond)))
+}
+
+// observeHold records for how long a complete stream has used its memory.
+func (r *run) observeHold(took time.Duration) {
+	if !r.sheds(r.f.inv.View()) || r.sends > 1 {
+		return
+	}
+	s := r.f.shedders
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.of(r.req.Service).hold.Observe(estimateTokens(r.req, r.engine).Answer, took)
+}
+
+// logThreshold is the change of a fraction from which it is logged.
+const logThreshold = 0.1
+
+func (f *Forwarder) logFractions(sh *shedder, service string, now time.Time) {
+	total := 0.0
+	for _, d := range sh.state.Demands {
+		total += d.KV
+	}
+	for _, d := range sh.state.Demands {
+		part := sh.gate.Fraction(d.Class)
+		before, known := sh.logged[d.Class]
+		if !known {
+			before = 1
+		}
+		if math.Abs(part-before) < logThreshold {
+			continue
+		}
+		sh.logged[d.Class] = part
+		f.observer.AdmittedFraction(int(d.Class), part)
+		f.log.Add("shedding", "service", service, "class", int(d.Class), "fraction", math.Round(100*part)/100,
+			"demand", int(d.KV), "demand_all", int(total), "in_use", int(sh.state.InUse), "capacity", int(sh.state.Capacity),
+			"hold", sh.state.Hold.Round(time.Millisecond), "horizon", sh.state.Horizon.Round(time.Millisecond))
+	}
+}
+
+// ownDemands returns the demand of this daemon's callers at all services.
+func (f *Forwarder) ownDemands() []relay.Demand {
+	now := time.Now()
+	s := f.shedders
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []relay.Demand
+	for service, sh := range s.byService {
+		hash := relay.ServiceHash(service)
+		for _, d := range sh.meter.Demands(now) {
+			out = append(out, relay.Demand{DemandKey: relay.DemandKey{Service: hash, Class: uint8(d.Class)}, KV: d.KV})
+		}
+	}
+	return out
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -64,7 +64,8 @@
 	leave       func() // removes the stream from the loads
 	tokens      float64
 	askAfter    time.Duration // silence after which the head is asked for a report
-	silentSince time.Time     // time of the last event, or of the send before the first event
+	sentAt      time.Time
+	silentSince time.Time // time of the last event, or of the send before the first event
 	progress    progress
 	checking    bool
 	begun       bool    // this send has received an event
@@ -83,8 +84,9 @@
 func (r *run) sendStream(ctx context.Context, t *target, left time.Duration) (execution.Result, error) {
 	sctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s := &stream{r: r, progress: r.progress, attempt: r.sends, cancel: cancel, path: t.path, tokens: t.tokens, silentSince: time.Now(), stepMS: t.choice.StepMS}
+	s := &stream{r: r, progress: r.progress, attempt: r.sends, cancel: cancel, path: t.path, tokens: t.tokens, sentAt: time.Now(), silentSince: time.Now(), stepMS: t.choice.StepMS}
 	s.leave = r.f.loads.Enter(t.path, t.tokens)
+	r.predictHold(t)
 	s.askAfter = max(minFirstSilence, silenceFactor*time.Duration(t.choice.FirstMS*float64(time.Millisecond)))
 	s.timer = r.f.stalls.AfterFunc(s.probeAfter(true), func() { s.check(sctx) })
 	r.f.live.add(s)
@@ -178,6 +180,7 @@
 			return execution.Answered, apierror.Wrap(apierror.CallerGone, sinkErr)
 		}
 		s.r.f.markServed(s.currentPath())
+		s.r.observeHold(time.Since(s.sentAt))
 		return execution.Answered, nil
 	}
 	if ctx.Err() != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -400,6 +401,14 @@
 // CallPrevented implements forward.Observer.
 func (o observer) CallPrevented(s availability.State) { o.m.CallPrevented(s) }
 
+// Shed implements forward.Observer.
+func (o observer) Shed(class int) { o.m.Shed(class) }
+
+// AdmittedFraction implements forward.Observer.
+func (o observer) AdmittedFraction(class int, fraction float64) {
+	o.m.TaggedGauge("admitted_fraction", "class", strconv.Itoa(class), fraction)
+}
+
 // HeaderIgnored implements forward.Observer.
 func (o observer) HeaderIgnored() { o.m.HeaderIgnored() }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -125,6 +125,11 @@
 	m.scope.Tagged(map[string]string{"state": s.String()}).Counter("calls_prevented_total").Inc(1)
 }
 
+// Shed counts requests of a class that were refused because the demand exceeds the capacity.
+func (m *Metrics) Shed(class int) {
+	m.scope.Tagged(map[string]string{"class": strconv.Itoa(class)}).Counter("shed_total").Inc(1)
+}
+
 // HeaderIgnored counts headers about backend servers that are unknown or invalid.
 func (m *Metrics) HeaderIgnored() { m.scope.Counter("headers_ignored_total").Inc(1) }
 
--- a/pipeline/rotation.go
+++ b/pipeline/rotation.go
@@ -82,6 +82,28 @@
 	return best.choice, true
 }
 
+// MeanFullness returns the mean over the paths of the used memory of their fullest hops, as a
+// fraction, weighted by the rates of the paths; ok is false without a path whose hops are all
+// among the candidates.
+func (rot *Rotation) MeanFullness(e *site.Engine, candidates []Candidate) (mean float64, ok bool) {
+	byID := indexByID(candidates)
+	q := &Query{Engine: e}
+	sum, rates := 0.0, 0.0
+	for _, entry := range rot.entries {
+		steps := entry.steps(byID)
+		if steps == nil {
+			continue
+		}
+		rate := entry.share.Rate
+		sum += rate * min(1, predict(q, steps).Fullest)
+		rates += rate
+	}
+	if rates == 0 {
+		return 0, false
+	}
+	return sum / rates, true
+}
+
 // usablePath is a path with capacity for the request and its corrected rate.
 type usablePath struct {
 	entry  *entry
@@ -91,10 +113,7 @@
 
 // usablePaths returns the paths with capacity for the request.
 func (rot *Rotation) usablePaths(q *Query, candidates []Candidate, loadAge time.Duration) []usablePath {
-	byID := make(map[string]*Candidate, len(candidates))
-	for i := range candidates {
-		byID[candidates[i].Server.ID] = &candidates[i]
-	}
+	byID := indexByID(candidates)
 	out := make([]usablePath, 0, len(rot.entries))
 	for _, e := range rot.entries {
 		if t, ok := e.evaluate(q, byID, loadAge); ok {
@@ -104,16 +123,34 @@
 	return out
 }
 
-func (e *entry) evaluate(q *Query, byID map[string]*Candidate, loadAge time.Duration) (p usablePath, ok bool) {
+func indexByID(candidates []Candidate) map[string]*Candidate {
+	byID := make(map[string]*Candidate, len(candidates))
+	for i := range candidates {
+		byID[candidates[i].Server.ID] = &candidates[i]
+	}
+	return byID
+}
+
+// steps returns the hops of the path with their candidates, nil if one of them is missing or
+// does not hold its layers any more.
+func (e *entry) steps(byID map[string]*Candidate) []step {
 	path := e.share.Choice.Path
 	steps := make([]step, len(path))
 	for i, h := range path {
 		c := byID[h.Server.ID]
 		if c == nil || !holds(c, h.Layers) {
-			return usablePath{}, false
+			return nil
 		}
 		steps[i] = step{cand: c, run: h.Layers}
 	}
+	return steps
+}
+
+func (e *entry) evaluate(q *Query, byID map[string]*Candidate, loadAge time.Duration) (p usablePath, ok bool) {
+	steps := e.steps(byID)
+	if steps == nil {
+		return usablePath{}, false
+	}
 	head := steps[0].cand
 	if head.Server.Slots > 0 && head.Load.Heads >= float64(head.Server.Slots) {
 		return usablePath{}, false
--- a/site/config.go
+++ b/site/config.go
@@ -97,6 +97,8 @@
 	routes   map[string]map[string]*Route // by host, then by prefix
 	keys     map[string]*Workspace        // by API key
 	keyed    bool
+	// prioritized holds the services whose routes have different priorities.
+	prioritized map[string]bool
 }
 
 // NewConfig returns an indexed configuration. If keys is nil, no route requires a key.
@@ -114,9 +116,28 @@
 		}
 		c.routes[r.Host][r.Prefix] = r
 	}
+	c.prioritized = prioritizedServices(routes)
 	return c
 }
 
+// prioritizedServices returns the services whose routes have different priorities.
+func prioritizedServices(routes []*Route) map[string]bool {
+	first, out := map[string]int{}, map[string]bool{}
+	for _, r := range routes {
+		for _, t := range r.Targets {
+			if p, known := first[t.Service]; known && p != r.Priority {
+				out[t.Service] = true
+			} else {
+				first[t.Service] = r.Priority
+			}
+		}
+	}
+	return out
+}
+
+// Prioritizes reports whether the routes to a service have different priorities.
+func (c *Config) Prioritizes(service string) bool { return c.prioritized[service] }
+
 // Match returns the route of a host with the longest matching prefix of path, or nil.
 func (c *Config) Match(host, path string) *Route {
 	prefixes := c.routes[host]
