shedding: fractions are defined and ordered for every state

With a horizon of 0 and usage at its target the fraction was NaN; a class without demand had the fraction 1 while more urgent classes were refused; rounding gave fractions slightly above 1.

Change: the horizon is at least 1 ms, a class without demand gets what its first request would get, and fractions are at most 1.

--- a/shedding/shedding.go
+++ b/shedding/shedding.go
@@ -53,6 +53,9 @@
 	// demand that can be admitted. It keeps the least urgent class from starving while more
 	// urgent ones ask for all capacity.
 	minClassShare = 0.3
+	// minHorizon bounds the horizon. At 0 the admitted demand has no effect on the usage, and
+	// the admissible demand is not defined.
+	minHorizon = time.Millisecond
 )
 
 // Fraction is the part of the requests of a class that is admitted, from 0 to 1.
@@ -78,13 +81,18 @@
 	remaining := admissible - least*total
 	out := make([]Fraction, 0, len(demands))
 	for _, d := range demands {
+		if d.KV <= 0 {
+			// The next request of the class is the first one.
+			part := least
+			if remaining > 0 {
+				part = 1
+			}
+			out = append(out, Fraction{Class: d.Class, Part: part})
+			continue
+		}
 		more := min(max(0, remaining), (1-least)*d.KV)
 		remaining -= more
-		part := 1.0
-		if d.KV > 0 {
-			part = least + more/d.KV
-		}
-		out = append(out, Fraction{Class: d.Class, Part: part})
+		out = append(out, Fraction{Class: d.Class, Part: min(1, least+more/d.KV)})
 	}
 	return out
 }
@@ -97,6 +105,6 @@
 	if s.Hold <= 0 {
 		return math.Inf(1)
 	}
-	kept := math.Exp(-float64(s.Horizon) / float64(s.Hold))
+	kept := math.Exp(-float64(max(minHorizon, s.Horizon)) / float64(s.Hold))
 	return max(0, (targetUsage*s.Capacity-kept*s.InUse)/(1-kept))
 }
