shedding: regular callers are admitted alike, and fractions do not leave their range

Cause: new tests of the gate found two faults. With one credit for each class, callers that send in turn were admitted always or never: of two at a fraction of 0.5 the first got everything and the second nothing, and of five at 0.6 two got nothing, so that a workspace could starve within its class. And when the caller's clock went back, the fraction moved away from the one computed, by up to any factor.

Change: a class has four credits, and each request uses a random one. The number of admitted requests still deviates by at most four from the sum of their fractions. Time that goes back leaves the fraction unchanged.

--- a/shedding/gate.go
+++ b/shedding/gate.go
@@ -14,19 +14,24 @@
 
 // classState is the state of one class.
 type classState struct {
-	part    float64 // smoothed fraction
-	credit  float64 // admissions due
+	part    float64                  // smoothed fraction
+	credits [creditsPerClass]float64 // admissions due
 	updated time.Time
 }
 
+// creditsPerClass is the number of credits of a class, of which each request uses a random one. With a
+// single credit, callers that send in turn at regular intervals could be admitted always or
+// never: at a fraction of 0.5 it admits every second request.
+const creditsPerClass = 4
+
 // smoothing is the time constant with which the fractions in force follow those computed.
 // The inputs change in steps with each load report, and daemons receive them at different
 // times.
 const smoothing = 500 * time.Millisecond
 
-// NewGate returns a gate that admits all requests. random returns values in [0, 1); it sets
-// the first credit of a class, so that the daemons of a large fleet do not all refuse their
-// first requests.
+// NewGate returns a gate that admits all requests. random returns values in [0, 1). It sets
+// the first credits of a class, so that the daemons of a large fleet do not all refuse their
+// first requests, and selects the credit that a request uses.
 func NewGate(random func() float64) *Gate {
 	return &Gate{classes: map[Class]*classState{}, random: random}
 }
@@ -43,7 +48,7 @@
 		if !known {
 			part = 1
 		}
-		weight := 1 - math.Exp(-float64(now.Sub(c.updated))/float64(smoothing))
+		weight := 1 - math.Exp(-float64(max(0, now.Sub(c.updated)))/float64(smoothing))
 		c.part += weight * (part - c.part)
 		c.updated = now
 	}
@@ -68,21 +73,22 @@
 	if part >= openThreshold {
 		return true
 	}
-	c.credit = min(maxCredit, c.credit+part)
-	if c.credit < 1 {
+	credit := &c.credits[int(g.random()*creditsPerClass)]
+	*credit += part
+	if *credit < 1 {
 		return false
 	}
-	c.credit--
+	*credit--
 	return true
 }
 
-// maxCredit bounds the number of consecutive requests that are admitted after a change.
-const maxCredit = 2
-
 func (g *Gate) of(class Class, now time.Time) *classState {
 	c := g.classes[class]
 	if c == nil {
-		c = &classState{part: 1, credit: g.random(), updated: now}
+		c = &classState{part: 1, updated: now}
+		for i := range c.credits {
+			c.credits[i] = g.random()
+		}
 		g.classes[class] = c
 	}
 	return c
