shedding: return times are spread, in range and at the pace

Return times had no random spread, so the first callers refused by 300 daemons returned in the same 20 ms. A caller that accepts only a short time reset the schedule to it, and the slots after it were given away twice. Callers due before the least time all got it: at a pace of 200 per second 59 returned between 150 and 300 ms instead of 30. A very small pace overflowed and let callers return after 150 ms. A caller that accepts less than 150 ms got 150 ms.

Change: NewReturns takes a random function for the spread of 100 ms, slots start at the least time, a caller that cannot take its slot leaves the schedule as it is, and Next returns 0 if the caller accepts no valid time.

--- a/shedding/returns.go
+++ b/shedding/returns.go
@@ -6,32 +6,44 @@
 // requests of their class are admitted instead of together. It is not safe for concurrent
 // use.
 type Returns struct {
-	due map[Class]time.Time // of the caller refused last
+	due    map[Class]time.Time // of the last slot taken
+	random func() float64
 }
 
-// minReturnTime is the least time after which a refused caller returns. Capacity does not
-// become available sooner than a request ends.
-const minReturnTime = 150 * time.Millisecond
+const (
+	// minReturnTime is the least time after which a refused caller returns. Capacity does not
+	// become available sooner than a request ends.
+	minReturnTime = 150 * time.Millisecond
+	// returnSpread is the range of the random part of return times. Without it, callers that are
+	// refused at the same time by many daemons would return at the same time.
+	returnSpread = 100 * time.Millisecond
+)
 
-// NewReturns returns a schedule without refused callers.
-func NewReturns() *Returns { return &Returns{due: map[Class]time.Time{}} }
+// NewReturns returns a schedule without refused callers. random returns values in [0, 1).
+func NewReturns(random func() float64) *Returns {
+	return &Returns{due: map[Class]time.Time{}, random: random}
+}
 
-// Next returns after which time the next refused caller of a class should return. pace is
-// the number of requests of the class that this daemon admits per second. latest is the
-// longest time that the caller accepts; callers who would be due later share it.
+// Next returns after which time the next refused caller of a class should return, 0 if it does
+// not accept minReturnTime. pace is the number of requests of the class that this daemon
+// admits per second. latest is the longest time that the caller accepts; callers who would be
+// due later share it and take no slot.
 func (r *Returns) Next(class Class, pace float64, latest time.Duration, now time.Time) time.Duration {
-	interval := latest
-	if pace > 0 {
-		interval = min(latest, time.Duration(float64(time.Second)/pace))
-	}
-	due := r.due[class]
-	if due.Before(now) {
-		due = now
+	if latest < minReturnTime {
+		return 0
 	}
-	due = due.Add(interval)
-	if last := now.Add(latest); due.After(last) {
-		due = last
+	wait := latest
+	if interval := 1 / pace; interval >= 0 && interval < latest.Seconds() {
+		due := r.due[class]
+		if due.Before(now) {
+			due = now
+		}
+		due = due.Add(time.Duration(interval * float64(time.Second)))
+		until := max(minReturnTime, due.Sub(now))
+		if until <= latest {
+			wait, r.due[class] = until, now.Add(until)
+		}
 	}
-	r.due[class] = due
-	return max(minReturnTime, due.Sub(now))
+	base := max(minReturnTime, min(wait, latest-returnSpread))
+	return base + time.Duration(r.random()*float64(min(returnSpread, latest-base)))
 }
