relay: demands out of range do not end the link, and the same ones are sent

Cause: demands by class had no tests, and new ones found three faults. A class above 255, a negative KV or one above 32 bits made the whole frame invalid, so the link ended and with it the configuration from that source. Of more than 16 equal demands other ones were sent each time, since their order is that of a map. A KV that is not a number was sent as an arbitrary number.

Change: the fields of an entry on a link are wide enough that such values are dropped and counted; equal demands are ordered by key; a KV that is not a number is not sent. The fakes and the model of a fleet carry demands.

--- a/relay/age_test.go
+++ b/relay/age_test.go
@@ -45,6 +45,7 @@
 	receiver       loadReceiver // at this daemon
 	toPeer         map[*modelDaemon]*peerLink
 	bytes          int
+	demandBytes    int // part of bytes that demands add
 }
 
 // peerLink is one direction of a link between two sources.
@@ -147,20 +148,26 @@
 func (d *modelDaemon) exchange(now time.Time) int {
 	n, source := d.node, d.parent.node
 	below := n.subtreeLoads(now)
-	p := &ping{Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: true, Loads: d.reporter.changes(below.Items), Daemons: below.Daemons, LoadsAge: below.Age}
+	p := &ping{Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: true, Loads: d.reporter.changes(below.Items), Daemons: below.Daemons, LoadsAge: below.Age, Demands: packDemands(below.Demands)}
 	source.followerLoads.put(n.opts.Name, loadReport{at: now, ttl: loadTTL(len(p.Loads)), domain: n.opts.Domain, loads: p.report(&d.parentReceiver, source.serverNames())})
 	a := &pong{}
 	if !now.Before(d.answerDueAt) {
 		others := source.loadsFor(n.opts.Name, true, now)
 		a.Loads, a.Daemons, a.LoadsAge = d.parentReporter.changes(others.Items), others.Daemons, others.Age
+		a.Demands = packDemands(others.Demands)
 		d.answerDueAt = loadsDue(now, len(a.Loads))
 		n.sourceLoads.put(sourceKey, loadReport{at: now, ttl: loadTTL(max(len(p.Loads), len(a.Loads))), loads: a.report(&d.receiver, n.serverNames())})
 		n.updateOthers(now)
 	}
+	changes := len(p.Loads)
 	size := frameSize(&frame{Ping: p}) + frameSize(&frame{Pong: a})
-	d.bytes += size
-	d.parent.bytes += size
-	return len(p.Loads)
+	p.Demands, a.Demands = nil, nil
+	without := frameSize(&frame{Ping: p}) + frameSize(&frame{Pong: a})
+	for _, end := range []*modelDaemon{d, d.parent} {
+		end.bytes += size
+		end.demandBytes += size - without
+	}
+	return changes
 }
 
 // querySources queries the other sources for the loads of their domains. It returns the
@@ -176,12 +183,16 @@
 		}
 		link := o.toPeer[d]
 		loads := o.node.loadsFor(d.node.opts.Name, false, f.now)
-		a := &pong{Loads: link.reporter.changes(loads.Items), Daemons: loads.Daemons, LoadsAge: loads.Age}
+		a := &pong{Loads: link.reporter.changes(loads.Items), Daemons: loads.Daemons, LoadsAge: loads.Age, Demands: packDemands(loads.Demands)}
 		links[o.node.opts.Domain] = &domainLink{loads: loadReport{at: f.now, domain: o.node.opts.Domain, loads: a.report(&link.receiver, d.node.serverNames())}}
 		changes = max(changes, len(a.Loads))
 		size := frameSize(&frame{Pong: a})
-		d.bytes += size
-		o.bytes += size
+		a.Demands = nil
+		without := frameSize(&frame{Pong: a})
+		for _, end := range []*modelDaemon{d, o} {
+			end.bytes += size
+			end.demandBytes += size - without
+		}
 	}
 	for domain, l := range links {
 		l.loads.ttl = loadTTL(changes)
--- a/relay/demand.go
+++ b/relay/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,12 +21,13 @@
 	Class   uint8
 }
 
-// packedDemand is a Demand on a link.
+// packedDemand is a Demand on a link. Its fields are wider than valid values, since a value
+// that overflows its field would make the frame invalid and end the link.
 type packedDemand struct {
 	_       struct{} `cbor:",toarray"`
-	Service uint32
-	Class   uint8
-	KV      uint32 // in units of demandUnit
+	Service int64
+	Class   int64
+	KV      int64 // in units of demandUnit
 }
 
 // demandUnit is the resolution of a demand on a link, in tokens x layers, about a
@@ -49,20 +51,25 @@
 // packDemands returns the largest demands in their form on a link.
 func packDemands(demands []Demand) []packedDemand {
 	sorted := slices.Clone(demands)
-	slices.SortFunc(sorted, func(a, b Demand) int { return cmp.Compare(b.KV, a.KV) })
+	// Equal demands are ordered by key, so that the same ones are sent each time.
+	slices.SortFunc(sorted, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(b.KV, a.KV), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Service, b.Service))
+	})
 	out := make([]packedDemand, 0, min(len(sorted), maxDemands))
 	for _, d := range sorted[:min(len(sorted), maxDemands)] {
 		units := min(maxDemandUnits, max(0, d.KV)/demandUnit+0.5)
-		if units < 1 {
+		if !(units >= 1) {
 			continue
 		}
-		out = append(out, packedDemand{Service: d.Service, Class: d.Class, KV: uint32(units)})
+		out = append(out, packedDemand{Service: int64(d.Service), Class: int64(d.Class), KV: int64(units)})
 	}
 	return out
 }
 
 // valid reports whether daemons can have such a demand.
-func (d packedDemand) valid() bool { return d.Class <= maxDemandClass && d.KV <= maxDemandUnits }
+func (d packedDemand) valid() bool {
+	return d.Service >= 0 && d.Service <= math.MaxUint32 && d.Class >= 0 && d.Class <= maxDemandClass && d.KV >= 0 && d.KV <= maxDemandUnits
+}
 
 // unpackDemands returns the valid demands of a frame, and the number of those that it drops.
 func unpackDemands(packed []packedDemand) (out []Demand, refused int) {
@@ -71,7 +78,7 @@
 			refused++
 			continue
 		}
-		out = append(out, Demand{DemandKey: DemandKey{Service: d.Service, Class: d.Class}, KV: float64(d.KV) * demandUnit})
+		out = append(out, Demand{DemandKey: DemandKey{Service: uint32(d.Service), Class: uint8(d.Class)}, KV: float64(d.KV) * demandUnit})
 	}
 	return out, refused
 }
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -221,7 +221,9 @@
 	validFor time.Duration // longest of the reports
 }
 
-func newLoadSum() *loadSum { return &loadSum{items: map[string]LoadItem{}, demands: map[DemandKey]float64{}} }
+func newLoadSum() *loadSum {
+	return &loadSum{items: map[string]LoadItem{}, demands: map[DemandKey]float64{}}
+}
 
 // add adds loads that were received age ago.
 func (s *loadSum) add(l Loads, age time.Duration) {
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -81,6 +81,8 @@
 	changed     chan struct{}
 	own         []LoadItem
 	others      []LoadItem
+	ownDemands  []Demand
+	demands     []Demand // of the other daemons
 	daemons     int
 	age         time.Duration
 	applied     int // full states received
@@ -185,7 +187,11 @@
 	f.cut = true
 }
 
-func (f *fakeInventory) OwnDemands() []Demand { return nil }
+func (f *fakeInventory) OwnDemands() []Demand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ownDemands
+}
 
 func (f *fakeInventory) OwnLoads() []LoadItem {
 	f.mu.Lock()
@@ -196,7 +202,7 @@
 func (f *fakeInventory) SetOthers(others Loads) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.others, f.daemons, f.age = others.Items, others.Daemons, others.Age
+	f.others, f.demands, f.daemons, f.age = others.Items, others.Demands, others.Daemons, others.Age
 }
 
 func (f *fakeInventory) TakeSuspects() []string {
