forward: fair shares of workspaces, and a priority of engines that follows the routes

Cause: a large workspace takes the capacity of its class from the others, and engines order waiting requests by the workspace's priority alone, which is the same for nearly all. Change: workspaces within a class are admitted by their fair share; where the routes of a service have different priorities, the priority sent to engines is the rank among all pairs of workspace and route priorities. The least share of a class follows from the capacity, so that not all requests are refused while the usage is above its target.

--- a/forward/run.go
+++ b/forward/run.go
@@ -201,7 +201,7 @@
 func (r *run) outgoing(t *target, left time.Duration) *Outgoing {
 	o := &Outgoing{
 		Request: r.req, Server: t.head(), Left: left, LastEvent: r.lastEvent,
-		Priority: r.priority(), Fresh: !r.req.Route.Repeatable(), Permitted: t.permitted,
+		Priority: r.enginePriority(), Fresh: !r.req.Route.Repeatable(), Permitted: t.permitted,
 		MaxIdle: idleShare(r.maxConns, t.head().Slots, r.f.fleet.Daemons()),
 	}
 	if r.engine != nil {
@@ -219,6 +219,19 @@
 	return r.req.Route.Priority
 }
 
+// enginePriority returns the priority by which backend servers order waiting requests. Where the
+// routes of a service have different priorities, the route's decides among workspaces of the same
+// priority.
+func (r *run) enginePriority() int {
+	if c := r.f.inv.View().Config; c.Prioritizes(r.req.Service) {
+		return min(maxEnginePriority, c.PriorityRank(r.req.Service, r.priority(), r.req.Route.Priority))
+	}
+	return r.priority()
+}
+
+// maxEnginePriority is the least urgent priority that backend servers distinguish.
+const maxEnginePriority = 9
+
 // refused evaluates the result of a send; execution.Answered means that the answer may be
 // forwarded. If the head refuses because of another hop, that hop may be full or dead. It is
 // probed, so that later requests avoid a dead hop before its record is gone.
--- a/forward/shedding.go
+++ b/forward/shedding.go
@@ -27,6 +27,7 @@
 	meter   *shedding.Meter
 	gate    *shedding.Gate
 	returns *shedding.Returns
+	shares  *shedding.FairShares
 	hold    shedding.HoldTime
 	state   shedding.State // for which the fractions were computed last
 	at      time.Time      // when they were computed
@@ -44,7 +45,7 @@
 	sh := s.byService[service]
 	if sh == nil {
 		sh = &shedder{
-			meter: shedding.NewMeter(), gate: shedding.NewGate(rand.Float64), returns: shedding.NewReturns(),
+			meter: shedding.NewMeter(), gate: shedding.NewGate(rand.Float64), returns: shedding.NewReturns(rand.Float64), shares: shedding.NewFairShares(),
 			logged: map[shedding.Class]float64{},
 		}
 		s.byService[service] = sh
@@ -74,13 +75,15 @@
 	s.mu.Lock()
 	sh := s.of(r.req.Service)
 	r.f.renewFractions(sh, r.req.Service, r.engine, view, now)
-	sh.meter.Add(class, tokens.Mean()*float64(r.engine.Layers), sh.hold.Of(tokens.Answer), now)
-	admitted := sh.gate.Admit(class, 1, now)
+	kv := tokens.Mean() * float64(r.engine.Layers)
+	sh.meter.Add(class, kv, sh.hold.Of(tokens.Answer), now)
+	sh.shares.Add(class, r.workspaceName(), kv, now)
 	fraction := sh.gate.Fraction(class)
+	share := sh.shares.Multiple(class, r.workspaceName(), fraction, now)
+	admitted := sh.gate.Admit(class, share, now)
 	var after time.Duration
 	if !admitted {
-		latest := boottime.Until(r.deadline) / maxReturnDivisor
-		after = sh.returns.Next(class, fraction*sh.meter.Rate(class, now), latest-retryAfterSpread, now) + rand.N(retryAfterSpread)
+		after = sh.returns.Next(class, fraction*sh.meter.Rate(class, now), boottime.Until(r.deadline)/maxReturnDivisor, now)
 	}
 	s.mu.Unlock()
 	if admitted {
@@ -88,7 +91,7 @@
 	}
 	r.f.observer.Shed(int(class))
 	r.f.log.Add("shed", "request", r.req.ID, "service", r.req.Service, "class", int(class), "workspace", r.workspaceName(),
-		"fraction", math.Round(100*fraction)/100, "retry_after", after.Round(time.Millisecond))
+		"fraction", math.Round(100*fraction)/100, "share", math.Round(100*share)/100, "retry_after", after.Round(time.Millisecond))
 	return apierror.New(apierror.Overloaded, "%.2f of the requests of class %d are admitted", fraction, class).WithRetryAfter(after)
 }
 
@@ -124,8 +127,8 @@
 }
 
 // shedHorizon is the time beyond the age of the loads until a change of the fractions shows in
-// the loads of all daemons: an interval of the exchange.
-const shedHorizon = 800 * time.Millisecond
+// the loads of all daemons: an interval of the exchange, and the smoothing of the fractions.
+const shedHorizon = 1300 * time.Millisecond
 
 // minUsageForCapacity is the usage, as a fraction, from which the capacity follows from the
 // usage. The usage of a nearly idle service says little about how evenly its paths fill.
--- a/shedding/shedding.go
+++ b/shedding/shedding.go
@@ -50,8 +50,9 @@
 	// then process their prompts again.
 	targetUsage = 0.85
 	// minClassShare is the least fraction of a class, as a multiple of the fraction of all
-	// demand that can be admitted. It keeps the least urgent class from starving while more
-	// urgent ones ask for all capacity.
+	// demand that the capacity can serve. It keeps the least urgent class from starving while
+	// more urgent ones ask for all capacity, and all classes from being refused while the
+	// usage is above its target.
 	minClassShare = 0.3
 	// minHorizon bounds the horizon. At 0 the admitted demand has no effect on the usage, and
 	// the admissible demand is not defined.
@@ -76,7 +77,7 @@
 	admissible := s.admissible()
 	least := 0.0
 	if total > 0 {
-		least = minClassShare * min(1, admissible/total)
+		least = minClassShare * min(1, targetUsage*s.Capacity/total)
 	}
 	remaining := admissible - least*total
 	out := make([]Fraction, 0, len(demands))
--- a/site/config.go
+++ b/site/config.go
@@ -97,8 +97,10 @@
 	routes   map[string]map[string]*Route // by host, then by prefix
 	keys     map[string]*Workspace        // by API key
 	keyed    bool
-	// prioritized holds the services whose routes have different priorities.
-	prioritized map[string]bool
+	// workspacePriorities are the different priorities of workspaces, sorted.
+	workspacePriorities []int
+	// routePriorities are the different priorities of the routes to each service, sorted.
+	routePriorities map[string][]int
 }
 
 // NewConfig returns an indexed configuration. If keys is nil, no route requires a key.
@@ -116,27 +118,53 @@
 		}
 		c.routes[r.Host][r.Prefix] = r
 	}
-	c.prioritized = prioritizedServices(routes)
+	c.routePriorities = routePriorities(routes)
+	c.workspacePriorities = workspacePriorities(keys)
 	return c
 }
 
-// prioritizedServices returns the services whose routes have different priorities.
-func prioritizedServices(routes []*Route) map[string]bool {
-	first, out := map[string]int{}, map[string]bool{}
+// routePriorities returns the different priorities of the routes to each service, sorted.
+func routePriorities(routes []*Route) map[string][]int {
+	out := map[string][]int{}
 	for _, r := range routes {
 		for _, t := range r.Targets {
-			if p, known := first[t.Service]; known && p != r.Priority {
-				out[t.Service] = true
-			} else {
-				first[t.Service] = r.Priority
-			}
+			out[t.Service] = insertPriority(out[t.Service], r.Priority)
+		}
+	}
+	return out
+}
+
+// workspacePriorities returns the different priorities of workspaces, sorted.
+func workspacePriorities(keys map[string]*Workspace) []int {
+	var out []int
+	for _, w := range keys {
+		if w.HasPriority {
+			out = insertPriority(out, w.Priority)
 		}
 	}
 	return out
 }
 
+func insertPriority(sorted []int, p int) []int {
+	i, known := slices.BinarySearch(sorted, p)
+	if known {
+		return sorted
+	}
+	return slices.Insert(sorted, i, p)
+}
+
 // Prioritizes reports whether the routes to a service have different priorities.
-func (c *Config) Prioritizes(service string) bool { return c.prioritized[service] }
+func (c *Config) Prioritizes(service string) bool { return len(c.routePriorities[service]) > 1 }
+
+// PriorityRank returns the rank of a request's priority among all that requests of a service can
+// have, 0 for the most urgent. The priority of the workspace decides, and the priority of the
+// route among equal ones.
+func (c *Config) PriorityRank(service string, workspace, route int) int {
+	routes := c.routePriorities[service]
+	above, _ := slices.BinarySearch(c.workspacePriorities, workspace)
+	rank, _ := slices.BinarySearch(routes, route)
+	return above*len(routes) + rank
+}
 
 // Match returns the route of a host with the longest matching prefix of path, or nil.
 func (c *Config) Match(host, path string) *Route {
