forward: the capacity for load shedding is that of the layout, and its usage that of the latest loads

Cause: memory in use divided by the usage of the split's paths underestimates the capacity while hops are not full, since the split evens out fuller hops, so too much is refused. Change: capacity is the memory of the layer with the least, planned for 0.75 of it; usage follows the loads last received, not their smoothed mean.

--- a/forward/loads.go
+++ b/forward/loads.go
@@ -41,6 +41,8 @@
 	running float64 // requests that pass through the server
 	heads   float64 // requests whose first hop is the server
 	kv      float64 // tokens x layers
+	// latestKV is kv as last received, without smoothing.
+	latestKV float64
 }
 
 // minOthersTTL is the least time for which received loads of other daemons are used.
@@ -123,6 +125,22 @@
 	}
 }
 
+// latestKV returns the memory that the requests of all daemons use at a backend server, in tokens
+// x layers, by the loads last received. Load shedding needs no smoothing: it smooths its
+// decisions, and the smoothed loads are seconds older.
+func (l *Loads) latestKV(id string, daemons float64, now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	own := 0.0
+	if s := l.servers[id]; s != nil {
+		own = s.kv
+	}
+	if now.Sub(l.othersAt) > l.othersTTL {
+		return own * min(daemons, maxAssumedDaemons)
+	}
+	return own + l.others[id].latestKV*max(1, daemons/float64(1+l.othersDaemons))
+}
+
 // othersLoadAge returns the approximate age of the other daemons' loads, 0 if they are
 // unknown or have expired.
 func (l *Loads) othersLoadAge(now time.Time) time.Duration {
@@ -185,7 +203,7 @@
 	}
 	byServer := make(map[string]otherLoad, len(others.Items))
 	for _, i := range others.Items {
-		byServer[i.Server] = otherLoad{running: float64(i.Running), heads: float64(i.Heads), kv: i.KV}
+		byServer[i.Server] = otherLoad{running: float64(i.Running), heads: float64(i.Heads), kv: i.KV, latestKV: i.KV}
 	}
 	l.setOthers(byServer, others)
 	l.onAge(others.Age)
--- a/forward/shedding.go
+++ b/forward/shedding.go
@@ -130,29 +130,15 @@
 // the loads of all daemons: an interval of the exchange, and the smoothing of the fractions.
 const shedHorizon = 1300 * time.Millisecond
 
-// minUsageForCapacity is the usage, as a fraction, from which the capacity follows from the
-// usage. The usage of a nearly idle service says little about how evenly its paths fill.
-const minUsageForCapacity = 0.3
-
 // memoryUsage returns the memory that the requests of all daemons use at a service, and the
-// memory that its paths can use before layers with the least free memory are full, in
-// tokens x layers.
+// memory that they can use, in tokens x layers.
 func (f *Forwarder) memoryUsage(service string, e *site.Engine, view *inventory.View, now time.Time) (used, capacity float64) {
 	daemons := float64(max(1, f.fleet.Daemons()))
 	var u pipeline.Usage
-	cs := f.usableServers(view, service, e, now)
-	for i := range cs {
-		cs[i].Load = f.loads.Of(cs[i].Server.ID, daemons, now)
-		u.Add(e, cs[i].Server, cs[i].Load)
-	}
-	full, ok := f.splits.meanFullness(e, service, cs)
-	if !ok {
-		full = u.Fullest()
-	}
-	if full < minUsageForCapacity {
-		return u.Used(), u.Capacity()
+	for _, c := range f.usableServers(view, service, e, now) {
+		u.Add(e, c.Server, f.loads.latestKV(c.Server.ID, daemons, now))
 	}
-	return u.Used(), u.Used() / full
+	return u.Used(), u.Capacity(pipeline.TypicalRequest(e))
 }
 
 // predictHold sets the expected time for which a request uses its memory, until a stream has
--- a/forward/split.go
+++ b/forward/split.go
@@ -57,18 +57,6 @@
 	return s.rotation.Next(q, cs, f.loads.othersLoadAge(now))
 }
 
-// meanFullness returns the mean usage of the split's paths as a fraction; ok is false if the
-// requests of the service do not follow a split.
-func (s *splits) meanFullness(e *site.Engine, service string, cs []pipeline.Candidate) (mean float64, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	sp := s.byService[service]
-	if sp == nil || !sp.needed {
-		return 0, false
-	}
-	return sp.rotation.MeanFullness(e, cs)
-}
-
 // needed reports whether the requests of a service follow a split.
 func (s *splits) needed(service string) bool {
 	s.mu.Lock()
--- a/pipeline/rotation.go
+++ b/pipeline/rotation.go
@@ -82,36 +82,6 @@
 	return best.choice, true
 }
 
-// MeanFullness returns the mean usage of the paths as a fraction, weighted by their rates. The
-// usage of a path is that of the memory of its fullest hop, or of the slots of its first hop if
-// that is higher. ok is false without a path whose hops are all among the candidates.
-func (rot *Rotation) MeanFullness(e *site.Engine, candidates []Candidate) (mean float64, ok bool) {
-	byID := indexByID(candidates)
-	q := &Query{Engine: e}
-	rates := 0.0
-	for _, entry := range rot.entries {
-		steps := entry.steps(byID)
-		if steps == nil {
-			continue
-		}
-		head, rate := steps[0].cand, entry.share.Rate
-		mean += rate * min(1, max(predict(q, steps).Fullest, slotUsage(head)))
-		rates += rate
-	}
-	if rates == 0 {
-		return 0, false
-	}
-	return mean / rates, true
-}
-
-// slotUsage returns the used fraction of a first hop's slots.
-func slotUsage(head *Candidate) float64 {
-	if head.Server.Slots == 0 {
-		return 0
-	}
-	return head.Load.Heads / float64(head.Server.Slots)
-}
-
 // usablePath is a path with capacity for the request and its corrected rate.
 type usablePath struct {
 	entry  *entry
--- a/pipeline/usage.go
+++ b/pipeline/usage.go
@@ -2,37 +2,30 @@
 
 import "github.com/snowspoke/snowspoke/site"
 
-// Usage sums the memory that requests use by layer. The layers with the least free memory
-// bound the requests that the backend servers can hold. The zero value is empty.
+// Usage sums the memory of backend servers and what requests use of it. The zero value is
+// empty.
 type Usage struct {
-	layers []layerUsage
-	used   float64 // tokens x layers
-	heads  float64 // requests at first hops
-	slots  float64 // of first hops
+	layers []float64 // capacity of each layer, in tokens
+	used   float64   // tokens x layers
+	slots  float64   // of first hops
 }
 
-// layerUsage is the memory of one layer, in tokens.
-type layerUsage struct{ used, capacity float64 }
-
-// Add adds a backend server with its load. Its memory is taken to be used evenly by the
-// layers that it holds. The usage that the backend server reports applies if it is higher.
-func (u *Usage) Add(e *site.Engine, s *site.BackendServer, load Load) {
+// Add adds a backend server of which requests use kv tokens x layers. Its memory is taken to be
+// used evenly by the layers that it holds.
+func (u *Usage) Add(e *site.Engine, s *site.BackendServer, kv float64) {
 	n := s.Held.Len()
 	capacity := e.KVCapacity(s.Kind, n)
 	if n == 0 || capacity <= 0 {
 		return
 	}
 	if u.layers == nil {
-		u.layers = make([]layerUsage, e.Layers)
+		u.layers = make([]float64, e.Layers)
 	}
-	used := max(load.KVUsed, load.MemoryUsed*capacity)
-	u.used += used
+	u.used += kv
 	for l := max(0, s.Held.From); l < min(e.Layers, s.Held.To); l++ {
-		u.layers[l].used += used / float64(n)
-		u.layers[l].capacity += capacity / float64(n)
+		u.layers[l] += capacity / float64(n)
 	}
 	if s.Held.Has(0) {
-		u.heads += load.Heads
 		u.slots += float64(s.Slots)
 	}
 }
@@ -40,29 +33,18 @@
 // Used returns the memory in use, in tokens x layers.
 func (u *Usage) Used() float64 { return u.used }
 
-// Fullest returns the used fraction of the layer with the least free memory, or of the slots
-// of the first hops if that is higher.
-func (u *Usage) Fullest() float64 {
-	full := 0.0
-	for _, l := range u.layers {
-		if l.capacity > 0 {
-			full = max(full, l.used/l.capacity)
-		}
-	}
-	if u.slots > 0 {
-		full = max(full, u.heads/u.slots)
-	}
-	return full
-}
-
-// Capacity returns the memory that requests with an even load can use, in tokens x layers.
-func (u *Usage) Capacity() float64 {
+// Capacity returns the memory that requests of a size can use, in tokens x layers. The layer with
+// the least memory bounds it, or the slots of the first hops.
+func (u *Usage) Capacity(t Tokens) float64 {
 	if len(u.layers) == 0 {
 		return 0
 	}
-	least := u.layers[0].capacity
-	for _, l := range u.layers {
-		least = min(least, l.capacity)
+	least := u.layers[0]
+	for _, capacity := range u.layers {
+		least = min(least, capacity)
+	}
+	if u.slots > 0 {
+		least = min(least, u.slots*t.Mean())
 	}
 	return least * float64(len(u.layers))
 }
--- a/shedding/shedding.go
+++ b/shedding/shedding.go
@@ -36,7 +36,7 @@
 type State struct {
 	Demands  []Demand // of all daemons, one for each class
 	InUse    float64  // memory of the admitted requests of all daemons, in tokens x layers
-	Capacity float64  // memory that paths can use, in tokens x layers
+	Capacity float64  // memory that requests could use if all hops filled evenly, in tokens x layers
 	// Hold is the mean time for which a request uses its memory.
 	Hold time.Duration
 	// Horizon is the time until a change of the fractions shows in InUse.
@@ -45,10 +45,10 @@
 
 // Limits of the admitted demand.
 const (
-	// targetUsage is the planned usage of the capacity, as a fraction. Requests vary in
-	// size, and above it single hops run out of memory and preempt begun requests, which
+	// targetUsage is the planned usage of the capacity, as a fraction. Backend servers fill
+	// unevenly, and above it single hops run out of memory and preempt begun requests, which
 	// then process their prompts again.
-	targetUsage = 0.85
+	targetUsage = 0.75
 	// minClassShare is the least fraction of a class, as a multiple of the fraction of all
 	// demand that the capacity can serve. It keeps the least urgent class from starving while
 	// more urgent ones ask for all capacity, and all classes from being refused while the
