relay: exchange crashes without the store

Cause: TestQuarantineIsStoredSoonAfterAnOutage failed once with four runs of the crashing request instead of two. While the store refuses calls, the first daemon of a failure domain is not a healthy source, and its followers leave it at their next ping, 0 to 400 ms later. Evidence of crashes passed only over these links, and between domains only to healthy sources. A daemon that had left before the first crash had to see two more backend servers end. In the test this is the third daemon, whose ping after its first full state may come just after the store is lost. In a fleet, a request that is retried everywhere could end two backend servers per daemon during an outage.

Change: while a daemon follows no source, it keeps a link for crashes alone to an earlier daemon of its domain or, if none accepts it and the daemon is not healthy, to a head of each other domain. A daemon accepts such a link whether it has the store or not.

--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,28 +12,29 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/quarantine"
 )
 
 // crashFleet runs daemons, each with a quarantine registry, as chains of followers in their
 // failure domains.
 type crashFleet struct {
+	store      *fakeStore
 	registries []*quarantine.Registry
 	nodes      []*Node
 	stop       []func()
 }
 
 func newCrashFleet(t *testing.T, domains ...string) *crashFleet {
-	f := &crashFleet{}
+	f := &crashFleet{store: &fakeStore{version: 1}}
 	all := memberList{}
 	servers := make([]*httptest.Server, len(domains))
 	for i, domain := range domains {
 		servers[i] = httptest.NewUnstartedServer(nil)
 		all = append(all, Member{Name: daemonName(i), Domain: domain, Address: servers[i].Listener.Addr().String(), FanOut: 1})
 	}
-	s := &fakeStore{version: 1}
 	for i, domain := range domains {
-		inv, registry := newFakeInventory(s), quarantine.NewRegistry(quarantine.DefaultPolicy)
+		inv, registry := newFakeInventory(f.store), quarantine.NewRegistry(quarantine.DefaultPolicy)
 		node := New(Options{Name: daemonName(i), Domain: domain, FanOut: 1, Quarantine: registry}, inv, inv, all, log.NewNopLogger())
 		f.registries, f.nodes, f.stop = append(f.registries, registry), append(f.nodes, node), append(f.stop, start(t, node, servers[i]))
 	}
@@ -85,6 +87,24 @@
 	require.Equal(t, before, versions(), "known entries are not sent again")
 }
 
+// In an outage of the store no daemon has a source. Without an exchange of crashes each daemon
+// would see two backend servers end before it quarantines a request that is retried at all daemons.
+func TestCrashesReachAllDaemonsWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, "d", "d", "d", "e", "e", "e")
+	f.store.setUnavailable(true)
+	require.Eventually(t, func() bool {
+		return !slices.ContainsFunc(f.nodes, func(n *Node) bool { return n.healthy(boottime.Now()) })
+	}, 6*time.Second, 10*time.Millisecond, "all daemons have lost the store")
+	f.registries[2].RecordEnd(7, 1, quarantine.Likely, time.Now())
+	f.registries[5].RecordEnd(7, 2, quarantine.Likely, time.Now())
+	require.Eventually(t, func() bool { return f.quarantinedBy(7) == 6 }, 3*time.Second, time.Millisecond)
+	f.store.setUnavailable(false)
+	require.Eventually(t, func() bool { return f.nodes[2].healthy(boottime.Now()) && f.nodes[5].healthy(boottime.Now()) }, 6*time.Second, 10*time.Millisecond)
+	f.registries[0].Served(7, time.Now())
+	require.Eventually(t, func() bool { return f.quarantinedBy(7) == 0 }, 3*time.Second, time.Millisecond, "after the outage")
+}
+
 func TestCrashEncodingRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(5000, 0)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -79,7 +79,7 @@
 	defer cancel()
 	l := links[domain]
 	if l == nil {
-		c, err := n.dial(ctx, m, true)
+		c, err := n.dial(ctx, m, probeParam)
 		if err != nil {
 			return false // retried at the next exchange; its last loads expire
 		}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -16,24 +16,39 @@
 // one, otherwise from the store.
 func (n *Node) Run(ctx context.Context) {
 	n.running.Store(true)
+	n.mu.Lock()
+	n.runCtx = ctx
+	n.mu.Unlock()
 	go n.resolveConditions(ctx)
 	if n.awaitInitialSource(ctx) {
 		n.followParent(ctx)
 	} else {
-		n.followStore(ctx) // returns once there is a source
+		n.followStoreAtStart(ctx) // returns once there is a source
 	}
 	for ctx.Err() == nil {
-		source, found := n.searchSource(ctx)
-		if !found {
-			n.followStore(ctx)
-			continue
-		}
-		if !n.followSource(ctx, source) {
+		source, found := n.findSource(ctx)
+		if found && !n.followSource(ctx, source) {
 			wait.For(ctx, minSearchPause) // it was healthy when it was probed
 		}
 	}
 }
 
+// findSource returns a source that searchSource finds. Without one it follows the store until
+// there is a source. Meanwhile it keeps links for crashes.
+func (n *Node) findSource(ctx context.Context) (source Member, found bool) {
+	defer n.startCrashLinks(ctx)()
+	if source, found = n.searchSource(ctx); !found {
+		n.followStore(ctx)
+	}
+	return source, found
+}
+
+// followStoreAtStart follows the store until there is a source, with links for crashes.
+func (n *Node) followStoreAtStart(ctx context.Context) {
+	defer n.startCrashLinks(ctx)()
+	n.followStore(ctx)
+}
+
 // awaitInitialSource waits at the start for a source of this domain. The first daemon of
 // a domain does not wait. The second waits for a shorter time: if it did not wait, others
 // would follow it and be cut off when it finds the first; if it waited longer, a domain
--- a/relay/node.go
+++ b/relay/node.go
@@ -82,6 +82,7 @@
 	createdAt time.Time // of this node, at the start of the process
 
 	mu        sync.Mutex
+	runCtx    context.Context // of Run, nil before
 	sourceCtx context.Context // ends when this daemon stops being a source
 	upstream  *upstream       // nil unless this daemon follows a source
 	// membersReceived is set once the source has sent the list of the daemons, and
--- a/relay/restored.go
+++ b/relay/restored.go
@@ -46,7 +46,7 @@
 }
 
 func (n *Node) queryConfig(ctx context.Context, m Member) {
-	c, err := n.dial(ctx, m, true)
+	c, err := n.dial(ctx, m, probeParam)
 	if err != nil {
 		return // starting as well, or gone
 	}
--- a/relay/session.go
+++ b/relay/session.go
@@ -24,7 +24,11 @@
 func (n *Node) session(ctx context.Context, m Member, probe error) (followed bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c, err := n.dial(ctx, m, probe != nil)
+	var marks []string
+	if probe != nil {
+		marks = []string{probeParam}
+	}
+	c, err := n.dial(ctx, m, marks...)
 	if err != nil {
 		return false, err
 	}
@@ -64,12 +68,13 @@
 	return &http.Client{Transport: t}
 }
 
-func (n *Node) dial(ctx context.Context, m Member, probe bool) (*websocket.Conn, error) {
+// dial opens a link, with parameters that mark its kind.
+func (n *Node) dial(ctx context.Context, m Member, marks ...string) (*websocket.Conn, error) {
 	ctx, cancel := n.opts.Stalls.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	query := url.Values{domainParam: {n.opts.Domain}, nameParam: {n.opts.Name}, fanOutParam: {strconv.Itoa(n.opts.FanOut)}}
-	if probe {
-		query.Set(probeParam, "")
+	for _, mark := range marks {
+		query.Set(mark, "")
 	}
 	c, resp, err := websocket.Dial(ctx, "ws://"+m.Address+Path+"?"+query.Encode(), &websocket.DialOptions{
 		HTTPClient: n.dialer, CompressionMode: websocket.CompressionDisabled,
--- a/relay/source.go
+++ b/relay/source.go
@@ -58,6 +58,10 @@
 // ServeHTTP serves one follower until the link ends: it sends changes and answers pings.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
+	if query.Has(crashesParam) {
+		n.serveCrashes(w, r)
+		return
+	}
 	sameDomain := query.Get(domainParam) == n.opts.Domain
 	now := boottime.Now()
 	switch {
@@ -77,13 +81,11 @@
 		http.Error(w, "the store is lost", http.StatusServiceUnavailable)
 		return
 	}
-	c, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
-	if err != nil {
-		_ = level.Warn(n.logger).Log("msg", "link not accepted", "err", err)
+	c := n.accept(w, r)
+	if c == nil {
 		return
 	}
 	defer func() { _ = c.CloseNow() }()
-	c.SetReadLimit(maxFrameBytes)
 	ctx, cancel := context.WithCancel(n.sourceContext())
 	defer cancel()
 	if query.Has(probeParam) {
@@ -105,6 +107,31 @@
 	n.pushChanges(ctx, c)
 }
 
+// accept accepts a link. It returns nil after an error.
+func (n *Node) accept(w http.ResponseWriter, r *http.Request) *websocket.Conn {
+	c, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		_ = level.Warn(n.logger).Log("msg", "link not accepted", "err", err)
+		return nil
+	}
+	c.SetReadLimit(maxFrameBytes)
+	return c
+}
+
+// serveCrashes serves a link for crashes until it ends or this daemon stops.
+func (n *Node) serveCrashes(w http.ResponseWriter, r *http.Request) {
+	n.mu.Lock()
+	ctx := n.runCtx
+	n.mu.Unlock()
+	if ctx == nil || n.opts.Quarantine == nil {
+		http.Error(w, "no crashes", http.StatusServiceUnavailable)
+		return
+	}
+	if c := n.accept(w, r); c != nil {
+		n.exchangeCrashes(ctx, c)
+	}
+}
+
 // followerOf returns the daemon that opened a link with this query. An invalid fan-out
 // ranks last.
 func followerOf(query url.Values) Member {
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -23,13 +23,16 @@
 
 // Path is the URL path at which a daemon serves its links. In the query, domainParam,
 // nameParam and fanOutParam are those of the follower, and probeParam marks a probe, which
-// checks whether this daemon is a healthy source and receives no state.
+// checks whether this daemon is a healthy source and receives no state. crashesParam marks a
+// link for crashes alone.
 const (
 	Path        = "/relay"
 	domainParam = "domain"
 	nameParam   = "name"
 	fanOutParam = "fanout"
 	probeParam  = "probe"
+
+	crashesParam = "crashes"
 )
 
 // maxFrameBytes bounds a frame: a full state with a large configuration.
