--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -368,6 +368,14 @@
 	return &pipeline.Query{Engine: engine, Tokens: estimateTokens(req, engine), Near: f.opts.FailureDomain, Jitter: costJitter}
 }
 
+// maxHintFactor bounds the caller's hint, as a multiple of the typical answer, which counts with at
+// least minHintBase tokens. Without a bound a hint alone, which commits the caller to nothing,
+// could make a request too large for every path.
+const (
+	maxHintFactor = 100
+	minHintBase   = 100
+)
+
 // estimateTokens estimates the size of a request. The caller's hint is accurate only at
 // the median, so it is averaged with the typical answer.
 func estimateTokens(req *Request, engine *site.Engine) pipeline.Tokens {
@@ -376,7 +384,7 @@
 		t.Prompt = req.Prompt
 	}
 	if req.Hint > 0 {
-		t.Answer = (t.Answer + req.Hint) / 2
+		t.Answer = (t.Answer + min(req.Hint, maxHintFactor*max(minHintBase, t.Answer))) / 2
 	}
 	if req.MaxAnswer > 0 {
 		t.Answer = min(t.Answer, req.MaxAnswer)
