platform: replace values of a configuration that are out of range

Cause: the priority of a route or workspace was taken as it is. Package quota uses -1 for orders and 1024 for reports, so requests with these priorities counted as such calls. A number beyond the range of an int rejected the whole configuration. A large objective overflowed, and a negative one stayed negative.

Replaced values are logged once for each version of the configuration, with their number and the first four. Values of another type still make the configuration invalid. A route has an objective if Route.HasObjective; 0 means none.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,6 +131,9 @@
 		m.Refused(kind)
 		_ = level.Error(g.log).Log("msg", "entry refused", "kind", kind, "err", err)
 	})
+	g.store.OnCorrected(func(version uint64, description string) {
+		_ = level.Warn(g.log).Log("msg", "values of the configuration replaced", "version", version, "values", description)
+	})
 	g.store.OnEra(func(era uint64) {
 		m.StoreEra(era)
 		g.quarantineSync.wake()
--- a/site/config.go
+++ b/site/config.go
@@ -28,6 +28,12 @@
 	Weight  int
 }
 
+// Range of the priorities of routes and workspaces. Lower ones are more urgent.
+const (
+	MinPriority = 0
+	MaxPriority = 9
+)
+
 // Route maps requests for a host and path prefix to services.
 type Route struct {
 	Name         string
@@ -35,9 +41,9 @@
 	Prefix       string // begins and ends with a slash
 	Kind         RequestKind
 	Timeout      time.Duration // of a request
-	Objective    time.Duration // latency objective until the answer, or a stream's first event
-	GapObjective time.Duration // latency objective between two events of a stream
-	Priority     int           // 0 is the highest
+	Objective    time.Duration // latency objective until the answer, or a stream's first event, 0 for none
+	GapObjective time.Duration // latency objective between two events of a stream, 0 for none
+	Priority     int           // MinPriority is the highest
 	Targets      []Target
 	MaxAttempts  int  // number of backend servers that one request may be sent to
 	Public       bool // requires no key
@@ -66,6 +72,10 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
+// HasObjective reports whether the route has a latency objective. Decisions that compare a time with
+// the objective do not apply to other routes.
+func (r *Route) HasObjective() bool { return r.Objective > 0 }
+
 // Workspace is a customer, identified by the API keys that callers present.
 type Workspace struct {
 	Name        string
