relay: back off while no daemon accepts a link for crashes

Cause: a daemon whose earlier daemons are gone dialed them every 200 ms for as long as the list of daemons had them.

A healthy daemon without earlier ones dials nobody and checks every 200 ms, so that its links to other domains start soon after it loses the store.

--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -30,9 +30,10 @@
 }
 
 const (
-	// crashDialPause is the pause after an attempt to open a link for crashes at all daemons
-	// that may accept it.
-	crashDialPause = 200 * time.Millisecond
+	// minCrashDialPause and maxCrashDialPause bound the pause after an attempt to open a link
+	// for crashes at all daemons that may accept it. It doubles with each failure.
+	minCrashDialPause = 200 * time.Millisecond
+	maxCrashDialPause = sourceCheckInterval
 	// crashPingInterval is the interval at which both ends of a link for crashes check it. A
 	// check without an answer within silenceTimeout ends the link.
 	crashPingInterval = time.Second
@@ -57,12 +58,17 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	var links sync.Map // other domains with a link
+	pause := minCrashDialPause
 	for ctx.Err() == nil {
-		if c := n.dialCrashes(ctx, n.candidates()); c != nil {
+		earlier := n.candidates()
+		if c := n.dialCrashes(ctx, earlier); c != nil {
 			n.exchangeCrashes(ctx, c)
+			pause = minCrashDialPause
+			wait.For(ctx, pause)
 			continue
 		}
-		if !n.healthy(boottime.Now()) { // otherwise exchangeLoads reaches the other domains
+		healthy := n.healthy(boottime.Now())
+		if !healthy { // otherwise exchangeLoads reaches the other domains
 			for domain, heads := range n.otherHeads() {
 				if _, linked := links.LoadOrStore(domain, true); linked {
 					continue
@@ -75,7 +81,10 @@
 				})
 			}
 		}
-		wait.For(ctx, crashDialPause)
+		wait.For(ctx, pause)
+		if !healthy || len(earlier) > 0 {
+			pause = min(2*pause, maxCrashDialPause)
+		}
 	}
 }
 
