forward: less urgent requests leave a reserve of each path to more urgent ones

Cause: until the demand of a burst is known to all daemons, less urgent requests fill hops, and urgent ones are refused there.

--- a/forward/pick.go
+++ b/forward/pick.go
@@ -98,7 +98,13 @@
 		return r.findPlain(cs)
 	}
 	q := r.f.query(r.req, r.engine)
+	if r.sends == 0 {
+		q.Reserve = r.reserve
+	}
 	c, err := r.choose(q, view, cs, now)
+	if errors.Is(err, pipeline.ErrFull) && q.Reserve > 0 {
+		return nil, r.refuseReserved(now)
+	}
 	if errors.Is(err, pipeline.ErrFull) {
 		return nil, apierror.Wrap(apierror.Overloaded, err)
 	}
@@ -123,6 +129,10 @@
 	if c, ok := r.f.nextBySplit(q, r.req.Service, view, cs, now); ok {
 		return c, nil
 	}
+	if q.Reserve > 0 && r.f.splits.needed(r.req.Service) {
+		// Paths beside the split would fill its hops unevenly.
+		return pipeline.Choice{}, pipeline.ErrFull
+	}
 	return pipeline.Choose(q, cs, newRand())
 }
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -34,6 +34,7 @@
 	maxConns        int        // connections that a backend server of the service accepts, 0 for unlimited
 	tried           triedHeads // first hops of all sends
 	sends           int
+	reserve         float64   // fraction of memory that a new request leaves to more urgent ones, see pipeline.Query
 	refusals        int       // sends that did not run after the stream had begun
 	reached         bool      // a send may have reached a backend server
 	retryTakenAt    time.Time // when a retry was taken for the last send, zero if none was
--- a/forward/shedding.go
+++ b/forward/shedding.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -85,14 +86,37 @@
 	if !admitted {
 		after = sh.returns.Next(class, fraction*sh.meter.Rate(class, now), boottime.Until(r.deadline)/maxReturnDivisor, now)
 	}
+	r.reserve = sh.state.Reserve(class)
 	s.mu.Unlock()
 	if admitted {
 		return nil
 	}
+	r.logShed(class, fraction, share, after)
+	return apierror.New(apierror.Overloaded, "%.2f of the requests of class %d are admitted", fraction, class).WithRetryAfter(after)
+}
+
+// errReserved is the cause of the refusal of a request that may use only memory which is
+// reserved for more urgent ones.
+var errReserved = errors.New("forward: the free memory is reserved for more urgent requests")
+
+// refuseReserved returns the refusal of a new request that finds no path within its reserve.
+func (r *run) refuseReserved(now time.Time) error {
+	class := r.urgency()
+	s := r.f.shedders
+	s.mu.Lock()
+	sh := s.of(r.req.Service)
+	fraction := sh.gate.Fraction(class)
+	after := sh.returns.Next(class, fraction*sh.meter.Rate(class, now), boottime.Until(r.deadline)/maxReturnDivisor, now)
+	s.mu.Unlock()
+	r.logShed(class, fraction, 1, after)
+	return apierror.Wrap(apierror.Overloaded, errReserved).WithRetryAfter(after)
+}
+
+func (r *run) logShed(class shedding.Class, fraction, share float64, after time.Duration) {
 	r.f.observer.Shed(int(class))
 	r.f.log.Add("shed", "request", r.req.ID, "service", r.req.Service, "class", int(class), "workspace", r.workspaceName(),
-		"fraction", math.Round(100*fraction)/100, "share", math.Round(100*share)/100, "retry_after", after.Round(time.Millisecond))
-	return apierror.New(apierror.Overloaded, "%.2f of the requests of class %d are admitted", fraction, class).WithRetryAfter(after)
+		"fraction", math.Round(100*fraction)/100, "share", math.Round(100*share)/100, "reserve", math.Round(100*r.reserve)/100,
+		"retry_after", after.Round(time.Millisecond))
 }
 
 // maxReturnDivisor is the part of its remaining time that a caller waits before it returns: a
@@ -128,7 +152,7 @@
 
 // shedHorizon is the time beyond the age of the loads until a change of the fractions shows in
 // the loads of all daemons: an interval of the exchange, and the smoothing of the fractions.
-const shedHorizon = 1300 * time.Millisecond
+const shedHorizon = 1050 * time.Millisecond
 
 // memoryUsage returns the memory that the requests of all daemons use at a service, and the
 // memory that they can use, in tokens x layers.
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -70,8 +70,14 @@
 	// and a head's slots cost extra. If it is 0, fullThreshold applies to the memory
 	// and slots cost nothing extra.
 	FullThreshold float64
+	// Reserve is the fraction of the memory of each backend server, and of a head's slots, that
+	// the request leaves free. 0 for none.
+	Reserve float64
 }
 
+// maxFullness returns the usage, as a fraction, up to which a backend server takes the request.
+func (q *Query) maxFullness() float64 { return 1 - q.Reserve }
+
 // Cost weights.
 const (
 	// fullThreshold is the usage of a backend server's memory, as a fraction, from
@@ -117,7 +123,7 @@
 	}
 	c := predict(q, best)
 	c.Cost = cost
-	if c.Fullest > 1 {
+	if c.Fullest > q.maxFullness() {
 		return c, ErrFull
 	}
 	return c, nil
@@ -162,7 +168,7 @@
 		full := fullness(q, c, n)
 		out[i].perLayer *= 1 + spreadWeight*min(maxSpreadRatio, c.Load.OwnKV/max(1, q.Engine.KVCapacity(s.Kind, n)))
 		out[i].fixed = fullCost(q, full)
-		if full > 1 {
+		if full > q.maxFullness() {
 			out[i].fixed += noCapacityCostMS
 		}
 		if r != nil && q.Jitter > 0 {
--- a/pipeline/rotation.go
+++ b/pipeline/rotation.go
@@ -130,11 +130,11 @@
 		return usablePath{}, false
 	}
 	head := steps[0].cand
-	if head.Server.Slots > 0 && head.Load.Heads >= float64(head.Server.Slots) {
+	if head.Server.Slots > 0 && head.Load.Heads >= q.maxFullness()*float64(head.Server.Slots) {
 		return usablePath{}, false
 	}
 	c := predict(q, steps)
-	if c.Fullest > 1 {
+	if c.Fullest > q.maxFullness() {
 		return usablePath{}, false
 	}
 	rate := e.share.Rate * correction(head.Load.Heads/max(1, e.share.Heads), e.share.DurationMS, loadAge)
--- a/pipeline/search.go
+++ b/pipeline/search.go
@@ -132,7 +132,7 @@
 		if q.First != nil && s.ID != q.First.ID {
 			continue
 		}
-		if !s.Held.Has(0) || s.Slots > 0 && cs[i].Load.Heads >= float64(s.Slots) {
+		if !s.Held.Has(0) || s.Slots > 0 && cs[i].Load.Heads >= q.maxFullness()*float64(s.Slots) {
 			continue
 		}
 		cost := hops[i].fixed + hops[i].perLayer*float64(s.Held.Len()) + cs[i].Load.WaitMS
--- a/shedding/meter.go
+++ b/shedding/meter.go
@@ -23,7 +23,7 @@
 
 // meterWindow is the time constant of the measured rates. A shorter one follows bursts
 // earlier and varies more; the sum over many daemons varies less than each part.
-const meterWindow = time.Second
+const meterWindow = 500 * time.Millisecond
 
 // NewMeter returns a meter without requests.
 func NewMeter() *Meter { return &Meter{classes: map[Class]*classDemand{}} }
--- a/shedding/shedding.go
+++ b/shedding/shedding.go
@@ -98,6 +98,27 @@
 	return out
 }
 
+// maxReserve is the largest part of the memory of a backend server that less urgent requests
+// leave free. More urgent ones that arrive before the loads of the others are known find
+// capacity there; without it they are refused by full hops as often as the others.
+const maxReserve = 0.15
+
+// Reserve returns the fraction of the memory of each backend server that requests of a class leave
+// to more urgent ones. It is proportional to their demand, so that nothing is kept free
+// that nobody asks for.
+func (s State) Reserve(class Class) float64 {
+	if s.Capacity <= 0 {
+		return 0
+	}
+	urgent := 0.0
+	for _, d := range s.Demands {
+		if d.Class < class {
+			urgent += d.KV
+		}
+	}
+	return maxReserve * min(1, urgent/s.Capacity)
+}
+
 // admissible returns the demand that can be admitted so that the usage is at most targetUsage
 // of the capacity after the horizon. Usage approaches the admitted demand exponentially with
 // the time constant Hold, so more than the capacity is admitted for a while if there is
