forward, pipeline, quarantine: explain where a request would be sent

Cause: operators cannot tell why a request goes to a path, or is refused, without sending it.

Change: Forwarder.Explain runs the selection of a real request as a preview: it sends nothing, takes no credit, crossing or permit and records no trial. Rotation.Turns, Ranked, Registry.PreviewAll and limitTrials.isDue show what Next, Choose, AdmitAll and due would return. Random numbers of the selection now come from numbered sources, so that a preview draws the same ones as the next request.

All state that a request changes was equal before and after 20 explanations in ten cases; with the preview flag removed at each of six places the tests fail.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -54,6 +54,18 @@
 // Admit resolves a request by the configuration in force. key is the caller's key, "" for
 // none. Its errors are of type *apierror.Error.
 func (f *Forwarder) Admit(host, path, key string) (Admission, error) {
+	return f.resolve(host, path, key, f.targetDraws.next)
+}
+
+// PreviewAdmit returns what Admit returns for the next request, without changing what that one
+// draws.
+func (f *Forwarder) PreviewAdmit(host, path, key string) (Admission, error) {
+	return f.resolve(host, path, key, f.targetDraws.peek)
+}
+
+// resolve implements Admit. draw returns the source with which one of several services of a route
+// is selected.
+func (f *Forwarder) resolve(host, path, key string, draw func() *rand.Rand) (Admission, error) {
 	c := f.inv.View().Config
 	if c == nil {
 		return Admission{}, apierror.New(apierror.ConfigUnavailable, "no configuration yet")
@@ -62,7 +74,12 @@
 	if route == nil {
 		return Admission{}, apierror.New(apierror.UnknownRoute, "host %s, path %s, configuration %d", host, path, c.Version)
 	}
-	a := Admission{Route: route, Limits: c.Limits, Service: route.TargetAt(rand.Float64())}
+	a := Admission{Route: route, Limits: c.Limits}
+	if len(route.Targets) > 1 {
+		a.Service = route.TargetAt(draw().Float64())
+	} else {
+		a.Service = route.TargetAt(0)
+	}
 	if !c.NeedsKey(route) {
 		return a, nil
 	}
--- a/forward/crossing.go
+++ b/forward/crossing.go
@@ -66,6 +66,11 @@
 // mayCross takes the crossings of a path from this daemon's share of the links. It
 // returns false if the share is used up or one of the links is stuck.
 func (f *Forwarder) mayCross(e *site.Engine, prompt float64, path site.Path, now time.Time) bool {
+	return f.cross(e, prompt, path, now, true)
+}
+
+// cross implements mayCross. It takes nothing unless take is set.
+func (f *Forwarder) cross(e *site.Engine, prompt float64, path site.Path, now time.Time, take bool) bool {
 	n := len(linksOf(path))
 	if n == 0 {
 		return true
@@ -80,7 +85,11 @@
 	rate := linkUtilization * linkCount(e) * 1000 / each / float64(max(1, f.fleet.Daemons()))
 	f.crossings.mu.Lock()
 	defer f.crossings.mu.Unlock()
-	ok, _ := f.crossings.bucket.Take(rate/float64(n), crossBurst, now)
+	bucket := f.crossings.bucket
+	ok, _ := bucket.Take(rate/float64(n), crossBurst, now)
+	if take {
+		f.crossings.bucket = bucket
+	}
 	return ok
 }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -133,6 +133,10 @@
 	deadlines    *deadlines
 	splits       *splits
 	crossings    crossings
+	targetDraws  *draws // of services among the targets of a route
+	startDraws   *draws // of the order of candidates, see drawCandidates
+	pathDraws    *draws // of the jitter of costs
+	splitDraws   *draws // of the first credits of paths in a split
 	limits       *quota.Limits
 	sends        *quota.Sends
 	permits      Permits
@@ -175,6 +179,7 @@
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), healthChecks: newResultCache[struct{}](0), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
 		availability: availability.NewTable(),
+		targetDraws:  newDraws(), startDraws: newDraws(), pathDraws: newDraws(), splitDraws: newDraws(),
 	}
 	f.backends = metered{d.Backends, f}
 	f.maxKeyAge.Store(int64(o.MaxKeyAge))
@@ -223,11 +228,8 @@
 // *apierror.Error and state whether the request ran. If Sink.Head was called before an
 // error, the caller's connection must be cut.
 func (f *Forwarder) Do(ctx context.Context, req *Request, sink Sink) error {
-	deadline := req.Deadline
-	if t := req.Route.Timeout; t > 0 && req.Received.Add(t).Before(deadline) {
-		deadline = req.Received.Add(t)
-	}
-	ctx, cancel := f.deadlines.withDeadline(ctx, deadline)
+	r := f.newRun(req, sink)
+	ctx, cancel := f.deadlines.withDeadline(ctx, r.deadline)
 	defer cancel()
 	if f.requests.Add(1)%pruneInterval == 0 {
 		f.prune(f.inv.View().Servers)
@@ -235,10 +237,6 @@
 	f.loads.begin()
 	defer f.loads.end()
 	f.budget.Earn(time.Now())
-	r := &run{
-		f: f, req: req, sink: sink, deadline: deadline, lastEvent: req.LastEvent, guard: quarantine.NewGuard(f.quarantine, req.Fingerprint(), req.Service, req.Parts),
-		tracker: execution.New(req.Route.Repeatable()),
-	}
 	err := r.admit(ctx)
 	if err == nil {
 		err = r.serve(ctx)
@@ -247,6 +245,18 @@
 	return err
 }
 
+// newRun returns the state of a request that was not sent yet.
+func (f *Forwarder) newRun(req *Request, sink Sink) *run {
+	deadline := req.Deadline
+	if t := req.Route.Timeout; t > 0 && req.Received.Add(t).Before(deadline) {
+		deadline = req.Received.Add(t)
+	}
+	return &run{
+		f: f, req: req, sink: sink, deadline: deadline, lastEvent: req.LastEvent, guard: quarantine.NewGuard(f.quarantine, req.Fingerprint(), req.Service, req.Parts),
+		tracker: execution.New(req.Route.Repeatable()),
+	}
+}
+
 // pruneInterval is the number of requests between two calls of prune.
 const pruneInterval = 1000
 
@@ -286,6 +296,11 @@
 // loads. The list starts at a random server: of equal candidates the first one is
 // selected, and daemons must not all select the same server.
 func (f *Forwarder) candidates(view *inventory.View, service string, engine *site.Engine, now time.Time) []pipeline.Candidate {
+	return f.drawCandidates(view, service, engine, now, newRand())
+}
+
+// drawCandidates is candidates with the source of the random start.
+func (f *Forwarder) drawCandidates(view *inventory.View, service string, engine *site.Engine, now time.Time, rng *rand.Rand) []pipeline.Candidate {
 	daemons := float64(max(1, f.fleet.Daemons()))
 	servers := view.OfService(service)
 	out := make([]pipeline.Candidate, 0, len(servers))
@@ -293,7 +308,7 @@
 	if engine != nil {
 		waits = f.live.firstEventWaits(now)
 	}
-	start, useReportedMemory := rand.IntN(max(1, len(servers))), f.useReportedMemory(service, now)
+	start, useReportedMemory := rng.IntN(max(1, len(servers))), f.useReportedMemory(service, now)
 	for i := range servers {
 		s := servers[(start+i)%len(servers)]
 		if !f.isUsable(s, engine, now) {
--- a/forward/limittrial.go
+++ b/forward/limittrial.go
@@ -57,6 +57,14 @@
 	return true
 }
 
+// isDue reports whether due would return true. It schedules nothing.
+func (l *limitTrials) isDue(limit quota.Limit, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next, known := l.next[limit.Server]
+	return known && !now.Before(next) && now.Sub(limit.At) >= limitIdle
+}
+
 // postpone delays the next trial of a backend server until a time.
 func (l *limitTrials) postpone(server string, until time.Time) {
 	l.mu.Lock()
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/snowspoke/snowspoke/apierror"
@@ -60,18 +61,16 @@
 func (r *run) find(ctx context.Context) (*target, error) {
 	now := time.Now()
 	view := r.f.inv.View()
-	cs := r.f.candidates(view, r.req.Service, r.engine, now)
-	cs, reserved := r.withoutReserved(ctx, cs, view, now)
-	if r.attemptsExhausted() {
-		cs = r.filterTried(cs)
-	}
-	cs, availableAt := r.withoutDenied(cs)
-	t, err := r.findAmong(cs, view, now)
-	if err != nil && reserved != nil {
-		return nil, reserved
+	return r.findIn(r.options(ctx, view, now), view, now)
+}
+
+func (r *run) findIn(o options, view *inventory.View, now time.Time) (*target, error) {
+	t, err := r.findAmong(o.candidates, view, now)
+	if err != nil && o.reserved != nil {
+		return nil, o.reserved
 	}
-	if err != nil && !availableAt.IsZero() {
-		return nil, r.limitReached(err, availableAt, now)
+	if err != nil && !o.deniedUntil.IsZero() {
+		return nil, r.limitReached(err, o.deniedUntil, now)
 	}
 	if err != nil {
 		return nil, r.withPauses(err, view, now)
@@ -79,6 +78,24 @@
 	return t, nil
 }
 
+// options are the backend servers that may take the request now.
+type options struct {
+	candidates  []pipeline.Candidate
+	reserved    error     // see withoutReserved
+	deniedUntil time.Time // see withoutDenied
+}
+
+func (r *run) options(ctx context.Context, view *inventory.View, now time.Time) options {
+	var o options
+	cs := r.f.drawCandidates(view, r.req.Service, r.engine, now, r.startDraw())
+	cs, o.reserved = r.withoutReserved(ctx, cs, view, now)
+	if r.attemptsExhausted() {
+		cs = r.filterTried(cs)
+	}
+	o.candidates, o.deniedUntil = r.withoutDenied(cs)
+	return o
+}
+
 // withPauses returns the refusal of a request without a target. If backend servers of the
 // service are paused, it is Overloaded.
 func (r *run) withPauses(err error, view *inventory.View, now time.Time) error {
@@ -94,8 +111,8 @@
 	if r.engine == nil {
 		return r.findPlain(cs)
 	}
-	q := r.f.query(r.req, r.engine)
-	c, err := r.choose(q, view, cs, now)
+	q, rng := r.f.query(r.req, r.engine), r.pathDraw()
+	c, err := r.choose(q, view, cs, now, rng)
 	if errors.Is(err, pipeline.ErrFull) {
 		return nil, apierror.Wrap(apierror.Overloaded, err)
 	}
@@ -105,9 +122,9 @@
 	if err := checkLayers(c.Path.CheckTiling(r.engine.Layers)); err != nil {
 		return nil, err
 	}
-	if !r.f.mayCross(r.engine, q.Tokens.Prompt, c.Path, now) {
+	if !r.f.cross(r.engine, q.Tokens.Prompt, c.Path, now, r.preview == nil) {
 		full := c.Path
-		if c, err = pipeline.ChooseWithin(q, cs, newRand()); err != nil {
+		if c, err = pipeline.ChooseWithin(q, cs, rng); err != nil {
 			return nil, r.linksFull(full, now)
 		}
 	}
@@ -116,11 +133,15 @@
 
 // choose returns the next path of the split of the fleet's load, or the cheapest path if
 // the requests of the service do not follow a split.
-func (r *run) choose(q *pipeline.Query, view *inventory.View, cs []pipeline.Candidate, now time.Time) (pipeline.Choice, error) {
-	if c, ok := r.f.nextBySplit(q, r.req.Service, view, cs, now); ok {
+func (r *run) choose(q *pipeline.Query, view *inventory.View, cs []pipeline.Candidate, now time.Time, rng *rand.Rand) (pipeline.Choice, error) {
+	if r.preview != nil {
+		if c, ok := r.previewSplit(q, view, cs, now); ok {
+			return c, nil
+		}
+	} else if c, ok := r.f.nextBySplit(q, r.req.Service, view, cs, now); ok {
 		return c, nil
 	}
-	return pipeline.Choose(q, cs, newRand())
+	return pipeline.Choose(q, cs, rng)
 }
 
 // checkLayers asserts that the check of a path's layers returned no error.
@@ -167,18 +188,11 @@
 		if r.tried.has(c.Server.ID) {
 			continue // it would refuse or fail the request again
 		}
-		refused := r.f.health.Cooling(c.Server.ID, now)
-		if fullAt := r.f.fullAt(c.Server, now); fullAt > 0 && c.Load.Running >= fullAt {
+		if r.f.plainFull(c, now) {
 			full = true
 			continue
 		}
-		cost := c.Load.Running / float64(max(1, c.Server.Slots))
-		if c.Server.FailureDomain != r.f.opts.FailureDomain {
-			cost += plainCrossDomainCost
-		}
-		if refused {
-			cost += plainRefusedCost
-		}
+		cost := r.f.plainCost(c, now)
 		if best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -193,6 +207,24 @@
 	return &target{path: site.Path{{Server: best.Server}}, tokens: 0}, nil
 }
 
+// plainFull reports whether a plain backend server is full.
+func (f *Forwarder) plainFull(c *pipeline.Candidate, now time.Time) bool {
+	fullAt := f.fullAt(c.Server, now)
+	return fullAt > 0 && c.Load.Running >= fullAt
+}
+
+// plainCost returns the cost of a plain backend server, see findPlain.
+func (f *Forwarder) plainCost(c *pipeline.Candidate, now time.Time) float64 {
+	cost := c.Load.Running / float64(max(1, c.Server.Slots))
+	if c.Server.FailureDomain != f.opts.FailureDomain {
+		cost += plainCrossDomainCost
+	}
+	if f.health.Cooling(c.Server.ID, now) {
+		cost += plainRefusedCost
+	}
+	return cost
+}
+
 // fullAt returns the number of requests in progress at which a plain backend server is full,
 // 0 if there is none.
 func (f *Forwarder) fullAt(s *site.BackendServer, now time.Time) float64 {
--- a/forward/run.go
+++ b/forward/run.go
@@ -16,6 +16,7 @@
 	"github.com/snowspoke/snowspoke/detour"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/readall"
+	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/site"
@@ -29,6 +30,7 @@
 	attributed      atomic.Int32 // number of the last send to which the end of a backend server was attributed
 	sink            Sink
 	deadline        time.Time // on the clock of package boottime
+	preview         *preview  // of Explain, nil for a request that is sent
 	engine          *site.Engine
 	healthPath      string     // of the service, "" for none
 	maxConns        int        // connections that a backend server of the service accepts, 0 for unlimited
@@ -84,9 +86,7 @@
 // serve sends the request until it is answered. It returns BackendRefused with a retry time
 // for a request that did not run because it was refused or could not be sent.
 func (r *run) serve(ctx context.Context) error {
-	if s := r.f.inv.View().Config.Services[r.req.Service]; s != nil {
-		r.engine, r.healthPath, r.maxConns = s.Engine, s.HealthPath, s.MaxConns
-	}
+	r.useService(r.f.inv.View())
 	err := r.tracker.Run(ctx, r)
 	if apierror.Is(err, apierror.BackendUnreachable) || apierror.Is(err, apierror.BackendRefused) {
 		return apierror.Wrap(apierror.BackendRefused, errors.Unwrap(err)).WithRetryAfter(r.retryAfter(time.Now()))
@@ -94,6 +94,13 @@
 	return err
 }
 
+// useService sets the properties of the request's service.
+func (r *run) useService(view *inventory.View) {
+	if s := view.Config.Services[r.req.Service]; s != nil {
+		r.engine, r.healthPath, r.maxConns = s.Engine, s.HealthPath, s.MaxConns
+	}
+}
+
 // Send implements execution.Sender.
 func (r *run) Send(ctx context.Context) (execution.Result, error) {
 	t, err := r.pick(ctx)
--- a/forward/split.go
+++ b/forward/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -50,13 +51,32 @@
 		s = &split{}
 		f.splits.byService[service] = s
 	}
-	f.renewSplit(s, q.Engine, service, view, now)
+	if shares := f.renewSplit(s, q.Engine, service, view, now, f.splitDraws.next); shares != nil {
+		f.logSplit(service, s, shares)
+	}
 	if !s.needed {
 		return pipeline.Choice{}, false
 	}
 	return s.rotation.Next(q, cs, f.loads.othersLoadAge(now))
 }
 
+// peekSplit returns the paths of the split as nextBySplit would find them, the next one first. It
+// changes neither the split nor its rotation. There are none if requests do not follow a split.
+func (f *Forwarder) peekSplit(q *pipeline.Query, service string, view *inventory.View, cs []pipeline.Candidate, now time.Time) []pipeline.Turn {
+	var s split
+	f.splits.mu.Lock()
+	if current := f.splits.byService[service]; current != nil {
+		s = *current
+		s.rotation = current.rotation.Clone()
+	}
+	f.splits.mu.Unlock()
+	f.renewSplit(&s, q.Engine, service, view, now, f.splitDraws.peek)
+	if !s.needed {
+		return nil
+	}
+	return s.rotation.Turns(q, cs, f.loads.othersLoadAge(now))
+}
+
 // needed reports whether the requests of a service follow a split.
 func (s *splits) needed(service string) bool {
 	s.mu.Lock()
@@ -65,27 +85,28 @@
 	return sp != nil && sp.needed
 }
 
-// renewSplit recomputes a split if it is outdated.
-func (f *Forwarder) renewSplit(s *split, e *site.Engine, service string, view *inventory.View, now time.Time) {
+// renewSplit recomputes a split if it is outdated. It returns the new shares, nil if there are
+// none. draw returns the source of the first credits of new paths.
+func (f *Forwarder) renewSplit(s *split, e *site.Engine, service string, view *inventory.View, now time.Time, draw func() *rand.Rand) []pipeline.Share {
 	since := now.Sub(s.at)
 	if since < minSplitInterval {
-		return
+		return nil
 	}
 	all := f.usableServers(view, service, e, now)
 	requests := f.requestsInFlight(all, now)
 	slow := f.loads.conditions.slowVersion()
 	same := s.view == view && s.usable == len(all) && s.slow == slow
 	if same && (since < splitInterval || math.Abs(requests-s.requests) <= splitLoadThreshold*s.requests) {
-		return
+		return nil
 	}
 	s.view, s.usable, s.slow, s.requests, s.at = view, len(all), slow, requests, now
 	s.needed = pipeline.NeedsSplit(e, all, f.fleet.Daemons())
 	if !s.needed {
-		return
+		return nil
 	}
 	shares := pipeline.Split(e, all, pipeline.Demand{Requests: requests, Domains: f.fleet.Shares()}, f.opts.FailureDomain)
-	s.rotation.SetShares(shares, newRand())
-	f.logSplit(service, s, shares)
+	s.rotation.SetShares(shares, draw())
+	return shares
 }
 
 // requestsInFlight returns the number of requests in flight of all daemons at some backend
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -76,7 +76,7 @@
 // reservedFirstHop returns the first hop that suspects of the service leave free, nil if there
 // is none: the one with the lowest ID that responds to a probe begun at since or later. The
 // order is the same at all daemons, and the probe finds those that have ended at the same time
-// under another suspect.
+// under another suspect. A preview probes nothing and takes each to respond.
 func (r *run) reservedFirstHop(ctx context.Context, view *inventory.View, since, now time.Time) *site.BackendServer {
 	hops := slices.DeleteFunc(slices.Clone(view.OfService(r.req.Service)), func(s *site.BackendServer) bool { return !s.Held.Has(0) })
 	if len(hops) < minReserving {
@@ -84,7 +84,7 @@
 	}
 	slices.SortFunc(hops, func(a, b *site.BackendServer) int { return cmp.Compare(a.ID, b.ID) })
 	for _, s := range hops {
-		if r.f.isUsable(s, r.engine, now) && r.f.probeSince(ctx, s, since) == nil {
+		if r.f.isUsable(s, r.engine, now) && (r.preview != nil || r.f.probeSince(ctx, s, since) == nil) {
 			return s
 		}
 	}
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -110,13 +110,10 @@
 // ErrNoPath if there is none, and the cheapest path with ErrFull if it lacks memory. r
 // provides the jitter; it may be nil.
 func Choose(q *Query, candidates []Candidate, r *rand.Rand) (Choice, error) {
-	hops := hopCosts(q, candidates, r)
-	best, cost := search(q, candidates, hops)
-	if best == nil {
+	c, ok := cheapest(q, candidates, hopCosts(q, candidates, r))
+	if !ok {
 		return Choice{}, ErrNoPath
 	}
-	c := predict(q, best)
-	c.Cost = cost
 	if c.Fullest > 1 {
 		return c, ErrFull
 	}
--- a/pipeline/rotation.go
+++ b/pipeline/rotation.go
@@ -1,7 +1,9 @@
 package pipeline
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/snowspoke/snowspoke/site"
@@ -63,14 +65,11 @@
 // none. loadAge is the age of the candidates' loads, 0 if they are unknown.
 func (rot *Rotation) Next(q *Query, candidates []Candidate, loadAge time.Duration) (c Choice, ok bool) {
 	usable := rot.usablePaths(q, candidates, loadAge)
-	sum := 0.0
-	for _, t := range usable {
-		sum += t.rate
-	}
+	sum := sumOfRates(usable)
 	var best *usablePath
 	for i := range usable {
 		t := &usable[i]
-		t.entry.credit = min(maxCredit, t.entry.credit+t.rate/sum)
+		t.entry.credit = t.nextCredit(sum)
 		if best == nil || t.entry.credit > best.entry.credit {
 			best = t
 		}
@@ -89,41 +88,120 @@
 	rate   float64
 }
 
+// nextCredit returns the credit of the path at the next request. sum is the sum of the rates of
+// all usable paths.
+func (t *usablePath) nextCredit(sum float64) float64 {
+	return min(maxCredit, t.entry.credit+t.rate/sum)
+}
+
+func sumOfRates(usable []usablePath) float64 {
+	sum := 0.0
+	for i := range usable {
+		sum += usable[i].rate
+	}
+	return sum
+}
+
+// Obstacle is the reason why a path of the split cannot take a request.
+type Obstacle uint8
+
+// The obstacles.
+const (
+	NoObstacle Obstacle = iota
+	HopMissing          // a hop is no candidate, or holds other layers now
+	NoSlot              // the head has no free slot
+	NoMemory            // a hop lacks memory for the request
+)
+
+// String describes the obstacle.
+func (o Obstacle) String() string {
+	return [...]string{"none", "a hop takes no requests or holds other layers", "the head has no free slot", "a hop lacks memory"}[o]
+}
+
+// Turn is a path of the split as the next request finds it.
+type Turn struct {
+	Choice   Choice   // only the path if Obstacle is HopMissing or NoSlot
+	Credit   float64  // number of requests due to the path, including its share of the next one
+	Obstacle Obstacle // NoObstacle for a path with capacity
+}
+
+// Turns returns all paths of the split without changing the rotation. Those with capacity come
+// first, by credit: for the same arguments, Next returns the first of them.
+func (rot *Rotation) Turns(q *Query, candidates []Candidate, loadAge time.Duration) []Turn {
+	sum := sumOfRates(rot.usablePaths(q, candidates, loadAge))
+	byID := indexByID(candidates)
+	out := make([]Turn, 0, len(rot.entries))
+	for _, e := range rot.entries {
+		t, obstacle := e.evaluate(q, byID, loadAge)
+		turn := Turn{Choice: t.choice, Credit: e.credit, Obstacle: obstacle}
+		if obstacle == NoObstacle {
+			turn.Credit = t.nextCredit(sum)
+		}
+		out = append(out, turn)
+	}
+	slices.SortStableFunc(out, func(a, b Turn) int {
+		if x, y := a.Obstacle != NoObstacle, b.Obstacle != NoObstacle; x != y {
+			if x {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(b.Credit, a.Credit)
+	})
+	return out
+}
+
+// Clone returns a copy that changes independently.
+func (rot *Rotation) Clone() Rotation {
+	c := Rotation{entries: make([]*entry, len(rot.entries))}
+	for i, e := range rot.entries {
+		copied := *e
+		c.entries[i] = &copied
+	}
+	return c
+}
+
 // usablePaths returns the paths with capacity for the request.
 func (rot *Rotation) usablePaths(q *Query, candidates []Candidate, loadAge time.Duration) []usablePath {
-	byID := make(map[string]*Candidate, len(candidates))
-	for i := range candidates {
-		byID[candidates[i].Server.ID] = &candidates[i]
-	}
+	byID := indexByID(candidates)
 	out := make([]usablePath, 0, len(rot.entries))
 	for _, e := range rot.entries {
-		if t, ok := e.evaluate(q, byID, loadAge); ok {
+		if t, obstacle := e.evaluate(q, byID, loadAge); obstacle == NoObstacle {
 			out = append(out, t)
 		}
 	}
 	return out
 }
 
-func (e *entry) evaluate(q *Query, byID map[string]*Candidate, loadAge time.Duration) (p usablePath, ok bool) {
+func indexByID(candidates []Candidate) map[string]*Candidate {
+	byID := make(map[string]*Candidate, len(candidates))
+	for i := range candidates {
+		byID[candidates[i].Server.ID] = &candidates[i]
+	}
+	return byID
+}
+
+// evaluate returns the path with its current rate, or an obstacle and what is known of the path.
+func (e *entry) evaluate(q *Query, byID map[string]*Candidate, loadAge time.Duration) (usablePath, Obstacle) {
 	path := e.share.Choice.Path
 	steps := make([]step, len(path))
 	for i, h := range path {
 		c := byID[h.Server.ID]
 		if c == nil || !holds(c, h.Layers) {
-			return usablePath{}, false
+			return usablePath{entry: e, choice: Choice{Path: path}}, HopMissing
 		}
 		steps[i] = step{cand: c, run: h.Layers}
 	}
 	head := steps[0].cand
 	if head.Server.Slots > 0 && head.Load.Heads >= float64(head.Server.Slots) {
-		return usablePath{}, false
+		return usablePath{entry: e, choice: Choice{Path: path}}, NoSlot
 	}
 	c := predict(q, steps)
 	if c.Fullest > 1 {
-		return usablePath{}, false
+		return usablePath{entry: e, choice: c}, NoMemory
 	}
 	rate := e.share.Rate * correction(head.Load.Heads/max(1, e.share.Heads), e.share.DurationMS, loadAge)
-	return usablePath{entry: e, choice: c, rate: rate / (1 + head.Load.WaitMS/halfRateWaitMS)}, true
+	return usablePath{entry: e, choice: c, rate: rate / (1 + head.Load.WaitMS/halfRateWaitMS)}, NoObstacle
 }
 
 func holds(c *Candidate, layers site.Range) bool {
--- a/quarantine/decision.go
+++ b/quarantine/decision.go
@@ -47,6 +47,26 @@
 func (r *Registry) AdmitAll(fps []Fingerprint, now time.Time, trialDelay func(part Fingerprint) time.Duration) Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	all := r.decideAll(fps, now, trialDelay)
+	if !all.Trial {
+		return all
+	}
+	for _, fp := range fps {
+		if r.evaluate(fp, now).Trial {
+			r.merge(Entry{Fingerprint: fp, TriedAt: now}, now)
+		}
+	}
+	return all
+}
+
+// PreviewAll returns what AdmitAll would return. It records nothing.
+func (r *Registry) PreviewAll(fps []Fingerprint, now time.Time, trialDelay func(part Fingerprint) time.Duration) Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.decideAll(fps, now, trialDelay)
+}
+
+func (r *Registry) decideAll(fps []Fingerprint, now time.Time, trialDelay func(part Fingerprint) time.Duration) Decision {
 	all := Decision{}
 	for _, fp := range fps {
 		d := r.evaluate(fp, now)
@@ -55,17 +75,8 @@
 		}
 		all = stricter(all, d)
 	}
-	if !all.Trial {
-		return all
-	}
-	if r.hasSeveralCandidates(fps) {
+	if all.Trial && r.hasSeveralCandidates(fps) {
 		all.Trial, all.Quarantined, all.Until = false, true, now.Add(r.policy.PartTrialAfter)
-		return all
-	}
-	for _, fp := range fps {
-		if r.evaluate(fp, now).Trial {
-			r.merge(Entry{Fingerprint: fp, TriedAt: now}, now)
-		}
 	}
 	return all
 }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -54,6 +54,11 @@
 	return d
 }
 
+// Preview returns what Admit would return now, without waiting for a verdict. It records nothing.
+func (g *Guard) Preview(rank func(key uint64) int) Decision {
+	return g.registry.PreviewAll(g.fps, time.Now(), TrialDelay(rank))
+}
+
 // CheckSend decides on a request that was admitted and has not run since. A trial remains one. It
 // waits like Admit.
 func (g *Guard) CheckSend(ctx context.Context) (d Decision, ok bool) {
