--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -28,12 +28,13 @@
 	Until       time.Time `json:"until"` // when it may be tried again
 }
 
-// adminHandler serves the metrics and the quarantine endpoints.
+// adminHandler serves the metrics, the quarantine endpoints and explanations of routes.
 func adminHandler(metrics http.Handler, g *Gateway) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", metrics)
 	mux.HandleFunc("GET "+QuarantinePath, g.listQuarantined)
 	mux.HandleFunc("DELETE "+QuarantinePath+"/{fingerprint}", g.liftQuarantine)
+	mux.HandleFunc("POST "+ExplainPath, g.explainRoute)
 	return mux
 }
 
--- a/gateway/env_test.go
+++ b/gateway/env_test.go
@@ -98,6 +98,12 @@
 
 // daemonWith starts a daemon with options, whose Load it sets.
 func (env *testEnv) daemonWith(name string, change func(*site.Settings), o Options) *testDaemon {
+	env.t.Helper()
+	return env.daemonLogging(name, change, o, io.Discard)
+}
+
+// daemonLogging is daemonWith for a daemon that logs to out.
+func (env *testEnv) daemonLogging(name string, change func(*site.Settings), o Options, out io.Writer) *testDaemon {
 	env.t.Helper()
 	set := site.Settings{
 		FirstStart: true,
@@ -109,7 +115,7 @@
 		change(&set)
 	}
 	o.Load = func() (site.Settings, error) { return set, nil }
-	g, err := New(o, io.Discard)
+	g, err := New(o, out)
 	require.NoError(env.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	r := &testDaemon{Gateway: g, stop: stop, done: make(chan error, 1)}
