--- a/cmd/snowspoke/main.go
+++ b/cmd/snowspoke/main.go
@@ -53,6 +53,7 @@
 	Bound       boundCmd       `cmd:"" help:"Show the throughput bound of a model and what limits it."`
 	Predictions predictionsCmd `cmd:"" help:"Compare predicted with measured first events, from a decision log."`
 	Quarantine  quarantineCmd  `cmd:"" help:"Show the requests that are held back since backend servers ended as they ran them, or lift that."`
+	Route       routeCmd       `cmd:"" help:"Explain where a daemon would send a request now, without sending it."`
 	Check       checkCmd       `cmd:"" help:"Check object or settings files before they are accepted."`
 	Load        loadCmd        `cmd:"" help:"Send an open-loop load and show what callers see."`
 	Try         tryCmd         `cmd:"" help:"Run stand-ins and daemons on loopback, to try the system out or to check its promises."`
@@ -62,10 +63,7 @@
 
 func main() {
 	var c cli
-	parser, err := kong.New(&c, kong.Name("snowspoke"), kong.Description(description), kong.Bind(&c))
-	if err != nil {
-		panic(err) // the command-line definition is invalid
-	}
+	parser := newParser(&c)
 	k, err := parser.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "snowspoke:", err)
@@ -78,6 +76,14 @@
 	}
 }
 
+func newParser(c *cli) *kong.Kong {
+	parser, err := kong.New(c, kong.Name("snowspoke"), kong.Description(description), kong.Bind(c))
+	if err != nil {
+		panic(err) // the command-line definition is invalid
+	}
+	return parser
+}
+
 // exitCode maps an error to an exit code.
 func exitCode(err error) int {
 	switch {
