forward, shedding: explanations include load shedding

Cause: load shedding refuses requests before a path is chosen, which an explanation has to tell.

Change: the decision is made on a copy of the service's gate, meter and schedule of returns, by the code of a real request. The explanation has the fraction of the class, whether the request would be refused now, the demand and the capacity; a shed request is told where it would go otherwise.

The state of load shedding was equal before and after 20 explanations; with any part of the copy shared instead, the tests fail.

--- a/cmd/snowspoke/route.go
+++ b/cmd/snowspoke/route.go
@@ -212,6 +212,10 @@
 	if x.Prompt > 0 || x.Answer > 0 {
 		fmt.Fprintf(w, "tokens\tprompt %.0f, expected answer %.0f\n", x.Prompt, x.Answer)
 	}
+	if s := x.Shedding; s != nil {
+		fmt.Fprintf(w, "shedding\t%.0f%% of class %d admitted; the class has %.0f%% of the demand, %.0f%% of the capacity is in use\n",
+			100*s.Fraction, x.Class, percentOf(s.Demand, s.TotalDemand), percentOf(s.InUse, s.Capacity))
+	}
 	fmt.Fprintf(w, "result\t%s\n", resultOf(x.Explanation))
 	if x.Path != nil || len(x.Next) > 0 {
 		fmt.Fprintln(w, "\nTAKEN\tFIRST EVENT\tSTEP\tFULLEST\tPATH\tREASON")
@@ -307,6 +311,14 @@
 	return time.Duration(ms * float64(time.Millisecond)).Round(time.Millisecond).String()
 }
 
+// percentOf returns part as a percentage of whole, 0 if that is 0.
+func percentOf(part, whole float64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return 100 * part / whole
+}
+
 func orDash(s string) string {
 	if s == "" {
 		return "-"
--- a/cmd/snowspoke/route_test.go
+++ b/cmd/snowspoke/route_test.go
@@ -43,27 +43,27 @@
 
 func (d *askedDaemon) address() string { return strings.TrimPrefix(d.URL, "http://") }
 
-// runCommand runs the command line and returns its output, its error and its exit code.
-func runCommand(t *testing.T, args ...string) (string, error, int) {
+// runCommand runs the command line and returns its output, its exit code and its error.
+func runCommand(t *testing.T, args ...string) (out string, code int, err error) {
 	t.Helper()
-	out, err := os.Create(filepath.Join(t.TempDir(), "out"))
+	file, err := os.Create(filepath.Join(t.TempDir(), "out"))
 	require.NoError(t, err)
-	defer out.Close()
+	defer file.Close()
 	stdout := os.Stdout
-	os.Stdout = out
+	os.Stdout = file
 	defer func() { os.Stdout = stdout }()
 	var c cli
 	k, err := newParser(&c).Parse(args)
 	if err != nil {
-		return "", err, exitUsage
+		return "", exitUsage, err
 	}
 	err = k.Run()
-	data, rerr := os.ReadFile(out.Name())
+	data, rerr := os.ReadFile(file.Name())
 	require.NoError(t, rerr)
 	if err != nil {
-		return string(data), err, exitCode(err)
+		return string(data), exitCode(err), err
 	}
-	return string(data), nil, 0
+	return string(data), 0, nil
 }
 
 func writeTemp(t *testing.T, content string) string {
@@ -93,7 +93,7 @@
 		"file and key":       {[]string{"--file", writeTemp(t, "PUT / HTTP/1.1\nHost: h\n\nbody"), "--key-file", keyFile}, "", "POST /route message/http\nPUT / HTTP/1.1\nAuthorization: Bearer " + secret + "\r\nHost: h\n\nbody"},
 	} {
 		t.Setenv(keyVariable, c.env)
-		out, err, code := runCommand(t, append([]string{"route", "--metrics", d.address(), "--output", "json"}, c.args...)...)
+		out, code, err := runCommand(t, append([]string{"route", "--metrics", d.address(), "--output", "json"}, c.args...)...)
 		require.NoError(t, err, name)
 		require.Zero(t, code)
 		require.Equal(t, c.asked, d.asked, name)
@@ -143,7 +143,7 @@
 			if c.address == "" {
 				c.address = d.address()
 			}
-			out, err, code := runCommand(t, append([]string{"route", "--metrics", c.address}, c.args...)...)
+			out, code, err := runCommand(t, append([]string{"route", "--metrics", c.address}, c.args...)...)
 			require.ErrorContains(t, err, c.text)
 			require.NotContains(t, err.Error(), secret)
 			require.Equal(t, c.code, code)
@@ -151,7 +151,7 @@
 			require.Equal(t, c.status != 0, d.asked != "", "asked only if the arguments are valid")
 		})
 	}
-	_, err, code := runCommand(t, "route", "GET", "h", "/")
+	_, code, err := runCommand(t, "route", "GET", "h", "/")
 	require.ErrorContains(t, err, "--metrics")
 	require.Equal(t, exitUsage, code)
 }
@@ -164,24 +164,25 @@
 		Path:     &forward.ExplainedPath{Hops: []forward.ExplainedHop{{Server: "a", To: 40}, {Server: "b", From: 40, To: 80}}, FirstMS: 61.4, StepMS: 5.25, Fullest: 0.81, Reason: "next in the split: credit 0.93"},
 		Next:     []forward.ExplainedPath{{Hops: []forward.ExplainedHop{{Server: "c", To: 80}}, FirstMS: 80, StepMS: 6, Fullest: 0.5, Reason: "later"}},
 		Excluded: []forward.Excluded{{Server: "d", Reason: "failed"}, {Server: "e", Reason: "failed"}}, Notes: []string{"a note"},
-		Config: 16, ConfigAgeMS: 12, LoadsAgeMS: 1250, LoadsKnown: true,
+		Shedding: &forward.Shedding{Fraction: 0.25, Demand: 30, TotalDemand: 120, InUse: 90, Capacity: 100},
+		Config:   16, ConfigAgeMS: 12, LoadsAgeMS: 1250, LoadsKnown: true,
 	}}
 	table := func() string {
 		data, err := json.Marshal(x)
 		require.NoError(t, err)
 		d.answer = string(data)
-		out, err, _ := runCommand(t, "route", "--metrics", d.address(), "GET", "h", "/")
+		out, _, err := runCommand(t, "route", "--metrics", d.address(), "GET", "h", "/")
 		require.NoError(t, err)
 		return out
 	}
 	out := table()
 	for _, text := range []string{
 		"vm-1, configuration 16 read 12ms ago, loads of other daemons 1.25s old", "route chat, service model, workspace w", "priority 3, class 31, objective 500ms",
-		"prompt 800, expected answer 172", "sent, path selected by split", "61ms", "5.2 ms", "81%", "a=0-40,b=40-80", "next in the split: credit 0.93", "c=0-80", "later", "d, e", "note: a note",
+		"prompt 800, expected answer 172", "25% of class 31 admitted; the class has 25% of the demand, 90% of the capacity is in use", "sent, path selected by split", "61ms", "5.2 ms", "81%", "a=0-40,b=40-80", "next in the split: credit 0.93", "c=0-80", "later", "d, e", "note: a note",
 	} {
 		require.Contains(t, out, text)
 	}
-	jsonOut, err, _ := runCommand(t, "route", "--metrics", d.address(), "--output", "json", "GET", "h", "/")
+	jsonOut, _, err := runCommand(t, "route", "--metrics", d.address(), "--output", "json", "GET", "h", "/")
 	require.NoError(t, err)
 	var got gateway.RouteExplanation
 	require.NoError(t, json.Unmarshal([]byte(jsonOut), &got))
--- a/forward/explain.go
+++ b/forward/explain.go
@@ -32,6 +32,7 @@
 	Selection   Selection       `json:"selection"`             // how the path is selected
 	Path        *ExplainedPath  `json:"path"`                  // nil for a request that has none
 	Next        []ExplainedPath `json:"next"`                  // the next best paths, at most maxNextPaths
+	Shedding    *Shedding       `json:"shedding"`              // nil if load shedding does not apply to the request
 	Refusal     *Refusal        `json:"refusal"`               // nil for a request with a path
 	HeldUntil   time.Time       `json:"heldUntil,omitzero"`    // until when the request waits before it is sent or refused
 	HeldFor     string          `json:"heldFor,omitempty"`     // what it waits for
@@ -71,6 +72,16 @@
 	To            int    `json:"to"`   // layer after the last one
 }
 
+// Shedding describes what load shedding decides on the request. Memory is in tokens x layers.
+type Shedding struct {
+	Fraction    float64 `json:"admittedFraction"` // of the requests of the class
+	Refused     bool    `json:"refused"`
+	Demand      float64 `json:"demandOfClass"` // of all daemons
+	TotalDemand float64 `json:"demand"`        // of all classes
+	InUse       float64 `json:"inUse"`
+	Capacity    float64 `json:"capacity"`
+}
+
 // Refusal describes the refusal that a caller would get.
 type Refusal struct {
 	Kind         apierror.Kind `json:"kind"`
@@ -100,7 +111,7 @@
 	r.preview = &preview{start: f.startDraws.upcoming(), path: f.pathDraws.upcoming()}
 	r.useService(view)
 	e := &Explanation{
-		Route: req.Route.Name, Service: req.Service, Priority: r.priority(), Class: shedding.ClassOf(r.priority(), req.Route.Priority),
+		Route: req.Route.Name, Service: req.Service, Priority: r.priority(), Class: r.urgency(),
 		ObjectiveMS: inMilliseconds(req.Route.Objective), Next: []ExplainedPath{}, Excluded: []Excluded{}, Notes: []string{},
 		Config: view.Config.Version, ConfigAgeMS: inMilliseconds(f.inv.Age(boottime.Now())), Daemons: f.fleet.Daemons(),
 	}
@@ -348,10 +359,13 @@
 func (x *explainer) explainRefusal() {
 	r := x.r
 	d := r.guard.Preview(r.f.trialRank)
+	shed := x.explainShedding()
 	switch {
 	case d.Quarantined:
 		x.hold(d.VerdictAt, "the verdict on a part of its prompt")
 		x.refuse(d.Refusal())
+	case shed != nil:
+		x.refuse(shed)
 	case boottime.Until(r.deadline) < minTimeLeft:
 		x.refuse(r.endError(context.Background()))
 	case x.err != nil:
@@ -365,6 +379,26 @@
 	}
 }
 
+// explainShedding sets what load shedding decides, and returns the refusal of a request that is
+// shed.
+func (x *explainer) explainShedding() error {
+	if !x.r.maybeShed(x.view) {
+		return nil
+	}
+	d, state := x.r.previewShed(x.view, x.now)
+	x.Shedding = &Shedding{Fraction: d.fraction, Refused: !d.admitted, InUse: state.InUse, Capacity: state.Capacity}
+	for _, demand := range state.Demands {
+		x.Shedding.TotalDemand += demand.KV
+		if demand.Class == d.class {
+			x.Shedding.Demand = demand.KV
+		}
+	}
+	if d.admitted {
+		return nil
+	}
+	return d.refusal()
+}
+
 // hold records that the request waits until a time, unless that is past.
 func (x *explainer) hold(until time.Time, reason string) {
 	if until.After(x.now) {
@@ -414,6 +448,9 @@
 	if x.Refusal.Kind == apierror.Quarantined {
 		spread = quarantine.RetrySpread
 	}
+	if x.Shedding != nil && x.Shedding.Refused {
+		return "requests of its class are admitted by credit, so that a later one may be admitted; " + fmt.Sprintf("Retry-After has a random part of up to %s", spread)
+	}
 	if x.err != nil && !errors.Is(x.err, errLimits) && x.Refusal.RetryAfterMS == inMilliseconds(defaultRetryAfter) {
 		return "no time is known at which there will be a path; Retry-After is the default"
 	}
--- a/forward/explain_test.go
+++ b/forward/explain_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -21,6 +23,7 @@
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/quota"
 	"github.com/snowspoke/snowspoke/relay"
+	"github.com/snowspoke/snowspoke/shedding"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -151,6 +154,7 @@
 	Paused     map[string]time.Time
 	Sends      map[string]int
 	Budget     string
+	Shedding   map[string]any
 	Log        int
 	LabSends   int
 	LabProbes  int
@@ -166,7 +170,16 @@
 		Crossings: fmt.Sprintf("%+v", f.crossings.bucket), Trials: maps.Clone(f.trials.next), Denials: fmt.Sprintf("%+v", f.denials),
 		Paused: f.availability.Pauses(now), Budget: fmt.Sprintf("%+v", f.budget), LabSends: *sends, LabProbes: l.probes,
 	}
+	s.Shedding = map[string]any{}
+	for name, sh := range f.shedders.byService {
+		var admitted []bool
+		for gate := sh.gate.Clone(); len(admitted) < 50; {
+			admitted = append(admitted, gate.Admit(shedClass, 1, now))
+		}
+		s.Shedding[name] = []any{sh.meter.Clone(), sh.returns.Clone(), sh.gate.Fraction(shedClass), admitted, sh.hold, sh.state, sh.at, maps.Clone(sh.logged)}
+	}
 	f.log.Flush()
+	f.log.Flush() // the first one logs that lines were dropped
 	s.Log = log.Len()
 	slices.SortFunc(s.Loads, func(a, b relay.LoadItem) int { return bytes.Compare([]byte(a.Server), []byte(b.Server)) })
 	for name, sp := range f.splits.byService {
@@ -208,31 +221,48 @@
 	suspect := labRequest("suspect", nil)
 	for name, c := range map[string]struct {
 		daemons int
-		prepare func(l *lab, f *Forwarder)
+		prepare func(t *testing.T, l *lab, f *Forwarder)
 		check   func(t *testing.T, x *Explanation)
 	}{
 		"cost":              {1, nil, func(t *testing.T, x *Explanation) { require.Equal(t, ByCost, x.Selection) }},
 		"split":             {60, nil, func(t *testing.T, x *Explanation) { require.Equal(t, BySplit, x.Selection) }},
-		"split out of date": {60, func(*lab, *Forwarder) { time.Sleep(minSplitInterval + splitInterval) }, nil},
-		"other backends":    {60, func(l *lab, _ *Forwarder) { time.Sleep(splitInterval); l.without(1) }, nil},
-		"suspect":           {1, func(_ *lab, f *Forwarder) { recordEnds(f, suspect, 1) }, nil},
-		"due for a trial":   {1, func(_ *lab, f *Forwarder) { recordEnds(f, suspect, 2); time.Sleep(2 * time.Minute) }, func(t *testing.T, x *Explanation) { require.Contains(t, x.Notes[0], "trial") }},
-		"quarantined":       {1, func(_ *lab, f *Forwarder) { recordEnds(f, suspect, 2) }, func(t *testing.T, x *Explanation) { require.Equal(t, apierror.Quarantined, x.Refusal.Kind) }},
-		"crosses domains": {1, func(l *lab, _ *Forwarder) { l.onlyCrossing() }, func(t *testing.T, x *Explanation) {
+		"split out of date": {60, func(*testing.T, *lab, *Forwarder) { time.Sleep(minSplitInterval + splitInterval) }, nil},
+		"other backends":    {60, func(_ *testing.T, l *lab, _ *Forwarder) { time.Sleep(splitInterval); l.without(1) }, nil},
+		"suspect":           {1, func(_ *testing.T, _ *lab, f *Forwarder) { recordEnds(f, suspect, 1) }, nil},
+		"due for a trial":   {1, func(_ *testing.T, _ *lab, f *Forwarder) { recordEnds(f, suspect, 2); time.Sleep(2 * time.Minute) }, func(t *testing.T, x *Explanation) { require.Contains(t, x.Notes[0], "trial") }},
+		"quarantined":       {1, func(_ *testing.T, _ *lab, f *Forwarder) { recordEnds(f, suspect, 2) }, func(t *testing.T, x *Explanation) { require.Equal(t, apierror.Quarantined, x.Refusal.Kind) }},
+		"crosses domains": {1, func(_ *testing.T, l *lab, _ *Forwarder) { l.onlyCrossing() }, func(t *testing.T, x *Explanation) {
 			require.NotEqual(t, x.Path.Hops[0].FailureDomain, x.Path.Hops[len(x.Path.Hops)-1].FailureDomain)
 		}},
-		"limited":            {1, limitAllHeads, func(t *testing.T, x *Explanation) { require.NotEmpty(t, x.Notes) }},
-		"nobody holds layer": {1, func(l *lab, _ *Forwarder) { l.without(len(l.servers)) }, func(t *testing.T, x *Explanation) { require.Equal(t, apierror.NoRoute, x.Refusal.Kind) }},
+		"limited": {1, func(_ *testing.T, l *lab, f *Forwarder) { limitAllHeads(l, f) }, func(t *testing.T, x *Explanation) { require.NotEmpty(t, x.Notes) }},
+		"shed, refused": {1, func(t *testing.T, l *lab, f *Forwarder) { l.overloadUntil(t, f, true) }, func(t *testing.T, x *Explanation) {
+			require.True(t, x.Shedding.Refused)
+			require.Less(t, x.Shedding.Fraction, 1.0)
+		}},
+		"shed, admitted": {1, func(t *testing.T, l *lab, f *Forwarder) { l.overloadUntil(t, f, false) }, func(t *testing.T, x *Explanation) {
+			require.False(t, x.Shedding.Refused)
+			require.Less(t, x.Shedding.Fraction, 1.0)
+		}},
+		"shed, out of date": {1, func(t *testing.T, l *lab, f *Forwarder) {
+			l.prioritize()
+			l.overload(t, f, 3*time.Second)
+			time.Sleep(3 * shedInterval)
+		}, nil},
+		"nobody holds layer": {1, func(_ *testing.T, l *lab, _ *Forwarder) { l.without(len(l.servers)) }, func(t *testing.T, x *Explanation) { require.Equal(t, apierror.NoRoute, x.Refusal.Kind) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			virtual.Test(t, func(t *testing.T) {
 				l, f, sends, log := newExplainLab(c.daemons)
 				l.run(labRate, 2*time.Second)
 				if c.prepare != nil {
-					c.prepare(l, f)
+					c.prepare(t, l, f)
 				}
 				req := *suspect
+				if strings.HasPrefix(name, "shed") {
+					req = *lowPriority("asked")
+				}
 				req.Received, req.Deadline = time.Now(), time.Now().Add(soundDeadline)
+				synctest.Wait() // until the last request is sent or refused
 				before := stateOf(l, f, sends, log)
 				var x *Explanation
 				for range 20 {
@@ -247,6 +277,98 @@
 	}
 }
 
+// shedClass is the class of the requests of overload.
+const shedClass = shedding.Class(55)
+
+// prioritize makes load shedding apply to the service of the lab.
+func (l *lab) prioritize() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var routes []*site.Route
+	for p := range 2 {
+		routes = append(routes, &site.Route{Name: fmt.Sprint(p), Host: "h", Prefix: fmt.Sprintf("/%d/", p), Priority: p, Targets: []site.Target{{Service: labService, Weight: 1}}})
+	}
+	l.view = inventory.NewView(site.NewConfig(2, site.Limits{}, routes, []*site.Service{{Name: labService, Engine: l.engine}}, nil), l.view.Servers)
+}
+
+// lowPriority returns a request of shedClass.
+func lowPriority(id string) *Request {
+	req := labRequest(id, nil)
+	req.Route.Priority = 5
+	return req
+}
+
+// shedPerSecond is the number of requests that overload sends in a second.
+const shedPerSecond = 200
+
+// overload sends more requests of shedClass than can be served, and returns while they run. They end
+// before the test.
+func (l *lab) overload(t *testing.T, f *Forwarder, length time.Duration) {
+	var wg sync.WaitGroup
+	t.Cleanup(wg.Wait)
+	for n := range int(length.Seconds() * shedPerSecond) {
+		time.Sleep(time.Second / shedPerSecond)
+		req := lowPriority(fmt.Sprint("low", n))
+		wg.Go(func() { _ = f.Do(context.Background(), req, &labCaller{lab: l, sent: req.Received}) })
+	}
+}
+
+// overloadUntil overloads a prioritized service until the next request of shedClass is refused, or
+// admitted.
+func (l *lab) overloadUntil(t *testing.T, f *Forwarder, refused bool) {
+	l.prioritize()
+	l.overload(t, f, 3*time.Second)
+	for range 100 {
+		synctest.Wait()
+		if f.Explain(lowPriority("asked")).Shedding.Refused == refused {
+			return
+		}
+		l.overload(t, f, time.Second/shedPerSecond)
+	}
+}
+
+// While requests are shed, the explanation tells which one is refused, and the Retry-After.
+func TestExplainedSheddingDecides(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		l, f, _, _ := newExplainLab(1)
+		sent := recordPaths(l, f)
+		l.prioritize()
+		l.overload(t, f, 3*time.Second)
+		var wg sync.WaitGroup
+		refused, same := 0, 0
+		for n := range explainAsks {
+			time.Sleep(explainInterval / 10)
+			synctest.Wait()
+			req := lowPriority(fmt.Sprint("asked", n))
+			x := f.Explain(req)
+			require.NotNil(t, x.Shedding)
+			failed := make(chan error, 1)
+			wg.Go(func() {
+				failed <- f.Do(context.Background(), req, &labCaller{lab: l, sent: req.Received})
+			})
+			select {
+			case p := <-sent.of(req.ID):
+				if x.Refusal == nil && slices.Equal(hopsOf(p), x.Path.Hops) {
+					same++
+				}
+			case err := <-failed:
+				refused++
+				if x.Refusal != nil && x.Refusal.Kind == apierror.From(err).Kind && x.Shedding.Refused {
+					same++
+				}
+				require.InDelta(t, inMilliseconds(apierror.From(err).RetryAfter), x.Refusal.RetryAfterMS, inMilliseconds(retryAfterSpread))
+				require.Nil(t, x.Path)
+				require.NotEmpty(t, x.Next, "where it would go otherwise")
+			}
+		}
+		wg.Wait()
+		t.Logf("of %d: as explained %d, refused %d", explainAsks, same, refused)
+		require.GreaterOrEqual(t, 20*same, 19*explainAsks)
+		require.Greater(t, refused, explainAsks/10)
+		require.Less(t, refused, explainAsks)
+	})
+}
+
 // recordEnds records the ends of backend servers under a request.
 func recordEnds(f *Forwarder, req *Request, n int) {
 	guard := quarantine.NewGuard(f.quarantine, req.Fingerprint(), req.Service, req.Parts)
--- a/forward/shedding.go
+++ b/forward/shedding.go
@@ -43,15 +43,19 @@
 func (s *shedders) of(service string) *shedder {
 	sh := s.byService[service]
 	if sh == nil {
-		sh = &shedder{
-			meter: shedding.NewMeter(), gate: shedding.NewGate(rand.Float64), returns: shedding.NewReturns(),
-			logged: map[shedding.Class]float64{},
-		}
+		sh = newShedder()
 		s.byService[service] = sh
 	}
 	return sh
 }
 
+func newShedder() *shedder {
+	return &shedder{
+		meter: shedding.NewMeter(), gate: shedding.NewGate(rand.Float64), returns: shedding.NewReturns(),
+		logged: map[shedding.Class]float64{},
+	}
+}
+
 // urgency returns the class of the request. Requests of a workspace without a priority have that
 // of their route.
 func (r *run) urgency() shedding.Class { return shedding.ClassOf(r.priority(), r.req.Route.Priority) }
@@ -65,31 +69,54 @@
 // streams have events already and are not refused.
 func (r *run) shed() error {
 	view := r.f.inv.View()
-	if r.sends > 0 || r.headSent.Load() || r.req.LastEvent != "" || !r.sheds(view) {
+	if !r.maybeShed(view) {
 		return nil
 	}
-	now, class := time.Now(), r.urgency()
-	tokens := estimateTokens(r.req, r.engine)
-	s := r.f.shedders
+	now, s := time.Now(), r.f.shedders
 	s.mu.Lock()
 	sh := s.of(r.req.Service)
-	r.f.renewFractions(sh, r.req.Service, r.engine, view, now)
-	sh.meter.Add(class, tokens.Mean()*float64(r.engine.Layers), sh.hold.Of(tokens.Answer), now)
-	admitted := sh.gate.Admit(class, 1, now)
-	fraction := sh.gate.Fraction(class)
-	var after time.Duration
-	if !admitted {
-		latest := boottime.Until(r.deadline) / maxReturnDivisor
-		after = sh.returns.Next(class, fraction*sh.meter.Rate(class, now), latest-retryAfterSpread, now) + rand.N(retryAfterSpread)
+	if r.f.renewFractions(sh, r.req.Service, r.engine, view, now) {
+		r.f.logFractions(sh, r.req.Service, now)
 	}
+	d := r.decideShed(sh, now)
 	s.mu.Unlock()
-	if admitted {
+	if d.admitted {
 		return nil
 	}
-	r.f.observer.Shed(int(class))
-	r.f.log.Add("shed", "request", r.req.ID, "service", r.req.Service, "class", int(class), "workspace", r.workspaceName(),
-		"fraction", math.Round(100*fraction)/100, "retry_after", after.Round(time.Millisecond))
-	return apierror.New(apierror.Overloaded, "%.2f of the requests of class %d are admitted", fraction, class).WithRetryAfter(after)
+	r.f.observer.Shed(int(d.class))
+	r.f.log.Add("shed", "request", r.req.ID, "service", r.req.Service, "class", int(d.class), "workspace", r.workspaceName(),
+		"fraction", math.Round(100*d.fraction)/100, "retry_after", d.after.Round(time.Millisecond))
+	return d.refusal()
+}
+
+// maybeShed reports whether load shedding applies to this request. It does not to retries within the
+// daemon and to streams whose callers have events.
+func (r *run) maybeShed(view *inventory.View) bool {
+	return r.sends == 0 && !r.headSent.Load() && r.req.LastEvent == "" && r.sheds(view)
+}
+
+// shedDecision is the decision of load shedding on a request.
+type shedDecision struct {
+	class    shedding.Class
+	fraction float64 // of the class
+	admitted bool
+	after    time.Duration // Retry-After of a refused request
+}
+
+func (d *shedDecision) refusal() error {
+	return apierror.New(apierror.Overloaded, "%.2f of the requests of class %d are admitted", d.fraction, d.class).WithRetryAfter(d.after)
+}
+
+// decideShed counts the request in the demand and decides on it.
+func (r *run) decideShed(sh *shedder, now time.Time) shedDecision {
+	class, tokens := r.urgency(), estimateTokens(r.req, r.engine)
+	sh.meter.Add(class, tokens.Mean()*float64(r.engine.Layers), sh.hold.Of(tokens.Answer), now)
+	d := shedDecision{class: class, admitted: sh.gate.Admit(class, 1, now), fraction: sh.gate.Fraction(class)}
+	if !d.admitted {
+		latest := boottime.Until(r.deadline) / maxReturnDivisor
+		d.after = sh.returns.Next(class, d.fraction*sh.meter.Rate(class, now), latest-retryAfterSpread, now) + rand.N(retryAfterSpread)
+	}
+	return d
 }
 
 // maxReturnDivisor is the part of its remaining time that a caller waits before it returns: a
@@ -103,16 +130,38 @@
 	return r.req.Workspace.Name
 }
 
-// renewFractions recomputes the fractions of a service if they are outdated; f.shedders.mu must
-// be held.
-func (f *Forwarder) renewFractions(sh *shedder, service string, e *site.Engine, view *inventory.View, now time.Time) {
+// clone returns a copy that changes independently, but for what was logged.
+func (sh *shedder) clone() *shedder {
+	c := *sh
+	c.meter, c.gate, c.returns = sh.meter.Clone(), sh.gate.Clone(), sh.returns.Clone()
+	return &c
+}
+
+// previewShed returns the decision of shed on this request and the state that leads to it. It
+// changes nothing.
+func (r *run) previewShed(view *inventory.View, now time.Time) (shedDecision, shedding.State) {
+	s := r.f.shedders
+	s.mu.Lock()
+	sh := s.byService[r.req.Service]
+	if sh == nil {
+		sh = newShedder()
+	}
+	sh = sh.clone()
+	s.mu.Unlock()
+	r.f.renewFractions(sh, r.req.Service, r.engine, view, now)
+	return r.decideShed(sh, now), sh.state
+}
+
+// renewFractions recomputes the fractions of a service if they are outdated, and reports whether
+// it did. f.shedders.mu must be held, except for a copy.
+func (f *Forwarder) renewFractions(sh *shedder, service string, e *site.Engine, view *inventory.View, now time.Time) bool {
 	if now.Sub(sh.at) < shedInterval {
-		return
+		return false
 	}
 	sh.at = now
 	sh.state = f.shedState(sh, service, e, view, now)
 	sh.gate.SetFractions(shedding.Fractions(sh.state), now)
-	f.logFractions(sh, service, now)
+	return true
 }
 
 // shedState returns what this daemon knows about the demand and the usage of a service.
