--- a/cmd/snowspoke/route.go
+++ b/cmd/snowspoke/route.go
@@ -213,8 +213,8 @@
 		fmt.Fprintf(w, "tokens\tprompt %.0f, expected answer %.0f\n", x.Prompt, x.Answer)
 	}
 	if s := x.Shedding; s != nil {
-		fmt.Fprintf(w, "shedding\t%.0f%% of class %d admitted; the class has %.0f%% of the demand, %.0f%% of the capacity is in use\n",
-			100*s.Fraction, x.Class, percentOf(s.Demand, s.TotalDemand), percentOf(s.InUse, s.Capacity))
+		fmt.Fprintf(w, "shedding\t%.0f%% of class %d admitted, of the workspace %.2f times that; the class has %.0f%% of the demand, %.0f%% of the capacity is in use\n",
+			100*s.Fraction, x.Class, s.Share, percentOf(s.Demand, s.TotalDemand), percentOf(s.InUse, s.Capacity))
 	}
 	fmt.Fprintf(w, "result\t%s\n", resultOf(x.Explanation))
 	if x.Path != nil || len(x.Next) > 0 {
--- a/cmd/snowspoke/route_test.go
+++ b/cmd/snowspoke/route_test.go
@@ -164,7 +164,7 @@
 		Path:     &forward.ExplainedPath{Hops: []forward.ExplainedHop{{Server: "a", To: 40}, {Server: "b", From: 40, To: 80}}, FirstMS: 61.4, StepMS: 5.25, Fullest: 0.81, Reason: "next in the split: credit 0.93"},
 		Next:     []forward.ExplainedPath{{Hops: []forward.ExplainedHop{{Server: "c", To: 80}}, FirstMS: 80, StepMS: 6, Fullest: 0.5, Reason: "later"}},
 		Excluded: []forward.Excluded{{Server: "d", Reason: "failed"}, {Server: "e", Reason: "failed"}}, Notes: []string{"a note"},
-		Shedding: &forward.Shedding{Fraction: 0.25, Demand: 30, TotalDemand: 120, InUse: 90, Capacity: 100},
+		Shedding: &forward.Shedding{Fraction: 0.25, Share: 0.5, Demand: 30, TotalDemand: 120, InUse: 90, Capacity: 100},
 		Config:   16, ConfigAgeMS: 12, LoadsAgeMS: 1250, LoadsKnown: true,
 	}}
 	table := func() string {
@@ -178,7 +178,7 @@
 	out := table()
 	for _, text := range []string{
 		"vm-1, configuration 16 read 12ms ago, loads of other daemons 1.25s old", "route chat, service model, workspace w", "priority 3, class 31, objective 500ms",
-		"prompt 800, expected answer 172", "25% of class 31 admitted; the class has 25% of the demand, 90% of the capacity is in use", "sent, path selected by split", "61ms", "5.2 ms", "81%", "a=0-40,b=40-80", "next in the split: credit 0.93", "c=0-80", "later", "d, e", "note: a note",
+		"prompt 800, expected answer 172", "25% of class 31 admitted, of the workspace 0.50 times that; the class has 25% of the demand, 90% of the capacity is in use", "sent, path selected by split", "61ms", "5.2 ms", "81%", "a=0-40,b=40-80", "next in the split: credit 0.93", "c=0-80", "later", "d, e", "note: a note",
 	} {
 		require.Contains(t, out, text)
 	}
--- a/forward/explain.go
+++ b/forward/explain.go
@@ -75,6 +75,7 @@
 // Shedding describes what load shedding decides on the request. Memory is in tokens x layers.
 type Shedding struct {
 	Fraction    float64 `json:"admittedFraction"` // of the requests of the class
+	Share       float64 `json:"workspaceShare"`   // fraction of the workspace, as a multiple of that of the class
 	Refused     bool    `json:"refused"`
 	Demand      float64 `json:"demandOfClass"` // of all daemons
 	TotalDemand float64 `json:"demand"`        // of all classes
@@ -386,7 +387,7 @@
 		return nil
 	}
 	d, state := x.r.previewShed(x.view, x.now)
-	x.Shedding = &Shedding{Fraction: d.fraction, Refused: !d.admitted, InUse: state.InUse, Capacity: state.Capacity}
+	x.Shedding = &Shedding{Fraction: d.fraction, Share: d.share, Refused: !d.admitted, InUse: state.InUse, Capacity: state.Capacity}
 	for _, demand := range state.Demands {
 		x.Shedding.TotalDemand += demand.KV
 		if demand.Class == d.class {
@@ -449,7 +450,7 @@
 		spread = quarantine.RetrySpread
 	}
 	if x.Shedding != nil && x.Shedding.Refused {
-		return "requests of its class are admitted by credit, so that a later one may be admitted; " + fmt.Sprintf("Retry-After has a random part of up to %s", spread)
+		return "the fraction of the class that is admitted applies to all its requests, so that a later one may be admitted"
 	}
 	if x.err != nil && !errors.Is(x.err, errLimits) && x.Refusal.RetryAfterMS == inMilliseconds(defaultRetryAfter) {
 		return "no time is known at which there will be a path; Retry-After is the default"
--- a/forward/explain_test.go
+++ b/forward/explain_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -172,11 +173,12 @@
 	}
 	s.Shedding = map[string]any{}
 	for name, sh := range f.shedders.byService {
+		rng := *sh.rng
 		var admitted []bool
-		for gate := sh.gate.Clone(); len(admitted) < 50; {
+		for gate := sh.gate.Clone(rand.New(&rng).Float64); len(admitted) < 50; {
 			admitted = append(admitted, gate.Admit(shedClass, 1, now))
 		}
-		s.Shedding[name] = []any{sh.meter.Clone(), sh.returns.Clone(), sh.gate.Fraction(shedClass), admitted, sh.hold, sh.state, sh.at, maps.Clone(sh.logged)}
+		s.Shedding[name] = []any{*sh.rng, sh.meter.Clone(), sh.returns.Clone(nil), sh.shares.Clone(), sh.gate.Fraction(shedClass), admitted, sh.hold, sh.state, sh.at, maps.Clone(sh.logged)}
 	}
 	f.log.Flush()
 	f.log.Flush() // the first one logs that lines were dropped
@@ -356,7 +358,7 @@
 				if x.Refusal != nil && x.Refusal.Kind == apierror.From(err).Kind && x.Shedding.Refused {
 					same++
 				}
-				require.InDelta(t, inMilliseconds(apierror.From(err).RetryAfter), x.Refusal.RetryAfterMS, inMilliseconds(retryAfterSpread))
+				require.InDelta(t, inMilliseconds(apierror.From(err).Answer().RetryAfter), x.Refusal.RetryAfterMS, 0.001)
 				require.Nil(t, x.Path)
 				require.NotEmpty(t, x.Next, "where it would go otherwise")
 			}
--- a/forward/shedding.go
+++ b/forward/shedding.go
@@ -24,9 +24,11 @@
 
 // shedder is the state of load shedding of one service.
 type shedder struct {
+	rng     *rand.PCG // of gate and returns
 	meter   *shedding.Meter
 	gate    *shedding.Gate
 	returns *shedding.Returns
+	shares  *shedding.FairShares
 	hold    shedding.HoldTime
 	state   shedding.State // for which the fractions were computed last
 	at      time.Time      // when they were computed
@@ -50,8 +52,10 @@
 }
 
 func newShedder() *shedder {
+	rng := rand.NewPCG(rand.Uint64(), rand.Uint64())
+	random := rand.New(rng).Float64
 	return &shedder{
-		meter: shedding.NewMeter(), gate: shedding.NewGate(rand.Float64), returns: shedding.NewReturns(),
+		rng: rng, meter: shedding.NewMeter(), gate: shedding.NewGate(random), returns: shedding.NewReturns(random), shares: shedding.NewFairShares(),
 		logged: map[shedding.Class]float64{},
 	}
 }
@@ -85,7 +89,7 @@
 	}
 	r.f.observer.Shed(int(d.class))
 	r.f.log.Add("shed", "request", r.req.ID, "service", r.req.Service, "class", int(d.class), "workspace", r.workspaceName(),
-		"fraction", math.Round(100*d.fraction)/100, "retry_after", d.after.Round(time.Millisecond))
+		"fraction", math.Round(100*d.fraction)/100, "share", math.Round(100*d.share)/100, "retry_after", d.after.Round(time.Millisecond))
 	return d.refusal()
 }
 
@@ -99,6 +103,7 @@
 type shedDecision struct {
 	class    shedding.Class
 	fraction float64 // of the class
+	share    float64 // fraction of the workspace as a multiple of that of the class
 	admitted bool
 	after    time.Duration // Retry-After of a refused request
 }
@@ -110,11 +115,14 @@
 // decideShed counts the request in the demand and decides on it.
 func (r *run) decideShed(sh *shedder, now time.Time) shedDecision {
 	class, tokens := r.urgency(), estimateTokens(r.req, r.engine)
-	sh.meter.Add(class, tokens.Mean()*float64(r.engine.Layers), sh.hold.Of(tokens.Answer), now)
-	d := shedDecision{class: class, admitted: sh.gate.Admit(class, 1, now), fraction: sh.gate.Fraction(class)}
+	kv := tokens.Mean() * float64(r.engine.Layers)
+	sh.meter.Add(class, kv, sh.hold.Of(tokens.Answer), now)
+	sh.shares.Add(class, r.workspaceName(), kv, now)
+	d := shedDecision{class: class, fraction: sh.gate.Fraction(class)}
+	d.share = sh.shares.Multiple(class, r.workspaceName(), d.fraction, now)
+	d.admitted = sh.gate.Admit(class, d.share, now)
 	if !d.admitted {
-		latest := boottime.Until(r.deadline) / maxReturnDivisor
-		d.after = sh.returns.Next(class, d.fraction*sh.meter.Rate(class, now), latest-retryAfterSpread, now) + rand.N(retryAfterSpread)
+		d.after = sh.returns.Next(class, d.fraction*sh.meter.Rate(class, now), boottime.Until(r.deadline)/maxReturnDivisor, now)
 	}
 	return d
 }
@@ -130,10 +138,13 @@
 	return r.req.Workspace.Name
 }
 
-// clone returns a copy that changes independently, but for what was logged.
+// clone returns a copy that changes independently, but for what was logged. It draws the same
+// random numbers.
 func (sh *shedder) clone() *shedder {
-	c := *sh
-	c.meter, c.gate, c.returns = sh.meter.Clone(), sh.gate.Clone(), sh.returns.Clone()
+	c, rng := *sh, *sh.rng
+	random := rand.New(&rng).Float64
+	c.rng, c.meter, c.shares = &rng, sh.meter.Clone(), sh.shares.Clone()
+	c.gate, c.returns = sh.gate.Clone(random), sh.returns.Clone(random)
 	return &c
 }
 
@@ -173,8 +184,8 @@
 }
 
 // shedHorizon is the time beyond the age of the loads until a change of the fractions shows in
-// the loads of all daemons: an interval of the exchange.
-const shedHorizon = 800 * time.Millisecond
+// the loads of all daemons: an interval of the exchange, and the smoothing of the fractions.
+const shedHorizon = 1300 * time.Millisecond
 
 // minUsageForCapacity is the usage, as a fraction, from which the capacity follows from the
 // usage. The usage of a nearly idle service says little about how evenly its paths fill.
