--- a/cmd/snowspoke/route.go
+++ b/cmd/snowspoke/route.go
@@ -264,7 +264,7 @@
 func writePath(w io.Writer, taken string, p *forward.ExplainedPath) {
 	first, step, fullest := "-", "-", "-"
 	if p.FirstMS > 0 {
-		first, step, fullest = duration(p.FirstMS), fmt.Sprintf("%.1f ms", p.StepMS), fmt.Sprintf("%.0f%%", 100*p.Fullest)
+		first, step, fullest = fmt.Sprintf("%.1f ms", p.FirstMS), fmt.Sprintf("%.1f ms", p.StepMS), fmt.Sprintf("%.0f%%", 100*p.Fullest)
 	}
 	var hops []string
 	for _, h := range p.Hops {
--- a/cmd/snowspoke/route_test.go
+++ b/cmd/snowspoke/route_test.go
@@ -178,7 +178,7 @@
 	out := table()
 	for _, text := range []string{
 		"vm-1, configuration 16 read 12ms ago, loads of other daemons 1.25s old", "route chat, service model, workspace w", "priority 3, class 31, objective 500ms",
-		"prompt 800, expected answer 172", "25% of class 31 admitted, of the workspace 0.50 times that; the class has 25% of the demand, 90% of the capacity is in use", "sent, path selected by split", "61ms", "5.2 ms", "81%", "a=0-40,b=40-80", "next in the split: credit 0.93", "c=0-80", "later", "d, e", "note: a note",
+		"prompt 800, expected answer 172", "25% of class 31 admitted, of the workspace 0.50 times that; the class has 25% of the demand, 90% of the capacity is in use", "sent, path selected by split", "61.4 ms", "5.2 ms", "81%", "a=0-40,b=40-80", "next in the split: credit 0.93", "c=0-80", "later", "d, e", "note: a note",
 	} {
 		require.Contains(t, out, text)
 	}
--- a/forward/explain.go
+++ b/forward/explain.go
@@ -279,7 +279,7 @@
 		case c.Fullest > 1:
 			reason = fmt.Sprintf("the memory of a hop would be used to %.0f%%", 100*c.Fullest)
 		case x.Selection == ByCost:
-			reason = fmt.Sprintf("costs %.1f ms, %.1f ms more than the cheapest", c.Cost, c.Cost-ranked[0].Cost)
+			reason = fmt.Sprintf("costs %.2f ms, %.2f ms more than the cheapest", c.Cost, c.Cost-ranked[0].Cost)
 		}
 		add(c, x.reasonSkipped(q, c, reason))
 	}
@@ -297,7 +297,7 @@
 	case x.Selection == BySplit && turns[0].Choice.Path.String() == path:
 		return fmt.Sprintf("next in the split: credit %.2f", turns[0].Credit)
 	case x.Selection == ByCost && ranked[0].Path.String() == path:
-		return fmt.Sprintf("cheapest: %.1f ms, with its random part", ranked[0].Cost)
+		return fmt.Sprintf("cheapest: %.2f ms, with its random part", ranked[0].Cost)
 	}
 	return "cheapest within a failure domain, since the links between failure domains are full"
 }
--- a/forward/explain_test.go
+++ b/forward/explain_test.go
@@ -355,9 +355,11 @@
 				}
 			case err := <-failed:
 				refused++
-				if x.Refusal != nil && x.Refusal.Kind == apierror.From(err).Kind && x.Shedding.Refused {
-					same++
+				if !x.Shedding.Refused {
+					continue
 				}
+				same++
+				require.Equal(t, apierror.From(err).Kind, x.Refusal.Kind)
 				require.InDelta(t, inMilliseconds(apierror.From(err).Answer().RetryAfter), x.Refusal.RetryAfterMS, 0.001)
 				require.Nil(t, x.Path)
 				require.NotEmpty(t, x.Next, "where it would go otherwise")
