--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -52,10 +52,11 @@
 		b.Run(fmt.Sprintf("denied=%d", denied), func(b *testing.B) {
 			l := newLab(1)
 			f := l.forward[0]
-			r := &run{f: f, engine: l.engine, req: &Request{
+			r := f.newRun(&Request{
 				ID: "r", Service: labService, Prompt: labPrompt, Received: time.Now(), Deadline: time.Now().Add(time.Minute),
 				Route: &site.Route{Kind: site.Stream, Resumable: true, MaxAttempts: 2, Timeout: 20 * time.Second},
-			}}
+			}, nil)
+			r.engine = l.engine
 			for id, s := range l.view.Servers {
 				if denied > 0 && s.Held.Has(0) {
 					denied--
