--- a/forward/shedding.go
+++ b/forward/shedding.go
@@ -25,6 +25,7 @@
 
 // shedder is the state of load shedding of one service.
 type shedder struct {
+	rng     *rand.PCG // of gate and returns
 	meter   *shedding.Meter
 	gate    *shedding.Gate
 	returns *shedding.Returns
@@ -45,15 +46,21 @@
 func (s *shedders) of(service string) *shedder {
 	sh := s.byService[service]
 	if sh == nil {
-		sh = &shedder{
-			meter: shedding.NewMeter(), gate: shedding.NewGate(rand.Float64), returns: shedding.NewReturns(rand.Float64), shares: shedding.NewFairShares(),
-			logged: map[shedding.Class]float64{},
-		}
+		sh = newShedder()
 		s.byService[service] = sh
 	}
 	return sh
 }
 
+func newShedder() *shedder {
+	rng := rand.NewPCG(rand.Uint64(), rand.Uint64())
+	random := rand.New(rng).Float64
+	return &shedder{
+		rng: rng, meter: shedding.NewMeter(), gate: shedding.NewGate(random), returns: shedding.NewReturns(random), shares: shedding.NewFairShares(),
+		logged: map[shedding.Class]float64{},
+	}
+}
+
 // urgency returns the class of the request. Requests of a workspace without a priority have that
 // of their route.
 func (r *run) urgency() shedding.Class { return shedding.ClassOf(r.priority(), r.req.Route.Priority) }
@@ -67,32 +74,57 @@
 // streams have events already and are not refused.
 func (r *run) shed() error {
 	view := r.f.inv.View()
-	if r.sends > 0 || r.headSent.Load() || r.req.LastEvent != "" || !r.sheds(view) {
+	if !r.maybeShed(view) {
 		return nil
 	}
-	now, class := time.Now(), r.urgency()
-	tokens := estimateTokens(r.req, r.engine)
-	s := r.f.shedders
+	now, s := time.Now(), r.f.shedders
 	s.mu.Lock()
 	sh := s.of(r.req.Service)
-	r.f.renewFractions(sh, r.req.Service, r.engine, view, now)
+	if r.f.renewFractions(sh, r.req.Service, r.engine, view, now) {
+		r.f.logFractions(sh, r.req.Service, now)
+	}
+	d := r.decideShed(sh, now)
+	s.mu.Unlock()
+	if d.admitted {
+		return nil
+	}
+	r.logShed(&d)
+	return d.refusal()
+}
+
+// maybeShed reports whether load shedding applies to this request. It does not to retries within the
+// daemon and to streams whose callers have events.
+func (r *run) maybeShed(view *inventory.View) bool {
+	return r.sends == 0 && !r.headSent.Load() && r.req.LastEvent == "" && r.sheds(view)
+}
+
+// shedDecision is the decision of load shedding on a request.
+type shedDecision struct {
+	class    shedding.Class
+	fraction float64 // of the class
+	share    float64 // fraction of the workspace as a multiple of that of the class
+	admitted bool
+	after    time.Duration // Retry-After of a refused request
+}
+
+func (d *shedDecision) refusal() error {
+	return apierror.New(apierror.Overloaded, "%.2f of the requests of class %d are admitted", d.fraction, d.class).WithRetryAfter(d.after)
+}
+
+// decideShed counts the request in the demand and decides on it.
+func (r *run) decideShed(sh *shedder, now time.Time) shedDecision {
+	class, tokens := r.urgency(), estimateTokens(r.req, r.engine)
 	kv := tokens.Mean() * float64(r.engine.Layers)
 	sh.meter.Add(class, kv, sh.hold.Of(tokens.Answer), now)
 	sh.shares.Add(class, r.workspaceName(), kv, now)
-	fraction := sh.gate.Fraction(class)
-	share := sh.shares.Multiple(class, r.workspaceName(), fraction, now)
-	admitted := sh.gate.Admit(class, share, now)
-	var after time.Duration
-	if !admitted {
-		after = sh.returns.Next(class, fraction*sh.meter.Rate(class, now), boottime.Until(r.deadline)/maxReturnDivisor, now)
+	d := shedDecision{class: class, fraction: sh.gate.Fraction(class)}
+	d.share = sh.shares.Multiple(class, r.workspaceName(), d.fraction, now)
+	d.admitted = sh.gate.Admit(class, d.share, now)
+	if !d.admitted {
+		d.after = sh.returns.Next(class, d.fraction*sh.meter.Rate(class, now), boottime.Until(r.deadline)/maxReturnDivisor, now)
 	}
 	r.reserve = sh.state.Reserve(class)
-	s.mu.Unlock()
-	if admitted {
-		return nil
-	}
-	r.logShed(class, fraction, share, after)
-	return apierror.New(apierror.Overloaded, "%.2f of the requests of class %d are admitted", fraction, class).WithRetryAfter(after)
+	return d
 }
 
 // errReserved is the cause of the refusal of a request that may use only memory which is
@@ -101,22 +133,27 @@
 
 // refuseReserved returns the refusal of a new request that finds no path within its reserve.
 func (r *run) refuseReserved(now time.Time) error {
-	class := r.urgency()
 	s := r.f.shedders
 	s.mu.Lock()
 	sh := s.of(r.req.Service)
-	fraction := sh.gate.Fraction(class)
-	after := sh.returns.Next(class, fraction*sh.meter.Rate(class, now), boottime.Until(r.deadline)/maxReturnDivisor, now)
+	if r.preview != nil {
+		sh = sh.clone()
+	}
+	d := shedDecision{class: r.urgency(), share: 1}
+	d.fraction = sh.gate.Fraction(d.class)
+	d.after = sh.returns.Next(d.class, d.fraction*sh.meter.Rate(d.class, now), boottime.Until(r.deadline)/maxReturnDivisor, now)
 	s.mu.Unlock()
-	r.logShed(class, fraction, 1, after)
-	return apierror.Wrap(apierror.Overloaded, errReserved).WithRetryAfter(after)
+	if r.preview == nil {
+		r.logShed(&d)
+	}
+	return apierror.Wrap(apierror.Overloaded, errReserved).WithRetryAfter(d.after)
 }
 
-func (r *run) logShed(class shedding.Class, fraction, share float64, after time.Duration) {
-	r.f.observer.Shed(int(class))
-	r.f.log.Add("shed", "request", r.req.ID, "service", r.req.Service, "class", int(class), "workspace", r.workspaceName(),
-		"fraction", math.Round(100*fraction)/100, "share", math.Round(100*share)/100, "reserve", math.Round(100*r.reserve)/100,
-		"retry_after", after.Round(time.Millisecond))
+func (r *run) logShed(d *shedDecision) {
+	r.f.observer.Shed(int(d.class))
+	r.f.log.Add("shed", "request", r.req.ID, "service", r.req.Service, "class", int(d.class), "workspace", r.workspaceName(),
+		"fraction", math.Round(100*d.fraction)/100, "share", math.Round(100*d.share)/100, "reserve", math.Round(100*r.reserve)/100,
+		"retry_after", d.after.Round(time.Millisecond))
 }
 
 // maxReturnDivisor is the part of its remaining time that a caller waits before it returns: a
@@ -130,16 +167,41 @@
 	return r.req.Workspace.Name
 }
 
-// renewFractions recomputes the fractions of a service if they are outdated; f.shedders.mu must
-// be held.
-func (f *Forwarder) renewFractions(sh *shedder, service string, e *site.Engine, view *inventory.View, now time.Time) {
+// clone returns a copy that changes independently, but for what was logged. It draws the same
+// random numbers.
+func (sh *shedder) clone() *shedder {
+	c, rng := *sh, *sh.rng
+	random := rand.New(&rng).Float64
+	c.rng, c.meter, c.shares = &rng, sh.meter.Clone(), sh.shares.Clone()
+	c.gate, c.returns = sh.gate.Clone(random), sh.returns.Clone(random)
+	return &c
+}
+
+// previewShed returns the decision of shed on this request and the state that leads to it. It
+// changes nothing.
+func (r *run) previewShed(view *inventory.View, now time.Time) (shedDecision, shedding.State) {
+	s := r.f.shedders
+	s.mu.Lock()
+	sh := s.byService[r.req.Service]
+	if sh == nil {
+		sh = newShedder()
+	}
+	sh = sh.clone()
+	s.mu.Unlock()
+	r.f.renewFractions(sh, r.req.Service, r.engine, view, now)
+	return r.decideShed(sh, now), sh.state
+}
+
+// renewFractions recomputes the fractions of a service if they are outdated, and reports whether
+// it did. f.shedders.mu must be held, except for a copy.
+func (f *Forwarder) renewFractions(sh *shedder, service string, e *site.Engine, view *inventory.View, now time.Time) bool {
 	if now.Sub(sh.at) < shedInterval {
-		return
+		return false
 	}
 	sh.at = now
 	sh.state = f.shedState(sh, service, e, view, now)
 	sh.gate.SetFractions(shedding.Fractions(sh.state), now)
-	f.logFractions(sh, service, now)
+	return true
 }
 
 // shedState returns what this daemon knows about the demand and the usage of a service.
