forward: lab for prompts of two lengths

Cause: the lab has prompts of one length, and its servers process whole prompts one after the other. Change: the prompt of a request has its stated length, and beside this model there is one in which servers process prompts in steps of at most PrefillChunk tokens in turn.

--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -29,7 +29,8 @@
 	forward []*Forwarder // of the daemons, which receive requests in turn
 	rng     *rand.Rand
 
-	slow float64 // factor of the time of each token
+	slow   float64         // factor of the time of each token
+	chunks *chunkedPrefill // model of servers that process prompts in steps, nil if they process whole prompts
 
 	mu      sync.Mutex
 	servers map[string]*labServer
@@ -344,6 +345,9 @@
 		_, _ = fmt.Sscan(o.LastEvent, &s.next)
 	}
 	l.pass(s, o.Path)
+	if l.chunks != nil {
+		l.chunks.process(o.Path, o.Request.Prompt)
+	}
 	a.Body = s
 	return a, nil
 }
@@ -373,10 +377,10 @@
 	for _, h := range p {
 		server := l.servers[h.Server.ID]
 		server.streams++
-		if had[h.Server.ID] == h.Layers {
+		if had[h.Server.ID] == h.Layers || l.chunks != nil {
 			continue
 		}
-		prefill := pipeline.HopPrefillMS(l.engine, h.Server.Kind, h.Layers.Len(), float64(labPrompt+s.next*labTokens))
+		prefill := pipeline.HopPrefillMS(l.engine, h.Server.Kind, h.Layers.Len(), s.request.Prompt+float64(s.next*labTokens))
 		at = later(at, server.readFree).Add(milliseconds(prefill))
 		server.readFree = at
 	}
