pipeline, forward: long prompts take paths of their own

Cause: on servers that process whole prompts one after the other, a short prompt sent behind a long one follows it through all hops: p99 of the first event of the short ones is 412 to 442 ms. The paths follow from the layout and only their number from the daemon's own mix, so daemons need not exchange anything. Requests without capacity on their paths take any.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -132,6 +132,7 @@
 	way          func(address string) detour.Way // nil if it is not tracked
 	deadlines    *deadlines
 	splits       *splits
+	longPrompts  *longPrompts
 	crossings    crossings
 	limits       *quota.Limits
 	sends        *quota.Sends
@@ -173,7 +174,7 @@
 		limits: d.Limits, sends: d.Sends, permits: d.Permits, denials: quota.NewDenials(), trials: newLimitTrials(), quarantine: d.Quarantine, trialRank: d.TrialRank, stalls: d.Stalls, deadlines: newDeadlines(),
 		started: time.Now(), opts: o, inv: d.Inventory, fleet: d.Fleet, log: d.Log, observer: d.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
-		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), healthChecks: newResultCache[struct{}](0), silences: newSilences(), live: newLiveStreams(), splits: newSplits(),
+		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), healthChecks: newResultCache[struct{}](0), silences: newSilences(), live: newLiveStreams(), splits: newSplits(), longPrompts: newLongPrompts(),
 		availability: availability.NewTable(),
 	}
 	f.backends = metered{d.Backends, f}
--- a/forward/longprompt_test.go
+++ b/forward/longprompt_test.go
@@ -19,7 +19,7 @@
 
 // Guards against short prompts that wait behind long ones on the same backend servers.
 func TestLongPromptsDoNotDelayShortOnes(t *testing.T) {
-	for _, chunked := range []bool{true} {
+	for _, chunked := range []bool{false, true} {
 		for _, daemons := range []int{1, 6, 60, 300} {
 			if daemons > maxRaceFleet && (virtual.RaceDetector || chunked) {
 				continue // takes too long
--- /dev/null
+++ b/forward/longprompts.go
@@ -0,0 +1,150 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/pipeline"
+	"github.com/snowspoke/snowspoke/site"
+)
+
+// longPrompts holds the mix of prompts and the paths of long prompts of each service. See
+// pipeline.LongPlan. It is safe for concurrent use.
+type longPrompts struct {
+	mu        sync.Mutex
+	byService map[string]*longService
+}
+
+// longService is the state of one service.
+type longService struct {
+	mix    pipeline.PromptMix
+	plan   *pipeline.LongPlan // replaced, not changed
+	view   *inventory.View
+	usable int
+	slow   int       // version of the slowdowns, see conditions.slowVersion
+	at     time.Time // when the plan was computed
+	logged time.Time // when a change was last logged
+}
+
+// longPlanInterval is the time after which the paths of long prompts are recomputed for a changed
+// demand. Changes of the backend servers apply after minSplitInterval, as for a split.
+const longPlanInterval = 5 * time.Second
+
+// placement states how the path of a request was selected, for the log.
+type placement string
+
+const (
+	placedShared   placement = ""         // all requests share all paths
+	placedLong     placement = "long"     // on the paths of long prompts
+	placedShort    placement = "short"    // on the other paths
+	placedOverflow placement = "overflow" // on any path, as its own ones had no capacity
+)
+
+func newLongPrompts() *longPrompts { return &longPrompts{byService: map[string]*longService{}} }
+
+// note counts a request in the mix of prompts.
+func (l *longPrompts) note(service string, e *site.Engine, req *Request, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.byService[service]
+	if s == nil {
+		s = &longService{plan: &pipeline.LongPlan{}}
+		l.byService[service] = s
+	}
+	s.mix.Add(e, req.Prompt, req.Route.Objective, now)
+}
+
+// longPlan returns the paths of the long prompts of a service, nil if there are none.
+func (f *Forwarder) longPlan(service string, e *site.Engine, view *inventory.View, now time.Time) *pipeline.LongPlan {
+	f.longPrompts.mu.Lock()
+	defer f.longPrompts.mu.Unlock()
+	s := f.longPrompts.byService[service]
+	if s == nil {
+		return nil
+	}
+	f.renewLongPlan(s, service, e, view, now)
+	if !s.plan.Active() {
+		return nil
+	}
+	return s.plan
+}
+
+// renewLongPlan recomputes the paths of long prompts if they are outdated.
+func (f *Forwarder) renewLongPlan(s *longService, service string, e *site.Engine, view *inventory.View, now time.Time) {
+	if !s.mix.Active(now) {
+		if s.plan.Active() {
+			f.setLongPlan(s, service, pipeline.LongPlan{Reason: pipeline.ReasonNoDemand}, pipeline.LongDemand{}, now)
+		}
+		s.at = time.Time{}
+		return
+	}
+	since := now.Sub(s.at)
+	if since < minSplitInterval {
+		return
+	}
+	all := f.usableServers(view, service, e, now)
+	slow := f.loads.conditions.slowVersion()
+	if s.view == view && s.usable == len(all) && s.slow == slow && since < longPlanInterval {
+		return
+	}
+	s.view, s.usable, s.slow, s.at = view, len(all), slow, now
+	d := s.mix.Demand(f.fleet.Daemons(), now)
+	f.setLongPlan(s, service, pipeline.PlanLongPrompts(e, all, d, f.assumedInFlight(all, now), s.plan), d, now)
+}
+
+// assumedInFlight returns the number of requests in flight of all daemons. Daemons whose loads
+// are unknown are assumed to be as busy as this one, at most maxAssumedDaemons.
+func (f *Forwarder) assumedInFlight(cs []pipeline.Candidate, now time.Time) float64 {
+	daemons := float64(max(1, f.fleet.Daemons()))
+	sum := 0.0
+	for i := range cs {
+		sum += f.loads.Of(cs[i].Server.ID, daemons, now).Heads
+	}
+	return sum
+}
+
+func (f *Forwarder) setLongPlan(s *longService, service string, plan pipeline.LongPlan, d pipeline.LongDemand, now time.Time) {
+	changed := !plan.Equal(s.plan) || plan.Reason != s.plan.Reason
+	if !changed {
+		return // requests keep the split that was computed for the previous value
+	}
+	s.plan = &plan
+	s.logged = now
+	paths := ""
+	for i, p := range plan.Paths[:min(len(plan.Paths), maxLoggedPaths)] {
+		if i > 0 {
+			paths += " "
+		}
+		paths += p.String()
+	}
+	f.log.Add("long_prompts", "service", service, "paths", len(plan.Paths), "reason", plan.Reason, "load", int(100*plan.Load),
+		"long_per_s", int(100*d.PerSecond), "tokens", int(d.Tokens), "on", paths)
+}
+
+// maxLoggedPaths bounds the paths in one log line.
+const maxLoggedPaths = 4
+
+// chooseByLength returns a path among those for prompts of the request's length; ok is false if
+// they have no capacity, or if prompts share all paths.
+func (r *run) chooseByLength(q *pipeline.Query, view *inventory.View, cs []pipeline.Candidate, now time.Time) (c pipeline.Choice, ok bool) {
+	r.placement = placedShared
+	plan := r.f.longPlan(r.req.Service, r.engine, view, now)
+	if plan == nil {
+		return pipeline.Choice{}, false
+	}
+	part := shortPart
+	r.placement = placedShort
+	if pipeline.IsLongPrompt(r.engine, q.Tokens.Prompt) {
+		part, r.placement = longPart, placedLong
+	}
+	own := cs[:plan.Partition(cs, part == longPart)]
+	if c, ok := r.f.nextBySplit(q, r.req.Service, view, own, now, plan, part); ok {
+		return c, true
+	}
+	if c, err := pipeline.Choose(q, own, newRand()); err == nil {
+		return c, true
+	}
+	r.placement = placedOverflow
+	return pipeline.Choice{}, false
+}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -115,9 +115,13 @@
 }
 
 // choose returns the next path of the split of the fleet's load, or the cheapest path if
-// the requests of the service do not follow a split.
+// the requests of the service do not follow a split. Prompts of different lengths take different
+// paths if they have capacity.
 func (r *run) choose(q *pipeline.Query, view *inventory.View, cs []pipeline.Candidate, now time.Time) (pipeline.Choice, error) {
-	if c, ok := r.f.nextBySplit(q, r.req.Service, view, cs, now); ok {
+	if c, ok := r.chooseByLength(q, view, cs, now); ok {
+		return c, nil
+	}
+	if c, ok := r.f.nextBySplit(q, r.req.Service, view, cs, now, nil, allParts); ok {
 		return c, nil
 	}
 	return pipeline.Choose(q, cs, newRand())
--- a/forward/run.go
+++ b/forward/run.go
@@ -49,6 +49,7 @@
 	interruptedAt   time.Time                   // zero unless the stream is interrupted
 	cause           string                      // cause of the interruption
 	progress        progress                    // of the current send
+	placement       placement                   // of the last path
 	refusalBackoff  *backoff.ExponentialBackOff // between refused sends of an interrupted stream
 }
 
@@ -87,6 +88,9 @@
 	if s := r.f.inv.View().Config.Services[r.req.Service]; s != nil {
 		r.engine, r.healthPath, r.maxConns = s.Engine, s.HealthPath, s.MaxConns
 	}
+	if r.engine != nil {
+		r.f.longPrompts.note(r.req.Service, r.engine, r.req, time.Now())
+	}
 	err := r.tracker.Run(ctx, r)
 	if apierror.Is(err, apierror.BackendUnreachable) || apierror.Is(err, apierror.BackendRefused) {
 		return apierror.Wrap(apierror.BackendRefused, errors.Unwrap(err)).WithRetryAfter(r.retryAfter(time.Now()))
@@ -195,7 +199,7 @@
 		"config", r.f.inv.View().Config.Version, "config_age", r.f.inv.Age(boottime.Now()).Round(time.Millisecond),
 		"path", t.path.String(), "predicted_first_ms", int(t.choice.FirstMS), "predicted_step_ms", int(t.choice.StepMS),
 		"fullest", int(100*t.choice.Fullest), "after_event", r.lastEvent, "left", left.Round(time.Millisecond),
-		"head_state", head.State, "head_pause_left", head.PauseLeft(now))
+		"prompt", int(r.req.Prompt), "placement", string(r.placement), "head_state", head.State, "head_pause_left", head.PauseLeft(now))
 }
 
 func (r *run) outgoing(t *target, left time.Duration) *Outgoing {
--- a/forward/split.go
+++ b/forward/split.go
@@ -19,7 +19,8 @@
 
 // split is the split of one service and the state for which it was computed.
 type split struct {
-	rotation pipeline.Rotation
+	parts    [partCount]pipeline.Rotation
+	plan     *pipeline.LongPlan // for which the rotations of shortPart and longPart were computed, nil for none
 	view     *inventory.View
 	usable   int       // number of usable backend servers
 	slow     int       // version of the slowdowns, see conditions.slowVersion
@@ -28,6 +29,16 @@
 	at       time.Time // when the split was computed
 }
 
+// part is the part of the backend servers over which requests are split.
+type part int
+
+const (
+	allParts  part = iota // all backend servers
+	shortPart             // those that are on no path of long prompts
+	longPart              // those on the paths of long prompts
+	partCount
+)
+
 // Intervals of a split.
 const (
 	// splitInterval is the time after which a split is recomputed if the number of
@@ -41,8 +52,11 @@
 
 func newSplits() *splits { return &splits{byService: map[string]*split{}} }
 
-// nextBySplit returns the next path of the split that has capacity, if any.
-func (f *Forwarder) nextBySplit(q *pipeline.Query, service string, view *inventory.View, cs []pipeline.Candidate, now time.Time) (pipeline.Choice, bool) {
+// nextBySplit returns the next path of the split over a part that has capacity, if any. plan
+// holds the paths of long prompts, nil for allParts.
+func (f *Forwarder) nextBySplit(
+	q *pipeline.Query, service string, view *inventory.View, cs []pipeline.Candidate, now time.Time, plan *pipeline.LongPlan, p part,
+) (pipeline.Choice, bool) {
 	f.splits.mu.Lock()
 	defer f.splits.mu.Unlock()
 	s := f.splits.byService[service]
@@ -54,7 +68,10 @@
 	if !s.needed {
 		return pipeline.Choice{}, false
 	}
-	return s.rotation.Next(q, cs, f.loads.othersLoadAge(now))
+	if plan != nil && s.plan != plan {
+		f.splitByLength(s, q.Engine, service, view, plan, now)
+	}
+	return s.parts[p].Next(q, cs, f.loads.othersLoadAge(now))
 }
 
 // needed reports whether the requests of a service follow a split.
@@ -84,10 +101,22 @@
 		return
 	}
 	shares := pipeline.Split(e, all, pipeline.Demand{Requests: requests, Domains: f.fleet.Shares()}, f.opts.FailureDomain)
-	s.rotation.SetShares(shares, newRand())
+	s.parts[allParts].SetShares(shares, newRand())
+	s.plan = nil
 	f.logSplit(service, s, shares)
 }
 
+// splitByLength splits the requests over the paths of long prompts and over the others.
+func (f *Forwarder) splitByLength(s *split, e *site.Engine, service string, view *inventory.View, plan *pipeline.LongPlan, now time.Time) {
+	all := f.usableServers(view, service, e, now)
+	d := pipeline.Demand{Requests: s.requests, Domains: f.fleet.Shares()}
+	for _, p := range []part{shortPart, longPart} {
+		own := all[:plan.Partition(all, p == longPart)]
+		s.parts[p].SetShares(pipeline.Split(e, own, d, f.opts.FailureDomain), newRand())
+	}
+	s.plan = plan
+}
+
 // requestsInFlight returns the number of requests in flight of all daemons at some backend
 // servers, 0 while the other daemons' loads are unknown.
 func (f *Forwarder) requestsInFlight(cs []pipeline.Candidate, now time.Time) float64 {
