forward: BenchmarkChoice has the guard that the choice consults

Cause: BenchmarkChoice panics since the choice of a path consults the quarantine, as its request has no guard. Change: it has one.

--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/boottime"
+	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/quota"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -56,6 +57,7 @@
 				ID: "r", Service: labService, Prompt: labPrompt, Received: time.Now(), Deadline: time.Now().Add(time.Minute),
 				Route: &site.Route{Kind: site.Stream, Resumable: true, MaxAttempts: 2, Timeout: 20 * time.Second},
 			}}
+			r.guard = quarantine.NewGuard(f.quarantine, r.req.Fingerprint(), r.req.Service, nil)
 			for id, s := range l.view.Servers {
 				if denied > 0 && s.Held.Has(0) {
 					denied--
