--- a/forward/longprompts.go
+++ b/forward/longprompts.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -115,7 +116,7 @@
 		paths += p.String()
 	}
 	f.log.Add("long_prompts", "service", service, "paths", len(plan.Paths), "reason", plan.Reason, "load", int(100*plan.Load),
-		"long_per_s", int(100*d.PerSecond), "tokens", int(d.Tokens), "on", paths)
+		"long_per_s", math.Round(100*d.PerSecond)/100, "tokens", int(d.Tokens), "on", paths)
 }
 
 // maxLoggedPaths bounds the paths in one log line.
--- a/pipeline/longprompts.go
+++ b/pipeline/longprompts.go
@@ -174,12 +174,13 @@
 	// minDemandShare is the least fraction of a measured demand that is certain.
 	minDemandShare = 0.1
 	// maxLongCapacity is the largest fraction of the capacity for requests that the paths of
-	// long prompts may hold, and maxRestLoad that of the remaining capacity which the requests
-	// in flight may need, more for paths already in use. Loads are incomplete after a start, so
-	// the second bound alone is not enough. At 96 requests per second instead of 64, 60 daemons
-	// that exchange no loads served 1,906 of 1,993 requests with 0.9 and 1.0, 1,980 with 0.75 and
+	// long prompts may hold, so that a site with two similar paths can have one of them.
+	// maxRestLoad is the largest fraction of the remaining capacity that the requests in flight
+	// may need, more for paths already in use. The number in flight is inexact after a start, so
+	// this bound alone is not enough. At 96 requests per second instead of 64, 60 daemons that
+	// exchange no loads served 1,906 of 1,993 requests with 0.9 and 1.0, 1,980 with 0.75 and
 	// 0.85, and all with these bounds.
-	maxLongCapacity = 0.4
+	maxLongCapacity = 0.55
 	maxRestLoad     = 0.7
 	maxUsedRestLoad = 0.8
 	// maxLongSlowdown is the slowdown above which a backend server takes no part in the paths
--- a/pipeline/longprompts_test.go
+++ b/pipeline/longprompts_test.go
@@ -112,6 +112,7 @@
 		{"busy", cs, longDemand(4), 0.9 * capacity, LongPlan{}, ReasonNoRest},
 		{"half busy", cs, longDemand(4), 0.4 * capacity, LongPlan{}, ""},
 		{"all long", cs, longDemand(60), 0, LongPlan{}, ReasonTooMany},
+		{"two paths", append(domainOf(cs, "b"), domainOf(cs, "c")...), longDemand(1), 0, LongPlan{}, ""},
 		{"one path", domainOf(cs, "b"), longDemand(1), 0, LongPlan{}, ReasonNoRest},
 		{"no servers", nil, longDemand(1), 0, LongPlan{}, ReasonNoPath},
 	} {
