--- a/forward/explain.go
+++ b/forward/explain.go
@@ -156,8 +156,10 @@
 }
 
 // previewSplit returns the path that nextBySplit would return.
-func (r *run) previewSplit(q *pipeline.Query, view *inventory.View, cs []pipeline.Candidate, now time.Time) (pipeline.Choice, bool) {
-	r.preview.turns = r.f.peekSplit(q, r.req.Service, view, cs, now)
+func (r *run) previewSplit(
+	q *pipeline.Query, view *inventory.View, cs []pipeline.Candidate, now time.Time, plan *pipeline.LongPlan, p part,
+) (pipeline.Choice, bool) {
+	r.preview.turns = r.f.peekSplit(q, r.req.Service, view, cs, now, plan, p)
 	if turns := r.preview.turns; len(turns) > 0 && turns[0].Obstacle == pipeline.NoObstacle {
 		return turns[0].Choice, true
 	}
--- a/forward/explain_test.go
+++ b/forward/explain_test.go
@@ -185,7 +185,7 @@
 	s.Log = log.Len()
 	slices.SortFunc(s.Loads, func(a, b relay.LoadItem) int { return bytes.Compare([]byte(a.Server), []byte(b.Server)) })
 	for name, sp := range f.splits.byService {
-		s.Credits[name], s.SplitAt[name] = sp.rotation.Turns(&pipeline.Query{Engine: l.engine}, nil, 0), sp.at
+		s.Credits[name], s.SplitAt[name] = sp.parts[allParts].Turns(&pipeline.Query{Engine: l.engine}, nil, 0), sp.at
 	}
 	for id := range l.view.Servers {
 		s.Health[id] = f.health.Cooling(id, now)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -137,6 +137,7 @@
 	deadlines    *deadlines
 	splits       *splits
 	shedders     *shedders
+	longPrompts  *longPrompts
 	crossings    crossings
 	targetDraws  *draws // of services among the targets of a route
 	startDraws   *draws // of the order of candidates, see drawCandidates
@@ -182,7 +183,7 @@
 		limits: d.Limits, sends: d.Sends, permits: d.Permits, denials: quota.NewDenials(), trials: newLimitTrials(), quarantine: d.Quarantine, trialRank: d.TrialRank, stalls: d.Stalls, deadlines: newDeadlines(),
 		started: time.Now(), opts: o, inv: d.Inventory, fleet: d.Fleet, log: d.Log, observer: d.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
-		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), healthChecks: newResultCache[struct{}](0), silences: newSilences(), live: newLiveStreams(), splits: newSplits(), shedders: newShedders(),
+		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), healthChecks: newResultCache[struct{}](0), silences: newSilences(), live: newLiveStreams(), splits: newSplits(), shedders: newShedders(), longPrompts: newLongPrompts(),
 		availability: availability.NewTable(),
 		targetDraws:  newDraws(), startDraws: newDraws(), pathDraws: newDraws(), splitDraws: newDraws(),
 	}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -35,6 +35,9 @@
 			return nil, err
 		}
 		t, err := r.find(ctx)
+		if r.awaitsPath && wait.For(ctx, pollInterval) {
+			continue
+		}
 		if err == nil && r.permit(ctx, t) {
 			return t, nil
 		}
@@ -119,7 +122,7 @@
 		q.Reserve = r.reserve
 	}
 	c, err := r.choose(q, view, cs, now, rng)
-	if errors.Is(err, pipeline.ErrFull) && q.Reserve > 0 {
+	if errors.Is(err, pipeline.ErrFull) && q.Reserve > 0 && !r.awaitsPath {
 		return nil, r.refuseReserved(now)
 	}
 	if errors.Is(err, pipeline.ErrFull) {
@@ -141,13 +144,16 @@
 }
 
 // choose returns the next path of the split of the fleet's load, or the cheapest path if
-// the requests of the service do not follow a split.
+// the requests of the service do not follow a split. Prompts of different lengths take different
+// paths if they have capacity.
 func (r *run) choose(q *pipeline.Query, view *inventory.View, cs []pipeline.Candidate, now time.Time, rng *rand.Rand) (pipeline.Choice, error) {
-	if r.preview != nil {
-		if c, ok := r.previewSplit(q, view, cs, now); ok {
-			return c, nil
-		}
-	} else if c, ok := r.f.nextBySplit(q, r.req.Service, view, cs, now); ok {
+	if c, ok := r.chooseByLength(q, view, cs, now, rng); ok {
+		return c, nil
+	}
+	if r.awaitsPath {
+		return pipeline.Choice{}, pipeline.ErrFull
+	}
+	if c, ok := r.nextOfSplit(q, view, cs, now, nil, allParts); ok {
 		return c, nil
 	}
 	if q.Reserve > 0 && r.f.splits.needed(r.req.Service) {
@@ -157,6 +163,17 @@
 	return pipeline.Choose(q, cs, rng)
 }
 
+// nextOfSplit returns the next path of the split over a part, see nextBySplit. A preview does not
+// change the split.
+func (r *run) nextOfSplit(
+	q *pipeline.Query, view *inventory.View, cs []pipeline.Candidate, now time.Time, plan *pipeline.LongPlan, p part,
+) (pipeline.Choice, bool) {
+	if r.preview != nil {
+		return r.previewSplit(q, view, cs, now, plan, p)
+	}
+	return r.f.nextBySplit(q, r.req.Service, view, cs, now, plan, p)
+}
+
 // checkLayers asserts that the check of a path's layers returned no error.
 func checkLayers(err error) error {
 	return invariant.Check(err == nil, invariant.LayersOnceInOrder, "%v", err)
--- a/forward/run.go
+++ b/forward/run.go
@@ -52,6 +52,8 @@
 	interruptedAt   time.Time                   // zero unless the stream is interrupted
 	cause           string                      // cause of the interruption
 	progress        progress                    // of the current send
+	placement       placement                   // of the last path
+	awaitsPath      bool                        // a long prompt waits for capacity on its paths
 	refusalBackoff  *backoff.ExponentialBackOff // between refused sends of an interrupted stream
 }
 
@@ -88,6 +90,9 @@
 // for a request that did not run because it was refused or could not be sent.
 func (r *run) serve(ctx context.Context) error {
 	r.useService(r.f.inv.View())
+	if r.engine != nil {
+		defer r.f.longPrompts.begin(r.req.Service, r.engine, r.req, time.Now())()
+	}
 	err := r.tracker.Run(ctx, r)
 	if apierror.Is(err, apierror.BackendUnreachable) || apierror.Is(err, apierror.BackendRefused) {
 		return apierror.Wrap(apierror.BackendRefused, errors.Unwrap(err)).WithRetryAfter(r.retryAfter(time.Now()))
@@ -203,7 +208,7 @@
 		"config", r.f.inv.View().Config.Version, "config_age", r.f.inv.Age(boottime.Now()).Round(time.Millisecond),
 		"path", t.path.String(), "predicted_first_ms", int(t.choice.FirstMS), "predicted_step_ms", int(t.choice.StepMS),
 		"fullest", int(100*t.choice.Fullest), "after_event", r.lastEvent, "left", left.Round(time.Millisecond),
-		"head_state", head.State, "head_pause_left", head.PauseLeft(now))
+		"prompt", int(r.req.Prompt), "placement", string(r.placement), "head_state", head.State, "head_pause_left", head.PauseLeft(now))
 }
 
 func (r *run) outgoing(t *target, left time.Duration) *Outgoing {
