--- a/forward/shedding.go
+++ b/forward/shedding.go
@@ -214,7 +214,7 @@
 
 // shedHorizon is the time beyond the age of the loads until a change of the fractions shows in
 // the loads of all daemons: an interval of the exchange, and the smoothing of the fractions.
-const shedHorizon = 1050 * time.Millisecond
+const shedHorizon = 1300 * time.Millisecond
 
 // memoryUsage returns the memory that the requests of all daemons use at a service, and the
 // memory that they can use, in tokens x layers.
--- a/shedding/gate.go
+++ b/shedding/gate.go
@@ -27,7 +27,7 @@
 // smoothing is the time constant with which the fractions in force follow those computed.
 // The inputs change in steps with each load report, and daemons receive them at different
 // times.
-const smoothing = 250 * time.Millisecond
+const smoothing = 500 * time.Millisecond
 
 // NewGate returns a gate that admits all requests. random returns values in [0, 1). It sets
 // the first credits of a class, so that the daemons of a large fleet do not all refuse their
--- a/shedding/meter.go
+++ b/shedding/meter.go
@@ -74,7 +74,7 @@
 }
 
 // minObserved bounds the extrapolation from a short observation.
-const minObserved = 0.3
+const minObserved = 0.5
 
 // Hold returns the mean time for which the requests use their memory, 0 if unknown.
 func (m *Meter) Hold(now time.Time) time.Duration {
--- a/shedding/shedding_test.go
+++ b/shedding/shedding_test.go
@@ -221,3 +221,17 @@
 		}
 	}
 }
+
+// Guards against memory that is kept free although no more urgent class asks for it, and against
+// a reserve that grows with demand beyond the capacity.
+func TestReserve(t *testing.T) {
+	s := State{Demands: []Demand{{0, 30}, {10, 30}, {20, 500}}, Capacity: 100}
+	for class, want := range map[Class]float64{0: 0, 1: 0.15 * 0.3, 10: 0.15 * 0.3, 20: 0.15 * 0.6, 30: 0.15} {
+		if got := s.Reserve(class); math.Abs(got-want) > 1e-9 {
+			t.Errorf("class %d: reserve %v, want %v", class, got, want)
+		}
+	}
+	if got := (State{Demands: []Demand{{0, 30}}}).Reserve(20); got != 0 {
+		t.Errorf("without capacity: reserve %v, want 0", got)
+	}
+}
