shedding: the planned usage is 0.9 of the layout's capacity

Cause: at 0.8 requests are refused while hops have memory; the reserve keeps capacity for urgent ones.

--- a/shedding/shedding.go
+++ b/shedding/shedding.go
@@ -48,7 +48,7 @@
 	// targetUsage is the planned usage of the capacity, as a fraction. Backend servers fill
 	// unevenly, and above it single hops run out of memory and preempt begun requests, which
 	// then process their prompts again.
-	targetUsage = 0.8
+	targetUsage = 0.9
 	// minClassShare is the least fraction of a class, as a multiple of the fraction of all
 	// demand that the capacity can serve. It keeps the least urgent class from starving while
 	// more urgent ones ask for all capacity, and all classes from being refused while the
