forward: one rule for unknown loads of other daemons, one for return times

Cause: the read of the whole change found that loads, usage and demands each repeated how unknown loads of others are estimated, and that two refusals repeated how a return time is computed. Change: Loads.factors and run.nextReturn serve all of them; behavior is unchanged.

--- a/forward/loads.go
+++ b/forward/loads.go
@@ -107,20 +107,15 @@
 	if s := l.servers[id]; s != nil {
 		own = *s
 	}
-	if now.Sub(l.othersAt) > l.othersTTL {
-		daemons = min(daemons, maxAssumedDaemons)
-		return pipeline.Load{
-			Running: float64(own.running) * daemons, KVUsed: own.kv * daemons, Heads: float64(own.heads) * daemons,
-			OwnKV: own.kv * daemons,
-		}
+	ownFactor, othersFactor := l.factors(daemons, now)
+	if othersFactor == 0 {
+		daemons = ownFactor
 	}
-	// Daemons whose loads were not received are assumed to be like the others.
-	unknown := max(1, daemons/float64(1+l.othersDaemons))
 	o := l.others[id]
 	return pipeline.Load{
-		Running: float64(own.running) + o.running*unknown,
-		KVUsed:  own.kv + o.kv*unknown,
-		Heads:   float64(own.heads) + o.heads*unknown,
+		Running: ownFactor*float64(own.running) + othersFactor*o.running,
+		KVUsed:  ownFactor*own.kv + othersFactor*o.kv,
+		Heads:   ownFactor*float64(own.heads) + othersFactor*o.heads,
 		OwnKV:   own.kv * daemons,
 	}
 }
@@ -135,10 +130,19 @@
 	if s := l.servers[id]; s != nil {
 		own = s.kv
 	}
+	ownFactor, othersFactor := l.factors(daemons, now)
+	return ownFactor*own + othersFactor*l.others[id].latestKV
+}
+
+// factors returns by which the loads of this daemon and the known loads of the others are
+// multiplied for the loads of all daemons; l.mu must be held. While the others' loads are
+// unknown, they are assumed to be as busy as this daemon. Daemons whose loads were not received
+// are assumed to be like the others.
+func (l *Loads) factors(daemons float64, now time.Time) (own, others float64) {
 	if now.Sub(l.othersAt) > l.othersTTL {
-		return own * min(daemons, maxAssumedDaemons)
+		return min(daemons, maxAssumedDaemons), 0
 	}
-	return own + l.others[id].latestKV*max(1, daemons/float64(1+l.othersDaemons))
+	return 1, max(1, daemons/float64(1+l.othersDaemons))
 }
 
 // othersLoadAge returns the approximate age of the other daemons' loads, 0 if they are
@@ -173,19 +177,16 @@
 func (l *Loads) demands(service uint32, own []shedding.Demand, daemons float64, now time.Time) []shedding.Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	ownFactor, othersFactor := l.factors(daemons, now)
 	out := slices.Clone(own)
-	if now.Sub(l.othersAt) > l.othersTTL {
-		for i := range out {
-			out[i].KV *= min(daemons, maxAssumedDaemons)
-		}
-		return out
+	for i := range out {
+		out[i].KV *= ownFactor
 	}
-	unknown := max(1, daemons/float64(1+l.othersDaemons))
 	for _, d := range l.othersDemands {
-		if d.Service != service {
+		if d.Service != service || othersFactor == 0 {
 			continue
 		}
-		class, kv := shedding.Class(d.Class), d.KV*unknown
+		class, kv := shedding.Class(d.Class), d.KV*othersFactor
 		if i := slices.IndexFunc(out, func(o shedding.Demand) bool { return o.Class == class }); i >= 0 {
 			out[i].KV += kv
 			continue
--- a/forward/shedding.go
+++ b/forward/shedding.go
@@ -121,7 +121,7 @@
 	d.share = sh.shares.Multiple(class, r.workspaceName(), d.fraction, now)
 	d.admitted = sh.gate.Admit(class, d.share, now)
 	if !d.admitted {
-		d.after = sh.returns.Next(class, d.fraction*sh.meter.Rate(class, now), boottime.Until(r.deadline)/maxReturnDivisor, now)
+		d.after = r.nextReturn(sh, &d, now)
 	}
 	r.reserve = sh.state.Reserve(class)
 	return d
@@ -141,7 +141,7 @@
 	}
 	d := shedDecision{class: r.urgency(), share: 1}
 	d.fraction = sh.gate.Fraction(d.class)
-	d.after = sh.returns.Next(d.class, d.fraction*sh.meter.Rate(d.class, now), boottime.Until(r.deadline)/maxReturnDivisor, now)
+	d.after = r.nextReturn(sh, &d, now)
 	s.mu.Unlock()
 	if r.preview == nil {
 		r.logShed(&d)
@@ -160,6 +160,11 @@
 // third. Callers ignore a longer Retry-After.
 const maxReturnDivisor = 3
 
+// nextReturn returns after which time the caller of this refused request should return.
+func (r *run) nextReturn(sh *shedder, d *shedDecision, now time.Time) time.Duration {
+	return sh.returns.Next(d.class, d.fraction*sh.meter.Rate(d.class, now), boottime.Until(r.deadline)/maxReturnDivisor, now)
+}
+
 func (r *run) workspaceName() string {
 	if r.req.Workspace == nil {
 		return ""
