forward: demands of other daemons can change between two reports of loads

Demands were replaced with the loads alone, every 0.8 s or later. SetDemands replaces them in between and keeps the number of daemons that they include, by which they are scaled. It does not prolong the validity of the loads.

--- a/forward/loads.go
+++ b/forward/loads.go
@@ -19,8 +19,9 @@
 
 	others        map[string]otherLoad // by backend server ID, sum over the other daemons
 	othersAt      time.Time            // when the loads were received
-	othersDemands []relay.Demand       // sum over the other daemons
 	othersDaemons int                  // number of daemons in the sum
+	othersDemands []relay.Demand       // sum over the other daemons
+	demandDaemons int                  // number of daemons in othersDemands
 	othersAge     time.Duration        // age of the loads when they were received
 	othersTTL     time.Duration        // time for which the loads are used
 	conditions    *conditions
@@ -139,10 +140,16 @@
 // unknown, they are assumed to be as busy as this daemon. Daemons whose loads were not received
 // are assumed to be like the others.
 func (l *Loads) factors(daemons float64, now time.Time) (own, others float64) {
+	return l.factorsOf(l.othersDaemons, daemons, now)
+}
+
+// factorsOf returns the factors if the others' loads, or demands, include the given number of
+// daemons; l.mu must be held.
+func (l *Loads) factorsOf(included int, daemons float64, now time.Time) (own, others float64) {
 	if now.Sub(l.othersAt) > l.othersTTL {
 		return min(daemons, maxAssumedDaemons), 0
 	}
-	return 1, max(1, daemons/float64(1+l.othersDaemons))
+	return 1, max(1, daemons/float64(1+included))
 }
 
 // othersLoadAge returns the approximate age of the other daemons' loads, 0 if they are
@@ -177,7 +184,7 @@
 func (l *Loads) demands(service uint32, own []shedding.Demand, daemons float64, now time.Time) []shedding.Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ownFactor, othersFactor := l.factors(daemons, now)
+	ownFactor, othersFactor := l.factorsOf(l.demandDaemons, daemons, now)
 	out := slices.Clone(own)
 	for i := range out {
 		out[i].KV *= ownFactor
@@ -210,11 +217,23 @@
 	l.onAge(others.Age)
 }
 
+// SetDemands implements relay.LoadExchange: it sets the demands of the other daemons. They are
+// used for as long as the loads last received are valid.
+func (l *Loads) SetDemands(demands []relay.Demand, daemons int) {
+	if daemons == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.othersDemands, l.demandDaemons = demands, daemons
+}
+
 // forgetOthers drops the loads of other daemons and the conditions of backend servers,
 // which are outdated after a suspension of the VM.
 func (l *Loads) forgetOthers() {
 	l.mu.Lock()
-	l.others, l.othersDemands, l.othersAt, l.othersDaemons = nil, nil, time.Time{}, 0
+	l.others, l.othersAt, l.othersDaemons = nil, time.Time{}, 0
+	l.othersDemands, l.demandDaemons = nil, 0
 	l.mu.Unlock()
 	l.SetConditions(map[string]relay.Condition{})
 }
@@ -228,7 +247,8 @@
 	if time.Since(l.othersAt) < l.othersTTL {
 		smooth(byServer, l.others, float64(1+others.Daemons)/float64(1+l.othersDaemons))
 	}
-	l.others, l.othersDemands, l.othersAt, l.othersDaemons, l.othersAge = byServer, others.Demands, time.Now(), others.Daemons, others.Age
+	l.others, l.othersAt, l.othersDaemons, l.othersAge = byServer, time.Now(), others.Daemons, others.Age
+	l.othersDemands, l.demandDaemons = others.Demands, others.Daemons
 	l.othersTTL = max(minOthersTTL, others.ValidFor)
 }
 
--- a/forward/loads_test.go
+++ b/forward/loads_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/relay"
+	"github.com/snowspoke/snowspoke/shedding"
 )
 
 // The smoothed load of the other daemons must reach what they report, and end once they
@@ -53,3 +55,36 @@
 		}
 	}
 }
+
+// Demands arrive more often than loads. They must replace those of the other daemons, be scaled by
+// their own number of daemons, and expire with the loads: without loads the usage is unknown.
+func TestDemandsAreReplacedBetweenLoads(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		const daemons = 10
+		l := NewLoads()
+		own := []shedding.Demand{{Class: 10, KV: 1000}}
+		demand := func(class uint8, kv float64) relay.Demand {
+			return relay.Demand{DemandKey: relay.DemandKey{Service: 1, Class: class}, KV: kv}
+		}
+		demands := func() []shedding.Demand { return l.demands(1, own, daemons, time.Now()) }
+		assumed := []shedding.Demand{{Class: 10, KV: maxAssumedDaemons * 1000}}
+
+		l.SetDemands([]relay.Demand{demand(10, 9000)}, 9)
+		require.Equal(t, assumed, demands(), "no loads are known")
+		l.SetOthers(relay.Loads{Daemons: 9, Demands: []relay.Demand{demand(10, 9000)}})
+		require.Equal(t, []shedding.Demand{{Class: 10, KV: 10_000}}, demands())
+		l.SetDemands([]relay.Demand{demand(10, 18_000), demand(20, 5000)}, 9)
+		require.Equal(t, []shedding.Demand{{Class: 10, KV: 19_000}, {Class: 20, KV: 5000}}, demands())
+		l.SetDemands([]relay.Demand{demand(10, 4000)}, 4)
+		require.Equal(t, []shedding.Demand{{Class: 10, KV: 9000}}, demands(), "half of the fleet counts twice")
+		l.SetDemands(nil, 0)
+		require.Equal(t, []shedding.Demand{{Class: 10, KV: 9000}}, demands(), "demands of no daemon are no demands")
+
+		time.Sleep(minOthersTTL - time.Second)
+		l.SetDemands([]relay.Demand{demand(10, 7000)}, 9)
+		require.Equal(t, []shedding.Demand{{Class: 10, KV: 8000}}, demands())
+		require.Equal(t, minOthersTTL-time.Second, l.othersLoadAge(time.Now()), "the age is that of the loads")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, assumed, demands(), "demands do not prolong the validity")
+	})
+}
