relay: send changes of demands between the loads

Demands were sent with the loads alone, every 0.8 s or later, and a change at all of 300 daemons in 3 domains took up to 5.5 s to reach all of them. The bound is 1.5 s.

Pings, pongs and exchanges between domains without loads now carry the entries that have changed, at most 4. With these alone the change took 2.1 s, so both ends of a link between a follower and its source also send changes every 100 ms, in a frame of their own. Earlier versions ignore it. A frame with loads replaces all entries as before.

Each direction of a link has a rate in bytes per second for demands. Without it, 24 entries that change continuously took 8.7 KB/s at the busiest of 300 daemons, and 3.6 KB/s if changes were sent at the times of pings alone; the bound is 3 KB/s. While the link has spare bytes, changes of more than a fortieth are sent instead of a tenth, as the errors of several links add up.

An answer without loads from the source of another domain no longer replaces its loads by none.

TestDemandTrafficIsBounded now also counts the changes, and has cases in which the sums of all classes change continuously. The KV of a Demand is a rate.

--- a/relay/age_test.go
+++ b/relay/age_test.go
@@ -21,6 +21,7 @@
 	now   time.Time
 	paths [][]string // that requests may take
 	all   []*modelDaemon
+	step  func() // called at each step; may be nil
 }
 
 // modelRequest passes through the backend servers of its path.
@@ -38,10 +39,14 @@
 	requests       []modelRequest
 	parent         *modelDaemon // nil for a source
 	next           time.Time    // of the next exchange
+	reportedAt     time.Time    // when this daemon reported loads last
+	answeredAt     time.Time    // when the parent sent loads last
 	answerDueAt    time.Time    // when the parent sends loads next
 	reporter       loadReporter // at this daemon
+	demands        demandSender // at this daemon
 	parentReceiver loadReceiver
 	parentReporter loadReporter
+	parentDemands  demandSender
 	receiver       loadReceiver // at this daemon
 	toPeer         map[*modelDaemon]*peerLink
 	bytes          int
@@ -51,7 +56,9 @@
 // peerLink is one direction of a link between two sources.
 type peerLink struct {
 	reporter loadReporter
+	demands  demandSender
 	receiver loadReceiver
+	at       time.Time // when loads were sent last
 }
 
 const modelDomains = 5
@@ -81,7 +88,8 @@
 			inv := newFakeInventory(&fakeStore{})
 			inv.state = state
 			o := Options{Name: daemonName(len(f.all)), Domain: string(rune('a' + d))}
-			daemon := &modelDaemon{node: New(o, inv, inv, memberList{}, log.NewNopLogger()), inv: inv, requests: make([]modelRequest, size.requests), toPeer: map[*modelDaemon]*peerLink{}}
+			daemon := &modelDaemon{node: New(o, inv, inv, memberList{}, log.NewNopLogger()), inv: inv, requests: make([]modelRequest, size.requests), toPeer: map[*modelDaemon]*peerLink{},
+				demands: demandSender{rate: followerDemandRate}, parentDemands: demandSender{rate: followerDemandRate}}
 			daemon.next = f.now.Add(time.Duration(f.rng.Int64N(int64(minLoadsInterval))))
 			if i > 0 {
 				daemon.parent = f.all[first+(i-1)/defaultFanOut]
@@ -113,9 +121,13 @@
 }
 
 func (f *fleetModel) run(length time.Duration) {
-	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
+	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(demandInterval) {
+		if f.step != nil {
+			f.step()
+		}
 		for _, d := range f.all {
 			if f.now.Before(d.next) {
+				f.exchangeDemands(d)
 				continue
 			}
 			f.newLoads(d)
@@ -148,13 +160,15 @@
 func (d *modelDaemon) exchange(now time.Time) int {
 	n, source := d.node, d.parent.node
 	below := n.subtreeLoads(now)
-	p := &ping{Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: true, Loads: d.reporter.changes(below.Items), Daemons: below.Daemons, LoadsAge: below.Age, Demands: packDemands(below.Demands)}
+	p := &ping{Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: true, Loads: d.reporter.changes(below.Items), Daemons: below.Daemons, LoadsAge: below.Age, Demands: d.demands.all(below.Demands, now)}
+	d.reportedAt = now
 	source.followerLoads.put(n.opts.Name, loadReport{at: now, ttl: loadTTL(len(p.Loads)), domain: n.opts.Domain, loads: p.report(&d.parentReceiver, source.serverNames())})
 	a := &pong{}
 	if !now.Before(d.answerDueAt) {
 		others := source.loadsFor(n.opts.Name, true, now)
 		a.Loads, a.Daemons, a.LoadsAge = d.parentReporter.changes(others.Items), others.Daemons, others.Age
-		a.Demands = packDemands(others.Demands)
+		a.Demands = d.parentDemands.all(others.Demands, now)
+		d.answeredAt = now
 		d.answerDueAt = loadsDue(now, len(a.Loads))
 		n.sourceLoads.put(sourceKey, loadReport{at: now, ttl: loadTTL(max(len(p.Loads), len(a.Loads))), loads: a.report(&d.receiver, n.serverNames())})
 		n.updateOthers(now)
@@ -170,6 +184,56 @@
 	return changes
 }
 
+// exchangeDemands sends the changes of demands on the links of a daemon to its parent, or to the
+// sources of the other domains.
+func (f *fleetModel) exchangeDemands(d *modelDaemon) {
+	n, now := d.node, f.now
+	if d.parent == nil {
+		if now.Sub(time.Unix(1000, 0))%exchangeInterval == 0 {
+			f.queryDemands(d)
+		}
+		return
+	}
+	source := d.parent.node
+	if up := d.demands.changes(n.subtreeDemands, now); len(up) > 0 {
+		source.followerLoads.setDemands(n.opts.Name, d.reportedAt, d.parentReceiver.changedDemands(up))
+		countDemandFrame(up, d, d.parent)
+	}
+	others := func(now time.Time) []Demand { return source.demandsFor(n.opts.Name, true, now) }
+	if down := d.parentDemands.changes(others, now); len(down) > 0 {
+		n.sourceLoads.setDemands(sourceKey, d.answeredAt, d.receiver.changedDemands(down))
+		countDemandFrame(down, d, d.parent)
+	}
+}
+
+// webSocketHeader is the size of the header of a short WebSocket frame from a client.
+const webSocketHeader = 6
+
+// countDemandFrame counts a frame of its own at both ends of a link. Some of the changes would
+// travel with pings and pongs, which takes less.
+func countDemandFrame(p packedDemands, ends ...*modelDaemon) {
+	for _, end := range ends {
+		size := webSocketHeader + frameSize(&frame{Demands: p})
+		end.bytes += size
+		end.demandBytes += size
+	}
+}
+
+// queryDemands queries the other sources for the changed demands of their domains.
+func (f *fleetModel) queryDemands(d *modelDaemon) {
+	for _, o := range f.all {
+		link := o.toPeer[d]
+		if link == nil {
+			continue
+		}
+		demands := func(now time.Time) []Demand { return o.node.demandsFor(d.node.opts.Name, false, now) }
+		if changes := link.demands.changes(demands, f.now); len(changes) > 0 {
+			d.node.domainLoads.setDemands(o.node.opts.Domain, link.at, link.receiver.changedDemands(changes))
+			countDemandFrame(changes, d, o)
+		}
+	}
+}
+
 // querySources queries the other sources for the loads of their domains. It returns the
 // number of changed loads in the longest answer.
 func (f *fleetModel) querySources(d *modelDaemon) (changes int) {
@@ -179,11 +243,12 @@
 			continue
 		}
 		if o.toPeer[d] == nil {
-			o.toPeer[d] = &peerLink{}
+			o.toPeer[d] = &peerLink{demands: demandSender{rate: domainDemandRate}}
 		}
 		link := o.toPeer[d]
 		loads := o.node.loadsFor(d.node.opts.Name, false, f.now)
-		a := &pong{Loads: link.reporter.changes(loads.Items), Daemons: loads.Daemons, LoadsAge: loads.Age, Demands: packDemands(loads.Demands)}
+		a := &pong{Loads: link.reporter.changes(loads.Items), Daemons: loads.Daemons, LoadsAge: loads.Age, Demands: link.demands.all(loads.Demands, f.now)}
+		link.at = f.now
 		links[o.node.opts.Domain] = &domainLink{loads: loadReport{at: f.now, domain: o.node.opts.Domain, loads: a.report(&link.receiver, d.node.serverNames())}}
 		changes = max(changes, len(a.Loads))
 		size := frameSize(&frame{Pong: a})
--- a/relay/demand_test.go
+++ b/relay/demand_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/snowspoke/snowspoke/inventory"
 )
@@ -40,7 +42,7 @@
 func (f *fakeInventory) othersDemands() ([]Demand, int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.demands, f.daemons
+	return f.demands, f.demandDaemons
 }
 
 // demandOf returns the demands of a daemon of a test fleet: one at a service that all
@@ -191,7 +193,7 @@
 // While a fleet is updated, frames of both versions must be accepted by both.
 func TestDemandsAreOptional(t *testing.T) {
 	loads := []packedLoad{{Server: 1, Running: 2, Heads: 1, KV: 3}}
-	demands := packDemands([]Demand{{DemandKey{1, 10}, 5000}})
+	demands := new(demandReporter).all([]Demand{{DemandKey{1, 10}, 5000}})
 
 	data, err := cbor.Marshal(&legacyFrame{Ping: &legacyPing{Number: 1, Loads: loads, HasLoads: true, Daemons: 3}, Pong: &legacyPong{Loads: loads, Daemons: 4}})
 	require.NoError(t, err)
@@ -271,7 +273,7 @@
 	}
 	rand.New(rand.NewPCG(1, 1)).Shuffle(len(demands), func(i, j int) { demands[i], demands[j] = demands[j], demands[i] })
 	before := slices.Clone(demands)
-	packed := packDemands(demands)
+	packed := new(demandReporter).all(demands)
 	require.Equal(t, before, demands, "the argument is not changed")
 	got, refused := unpackDemands(packed)
 	require.Len(t, got, maxDemands)
@@ -292,11 +294,11 @@
 	for i := range 40 {
 		demands = append(demands, Demand{DemandKey{uint32(i % 4), uint8(i)}, 5000})
 	}
-	first := packDemands(demands)
+	first := new(demandReporter).all(demands)
 	random := rand.New(rand.NewPCG(1, 2))
 	for range 20 {
 		random.Shuffle(len(demands), func(i, j int) { demands[i], demands[j] = demands[j], demands[i] })
-		require.Equal(t, first, packDemands(demands))
+		require.Equal(t, first, new(demandReporter).all(demands))
 	}
 }
 
@@ -305,7 +307,7 @@
 		{0, 0}, {-5, 0}, {499, 0}, {501, 1000}, {1499, 1000}, {1501, 2000}, {123_456_789, 123_457_000},
 		{1e12, 1e12}, {1e15, 1e12}, {math.Inf(1), 1e12}, {math.Inf(-1), 0}, {math.NaN(), 0},
 	} {
-		got, refused := unpackDemands(packDemands([]Demand{{DemandKey{1, 10}, c.kv}}))
+		got, refused := unpackDemands(new(demandReporter).all([]Demand{{DemandKey{1, 10}, c.kv}}))
 		require.Zero(t, refused, "%v", c.kv)
 		if c.want == 0 {
 			require.Empty(t, got, "%v", c.kv)
@@ -315,6 +317,257 @@
 	}
 }
 
+// A source of an earlier version sends demands with loads alone, and ignores frames that it does
+// not know. The demands must stay between two frames with loads, and the link must not end.
+func TestLegacySourceKeepsDemands(t *testing.T) {
+	t.Parallel()
+	demands := rawDemand(1, 10, 5)
+	answered := make(chan bool, 100) // whether an answer had loads
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.CloseNow() }()
+		full := &frame{Update: &update{Config: []byte("1"), Servers: map[string]inventory.Entry{"s": {At: 1}}, Full: true}}
+		if writeFrame(r.Context(), c, full) != nil {
+			return
+		}
+		for {
+			_, data, err := c.Read(r.Context())
+			if err != nil {
+				return
+			}
+			var f legacyFrame
+			if err := cbor.Unmarshal(data, &f); err != nil {
+				t.Errorf("a daemon of an earlier version cannot read the frame: %s", err)
+				return
+			}
+			if f.Ping == nil {
+				continue
+			}
+			answer := &pong{Number: f.Ping.Number, Version: 1}
+			if f.Ping.HasLoads {
+				answer.Daemons, answer.Demands = 1, demands
+			}
+			if writeFrame(r.Context(), c, &frame{Pong: answer}) != nil {
+				return
+			}
+			answered <- f.Ping.HasLoads
+		}
+	}))
+	t.Cleanup(server.Close)
+	source := Member{Name: daemonName(0), Domain: "d", Address: server.Listener.Addr().String()}
+	inv := newFakeInventory(&fakeStore{version: 1})
+	n := New(Options{Name: daemonName(1), Domain: "d"}, inv, inv, memberList{source}, log.NewNopLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := n.session(ctx, source, nil)
+		ended <- err
+	}()
+	for withLoads, without := 0, 0; withLoads < 2 || without < 3; {
+		select {
+		case hasLoads := <-answered:
+			if hasLoads {
+				withLoads++
+			} else {
+				without++
+			}
+			inv.setOwnDemands(Demand{DemandKey{1, 10}, float64(1+withLoads+without) * 1e6})
+		case err := <-ended:
+			require.Failf(t, "the link has ended", "%v", err)
+		}
+		require.Eventually(t, func() bool {
+			got, daemons := inv.othersDemands()
+			return daemons == 1 && slices.Equal(got, []Demand{{DemandKey{1, 10}, 5000}})
+		}, time.Second, time.Millisecond)
+	}
+}
+
+// Frames between those with loads must change single demands only, and in an earlier version
+// neither the loads nor the demands.
+func TestFramesWithoutLoadsChangeDemands(t *testing.T) {
+	r := loadReceiver{}
+	require.Empty(t, r.changedDemands(rawDemand(1, 10, 5)), "changes before the first frame with all")
+	r.allDemands(slices.Concat(rawDemand(1, 10, 5), rawDemand(1, 20, 7)))
+	require.Len(t, r.changedDemands(nil), 2, "a daemon of an earlier version sends no changes")
+	got := demandsByKey(t, r.changedDemands(slices.Concat(rawDemand(1, 10, 0), rawDemand(2, 10, 9))))
+	require.Equal(t, map[DemandKey]float64{{1, 20}: 7000, {2, 10}: 9000}, got)
+
+	for _, f := range []*frame{{Demands: rawDemand(1, 10, 5)}, {Pong: &pong{Number: 3, Demands: rawDemand(1, 10, 5)}}, {Ping: &ping{Number: 3, Demands: rawDemand(1, 10, 5)}}} {
+		data, err := cbor.Marshal(f)
+		require.NoError(t, err)
+		var legacy legacyFrame
+		require.NoError(t, cbor.Unmarshal(data, &legacy))
+		if legacy.Pong != nil {
+			require.Equal(t, legacyPong{Number: 3}, *legacy.Pong)
+		}
+		if legacy.Ping != nil {
+			require.Equal(t, legacyPing{Number: 3}, *legacy.Ping)
+		}
+	}
+}
+
+// Changes must not prolong the validity of a report, nor change the report of a newer link.
+func TestChangedDemandsExpireWithTheLoads(t *testing.T) {
+	key := DemandKey{1, 10}
+	table := newLoadTable()
+	at := time.Unix(1000, 0)
+	sum := func(after time.Duration) map[DemandKey]float64 {
+		s := newDemandSum()
+		table.addTo(s, "", allDomains, at.Add(after))
+		return demandsByKey(t, s.loads().Demands)
+	}
+	require.False(t, table.setDemands("a", at, []Demand{{key, 9}}), "no report")
+	table.put("a", loadReport{at: at, ttl: time.Second, loads: Loads{Demands: []Demand{{key, 5}}, Daemons: 1}})
+	require.False(t, table.setDemands("a", at.Add(-time.Second), []Demand{{key, 9}}), "report of an earlier link")
+	require.Equal(t, map[DemandKey]float64{key: 5}, sum(0))
+	require.True(t, table.setDemands("a", at, []Demand{{key, 9}}))
+	require.Equal(t, map[DemandKey]float64{key: 9}, sum(900*time.Millisecond))
+	require.Empty(t, sum(1100*time.Millisecond))
+	require.False(t, table.setDemands("a", at, []Demand{{key, 9}}), "expired")
+}
+
+// Changes must not be sent beyond the rate of a link, and again once the rate permits them. Frames
+// that hold all demands count towards the rate.
+func TestDemandRate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	units := 1000.0
+	changing := func(time.Time) []Demand {
+		units *= 2
+		if units > 1e8 {
+			units = 1000
+		}
+		return []Demand{{DemandKey{1, 10}, units * demandUnit}, {DemandKey{1, 20}, units * demandUnit}}
+	}
+	s := demandSender{rate: followerDemandRate}
+	require.Empty(t, s.changes(changing, now), "all demands are sent first")
+	bytes, end := demandFrameOverhead+len(s.all(changing(now), now)), now.Add(20*time.Second)
+	for began := now; now.Before(end); now = now.Add(demandInterval) {
+		if changes := s.changes(changing, now); len(changes) > 0 {
+			bytes += demandFrameOverhead + len(changes)
+		}
+		most := maxDemandBurst + followerDemandRate*now.Sub(began).Seconds()
+		require.LessOrEqual(t, float64(bytes), most, "after %s", now.Sub(began))
+		require.Greater(t, float64(bytes), most-maxDemandBurst-demandFrameOverhead-2*demandSize, "the rate is used, after %s", now.Sub(began))
+	}
+	for range 3 {
+		s.all(changing(now), now)
+	}
+	require.Negative(t, s.spare)
+	require.Empty(t, s.changes(changing, now))
+	require.NotEmpty(t, s.changes(changing, now.Add(time.Second)))
+}
+
+// The entries of a frame with changes must be those that differ most, beyond the minimum.
+func TestDemandChanges(t *testing.T) {
+	demand := func(class uint8, units float64) Demand { return Demand{DemandKey{1, class}, units * demandUnit} }
+	entries := func(units ...uint32) (out packedDemands) { // class, units
+		for i := 0; i < len(units); i += 2 {
+			out = append(out, rawDemand(1, uint8(units[i]), units[i+1])...)
+		}
+		return out
+	}
+	sent := []Demand{demand(1, 1000), demand(2, 500), demand(3, 100), demand(4, 50), demand(5, 20)}
+	for name, c := range map[string]struct {
+		now  []Demand
+		want packedDemands
+	}{
+		"unchanged":           {sent, nil},
+		"a tenth":             {[]Demand{demand(1, 1100), demand(2, 450), demand(3, 110), demand(4, 45), demand(5, 22)}, nil},
+		"more than a tenth":   {[]Demand{demand(1, 1101), demand(2, 449), demand(3, 100), demand(4, 50), demand(5, 20)}, entries(1, 1101, 2, 449)},
+		"descending":          {[]Demand{demand(1, 1200), demand(2, 800), demand(3, 900), demand(4, 50), demand(5, 20)}, entries(3, 900, 2, 800, 1, 1200)},
+		"ended":               {[]Demand{demand(1, 1000), demand(3, 100), demand(4, 50), demand(5, 20)}, entries(2, 0)},
+		"less than a unit":    {[]Demand{demand(1, 1000), demand(2, 500), demand(3, 100), demand(4, 50), demand(5, 0.4)}, entries(5, 0)},
+		"new":                 {append(slices.Clone(sent), demand(6, 1)), entries(6, 1)},
+		"more than the limit": {nil, entries(1, 0, 2, 0, 3, 0, 4, 0)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := demandReporter{}
+			require.Empty(t, r.changes(c.now, maxChangedDemands, demandChangeDivisor), "changes of nothing")
+			r.all(sent)
+			require.Equal(t, c.want, r.changes(c.now, maxChangedDemands, demandChangeDivisor))
+			if len(c.want) < maxChangedDemands*demandSize {
+				require.Empty(t, r.changes(c.now, maxChangedDemands, demandChangeDivisor), "each change is sent once")
+			}
+		})
+	}
+}
+
+// A receiver must know the demands of the sender within a tenth, except for changes that the limit
+// of entries has not let through, which are smaller than those sent. A lost frame must be
+// corrected by the next one that holds all demands.
+func TestReceiverKnowsTheDemands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sender demandReporter
+		var receiver demandReceiver
+		demands := rapid.Custom(func(t *rapid.T) (out []Demand) {
+			for class := range rapid.IntRange(0, 30).Draw(t, "classes") {
+				if units := rapid.IntRange(-20, 60).Draw(t, "units"); units >= 0 {
+					out = append(out, Demand{DemandKey{uint32(class % 3), uint8(class)}, float64(units*units) * demandUnit})
+				}
+			}
+			return out
+		})
+		now, lost := []Demand(nil), false
+		for range rapid.IntRange(1, 40).Draw(t, "frames") {
+			if rapid.Bool().Draw(t, "change") {
+				now = demands.Draw(t, "demands")
+			}
+			if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
+				_, refused := receiver.replace(sender.all(now))
+				lost = false
+				if refused != 0 || len(receiver.known) != min(len(largest(now)), maxDemands) {
+					t.Fatalf("%d demands known, %d refused", len(receiver.known), refused)
+				}
+			} else {
+				frame := sender.changes(now, maxChangedDemands, demandChangeDivisor)
+				checkChanges(t, &sender, now, frame)
+				if rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
+					lost = lost || len(frame) > 0
+				} else if _, refused := receiver.change(frame); refused > 0 && !lost {
+					t.Fatalf("%d changes refused", refused)
+				}
+			}
+			if len(receiver.known) > maxLinkDemands {
+				t.Fatalf("%d demands known", len(receiver.known))
+			}
+			if !lost && !maps.EqualFunc(sender.sent, receiver.known, func(units uint32, kv float64) bool { return float64(units)*demandUnit == kv }) {
+				t.Fatalf("sent %v, known %v", sender.sent, receiver.known)
+			}
+		}
+	})
+}
+
+// checkChanges checks what the sender has not sent after a frame with changes.
+func checkChanges(t *rapid.T, sender *demandReporter, now []Demand, frame packedDemands) {
+	if len(frame) > maxChangedDemands*demandSize {
+		t.Fatalf("a frame of %d bytes", len(frame))
+	}
+	if sender.sent == nil {
+		return
+	}
+	if len(frame) == maxChangedDemands*demandSize {
+		return
+	}
+	pending := maps.Clone(sender.sent)
+	for rank, d := range largest(now) {
+		sent, known := sender.sent[d.DemandKey]
+		delete(pending, d.DemandKey)
+		if !known && (rank >= maxDemands || len(sender.sent) >= maxLinkDemands-maxChangedDemands) {
+			continue
+		}
+		if difference := max(d.units, sent) - min(d.units, sent); difference > sent/demandChangeDivisor {
+			t.Fatalf("%v is %d, sent %d, and the frame has room", d.DemandKey, d.units, sent)
+		}
+	}
+	if len(pending) > 0 {
+		t.Fatalf("%v have ended, and the frame has room", pending)
+	}
+}
+
 // serveInvalidDemands is a source whose demands are partly out of range.
 func serveInvalidDemands(w http.ResponseWriter, r *http.Request) {
 	c, err := websocket.Accept(w, r, nil)
@@ -367,27 +620,39 @@
 	require.Empty(t, ended, "the link has ended")
 }
 
-// Demands must add at most 3 KB/s to the traffic of any daemon, also with the most entries.
+// Demands must add at most 3 KB/s to the traffic of any daemon, also with the most entries, and
+// also if all of them change by more than a tenth between two frames.
 func TestDemandTrafficIsBounded(t *testing.T) {
-	const length = 30 * time.Second
 	fleets := map[string]modelSize{
 		"many servers":      smallFleet(300),
 		"shortest interval": {daemons: 300, servers: 30, requests: 2, paths: 20, hops: 5},
 	}
 	for name, size := range fleets {
-		for _, entries := range []int{3, 6, 2 * maxDemands} {
-			t.Run(fmt.Sprintf("%s/entries=%d", name, entries), func(t *testing.T) {
+		for _, c := range []struct {
+			entries int
+			changes bool
+		}{{3, false}, {6, false}, {2 * maxDemands, false}, {3, true}, {2 * maxDemands, true}} {
+			t.Run(fmt.Sprintf("%s/entries=%d/changes=%t", name, c.entries, c.changes), func(t *testing.T) {
 				f := newFleetModel(size)
 				for _, d := range f.all {
-					for i := range entries {
+					for i := range c.entries {
 						key := DemandKey{ServiceHash(fmt.Sprint("service-", i%3)), uint8(i)}
 						d.inv.ownDemands = append(d.inv.ownDemands, Demand{key, 1e6 * (1 + f.rng.Float64())})
 					}
 				}
-				f.run(length)
-				var added []int
+				length := 30 * time.Second
+				if c.changes {
+					// The bytes that may be sent at once at the start are used up first.
+					f.step, length = f.swingDemands, 9*time.Second
+					f.run(3 * time.Second)
+				}
+				var before, added []int
 				for _, d := range f.all {
-					added = append(added, d.demandBytes)
+					before = append(before, d.demandBytes)
+				}
+				f.run(length)
+				for i, d := range f.all {
+					added = append(added, d.demandBytes-before[i])
 				}
 				slices.Sort(added)
 				median, busiest := float64(added[len(added)/2])/length.Seconds(), float64(added[len(added)-1])/length.Seconds()
@@ -397,3 +662,18 @@
 		}
 	}
 }
+
+// swingDemands changes the demands of all daemons alike, so that their sums change as much. Each
+// class rises and falls by 0.9 of its mean within three seconds.
+func (f *fleetModel) swingDemands() {
+	const period = 3 * time.Second
+	at := float64(f.now.UnixNano()%int64(period)) / float64(period)
+	for _, d := range f.all {
+		swung := make([]Demand, 0, len(d.inv.ownDemands))
+		for i, own := range d.inv.ownDemands {
+			phase := 2 * math.Pi * (at + 0.37*float64(i))
+			swung = append(swung, Demand{own.DemandKey, 1e6 * (1 + 0.9*math.Sin(phase))})
+		}
+		d.inv.ownDemands = swung
+	}
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -17,10 +17,10 @@
 const exchangeFactor = 2
 
 // exchangeInterval is the interval at which the sources of domains exchange suspects,
-// conditions and crashes. Loads are exchanged less often.
+// conditions, crashes and changes of demands. Loads are exchanged less often.
 const exchangeInterval = 500 * time.Millisecond
 
-// exchangeLoads exchanges loads, suspects, conditions and crashes with the sources of the
+// exchangeLoads exchanges loads, demands, suspects, conditions and crashes with the sources of the
 // other domains while this daemon follows the store. The source of a domain is usually its
 // first daemon; while that does not follow the store, the other heads are tried in turn.
 func (n *Node) exchangeLoads(ctx context.Context) {
@@ -97,9 +97,11 @@
 		n.dropDomain(domain)
 		return false
 	}
-	if withLoads {
+	if answer.Daemons > 0 {
 		l.loads = loadReport{at: boottime.Now(), domain: domain, loads: answer.report(&l.received, n.serverNames())}
 		l.loadChanges = len(answer.Loads)
+	} else {
+		n.applyDomainDemands(domain, l, answer.Demands)
 	}
 	n.opts.Quarantine.MergePacked(answer.Crashes, time.Now())
 	n.noteDomainListed(domain, answer.ListedAt)
@@ -109,6 +111,17 @@
 	return true
 }
 
+// applyDomainDemands applies changes of demands received from the source of another domain.
+func (n *Node) applyDomainDemands(domain string, l *domainLink, changes packedDemands) {
+	if len(changes) == 0 {
+		return
+	}
+	l.loads.loads.Demands = l.received.changedDemands(changes)
+	if n.domainLoads.setDemands(domain, l.loads.at, l.loads.loads.Demands) {
+		n.updateDemands(boottime.Now())
+	}
+}
+
 // dropDomain drops the conditions and the outbox of a domain whose source cannot be
 // reached.
 func (n *Node) dropDomain(domain string) {
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -115,7 +115,8 @@
 
 // loadReceiver accumulates the changes received over one link.
 type loadReceiver struct {
-	loads map[uint32]packedLoad
+	loads   map[uint32]packedLoad
+	demands demandReceiver
 	// refused is called with the number of loads dropped as invalid; may be nil.
 	refused func(n int)
 }
@@ -138,19 +139,28 @@
 		}
 		r.loads[c.Server] = c
 	}
-	if invalid > 0 && r.refused != nil {
-		r.refused(invalid)
-	}
+	r.refuse(invalid)
 	return r.resolve(ids)
 }
 
-// demands returns the valid demands of a frame.
-func (r *loadReceiver) demands(packed packedDemands) []Demand {
-	out, invalid := unpackDemands(packed)
+// allDemands returns the valid demands of a frame that holds all.
+func (r *loadReceiver) allDemands(packed packedDemands) []Demand {
+	out, invalid := r.demands.replace(packed)
+	r.refuse(invalid)
+	return out
+}
+
+// changedDemands applies the demands of a frame that holds changes and returns all.
+func (r *loadReceiver) changedDemands(packed packedDemands) []Demand {
+	out, invalid := r.demands.change(packed)
+	r.refuse(invalid)
+	return out
+}
+
+func (r *loadReceiver) refuse(invalid int) {
 	if invalid > 0 && r.refused != nil {
 		r.refused(invalid)
 	}
-	return out
 }
 
 // resolve returns all loads by server ID. Loads of backend servers that are not in ids are
@@ -212,9 +222,9 @@
 	ValidFor time.Duration
 }
 
-// loadSum adds up loads.
+// loadSum adds up loads, or demands alone.
 type loadSum struct {
-	items    map[string]LoadItem
+	items    map[string]LoadItem // nil for demands alone
 	demands  map[DemandKey]float64
 	daemons  int
 	ages     time.Duration // summed over the daemons
@@ -225,11 +235,22 @@
 	return &loadSum{items: map[string]LoadItem{}, demands: map[DemandKey]float64{}}
 }
 
+func newDemandSum() *loadSum { return &loadSum{demands: map[DemandKey]float64{}} }
+
 // add adds loads that were received age ago.
 func (s *loadSum) add(l Loads, age time.Duration) {
 	s.daemons += l.Daemons
 	s.ages += time.Duration(l.Daemons) * (l.Age + age)
-	for _, i := range l.Items {
+	if s.items != nil {
+		s.addItems(l.Items)
+	}
+	for _, d := range l.Demands {
+		s.demands[d.DemandKey] += d.KV
+	}
+}
+
+func (s *loadSum) addItems(items []LoadItem) {
+	for _, i := range items {
 		total := s.items[i.Server]
 		total.Server = i.Server
 		total.Running += i.Running
@@ -237,14 +258,15 @@
 		total.KV += i.KV
 		s.items[i.Server] = total
 	}
-	for _, d := range l.Demands {
-		s.demands[d.DemandKey] += d.KV
-	}
 }
 
 // addOwn adds the loads of this daemon.
 func (s *loadSum) addOwn(own LoadExchange) {
-	s.add(Loads{Items: own.OwnLoads(), Demands: own.OwnDemands(), Daemons: 1}, 0)
+	l := Loads{Demands: own.OwnDemands(), Daemons: 1}
+	if s.items != nil {
+		l.Items = own.OwnLoads()
+	}
+	s.add(l, 0)
 }
 
 // loads returns the sum. Backend servers without requests are omitted.
@@ -273,6 +295,20 @@
 	l.reports[reporter] = r
 }
 
+// setDemands replaces the demands of the report received at the given time, and returns
+// whether there is one. Its validity stays, as the loads are as old as before.
+func (l *loadTable) setDemands(reporter string, at time.Time, demands []Demand) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.reports[reporter]
+	if !ok || !r.at.Equal(at) {
+		return false
+	}
+	r.loads.Demands = demands
+	l.reports[reporter] = r
+	return true
+}
+
 // drop removes the report received at the given time, after its link has ended. A later
 // report over a new link stays.
 func (l *loadTable) drop(reporter string, at time.Time) {
--- a/relay/node.go
+++ b/relay/node.go
@@ -68,6 +68,7 @@
 	servers       serverIndex
 	conditions    *conditionRegistry
 
+	othersMu   sync.Mutex // held while the loads of others are summed and passed on, so that the newest are passed last
 	passMu     sync.Mutex // held while conditions are passed on, so that the newest are passed last
 	unresolved bool       // the inventory lacked servers of the conditions passed last; guarded by passMu
 
--- a/relay/session.go
+++ b/relay/session.go
@@ -13,6 +13,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/snowspoke/snowspoke/boottime"
+	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/stall"
@@ -35,7 +36,7 @@
 	defer func() { _ = c.CloseNow() }()
 	s := &session{
 		node: n, otherDomain: m.Domain != n.opts.Domain, conn: c, sent: map[uint64]sentPing{}, probe: probe, cancel: cancel,
-		received: loadReceiver{refused: n.loadExchange.RefuseLoads},
+		received: loadReceiver{refused: n.loadExchange.RefuseLoads}, demands: demandSender{rate: followerDemandRate},
 	}
 	s.silenceTimer = n.opts.Stalls.AfterFunc(silenceTimeout, func() { cancel(errSilent) })
 	defer s.silenceTimer.Stop()
@@ -45,6 +46,7 @@
 	}
 	go s.pings(ctx)
 	if probe == nil {
+		go s.pushDemands(ctx)
 		go new(quarantine.Reporter).SendChanges(ctx, n.opts.Quarantine, sendCrashes(ctx, c))
 	}
 	err = s.read(ctx)
@@ -118,6 +120,7 @@
 
 	pingMu     sync.Mutex   // held while a ping is built and sent, so that changes of loads stay in order
 	reporter   loadReporter // loads sent to the source; guarded by pingMu
+	demands    demandSender // demands sent to the source; guarded by pingMu
 	loadsDueAt time.Time    // when they are sent next; guarded by pingMu
 
 	mu         sync.Mutex
@@ -162,13 +165,35 @@
 	if p.HasLoads {
 		loads := s.node.subtreeLoads(now)
 		p.Loads, p.Daemons, p.LoadsAge = s.reporter.changes(loads.Items), loads.Daemons, loads.Age
-		p.Demands = packDemands(loads.Demands)
+		p.Demands = s.demands.all(loads.Demands, now)
 		s.loadsDueAt = loadsDue(now, len(p.Loads))
+	} else {
+		p.Demands = s.demands.changes(s.node.subtreeDemands, now)
 	}
 	p.Number = s.noteSent(sentPing{at: now, loadChanges: len(p.Loads)})
 	return writeFrame(ctx, s.conn, &frame{Ping: p})
 }
 
+// pushDemands sends changes of demands to the source until the link ends.
+func (s *session) pushDemands(ctx context.Context) {
+	for wait.For(ctx, demandInterval) {
+		if err := s.sendDemands(ctx); err != nil {
+			s.cancel(err)
+			return
+		}
+	}
+}
+
+func (s *session) sendDemands(ctx context.Context) error {
+	s.pingMu.Lock()
+	defer s.pingMu.Unlock()
+	changes := s.demands.changes(s.node.subtreeDemands, boottime.Now())
+	if len(changes) == 0 {
+		return nil
+	}
+	return writeFrame(ctx, s.conn, &frame{Demands: changes})
+}
+
 // noteSent records a ping and returns its number.
 func (s *session) noteSent(p sentPing) (number uint64) {
 	s.mu.Lock()
@@ -209,6 +234,8 @@
 			s.node.applyConditions(sourceKey, f.Conditions.Known)
 		case f.Members != nil && s.probe == nil:
 			s.applyMembers(f.Members)
+		case f.Demands != nil && s.probe == nil:
+			s.applyDemands(f.Demands)
 		case f.Crashes != nil:
 			s.node.opts.Quarantine.MergePacked(f.Crashes, time.Now())
 		case f.Pong != nil:
@@ -255,6 +282,17 @@
 	s.node.updateOthers(boottime.Now())
 }
 
+// applyDemands applies changes of demands received from the source.
+func (s *session) applyDemands(changes packedDemands) {
+	if len(changes) == 0 {
+		return
+	}
+	s.loads.loads.Demands = s.received.changedDemands(changes)
+	if s.node.sourceLoads.setDemands(sourceKey, s.loads.at, s.loads.loads.Demands) {
+		s.node.updateDemands(boottime.Now())
+	}
+}
+
 // pong handles the answer to a ping. The reported freshness counts from when the ping was
 // sent. Loads are applied before setUpstream makes this daemon a source, so that its
 // followers receive them.
@@ -279,6 +317,8 @@
 	if p.Daemons > 0 {
 		ttl := loadTTL(max(sent.loadChanges, len(p.Loads)))
 		s.applyLoads(loadReport{at: now, ttl: ttl, loads: p.report(&s.received, s.node.serverNames())})
+	} else {
+		s.applyDemands(p.Demands)
 	}
 	if s.complete {
 		s.node.setUpstream(ctx, &upstream{sinceContact: p.SinceContact, receivedAt: now, crossesDomains: p.CrossesDomains || s.otherDomain})
--- a/relay/source.go
+++ b/relay/source.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/snowspoke/snowspoke/boottime"
+	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/quarantine"
 )
@@ -45,6 +46,10 @@
 	OwnDemands() []Demand
 	// SetOthers sets the summed loads of the other daemons.
 	SetOthers(others Loads)
+	// SetDemands sets the summed demands of the other daemons, and the number of daemons in the
+	// sum. It is called when demands arrive between two calls of SetOthers, and does not prolong
+	// the validity of the loads.
+	SetDemands(demands []Demand, daemons int)
 	// RefuseLoads counts loads that were dropped as invalid.
 	RefuseLoads(n int)
 	// TakeSuspects returns the backend servers newly suspected to be slow since the last
@@ -89,12 +94,17 @@
 	ctx, cancel := context.WithCancel(n.sourceContext())
 	defer cancel()
 	if query.Has(probeParam) {
-		n.answerPings(ctx, c)
+		n.answerPings(ctx, &followerLink{conn: c, demands: demandSender{rate: domainDemandRate}})
 		return
 	}
+	link := &followerLink{conn: c, demands: demandSender{rate: followerDemandRate}}
 	go func() {
 		defer cancel()
-		n.answerPings(ctx, c)
+		n.answerPings(ctx, link)
+	}()
+	go func() {
+		defer cancel()
+		n.pushDemands(ctx, link, query.Get(nameParam), sameDomain)
 	}()
 	// Known crashes are sent first: the follower forwards requests once it has the state.
 	var crashes quarantine.Reporter
@@ -248,43 +258,91 @@
 	u.Config = now
 }
 
+// followerLink is the sending end of a link to a follower, a probe or the source of another
+// domain.
+type followerLink struct {
+	conn *websocket.Conn
+
+	mu         sync.Mutex // held while loads or demands are built and sent, so that changes stay in order
+	loads      loadReporter
+	demands    demandSender
+	loadsDueAt time.Time
+}
+
+// pushDemands sends changes of demands to a follower until the link ends.
+func (n *Node) pushDemands(ctx context.Context, link *followerLink, follower string, sameDomain bool) {
+	demands := func(now time.Time) []Demand { return n.demandsFor(follower, sameDomain, now) }
+	for wait.For(ctx, demandInterval) {
+		if link.sendDemands(ctx, demands) != nil {
+			return // the link has ended
+		}
+	}
+}
+
+func (l *followerLink) sendDemands(ctx context.Context, demands func(now time.Time) []Demand) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changes := l.demands.changes(demands, boottime.Now())
+	if len(changes) == 0 {
+		return nil
+	}
+	return writeFrame(ctx, l.conn, &frame{Demands: changes})
+}
+
+// answer sends the answer to a ping, with the loads and demands that are due.
+func (l *followerLink) answer(ctx context.Context, n *Node, p *ping, a *pong, now time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sameDomain := n.ownDomain(p.Domain)
+	if p.HasLoads && !now.Before(l.loadsDueAt) {
+		loads := n.loadsFor(p.Sender, sameDomain, now)
+		a.Loads, a.Daemons, a.LoadsAge = l.loads.changes(loads.Items), loads.Daemons, loads.Age
+		a.Demands = l.demands.all(loads.Demands, now)
+		l.loadsDueAt = loadsDue(now, len(a.Loads))
+	} else {
+		a.Demands = l.demands.changes(func(now time.Time) []Demand { return n.demandsFor(p.Sender, sameDomain, now) }, now)
+	}
+	return writeFrame(ctx, l.conn, &frame{Pong: a})
+}
+
 // answerPings answers the pings of a follower, a probe or the source of another domain
 // until the link ends.
-func (n *Node) answerPings(ctx context.Context, c *websocket.Conn) {
+func (n *Node) answerPings(ctx context.Context, link *followerLink) {
 	follower, reportedAt := "", time.Time{}
 	fromFollower := loadReceiver{refused: n.loadExchange.RefuseLoads}
-	var toFollower loadReporter
-	var loadsDueAt time.Time
 	var conditionsVersion uint64
 	var crashes quarantine.Reporter
 	defer func() { n.followerLoads.drop(follower, reportedAt) }()
 	for {
-		f, err := readFrame(ctx, c)
+		f, err := readFrame(ctx, link.conn)
 		if err != nil {
 			return // the link has ended
 		}
 		n.opts.Quarantine.MergePacked(f.Crashes, time.Now())
+		now := boottime.Now()
+		applyDemands := func(changes packedDemands) {
+			if len(changes) > 0 && n.followerLoads.setDemands(follower, reportedAt, fromFollower.changedDemands(changes)) {
+				n.updateDemands(now)
+			}
+		}
 		if f.Ping == nil {
+			applyDemands(f.Demands)
 			continue
 		}
-		now := boottime.Now()
 		p := f.Ping
 		sameDomain := p.Domain == n.opts.Domain
 		if p.HasLoads && !p.LoadsOnly {
 			follower, reportedAt = p.Sender, now
 			n.followerLoads.put(follower, loadReport{at: now, ttl: loadTTL(len(p.Loads)), domain: p.Domain, loads: p.report(&fromFollower, n.serverNames())})
+			n.updateDemands(now)
+		} else {
+			applyDemands(p.Demands)
 		}
 		sinceContact, ok := n.sinceContact(now)
 		if !ok || sinceContact >= contactTimeout(n.opts.MaxConfigDelay) {
 			return // closes the link, so that the follower leaves at once
 		}
 		answer := &pong{Number: p.Number, Age: n.inv.Age(now), SinceContact: sinceContact, Version: n.inv.State().ConfigVersion, CrossesDomains: n.crossesDomains()}
-		if p.HasLoads && !now.Before(loadsDueAt) {
-			loads := n.loadsFor(p.Sender, sameDomain, now)
-			answer.Loads, answer.Daemons, answer.LoadsAge = toFollower.changes(loads.Items), loads.Daemons, loads.Age
-			answer.Demands = packDemands(loads.Demands)
-			loadsDueAt = loadsDue(now, len(answer.Loads))
-		}
 		n.conditions.addSuspects(p.Suspects)
 		if !sameDomain {
 			conditionsVersion = n.addConditions(answer, conditionsVersion)
@@ -297,7 +355,7 @@
 		if p.RequestsConfig {
 			answer.Config = n.inv.State().Config
 		}
-		if err := writeFrame(ctx, c, &frame{Pong: answer}); err != nil {
+		if link.answer(ctx, n, p, answer, now) != nil {
 			return // the link has ended
 		}
 	}
@@ -319,14 +377,25 @@
 // except its own and those of its followers; the source of another domain receives the
 // loads of this domain.
 func (n *Node) loadsFor(sender string, sameDomain bool, now time.Time) Loads {
-	keep := func(domain string) bool { return sameDomain || domain == n.opts.Domain }
 	sum := newLoadSum()
+	n.sumFor(sum, sender, sameDomain, now)
+	return sum.loads()
+}
+
+// demandsFor returns the demands of the daemons whose loads loadsFor returns.
+func (n *Node) demandsFor(sender string, sameDomain bool, now time.Time) []Demand {
+	sum := newDemandSum()
+	n.sumFor(sum, sender, sameDomain, now)
+	return sum.loads().Demands
+}
+
+func (n *Node) sumFor(sum *loadSum, sender string, sameDomain bool, now time.Time) {
+	keep := func(domain string) bool { return sameDomain || domain == n.opts.Domain }
 	n.followerLoads.addTo(sum, sender, keep, now)
 	sum.addOwn(n.loadExchange)
 	if sameDomain {
 		n.outsideLoads().addTo(sum, "", allDomains, now)
 	}
-	return sum.loads()
 }
 
 func allDomains(string) bool { return true }
@@ -343,17 +412,43 @@
 // subtreeLoads returns the loads of this daemon and its followers.
 func (n *Node) subtreeLoads(now time.Time) Loads {
 	sum := newLoadSum()
+	n.sumSubtree(sum, now)
+	return sum.loads()
+}
+
+// subtreeDemands returns the demands of this daemon and its followers.
+func (n *Node) subtreeDemands(now time.Time) []Demand {
+	sum := newDemandSum()
+	n.sumSubtree(sum, now)
+	return sum.loads().Demands
+}
+
+func (n *Node) sumSubtree(sum *loadSum, now time.Time) {
 	n.followerLoads.addTo(sum, "", n.ownDomain, now)
 	sum.addOwn(n.loadExchange)
-	return sum.loads()
 }
 
 // updateOthers passes the loads of all other daemons to the LoadExchange.
 func (n *Node) updateOthers(now time.Time) {
+	n.othersMu.Lock()
+	defer n.othersMu.Unlock()
 	sum := newLoadSum()
+	n.sumOthers(sum, now)
+	n.loadExchange.SetOthers(sum.loads())
+}
+
+// updateDemands passes the demands of all other daemons to the LoadExchange.
+func (n *Node) updateDemands(now time.Time) {
+	n.othersMu.Lock()
+	defer n.othersMu.Unlock()
+	sum := newDemandSum()
+	n.sumOthers(sum, now)
+	n.loadExchange.SetDemands(sum.loads().Demands, sum.daemons)
+}
+
+func (n *Node) sumOthers(sum *loadSum, now time.Time) {
 	n.followerLoads.addTo(sum, "", n.ownDomain, now)
 	n.outsideLoads().addTo(sum, "", allDomains, now)
-	n.loadExchange.SetOthers(sum.loads())
 }
 
 // serverNames returns the IDs of the backend servers by their hash.
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -74,20 +74,21 @@
 type fakeInventory struct {
 	store *fakeStore
 
-	mu          sync.Mutex
-	state       *inventory.State
-	lastContact time.Time
-	fresh       time.Time
-	changed     chan struct{}
-	own         []LoadItem
-	others      []LoadItem
-	ownDemands  []Demand
-	demands     []Demand // of the other daemons
-	daemons     int
-	age         time.Duration
-	applied     int // full states received
-	refused     int // loads dropped as invalid
-	cut         bool
+	mu            sync.Mutex
+	state         *inventory.State
+	lastContact   time.Time
+	fresh         time.Time
+	changed       chan struct{}
+	own           []LoadItem
+	others        []LoadItem
+	ownDemands    []Demand
+	demands       []Demand // of the other daemons
+	daemons       int      // included in others
+	demandDaemons int      // included in demands
+	age           time.Duration
+	applied       int // full states received
+	refused       int // loads dropped as invalid
+	cut           bool
 
 	suspects   []string
 	conditions map[string]Condition
@@ -203,6 +204,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.others, f.demands, f.daemons, f.age = others.Items, others.Demands, others.Daemons, others.Age
+	f.demandDaemons = others.Daemons
+}
+
+func (f *fakeInventory) SetDemands(demands []Demand, daemons int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.demands, f.demandDaemons = demands, daemons
 }
 
 func (f *fakeInventory) TakeSuspects() []string {
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -53,6 +53,9 @@
 	Crashes    []quarantine.PackedEntry `cbor:"5,keyasint,omitempty"`
 	Conditions *conditions              `cbor:"6,keyasint,omitempty"`
 	Members    *memberUpdate            `cbor:"7,keyasint,omitempty"`
+	// Demands are changes since the last ping, pong or frame of this kind. Daemons of a version
+	// without them ignore the frame.
+	Demands packedDemands `cbor:"8,keyasint,omitempty"`
 }
 
 // conditions holds all backend servers that are known to be slow or saturated.
@@ -94,7 +97,8 @@
 	Crashes []quarantine.PackedEntry `cbor:"10,keyasint,omitempty"`
 	// RequestsConfig requests the configuration in force.
 	RequestsConfig bool `cbor:"11,keyasint,omitempty"`
-	// Demands are set together with Loads, of the same daemons.
+	// Demands are those of the daemons that Loads include: all if HasLoads is set, changes
+	// otherwise.
 	Demands packedDemands `cbor:"12,keyasint,omitempty"`
 }
 
@@ -121,18 +125,19 @@
 	ListedAt store.Position `cbor:"12,keyasint,omitempty"`
 	// CrossesDomains reports that the sender has its state from another failure domain.
 	CrossesDomains bool `cbor:"13,keyasint,omitempty"`
-	// Demands are set together with Loads, of the same daemons.
+	// Demands are those of the daemons that Loads include: all if Daemons is set, changes
+	// otherwise.
 	Demands packedDemands `cbor:"14,keyasint,omitempty"`
 }
 
 // report returns the reported loads, with IDs resolved by ids.
 func (p *ping) report(r *loadReceiver, ids map[uint32]string) Loads {
-	return Loads{Items: r.apply(p.Loads, ids), Demands: r.demands(p.Demands), Daemons: max(1, p.Daemons), Age: max(0, p.LoadsAge)}
+	return Loads{Items: r.apply(p.Loads, ids), Demands: r.allDemands(p.Demands), Daemons: max(1, p.Daemons), Age: max(0, p.LoadsAge)}
 }
 
 // report returns the reported loads, with IDs resolved by ids.
 func (p *pong) report(r *loadReceiver, ids map[uint32]string) Loads {
-	return Loads{Items: r.apply(p.Loads, ids), Demands: r.demands(p.Demands), Daemons: max(0, p.Daemons), Age: max(0, p.LoadsAge)}
+	return Loads{Items: r.apply(p.Loads, ids), Demands: r.allDemands(p.Demands), Daemons: max(0, p.Daemons), Age: max(0, p.LoadsAge)}
 }
 
 // compressThreshold is the size in bytes from which a frame of encodeFrame is compressed.
