relay: test the propagation of demands in virtual fleets

A burst at all daemons must be known everywhere, to 0.9 of its total, within 1.0 s at 6 and 60 daemons and 1.5 s at 300, in 3 domains and while the other demands vary. The fleet of 300 runs without the race detector only.

The demand of a daemon that has none any more, or that is lost, must end at all others while theirs change.

--- a/relay/demand_test.go
+++ b/relay/demand_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/inventory"
 )
 
@@ -54,6 +55,10 @@
 	}
 }
 
+// maxRaceFleet is the largest fleet that exchanges demands under the race detector, where a run
+// takes ten times as long.
+const maxRaceFleet = 60
+
 // lackingDemands returns the daemons whose sum of the others' demands is not that of the
 // given daemons, each once.
 func (f *virtualFleet) lackingDemands(t *testing.T, present []int) (out []string) {
@@ -430,6 +435,46 @@
 	require.False(t, table.setDemands("a", at, []Demand{{key, 9}}), "expired")
 }
 
+// The demand of a daemon that has none any more, or that is lost, must end everywhere while
+// demands of the others change all the time: classes would be refused for callers that are gone.
+func TestDemandOfALostDaemonEnds(t *testing.T) {
+	inVirtualFleet(t, 30, 3, func(f *virtualFleet) {
+		const lost = 29
+		keys := [3]DemandKey{{ServiceHash("llm"), 10}, {ServiceHash("llm"), 20}, {ServiceHash("llm"), 30}}
+		own := DemandKey{ServiceHash("llm"), 40}
+		random := rand.New(rand.NewPCG(1, 6))
+		// await changes the demands of the others until all of them, or none, know that of the lost one.
+		await := func(known bool, demands []Demand, longest time.Duration) time.Duration {
+			for began := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+				f.setVarying(random, keys, false)
+				f.invs[lost].setOwnDemands(demands...)
+				differ := f.daemonsOf(func(i int) bool {
+					got, _ := f.invs[i].othersDemands()
+					return i != lost && (demandsByKey(t, got)[own] > 0) != known
+				})
+				if len(differ) == 0 {
+					return time.Since(began)
+				}
+				require.Less(t, time.Since(began), longest, "%s first", f.all[differ[0]].Name)
+			}
+		}
+		present := []Demand{{own, 1e6}}
+		f.awaitVersion(t, f.daemonsOf(everyDaemon), 1, 10*time.Second)
+		await(true, present, 10*time.Second)
+		time.Sleep(3 * time.Second)
+		t.Logf("ended demand unknown after %s", await(false, nil, 1500*time.Millisecond))
+		t.Logf("new demand known after %s", await(true, present, 1500*time.Millisecond))
+		f.freeze([]int{lost})
+		for j := range lost {
+			f.net.Cut(host(lost), host(j))
+		}
+		t.Logf("demand of the lost daemon unknown after %s", await(false, present, 5*time.Second))
+		f.frozen[lost].Store(false)
+		f.net.Heal()
+		t.Logf("known again after %s", await(true, present, 10*time.Second))
+	})
+}
+
 // Changes must not be sent beyond the rate of a link, and again once the rate permits them. Frames
 // that hold all demands count towards the rate.
 func TestDemandRate(t *testing.T) {
@@ -677,3 +722,70 @@
 		d.inv.ownDemands = swung
 	}
 }
+
+// awaitTotal waits until each daemon knows at least 0.9 of a total, its own part included, and
+// returns how long that took.
+func (f *virtualFleet) awaitTotal(t *testing.T, key DemandKey, total float64, longest time.Duration) time.Duration {
+	t.Helper()
+	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		lacking := f.daemonsOf(func(i int) bool {
+			got, _ := f.invs[i].othersDemands()
+			known := 0.0
+			for _, d := range slices.Concat(got, f.invs[i].OwnDemands()) {
+				if d.DemandKey == key {
+					known += d.KV
+				}
+			}
+			return known < 0.9*total
+		})
+		if len(lacking) == 0 {
+			return time.Since(began)
+		}
+		require.Less(t, time.Since(began), longest, "%d of %d daemons know too little, %s first", len(lacking), len(f.all), f.all[lacking[0]].Name)
+	}
+}
+
+// setVarying gives each daemon a demand in two classes that differs at each call, as measured
+// rates do, and optionally one in a third. It returns the sum of the third.
+func (f *virtualFleet) setVarying(random *rand.Rand, keys [3]DemandKey, withThird bool) (third float64) {
+	for _, inv := range f.invs {
+		varied := func(units float64) float64 { return units * demandUnit * (0.8 + 0.4*random.Float64()) }
+		demands := []Demand{{keys[0], varied(20)}, {keys[1], varied(30)}}
+		if withThird {
+			demands = append(demands, Demand{keys[2], varied(200)})
+			third += demands[2].KV
+		}
+		inv.setOwnDemands(demands...)
+	}
+	return third
+}
+
+// A burst at all daemons must be known everywhere before it has filled the memory of the backend
+// servers, whatever the time between it and the pings: load shedding refuses nothing before.
+func TestDemandsPropagateWithinABurst(t *testing.T) {
+	keys := [3]DemandKey{{ServiceHash("llm"), 10}, {ServiceHash("llm"), 20}, {ServiceHash("llm"), 30}}
+	for _, c := range []struct {
+		daemons, bursts int
+		longest         time.Duration
+	}{{6, 20, time.Second}, {60, 20, time.Second}, {300, 8, 1500 * time.Millisecond}} {
+		if c.daemons > maxRaceFleet && virtual.RaceDetector {
+			continue
+		}
+		t.Run(fmt.Sprint(c.daemons), func(t *testing.T) {
+			inVirtualFleet(t, c.daemons, 3, func(f *virtualFleet) {
+				random := rand.New(rand.NewPCG(1, 4))
+				f.awaitVersion(t, f.daemonsOf(everyDaemon), 1, 10*time.Second)
+				var took []time.Duration
+				for range c.bursts {
+					for calm := 4*time.Second + time.Duration(random.IntN(1000))*time.Millisecond; calm > 0; calm -= 200 * time.Millisecond {
+						f.setVarying(random, keys, false)
+						time.Sleep(min(calm, 200*time.Millisecond))
+					}
+					took = append(took, f.awaitTotal(t, keys[2], f.setVarying(random, keys, true), c.longest))
+				}
+				slices.Sort(took)
+				t.Logf("known to all after %s, at most %s", took[len(took)/2], took[len(took)-1])
+			})
+		})
+	}
+}
