--- a/apierror/kind.go
+++ b/apierror/kind.go
@@ -72,10 +72,13 @@
 type Error struct {
 	Kind       Kind
 	Detail     string        // sent to the caller
-	RetryAfter time.Duration // overrides the value of the table when positive
+	RetryAfter time.Duration // overrides the value of the table unless 0; negative for none
 	Err        error         // the wrapped error, if any
 }
 
+// NoRetryAfter as a RetryAfter means that the caller is told no time.
+const NoRetryAfter = time.Duration(-1)
+
 // New returns an Error of kind k whose detail is formatted like fmt.Sprintf.
 func New(k Kind, format string, args ...any) *Error {
 	return &Error{Kind: k, Detail: fmt.Sprintf(format, args...)}
@@ -99,11 +102,11 @@
 // Unwrap returns the wrapped error, if any.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Answer returns the table row of e, with the Retry-After of e if it is positive.
+// Answer returns the table row of e, with the Retry-After of e if it has one.
 func (e *Error) Answer() Answer {
 	a := Lookup(e.Kind)
-	if e.RetryAfter > 0 {
-		a.RetryAfter = e.RetryAfter
+	if e.RetryAfter != 0 {
+		a.RetryAfter = max(0, e.RetryAfter)
 	}
 	return a
 }
