shedding, forward: demand as a rate, projected usage, waiting under contention

Cause: in a burst no request was shed until the memory was full: demand was multiplied by the hold time of idle servers (1.9 s instead of 4.1 s), and compared with a usage 2 to 3 s old. Urgent requests then met full hops with no retry left. Reserved requests took a return time at each poll. Change: demand is a rate; the usage is projected over its age; the hold time follows the engine's model and the usage; urgent requests wait for a path and a retry for 0.8 of their objective, the least urgent leave the retries to them; a reserved request is refused, counted and logged once.

--- a/forward/explain.go
+++ b/forward/explain.go
@@ -373,7 +373,10 @@
 		x.refuse(r.endError(context.Background()))
 	case x.err != nil:
 		x.hold(r.holdUntil(x.now, x.now), "a backend server that refused work")
-		x.refuse(r.withRetryAfter(x.err, x.now))
+		if until := r.waitsUntil(); until.After(x.HeldUntil) {
+			x.hold(until, "memory, while less urgent requests are refused")
+		}
+		x.refuse(r.refusalOf(x.err, x.now))
 	case !d.SuspectSince.IsZero() && r.isStream():
 		x.hold(d.SuspectSince.Add(suspectDelay), "other requests, as a backend server ended under it")
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -189,7 +189,7 @@
 	}
 	f.backends = metered{d.Backends, f}
 	f.maxKeyAge.Store(int64(o.MaxKeyAge))
-	f.loads.ownDemands = f.ownDemands
+	f.loads.ownDemands, f.loads.onDemands = f.ownDemands, f.renewAllFractions
 	f.loads.onAge = f.noteLoadsAge
 	f.loads.onRefused = f.noteRefusedLoads
 	f.loads.onConditions = f.noteConditions
@@ -303,11 +303,14 @@
 // loads. The list starts at a random server: of equal candidates the first one is
 // selected, and daemons must not all select the same server.
 func (f *Forwarder) candidates(view *inventory.View, service string, engine *site.Engine, now time.Time) []pipeline.Candidate {
-	return f.drawCandidates(view, service, engine, now, newRand())
+	return f.drawCandidates(view, service, engine, now, newRand(), func(*site.BackendServer, time.Time) bool { return false })
 }
 
-// drawCandidates is candidates with the source of the random start.
-func (f *Forwarder) drawCandidates(view *inventory.View, service string, engine *site.Engine, now time.Time, rng *rand.Rand) []pipeline.Candidate {
+// drawCandidates is candidates with the source of the random start, and with servers that are
+// cooling down if ignoresRefusal holds for them.
+func (f *Forwarder) drawCandidates(
+	view *inventory.View, service string, engine *site.Engine, now time.Time, rng *rand.Rand, ignoresRefusal func(*site.BackendServer, time.Time) bool,
+) []pipeline.Candidate {
 	daemons := float64(max(1, f.fleet.Daemons()))
 	servers := view.OfService(service)
 	out := make([]pipeline.Candidate, 0, len(servers))
@@ -321,7 +324,7 @@
 		if !f.isUsable(s, engine, now) {
 			continue
 		}
-		if engine != nil && f.health.Cooling(s.ID, now) || f.isPaused(s.ID, now) {
+		if engine != nil && f.health.Cooling(s.ID, now) && !ignoresRefusal(s, now) || f.isPaused(s.ID, now) {
 			continue
 		}
 		load := f.loads.Of(s.ID, daemons, now)
--- a/forward/loads.go
+++ b/forward/loads.go
@@ -22,10 +22,13 @@
 	othersDaemons int                  // number of daemons in the sum
 	othersDemands []relay.Demand       // sum over the other daemons
 	demandDaemons int                  // number of daemons in othersDemands
+	demandsAt     time.Time            // when the demands were received
+	demandsTTL    time.Duration        // time for which the demands are used
 	othersAge     time.Duration        // age of the loads when they were received
 	othersTTL     time.Duration        // time for which the loads are used
 	conditions    *conditions
 	ownDemands    func() []relay.Demand
+	onDemands     func()
 	onAge         func(age time.Duration)
 	onRefused     func(n int)
 	onConditions  func(known map[string]relay.Condition, slowChanged bool)
@@ -50,6 +53,10 @@
 // Afterwards the other daemons are assumed to be as busy as this one.
 const minOthersTTL = 10 * time.Second
 
+// minDemandsTTL is the least time for which received demands of other daemons are used. Demand
+// changes within a second, and older demands would hide a burst.
+const minDemandsTTL = 3 * time.Second
+
 // maxAssumedDaemons bounds the number of daemons that are assumed to be as busy as this
 // one. After a restart all callers return at once, and an estimate must not cause refusals.
 const maxAssumedDaemons = 3
@@ -58,8 +65,8 @@
 func NewLoads() *Loads {
 	return &Loads{
 		servers: map[string]*serverLoad{}, conditions: newConditions(),
-		ownDemands: func() []relay.Demand { return nil },
-		onAge:      func(time.Duration) {}, onRefused: func(int) {}, onConditions: func(map[string]relay.Condition, bool) {},
+		ownDemands: func() []relay.Demand { return nil }, onDemands: func() {},
+		onAge: func(time.Duration) {}, onRefused: func(int) {}, onConditions: func(map[string]relay.Condition, bool) {},
 	}
 }
 
@@ -121,35 +128,35 @@
 	}
 }
 
-// latestKV returns the memory that the requests of all daemons use at a backend server, in tokens
-// x layers, by the loads last received. Load shedding needs no smoothing: it smooths its
-// decisions, and the smoothed loads are seconds older.
-func (l *Loads) latestKV(id string, daemons float64, now time.Time) float64 {
+// latestKV returns the memory that requests use at a backend server, in tokens x layers, by the loads
+// last received: those of this daemon and those of all daemons. Load shedding needs no smoothing: it
+// smooths its decisions, and the smoothed loads are seconds older. assumed is the
+// number of daemons that are taken to be as busy as this one while the others' loads are unknown.
+func (l *Loads) latestKV(id string, daemons, assumed float64, now time.Time) (own, all float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	own := 0.0
 	if s := l.servers[id]; s != nil {
 		own = s.kv
 	}
-	ownFactor, othersFactor := l.factors(daemons, now)
-	return ownFactor*own + othersFactor*l.others[id].latestKV
+	if l.othersExpired(now) {
+		return own, assumed * own
+	}
+	_, others := l.factors(daemons, now)
+	return own, own + others*l.others[id].latestKV
 }
 
+// othersExpired reports whether the loads of the other daemons are unknown; l.mu must be held.
+func (l *Loads) othersExpired(now time.Time) bool { return now.Sub(l.othersAt) > l.othersTTL }
+
 // factors returns by which the loads of this daemon and the known loads of the others are
 // multiplied for the loads of all daemons; l.mu must be held. While the others' loads are
 // unknown, they are assumed to be as busy as this daemon. Daemons whose loads were not received
 // are assumed to be like the others.
 func (l *Loads) factors(daemons float64, now time.Time) (own, others float64) {
-	return l.factorsOf(l.othersDaemons, daemons, now)
-}
-
-// factorsOf returns the factors if the others' loads, or demands, include the given number of
-// daemons; l.mu must be held.
-func (l *Loads) factorsOf(included int, daemons float64, now time.Time) (own, others float64) {
-	if now.Sub(l.othersAt) > l.othersTTL {
+	if l.othersExpired(now) {
 		return min(daemons, maxAssumedDaemons), 0
 	}
-	return 1, max(1, daemons/float64(1+included))
+	return 1, max(1, daemons/float64(1+l.othersDaemons))
 }
 
 // othersLoadAge returns the approximate age of the other daemons' loads, 0 if they are
@@ -157,7 +164,7 @@
 func (l *Loads) othersLoadAge(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.othersAt) > l.othersTTL {
+	if l.othersExpired(now) {
 		return 0
 	}
 	return now.Sub(l.othersAt) + l.othersAge
@@ -180,17 +187,20 @@
 func (l *Loads) OwnDemands() []relay.Demand { return l.ownDemands() }
 
 // demands returns the demand of all daemons at a service. own is the demand of this daemon's
-// callers, and daemons the number of daemons in the fleet.
-func (l *Loads) demands(service uint32, own []shedding.Demand, daemons float64, now time.Time) []shedding.Demand {
+// callers, daemons the number of daemons in the fleet, and assumed that of latestKV.
+func (l *Loads) demands(service uint32, own []shedding.Demand, daemons, assumed float64, now time.Time) []shedding.Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ownFactor, othersFactor := l.factorsOf(l.demandDaemons, daemons, now)
 	out := slices.Clone(own)
-	for i := range out {
-		out[i].KV *= ownFactor
+	if now.Sub(l.demandsAt) > l.demandsTTL {
+		for i := range out {
+			out[i].KV *= assumed
+		}
+		return out
 	}
+	othersFactor := max(1, daemons/float64(1+l.demandDaemons))
 	for _, d := range l.othersDemands {
-		if d.Service != service || othersFactor == 0 {
+		if d.Service != service {
 			continue
 		}
 		class, kv := shedding.Class(d.Class), d.KV*othersFactor
@@ -214,18 +224,19 @@
 		byServer[i.Server] = otherLoad{running: float64(i.Running), heads: float64(i.Heads), kv: i.KV, latestKV: i.KV}
 	}
 	l.setOthers(byServer, others)
+	l.onDemands()
 	l.onAge(others.Age)
 }
 
-// SetDemands implements relay.LoadExchange: it sets the demands of the other daemons. They are
-// used for as long as the loads last received are valid.
+// SetDemands implements relay.LoadExchange: it sets the demands of the other daemons.
 func (l *Loads) SetDemands(demands []relay.Demand, daemons int) {
 	if daemons == 0 {
 		return
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.othersDemands, l.demandDaemons = demands, daemons
+	l.othersDemands, l.demandDaemons, l.demandsAt = demands, daemons, time.Now()
+	l.mu.Unlock()
+	l.onDemands()
 }
 
 // forgetOthers drops the loads of other daemons and the conditions of backend servers,
@@ -233,7 +244,7 @@
 func (l *Loads) forgetOthers() {
 	l.mu.Lock()
 	l.others, l.othersAt, l.othersDaemons = nil, time.Time{}, 0
-	l.othersDemands, l.demandDaemons = nil, 0
+	l.othersDemands, l.demandDaemons, l.demandsAt = nil, 0, time.Time{}
 	l.mu.Unlock()
 	l.SetConditions(map[string]relay.Condition{})
 }
@@ -248,7 +259,8 @@
 		smooth(byServer, l.others, float64(1+others.Daemons)/float64(1+l.othersDaemons))
 	}
 	l.others, l.othersAt, l.othersDaemons, l.othersAge = byServer, time.Now(), others.Daemons, others.Age
-	l.othersDemands, l.demandDaemons = others.Demands, others.Daemons
+	l.othersDemands, l.demandDaemons, l.demandsAt = others.Demands, others.Daemons, time.Now()
+	l.demandsTTL = max(minDemandsTTL, others.ValidFor)
 	l.othersTTL = max(minOthersTTL, others.ValidFor)
 }
 
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -46,7 +46,9 @@
 		}
 		now := time.Now()
 		if until.IsZero() {
-			until = r.holdUntil(began, now)
+			waits := r.waitsUntil()
+			until = latest(r.holdUntil(began, now), waits)
+			r.noPath = r.noPath || apierror.Is(err, apierror.NoRoute) && !waits.IsZero()
 		}
 		if !now.Before(until) || !wait.For(ctx, pollInterval) {
 			if ctx.Err() != nil {
@@ -58,7 +60,7 @@
 			if apierror.Is(err, apierror.Quarantined) {
 				r.noteReserved()
 			}
-			return nil, r.withRetryAfter(err, now)
+			return nil, r.refusalOf(err, now)
 		}
 	}
 }
@@ -84,6 +86,13 @@
 	return t, nil
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // options are the backend servers that may take the request now.
 type options struct {
 	candidates  []pipeline.Candidate
@@ -93,7 +102,7 @@
 
 func (r *run) options(ctx context.Context, view *inventory.View, now time.Time) options {
 	var o options
-	cs := r.f.drawCandidates(view, r.req.Service, r.engine, now, r.startDraw())
+	cs := r.f.drawCandidates(view, r.req.Service, r.engine, now, r.startDraw(), r.ignoresRefusal)
 	cs, o.reserved = r.withoutReserved(ctx, cs, view, now)
 	if r.attemptsExhausted() {
 		cs = r.filterTried(cs)
@@ -123,7 +132,7 @@
 	}
 	c, err := r.choose(q, view, cs, now, rng)
 	if errors.Is(err, pipeline.ErrFull) && q.Reserve > 0 && !r.awaitsPath {
-		return nil, r.refuseReserved(now)
+		return nil, apierror.Wrap(apierror.Overloaded, errReserved)
 	}
 	if errors.Is(err, pipeline.ErrFull) {
 		return nil, apierror.Wrap(apierror.Overloaded, err)
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -55,10 +55,18 @@
 	return tried || !exhausted || !s.Held.Has(0)
 }
 
+// refusalOf returns the refusal of a request that found no target because of err.
+func (r *run) refusalOf(err error, now time.Time) error {
+	if errors.Is(err, errReserved) {
+		return r.refuseReserved(now)
+	}
+	return r.withRetryAfter(err, now)
+}
+
 // withRetryAfter adds a retry time to a refusal that has none.
 func (r *run) withRetryAfter(err error, now time.Time) error {
 	var refusal *apierror.Error
-	if !errors.As(err, &refusal) || refusal.RetryAfter > 0 || refusal.Kind != apierror.Overloaded && refusal.Kind != apierror.NoRoute {
+	if !errors.As(err, &refusal) || refusal.RetryAfter != 0 || refusal.Kind != apierror.Overloaded && refusal.Kind != apierror.NoRoute {
 		return err
 	}
 	return refusal.WithRetryAfter(r.retryAfter(now))
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -97,16 +97,21 @@
 	}
 }
 
-// awaitRetry takes a retry and reports whether it got one. A begun stream polls for a
-// retry, since the budget grows with each request; for other requests it returns at once.
+// awaitRetry takes a retry and reports whether it got one. Begun streams and requests that
+// wait under contention poll for a retry, since the budget grows with each request; for other
+// requests it returns at once.
 func (r *run) awaitRetry(ctx context.Context) bool {
+	if r.yieldsRetry() {
+		return false
+	}
 	if r.takeRetry() {
 		return true
 	}
-	if !r.headSent.Load() {
-		return false
+	until := r.waitsUntil()
+	if r.headSent.Load() {
+		until = time.Now().Add(maxRecoveryHold)
 	}
-	for until := time.Now().Add(maxRecoveryHold); time.Now().Before(until) && wait.For(ctx, pollInterval); {
+	for time.Now().Before(until) && wait.For(ctx, pollInterval) {
 		if r.takeRetry() {
 			return true
 		}
--- a/forward/run.go
+++ b/forward/run.go
@@ -54,6 +54,10 @@
 	progress        progress                    // of the current send
 	placement       placement                   // of the last path
 	awaitsPath      bool                        // a long prompt waits for capacity on its paths
+	admitted        bool                        // by load shedding, and not yet accepted by a backend server
+	holdAtStart     time.Duration               // modeled hold time when the stream began
+	noPath          bool                        // it waits and found no path beside servers that refused others
+	refusedBy       map[string]time.Time        // when backend servers refused it, by ID
 	refusalBackoff  *backoff.ExponentialBackOff // between refused sends of an interrupted stream
 }
 
@@ -94,6 +98,7 @@
 		defer r.f.longPrompts.begin(r.req.Service, r.engine, r.req, time.Now())()
 	}
 	err := r.tracker.Run(ctx, r)
+	r.observeAcceptance(false)
 	if apierror.Is(err, apierror.BackendUnreachable) || apierror.Is(err, apierror.BackendRefused) {
 		return apierror.Wrap(apierror.BackendRefused, errors.Unwrap(err)).WithRetryAfter(r.retryAfter(time.Now()))
 	}
@@ -266,6 +271,7 @@
 		r.f.log.Add("carried", "request", r.req.ID, "attempt", r.sends, "by", head.ID, "carrier", a.Carrier)
 	}
 	if !a.NotRun {
+		r.observeAcceptance(true)
 		r.tracker.MarkRan()
 		r.progress.headAt = now
 		return execution.Answered, nil
@@ -276,6 +282,7 @@
 		at = s
 	}
 	r.f.health.Refuse(at.ID, now)
+	r.noteRefusal(at, now)
 	if at.ID != head.ID {
 		go func() { _ = r.f.probe(context.Background(), at) }() // marks the hop as failed if it is dead
 	}
--- a/forward/shedding.go
+++ b/forward/shedding.go
@@ -10,10 +10,8 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/inventory"
-	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/relay"
 	"github.com/snowspoke/snowspoke/shedding"
-	"github.com/snowspoke/snowspoke/site"
 )
 
 // shedders holds the state of load shedding of each service whose routes have different
@@ -30,10 +28,15 @@
 	gate    *shedding.Gate
 	returns *shedding.Returns
 	shares  *shedding.FairShares
-	hold    shedding.HoldTime
 	state   shedding.State // for which the fractions were computed last
-	at      time.Time      // when they were computed
-	logged  map[shedding.Class]float64
+
+	// Estimates that state follows from.
+	history  shedding.History
+	hold     shedding.HoldRatio
+	accepted shedding.Acceptance
+
+	at     time.Time // when they were computed
+	logged map[shedding.Class]float64
 }
 
 // shedInterval is the time after which the fractions of a service are computed again. Loads
@@ -85,6 +88,7 @@
 	}
 	d := r.decideShed(sh, now)
 	s.mu.Unlock()
+	r.admitted = d.admitted
 	if d.admitted {
 		return nil
 	}
@@ -104,18 +108,26 @@
 	fraction float64 // of the class
 	share    float64 // fraction of the workspace as a multiple of that of the class
 	admitted bool
-	after    time.Duration // Retry-After of a refused request
+	after    time.Duration // Retry-After of a refused request, 0 for none
 }
 
 func (d *shedDecision) refusal() error {
-	return apierror.New(apierror.Overloaded, "%.2f of the requests of class %d are admitted", d.fraction, d.class).WithRetryAfter(d.after)
+	return apierror.New(apierror.Overloaded, "%.2f of the requests of class %d are admitted", d.fraction, d.class).WithRetryAfter(d.stated())
+}
+
+// stated returns the Retry-After that the caller is told.
+func (d *shedDecision) stated() time.Duration {
+	if d.after <= 0 {
+		return apierror.NoRetryAfter
+	}
+	return d.after
 }
 
 // decideShed counts the request in the demand and decides on it.
 func (r *run) decideShed(sh *shedder, now time.Time) shedDecision {
 	class, tokens := r.urgency(), estimateTokens(r.req, r.engine)
 	kv := tokens.Mean() * float64(r.engine.Layers)
-	sh.meter.Add(class, kv, sh.hold.Of(tokens.Answer), now)
+	sh.meter.Add(class, kv, now)
 	sh.shares.Add(class, r.workspaceName(), kv, now)
 	d := shedDecision{class: class, fraction: sh.gate.Fraction(class)}
 	d.share = sh.shares.Multiple(class, r.workspaceName(), d.fraction, now)
@@ -146,7 +158,7 @@
 	if r.preview == nil {
 		r.logShed(&d)
 	}
-	return apierror.Wrap(apierror.Overloaded, errReserved).WithRetryAfter(d.after)
+	return apierror.Wrap(apierror.Overloaded, errReserved).WithRetryAfter(d.stated())
 }
 
 func (r *run) logShed(d *shedDecision) {
@@ -178,7 +190,7 @@
 	c, rng := *sh, *sh.rng
 	random := rand.New(&rng).Float64
 	c.rng, c.meter, c.shares = &rng, sh.meter.Clone(), sh.shares.Clone()
-	c.gate, c.returns = sh.gate.Clone(random), sh.returns.Clone(random)
+	c.gate, c.returns, c.history = sh.gate.Clone(random), sh.returns.Clone(random), sh.history.Clone()
 	return &c
 }
 
@@ -197,65 +209,6 @@
 	return r.decideShed(sh, now), sh.state
 }
 
-// renewFractions recomputes the fractions of a service if they are outdated, and reports whether
-// it did. f.shedders.mu must be held, except for a copy.
-func (f *Forwarder) renewFractions(sh *shedder, service string, e *site.Engine, view *inventory.View, now time.Time) bool {
-	if now.Sub(sh.at) < shedInterval {
-		return false
-	}
-	sh.at = now
-	sh.state = f.shedState(sh, service, e, view, now)
-	sh.gate.SetFractions(shedding.Fractions(sh.state), now)
-	return true
-}
-
-// shedState returns what this daemon knows about the demand and the usage of a service.
-func (f *Forwarder) shedState(sh *shedder, service string, e *site.Engine, view *inventory.View, now time.Time) shedding.State {
-	s := shedding.State{Hold: sh.hold.Of(float64(e.Answer)), Horizon: f.loads.othersLoadAge(now) + shedHorizon}
-	s.Demands = f.loads.demands(relay.ServiceHash(service), sh.meter.Demands(now), float64(max(1, f.fleet.Daemons())), now)
-	s.InUse, s.Capacity = f.memoryUsage(service, e, view, now)
-	return s
-}
-
-// shedHorizon is the time beyond the age of the loads until a change of the fractions shows in
-// the loads of all daemons: an interval of the exchange, and the smoothing of the fractions.
-const shedHorizon = 1300 * time.Millisecond
-
-// memoryUsage returns the memory that the requests of all daemons use at a service, and the
-// memory that they can use, in tokens x layers.
-func (f *Forwarder) memoryUsage(service string, e *site.Engine, view *inventory.View, now time.Time) (used, capacity float64) {
-	daemons := float64(max(1, f.fleet.Daemons()))
-	var u pipeline.Usage
-	for _, c := range f.usableServers(view, service, e, now) {
-		u.Add(e, c.Server, f.loads.latestKV(c.Server.ID, daemons, now))
-	}
-	return u.Used(), u.Capacity(pipeline.TypicalRequest(e))
-}
-
-// predictHold sets the expected time for which a request uses its memory, until a stream has
-// completed.
-func (r *run) predictHold(t *target) {
-	if !r.sheds(r.f.inv.View()) {
-		return
-	}
-	s := r.f.shedders
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	answer := max(1, estimateTokens(r.req, r.engine).Answer)
-	s.of(r.req.Service).hold.Predict(time.Duration((t.choice.FirstMS/answer + t.choice.StepMS) * float64(time.Millisecond)))
-}
-
-// observeHold records for how long a complete stream has used its memory.
-func (r *run) observeHold(took time.Duration) {
-	if !r.sheds(r.f.inv.View()) || r.sends > 1 {
-		return
-	}
-	s := r.f.shedders
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.of(r.req.Service).hold.Observe(estimateTokens(r.req, r.engine).Answer, took)
-}
-
 // logThreshold is the change of a fraction from which it is logged.
 const logThreshold = 0.1
 
@@ -277,7 +230,7 @@
 		f.observer.AdmittedFraction(int(d.Class), part)
 		f.log.Add("shedding", "service", service, "class", int(d.Class), "fraction", math.Round(100*part)/100,
 			"demand", int(d.KV), "demand_all", int(total), "in_use", int(sh.state.InUse), "capacity", int(sh.state.Capacity),
-			"hold", sh.state.Hold.Round(time.Millisecond), "horizon", sh.state.Horizon.Round(time.Millisecond))
+			"hold", sh.state.Hold.Full.Round(time.Millisecond))
 	}
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -86,7 +86,7 @@
 	defer cancel(nil)
 	s := &stream{r: r, progress: r.progress, attempt: r.sends, cancel: cancel, path: t.path, tokens: t.tokens, sentAt: time.Now(), silentSince: time.Now(), stepMS: t.choice.StepMS}
 	s.leave = r.f.loads.Enter(t.path, t.tokens)
-	r.predictHold(t)
+	r.beginHold()
 	s.askAfter = max(minFirstSilence, silenceFactor*time.Duration(t.choice.FirstMS*float64(time.Millisecond)))
 	s.timer = r.f.stalls.AfterFunc(s.probeAfter(true), func() { s.check(sctx) })
 	r.f.live.add(s)
--- a/shedding/gate.go
+++ b/shedding/gate.go
@@ -93,3 +93,13 @@
 	}
 	return c
 }
+
+// Contended reports whether some class is not admitted entirely.
+func (g *Gate) Contended() bool {
+	for _, c := range g.classes {
+		if c.part < openThreshold {
+			return true
+		}
+	}
+	return false
+}
--- a/shedding/hold.go
+++ b/shedding/hold.go
@@ -1,43 +1,55 @@
 package shedding
 
-import "time"
-
-// HoldTime estimates for how long a request uses its memory from the number of tokens that it
-// is expected to generate. It starts with the model of the engine and follows the streams
-// that complete. It is not safe for concurrent use.
-type HoldTime struct {
-	perToken time.Duration // by the model of the engine
-	// Sums over the completed streams, which decay by holdGain with each stream. A ratio of sums
-	// is used since a single stream can take thousands of times as long as its expected length
-	// suggests.
-	tokens, seconds float64
+import (
+	"math"
+	"time"
+)
+
+// Hold is the time for which a typical request uses its memory, on empty servers and at full
+// usage of the capacity. Requests take longer on busy servers: twice to four times as long.
+type Hold struct {
+	Idle, Full time.Duration
 }
 
-// holdGain is the weight of a completed stream in the estimate. Expected lengths are often
-// far off, so single streams say little.
-const holdGain = 0.05
+// minHold bounds the hold time of a model without times.
+const minHold = time.Millisecond
 
-// maxHold bounds the estimate for a request, far above the longest streams.
-const maxHold = time.Hour
+// At returns the hold time at a usage of the capacity from 0 to 1.
+func (h Hold) At(usage float64) time.Duration {
+	return max(minHold, h.Idle+time.Duration(float64(h.Full-h.Idle)*min(1, max(0, usage))))
+}
 
-// Predict sets the time of a token by the model of the engine, until a stream has completed.
-func (h *HoldTime) Predict(perToken time.Duration) { h.perToken = perToken }
+// Scale returns the hold time multiplied by a factor.
+func (h Hold) Scale(factor float64) Hold {
+	return Hold{Idle: time.Duration(factor * float64(h.Idle)), Full: time.Duration(factor * float64(h.Full))}
+}
 
-// Observe records a stream that has completed after a time.
-func (h *HoldTime) Observe(expectedTokens float64, took time.Duration) {
-	if !(expectedTokens >= 1) || took < 0 {
-		return
-	}
-	h.tokens += holdGain * (expectedTokens - h.tokens)
-	h.seconds += holdGain * (took.Seconds() - h.seconds)
+// HoldRatio is the ratio of the measured hold time of streams to that of the engine's model. It
+// is not safe for concurrent use.
+type HoldRatio struct {
+	at                time.Time
+	modeled, measured float64 // sums in seconds, which decay with holdWindow
 }
 
-// Of returns the estimate for a request, 0 if nothing is known.
-func (h *HoldTime) Of(expectedTokens float64) time.Duration {
-	perToken := h.perToken.Seconds()
-	if h.tokens > 0 {
-		perToken = h.seconds / h.tokens
+const (
+	// holdWindow is the time constant of the sums. A ratio of sums is used since a single
+	// stream can take thousands of times as long as its expected length suggests. It exceeds
+	// the duration of a stream several times: with a shorter one the ratio follows changes of the
+	// usage, which the model contains already.
+	holdWindow = 10 * time.Second
+	// holdPrior is the weight of the model, in seconds of streams that agree with it. The
+	// streams that complete first are the short ones.
+	holdPrior = 20.0
+)
+
+// Observe records a stream that has completed.
+func (h *HoldRatio) Observe(modeled, measured time.Duration, now time.Time) {
+	if modeled <= 0 || measured < 0 {
+		return
 	}
-	held := max(1, expectedTokens) * perToken
-	return time.Duration(min(maxHold.Seconds(), held) * float64(time.Second))
+	kept := math.Exp(-float64(max(0, now.Sub(h.at))) / float64(holdWindow))
+	h.modeled, h.measured, h.at = kept*h.modeled+modeled.Seconds(), kept*h.measured+measured.Seconds(), now
 }
+
+// Ratio returns the ratio, 1 until streams have completed.
+func (h *HoldRatio) Ratio() float64 { return (h.measured + holdPrior) / (h.modeled + holdPrior) }
--- a/shedding/meter.go
+++ b/shedding/meter.go
@@ -15,22 +15,20 @@
 
 // classDemand holds sums that decay with the time constant meterWindow.
 type classDemand struct {
-	at     time.Time
-	count  float64 // requests
-	kv     float64 // KV cache of the requests
-	kvHeld float64 // KV cache times the time for which it is held, in seconds
+	at    time.Time
+	count float64 // requests
+	kv    float64 // KV cache of the requests
 }
 
 // meterWindow is the time constant of the measured rates. A shorter one follows bursts
 // earlier and varies more; the sum over many daemons varies less than each part.
-const meterWindow = 500 * time.Millisecond
+const meterWindow = 250 * time.Millisecond
 
 // NewMeter returns a meter without requests.
 func NewMeter() *Meter { return &Meter{classes: map[Class]*classDemand{}} }
 
-// Add counts a request that would use kv tokens x layers for a time, whether it is admitted
-// or not.
-func (m *Meter) Add(class Class, kv float64, held time.Duration, now time.Time) {
+// Add counts a request that would use kv tokens x layers, whether it is admitted or not.
+func (m *Meter) Add(class Class, kv float64, now time.Time) {
 	if m.since.IsZero() {
 		m.since = now
 	}
@@ -42,15 +40,14 @@
 	d.decay(now)
 	d.count++
 	d.kv += kv
-	d.kvHeld += kv * held.Seconds()
 }
 
 func (d *classDemand) decay(now time.Time) {
 	f := math.Exp(-float64(max(0, now.Sub(d.at))) / float64(meterWindow))
-	d.count, d.kv, d.kvHeld, d.at = d.count*f, d.kv*f, d.kvHeld*f, now
+	d.count, d.kv, d.at = d.count*f, d.kv*f, now
 }
 
-// minDemand is the demand, in tokens x layers, below which a class is left out.
+// minDemand is the demand, in tokens x layers per second, below which a class is left out.
 const minDemand = 1
 
 // Demands returns the current demand by class, in order.
@@ -58,7 +55,7 @@
 	out := make([]Demand, 0, len(m.classes))
 	for class, d := range m.classes {
 		d.decay(now)
-		if kv := d.kvHeld / m.window(now); kv >= minDemand {
+		if kv := d.kv / m.window(now); kv >= minDemand {
 			out = append(out, Demand{Class: class, KV: kv})
 		}
 	}
@@ -76,19 +73,6 @@
 // minObserved bounds the extrapolation from a short observation.
 const minObserved = 0.5
 
-// Hold returns the mean time for which the requests use their memory, 0 if unknown.
-func (m *Meter) Hold(now time.Time) time.Duration {
-	kv, held := 0.0, 0.0
-	for _, d := range m.classes {
-		d.decay(now)
-		kv, held = kv+d.kv, held+d.kvHeld
-	}
-	if kv < minDemand {
-		return 0
-	}
-	return time.Duration(held / kv * float64(time.Second))
-}
-
 // Rate returns the number of requests of a class per second.
 func (m *Meter) Rate(class Class, now time.Time) float64 {
 	d := m.classes[class]
--- a/shedding/shedding.go
+++ b/shedding/shedding.go
@@ -26,37 +26,39 @@
 	return Class(clamp(workspace)*(maxPriority+1) + clamp(route))
 }
 
-// Demand is the memory that the requests of a class would use if all were admitted.
+// Demand is the memory that the requests of a class would fill if all were admitted. It does not
+// depend on the time for which they use it, which grows with the usage.
 type Demand struct {
 	Class Class
-	KV    float64 // in tokens x layers
+	KV    float64 // in tokens x layers per second
 }
 
 // State is what a daemon knows about a service.
 type State struct {
 	Demands  []Demand // of all daemons, one for each class
-	InUse    float64  // memory of the admitted requests of all daemons, in tokens x layers
+	InUse    float64  // memory that the requests of all daemons use now, in tokens x layers
 	Capacity float64  // memory that requests could use if all hops filled evenly, in tokens x layers
-	// Hold is the mean time for which a request uses its memory.
-	Hold time.Duration
-	// Horizon is the time until a change of the fractions shows in InUse.
-	Horizon time.Duration
+	Hold     Hold
 }
 
 // Limits of the admitted demand.
 const (
-	// targetUsage is the planned usage of the capacity, as a fraction. Backend servers fill
-	// unevenly, and above it single hops run out of memory and preempt begun requests, which
-	// then process their prompts again.
-	targetUsage = 0.9
+	// plannedUsage is the planned usage of the capacity while no urgent class has a demand, as a
+	// fraction. It exceeds 1, so that an inexact estimate refuses no request for which a backend
+	// server still has memory.
+	plannedUsage = 1.06
+	// maxMargin is the largest part of the capacity by which the planned usage is lower. Backend
+	// servers fill unevenly, and a request that meets a full hop is refused whatever its class.
+	maxMargin = 0.15
 	// minClassShare is the least fraction of a class, as a multiple of the fraction of all
 	// demand that the capacity can serve. It keeps the least urgent class from starving while
 	// more urgent ones ask for all capacity, and all classes from being refused while the
 	// usage is above its target.
 	minClassShare = 0.3
-	// minHorizon bounds the horizon. At 0 the admitted demand has no effect on the usage, and
-	// the admissible demand is not defined.
-	minHorizon = time.Millisecond
+	// horizon is the time within which the difference between planned and present usage is
+	// closed, about the age of the known usage. A shorter one amplifies errors of the
+	// projection.
+	horizon = 2500 * time.Millisecond
 )
 
 // Fraction is the part of the requests of a class that is admitted, from 0 to 1.
@@ -77,7 +79,7 @@
 	admissible := s.admissible()
 	least := 0.0
 	if total > 0 {
-		least = minClassShare * min(1, targetUsage*s.Capacity/total)
+		least = minClassShare * min(1, s.sustainable()/total)
 	}
 	remaining := admissible - least*total
 	out := make([]Fraction, 0, len(demands))
@@ -106,7 +108,11 @@
 // Reserve returns the fraction of the memory of each backend server that requests of a class leave
 // to more urgent ones. It is proportional to their demand, so that nothing is kept free
 // that nobody asks for.
-func (s State) Reserve(class Class) float64 {
+func (s State) Reserve(class Class) float64 { return maxReserve * s.urgentUsage(class) }
+
+// urgentUsage returns the usage of the capacity by classes more urgent than class if all their
+// requests were admitted, from 0 to 1.
+func (s State) urgentUsage(class Class) float64 {
 	if s.Capacity <= 0 {
 		return 0
 	}
@@ -116,17 +122,33 @@
 			urgent += d.KV
 		}
 	}
-	return maxReserve * min(1, urgent/s.Capacity)
+	return min(1, urgent*s.Hold.At(1).Seconds()/s.Capacity)
+}
+
+// target returns the planned usage of the capacity. Memory is left free for requests that are
+// more urgent than the least urgent ones, in proportion to their demand.
+func (s State) target() float64 {
+	least := Class(0)
+	for _, d := range s.Demands {
+		least = max(least, d.Class)
+	}
+	return plannedUsage - maxMargin*s.urgentUsage(least)
+}
+
+// sustainable returns the demand that can be admitted while the usage is at its target.
+func (s State) sustainable() float64 {
+	if s.Hold.Full <= 0 {
+		return math.Inf(1)
+	}
+	target := s.target()
+	return target * s.Capacity / s.Hold.At(target).Seconds()
 }
 
-// admissible returns the demand that can be admitted so that the usage is at most targetUsage
-// of the capacity after the horizon. Usage approaches the admitted demand exponentially with
-// the time constant Hold, so more than the capacity is admitted for a while if there is
-// free memory, and less if the usage is above its target.
+// admissible returns the demand that can be admitted now: what is sustainable, and what closes
+// the difference between the planned and the present usage within the horizon.
 func (s State) admissible() float64 {
-	if s.Hold <= 0 {
+	if s.Hold.Full <= 0 {
 		return math.Inf(1)
 	}
-	kept := math.Exp(-float64(max(minHorizon, s.Horizon)) / float64(s.Hold))
-	return max(0, (targetUsage*s.Capacity-kept*s.InUse)/(1-kept))
+	return max(0, s.sustainable()+(s.target()*s.Capacity-s.InUse)/horizon.Seconds())
 }
