overload: a daemon measures its processor time and lag, and tells the others its usage

Logs could not tell whether a daemon that gets most new connections is short of processor time or of its parts of what the fleet shares. The usage travels with the loads, one number a message.

--- a/forward/loads.go
+++ b/forward/loads.go
@@ -20,6 +20,7 @@
 	others        map[string]otherLoad // by backend server ID, sum over the other daemons
 	othersAt      time.Time            // when the loads were received
 	othersDaemons int                  // number of daemons in the sum
+	othersUsage   float64              // processor time that the other daemons use, as fractions of their processors, summed
 	othersDemands []relay.Demand       // sum over the other daemons
 	demandDaemons int                  // number of daemons in othersDemands
 	demandsAt     time.Time            // when the demands were received
@@ -27,6 +28,7 @@
 	othersAge     time.Duration        // age of the loads when they were received
 	othersTTL     time.Duration        // time for which the loads are used
 	conditions    *conditions
+	ownUsage      func() float64
 	ownDemands    func() []relay.Demand
 	onDemands     func()
 	onAge         func(age time.Duration)
@@ -65,6 +67,7 @@
 func NewLoads() *Loads {
 	return &Loads{
 		servers: map[string]*serverLoad{}, conditions: newConditions(),
+		ownUsage:   func() float64 { return 0 },
 		ownDemands: func() []relay.Demand { return nil }, onDemands: func() {},
 		onAge: func(time.Duration) {}, onRefused: func(int) {}, onConditions: func(map[string]relay.Condition, bool) {},
 	}
@@ -183,6 +186,24 @@
 	return out
 }
 
+// SetOwnUsage sets the function that returns the processor time that this daemon uses, as a
+// fraction of what it may use. It must be called before the first exchange.
+func (l *Loads) SetOwnUsage(f func() float64) { l.ownUsage = f }
+
+// OwnUsage implements relay.LoadExchange.
+func (l *Loads) OwnUsage() float64 { return l.ownUsage() }
+
+// OthersUsage returns the mean processor time that the other daemons use, as a fraction of what
+// they may use, 1 if it is unknown.
+func (l *Loads) OthersUsage() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.othersDaemons == 0 || l.othersExpired(time.Now()) {
+		return 1
+	}
+	return l.othersUsage / float64(l.othersDaemons)
+}
+
 // OwnDemands implements relay.LoadExchange: it returns the demand of this daemon's callers.
 func (l *Loads) OwnDemands() []relay.Demand { return l.ownDemands() }
 
@@ -259,6 +280,7 @@
 		smooth(byServer, l.others, float64(1+others.Daemons)/float64(1+l.othersDaemons))
 	}
 	l.others, l.othersAt, l.othersDaemons, l.othersAge = byServer, time.Now(), others.Daemons, others.Age
+	l.othersUsage = others.Usage
 	l.othersDemands, l.demandDaemons, l.demandsAt = others.Demands, others.Daemons, time.Now()
 	l.demandsTTL = max(minDemandsTTL, others.ValidFor)
 	l.othersTTL = max(minOthersTTL, others.ValidFor)
--- a/forward/loads_test.go
+++ b/forward/loads_test.go
@@ -101,3 +101,15 @@
 	f.loads.SetDemands([]relay.Demand{{DemandKey: relay.DemandKey{Service: 1}, KV: 1}}, 1)
 	f.loads.SetOthers(relay.Loads{Daemons: 1})
 }
+
+// The other daemons count as fully used while their usage is unknown.
+func TestUsageOfOtherDaemons(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		l := NewLoads()
+		require.Equal(t, 1.0, l.OthersUsage())
+		l.SetOthers(relay.Loads{Daemons: 4, Usage: 1, ValidFor: time.Second})
+		require.Equal(t, 0.25, l.OthersUsage())
+		time.Sleep(minOthersTTL + time.Second)
+		require.Equal(t, 1.0, l.OthersUsage())
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/snowspoke/snowspoke/lease"
 	"github.com/snowspoke/snowspoke/metrics"
 	"github.com/snowspoke/snowspoke/network"
+	"github.com/snowspoke/snowspoke/overload"
 	"github.com/snowspoke/snowspoke/permit"
 	"github.com/snowspoke/snowspoke/placer"
 	"github.com/snowspoke/snowspoke/platform"
@@ -87,6 +88,7 @@
 	quarantine      *quarantine.Registry
 	quarantineSync  *quarantineSyncer
 	conns           *callerConns
+	loadMonitor     *overload.Monitor
 	undelimited     untilclose.Guard // of answers to callers
 	callers         *http.Server
 	readiness       *http.Server
@@ -174,6 +176,10 @@
 	g.leases = lease.NewManager(kindLease, placementLease, set.Name, leasePeriod, leaseStore{g.store}, g.log)
 	g.placer = placer.New(g.leases, g.inv, permittedBackends{g}, g.forward, observer{m}, g.log)
 	g.conns = newCallerConns()
+	if g.loadMonitor, err = g.newLoadMonitor(); err != nil {
+		return nil, err
+	}
+	g.forward.Loads().SetOwnUsage(g.loadMonitor.Usage)
 	g.ingress = platform.NewIngress(g.forward)
 	g.callers = &http.Server{
 		Handler: g.refuseWhenStopping(g.ingress), ReadHeaderTimeout: headerTimeout, ConnState: g.conns.trackState,
@@ -244,6 +250,7 @@
 	wg.Go(func() { g.log.Run(work.Done()) })
 	g.stalls.Start()
 	wg.Go(func() { g.stalls.Run(work) })
+	wg.Go(func() { g.monitorLoad(work) })
 	wg.Go(func() { g.follow(work) })
 	wg.Go(func() { g.permits.Run(work) })
 	wg.Go(func() { g.backends.Run(work) })
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -34,6 +34,7 @@
 	recovery   tally.Histogram
 	loadsAge   tally.Histogram
 	stalls     tally.Histogram
+	lag        tally.Histogram
 }
 
 // secondsBuckets range from 1 ms to 131 s.
@@ -55,6 +56,7 @@
 	m.firstToken = scope.Histogram("first_token_seconds", secondsBuckets)
 	m.recovery = scope.Histogram("recovery_gap_seconds", secondsBuckets)
 	m.stalls = scope.Histogram("stall_seconds", secondsBuckets)
+	m.lag = scope.Histogram("process_lag_seconds", secondsBuckets)
 	m.loadsAge = scope.Histogram("loads_age_seconds", secondsBuckets)
 	for _, p := range invariant.All {
 		err := registry.Register(prometheus.NewCounterFunc(prometheus.CounterOpts{
@@ -90,6 +92,13 @@
 // Stalled records a period during which this process did not run.
 func (m *Metrics) Stalled(d time.Duration) { m.stalls.RecordDuration(d) }
 
+// ProcessLoad records the processor time that this process uses, as a fraction of what it may
+// use, and how long events wait for it.
+func (m *Metrics) ProcessLoad(usage float64, lag time.Duration) {
+	m.scope.Gauge("process_usage").Update(usage)
+	m.lag.RecordDuration(lag)
+}
+
 // Refused counts entries of the platform's store that cannot be decoded.
 func (m *Metrics) Refused(kind string) {
 	m.scope.Tagged(map[string]string{"kind": kind}).Counter("entries_refused_total").Inc(1)
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -218,6 +218,7 @@
 	Demands []Demand
 	Daemons int           // number of daemons included
 	Age     time.Duration // mean age over the daemons
+	Usage   float64       // processor time used, as fractions of the daemons' processors, summed
 	// ValidFor is the time after which newer loads of some daemons are overdue.
 	ValidFor time.Duration
 }
@@ -227,6 +228,7 @@
 	items    map[string]LoadItem // nil for demands alone
 	demands  map[DemandKey]float64
 	daemons  int
+	usage    float64       // summed over the daemons
 	ages     time.Duration // summed over the daemons
 	validFor time.Duration // longest of the reports
 }
@@ -240,6 +242,7 @@
 // add adds loads that were received age ago.
 func (s *loadSum) add(l Loads, age time.Duration) {
 	s.daemons += l.Daemons
+	s.usage += l.Usage
 	s.ages += time.Duration(l.Daemons) * (l.Age + age)
 	if s.items != nil {
 		s.addItems(l.Items)
@@ -262,7 +265,7 @@
 
 // addOwn adds the loads of this daemon.
 func (s *loadSum) addOwn(own LoadExchange) {
-	l := Loads{Demands: own.OwnDemands(), Daemons: 1}
+	l := Loads{Demands: own.OwnDemands(), Daemons: 1, Usage: own.OwnUsage()}
 	if s.items != nil {
 		l.Items = own.OwnLoads()
 	}
@@ -271,7 +274,7 @@
 
 // loads returns the sum. Backend servers without requests are omitted.
 func (s *loadSum) loads() Loads {
-	out := Loads{Items: make([]LoadItem, 0, len(s.items)), Daemons: s.daemons, ValidFor: s.validFor}
+	out := Loads{Items: make([]LoadItem, 0, len(s.items)), Daemons: s.daemons, Usage: s.usage, ValidFor: s.validFor}
 	for _, i := range s.items {
 		if i.Running != 0 || i.Heads != 0 {
 			out.Items = append(out.Items, i)
--- a/relay/session.go
+++ b/relay/session.go
@@ -165,6 +165,7 @@
 	if p.HasLoads {
 		loads := s.node.subtreeLoads(now)
 		p.Loads, p.Daemons, p.LoadsAge = s.reporter.changes(loads.Items), loads.Daemons, loads.Age
+		p.Usage = inPercent(loads.Usage)
 		p.Demands = s.demands.all(loads.Demands, now)
 		s.loadsDueAt = loadsDue(now, len(p.Loads))
 	} else {
--- a/relay/source.go
+++ b/relay/source.go
@@ -42,6 +42,8 @@
 type LoadExchange interface {
 	// OwnLoads returns the loads that this daemon causes.
 	OwnLoads() []LoadItem
+	// OwnUsage returns the processor time that this daemon uses, as a fraction of what it may use.
+	OwnUsage() float64
 	// OwnDemands returns the demand of this daemon's callers.
 	OwnDemands() []Demand
 	// SetOthers sets the summed loads of the other daemons.
@@ -297,6 +299,7 @@
 	if p.HasLoads && !now.Before(l.loadsDueAt) {
 		loads := n.loadsFor(p.Sender, sameDomain, now)
 		a.Loads, a.Daemons, a.LoadsAge = l.loads.changes(loads.Items), loads.Daemons, loads.Age
+		a.Usage = inPercent(loads.Usage)
 		a.Demands = l.demands.all(loads.Demands, now)
 		l.loadsDueAt = loadsDue(now, len(a.Loads))
 	} else {
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http/httptest"
 	"strings"
@@ -81,6 +82,7 @@
 	changed       chan struct{}
 	own           []LoadItem
 	others        []LoadItem
+	othersUsage   float64
 	ownDemands    []Demand
 	demands       []Demand // of the other daemons
 	daemons       int      // included in others
@@ -188,6 +190,14 @@
 	f.cut = true
 }
 
+// OwnUsage returns a tenth of the processors for each request.
+func (f *fakeInventory) OwnUsage() (usage float64) {
+	for _, l := range f.OwnLoads() {
+		usage += float64(l.Running) / 10
+	}
+	return usage
+}
+
 func (f *fakeInventory) OwnDemands() []Demand {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -204,7 +214,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.others, f.demands, f.daemons, f.age = others.Items, others.Demands, others.Daemons, others.Age
-	f.demandDaemons = others.Daemons
+	f.demandDaemons, f.othersUsage = others.Daemons, others.Usage
 }
 
 func (f *fakeInventory) SetDemands(demands []Demand, daemons int) {
@@ -325,7 +335,7 @@
 		require.Eventually(t, func() bool {
 			inv.mu.Lock()
 			defer inv.mu.Unlock()
-			return len(inv.others) == 1 && inv.others[0].Running == want && inv.daemons == 3
+			return len(inv.others) == 1 && inv.others[0].Running == want && inv.daemons == 3 && math.Abs(inv.othersUsage-float64(want)/10) < 0.02
 		}, 10*time.Second, 20*time.Millisecond, daemonName(i))
 	}
 	for i, inv := range c.invs[1:] {
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -100,6 +100,8 @@
 	// Demands are those of the daemons that Loads include: all if HasLoads is set, changes
 	// otherwise.
 	Demands packedDemands `cbor:"12,keyasint,omitempty"`
+	// Usage is Loads.Usage in percent.
+	Usage int `cbor:"13,keyasint,omitempty"`
 }
 
 // pong answers the ping of the same number.
@@ -128,16 +130,33 @@
 	// Demands are those of the daemons that Loads include: all if Daemons is set, changes
 	// otherwise.
 	Demands packedDemands `cbor:"14,keyasint,omitempty"`
+	// Usage is Loads.Usage in percent.
+	Usage int `cbor:"15,keyasint,omitempty"`
 }
 
 // report returns the reported loads, with IDs resolved by ids.
 func (p *ping) report(r *loadReceiver, ids map[uint32]string) Loads {
-	return Loads{Items: r.apply(p.Loads, ids), Demands: r.allDemands(p.Demands), Daemons: max(1, p.Daemons), Age: max(0, p.LoadsAge)}
+	return Loads{
+		Items: r.apply(p.Loads, ids), Demands: r.allDemands(p.Demands), Daemons: max(1, p.Daemons),
+		Age: max(0, p.LoadsAge), Usage: fromPercent(p.Usage, max(1, p.Daemons)),
+	}
 }
 
 // report returns the reported loads, with IDs resolved by ids.
 func (p *pong) report(r *loadReceiver, ids map[uint32]string) Loads {
-	return Loads{Items: r.apply(p.Loads, ids), Demands: r.allDemands(p.Demands), Daemons: max(0, p.Daemons), Age: max(0, p.LoadsAge)}
+	return Loads{
+		Items: r.apply(p.Loads, ids), Demands: r.allDemands(p.Demands), Daemons: max(0, p.Daemons),
+		Age: max(0, p.LoadsAge), Usage: fromPercent(p.Usage, p.Daemons),
+	}
+}
+
+// inPercent encodes a summed usage.
+func inPercent(usage float64) int { return int(100*usage + 0.5) }
+
+// fromPercent decodes the summed usage of a number of daemons. Each uses its processors once at
+// most.
+func fromPercent(percent, daemons int) float64 {
+	return min(float64(max(0, daemons)), max(0, float64(percent)/100))
 }
 
 // compressThreshold is the size in bytes from which a frame of encodeFrame is compressed.
