--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -95,6 +95,8 @@
 	proxy   *standin.Proxy
 	// partitionable is set for a daemon that can be cut off from backend servers.
 	partitionable bool
+	// processors is the number of processors that the daemon may use, 0 if not set.
+	processors float64
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -172,6 +174,9 @@
 		p.callers = fmt.Sprintf("127.0.0.1:%d", pickPort(t))
 		p.ready = fmt.Sprintf("127.0.0.1:%d", pickPort(t))
 		text := fmt.Sprintf(settings, p.name, domain, linkPort, linkPort, p.callers, p.ready, p.proxy.Address())
+		if p.processors > 0 {
+			text += fmt.Sprintf("[limits]\ncpuShare = %g\ncores = 1\n", p.processors)
+		}
 		require.NoError(t, os.WriteFile(p.settings(), []byte(text), 0o600))
 		p.start(t)
 		if !p.portInUse(t) {
@@ -247,6 +252,9 @@
 	require.NoError(t, err)
 	p.cmd = exec.Command(program, "platform")
 	p.cmd.Env = append(os.Environ(), "SNOWSPOKE_BOOT="+p.settings())
+	if p.processors > 0 {
+		p.cmd.Env = append(p.cmd.Env, "GOMAXPROCS=1")
+	}
 	if p.partitionable {
 		p.cmd.Path, p.cmd.Args = os.Args[0], os.Args[:1]
 		p.cmd.Env = append(p.cmd.Env, partitionEnv+"="+p.partitionFile())
