forward: checks of silent streams share what is known of active backend servers

Callers of a daemon with 300 streams in flight and a fifth of a core got no events for a second after a short pause of the process. All its streams are checked at the same moment then, and each check visited the paths of all others to tell which backend servers are active: 0.08 ms a check with 300 streams and 16 hops, 24 ms of processor time in all. The set is now computed once in 10 ms, over a window that is shorter by as much, so that a hop counts as active no longer than before.

--- a/forward/live.go
+++ b/forward/live.go
@@ -15,6 +15,10 @@
 type liveStreams struct {
 	mu      sync.Mutex
 	streams map[*stream]struct{}
+
+	activeMu  sync.Mutex      // taken before mu
+	activeAt  time.Time       // when active was computed
+	activeNow map[string]bool // backend servers with recent events; not changed once set
 }
 
 func newLiveStreams() *liveStreams { return &liveStreams{streams: map[*stream]struct{}{}} }
@@ -79,6 +83,21 @@
 	return last
 }
 
+// activeAge is the maximum age of a result of active. After a pause of the process all its streams
+// are checked at the same moment, and each would visit all others.
+const activeAge = 10 * time.Millisecond
+
+// active returns the backend servers on the paths of streams that have received an event within
+// recentEventWindow. The map must not be changed.
+func (l *liveStreams) active(now time.Time) map[string]bool {
+	l.activeMu.Lock()
+	defer l.activeMu.Unlock()
+	if l.activeNow == nil || now.Sub(l.activeAt) >= activeAge {
+		l.activeAt, l.activeNow = now, l.activeSince(now.Add(activeAge-recentEventWindow))
+	}
+	return l.activeNow
+}
+
 // activeSince returns the backend servers on the paths of streams that have received an
 // event after a time.
 func (l *liveStreams) activeSince(at time.Time) map[string]bool {
@@ -166,7 +185,7 @@
 // have received an event recently. all is false if it skipped a hop, which may have died
 // since that event.
 func (f *Forwarder) probePath(ctx context.Context, path site.Path) (all bool) {
-	active := f.live.activeSince(time.Now().Add(-recentEventWindow))
+	active := f.live.active(time.Now())
 	all = true
 	var wg sync.WaitGroup
 	for _, h := range path {
