overload, gateway: a daemon reads no more than its processor can serve

Callers of a daemon that got most new connections were served late or not at all, while the other daemons were idle. Nothing bounded what a daemon accepts by its own processor: beyond its capacity all requests wait for the processor together, all are late, callers give up, and the work for them is lost.

A limit on the requests in flight follows from the processor time used and from the lag. Beyond it new connections are closed before a byte is read, so that callers try another daemon at once. While the other daemons are as busy, only the lag counts. A connection a second is always read.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,7 +30,6 @@
 	"github.com/snowspoke/snowspoke/lease"
 	"github.com/snowspoke/snowspoke/metrics"
 	"github.com/snowspoke/snowspoke/network"
-	"github.com/snowspoke/snowspoke/overload"
 	"github.com/snowspoke/snowspoke/permit"
 	"github.com/snowspoke/snowspoke/placer"
 	"github.com/snowspoke/snowspoke/platform"
@@ -88,7 +87,7 @@
 	quarantine      *quarantine.Registry
 	quarantineSync  *quarantineSyncer
 	conns           *callerConns
-	loadMonitor     *overload.Monitor
+	overload        *overloadGuard
 	undelimited     untilclose.Guard // of answers to callers
 	callers         *http.Server
 	readiness       *http.Server
@@ -176,10 +175,10 @@
 	g.leases = lease.NewManager(kindLease, placementLease, set.Name, leasePeriod, leaseStore{g.store}, g.log)
 	g.placer = placer.New(g.leases, g.inv, permittedBackends{g}, g.forward, observer{m}, g.log)
 	g.conns = newCallerConns()
-	if g.loadMonitor, err = g.newLoadMonitor(); err != nil {
+	if g.overload, err = newOverloadGuard(g); err != nil {
 		return nil, err
 	}
-	g.forward.Loads().SetOwnUsage(g.loadMonitor.Usage)
+	g.forward.Loads().SetOwnUsage(g.overload.monitor.Usage)
 	g.ingress = platform.NewIngress(g.forward)
 	g.callers = &http.Server{
 		Handler: g.refuseWhenStopping(g.ingress), ReadHeaderTimeout: headerTimeout, ConnState: g.conns.trackState,
@@ -250,7 +249,7 @@
 	wg.Go(func() { g.log.Run(work.Done()) })
 	g.stalls.Start()
 	wg.Go(func() { g.stalls.Run(work) })
-	wg.Go(func() { g.monitorLoad(work) })
+	wg.Go(func() { g.overload.run(work) })
 	wg.Go(func() { g.follow(work) })
 	wg.Go(func() { g.permits.Run(work) })
 	wg.Go(func() { g.backends.Run(work) })
@@ -261,7 +260,7 @@
 	wg.Go(func() { g.placer.Run(roles) })
 	wg.Go(func() { g.quarantineSync.run(roles) })
 	failed := make(chan error, 3)
-	wg.Go(func() { failed <- g.callers.Serve(g.conns.listen(g.listeners.callers)) })
+	wg.Go(func() { failed <- g.callers.Serve(g.conns.listen(g.overload.listen(g.listeners.callers))) })
 	wg.Go(func() { failed <- g.readiness.Serve(g.listeners.readiness) })
 	wg.Go(func() { g.serveOptional(g.links, g.listeners.links, "links to other daemons") })
 	if g.listeners.admin != nil {
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"sync"
+	"math"
+	"net"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -10,52 +11,66 @@
 	"github.com/snowspoke/snowspoke/overload"
 )
 
-// loadLogInterval is the minimum time between two log lines about the load of this process.
-const loadLogInterval = time.Second
-
-// loadLogger logs the load of this process while it is busy.
-type loadLogger struct {
-	g *Gateway
-
-	mu       sync.Mutex
-	loggedAt time.Time
-}
-
-// loggedUsage and loggedLag are the bounds from which the load is logged.
 const (
+	// loadLogInterval is the minimum time between two log lines about the load of this process.
+	loadLogInterval = time.Second
+	// loggedUsage and loggedLag are the bounds from which the load is logged.
 	loggedUsage = 0.7
 	loggedLag   = 25 * time.Millisecond
 )
 
-func (l *loadLogger) observe(load overload.Load, now time.Time) {
-	l.g.metrics.ProcessLoad(load.Usage, load.Lag)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if load.Usage < loggedUsage && load.Lag < loggedLag || now.Sub(l.loggedAt) < loadLogInterval {
-		return
-	}
-	l.loggedAt = now
-	l.g.log.Add("process_load", "usage", round(load.Usage), "lag", load.Lag.Round(time.Millisecond), "in_flight", load.InFlight, "others_usage", round(load.Others))
-}
+// overloadGuard limits the requests that this process reads while it is short of processor time.
+type overloadGuard struct {
+	g       *Gateway
+	limiter *overload.Limiter
+	monitor *overload.Monitor
 
-// round rounds a fraction to percents.
-func round(fraction float64) float64 { return float64(int(100*fraction+0.5)) / 100 }
+	// Only used by observe.
+	loggedAt time.Time
+	limited  bool // as logged last
+	closed   int  // connections closed unread since the last log line
+}
 
-// newLoadMonitor returns the monitor of this process's load.
-func (g *Gateway) newLoadMonitor() (*overload.Monitor, error) {
+func newOverloadGuard(g *Gateway) (*overloadGuard, error) {
 	probe, err := overload.NewPipe()
 	if err != nil {
 		return nil, err
 	}
-	l := &loadLogger{g: g}
-	return overload.NewMonitor(overload.Options{
-		Processors: g.set.CPUs, Probe: probe, InFlight: g.conns.inFlight, Others: g.forward.Loads().OthersUsage, Observe: l.observe,
-	}), nil
+	o := &overloadGuard{g: g, limiter: &overload.Limiter{}}
+	o.monitor = overload.NewMonitor(overload.Options{
+		Processors: g.set.CPUs, Probe: probe, InFlight: g.conns.inFlight, Others: g.forward.Loads().OthersUsage, Observe: o.observe,
+	})
+	return o, nil
+}
+
+// listen wraps the listener for callers.
+func (o *overloadGuard) listen(l net.Listener) net.Listener {
+	return overload.NewListener(l, o.limiter, o.g.conns.inFlight)
+}
+
+// run measures the load of this process until ctx ends.
+func (o *overloadGuard) run(ctx context.Context) {
+	if err := o.monitor.Run(ctx); err != nil {
+		_ = level.Error(o.g.log).Log("msg", "the load of this process is not measured", "err", err)
+	}
 }
 
-// monitorLoad measures the load of this process until ctx ends.
-func (g *Gateway) monitorLoad(ctx context.Context) {
-	if err := g.loadMonitor.Run(ctx); err != nil {
-		_ = level.Error(g.log).Log("msg", "the load of this process is not measured", "err", err)
+// observe adapts the limit to the load, and logs both while the process is busy and whenever a
+// limit begins or ends.
+func (o *overloadGuard) observe(load overload.Load, now time.Time) {
+	o.limiter.Update(load, now)
+	limit, closed := o.limiter.Limit(), o.limiter.TakeRefused()
+	o.closed += closed
+	o.g.metrics.ProcessLoad(load.Usage, load.Lag)
+	o.g.metrics.ClosedUnread(closed)
+	busy := load.Usage >= loggedUsage || load.Lag >= loggedLag || limit > 0
+	if o.limited == (limit > 0) && (!busy || now.Sub(o.loggedAt) < loadLogInterval) {
+		return
 	}
+	o.g.log.Add("process_load", "usage", inPercent(load.Usage), "lag", load.Lag.Round(time.Millisecond), "in_flight", load.InFlight,
+		"others_usage", inPercent(load.Others), "limit", limit, "closed_unread", o.closed)
+	o.loggedAt, o.limited, o.closed = now, limit > 0, 0
 }
+
+// inPercent rounds a fraction to whole percents.
+func inPercent(fraction float64) int { return int(math.Round(100 * fraction)) }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -99,6 +99,12 @@
 	m.lag.RecordDuration(lag)
 }
 
+// ClosedUnread counts callers' connections that were closed unread because this process is short
+// of processor time.
+func (m *Metrics) ClosedUnread(connections int) {
+	m.scope.Counter("connections_closed_unread_total").Inc(int64(connections))
+}
+
 // Refused counts entries of the platform's store that cannot be decoded.
 func (m *Metrics) Refused(kind string) {
 	m.scope.Tagged(map[string]string{"kind": kind}).Counter("entries_refused_total").Inc(1)
