stall: time in which messages wait unread does not count towards time-outs

Callers of a daemon that is short of processor time got 503 although all backend servers were sound: in two seconds it took 180 of them for unreachable, asked other daemons to carry connections and moved streams. Stalls were detected by a heartbeat, whose timer goes before sockets, so that it is in time while answers wait unread for hundreds of milliseconds. The lag of the process is now a stall from 25 ms on, in overlap with others once, also while it lasts.

TestUnreadMessagesAreNoTimeouts.

--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -39,7 +39,9 @@
 	o := &overloadGuard{g: g, limiter: &overload.Limiter{}}
 	o.monitor = overload.NewMonitor(overload.Options{
 		Processors: g.set.CPUs, Probe: probe, InFlight: g.conns.inFlight, Others: g.forward.Loads().OthersUsage, Observe: o.observe,
+		ObserveLag: g.stalls.NoteLag,
 	})
+	g.stalls.SetLag(o.monitor.WaitingSince)
 	return o, nil
 }
 
--- a/overload/measure.go
+++ b/overload/measure.go
@@ -96,15 +96,20 @@
 	return true
 }
 
-// end records the end of the pending sample.
-func (m *lagMeter) end(now time.Time) {
+// end records the end of the pending sample and returns when it was due.
+func (m *lagMeter) end(now time.Time) (due time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.due.IsZero() {
-		return
-	}
-	m.samples = append(m.samples, lagSample{at: now, lag: now.Sub(m.due)})
-	m.due = time.Time{}
+	due, m.due = m.due, time.Time{}
+	m.samples = append(m.samples, lagSample{at: now, lag: now.Sub(due)})
+	return due
+}
+
+// pendingSince returns when the pending sample was due, the zero time if none is pending.
+func (m *lagMeter) pendingSince() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.due
 }
 
 // mean returns the mean of the recent samples, including the pending one as far as it exceeds
--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -37,6 +37,8 @@
 	// Observe receives the load every UpdateInterval while the process is busy, and every
 	// calmInterval otherwise.
 	Observe func(load Load, now time.Time)
+	// ObserveLag receives from when to when an event waited for the process. It may be nil.
+	ObserveLag func(from, to time.Time)
 }
 
 // Monitor measures the load of the process.
@@ -57,12 +59,18 @@
 	if o.ProcessTime == nil {
 		o.ProcessTime = ProcessTime
 	}
+	if o.ObserveLag == nil {
+		o.ObserveLag = func(_, _ time.Time) {}
+	}
 	return &Monitor{opts: o, usage: newUsageMeter(o.Processors, o.ProcessTime)}
 }
 
 // Usage returns Load.Usage as measured last.
 func (m *Monitor) Usage() float64 { return math.Float64frombits(m.lastUsage.Load()) }
 
+// WaitingSince returns since when an event has waited for the process, the zero time if none does.
+func (m *Monitor) WaitingSince() time.Time { return m.lag.pendingSince() }
+
 // Run measures until ctx ends or the probe fails, and closes the probe.
 func (m *Monitor) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -128,6 +136,7 @@
 		if err := m.opts.Probe.Receive(); err != nil {
 			return err
 		}
-		m.lag.end(time.Now())
+		now := time.Now()
+		m.opts.ObserveLag(m.lag.end(now), now)
 	}
 }
--- a/stall/stall.go
+++ b/stall/stall.go
@@ -25,6 +25,9 @@
 	// settleTime is the least time for which the process must run after a stall before a
 	// timer expires, so that messages in the sockets are read first.
 	settleTime = 20 * time.Millisecond
+	// MinLag is the time for which events waited for this process from which it counts as a
+	// stall. Time-outs are longer.
+	MinLag = 25 * time.Millisecond
 	// maxStalls is the number of stalls that are stored. It covers more than six seconds
 	// with a stall every tenth of a second, as under a CPU quota.
 	maxStalls = 64
@@ -40,6 +43,8 @@
 	lastSuspended time.Duration   // value of suspended at the last heartbeat
 	stalls        [maxStalls]span // a ring buffer
 	next          int             // index of the next one
+	end           time.Time       // of the last stall
+	waitingSince  func() time.Time
 	observer      func(time.Duration)
 	onWake        []func(suspended time.Duration)
 }
@@ -68,7 +73,35 @@
 	if observe == nil {
 		observe = func(time.Duration) {}
 	}
-	return &Monitor{suspended: boottime.Suspended, observer: observe}
+	return &Monitor{suspended: boottime.Suspended, observer: observe, waitingSince: func() time.Time { return time.Time{} }}
+}
+
+// SetLag sets the function that returns since when an event has waited for this process, the zero
+// time if none does. It must be called before Run.
+func (m *Monitor) SetLag(waitingSince func() time.Time) { m.waitingSince = waitingSince }
+
+// NoteLag records that an event waited for this process. On a busy processor messages wait unread
+// although the heartbeat is in time, since timers go before sockets.
+func (m *Monitor) NoteLag(from, to time.Time) {
+	if to.Sub(from) < MinLag {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.add(span{from: from, to: to})
+}
+
+// add records a stall without the part that earlier ones cover; m.mu must be held.
+func (m *Monitor) add(s span) {
+	if s.from.Before(m.end) {
+		s.from = m.end
+	}
+	if s.suspension == 0 && !s.from.Before(s.to) {
+		return
+	}
+	m.stalls[m.next] = s
+	m.next = (m.next + 1) % maxStalls
+	m.end = s.to
 }
 
 // Run sends the heartbeat until ctx ends, usually in a goroutine of its own. Stalls are
@@ -115,8 +148,7 @@
 		suspension = 0
 	}
 	if late > 0 || suspension > 0 {
-		m.stalls[m.next] = span{from: now.Add(-late), to: now, suspension: suspension}
-		m.next = (m.next + 1) % maxStalls
+		m.add(span{from: now.Add(-late), to: now, suspension: suspension})
 	}
 	m.lastBeat, m.lastSuspended = now, suspended
 	callbacks := m.onWake
@@ -152,10 +184,19 @@
 	for _, s := range m.stalls {
 		stalled += s.within(since, now)
 	}
-	if late := m.late(now); late > 0 { // the heartbeat is still due
-		stalled += span{from: now.Add(-late), to: now}.within(since, now)
+	return stalled + m.current(now).within(since, now)
+}
+
+// current returns the stall that has not ended, the zero span if there is none; m.mu must be held.
+func (m *Monitor) current(now time.Time) span {
+	from := now.Add(-m.late(now)) // the heartbeat may still be due
+	if waiting := m.waitingSince(); !waiting.IsZero() && now.Sub(waiting) >= MinLag && waiting.Before(from) {
+		from = waiting
+	}
+	if from.Before(m.end) {
+		from = m.end
 	}
-	return stalled
+	return span{from: from, to: now}
 }
 
 // Stalled reports whether the process was kept from running, or its VM was suspended, at
--- a/stall/stall_test.go
+++ b/stall/stall_test.go
@@ -168,3 +168,43 @@
 		m.tick(time.Now())
 	}
 }
+
+// Time in which messages wait unread is no time in which others fail to answer, although the
+// heartbeat is in time. It counts once where it overlaps with other stalls.
+func TestUnreadMessagesAreNoTimeouts(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		var suspended time.Duration
+		var waiting atomic.Pointer[time.Time]
+		waiting.Store(&time.Time{})
+		m := newManualMonitor(&suspended)
+		m.SetLag(func() time.Time { return *waiting.Load() })
+		began := time.Now()
+		beat := func(n int) {
+			for range n {
+				time.Sleep(heartbeatInterval)
+				m.tick(time.Now())
+			}
+		}
+		beat(4)
+		m.NoteLag(time.Now().Add(-MinLag/2), time.Now())
+		require.Zero(t, m.StallTime(began, time.Now()), "a short wait")
+		m.NoteLag(time.Now().Add(-60*time.Millisecond), time.Now())
+		m.NoteLag(time.Now().Add(-100*time.Millisecond), time.Now())
+		require.Equal(t, 60*time.Millisecond, m.StallTime(began, time.Now()), "only the part that is new")
+		var ended atomic.Bool
+		timer := m.AfterFunc(100*time.Millisecond, func() { ended.Store(true) })
+		defer timer.Stop()
+		since := time.Now()
+		waiting.Store(&since)
+		beat(20)
+		require.False(t, ended.Load(), "a message waits")
+		require.Equal(t, 560*time.Millisecond, m.StallTime(began, time.Now()))
+		m.NoteLag(since, time.Now())
+		waiting.Store(&time.Time{})
+		require.Equal(t, 560*time.Millisecond, m.StallTime(began, time.Now()))
+		beat(3)
+		require.False(t, ended.Load())
+		beat(3)
+		require.True(t, ended.Load())
+	})
+}
