framing, platform, forward: bytes that are no answer may come without end

A backend server that sent a header line, a status line, headers, a surplus body or a body without end had every daemon read tens of megabytes in each health check, until its time-out, and one answer took 32 MB: one such server ended the fleet for all callers. Heads were read without a bound, surplus bodies without any, bodies of control calls up to 4 MB and buffered answers up to 32 MB for each request.

Heads have 64 KB together with their interim answers, in each reader of what backend servers, the store and other daemons send; surplus answers and control bodies 256 KB; one event 64 KB; answers over 64 KB share an eighth of the VM's memory. Beyond that the connection is closed, and the request may have run. Streams of whole events have no bound, as before.

--- a/api/once.go
+++ b/api/once.go
@@ -1,11 +1,9 @@
 package api
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +11,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/claims"
 	"github.com/snowspoke/snowspoke/dispatch"
+	"github.com/snowspoke/snowspoke/internal/readall"
 )
 
 // Claimer runs a function once for each idempotency key and returns the same
@@ -90,6 +89,9 @@
 	return &claims.Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {contentType}, HeaderRequestID: {req.ID}}, Body: data}, nil
 }
 
+// maxOnceReply is the size in bytes of the largest reply to a call with an idempotency key.
+const maxOnceReply = 8 << 20
+
 // callOnce runs a service call with an idempotency key. A reply that is not known to be
 // complete is given to the first caller but not kept: later uses of the key get
 // apierror.AlreadyRan.
@@ -104,14 +106,14 @@
 			return nil, err
 		}
 		defer reply.Body.Close()
-		var body bytes.Buffer
-		if _, err := io.Copy(&body, reply.Body); err != nil {
+		body, err := readall.AtMost(reply.Body, maxOnceReply)
+		if err != nil {
 			return nil, truncatedReply(err)
 		}
 		hd := reply.Header.Clone()
 		hd.Del("Content-Length")
 		hd.Set(HeaderRequestID, call.Call.RequestID)
-		answer := &claims.Answer{Status: reply.Status, Header: hd, Body: body.Bytes()}
+		answer := &claims.Answer{Status: reply.Status, Header: hd, Body: body}
 		if reply.Framing.Delimited() {
 			return answer, nil
 		}
--- a/client/client.go
+++ b/client/client.go
@@ -148,7 +148,7 @@
 	if resp.StatusCode == http.StatusOK && stream {
 		return readStream(resp.Body, r, start)
 	}
-	data, err := io.ReadAll(resp.Body)
+	data, err := readall.AtMost(resp.Body, maxReplyBytes)
 	var a response
 	if err == nil {
 		err = json.Unmarshal(data, &a)
@@ -168,6 +168,9 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
+// maxReplyBytes bounds a reply that is not a stream.
+const maxReplyBytes = 64 << 20
+
 // readStream reads events up to the completion marker or an error event.
 func readStream(body io.Reader, r Reply, start time.Time) (Reply, error) {
 	r.Ran = apierror.RanUnknown
@@ -261,7 +264,7 @@
 	}
 	defer resp.Body.Close()
 	r := Reply{RequestID: resp.Header.Get(api.HeaderRequestID), Ran: apierror.RanUnknown}
-	data, err := io.ReadAll(resp.Body)
+	data, err := readall.AtMost(resp.Body, maxReplyBytes)
 	if err != nil {
 		return r, fmt.Errorf("client: %w", err)
 	}
--- a/cmd/snowspoke/fleet.go
+++ b/cmd/snowspoke/fleet.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/api"
+	"github.com/snowspoke/snowspoke/internal/readall"
 	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/store/httpstore"
 )
@@ -93,7 +94,7 @@
 		return fmt.Errorf("%w: %s: %v", errUnavailable, address, err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := readall.AtMost(resp.Body, maxOutputBytes)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %v", errUnavailable, address, err)
 	}
--- a/cmd/snowspoke/quarantine.go
+++ b/cmd/snowspoke/quarantine.go
@@ -9,11 +9,15 @@
 	"time"
 
 	"github.com/snowspoke/snowspoke/gateway"
+	"github.com/snowspoke/snowspoke/internal/readall"
 )
 
 // operatorTimeout bounds a call to a daemon's metrics address.
 const operatorTimeout = 5 * time.Second
 
+// maxOutputBytes bounds the answer of a daemon to an operator's command.
+const maxOutputBytes = 64 << 20
+
 type quarantineCmd struct {
 	Metrics string `arg:"" help:"Metrics address of a daemon on the users' platform, IP:PORT."`
 	Lift    string `help:"Fingerprint of a request or part that is to be sent again; only on the daemon's own VM." placeholder:"FINGERPRINT"`
@@ -61,7 +65,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := readall.AtMost(resp.Body, maxOutputBytes)
 	if err == nil && resp.StatusCode >= http.StatusBadRequest {
 		err = fmt.Errorf("%w: %s: %s", errRefused, resp.Status, data)
 	}
--- a/cmd/snowspoke/route.go
+++ b/cmd/snowspoke/route.go
@@ -15,6 +15,7 @@
 
 	"github.com/snowspoke/snowspoke/forward"
 	"github.com/snowspoke/snowspoke/gateway"
+	"github.com/snowspoke/snowspoke/internal/readall"
 )
 
 // keyVariable is the environment variable with a caller's key. There is no flag for the key, since
@@ -182,7 +183,7 @@
 		return nil, fmt.Errorf("%w: %s: %v", errUnavailable, address, err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := readall.AtMost(resp.Body, maxOutputBytes)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %v", errUnavailable, address, err)
 	}
--- a/detour/wire.go
+++ b/detour/wire.go
@@ -1,7 +1,6 @@
 package detour
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +9,8 @@
 	"net/http"
 	"net/url"
 	"syscall"
+
+	"github.com/snowspoke/snowspoke/framing"
 )
 
 // Path is the path of the endpoint at which a daemon carries connections. The answer 101
@@ -43,6 +44,9 @@
 	errUnavailable = errors.New("detour: carrier not available")
 )
 
+// readBufferBytes is the size of the buffer of a carried connection.
+const readBufferBytes = 4 << 10
+
 // open asks a carrier for a connection to an address, over a connection to the carrier.
 func open(c net.Conn, carrier Carrier, address string, header http.Header) (net.Conn, error) {
 	u := url.URL{Scheme: "http", Host: carrier.Address, Path: Path, RawQuery: url.Values{addressParam: {address}}.Encode()}
@@ -56,8 +60,8 @@
 	if err := req.Write(c); err != nil {
 		return nil, fmt.Errorf("%w: %w", errUnavailable, err)
 	}
-	r := bufio.NewReader(c)
-	resp, err := http.ReadResponse(r, req)
+	r := framing.NewResponses(c, readBufferBytes)
+	resp, err := r.Next(req)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errUnavailable, err)
 	}
@@ -79,7 +83,7 @@
 // read together with the carrier's answer.
 type carriedConn struct {
 	net.Conn
-	r       *bufio.Reader
+	r       *framing.Responses
 	carrier string
 }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -87,6 +87,9 @@
 	// MaxKeyAge is the maximum age of the configuration up to which its keys are
 	// accepted, 0 for no maximum.
 	MaxKeyAge time.Duration
+	// AnswerBytes is the memory for buffered answers of more than freeAnswerBytes, 0 for that of
+	// one largest answer.
+	AnswerBytes int
 }
 
 // Dependencies holds the dependencies of a Forwarder.
@@ -151,6 +154,7 @@
 
 	availability *availability.Table
 	ignored      ignoredHeaders
+	answers      *answerMemory
 
 	started   time.Time    // one window earlier if there was no previous process
 	maxKeyAge atomic.Int64 // time.Duration, see Options.MaxKeyAge
@@ -184,8 +188,8 @@
 		started: time.Now(), opts: o, inv: d.Inventory, fleet: d.Fleet, log: d.Log, observer: d.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), healthChecks: newResultCache[struct{}](0), silences: newSilences(), live: newLiveStreams(), splits: newSplits(), shedders: newShedders(), longPrompts: newLongPrompts(),
-		availability: availability.NewTable(),
-		targetDraws:  newDraws(), startDraws: newDraws(), pathDraws: newDraws(), splitDraws: newDraws(),
+		availability: availability.NewTable(), answers: newAnswerMemory(o.AnswerBytes),
+		targetDraws: newDraws(), startDraws: newDraws(), pathDraws: newDraws(), splitDraws: newDraws(),
 	}
 	f.backends = metered{d.Backends, f}
 	f.maxKeyAge.Store(int64(o.MaxKeyAge))
--- a/forward/run.go
+++ b/forward/run.go
@@ -15,7 +15,6 @@
 	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/detour"
 	"github.com/snowspoke/snowspoke/execution"
-	"github.com/snowspoke/snowspoke/internal/readall"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/quarantine"
@@ -290,13 +289,11 @@
 	return execution.NotRunHere, &HopError{Address: at.Address, Err: execution.ErrRefused}
 }
 
-// maxAnswerBytes bounds an answer that is buffered before it is written to the caller.
-const maxAnswerBytes = 32 << 20
-
 // relayComplete buffers an answer and writes it to the caller. It writes a server error
 // only if the request cannot be repeated or no retry is left.
 func (r *run) relayComplete(ctx context.Context, t *target, a *Answer) (execution.Result, error) {
-	body, err := readall.AtMost(a.Body, maxAnswerBytes)
+	body, release, err := r.f.answers.readAll(a.Body)
+	defer release()
 	if err != nil && ctx.Err() != nil {
 		return execution.Answered, r.endError(ctx)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -162,6 +162,9 @@
 		if pending, sinkErr = s.forwardEvents(a, pending); sinkErr != nil {
 			return execution.Answered, apierror.Wrap(apierror.CallerGone, sinkErr)
 		}
+		if err == nil && len(pending) > maxEventBytes {
+			err = errEventTooLong
+		}
 		if err != nil {
 			return s.finish(ctx, sctx, a, pending, readall.UnlessEOF(err))
 		}
--- a/framing/framing.go
+++ b/framing/framing.go
@@ -1,5 +1,6 @@
 // Package framing tells what determines the end of an HTTP message body (RFC 9112,
-// section 6.3). Only a delimited body shows by itself that it is complete.
+// section 6.3), and reads heads of bounded length. Only a delimited body shows by itself that it
+// is complete.
 package framing
 
 import "net/http"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,9 @@
 	idleDescriptorsDivisor = 4
 )
 
+// answerMemoryDivisor limits the memory for large answers to a fraction of the VM's memory.
+const answerMemoryDivisor = 8
+
 // Kinds and names of the objects that daemons keep in the store.
 const (
 	kindLease      = "snowspoke-leases"
@@ -156,6 +159,7 @@
 	g.forward = forward.New(forward.Options{
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetrySlack: set.RetrySlack,
 		RetryWindow: set.RetryWindow, Restarted: !set.FirstStart, MaxKeyAge: maxKeyAge(set),
+		AnswerBytes: set.MemoryMB << 20 / answerMemoryDivisor,
 	}, forward.Dependencies{Inventory: g.inv, Fleet: g.members, Backends: g.backends, Log: g.log, Observer: observer{m}, Quarantine: registry, TrialRank: g.members.rank,
 		Stalls: stalls, Limits: limits, Sends: sends, Permits: permits{g}, Way: g.paths.Way})
 	g.backends.OnStatement(g.forward.ApplyStatement)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -55,6 +55,24 @@
 	require.Equal(t, events(1, 20), a.Body, "each event once, in order")
 }
 
+// A stream with an event that has no end goes on elsewhere, with each event once.
+func TestStreamWithAnEndlessEventResumesElsewhere(t *testing.T) {
+	env := newConfiguredEnv(t)
+	heads, _ := env.pipeline(2, 1)
+	for _, h := range heads {
+		h.Events = 20
+	}
+	d := env.daemon("daemon-1", nil).ready(t, 3)
+	heads[0].AddFaults(standin.EndlessBody)
+	heads[1].AddFaults(standin.EndlessBody)
+	a := d.call(t, call{method: "POST", path: "/stream/"})
+	for a.Err != nil { // both had the event and no retry is left: the caller resumes
+		a = d.call(t, call{method: "POST", path: "/stream/", id: "req-2"})
+	}
+	require.Equal(t, http.StatusOK, a.Status)
+	require.Equal(t, events(1, 20), a.Body, "each event once, in order")
+}
+
 // A stream that is silent for over a second is not cut off when no retry is left, since
 // it may continue.
 func TestSilentStreamIsKeptWithoutRetries(t *testing.T) {
--- a/network/network.go
+++ b/network/network.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/snowspoke/snowspoke/framing"
 )
 
 // Network opens listeners and connections.
@@ -49,7 +51,7 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: n.DialContext, MaxIdleConnsPerHost: perHost, IdleConnTimeout: idleTimeout, DisableCompression: true,
-			TLSClientConfig: c,
+			TLSClientConfig: c, MaxResponseHeaderBytes: framing.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/relay/session.go
+++ b/relay/session.go
@@ -13,6 +13,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/snowspoke/snowspoke/boottime"
+	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/quarantine"
@@ -62,7 +63,7 @@
 	if connect == nil {
 		connect = new(net.Dialer).DialContext
 	}
-	t := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+	t := &http.Transport{MaxResponseHeaderBytes: framing.MaxHeadBytes, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := stalls.WithTimeout(ctx, connectTimeout)
 		defer cancel()
 		return connect(ctx, network, address)
