overload, daemon: our own interface reads no more than its processor can serve

The same cause as on the users' platform: nothing bounded what a daemon accepts by its own processor but 20,000 connections. The guard of the gateway (measurement, limit, log line, count of requests) moves to package overload, and both faces use it. On our own interface the usage of the other daemons is not exchanged, so that only the lag counts, with the larger bound.

TestGuardedServer: a server closes unread what exceeds its limit, and counts a request from the new connection to its answer.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,6 +37,7 @@
 	"github.com/snowspoke/snowspoke/metrics"
 	"github.com/snowspoke/snowspoke/monitor"
 	"github.com/snowspoke/snowspoke/network"
+	"github.com/snowspoke/snowspoke/overload"
 	"github.com/snowspoke/snowspoke/peer"
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/routing"
@@ -75,6 +76,7 @@
 	carrier          *detour.Server
 	backendAddresses detour.AddressIndex[topology.Snapshot]
 	undelimited      untilclose.Guard // of answers to callers
+	overload         *overload.Guard  // nil on a network that is not the operating system's
 
 	callers   *http.Server
 	operators *http.Server
@@ -124,6 +126,9 @@
 	d.buildLimits()
 	d.buildDetours()
 	d.buildServers()
+	if err := d.limitLoad(); err != nil {
+		return nil, err
+	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -248,6 +253,9 @@
 		}
 		d.listeners[i] = l
 	}
+	if d.overload != nil {
+		d.listeners[0] = d.overload.Listen(d.listeners[0])
+	}
 	d.listeners[0] = newLimitListener(d.listeners[0], d.cfg.Limits.Connections)
 	d.wrapTLS()
 	return nil
@@ -310,6 +318,7 @@
 	wg.Go(func() { d.placeWeights(workCtx) })
 	wg.Go(func() { d.detours.Run(workCtx) })
 	wg.Go(func() { d.closeIdleThroughLeaving(workCtx) })
+	wg.Go(func() { d.monitorLoad(workCtx) })
 	d.peers = d.newServer(d.peersHandler(workCtx))
 	serveErrs := make(chan error, 3)
 	wg.Go(func() { serveErrs <- d.peers.Serve(d.listeners[peersListener]) })
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/snowspoke/snowspoke/lease"
 	"github.com/snowspoke/snowspoke/metrics"
 	"github.com/snowspoke/snowspoke/network"
+	"github.com/snowspoke/snowspoke/overload"
 	"github.com/snowspoke/snowspoke/permit"
 	"github.com/snowspoke/snowspoke/placer"
 	"github.com/snowspoke/snowspoke/platform"
@@ -90,7 +91,7 @@
 	quarantine      *quarantine.Registry
 	quarantineSync  *quarantineSyncer
 	conns           *callerConns
-	overload        *overloadGuard
+	overload        *overload.Guard
 	undelimited     untilclose.Guard // of answers to callers
 	callers         *http.Server
 	readiness       *http.Server
@@ -179,13 +180,18 @@
 	g.leases = lease.NewManager(kindLease, placementLease, set.Name, leasePeriod, leaseStore{g.store}, g.log)
 	g.placer = placer.New(g.leases, g.inv, permittedBackends{g}, g.forward, observer{m}, g.log)
 	g.conns = newCallerConns()
-	if g.overload, err = newOverloadGuard(g); err != nil {
+	g.overload, err = overload.NewGuard(overload.GuardOptions{
+		Processors: set.CPUs, Others: g.forward.Loads().OthersUsage, ObserveLag: stalls.NoteLag, Metrics: m,
+		Log: func(keyvals ...any) { g.log.Add("process_load", keyvals...) },
+	})
+	if err != nil {
 		return nil, err
 	}
-	g.forward.Loads().SetOwnUsage(g.overload.monitor.Usage)
+	g.forward.Loads().SetOwnUsage(g.overload.Usage)
+	stalls.SetLag(g.overload.WaitingSince)
 	g.ingress = platform.NewIngress(g.forward)
 	g.callers = &http.Server{
-		Handler: g.refuseWhenStopping(g.ingress), ReadHeaderTimeout: headerTimeout, ConnState: g.conns.trackState,
+		Handler: g.refuseWhenStopping(g.ingress), ReadHeaderTimeout: headerTimeout, ConnState: g.trackState,
 		// Errors of the server itself, such as a handler that panicked.
 		ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Error(g.log)), "", 0),
 	}
@@ -253,7 +259,7 @@
 	wg.Go(func() { g.log.Run(work.Done()) })
 	g.stalls.Start()
 	wg.Go(func() { g.stalls.Run(work) })
-	wg.Go(func() { g.overload.run(work) })
+	wg.Go(func() { g.monitorLoad(work) })
 	wg.Go(func() { g.follow(work) })
 	wg.Go(func() { g.permits.Run(work) })
 	wg.Go(func() { g.backends.Run(work) })
@@ -264,7 +270,7 @@
 	wg.Go(func() { g.placer.Run(roles) })
 	wg.Go(func() { g.quarantineSync.run(roles) })
 	failed := make(chan error, 3)
-	wg.Go(func() { failed <- g.callers.Serve(g.conns.listen(g.overload.listen(g.listeners.callers))) })
+	wg.Go(func() { failed <- g.callers.Serve(g.conns.listen(g.overload.Listen(g.listeners.callers))) })
 	wg.Go(func() { failed <- g.readiness.Serve(g.listeners.readiness) })
 	wg.Go(func() { g.serveOptional(g.links, g.listeners.links, "links to other daemons") })
 	if g.listeners.admin != nil {
@@ -323,6 +329,19 @@
 	}
 }
 
+// trackState is the ConnState hook of the server for callers.
+func (g *Gateway) trackState(c net.Conn, s http.ConnState) {
+	g.overload.Track(c, s)
+	g.conns.trackState(c, s)
+}
+
+// monitorLoad measures the load of this process until ctx ends.
+func (g *Gateway) monitorLoad(ctx context.Context) {
+	if err := g.overload.Run(ctx); err != nil {
+		_ = level.Error(g.log).Log("msg", "the load of this process is not measured", "err", err)
+	}
+}
+
 // follow keeps the inventory up to date through the relay. It starts once the daemons
 // have been listed or firstListTimeout is over.
 func (g *Gateway) follow(ctx context.Context) {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -79,12 +79,11 @@
 	mu       sync.Mutex
 	all      map[*trackedConn]struct{}
 	active   map[net.Conn]struct{} // a request is being read or answered
-	unread   map[net.Conn]struct{} // nothing was read yet
 	lastRead atomic.Int64          // when a byte last arrived, in Unix nanoseconds
 }
 
 func newCallerConns() *callerConns {
-	return &callerConns{all: map[*trackedConn]struct{}{}, active: map[net.Conn]struct{}{}, unread: map[net.Conn]struct{}{}}
+	return &callerConns{all: map[*trackedConn]struct{}{}, active: map[net.Conn]struct{}{}}
 }
 
 // listen wraps a listener to track its connections.
@@ -171,10 +170,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.active, conn)
-	delete(c.unread, conn)
 	switch state {
-	case http.StateNew:
-		c.unread[conn] = struct{}{}
 	case http.StateIdle:
 		if tc, ok := conn.(*trackedConn); ok {
 			tc.markIdle()
@@ -184,14 +180,6 @@
 	}
 }
 
-// inFlight returns the number of requests that are being read or answered, including those
-// that are expected on new connections.
-func (c *callerConns) inFlight() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.active) + len(c.unread)
-}
-
 // closeIdle closes all idle connections.
 func (c *callerConns) closeIdle() { c.sweep(time.Now(), 0) }
 
