forward: a limit of a backend server that is no first hop ends

Callers were refused for ten seconds and more after an overload, with all backend servers free: a backend server that runs inner layers had named a limit in a report and then named none. Only the answer to a request ended a limit, and trials went to first hops alone, so that this limit stayed for as long as the server and bounded all paths through it.

A backend server that is no first hop is now asked for a report as a trial, with the same permit and at the same intervals, and a successful report without a limit ends its limit. It gets no requests, and should it become a first hop, its first answer names the limit again.

TestLimitOfAnInnerHopEnds failed before (the limit stayed at all eight daemons).

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -100,7 +100,7 @@
 	Server    string // ID
 	Call      CallKind
 	RequestID string    // empty unless Call is CallRequest
-	Ran       bool      // the backend server ran the request
+	Ran       bool      // the backend server ran the request, or answered another call with success
 	SentAt    time.Time // of the call, on the clock of package boottime
 	Limit     StatedLimit
 	// RetryAfter is the time for which the backend server wants no call from this daemon,
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -123,6 +123,7 @@
 	inv          Inventory
 	fleet        Fleet
 	backends     Backends
+	permitted    metered // makes calls whose permits were taken before
 	log          *Log
 	observer     Observer
 	loads        *Loads
@@ -191,7 +192,8 @@
 		availability: availability.NewTable(), answers: newAnswerMemory(o.AnswerBytes),
 		targetDraws: newDraws(), startDraws: newDraws(), pathDraws: newDraws(), splitDraws: newDraws(),
 	}
-	f.backends = metered{d.Backends, f}
+	f.permitted = metered{d.Backends, f}
+	f.backends = f.permitted
 	f.maxKeyAge.Store(int64(o.MaxKeyAge))
 	f.loads.ownDemands, f.loads.onDemands = f.ownDemands, f.renewAllFractions
 	f.loads.onAge = f.noteLoadsAge
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -9,9 +9,12 @@
 
 // applyStatedLimit updates a backend server's limit from one of its answers. Any answer may
 // state a limit. Only the answer to a request that ran ends a limit by not stating one,
-// since refusals, reports and answers to orders may omit it.
+// since refusals, reports and answers to orders may omit it. A backend server that is no first
+// hop gets no requests, so a report ends its limit; should it become one, its first answer states
+// the limit again.
 func (f *Forwarder) applyStatedLimit(s *Statement) {
-	if s.Limit.Unreadable || !s.Limit.Stated && !(s.Call == CallRequest && s.Ran) {
+	ends := s.Ran && (s.Call == CallRequest || s.Call == CallReport && f.isInnerHop(s.Server))
+	if s.Limit.Unreadable || !s.Limit.Stated && !ends {
 		return
 	}
 	update := quota.LimitReport{Server: s.Server, Stated: s.Limit.Stated, Rate: s.Limit.Rate, SentAt: s.SentAt, At: boottime.Now()}
@@ -39,6 +42,17 @@
 	return change
 }
 
+// isInnerHop reports whether a backend server runs layers of a model, but not the first one.
+func (f *Forwarder) isInnerHop(id string) bool {
+	view := f.inv.View()
+	s := view.Servers[id]
+	if s == nil || view.Config == nil {
+		return false
+	}
+	service := view.Config.Services[s.Service]
+	return service != nil && service.Engine != nil && !s.Held.Has(0)
+}
+
 // limitAge returns how long a limit has been known, 0 if there is none.
 func limitAge(l quota.Limit, now time.Time) time.Duration {
 	if l.Since.IsZero() {
--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -66,10 +66,16 @@
 
 // Report implements Backends.
 func (b limitedBackends) Report(ctx context.Context, s *site.BackendServer) (Report, error) {
+	sentAt := boottime.Now()
 	b.mu.Lock()
-	b.sends[s.ID] = append(b.sends[s.ID], boottime.Now())
+	rate, named := b.named[s.ID]
+	b.sends[s.ID] = append(b.sends[s.ID], sentAt)
 	b.mu.Unlock()
-	return b.lab.Report(ctx, s)
+	r, err := b.lab.Report(ctx, s)
+	if err == nil {
+		b.forward[b.daemon].ApplyStatement(Statement{Server: s.ID, Call: CallReport, Ran: true, Limit: StatedLimit{Stated: named, Rate: rate}, SentAt: sentAt})
+	}
+	return r, err
 }
 
 // limitedPermits requests permits from the first daemon. It implements Permits.
@@ -298,8 +304,25 @@
 // A head with a limit gets requests from time to time although other paths are cheaper,
 // and the end of its limit is known within a second.
 func TestLimitOfAHeadWithoutRequestsEnds(t *testing.T) {
+	testLimitWithoutRequestsEnds(t, func(l *limitedLab) string { return "a-middle-0" })
+}
+
+// A backend server with a limit that is no first hop gets no requests, and the end of its limit is
+// known within a second.
+func TestLimitOfAnInnerHopEnds(t *testing.T) {
+	testLimitWithoutRequestsEnds(t, func(l *limitedLab) string {
+		var inner []string
+		for id, s := range l.view.Servers {
+			if s.Held.Len() > 0 && !s.Held.Has(0) {
+				inner = append(inner, id)
+			}
+		}
+		return slices.Min(inner)
+	})
+}
+
+func testLimitWithoutRequestsEnds(t *testing.T, choose func(*limitedLab) string) {
 	const (
-		head     = "a-middle-0"
 		rate     = 20.0
 		interval = 100 * time.Millisecond // of requests
 		length   = 6 * time.Second
@@ -307,6 +330,7 @@
 	)
 	virtual.Test(t, func(t *testing.T) {
 		l := newLimitedLab(8)
+		head := choose(l)
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
 		wg.Go(func() { l.share(ctx) })
--- a/forward/limittrial.go
+++ b/forward/limittrial.go
@@ -15,7 +15,7 @@
 
 // Only the answer to a request shows that a limit has ended. A backend server with a limit
 // may get no requests because other paths are cheaper, so the daemons together send it one
-// from time to time, a trial.
+// from time to time, a trial. One that is no first hop is asked for a report instead.
 
 // Intervals of trials.
 const (
@@ -99,6 +99,10 @@
 		if s == nil || s.Service != r.req.Service || !r.f.trials.due(limit, r.f.fleet.Daemons(), boottime.Now()) {
 			continue
 		}
+		if r.f.isInnerHop(s.ID) {
+			go r.f.reportTrial(context.WithoutCancel(ctx), s, r.class())
+			continue
+		}
 		if t := r.trialOf(ctx, s); t != nil {
 			r.f.log.Add("limit_trial", "request", r.req.ID, "server", s.ID, "rate", limit.Rate, "known_for", limitAge(limit, boottime.Now()))
 			return t
@@ -107,6 +111,18 @@
 	return nil
 }
 
+// reportTrial asks a backend server that is no first hop for a report, which shows whether its
+// limit has ended, if its limit permits a call.
+func (f *Forwarder) reportTrial(ctx context.Context, s *site.BackendServer, class quota.Class) {
+	d := f.permits.Permit(ctx, quota.PermitRequest{Servers: []string{s.ID}, Class: class, IdleFor: limitIdle})
+	if !d.Granted {
+		f.trials.postpone(s.ID, boottime.Now().Add(d.After))
+		return
+	}
+	_, err := f.permitted.reportPermitted(ctx, s) // what it states is applied by ApplyStatement
+	f.log.Add("limit_trial", "request", "", "server", s.ID, "by", CallReport, "err", err)
+}
+
 // trialOf returns a target with permits whose first hop is s, nil if there is none.
 func (r *run) trialOf(ctx context.Context, s *site.BackendServer) *target {
 	t := r.targetAt(s)
--- a/forward/metered.go
+++ b/forward/metered.go
@@ -54,6 +54,14 @@
 	return m.Backends.Report(ctx, s)
 }
 
+// reportPermitted is Report with a permit that was taken before.
+func (m metered) reportPermitted(ctx context.Context, s *site.BackendServer) (Report, error) {
+	if err := m.f.CheckCall(s.ID, CallReport); err != nil {
+		return Report{}, err
+	}
+	return m.Backends.Report(ctx, s)
+}
+
 // CheckHealth implements Backends.
 func (m metered) CheckHealth(ctx context.Context, s *site.BackendServer, path string) error {
 	if err := m.f.permitCall(ctx, s.ID, CallHealth); err != nil {
