overload: a limit grows also without a pressure to measure

Found by reading: with a lag of exactly zero, while the other daemons are full, a limit that was still reached stayed as it was, so that connections were closed for as long as they came. TestLimitGrowsWithoutPressure.

--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -44,6 +44,8 @@
 	growth = 1.02
 	// minLimit is the smallest limit.
 	minLimit = 4
+	// minPressure is the smallest pressure by which the limit is adapted.
+	minPressure = 0.01
 	// The limit is lifted when the pressure has been below liftPressure, and no connection was
 	// refused, for liftAfter.
 	liftPressure = 0.75
@@ -92,9 +94,7 @@
 	if l.limit == 0 {
 		return
 	}
-	if p > 0 {
-		l.limit = min(l.limit*growth+1, max(l.limit, float64(load.InFlight)/p))
-	}
+	l.limit = min(l.limit*growth+1, max(l.limit, float64(load.InFlight)/max(p, minPressure)))
 	if p >= liftPressure {
 		l.calmSince = time.Time{}
 		return
--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -213,6 +213,21 @@
 	require.Equal(t, 9, admittedOf(9, l, 1000, now))
 }
 
+// A limit that is still reached grows while there is no load to measure, as after the other
+// processes have become full.
+func TestLimitGrowsWithoutPressure(t *testing.T) {
+	l := &Limiter{}
+	now := time.Unix(1e9, 0)
+	l.Update(Load{InFlight: 0, Usage: 1}, now)
+	require.Equal(t, minLimit, l.Limit())
+	for range 50 {
+		now = now.Add(UpdateInterval)
+		admittedOf(20, l, 20, now)
+		l.Update(Load{InFlight: 20, Others: 1}, now)
+	}
+	require.Greater(t, l.Limit(), 20)
+}
+
 // admittedOf returns how many of n connections are admitted.
 func admittedOf(n int, l *Limiter, inFlight int, now time.Time) (admitted int) {
 	for range n {
