forward: the least urgent class under contention is refused at once, with a time to return

Callers of the least urgent class waited 200 to 260 ms for a refusal and were told to return after 10 to 130 ms, while more urgent ones asked for all that became free. A request without a path was held until the cooldown of a refusing backend server ended (250 ms), whatever its class, and its Retry-After was what was left of that cooldown. A new request of the least urgent class is no longer held while its service is contended, and its Retry-After is that of the requests that the fractions refuse: from the rate at which its class is admitted.

--- a/forward/contention.go
+++ b/forward/contention.go
@@ -52,7 +52,13 @@
 
 // yieldsRetry reports whether a refused request leaves the retries to more urgent ones.
 func (r *run) yieldsRetry() bool {
-	if r.tracker.State() != execution.Refused {
+	return r.tracker.State() == execution.Refused && r.yields()
+}
+
+// yields reports whether the request is new and of the least urgent class of a service under
+// contention. What becomes free goes to more urgent ones, so that waiting for it is in vain.
+func (r *run) yields() bool {
+	if r.headSent.Load() {
 		return false
 	}
 	c := r.contention()
--- a/forward/contention_test.go
+++ b/forward/contention_test.go
@@ -47,6 +47,18 @@
 	}
 }
 
+// A request of the least urgent class that finds no capacity under contention must learn it at once,
+// and must not be told to return sooner than capacity may be free.
+func TestLeastUrgentRequestsAreRefusedAtOnce(t *testing.T) {
+	for _, daemons := range []int{6, manyDaemons()} {
+		t.Run(fmt.Sprint("daemons=", daemons), func(t *testing.T) {
+			r := runClasses(t, contendedLoad(daemons))
+			r.log(t)
+			r.assertRefusals(t)
+		})
+	}
+}
+
 // Urgent requests must be served first also while some daemons do not know the demand of the
 // others or are not known to them.
 func TestUrgentRequestsAreServedFirstDuringFaults(t *testing.T) {
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -37,6 +37,9 @@
 	if r.headSent.Load() {
 		return began.Add(maxRecoveryHold)
 	}
+	if r.yields() {
+		return time.Time{}
+	}
 	exhausted := r.attemptsExhausted()
 	at := r.f.nextAvailable(r.req.Service, now, func(s *site.BackendServer) bool { return r.maySendTo(s, exhausted) })
 	if at.Sub(now) > cooldowns.AfterRefusal {
@@ -74,8 +77,13 @@
 
 // retryAfter returns the retry time of the refusal of this request. If it has used up its
 // attempts, a new request may be served now, unless most backend servers are paused: the
-// others then have little room.
+// others then have little room. The least urgent class under contention returns at the rate at
+// which it is admitted.
 func (r *run) retryAfter(now time.Time) time.Duration {
+	if r.yields() {
+		d := r.decideReturn(now)
+		return d.stated()
+	}
 	if r.sends == 0 {
 		return r.f.retryAfter(r.req.Service, now)
 	}
--- a/forward/shedding.go
+++ b/forward/shedding.go
@@ -144,8 +144,18 @@
 
 // refuseReserved returns the refusal of a new request that finds no path within its reserve.
 func (r *run) refuseReserved(now time.Time) error {
+	d := r.decideReturn(now)
+	if r.preview == nil {
+		r.logShed(&d)
+	}
+	return apierror.Wrap(apierror.Overloaded, errReserved).WithRetryAfter(d.stated())
+}
+
+// decideReturn returns when the caller of a request that found no capacity should return.
+func (r *run) decideReturn(now time.Time) shedDecision {
 	s := r.f.shedders
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	sh := s.of(r.req.Service)
 	if r.preview != nil {
 		sh = sh.clone()
@@ -153,11 +163,7 @@
 	d := shedDecision{class: r.urgency(), share: 1}
 	d.fraction = sh.gate.Fraction(d.class)
 	d.after = r.nextReturn(sh, &d, now)
-	s.mu.Unlock()
-	if r.preview == nil {
-		r.logShed(&d)
-	}
-	return apierror.Wrap(apierror.Overloaded, errReserved).WithRetryAfter(d.stated())
+	return d
 }
 
 func (r *run) logShed(d *shedDecision) {
