soak: throttled daemons and bytes without end; where the limit of a process is decided

The soak lets random daemons run for 0.1 to 0.4 of the time, and random backend servers answer with a head or a body without end, each with random numbers of its own, so that the faults of known seeds stay as they were.

--- a/soak/hot_test.go
+++ b/soak/hot_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -16,7 +17,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/platform/sitetrial"
+	"github.com/snowspoke/snowspoke/platform/standin"
 )
 
 // Load of a daemon that has a part of a processor and gets nearly all new connections.
@@ -50,7 +53,7 @@
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	var throttled sync.WaitGroup
-	throttled.Go(func() { throttle(ctx, hot, hotProcessor) })
+	throttled.Go(func() { throttle(ctx, hot, hotProcessor, hotPeriod) })
 	t.Cleanup(func() {
 		stop()
 		throttled.Wait()
@@ -68,18 +71,53 @@
 	}
 }
 
-// throttle lets a process run for a part of the time.
-func throttle(ctx context.Context, p *process, part float64) {
-	running := time.Duration(part * float64(hotPeriod))
+// throttle lets a process run for a part of each period until ctx ends.
+func throttle(ctx context.Context, p *process, part float64, period time.Duration) {
+	running := time.Duration(part * float64(period))
 	for ctx.Err() == nil {
 		p.signal(syscall.SIGCONT)
 		time.Sleep(running)
 		p.signal(syscall.SIGSTOP)
-		time.Sleep(hotPeriod - running)
+		time.Sleep(period - running)
 	}
 	p.signal(syscall.SIGCONT)
 }
 
+// Daemons that are throttled during the soak, one after the other.
+const (
+	maxThrottleInterval = 4 * time.Second // until the next one
+	minThrottled        = 300 * time.Millisecond
+	maxThrottled        = 1500 * time.Millisecond
+	throttlePeriod      = 100 * time.Millisecond
+	minThrottledPart    = 0.1
+	maxThrottledPart    = 0.4
+)
+
+// throttleDaemons throttles random daemons until ctx ends.
+func (f *faults) throttleDaemons(ctx context.Context, r *rand.Rand) {
+	for wait.For(ctx, time.Duration(r.Int64N(int64(maxThrottleInterval)))) {
+		p := f.all[r.IntN(len(f.all))]
+		length := minThrottled + time.Duration(r.Int64N(int64(maxThrottled-minThrottled)))
+		part := minThrottledPart + r.Float64()*(maxThrottledPart-minThrottledPart)
+		throttledCtx, cancel := context.WithTimeout(ctx, length)
+		throttle(throttledCtx, p, part, throttlePeriod)
+		cancel()
+		f.noteDisturbance()
+		f.noteRestart(p)
+	}
+}
+
+// maxEndlessInterval is the maximum time until another backend server sends bytes without end.
+const maxEndlessInterval = time.Second
+
+// sendEndlessBytes makes the next answers of random backend servers have no end, until ctx ends.
+func (f *faults) sendEndlessBytes(ctx context.Context, r *rand.Rand) {
+	for wait.For(ctx, time.Duration(r.Int64N(int64(maxEndlessInterval)))) {
+		all := f.site.Servers()
+		all[r.IntN(len(all))].AddFaults([]standin.Fault{standin.EndlessHead, standin.EndlessBody}[r.IntN(2)])
+	}
+}
+
 // hotResult counts requests.
 type hotResult struct {
 	mu        sync.Mutex
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -327,6 +327,8 @@
 	wg.Go(func() { f.reportLimits(ctx, rand.New(rand.NewPCG(seed, 0))) })
 	wg.Go(func() { f.pauseServers(ctx, rand.New(rand.NewPCG(seed, 1<<32))) })
 	wg.Go(func() { f.partitionDaemons(ctx, rand.New(rand.NewPCG(seed, 2<<32))) })
+	wg.Go(func() { f.throttleDaemons(ctx, rand.New(rand.NewPCG(seed, 4<<32))) })
+	wg.Go(func() { f.sendEndlessBytes(ctx, rand.New(rand.NewPCG(seed, 5<<32))) })
 	load := newBulkLoad(all, shortDeadline, longDeadline, longDeadline, longDeadline)
 	wg.Go(func() { load.runPhases(ctx, rand.New(rand.NewPCG(seed, 3<<32))) })
 	until := time.Now().Add(*duration)
