--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -93,10 +93,12 @@
 func (m *Metrics) Stalled(d time.Duration) { m.stalls.RecordDuration(d) }
 
 // ProcessLoad records the processor time that this process uses, as a fraction of what it may
-// use, and how long events wait for it.
+// use, and how long events wait for it, 0 if that was not measured.
 func (m *Metrics) ProcessLoad(usage float64, lag time.Duration) {
 	m.scope.Gauge("process_usage").Update(usage)
-	m.lag.RecordDuration(lag)
+	if lag > 0 {
+		m.lag.RecordDuration(lag)
+	}
 }
 
 // ClosedUnread counts callers' connections that were closed unread because this process is short
