review: case 2, requests of the largest size end a machine for want of memory

The platform hands the connections of a region to one machine. The bodies of requests are not bounded together, and the machine exceeds its memory and is killed.

Tried: review/2/run.sh, 72 callers before six daemons and six runners.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -37,7 +37,7 @@
 	root := flag.String("root", ".", "root of the repository, with target/")
 	name := flag.String("case", "", "name of the case")
 	flag.Parse()
-	play := map[string]func(*world) error{"reborn": playReborn, "pipelined": playPipelined, "uploads": playUploads}[*name]
+	play := map[string]func(*world) error{"reborn": playReborn, "pipelined": playPipelined, "uploads": playUploads, "leaving": playLeaving}[*name]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case", *name)
 		return exitCannotRun
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -40,6 +41,7 @@
 	f := flag.NewFlagSet("runner", flag.ExitOnError)
 	id := f.String("id", "", "registered ID")
 	address := f.String("address", "", "listening address")
+	length := f.Bool("length", false, "answers have a length")
 	_ = f.Parse(args)
 	l, err := net.Listen("tcp", *address)
 	if err != nil {
@@ -52,11 +54,11 @@
 		if err != nil {
 			return
 		}
-		go serveRunner(c, *id)
+		go serveRunner(c, *id, *length)
 	}
 }
 
-func serveRunner(c net.Conn, id string) {
+func serveRunner(c net.Conn, id string, length bool) {
 	defer c.Close()
 	r := bufio.NewReader(c)
 	for {
@@ -67,14 +69,14 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		if !answerRequest(c, req, id) {
+		if !answerRequest(c, req, id, length) {
 			return
 		}
 	}
 }
 
 // answerRequest answers a request and reports whether the connection stays open.
-func answerRequest(c net.Conn, req *http.Request, id string) (keep bool) {
+func answerRequest(c net.Conn, req *http.Request, id string, length bool) (keep bool) {
 	requestID := req.Header.Get("Snowspoke-Request-Id")
 	head := "Snowspoke-Instance-Id: " + id + "\r\n"
 	if requestID != "" {
@@ -93,8 +95,11 @@
 		return err == nil
 	}
 	fmt.Printf("ran %s\n", requestID)
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sSnowspoke-Server-Seal: seal-%s\r\nConnection: close\r\n\r\n", head, id)
-	body := wholeBody(requestID)
+	body, framing := wholeBody(requestID), "Connection: close\r\n"
+	if length {
+		framing = fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sSnowspoke-Server-Seal: seal-%s\r\n%s\r\n", head, id, framing)
 	for len(body) > 0 {
 		time.Sleep(pieceGap)
 		if _, err := io.WriteString(c, body[:pieceBytes]); err != nil {
@@ -103,7 +108,7 @@
 		body = body[pieceBytes:]
 	}
 	fmt.Printf("wrote the whole answer to %s\n", requestID)
-	return false
+	return length
 }
 
 const healthPath = "/health"
@@ -115,13 +120,15 @@
 	zone    string
 	address string // where the process listens
 	proxy   *proxy // its address is the one in the record
+	args    []string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	born int64
+	ran  map[string]time.Time // by request ID
 }
 
-func (w *world) startRunner(id, zone string) (*plainRunner, error) {
+func (w *world) startRunner(id, zone string, args ...string) (*plainRunner, error) {
 	address, err := freeAddress()
 	if err != nil {
 		return nil, err
@@ -130,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &plainRunner{w: w, id: id, zone: zone, address: address, proxy: p}
+	r := &plainRunner{w: w, id: id, zone: zone, address: address, proxy: p, args: args, ran: map[string]time.Time{}}
 	w.onClose(func() {
 		p.close()
 		r.kill()
@@ -144,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(self, "runner", "-id", r.id, "-address", r.address)
+	cmd := exec.Command(self, append([]string{"runner", "-id", r.id, "-address", r.address}, r.args...)...)
 	out, err := cmd.StdoutPipe()
 	if err != nil {
 		return err
@@ -159,7 +166,7 @@
 	}
 	go func() {
 		for lines.Scan() {
-			r.w.notef("%s %s", r.id, lines.Text())
+			r.note(lines.Text())
 		}
 	}()
 	r.mu.Lock()
@@ -185,3 +192,23 @@
 	_ = r.cmd.Wait()
 	r.cmd = nil
 }
+
+// withLength makes the answers of a runner have a length.
+const withLength = "-length"
+
+// note records a line that the process printed.
+func (r *plainRunner) note(line string) {
+	r.w.notef("%s %s", r.id, line)
+	if id, ok := strings.CutPrefix(line, "ran "); ok {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.ran[id] = time.Now()
+	}
+}
+
+// ranAt returns when the runner began to run each request.
+func (r *plainRunner) ranAt() map[string]time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.ran)
+}
--- a/review/standins/uploads.go
+++ b/review/standins/uploads.go
@@ -19,16 +19,19 @@
 // Numbers of the case.
 const (
 	uploadDaemons  = 6
-	uploadClients  = 24
-	uploadBytes    = 4 << 20 // maxBodyBytes of the configuration, and of the deployments
-	uploadWork     = 400 * time.Millisecond
+	uploadClients  = 72
+	uploadInterval = 50 * time.Millisecond // 63 MB a second in all, of a link with 125
+	uploadBytes    = 4 << 20               // maxBodyBytes of the configuration, and of the deployments
+	smallBytes     = 600
+	smallEvery     = 4 // one client in four sends only small requests
+	uploadWork     = 2500 * time.Millisecond
 	memoryMB       = 284 // of the settings
 	memoryInterval = 5 * time.Millisecond
 )
 
-// playUploads has each client send one small request and then one of the largest size that the
-// configuration allows, on the same connection. The platform spreads the connections over all
-// daemons or hands them to one.
+// playUploads has each client send one small request and then another on the same connection, most
+// of them one of the largest size that the configuration allows. The platform spreads the
+// connections over all daemons or hands them to one.
 func playUploads(w *world) error {
 	for i := range 6 {
 		s := standin.NewServer(fmt.Sprintf("plain-%d", i+1))
@@ -48,7 +51,7 @@
 	time.Sleep(time.Second)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	results := map[string]int{}
+	results, answered := map[string]int{}, map[int]bool{}
 	for i := range uploadClients {
 		d := daemons[i%len(daemons)]
 		if w.trouble {
@@ -59,7 +62,9 @@
 			mu.Lock()
 			defer mu.Unlock()
 			results[result]++
+			answered[i] = result == "answered"
 		})
+		time.Sleep(uploadInterval)
 	}
 	wg.Wait()
 	stopWatch()
@@ -69,14 +74,17 @@
 			ran[r.ID] = true
 		}
 	}
-	lost := 0
+	lost, smallLost := 0, 0
 	for i := range uploadClients {
-		if ran[uploadID(i)] {
-			lost++
+		if !ran[uploadID(i)] || answered[i] {
+			continue
+		}
+		lost++
+		if uploadSize(i) == smallBytes {
+			smallLost++
 		}
 	}
-	lost -= results["answered"]
-	w.notef("results %v; %d large requests were run by a sound runner and not answered", results, lost)
+	w.notef("results %v; %d requests were passed on to sound runners and not answered, %d of them small", results, lost, smallLost)
 	if lost > 3 {
 		return errBroken
 	}
@@ -127,6 +135,14 @@
 	return kb >> 10
 }
 
+// uploadSize returns the size of the second request of a client.
+func uploadSize(i int) int {
+	if i%smallEvery == 0 {
+		return smallBytes
+	}
+	return uploadBytes
+}
+
 func uploadID(i int) string { return fmt.Sprintf("%08x%08x", i, 2) }
 
 // upload makes both requests of a client and returns the result of the second.
@@ -143,8 +159,8 @@
 		w.notef("client %d, small request: %v", i, err)
 		return "small request failed"
 	}
-	w.notef("client %d sends %s with %d bytes to %s", i, uploadID(i), uploadBytes, d.name)
-	_, _ = io.WriteString(c, requestText(http.MethodPost, "/card/1", uploadID(i), strings.Repeat("d", uploadBytes)))
+	w.notef("client %d sends %s with %d bytes to %s", i, uploadID(i), uploadSize(i), d.name)
+	_, _ = io.WriteString(c, requestText(http.MethodPost, "/card/1", uploadID(i), strings.Repeat("d", uploadSize(i))))
 	if _, err = readAnswer(r, http.MethodPost); err != nil {
 		w.notef("client %d, %s: %v", i, uploadID(i), err)
 		if strings.HasPrefix(err.Error(), "status") {
