review: the stand-ins of the cases are tests, as those of the soak are

The layout checks keep the platform's names to its adapter and to tests. The scripts run a test binary that review/build.sh builds; a plain test run has nothing to run in the package.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-standins ./review/standins
+go test -c -o target/review-standins ./review/standins
