review: smaller share in case 1, whole records in cases 2 and 3

Read again against the issue: case 1 cut a larger share than the default of its kind (now one runner of ten), the records of cases 2 and 3 did not name each request sent, answered and run, and case 3 did not ask that all be served without the disruption.

--- a/review/standins/leaving_test.go
+++ b/review/standins/leaving_test.go
@@ -48,12 +48,16 @@
 		for i := range leaveRequests {
 			wg.Go(func() {
 				id := fmt.Sprintf("%016x", i+1)
-				if err := w.callOnce(second, id); err != nil {
-					w.notef("client of %s: %v", id, err)
-					mu.Lock()
-					failed[id] = true
-					mu.Unlock()
+				w.notef("client sends %s to %s", id, second.name)
+				err := w.callOnce(second, id)
+				if err == nil {
+					w.notef("client of %s: answered", id)
+					return
 				}
+				w.notef("client of %s: %v", id, err)
+				mu.Lock()
+				defer mu.Unlock()
+				failed[id] = true
 			})
 			time.Sleep(leaveInterval)
 		}
@@ -91,6 +95,9 @@
 	if late > 0 {
 		return errBroken
 	}
+	if !w.trouble && len(failed) > 0 {
+		return fmt.Errorf("%d requests were not served without the disruption", len(failed))
+	}
 	return nil
 }
 
--- a/review/standins/reborn_test.go
+++ b/review/standins/reborn_test.go
@@ -11,15 +11,16 @@
 
 // Times of the case. The cut is no longer than the bench's default of 5 s.
 const (
-	untilCut     = 230 * time.Millisecond // answers are under way
-	untilCrash   = 100 * time.Millisecond // after the cut
-	untilRestart = 2 * time.Second        // after the crash
-	untilHealed  = 1500 * time.Millisecond
-	rebornCalls  = 30
-	callTimeout  = 10 * time.Second
+	untilCut      = 230 * time.Millisecond // answers are under way
+	untilCrash    = 100 * time.Millisecond // after the cut
+	untilRestart  = 2 * time.Second        // after the crash
+	untilHealed   = 1500 * time.Millisecond
+	rebornCalls   = 60
+	rebornRunners = 10
+	callTimeout   = 10 * time.Second
 )
 
-// playReborn cuts one runner of five off from all machines while it writes answers. Behind the
+// playReborn cuts one runner of ten off from all machines while it writes answers. Behind the
 // cut it crashes and starts again under its ID; the machines learn of that from the store. Then
 // the cut heals.
 func playReborn(w *world) error {
@@ -27,7 +28,7 @@
 		plainRoute("card", "/card/", "unsafe", 1), plainRoute("ping", "/ping/", "safe", 2),
 	}, []map[string]any{{"name": plainService, "maxConns": 110, "healthPath": healthPath}}))
 	var runners []*plainRunner
-	for i := range 5 {
+	for i := range rebornRunners {
 		r, err := w.startRunner(fmt.Sprintf("runner-%d", i+1), zoneOf(i))
 		if err != nil {
 			return err
--- a/review/standins/uploads_test.go
+++ b/review/standins/uploads_test.go
@@ -68,6 +68,7 @@
 	}
 	wg.Wait()
 	stopWatch()
+	w.noteRuns()
 	ran := map[string]bool{}
 	for _, s := range w.runners {
 		for _, r := range s.Runs() {
@@ -154,11 +155,14 @@
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(streamDeadline))
 	r := bufio.NewReader(c)
-	_, _ = io.WriteString(c, requestText(http.MethodGet, "/ping/1", fmt.Sprintf("%08x%08x", i, 1), ""))
+	short := fmt.Sprintf("%08x%08x", i, 1)
+	w.notef("client %d sends %s, small, to %s", i, short, d.name)
+	_, _ = io.WriteString(c, requestText(http.MethodGet, "/ping/1", short, ""))
 	if _, err := readAnswer(r, http.MethodGet); err != nil {
 		w.notef("client %d, small request: %v", i, err)
 		return "small request failed"
 	}
+	w.notef("client %d, %s: answered", i, short)
 	w.notef("client %d sends %s with %d bytes to %s", i, uploadID(i), uploadSize(i), d.name)
 	_, _ = io.WriteString(c, requestText(http.MethodPost, "/card/1", uploadID(i), strings.Repeat("d", uploadSize(i))))
 	if _, err = readAnswer(r, http.MethodPost); err != nil {
