forward, metrics: what a check shows after contact with a backend server is lost

The logs could not tell a check that found nothing from a backend server that runs: only ended ones left a line. kind=contact_lost names the request, its fingerprint, the stage, the verdict (ended, running, unknown) and the error; snowspoke_contact_lost_total counts them.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -174,12 +174,16 @@
 // recorded all the same.
 func (r *run) attributeEnd(ctx context.Context, s *site.BackendServer, end sendEnd) (quarantined bool) {
 	ctx = context.WithoutCancel(ctx)
-	err := r.f.probe(ctx, s)
-	if err != nil {
+	if err := r.f.probe(ctx, s); err != nil {
+		r.logContactLost(s, end, err)
 		return isGone(err) && r.recordEnd(s, end)
 	}
 	result := make(chan bool, 1)
-	go func() { result <- r.isReplaced(ctx, s) && r.recordEnd(s, end) }()
+	go func() {
+		err := r.identify(ctx, s)
+		r.logContactLost(s, end, err)
+		result <- isGone(err) && r.recordEnd(s, end)
+	}()
 	select {
 	case quarantined = <-result:
 		return quarantined
@@ -188,13 +192,29 @@
 	}
 }
 
-// isReplaced reports whether another process is at the address of a backend server.
-func (r *run) isReplaced(ctx context.Context, s *site.BackendServer) bool {
+// identify returns nil if the process of a backend server answers, and an error for which isGone
+// holds if another process is at its address.
+func (r *run) identify(ctx context.Context, s *site.BackendServer) error {
 	err := r.endCheck()(ctx, s, time.Now())
 	if errors.Is(err, ErrRestarted) {
 		r.f.markFailed(s, "another process has its address", err, time.Now())
 	}
-	return isGone(err)
+	return err
+}
+
+// logContactLost logs and counts the result of the check of a backend server with which contact was
+// lost.
+func (r *run) logContactLost(s *site.BackendServer, end sendEnd, err error) {
+	verdict := "unknown"
+	switch {
+	case err == nil:
+		verdict = "running"
+	case isGone(err):
+		verdict = "ended"
+	}
+	r.f.observer.ContactLost(verdict)
+	r.f.log.Add("contact_lost", "server", s.ID, "address", s.Address, "request", r.req.ID, "fingerprint", r.guard.Content(),
+		"stage", string(end.stage), "verdict", verdict, "after", time.Since(end.at).Round(time.Millisecond), "err", err)
 }
 
 // recordEnd records the end of a backend server against the request and reports whether the
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -55,6 +55,9 @@
 	LoadsRefused(n int)
 	// ServerEnded reports that a backend server ended while it may have run a request.
 	ServerEnded()
+	// ContactLost reports what became of a backend server with which contact was lost under a
+	// request that had just begun.
+	ContactLost(verdict string)
 	// Quarantined reports that a quarantined request was not sent.
 	Quarantined()
 	// Limits reports the number of known limits of backend servers.
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -311,6 +311,9 @@
 // HeaderIgnored implements Observer.
 func (l *lab) HeaderIgnored() {}
 
+// ContactLost implements Observer.
+func (l *lab) ContactLost(string) {}
+
 // AnswerEnded implements Observer.
 func (l *lab) AnswerEnded(framing.Framing, bool) {}
 
--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -123,6 +123,7 @@
 func (noObserver) LoadsRefused(int)                {}
 func (noObserver) ServerEnded()                    {}
 func (noObserver) Quarantined()                    {}
+func (noObserver) ContactLost(string)              {}
 func (noObserver) Limits(int)                      {}
 func (noObserver) LimitReached()                   {}
 func (noObserver) Recovered(string, time.Duration) {}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -418,6 +418,9 @@
 // ServerEnded implements forward.Observer.
 func (o observer) ServerEnded() { o.m.ServerEnded() }
 
+// ContactLost implements forward.Observer.
+func (o observer) ContactLost(verdict string) { o.m.ContactLost(verdict) }
+
 // Quarantined implements forward.Observer.
 func (o observer) Quarantined() { o.m.Quarantined() }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -120,6 +120,12 @@
 // running them.
 func (m *Metrics) ServerEnded() { m.scope.Counter("ended_under_requests_total").Inc(1) }
 
+// ContactLost counts sends of requests that had just begun during which contact with the backend
+// server was lost, by what became of it.
+func (m *Metrics) ContactLost(verdict string) {
+	m.scope.Tagged(map[string]string{"verdict": verdict}).Counter("contact_lost_total").Inc(1)
+}
+
 // Quarantined counts requests that were quarantined because backend servers had
 // ended while running them.
 func (m *Metrics) Quarantined() { m.scope.Counter("held_back_total").Inc(1) }
