forward, liveness: a lost backend server is asked until it is known what became of it

Callers saw a request end one backend server after the other, and their streams with them: it was never quarantined where processes close their connections before their listener. Cause: after contact was lost, one connection (up to 150 ms old) and one report decided. A process that is ending accepts the connection and resets it, which is neither a refused connection nor another process, so that nothing was recorded, and nobody asked again. Change: package liveness repeats the check until a verdict is conclusive (alive, ended, replaced), 10 s at most, shared by all losses of a process. A backend server that accepts and answers nothing for 300 ms, or that no daemon reaches, is weak evidence (one of four); a second such send of a request waits for it. A first hop that fell silent counts once it turns out to have ended. A later incarnation in the inventory ends its predecessor. A connection counts as life only if it stays open for 250 ms.

--- a/forward/answerend_test.go
+++ b/forward/answerend_test.go
@@ -29,6 +29,10 @@
 	return nextResult(&b.results)
 }
 
+func (b *reachBackends) Listens(ctx context.Context, s *site.BackendServer) error {
+	return b.Reach(ctx, s)
+}
+
 // nextResult returns the next result of a script, then the last one, nil if it has none.
 func nextResult(script *[]error) error {
 	if len(*script) == 0 {
@@ -172,6 +176,10 @@
 	return a, err
 }
 
+func (s *slowToAccept) Listens(ctx context.Context, server *site.BackendServer) error {
+	return s.Reach(ctx, server)
+}
+
 func (s *slowToAccept) Reach(context.Context, *site.BackendServer) error {
 	if s.timeouts == 0 {
 		return nil
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -131,6 +131,9 @@
 	CheckHealth(ctx context.Context, s *site.BackendServer, path string) error
 	// Reach connects to a backend server and returns an error if that fails.
 	Reach(ctx context.Context, s *site.BackendServer) error
+	// Listens connects to a backend server and returns an error if that fails, or if the
+	// connection does not stay open for a while.
+	Listens(ctx context.Context, s *site.BackendServer) error
 	// Repath moves a running stream to a path with the same first hop. It returns
 	// a *HopError if another hop refused.
 	Repath(ctx context.Context, head *site.BackendServer, requestID string, p site.Path) error
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -10,6 +10,7 @@
 
 	"github.com/snowspoke/snowspoke/detour"
 	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/liveness"
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -20,7 +21,8 @@
 
 // Times that decide whether the end of a backend server is attributed to a request.
 const (
-	// identifyTimeout bounds the check which process is at an address. A stream goes on after it.
+	// identifyTimeout bounds the wait for what became of a backend server. The request goes on
+	// after it.
 	identifyTimeout = 100 * time.Millisecond
 )
 
@@ -33,32 +35,33 @@
 // The stages of a send.
 const (
 	stageSent    sendStage = "sent"    // no answer yet
-	stageBegun   sendStage = "begun"   // the head of the answer was received within quarantine.AttributionWindow
+	stageBegun   sendStage = "begun"   // the head of the answer was received, see progress
 	stageRunning sendStage = "running" // running for longer than quarantine.AttributionWindow
 )
 
 // progress is the state of one send.
 type progress struct {
 	headAt   time.Time // zero until the head of the answer is received
-	survived bool      // an event came quarantine.SurvivalThreshold after the head
+	beganAt  time.Time // the same
+	survived bool      // an event came quarantine.SurvivalThreshold after beganAt
 }
 
-// stage returns the stage of the send at the given time after the head of the answer.
-func (p progress) stage(sinceHead time.Duration) sendStage {
+// stage returns the stage of the send at the given time after beganAt.
+func (p progress) stage(sinceBegan time.Duration) sendStage {
 	switch {
 	case p.headAt.IsZero():
 		return stageSent
-	case sinceHead <= quarantine.AttributionWindow:
+	case p.beganAt.IsZero() || sinceBegan <= quarantine.AttributionWindow:
 		return stageBegun
 	}
 	return stageRunning
 }
 
-// sinceHead returns the time from the head of the answer to at, excluding time for which
-// this process did not run. An end during such time is noticed late. If the time counted,
-// the backend server would seem to have survived the request.
-func (r *run) sinceHead(at time.Time) time.Duration {
-	return at.Sub(r.progress.headAt) - r.f.stalls.StallTime(r.progress.headAt, at)
+// sinceBegan returns the time from beganAt to at, excluding time for which this process did
+// not run. An end during such time is noticed late. If the time counted, the backend server
+// would seem to have survived the request.
+func (r *run) sinceBegan(at time.Time) time.Duration {
+	return at.Sub(r.progress.beganAt) - r.f.stalls.StallTime(r.progress.beganAt, at)
 }
 
 // weight returns the weight of the end of a backend server at a stage as evidence against
@@ -81,6 +84,9 @@
 	return !abandoned && (errors.Is(err, execution.ErrLost) || errors.Is(err, errBroken))
 }
 
+// fellSilent reports whether a send was given up because its first hop does not answer.
+func fellSilent(err error) bool { return errors.Is(err, errSilent) || errors.Is(err, errHeadDead) }
+
 // hasEnded reports whether an error is a sign that the process of the backend server has
 // ended: the VM responds but refuses connections. A timeout is no such sign, nor is any error
 // of a daemon that reaches no backend server.
@@ -128,10 +134,16 @@
 		r.logCleared(r.guard.ContentSurvived(now))
 		return
 	}
-	if !lostContact(err) || errors.Is(err, errServerGone) && r.f.isLeaving(head.ID) {
+	if errors.Is(err, errServerGone) && r.f.isLeaving(head.ID) {
 		return // a leaving backend server ends after its last answer
 	}
-	since := r.sinceHead(now)
+	if fellSilent(err) {
+		r.attributeSilence(ctx, head)
+	}
+	if !lostContact(err) {
+		return
+	}
+	since := r.sinceBegan(now)
 	stage := r.progress.stage(since)
 	if stage == stageRunning {
 		if since >= quarantine.SurvivalThreshold {
@@ -147,7 +159,7 @@
 // noteEvent records that the backend server survived the request, at the first event that shows
 // it.
 func (r *run) noteEvent(now time.Time) {
-	if r.progress.survived || r.sinceHead(now) < quarantine.SurvivalThreshold {
+	if r.progress.survived || r.sinceBegan(now) < quarantine.SurvivalThreshold {
 		return
 	}
 	r.progress.survived = true
@@ -168,66 +180,103 @@
 	at    time.Time
 }
 
-// attributeEnd probes a backend server with which contact was lost. If the server has ended,
-// attributeEnd records this against the request and reports whether the request is now quarantined.
-// It waits for at most identifyTimeout to learn which process is at the address; a later result is
-// recorded all the same.
+// attributeEnd finds out what became of a backend server with which contact was lost. If the server
+// has ended, attributeEnd records this against the request and reports whether the request is now
+// quarantined. It waits for a bounded time; a later result is recorded all the same.
 func (r *run) attributeEnd(ctx context.Context, s *site.BackendServer, end sendEnd) (quarantined bool) {
-	ctx = context.WithoutCancel(ctx)
-	if err := r.f.probe(ctx, s); err != nil {
-		r.logContactLost(s, end, err)
-		return isGone(err) && r.recordEnd(s, end)
-	}
-	result := make(chan bool, 1)
-	go func() {
-		err := r.identify(ctx, s)
-		r.logContactLost(s, end, err)
-		result <- isGone(err) && r.recordEnd(s, end)
-	}()
+	result := make(chan bool, 2)
+	r.unresolved.Add(1)
+	r.f.watchEnd(ctx, s, r.endCheck(), func(v liveness.Verdict, last bool) {
+		result <- r.noteVerdict(s, end, v)
+		if last {
+			r.unresolved.Add(-1)
+		}
+	})
+	timer := time.NewTimer(r.endTimeout())
+	defer timer.Stop()
 	select {
 	case quarantined = <-result:
 		return quarantined
-	case <-time.After(identifyTimeout):
+	case <-timer.C:
 		return false
 	}
 }
 
-// identify returns nil if the process of a backend server answers, and an error for which isGone
-// holds if another process is at its address.
-func (r *run) identify(ctx context.Context, s *site.BackendServer) error {
-	err := r.endCheck()(ctx, s, time.Now())
-	if errors.Is(err, ErrRestarted) {
-		r.f.markFailed(s, "another process has its address", err, time.Now())
+// endTimeout returns how long the request waits for what became of a backend server. While it is not
+// known what became of the one before either, the request may be what ends them.
+func (r *run) endTimeout() time.Duration {
+	if r.unresolved.Load() > 1 {
+		return liveness.UnresponsiveAfter + identifyTimeout
 	}
-	return err
+	return identifyTimeout
 }
 
-// logContactLost logs and counts the result of the check of a backend server with which contact was
-// lost.
-func (r *run) logContactLost(s *site.BackendServer, end sendEnd, err error) {
-	verdict := "unknown"
+// attributeSilence records against the request that a silent first hop has ended, if that turns out.
+// The request goes on elsewhere meanwhile. That the hop does not answer is no evidence, since it may
+// have been slow for all its requests.
+func (r *run) attributeSilence(ctx context.Context, head *site.BackendServer) {
+	end := sendEnd{r.sends, r.progress.stage(r.lastHeardAt.Sub(r.progress.beganAt)), r.lastHeardAt}
+	if end.stage == stageRunning {
+		return
+	}
+	r.f.watchEnd(ctx, head, r.endCheck(), func(v liveness.Verdict, last bool) {
+		if last {
+			r.noteVerdict(head, end, v)
+		}
+	})
+}
+
+// noteVerdict records what is known of a backend server with which contact was lost, and reports
+// whether the request is quarantined.
+func (r *run) noteVerdict(s *site.BackendServer, end sendEnd, v liveness.Verdict) (quarantined bool) {
+	r.logContactLost(s, end, v)
+	weight := end.stage.weight(r.isStream())
 	switch {
-	case err == nil:
-		verdict = "running"
-	case isGone(err):
-		verdict = "ended"
+	case v == liveness.Unresponsive:
+		return r.recordEnd(s, end, min(weight, quarantine.Possible))
+	case v.Gone():
+		return r.recordEnd(s, end, weight)
 	}
-	r.f.observer.ContactLost(verdict)
+	return false
+}
+
+// logContactLost logs and counts what is known of a backend server with which contact was lost.
+func (r *run) logContactLost(s *site.BackendServer, end sendEnd, v liveness.Verdict) {
+	r.f.observer.ContactLost(v)
 	r.f.log.Add("contact_lost", "server", s.ID, "address", s.Address, "request", r.req.ID, "fingerprint", r.guard.Content(),
-		"stage", string(end.stage), "verdict", verdict, "after", time.Since(end.at).Round(time.Millisecond), "err", err)
+		"stage", string(end.stage), "verdict", v, "after", time.Since(end.at).Round(time.Millisecond))
+}
+
+// attribution is a send and the backend server whose end was attributed to its request.
+type attribution struct {
+	send   int
+	server string
+}
+
+// attribute reports whether the end of a backend server counts. Of the hops of one send only the
+// first that is found to have ended does: a request crashes one of them, and several end together
+// for another reason.
+func (r *run) attribute(s *site.BackendServer, send int) bool {
+	r.attributedMu.Lock()
+	defer r.attributedMu.Unlock()
+	for _, a := range r.attributed {
+		if a.send == send {
+			return a.server == s.ID
+		}
+	}
+	r.attributed = append(r.attributed, attribution{send, s.ID})
+	return true
 }
 
 // recordEnd records the end of a backend server against the request and reports whether the
-// request is now quarantined. Of the hops of one send only the first that is found to have ended
-// counts: a request crashes one of them, and several end together for another reason.
-func (r *run) recordEnd(s *site.BackendServer, end sendEnd) (quarantined bool) {
-	if r.attributed.Swap(int32(end.send)) == int32(end.send) {
+// request is now quarantined.
+func (r *run) recordEnd(s *site.BackendServer, end sendEnd, w quarantine.Weight) (quarantined bool) {
+	if !r.attribute(s, end.send) {
 		return r.guard.Check().Quarantined
 	}
-	stage := end.stage
-	d := r.guard.RecordEnd(quarantineServer(s), stage.weight(r.isStream()), end.at)
+	d := r.guard.RecordEnd(quarantineServer(s), w, end.at)
 	r.f.log.Add("ended", "server", s.ID, "address", s.Address, "request", r.req.ID, "fingerprint", r.guard.Content(),
-		"parts", partsLabel(r.req.Parts), "stage", string(stage), "ends", d.Ends, "score", d.Score, "part", d.Part, "held", d.Quarantined)
+		"parts", partsLabel(r.req.Parts), "stage", string(end.stage), "weight", int(w), "ends", d.Ends, "score", d.Score, "part", d.Part, "held", d.Quarantined)
 	r.f.observer.ServerEnded()
 	return d.Quarantined
 }
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -34,6 +34,7 @@
 	crashRetryInterval = 100 * time.Millisecond // pause after an attempt that reached no server
 	crashRunLength     = 16 * time.Second       // length of a run, for eight attempts
 	propagationDelay   = 900 * time.Millisecond // until an end recorded by one daemon is known to all
+	maxCrashArrivals   = 3 + 3                  // of one such request: those that crash servers, and retries
 )
 
 // isCrashing reports whether a request ends the servers that run it.
@@ -85,7 +86,7 @@
 	if l.servers[s.ID].killed {
 		return false
 	}
-	l.servers[s.ID].killed = true
+	l.servers[s.ID].killed, l.servers[s.ID].listensUntil = true, time.Now().Add(l.listensFor)
 	l.ended++
 	time.AfterFunc(restartDelay, func() { l.revive(s) })
 	return true
@@ -168,7 +169,13 @@
 // runWithCrashes runs 30 streams per second and a number of crashing requests. In addition,
 // unrelated servers per minute end for other reasons.
 func runWithCrashes(p quarantine.Policy, daemons, requests int, unrelated float64) crashResult {
+	return runWithSlowCrashes(p, daemons, requests, unrelated, 0)
+}
+
+// runWithSlowCrashes is runWithCrashes with servers that accept connections for a while as they end.
+func runWithSlowCrashes(p quarantine.Policy, daemons, requests int, unrelated float64, listensFor time.Duration) crashResult {
 	l := newFleetLab(1, daemons)
+	l.listensFor = listensFor
 	l.arrivals = map[string][]time.Time{}
 	for _, f := range l.forward {
 		f.quarantine = quarantine.NewRegistry(p)
@@ -243,6 +250,31 @@
 	}
 }
 
+// The same with servers that close their connections before their listener.
+func TestFleetQuarantinesCrashingRequestsOfSlowlyEndingServers(t *testing.T) {
+	noQuarantine := quarantine.DefaultPolicy
+	noQuarantine.QuarantineScore, noQuarantine.NoTrialScore = 1000, 1000
+	for _, daemons := range []int{3, 60, 300} {
+		if daemons != 3 && virtual.RaceDetector {
+			continue
+		}
+		for _, listensFor := range []time.Duration{50 * time.Millisecond, time.Second} {
+			t.Run(fmt.Sprintf("daemons=%d/listens=%s", daemons, listensFor), func(t *testing.T) {
+				virtual.Test(t, func(t *testing.T) {
+					r := runWithSlowCrashes(quarantine.DefaultPolicy, daemons, 1, 0, listensFor)
+					without := runWithSlowCrashes(noQuarantine, daemons, 1, 0, listensFor)
+					time.Sleep(maxWatch)
+					t.Logf("%+v, without a quarantine %+v", r, without)
+					assert.LessOrEqual(t, r.maxArrivals, maxCrashArrivals)
+					assert.LessOrEqual(t, r.late, maxCrashArrivals-3)
+					assert.Less(t, r.lost, without.lost)
+					assert.LessOrEqual(t, r.quarantined, 30, "of 470")
+				})
+			})
+		}
+	}
+}
+
 // Servers that end for unrelated reasons cause no request, or very few, to be
 // quarantined.
 func TestUnrelatedCrashesQuarantineFewRequests(t *testing.T) {
--- a/forward/endcheck.go
+++ b/forward/endcheck.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/snowspoke/snowspoke/detour"
+	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/wait"
+	"github.com/snowspoke/snowspoke/liveness"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -29,81 +32,161 @@
 		return fmt.Errorf("%w: hop %s", errServerGone, failed.ID)
 	}
 	check := r.endCheck()
-	errs := make([]error, len(path))
+	verdicts, errs := make([]liveness.Verdict, len(path)), make([]error, len(path))
 	var wg sync.WaitGroup
 	for i, h := range path {
-		wg.Go(func() { errs[i] = r.f.awaitResponse(ctx, h.Server, since, check) })
+		wg.Go(func() { verdicts[i], errs[i] = r.f.awaitResponse(ctx, h.Server, since, check) })
 	}
 	wg.Wait()
-	for _, err := range errs {
-		if isGone(err) || err != nil && r.req.Route.Repeatable() {
-			return fmt.Errorf("%w: %w", errServerGone, err)
+	for i, v := range verdicts {
+		if v.Gone() || !v.Conclusive() && r.req.Route.Repeatable() {
+			return fmt.Errorf("%w: %s, %w", errServerGone, v, errs[i])
 		}
 	}
 	return nil
 }
 
-// isGone reports whether an error shows that the process of a backend server has ended.
-func isGone(err error) bool { return hasEnded(err) || errors.Is(err, ErrRestarted) }
+// errSuperseded is the evidence of a process whose successor has registered.
+var errSuperseded = errors.New("forward: another process has registered with its name or address")
 
-// endCheck checks whether a backend server runs. Its result is not older than since.
-type endCheck func(ctx context.Context, s *site.BackendServer, since time.Time) error
+// endCheck finds out what became of the process of a backend server. Its result is not older than
+// since. The error explains a verdict other than Alive and Listening.
+type endCheck func(ctx context.Context, s *site.BackendServer, since time.Time) (liveness.Verdict, error)
 
 // endCheck returns the check that tells the most about the service's backend servers.
 func (r *run) endCheck() endCheck {
+	identify := r.f.checkListening
 	switch {
 	case r.engine != nil:
-		return r.f.checkReport
+		identify = r.f.checkReport
 	case r.healthPath != "":
-		return r.f.checkHealth(r.healthPath)
+		identify = r.f.checkHealth(r.healthPath)
 	}
-	return r.f.checkListening
+	return func(ctx context.Context, s *site.BackendServer, since time.Time) (liveness.Verdict, error) {
+		v, err := identify(ctx, s, since)
+		if !v.Gone() && r.f.isSuperseded(s) {
+			return liveness.Replaced, errSuperseded
+		}
+		return v, err
+	}
+}
+
+// isSuperseded reports whether the inventory has a later incarnation of a backend server, or another
+// one at its address.
+func (f *Forwarder) isSuperseded(s *site.BackendServer) bool {
+	view := f.inv.View()
+	if view.Servers[s.ID] != nil {
+		return false
+	}
+	for _, other := range view.Servers {
+		if other.Incarnation.Newer(s.Incarnation) || other.Address == s.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// verdictOf returns what the error of a check shows about a process that has accepted a connection.
+func verdictOf(err error) liveness.Verdict {
+	switch {
+	case err == nil:
+		return liveness.Alive
+	case errors.Is(err, ErrRestarted):
+		return liveness.Replaced
+	case hasEnded(err):
+		return liveness.Ended
+	case errors.Is(err, execution.ErrNotSent):
+		return liveness.Unknown
+	}
+	return liveness.Unresponsive
 }
 
 // awaitResponse repeats a check until there is a conclusive result or endCheckTimeout has
 // passed.
-func (f *Forwarder) awaitResponse(ctx context.Context, s *site.BackendServer, since time.Time, check endCheck) error {
+func (f *Forwarder) awaitResponse(ctx context.Context, s *site.BackendServer, since time.Time, check endCheck) (liveness.Verdict, error) {
 	for begin := since; ; since = time.Now() {
-		err := check(ctx, s, since)
-		if isGone(err) {
+		v, err := check(ctx, s, since)
+		if v.Gone() {
 			f.markFailed(s, "gone at the end of its answer", err, time.Now())
 		}
-		if err == nil || isGone(err) || time.Since(begin) >= endCheckTimeout || !wait.For(ctx, endCheckInterval) {
-			return err
+		if v.Conclusive() || time.Since(begin) >= endCheckTimeout || !wait.For(ctx, endCheckInterval) {
+			return v, err
 		}
 	}
 }
 
+// watchEnd watches a backend server with which contact was lost. An address that no daemon reaches
+// is as suspicious as one where nothing answers.
+func (f *Forwarder) watchEnd(ctx context.Context, s *site.BackendServer, identify endCheck, notify liveness.Notify) {
+	ctx = context.WithoutCancel(ctx)
+	f.ends.Watch(s.ID, func() liveness.Verdict {
+		if f.isSuperseded(s) {
+			return liveness.Replaced
+		}
+		since := time.Now()
+		if err := f.probeSince(ctx, s, since); err != nil {
+			return f.verdictOfConnect(s, err)
+		}
+		v, err := identify(ctx, s, since)
+		if v == liveness.Replaced {
+			f.markFailed(s, "another process has its address", err, time.Now())
+		}
+		return v
+	}, notify)
+}
+
+// verdictOfConnect returns what the error of a connection shows about a backend server with which
+// contact was lost. If its record has gone as well, its process has ended.
+func (f *Forwarder) verdictOfConnect(s *site.BackendServer, err error) liveness.Verdict {
+	switch {
+	case hasEnded(err):
+		return liveness.Ended
+	case errors.Is(err, detour.ErrIsolated), f.isLeaving(s.ID):
+		return liveness.Unknown
+	case f.inv.View().Servers[s.ID] == nil:
+		return liveness.Ended
+	case f.way != nil && f.way(s.Address) == detour.Unreachable:
+		return liveness.Unresponsive
+	}
+	return liveness.Unknown
+}
+
 // checkListening connects to a backend server. It cannot tell whether the server has started
 // again.
-func (f *Forwarder) checkListening(ctx context.Context, s *site.BackendServer, since time.Time) error {
-	_, err := f.probes.getSince(s.ID, since, f.reach(ctx, s))
-	return err
+func (f *Forwarder) checkListening(ctx context.Context, s *site.BackendServer, since time.Time) (liveness.Verdict, error) {
+	_, err := f.listens.getSince(s.ID, since, func() (struct{}, error) {
+		return struct{}{}, f.backends.Listens(context.WithoutCancel(ctx), s)
+	})
+	if err == nil {
+		return liveness.Listening, nil
+	}
+	return verdictOf(err), err
 }
 
 // checkReport asks a backend server of an engine for a report.
-func (f *Forwarder) checkReport(ctx context.Context, s *site.BackendServer, since time.Time) error {
+func (f *Forwarder) checkReport(ctx context.Context, s *site.BackendServer, since time.Time) (liveness.Verdict, error) {
 	_, err := f.reports.getSince(s.ID, since, f.fetchReport(ctx, s))
-	return f.orListening(ctx, s, since, err)
+	if IsHeldBack(err) {
+		return f.checkListening(ctx, s, since)
+	}
+	return verdictOf(err), err
 }
 
-// checkHealth returns a check that makes a health check at a path.
+// checkHealth returns a check that makes a health check at a path. The answer names the backend
+// server, not its incarnation.
 func (f *Forwarder) checkHealth(path string) endCheck {
-	return func(ctx context.Context, s *site.BackendServer, since time.Time) error {
+	return func(ctx context.Context, s *site.BackendServer, since time.Time) (liveness.Verdict, error) {
 		_, err := f.healthChecks.getSince(s.ID, since, func() (struct{}, error) {
 			err := f.backends.CheckHealth(context.WithoutCancel(ctx), s, path)
 			f.log.Add("health_check", "server", s.ID, "address", s.Address, "err", err)
 			return struct{}{}, err
 		})
-		return f.orListening(ctx, s, since, err)
-	}
-}
-
-// orListening returns the result of a check, or that of checkListening if the check was not
-// made.
-func (f *Forwarder) orListening(ctx context.Context, s *site.BackendServer, since time.Time, err error) error {
-	if IsHeldBack(err) {
-		return f.checkListening(ctx, s, since)
+		if IsHeldBack(err) {
+			return f.checkListening(ctx, s, since)
+		}
+		if err == nil {
+			return liveness.Listening, nil
+		}
+		return verdictOf(err), err
 	}
-	return err
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/liveness"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/quota"
@@ -57,7 +58,7 @@
 	ServerEnded()
 	// ContactLost reports what became of a backend server with which contact was lost under a
 	// request that had just begun.
-	ContactLost(verdict string)
+	ContactLost(v liveness.Verdict)
 	// Quarantined reports that a quarantined request was not sent.
 	Quarantined()
 	// Limits reports the number of known limits of backend servers.
@@ -135,6 +136,8 @@
 	reports      *resultCache[Report]
 	probes       *resultCache[struct{}]
 	healthChecks *resultCache[struct{}] // only used with getSince
+	listens      *resultCache[struct{}] // only used with getSince
+	ends         liveness.Watcher       // of backend servers with which contact was lost
 	silences     *silences
 	live         *liveStreams
 	quarantine   *quarantine.Registry
@@ -191,7 +194,7 @@
 		limits: d.Limits, sends: d.Sends, permits: d.Permits, denials: quota.NewDenials(), trials: newLimitTrials(), quarantine: d.Quarantine, trialRank: d.TrialRank, stalls: d.Stalls, deadlines: newDeadlines(),
 		started: time.Now(), opts: o, inv: d.Inventory, fleet: d.Fleet, log: d.Log, observer: d.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
-		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), healthChecks: newResultCache[struct{}](0), silences: newSilences(), live: newLiveStreams(), splits: newSplits(), shedders: newShedders(), longPrompts: newLongPrompts(),
+		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), healthChecks: newResultCache[struct{}](0), listens: newResultCache[struct{}](0), silences: newSilences(), live: newLiveStreams(), splits: newSplits(), shedders: newShedders(), longPrompts: newLongPrompts(),
 		availability: availability.NewTable(), answers: newAnswerMemory(o.AnswerBytes),
 		targetDraws: newDraws(), startDraws: newDraws(), pathDraws: newDraws(), splitDraws: newDraws(),
 	}
@@ -285,6 +288,7 @@
 	f.reports.prune(known)
 	f.probes.prune(known)
 	f.healthChecks.prune(known)
+	f.listens.prune(known)
 	f.silences.prune(known)
 	f.trials.prune(known)
 	f.quarantine.Forget(time.Now())
--- a/forward/lab_test.go
+++ b/forward/lab_test.go
@@ -17,6 +17,7 @@
 	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/internal/wait"
 	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/liveness"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -49,6 +50,7 @@
 	probes      int                    // connections made by probes
 	hopFaults   int                    // sends refused because of a dead hop
 	arrivals    map[string][]time.Time // of crashing requests, by body
+	listensFor  time.Duration          // for which a killed server accepts connections
 	ended       int                    // servers that ended and were restarted
 	quarantined int                    // quarantined attempts
 	crashParts  []string               // parts of the prompts of crashing requests
@@ -60,9 +62,15 @@
 	readFree time.Time // when it has processed its last prompt
 	streams  int
 	killed   bool // connections are refused
-	silent   bool // connections time out
+	// listensUntil is when a killed server begins to refuse connections. Until then it accepts
+	// them and closes them unread.
+	listensUntil time.Time
+	silent       bool // connections time out
 }
 
+// listens reports whether a killed server still accepts connections.
+func (s *labServer) listens() bool { return s.killed && time.Now().Before(s.listensUntil) }
+
 func (s *labServer) dead() bool { return s.killed || s.silent }
 
 // labStream is the answer to one send of a streamed request. It implements io.ReadCloser.
@@ -312,7 +320,7 @@
 func (l *lab) HeaderIgnored() {}
 
 // ContactLost implements Observer.
-func (l *lab) ContactLost(string) {}
+func (l *lab) ContactLost(liveness.Verdict) {}
 
 // AnswerEnded implements Observer.
 func (l *lab) AnswerEnded(framing.Framing, bool) {}
@@ -329,6 +337,9 @@
 	l.mu.Lock()
 	head := *l.servers[o.Server.ID]
 	l.mu.Unlock()
+	if head.listens() {
+		return nil, execution.ErrLost
+	}
 	if head.killed {
 		return nil, fmt.Errorf("%w: %w", execution.ErrNotSent, syscall.ECONNREFUSED)
 	}
@@ -468,6 +479,12 @@
 
 // Report implements Backends.
 func (l *lab) Report(ctx context.Context, s *site.BackendServer) (Report, error) {
+	l.mu.Lock()
+	listens := l.servers[s.ID].listens()
+	l.mu.Unlock()
+	if listens {
+		return Report{}, execution.ErrLost
+	}
 	return Report{}, l.Reach(ctx, s)
 }
 
@@ -476,12 +493,18 @@
 	return l.Reach(ctx, s)
 }
 
+// Listens implements Backends.
+func (l *lab) Listens(ctx context.Context, s *site.BackendServer) error { return l.Reach(ctx, s) }
+
 // Reach implements Backends.
 func (l *lab) Reach(ctx context.Context, s *site.BackendServer) error {
 	l.mu.Lock()
 	c := *l.servers[s.ID]
 	l.probes++
 	l.mu.Unlock()
+	if c.listens() {
+		return nil
+	}
 	if c.killed {
 		return syscall.ECONNREFUSED
 	}
--- a/forward/outcome_test.go
+++ b/forward/outcome_test.go
@@ -21,6 +21,7 @@
 	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/invariant"
 	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/liveness"
 	"github.com/snowspoke/snowspoke/quota"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -86,6 +87,9 @@
 func (s *scriptedBackends) Report(context.Context, *site.BackendServer) (Report, error) {
 	return Report{}, nil
 }
+func (s *scriptedBackends) Listens(context.Context, *site.BackendServer) error {
+	return nil
+}
 func (s *scriptedBackends) Reach(context.Context, *site.BackendServer) error { return nil }
 func (s *scriptedBackends) Repath(context.Context, *site.BackendServer, string, site.Path) error {
 	return nil
@@ -123,7 +127,7 @@
 func (noObserver) LoadsRefused(int)                {}
 func (noObserver) ServerEnded()                    {}
 func (noObserver) Quarantined()                    {}
-func (noObserver) ContactLost(string)              {}
+func (noObserver) ContactLost(liveness.Verdict)    {}
 func (noObserver) Limits(int)                      {}
 func (noObserver) LimitReached()                   {}
 func (noObserver) Recovered(string, time.Duration) {}
--- a/forward/policy_test.go
+++ b/forward/policy_test.go
@@ -101,9 +101,13 @@
 	at, length := lossTimes()
 	time.AfterFunc(at, func() { l.kill(layer, silent) })
 	l.run(labRate, length)
+	time.Sleep(maxWatch)
 	return l
 }
 
+// maxWatch exceeds the time for which a lost server is watched.
+const maxWatch = 12 * time.Second
+
 // BenchmarkRecovery measures the time from the loss of a server to the next event at the
 // caller.
 func BenchmarkRecovery(b *testing.B) {
--- a/forward/run.go
+++ b/forward/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,10 @@
 	f               *Forwarder
 	req             *Request
 	guard           *quarantine.Guard
-	attributed      atomic.Int32 // number of the last send to which the end of a backend server was attributed
+	unresolved      atomic.Int32 // sends whose lost backend server may have ended
+	attributedMu    sync.Mutex
+	attributed      []attribution // one for each send with an ended backend server
+	lastHeardAt     time.Time     // when the current send was last heard of
 	sink            Sink
 	deadline        time.Time // on the clock of package boottime
 	preview         *preview  // of Explain, nil for a request that is sent
@@ -160,7 +164,7 @@
 	if err := r.tracker.Transition(execution.Sent); err != nil {
 		return execution.Answered, err
 	}
-	r.progress = progress{}
+	r.progress, r.lastHeardAt = progress{}, time.Now()
 	result, err := r.carry(ctx, t, left)
 	if result == execution.MayHaveRun || err == nil {
 		r.recordOutcome(ctx, t.head(), err)
@@ -272,7 +276,7 @@
 	if !a.NotRun {
 		r.observeAcceptance(true)
 		r.tracker.MarkRan()
-		r.progress.headAt = now
+		r.progress.headAt, r.progress.beganAt, r.lastHeardAt = now, now, now
 		return execution.Answered, nil
 	}
 	_ = a.Body.Close()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -128,7 +128,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.carried = carried
-	s.askAfter, s.progress.headAt = askAfter, s.r.progress.headAt
+	s.askAfter, s.progress = askAfter, s.r.progress
 }
 
 // stageAtLastEvent returns the stage of the send at its last event, or when it was sent if there was
@@ -136,7 +136,7 @@
 func (s *stream) stageAtLastEvent() (stage sendStage, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.progress.stage(s.silentSince.Sub(s.progress.headAt)), s.silentSince
+	return s.progress.stage(s.silentSince.Sub(s.progress.beganAt)), s.silentSince
 }
 
 // readSize is the buffer size of one read of a stream.
@@ -272,6 +272,7 @@
 		s.r.recordRecovery("path moved", gap)
 	}
 	s.r.noteResumed(now)
+	s.r.lastHeardAt = now
 	s.r.noteEvent(now)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/snowspoke/snowspoke/invariant"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/lease"
+	"github.com/snowspoke/snowspoke/liveness"
 	"github.com/snowspoke/snowspoke/metrics"
 	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/overload"
@@ -419,7 +420,7 @@
 func (o observer) ServerEnded() { o.m.ServerEnded() }
 
 // ContactLost implements forward.Observer.
-func (o observer) ContactLost(verdict string) { o.m.ContactLost(verdict) }
+func (o observer) ContactLost(v liveness.Verdict) { o.m.ContactLost(v.String()) }
 
 // Quarantined implements forward.Observer.
 func (o observer) Quarantined() { o.m.Quarantined() }
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -18,7 +18,7 @@
 // without a rank may be imported by all.
 var rank = map[string]int{
 	"topology": 1, "execution": 1, "availability": 1, "fleet": 2, "catalog": 2,
-	"boottime": 1, "stall": 2, "quarantine": 3, "routing": 3, "admission": 3, "health": 3, "placement": 3, "claims": 3, "lease": 3, "quota": 3,
+	"boottime": 1, "stall": 2, "liveness": 3, "quarantine": 3, "routing": 3, "admission": 3, "health": 3, "placement": 3, "claims": 3, "lease": 3, "quota": 3,
 	"monitor": 4, "peer": 4, "dispatch": 4,
 	"metrics": 5, "api": 5, "control": 5,
 	"daemon": 6, "client": 6, "trial": 8, "load": 8, "cmd": 9,
