forward: an end counts against a stream until half a second after its first event

Callers saw requests crash their backend servers again and again that did so 0.7 s after the head of the answer. Cause: the time in which an end counts ran from the head, and an end more than a second after it cleared the request, although the head may precede the work by the time in the backend server's queue. Change: both times run from the first event of a stream.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -42,11 +42,12 @@
 // progress is the state of one send.
 type progress struct {
 	headAt   time.Time // zero until the head of the answer is received
-	beganAt  time.Time // the same
+	beganAt  time.Time // first event of a stream, head of any other answer; zero before
 	survived bool      // an event came quarantine.SurvivalThreshold after beganAt
 }
 
-// stage returns the stage of the send at the given time after beganAt.
+// stage returns the stage of the send at the given time after beganAt. The head of a stream may
+// precede its first event by the time for which the request is queued.
 func (p progress) stage(sinceBegan time.Duration) sendStage {
 	switch {
 	case p.headAt.IsZero():
@@ -159,6 +160,9 @@
 // noteEvent records that the backend server survived the request, at the first event that shows
 // it.
 func (r *run) noteEvent(now time.Time) {
+	if r.progress.beganAt.IsZero() {
+		r.progress.beganAt = now
+	}
 	if r.progress.survived || r.sinceBegan(now) < quarantine.SurvivalThreshold {
 		return
 	}
--- a/forward/run.go
+++ b/forward/run.go
@@ -276,7 +276,10 @@
 	if !a.NotRun {
 		r.observeAcceptance(true)
 		r.tracker.MarkRan()
-		r.progress.headAt, r.progress.beganAt, r.lastHeardAt = now, now, now
+		r.progress.headAt, r.lastHeardAt = now, now
+		if !r.isStream() {
+			r.progress.beganAt = now
+		}
 		return execution.Answered, nil
 	}
 	_ = a.Body.Close()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -128,7 +128,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.carried = carried
-	s.askAfter, s.progress = askAfter, s.r.progress
+	s.askAfter, s.progress.headAt = askAfter, s.r.progress.headAt
 }
 
 // stageAtLastEvent returns the stage of the send at its last event, or when it was sent if there was
@@ -264,6 +264,9 @@
 	s.silentSince, s.moved, s.probed = now, false, false
 	head, first := s.path[0].Server.ID, !s.begun
 	s.begun = true
+	if first {
+		s.progress.beganAt = now
+	}
 	s.detectSlowdown(first, moved, gap, now)
 	s.mu.Unlock()
 	s.r.f.silences.observe(head, first, gap)
