--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -6,15 +6,16 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/decision"
 	"github.com/snowspoke/snowspoke/execution"
+	"github.com/snowspoke/snowspoke/liveness"
 	"github.com/snowspoke/snowspoke/quarantine"
 )
 
@@ -22,15 +23,20 @@
 // prompt that others share. Package quarantine decides which requests are no longer sent; this file
 // gives it the ends of engines and the requests that they survived.
 
-// endCheckTimeout bounds the check whether an engine has ended. A stream goes on after it.
-const endCheckTimeout = 100 * time.Millisecond
+// Times of the checks of an engine with which contact was lost.
+const (
+	// identifyTimeout bounds the wait for what became of the engine. A stream goes on after it.
+	identifyTimeout = 100 * time.Millisecond
+	// statusTimeout bounds one check.
+	statusTimeout = 500 * time.Millisecond
+)
 
 // crashes attributes the ends of engines to requests. It is safe for concurrent use.
 type crashes struct {
 	registry  *quarantine.Registry
 	trialRank func(key uint64) int // nil for a single daemon
 	isolated  func(err error) bool // nil if that is not tracked
-	checks    singleflight.Group   // by engine and boot
+	ends      liveness.Watcher     // by engine and boot
 }
 
 // guard returns the guard of a request.
@@ -55,12 +61,21 @@
 	opened     bool     // the stream was opened
 	firstAt    time.Time
 	survived   bool
-	attributed bool
+	attributed *attribution
+}
+
+// attribution is the engine whose end was attributed to an attempt. Of the hops of one attempt only
+// the first that is found to have ended counts. It is safe for concurrent use.
+type attribution struct{ engine atomic.Pointer[string] }
+
+// claim reports whether the end of an engine counts.
+func (a *attribution) claim(engine string) bool {
+	return a.engine.CompareAndSwap(nil, &engine) || *a.engine.Load() == engine
 }
 
 // newEvidence returns the evidence of an attempt that begins along the current route.
 func (r *run) newEvidence() evidence {
-	p := evidence{boots: make([]uint64, len(r.route))}
+	p := evidence{boots: make([]uint64, len(r.route)), attributed: &attribution{}}
 	for i, h := range r.route {
 		p.boots[i] = r.d.table.Boot(h.BackendServer)
 	}
@@ -82,7 +97,7 @@
 func (r *run) admitQuarantine(ctx context.Context) error {
 	d := r.guard.Admit(ctx, r.d.crashes.trialRank)
 	if d.Trial {
-		r.logQuarantine("tried", d)
+		r.logQuarantine(r.attempt, "tried", d)
 	}
 	if d.Quarantined {
 		return r.quarantined("held back", d)
@@ -106,14 +121,14 @@
 }
 
 func (r *run) quarantined(outcome string, d quarantine.Decision) error {
-	r.logQuarantine(outcome, d)
+	r.logQuarantine(r.attempt, outcome, d)
 	r.d.observe.Quarantined()
 	return d.Refusal()
 }
 
-func (r *run) logQuarantine(outcome string, d quarantine.Decision) {
+func (r *run) logQuarantine(attempt int, outcome string, d quarantine.Decision) {
 	r.d.log.Add(decision.Record{
-		Time: r.d.clock(), Kind: decision.Quarantine, RequestID: r.req.ID, Attempt: r.attempt, Workspace: r.req.Workspace.Name,
+		Time: r.d.clock(), Kind: decision.Quarantine, RequestID: r.req.ID, Attempt: attempt, Workspace: r.req.Workspace.Name,
 		Subject: r.guard.Content().String(), Chosen: outcome,
 		Reason: fmt.Sprintf("part %s, %d ends, score %d, until %s", d.Part, d.Ends, d.Score, d.Until.UTC().Format(time.RFC3339)),
 	})
@@ -131,40 +146,59 @@
 	}
 }
 
-// attributeEnd checks whether the engine with which contact was lost has ended, and records this
-// against the request. Of the hops of one attempt only the first that has ended counts.
+// attributeEnd finds out whether the engine with which contact was lost has ended, and records this
+// against the request. It waits for a bounded time; a later result is recorded all the same.
 func (r *run) attributeEnd(ctx context.Context, server string) {
 	now := r.d.clock()
 	weight := r.evidence.weight(now)
 	i := r.route.Index(server)
-	if i < 0 || weight == 0 || r.evidence.attributed || r.d.table.Leaving(server) {
+	if i < 0 || weight == 0 || r.d.table.Leaving(server) {
 		return
 	}
-	boot := r.evidence.boots[i]
+	boot, attributed, attempt := r.evidence.boots[i], r.evidence.attributed, r.attempt
+	engine := server + "/" + strconv.FormatUint(boot, 16)
 	t := backend.Target{BackendServer: server, Address: r.route[i].Address}
-	if !r.d.crashes.hasEnded(context.WithoutCancel(ctx), r.d.engine, t, boot) {
-		return
+	ctx = context.WithoutCancel(ctx)
+	known := make(chan struct{}, 2)
+	r.d.crashes.ends.Watch(engine, func() liveness.Verdict { return r.d.crashes.check(ctx, r.d.engine, t, boot) }, func(v liveness.Verdict, _ bool) {
+		w := weight
+		if v == liveness.Unresponsive {
+			w = quarantine.Possible
+		}
+		if (v.Gone() || v == liveness.Unresponsive) && attributed.claim(engine) {
+			d := r.guard.RecordEnd(quarantine.Server(xxhash.Sum64String(engine)), w, now)
+			r.d.observe.ServerEnded()
+			r.logQuarantine(attempt, fmt.Sprintf("%s %s", v, server), d)
+		}
+		known <- struct{}{}
+	})
+	timer := time.NewTimer(identifyTimeout)
+	defer timer.Stop()
+	select {
+	case <-known:
+	case <-timer.C:
 	}
-	r.evidence.attributed = true
-	id := quarantine.Server(xxhash.Sum64String(server + "/" + strconv.FormatUint(boot, 16)))
-	d := r.guard.RecordEnd(id, weight, now)
-	r.d.observe.ServerEnded()
-	r.logQuarantine("ended "+server, d)
 }
 
-// hasEnded reports whether the process of an engine has ended: its VM refuses connections, or
-// another boot answers.
-func (c *crashes) hasEnded(ctx context.Context, e backend.Engine, t backend.Target, boot uint64) bool {
-	ended, _, _ := c.checks.Do(fmt.Sprint(t.BackendServer, "/", boot), func() (any, error) {
-		ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
-		defer cancel()
-		st, err := e.Status(ctx, t)
-		if err != nil {
-			return c.isRefusedConnection(err), nil
-		}
-		return boot != 0 && st.Boot != boot, nil
-	})
-	return ended.(bool)
+// check returns what is known of the process of an engine: its VM refuses connections, or another
+// boot answers.
+func (c *crashes) check(ctx context.Context, e backend.Engine, t backend.Target, boot uint64) liveness.Verdict {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	st, err := e.Status(ctx, t)
+	switch {
+	case err == nil && boot == 0:
+		return liveness.Listening
+	case err == nil && st.Boot != boot:
+		return liveness.Replaced
+	case err == nil:
+		return liveness.Alive
+	case c.isRefusedConnection(err):
+		return liveness.Ended
+	case errors.Is(err, execution.ErrNotSent):
+		return liveness.Unknown
+	}
+	return liveness.Unresponsive
 }
 
 // isRefusedConnection reports whether a call failed because nobody listens at the address.
