forward: 421 alone is no proof that another process has an address

Cause: a head that gives up layers answers 421 too, and still runs what it has; since each 421 ended it as an attempt. Only one that names another ID does now; a restart under the same ID is told by its report.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -63,6 +63,8 @@
 	Signed  bool   // the answer has the backend server's signature
 	Framing framing.Framing
 	Carrier string // daemon that carried the connection, "" if it was direct
+	// FromOther is set if another backend server has refused the request, at the same address.
+	FromOther bool
 }
 
 // Stall is a stalled stream with the address of the hop at fault.
--- a/forward/refuse_test.go
+++ b/forward/refuse_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -138,3 +139,19 @@
 		})
 	}
 }
+
+// A head that refuses with 421 may lack the layers of the path, and still runs.
+func TestMisdirectedRequestIsNoProofOfAnotherProcess(t *testing.T) {
+	f := plainForwarder(1, &scriptedBackends{})
+	s := f.inv.View().Servers["b0"]
+	r := f.newRun(&Request{Route: &site.Route{Kind: site.Safe, MaxAttempts: 1}}, &recordingSink{})
+	refuse := func(byOther bool) {
+		a := &Answer{Status: http.StatusMisdirectedRequest, NotRun: true, FromOther: byOther, Body: http.NoBody}
+		result, _ := r.refused(&target{path: site.Path{{Server: s}}}, a, nil)
+		require.Equal(t, execution.NotRunHere, result)
+	}
+	refuse(false)
+	require.False(t, f.hasTerminated(s.ID))
+	refuse(true)
+	require.True(t, f.hasTerminated(s.ID))
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -287,7 +287,7 @@
 	if s := t.path.At(a.AtFault); s != nil {
 		at = s
 	}
-	if a.Status == http.StatusMisdirectedRequest && at == head {
+	if a.FromOther {
 		r.f.markFailed(head, "another process has its address", ErrRestarted, now)
 	}
 	r.f.health.Refuse(at.ID, now)
