quarantine: a content with three ends stays quarantined, and a failed trial is the last

Cause: a part that crashes backend servers explains the ends of each content that was there, also of one without that part, so that the score of a second crashing content falls again and its quarantine ends; and each trial a minute after the last may end one more. Change: a content under which three backend servers likely ended (NoTrialScore) is quarantined whatever explains them, with a trial after a minute; one that has crashed a trial has no other. Evidence: TestContentWithThreeEndsIsQuarantinedWhateverExplainsThem and TestFailedTrialIsTheLastOne fail without it.

--- a/quarantine/decision.go
+++ b/quarantine/decision.go
@@ -136,7 +136,7 @@
 		return Decision{}
 	}
 	last, c := e.lastEndAt(), r.currentCauses()
-	d := Decision{Score: r.unexplained(c, e), Ends: len(e.Ends)}
+	d := Decision{Score: r.score(c, e), Ends: len(e.Ends)}
 	if fp.IsPart() {
 		d.Part, d.VerdictAt = fp, last.Add(r.policy.PartVerdictAfter)
 	}
@@ -152,6 +152,17 @@
 	return d
 }
 
+// score returns the score that decides on an entry: that of the ends without another cause. A content
+// with NoTrialScore reaches at least QuarantineScore. Several contents may crash backend servers at
+// once, and what explains the ends of one need not be in it.
+func (r *Registry) score(c *causes, e *registryEntry) int {
+	score := r.unexplained(c, e)
+	if !e.Fingerprint.IsPart() && e.Score() >= r.policy.NoTrialScore {
+		return max(score, r.policy.QuarantineScore)
+	}
+	return score
+}
+
 // nextTrial returns when the next trial of a quarantined entry is due, or when the entry expires
 // if there are no trials.
 func (r *Registry) nextTrial(e *registryEntry, score int) time.Time {
@@ -159,7 +170,7 @@
 	switch {
 	case e.Fingerprint.IsPart():
 		return boottime.Later(last, e.TriedAt).Add(r.partTrialInterval(e))
-	case score >= r.policy.NoTrialScore:
+	case score >= r.policy.NoTrialScore, e.hasFailedTrial():
 		return last.Add(r.policy.Keep)
 	}
 	return boottime.Later(last, e.TriedAt).Add(r.policy.TrialAfter)
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -105,6 +105,9 @@
 	return e.Ends[len(e.Ends)-1].At
 }
 
+// hasFailedTrial reports whether a backend server has ended since the last trial.
+func (e *Entry) hasFailedTrial() bool { return !e.TriedAt.IsZero() && e.hasEndAfter(e.TriedAt) }
+
 // dropServedEnds removes the ends that are not later than ServedAt.
 func (e *Entry) dropServedEnds() {
 	e.Ends = slices.DeleteFunc(e.Ends, func(end End) bool { return !end.At.After(e.ServedAt) })
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -144,3 +144,33 @@
 		require.False(t, slices.ContainsFunc(registries, func(r *Registry) bool { return r.Size() > 3 }))
 	})
 }
+
+// A content under which three backend servers have ended is quarantined, although a part that it
+// lacks was present at these ends and explains them.
+func TestContentWithThreeEndsIsQuarantinedWhateverExplainsThem(t *testing.T) {
+	r, now := NewRegistry(DefaultPolicy), time.Now()
+	content, other, part := Fingerprint(2), Fingerprint(4), FingerprintOfPart("service", "part")
+	for s := range Server(3) {
+		at := now.Add(time.Duration(s) * time.Second)
+		r.RecordEnd(content, s, Likely, at)
+		r.RecordEndOfAll([]Fingerprint{other + Fingerprint(s), part}, s, Likely, at)
+	}
+	now = now.Add(4 * time.Second)
+	require.True(t, r.Check(part, now).Quarantined)
+	require.True(t, r.Check(content, now).Quarantined)
+	require.False(t, r.Check(other, now).Quarantined, "one end that the part explains")
+}
+
+// A request that crashes a backend server as a trial has no further trials.
+func TestFailedTrialIsTheLastOne(t *testing.T) {
+	r, now := NewRegistry(DefaultPolicy), time.Now()
+	fp := Fingerprint(2)
+	for s := range Server(4) {
+		r.RecordEnd(fp, s, Possible, now)
+	}
+	now = now.Add(DefaultPolicy.TrialAfter)
+	require.True(t, r.Admit(fp, now).Trial)
+	d := r.RecordEnd(fp, 4, Possible, now.Add(time.Second))
+	require.True(t, d.Quarantined)
+	require.Equal(t, now.Add(time.Second+DefaultPolicy.Keep), d.Until)
+}
