--- a/forward/answerend_test.go
+++ b/forward/answerend_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/internal/virtual"
+	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -206,3 +207,22 @@
 		require.Equal(t, "card", got.body)
 	})
 }
+
+// A health check is answered by whatever process has the name of a backend server. That a later one
+// has registered shows that the answer's process has ended, as behind a cut that has healed.
+func TestAnswerOfARestartBehindACutIsNotComplete(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		answered := site.Incarnation{Name: "b0", Born: 1000}
+		later := site.Incarnation{Name: "b0", Born: 2000}
+		for _, known := range []site.Incarnation{answered, later} {
+			b := &healthBackends{}
+			r, path := endedRun(&b.reachBackends, site.Unsafe)
+			r.f.backends, r.healthPath = b, "/health"
+			path[0].Server = &site.BackendServer{ID: answered.ID(), Address: "b0:1", Incarnation: answered}
+			current := &site.BackendServer{ID: known.ID(), Address: "b0:1", Incarnation: known}
+			r.f.inv = fixed{inventory.NewView(nil, map[string]*site.BackendServer{current.ID: current})}
+			err := r.checkEnd(t.Context(), path, answerEnd{framing: framing.UntilClose})
+			require.Equal(t, known == answered, err == nil, "%v", err)
+		}
+	})
+}
