--- a/apierror/table.go
+++ b/apierror/table.go
@@ -31,7 +31,7 @@
 	{NoRoute, http.StatusServiceUnavailable, RanNo, true, 2 * time.Second, "no admissible backend servers hold all layers of the model"},
 	{DeadlinePassed, http.StatusGatewayTimeout, RanNo, false, 0, "the deadline had passed before the request was sent"},
 	{DeadlineUnlikely, http.StatusTooManyRequests, RanNo, true, time.Second, "the expected wait exceeds the deadline"},
-	{Overloaded, http.StatusServiceUnavailable, RanNo, true, time.Second, "the queue of the model is full"},
+	{Overloaded, http.StatusServiceUnavailable, RanNo, true, time.Second, "the queue of the model, or the memory of the daemon for request bodies, is full"},
 	{WorkspaceLimit, http.StatusTooManyRequests, RanNo, true, time.Second, "the workspace has used its limit"},
 	{Draining, http.StatusServiceUnavailable, RanNo, true, time.Second, "the daemon is stopping; another one will answer"},
 	{StoreUnavailable, http.StatusServiceUnavailable, RanNo, true, 5 * time.Second, "the claim of the key could not be recorded before the deadline"},
--- a/cmd/snowspoked/platform.go
+++ b/cmd/snowspoked/platform.go
@@ -22,13 +22,21 @@
 // for processor time, which is more expensive there.
 const platformGCPercent = 200
 
+// platformHeapPercent is the part of the VM's memory from which garbage is collected as often as
+// needed. The rest is for the program itself and for bytes that the kernel holds for it.
+const platformHeapPercent = 65
+
 // Run implements the command.
 func (c *platformCmd) Run() error {
 	load := func() (site.Settings, error) { return platform.LoadSettings(os.Getenv(platform.SettingsEnv)) }
-	if _, err := load(); err != nil {
+	set, err := load()
+	if err != nil {
 		return settingsError{err}
 	}
 	debug.SetGCPercent(platformGCPercent)
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(set.MemoryMB<<20) * platformHeapPercent / 100)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload := make(chan os.Signal, 1)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"github.com/snowspoke/snowspoke/health"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/liveness"
+	"github.com/snowspoke/snowspoke/memory"
 	"github.com/snowspoke/snowspoke/pipeline"
 	"github.com/snowspoke/snowspoke/quarantine"
 	"github.com/snowspoke/snowspoke/quota"
@@ -91,7 +93,7 @@
 	// MaxKeyAge is the maximum age of the configuration up to which its keys are
 	// accepted, 0 for no maximum.
 	MaxKeyAge time.Duration
-	// AnswerBytes is the memory for buffered answers of more than freeAnswerBytes, 0 for that of
+	// AnswerBytes is the memory for buffered answers of more than memory.FreeBytes, 0 for that of
 	// one largest answer.
 	AnswerBytes int
 }
@@ -161,7 +163,7 @@
 
 	availability *availability.Table
 	ignored      ignoredHeaders
-	answers      *answerMemory
+	answers      *memory.Pool
 
 	started   time.Time    // one window earlier if there was no previous process
 	maxKeyAge atomic.Int64 // time.Duration, see Options.MaxKeyAge
@@ -195,7 +197,7 @@
 		started: time.Now(), opts: o, inv: d.Inventory, fleet: d.Fleet, log: d.Log, observer: d.Observer,
 		loads: NewLoads(), health: health.NewCooldowns(cooldowns), budget: admission.NewBudget(o.RetryRatio, o.RetrySlack, o.RetryWindow),
 		reports: newResultCache[Report](reportAge), probes: newResultCache[struct{}](probeAge), healthChecks: newResultCache[struct{}](0), listens: newResultCache[struct{}](0), silences: newSilences(), live: newLiveStreams(), splits: newSplits(), shedders: newShedders(), longPrompts: newLongPrompts(),
-		availability: availability.NewTable(), answers: newAnswerMemory(o.AnswerBytes),
+		availability: availability.NewTable(), answers: memory.NewPool(cmp.Or(max(0, o.AnswerBytes), maxAnswerBytes)),
 		targetDraws: newDraws(), startDraws: newDraws(), pathDraws: newDraws(), splitDraws: newDraws(),
 	}
 	f.permitted = metered{d.Backends, f}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/lease"
 	"github.com/snowspoke/snowspoke/liveness"
+	"github.com/snowspoke/snowspoke/memory"
 	"github.com/snowspoke/snowspoke/metrics"
 	"github.com/snowspoke/snowspoke/network"
 	"github.com/snowspoke/snowspoke/overload"
@@ -58,8 +59,11 @@
 	idleDescriptorsDivisor = 4
 )
 
-// answerMemoryDivisor limits the memory for large answers to a fraction of the VM's memory.
-const answerMemoryDivisor = 8
+// Limits on the memory for large messages, as fractions of the VM's memory.
+const (
+	answerMemoryDivisor = 8
+	bodyMemoryDivisor   = 4
+)
 
 // Kinds and names of the objects that daemons keep in the store.
 const (
@@ -190,7 +194,7 @@
 	}
 	g.forward.Loads().SetOwnUsage(g.overload.Usage)
 	stalls.SetLag(g.overload.WaitingSince)
-	g.ingress = platform.NewIngress(g.forward)
+	g.ingress = platform.NewIngress(g.forward, memory.NewPool(bodyMemory(set)))
 	g.callers = &http.Server{
 		Handler: g.refuseWhenStopping(g.ingress), ReadHeaderTimeout: headerTimeout, ConnState: g.trackState,
 		// Errors of the server itself, such as a handler that panicked.
@@ -211,6 +215,17 @@
 	return mux
 }
 
+// bodyMemory returns the number of bytes for the bodies of requests.
+func bodyMemory(set site.Settings) int {
+	if set.MemoryMB <= 0 {
+		return defaultBodyMemory
+	}
+	return set.MemoryMB << 20 / bodyMemoryDivisor
+}
+
+// defaultBodyMemory applies if the settings do not state the VM's memory.
+const defaultBodyMemory = 64 << 20
+
 // storeAnswers reads a small object that may be old and reports whether the store answered.
 func (g *Gateway) storeAnswers(ctx context.Context) bool {
 	_, err := g.store.GetStale(ctx, kindLease, placementLease)
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -31,7 +31,7 @@
 // allowed, as timeouts are set where calls are made.
 var adapters = map[string]struct{ imports, importedBy []string }{
 	"platform": {
-		imports:    []string{"apierror", "boottime", "execution", "forward", "framing", "internal/readall", "internal/retryafter", "internal/wait", "inventory", "network", "site", "stall", "store"},
+		imports:    []string{"apierror", "boottime", "execution", "forward", "framing", "internal/readall", "internal/retryafter", "internal/wait", "inventory", "memory", "network", "site", "stall", "store"},
 		importedBy: []string{"gateway", "cmd", "platform"},
 	},
 }
