--- a/api/callers.go
+++ b/api/callers.go
@@ -3,9 +3,9 @@
 package api
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -15,6 +15,7 @@
 	"github.com/snowspoke/snowspoke/apierror"
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/dispatch"
+	"github.com/snowspoke/snowspoke/memory"
 	"github.com/snowspoke/snowspoke/topology"
 )
 
@@ -55,6 +56,7 @@
 // CallerOptions holds the limits of the callers' interface.
 type CallerOptions struct {
 	BodyBytes       int64         // maximum size of a request body
+	BodyMemory      int           // maximum size of the large bodies of all requests together, 0 for a default
 	BodyTimeout     time.Duration // to read a request body
 	WriteTimeout    time.Duration // for each write of a response
 	DefaultDeadline time.Duration // of requests without HeaderDeadline
@@ -71,12 +73,17 @@
 	claims   Claimer
 	clock    func() time.Time
 	mux      *http.ServeMux
+	bodies   *memory.Pool
 }
 
+// defaultBodyMemory applies if CallerOptions.BodyMemory is 0.
+const defaultBodyMemory = 256 << 20
+
 // NewCallers returns the handler of the callers' interface.
 func NewCallers(o CallerOptions, c Configuration, m Models, s PlainServices, sealer *dispatch.Sealer, claims Claimer, clock func() time.Time) *Callers {
 	h := &Callers{
 		opts: o, config: c, models: m, services: s, sealer: sealer, claims: claims, clock: clock, mux: http.NewServeMux(),
+		bodies: memory.NewPool(cmp.Or(o.BodyMemory, defaultBodyMemory)),
 	}
 	h.mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { h.serveCompletion(w, r, textFormat) })
 	h.mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { h.serveCompletion(w, r, chatFormat) })
@@ -127,11 +134,13 @@
 	writeError(w, err)
 }
 
-// readBody reads a request body of at most BodyBytes within BodyTimeout.
+// readBody reads a request body of at most BodyBytes within BodyTimeout. Its memory is released when
+// the request ends.
 func (h *Callers) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(h.opts.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.opts.BodyBytes))
+	body, release, err := h.bodies.ReadAll(http.MaxBytesReader(w, r.Body, h.opts.BodyBytes), int(2*h.opts.BodyBytes+1))
+	context.AfterFunc(r.Context(), release)
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 	} else {
@@ -143,6 +152,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, apierror.New(apierror.BodyTooLarge, "more than %d bytes", tooLarge.Limit)
 	}
+	if errors.Is(err, memory.ErrExhausted) {
+		return nil, apierror.Wrap(apierror.Overloaded, err)
+	}
 	if err != nil {
 		return nil, apierror.New(apierror.BadRequest, "body: %v", err)
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -52,6 +52,7 @@
 // Limits bounds the resources that callers can use.
 type Limits struct {
 	BodyBytes       int64
+	BodyMemory      int // bytes of the large bodies of all requests together
 	HeaderBytes     int
 	HeaderTimeout   time.Duration // to read the request header
 	BodyTimeout     time.Duration // to read the request body
@@ -127,7 +128,7 @@
 	return Config{
 		Platform: Platform{VMPoll: 2 * time.Second, Resync: 5 * time.Minute},
 		Limits: Limits{
-			BodyBytes: 1 << 20, HeaderBytes: 32 << 10, HeaderTimeout: 5 * time.Second, BodyTimeout: 30 * time.Second,
+			BodyBytes: 1 << 20, BodyMemory: 256 << 20, HeaderBytes: 32 << 10, HeaderTimeout: 5 * time.Second, BodyTimeout: 30 * time.Second,
 			WriteTimeout: 10 * time.Second, DefaultDeadline: 2 * time.Minute, MaxDeadline: 15 * time.Minute,
 			Connections: 20000, Streams: 10000, QueueLength: 2000, RetryRatio: 0.1,
 		},
--- a/config/fields.go
+++ b/config/fields.go
@@ -30,6 +30,7 @@
 		{"platform", "vm_poll", &c.Platform.VMPoll, "time between two reads of the VM list"},
 		{"platform", "resync", &c.Platform.Resync, "time between two full reads of the configuration"},
 		{"limits", "body_bytes", &c.Limits.BodyBytes, "largest request body"},
+		{"limits", "body_memory", &c.Limits.BodyMemory, "bytes of the large bodies of all requests together"},
 		{"limits", "header_bytes", &c.Limits.HeaderBytes, "largest request header"},
 		{"limits", "header_timeout", &c.Limits.HeaderTimeout, "time to read a request header"},
 		{"limits", "body_timeout", &c.Limits.BodyTimeout, "time to read a request body"},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -187,7 +187,7 @@
 	services := dispatch.NewServices(disp, httpbackend.NewServices(d.backendClient(), d.backendNetwork().DialContext, scheme))
 	l := d.cfg.Limits
 	callers := api.NewCallers(api.CallerOptions{
-		BodyBytes: l.BodyBytes, BodyTimeout: l.BodyTimeout, WriteTimeout: l.WriteTimeout,
+		BodyBytes: l.BodyBytes, BodyMemory: l.BodyMemory, BodyTimeout: l.BodyTimeout, WriteTimeout: l.WriteTimeout,
 		DefaultDeadline: l.DefaultDeadline, MaxDeadline: l.MaxDeadline,
 	}, d.catalog, disp, services, d.sealer, d.claimRegistry, time.Now)
 	d.callers = d.newServer(callers)
