--- a/forward/refuse_test.go
+++ b/forward/refuse_test.go
@@ -155,3 +155,14 @@
 	refuse(true)
 	require.True(t, f.hasTerminated(s.ID))
 }
+
+// A backend server whose record the last list lacks gets no new requests.
+func TestUnlistedServerGetsNoRequests(t *testing.T) {
+	f := plainForwarder(2, &scriptedBackends{})
+	now, view := time.Now(), f.inv.View()
+	require.Len(t, f.candidates(view, "cards", nil, now), 2)
+	f.inv = fixed{view.WithUnlisted("b0")}
+	left := f.candidates(f.inv.View(), "cards", nil, now)
+	require.Len(t, left, 1)
+	require.Equal(t, "b1", left[0].Server.ID)
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,7 @@
 	Servers map[string]*site.BackendServer
 
 	byService map[string][]*site.BackendServer
+	unlisted  []string // sorted IDs, see Unlisted
 }
 
 // NewView returns a view of a configuration and of backend servers by ID.
@@ -56,7 +58,22 @@
 
 // withConfig returns a view of the same backend servers with another configuration.
 func (v *View) withConfig(c *site.Config) *View {
-	return &View{Config: c, Servers: v.Servers, byService: v.byService}
+	return &View{Config: c, Servers: v.Servers, byService: v.byService, unlisted: v.unlisted}
+}
+
+// Unlisted reports whether a backend server has probably left: the last list of the store lacks its
+// record, and has those of at least half of its service. If it lacks more, they have expired in an
+// outage of the store and are about to be written again.
+func (v *View) Unlisted(id string) bool {
+	_, found := slices.BinarySearch(v.unlisted, id)
+	return found
+}
+
+// WithUnlisted returns a view of the same state in which these backend servers are unlisted.
+func (v *View) WithUnlisted(ids ...string) *View {
+	out := v.withConfig(v.Config)
+	out.unlisted = slices.Sorted(slices.Values(ids))
+	return out
 }
 
 // OfService returns the backend servers of a service, in no particular order. The
@@ -386,11 +403,31 @@
 	for _, r := range i.servers {
 		servers[r.server.ID] = r.server
 	}
-	old := i.view.Load()
-	if maps.Equal(servers, old.Servers) {
+	old, unlisted := i.view.Load(), i.unlisted()
+	if maps.Equal(servers, old.Servers) && slices.Equal(unlisted, old.unlisted) {
 		return
 	}
-	i.publish(NewView(old.Config, servers))
+	i.publish(NewView(old.Config, servers).WithUnlisted(unlisted...))
+}
+
+// unlisted returns the IDs of the backend servers of View.Unlisted, sorted.
+func (i *Inventory) unlisted() []string {
+	known, missing := map[string]int{}, map[string][]string{}
+	for _, r := range i.servers {
+		service := r.server.Service
+		known[service]++
+		if !r.missingSince.IsZero() {
+			missing[service] = append(missing[service], r.server.ID)
+		}
+	}
+	var out []string
+	for service, ids := range missing {
+		if 2*len(ids) <= known[service] {
+			out = append(out, ids...)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 func (i *Inventory) publish(v *View) {
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -102,6 +102,9 @@
 	for _, id := range missing {
 		i.markMissing(id, 0, time.Now())
 	}
+	if len(missing) > 0 {
+		i.publishServers()
+	}
 	i.state = nil
 }
 
