gateway: a request that arrived with the one before it is not taken for an idle connection

Cause: net/http marks a connection active only if it reads bytes for the request; one that it has in its buffer already is answered on a connection that counts as idle, for the stop, the idle bound and the count of requests in progress alike. Change: the handler marks the connection active itself, and aborts if it was closed as idle just before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -201,6 +201,7 @@
 		ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Error(g.log)), "", 0),
 	}
 	g.undelimited.Protect(g.callers)
+	g.trackRequests(g.callers)
 	g.readiness = &http.Server{Handler: http.HandlerFunc(g.ready)}
 	g.admin = &http.Server{Handler: adminHandler(m.Handler(), g)}
 	return g, nil
--- a/gateway/planned_test.go
+++ b/gateway/planned_test.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/snowspoke/snowspoke/platform/sitetrial"
 	"github.com/snowspoke/snowspoke/platform/standin"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -113,6 +117,45 @@
 	require.Less(t, time.Since(began), d.set.Grace)
 }
 
+// A request that arrived together with the one before it is not taken for an idle connection, neither
+// by a planned stop nor by the bound on idle connections.
+func TestPipelinedRequestIsNotCutOffAsIdle(t *testing.T) {
+	for name, stops := range map[string]bool{"planned stop": true, "idle timeout": false} {
+		t.Run(name, func(t *testing.T) {
+			env := newConfiguredEnv(t)
+			if !stops {
+				env.config["limits"] = map[string]any{"maxBodyBytes": 1000, "idleTimeoutMs": 500}
+				env.putConfig()
+			}
+			env.servers("plain", "", "plain-1")
+			heads, _ := env.pipeline(1, 1)
+			heads[0].Events, heads[0].EventGap = 200, 20*time.Millisecond
+			d := env.daemon("daemon-1", nil).ready(t, 3)
+			c, err := net.Dial("tcp", d.CallersAddr())
+			require.NoError(t, err)
+			defer c.Close()
+			const head = " HTTP/1.1\r\nHost: " + sitetrial.Host + "\r\nAuthorization: Bearer " + sitetrial.Key + "\r\nSnowspoke-Request-Id: "
+			_, err = io.WriteString(c, "GET /plain/"+head+"first\r\n\r\nPOST /stream/"+head+"second\r\nContent-Length: 0\r\n\r\n")
+			require.NoError(t, err)
+			r := bufio.NewReader(c)
+			read := func(method string) string {
+				resp, err := http.ReadResponse(r, &http.Request{Method: method})
+				require.NoError(t, err)
+				body, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				return string(body)
+			}
+			require.Contains(t, read(http.MethodGet), "plain-1 ran")
+			awaitRun(heads)
+			if stops {
+				d.stop()
+			}
+			require.Equal(t, events(1, 200), read(http.MethodPost))
+		})
+	}
+}
+
 func TestChangedSettingsAreApplied(t *testing.T) {
 	env := newConfiguredEnv(t)
 	env.servers("plain", "", "plain-1")
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -154,6 +154,14 @@
 	c.idleSince = time.Now()
 }
 
+// markActive marks the connection as not idle. It returns false if the connection is closed.
+func (c *trackedConn) markActive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Time{}
+	return !c.closed
+}
+
 // closeIfIdle closes the connection if it has been idle for minIdle.
 func (c *trackedConn) closeIfIdle(now time.Time, minIdle time.Duration) {
 	c.mu.Lock()
@@ -165,6 +173,38 @@
 	}
 }
 
+// connKey is the context key of the net.Conn of a caller.
+type connKey struct{}
+
+// trackRequests marks the connection of each request as active. The server does not do so for a
+// request that it has read together with the one before it.
+func (g *Gateway) trackRequests(s *http.Server) {
+	next, withConn := s.Handler, s.ConnContext
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(withConn(ctx, c), connKey{}, c)
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := r.Context().Value(connKey{}).(net.Conn)
+		if !g.conns.begin(c) {
+			panic(http.ErrAbortHandler)
+		}
+		g.overload.Track(c, http.StateActive)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// begin records that a request on a connection is answered from now on. It returns false if the
+// connection was closed as idle before.
+func (c *callerConns) begin(conn net.Conn) bool {
+	if tc, ok := conn.(*trackedConn); ok && !tc.markActive() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active[conn] = struct{}{}
+	return true
+}
+
 // trackState is the server's ConnState hook.
 func (c *callerConns) trackState(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
