--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -308,7 +308,7 @@
 		}
 		all = append(all, start(t, fmt.Sprintf("daemon-%d", i), []string{"a", "b"}[i%2], site.Store.Address()))
 	}
-	f := &faults{t: t, site: site, all: all, r: r}
+	f := &faults{t: t, site: site, all: all, r: r, endings: rand.New(rand.NewPCG(seed, 6<<32))}
 	t.Cleanup(func() {
 		if t.Failed() {
 			f.saveLogs(seed)
@@ -344,6 +344,7 @@
 	t.Run("overload", func(t *testing.T) { f.checkOverload(t, seed, load) })
 	t.Run("recovery", func(t *testing.T) { checkRecovery(t, seed, load) })
 	f.checkNoPanics()
+	f.checkCrashes(seed)
 	t.Run("shed", func(t *testing.T) { f.checkShed(t, seed, load, callers) })
 	f.checkLimits(seed)
 	f.checkAvailability(seed, callers)
@@ -379,6 +380,9 @@
 	names  []string
 	active sync.WaitGroup // faults that have not ended
 
+	endings  *rand.Rand // chooses how backend servers end
+	crashing []string   // bodies of requests that crash backend servers
+
 	reporters sync.WaitGroup // running calls of reportLimit
 
 	mu          sync.Mutex
@@ -514,17 +518,19 @@
 	f.site.Remove(old)
 }
 
-// restartServer ends a backend server, whose connections are reset or closed, and restarts it
-// with the same ID.
+// randomEnding returns one of the orders in which the sockets of a process end.
+func (f *faults) randomEnding() standin.Ending {
+	endings := standin.EndingsForGood()
+	return endings[f.endings.IntN(len(endings))]
+}
+
+// restartServer ends a backend server and restarts it with the same ID.
 func (f *faults) restartServer() {
 	all := f.site.Servers()
 	srv := all[f.r.IntN(len(all))]
-	if f.r.IntN(2) == 0 {
-		srv.Kill()
-	} else {
-		srv.End()
-	}
+	ending := f.randomEnding()
 	f.active.Go(func() {
+		srv.EndBy(ending)
 		time.Sleep(300 * time.Millisecond)
 		f.site.RestartEnded(time.Now())
 	})
@@ -545,9 +551,11 @@
 // sendCrashRequest sends all daemons a request that crashes every backend server that runs
 // it, and then restarts these backend servers.
 func (f *faults) sendCrashRequest() {
-	body := fmt.Sprint("crash ", f.r.Uint64())
+	body, ending := fmt.Sprint("crash ", f.r.Uint64()), f.randomEnding()
+	f.crashing = append(f.crashing, body)
 	for _, s := range f.site.Servers() {
 		s.CrashOn(body)
+		s.CrashBy(ending, f.endings.IntN(2) == 0)
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	f.active.Go(func() {
@@ -561,6 +569,34 @@
 	})
 }
 
+// Bounds of a request that crashes backend servers: later than contactTime after the third one, it may
+// reach as many others.
+const (
+	maxLateCrashes = 3
+	contactTime    = 3 * time.Second
+)
+
+// checkCrashes checks that requests that crash backend servers reach few of them.
+func (f *faults) checkCrashes(seed uint64) {
+	at := map[string][]time.Time{}
+	for _, s := range f.site.Servers() {
+		for _, run := range s.Runs() {
+			at[run.Body] = append(at[run.Body], run.At)
+		}
+	}
+	for _, body := range f.crashing {
+		runs := at[body]
+		slices.SortFunc(runs, time.Time.Compare)
+		late := 0
+		for _, t := range runs[min(3, len(runs)):] {
+			if t.Sub(runs[2]) > contactTime {
+				late++
+			}
+		}
+		require.LessOrEqual(f.t, late, maxLateCrashes, "seed %d, late arrivals of %q, %d in all, faults %v", seed, body, len(runs), f.names)
+	}
+}
+
 // heal waits for the faults that end by themselves and clears the others.
 func (f *faults) heal() {
 	f.active.Wait()
