forward, memory: a large answer waits for memory instead of being dropped

Callers whose requests had run got 502 while other large answers took the memory for answers (memoryMb/8): it was taken in powers of two as the answer arrived, and one that found none counted as a failure. An answer of a known length now takes its length at once and is read when there is memory, until the deadline of its request; one of unknown length is as before.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -62,6 +62,7 @@
 	AtFault string // address of the backend server that caused a refusal, "" if unknown
 	Signed  bool   // the answer has the backend server's signature
 	Framing framing.Framing
+	Length  int64  // of the body, -1 if it is not stated
 	Carrier string // daemon that carried the connection, "" if it was direct
 	// FromOther is set if another backend server has refused the request, at the same address.
 	FromOther bool
--- a/forward/run.go
+++ b/forward/run.go
@@ -302,7 +302,7 @@
 // relayComplete buffers an answer and writes it to the caller. It writes a server error
 // only if the request cannot be repeated or no retry is left.
 func (r *run) relayComplete(ctx context.Context, t *target, a *Answer) (execution.Result, error) {
-	body, release, err := r.f.answers.ReadAll(a.Body, maxAnswerBytes)
+	body, release, err := r.f.readAnswer(ctx, a)
 	defer release()
 	if err != nil && ctx.Err() != nil {
 		return execution.Answered, r.endError(ctx)
--- a/memory/pool.go
+++ b/memory/pool.go
@@ -2,6 +2,7 @@
 package memory
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -19,12 +20,14 @@
 
 // Pool is the memory for bodies of more than FreeBytes. It is safe for concurrent use.
 type Pool struct {
-	mu   sync.Mutex
-	free int // bytes
+	size  int // bytes
+	mu    sync.Mutex
+	free  int           // bytes
+	given chan struct{} // closed when memory is returned
 }
 
 // NewPool returns a Pool of a number of bytes.
-func NewPool(bytes int) *Pool { return &Pool{free: bytes} }
+func NewPool(bytes int) *Pool { return &Pool{size: bytes, free: bytes, given: make(chan struct{})} }
 
 // Take reserves memory and reports whether there was enough.
 func (p *Pool) Take(bytes int) bool {
@@ -42,6 +45,28 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.free += bytes
+	if bytes > 0 {
+		close(p.given)
+		p.given = make(chan struct{})
+	}
+}
+
+// await reserves memory, and waits until there is enough or ctx ends. It reports whether there was.
+func (p *Pool) await(ctx context.Context, bytes int) bool {
+	for bytes <= p.size {
+		p.mu.Lock()
+		given := p.given
+		p.mu.Unlock()
+		if p.Take(bytes) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-given:
+		}
+	}
+	return false
 }
 
 // Free returns the number of free bytes.
@@ -65,6 +90,19 @@
 	return data, func() { p.Give(size) }, err
 }
 
+// AwaitRead is Read for a body that is not refused for want of memory, but read later. It returns
+// ErrExhausted for one that exceeds the Pool, and once ctx ends.
+func (p *Pool) AwaitRead(ctx context.Context, r io.Reader, size int) (data []byte, release func(), err error) {
+	if size <= FreeBytes {
+		return p.Read(r, size)
+	}
+	if !p.await(ctx, size) {
+		return nil, func() {}, fmt.Errorf("%w: %d bytes", ErrExhausted, size)
+	}
+	data, err = readFull(r, size)
+	return data, func() { p.Give(size) }, err
+}
+
 func readFull(r io.Reader, size int) ([]byte, error) {
 	data := make([]byte, size)
 	_, err := io.ReadFull(r, data)
--- a/memory/pool_test.go
+++ b/memory/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"sync"
 	"testing"
@@ -88,3 +89,27 @@
 	short()
 	require.Equal(t, 1<<20, m.Free())
 }
+
+// Bodies that are not refused are read one after the other.
+func TestBodiesWaitForMemory(t *testing.T) {
+	const size = 1 << 20
+	m := NewPool(size)
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			data, release, err := m.AwaitRead(t.Context(), bytes.NewReader(make([]byte, size)), size)
+			defer release()
+			require.NoError(t, err)
+			require.Len(t, data, size)
+		})
+	}
+	wg.Wait()
+	require.Equal(t, size, m.Free())
+	_, _, err := m.AwaitRead(t.Context(), &endlessBody{}, size+1)
+	require.ErrorIs(t, err, ErrExhausted, "more than there is")
+	require.True(t, m.Take(size))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, _, err = m.AwaitRead(ctx, &endlessBody{}, size)
+	require.ErrorIs(t, err, ErrExhausted)
+}
