forward: a silent first hop that was watched in vain is no evidence

The last verdict of a watch that ends without a conclusion may be unresponsive, which counted once against requests that had been given up for silence. By reading; the tests of crashes, silence and lost servers pass.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -224,7 +224,7 @@
 		return
 	}
 	r.f.watchEnd(ctx, head, r.endCheck(), func(v liveness.Verdict, last bool) {
-		if last {
+		if last && v.Gone() {
 			r.noteVerdict(head, end, v)
 		}
 	})
