forward: the port in a Host header is no part of a request's content

The fingerprint has the host in lower case without a port. TestFingerprintIsTheSameAtDaemonsWithOtherPorts fails without it (Host was taken as sent).

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/snowspoke/snowspoke/framing"
@@ -178,13 +179,21 @@
 }
 
 // Fingerprint identifies the content of the request. It is the same for each attempt, at
-// any daemon.
+// any daemon, whose port the Host header may state.
 func (r *Request) Fingerprint() quarantine.Fingerprint {
 	workspace := ""
 	if r.Workspace != nil {
 		workspace = r.Workspace.Name
 	}
-	return quarantine.FingerprintOf([]byte(workspace), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body)
+	return quarantine.FingerprintOf([]byte(workspace), []byte(r.Method), []byte(strings.ToLower(StripPort(r.Host))), []byte(r.Target), r.Body)
+}
+
+// StripPort returns a Host header without its port.
+func StripPort(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
 }
 
 // Sink writes the answer to the caller. Its methods are called from one goroutine. An error
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -324,4 +324,15 @@
 	})
 }
 
+// A caller that repeats its request at another daemon may state that daemon's port.
+func TestFingerprintIsTheSameAtDaemonsWithOtherPorts(t *testing.T) {
+	of := func(host, body string) quarantine.Fingerprint {
+		return (&Request{Method: "POST", Host: host, Target: "/a", Body: []byte(body)}).Fingerprint()
+	}
+	require.Equal(t, of("h.example", "b"), of("h.example:8080", "b"))
+	require.Equal(t, of("h.example", "b"), of("H.example:8081", "b"))
+	require.NotEqual(t, of("h.example", "b"), of("other.example", "b"))
+	require.NotEqual(t, of("h.example", "b"), of("h.example", "c"))
+}
+
 var _ io.ReadCloser = (*crashingAnswer)(nil)
