liveness, dispatch: no wait for a lost backend server that cannot be connected to

Change: the watch reports at once that its first check could not connect, and neither face waits then.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -147,7 +147,8 @@
 }
 
 // attributeEnd finds out whether the engine with which contact was lost has ended, and records this
-// against the request. It waits for a bounded time; a later result is recorded all the same.
+// against the request. It waits for a bounded time, and no longer if the engine cannot be connected to; a
+// later result is recorded all the same.
 func (r *run) attributeEnd(ctx context.Context, server string) {
 	now := r.d.clock()
 	weight := r.evidence.weight(now)
@@ -159,7 +160,7 @@
 	engine := server + "/" + strconv.FormatUint(boot, 16)
 	t := backend.Target{BackendServer: server, Address: r.route[i].Address}
 	ctx = context.WithoutCancel(ctx)
-	known := make(chan struct{}, 2)
+	known := make(chan struct{}, liveness.MaxReports)
 	r.d.crashes.ends.Watch(engine, func() liveness.Verdict { return r.d.crashes.check(ctx, r.d.engine, t, boot) }, func(v liveness.Verdict, _ bool) {
 		w := weight
 		if v == liveness.Unresponsive {
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -186,12 +186,13 @@
 
 // attributeEnd finds out what became of a backend server with which contact was lost. If the server
 // has ended, attributeEnd records this against the request and reports whether the request is now
-// quarantined. It waits for a bounded time; a later result is recorded all the same.
+// quarantined. It waits for a bounded time, and no longer if the server cannot be connected to; a later
+// result is recorded all the same.
 func (r *run) attributeEnd(ctx context.Context, s *site.BackendServer, end sendEnd) (quarantined bool) {
-	result := make(chan bool, 2)
+	result := make(chan bool, liveness.MaxReports)
 	r.unresolved.Add(1)
 	r.f.watchEnd(ctx, s, r.endCheck(), func(v liveness.Verdict, last bool) {
-		result <- r.noteVerdict(s, end, v)
+		result <- r.noteVerdict(s, end, v, last)
 		if last {
 			r.unresolved.Add(-1)
 		}
@@ -228,15 +229,17 @@
 	}
 	r.f.watchEnd(ctx, head, r.endCheck(), func(v liveness.Verdict, last bool) {
 		if last && v.Gone() {
-			r.noteVerdict(head, end, v)
+			r.noteVerdict(head, end, v, last)
 		}
 	})
 }
 
 // noteVerdict records what is known of a backend server with which contact was lost, and reports
 // whether the request is quarantined.
-func (r *run) noteVerdict(s *site.BackendServer, end sendEnd, v liveness.Verdict) (quarantined bool) {
-	r.logContactLost(s, end, v)
+func (r *run) noteVerdict(s *site.BackendServer, end sendEnd, v liveness.Verdict, last bool) (quarantined bool) {
+	if last || v != liveness.Unknown {
+		r.logContactLost(s, end, v)
+	}
 	weight := end.stage.weight(r.isStream())
 	switch {
 	case v == liveness.Unresponsive:
--- a/liveness/watcher.go
+++ b/liveness/watcher.go
@@ -21,9 +21,13 @@
 // Check checks a process once. Its verdict is about a time after the call.
 type Check func() Verdict
 
-// Notify receives what is known of a process: at most once Unresponsive, and then the last verdict.
+// Notify receives what is known of a process: Unknown if the first check could not connect, at most once
+// Unresponsive, and then the last verdict.
 type Notify func(v Verdict, last bool)
 
+// MaxReports is the maximum number of calls of a Notify.
+const MaxReports = 3
+
 // Watcher watches processes with which contact was lost. It is safe for concurrent use. The zero
 // value is ready for use.
 type Watcher struct {
@@ -44,6 +48,7 @@
 type loss struct {
 	at         time.Time
 	notify     Notify
+	checked    bool // a check has begun since
 	suspicious bool // Unresponsive was reported
 }
 
@@ -111,9 +116,13 @@
 // it is the last one. A process that was alive before a loss of contact may have ended since.
 func (l *loss) apply(began, now time.Time, v Verdict) (report func(), last bool) {
 	isAbout := v.Gone() || !began.Before(l.at)
+	first := isAbout && !l.checked
+	l.checked = l.checked || isAbout
 	switch {
 	case isAbout && v.Conclusive(), now.Sub(l.at) >= watchLimit:
 		return func() { l.notify(v, true) }, true
+	case first && v == Unknown:
+		return func() { l.notify(v, false) }, false
 	case isAbout && v == Unresponsive && !l.suspicious && now.Sub(l.at) >= UnresponsiveAfter:
 		l.suspicious = true
 		return func() { l.notify(v, false) }, false
