liveness: each loss of contact has a check soon, and whichever check cannot connect ends the wait

Two causes: only the first check ended the wait of a stream if it could not connect, while a kept connection that had just been closed was the first one; and a later loss of the same engine waited for the pause that the earlier ones had reached, up to half a second (TestFurtherLossIsCheckedSoon fails without it).

--- a/liveness/watcher.go
+++ b/liveness/watcher.go
@@ -21,8 +21,8 @@
 // Check checks a process once. Its verdict is about a time after the call.
 type Check func() Verdict
 
-// Notify receives what is known of a process: Unknown if the first check could not connect, at most once
-// Unresponsive, and then the last verdict.
+// Notify receives what is known of a process: at most once each Unknown, when a check could not connect,
+// and Unresponsive, and then the last verdict.
 type Notify func(v Verdict, last bool)
 
 // MaxReports is the maximum number of calls of a Notify.
@@ -40,6 +40,7 @@
 	process string
 	check   Check
 	pause   time.Duration // before the next check
+	next    *time.Timer   // of the next check, nil before the first one has ended
 	losses  []*loss
 	last    Verdict // of the last check
 }
@@ -48,13 +49,13 @@
 type loss struct {
 	at         time.Time
 	notify     Notify
-	checked    bool // a check has begun since
+	unreached  bool // Unknown was reported
 	suspicious bool // Unresponsive was reported
 }
 
 // Watch watches a process with which contact is lost at this moment. Its check is repeated until
 // one that began since is conclusive, at most for watchLimit. Losses of contact with the same process
-// share their checks.
+// share their checks, and each has one soon.
 func (w *Watcher) Watch(process string, check Check, notify Notify) {
 	now := time.Now()
 	w.mu.Lock()
@@ -68,6 +69,10 @@
 		w.watches[process] = running
 		go w.step(running)
 	}
+	running.pause = minPause
+	if running.next != nil && running.next.Stop() {
+		running.next.Reset(minPause)
+	}
 	running.losses = append(running.losses, &loss{at: now, notify: notify})
 }
 
@@ -103,7 +108,7 @@
 	if len(x.losses) == 0 {
 		delete(w.watches, x.process)
 	} else {
-		time.AfterFunc(x.pause, func() { w.step(x) })
+		x.next = time.AfterFunc(x.pause, func() { w.step(x) })
 		x.pause = min(2*x.pause, maxPause)
 	}
 	w.mu.Unlock()
@@ -116,12 +121,11 @@
 // it is the last one. A process that was alive before a loss of contact may have ended since.
 func (l *loss) apply(began, now time.Time, v Verdict) (report func(), last bool) {
 	isAbout := v.Gone() || !began.Before(l.at)
-	first := isAbout && !l.checked
-	l.checked = l.checked || isAbout
 	switch {
 	case isAbout && v.Conclusive(), now.Sub(l.at) >= watchLimit:
 		return func() { l.notify(v, true) }, true
-	case first && v == Unknown:
+	case isAbout && v == Unknown && !l.unreached:
+		l.unreached = true
 		return func() { l.notify(v, false) }, false
 	case isAbout && v == Unresponsive && !l.suspicious && now.Sub(l.at) >= UnresponsiveAfter:
 		l.suspicious = true
--- a/liveness/watcher_test.go
+++ b/liveness/watcher_test.go
@@ -90,6 +90,22 @@
 	})
 }
 
+// A further loss of contact does not wait for the pause that earlier ones have reached.
+func TestFurtherLossIsCheckedSoon(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		var w Watcher
+		got := make(chan report, 2*MaxReports)
+		check := func() Verdict { return Unknown }
+		w.Watch("p", check, func(Verdict, bool) {})
+		time.Sleep(4 * time.Second)
+		lost := time.Now()
+		w.Watch("p", check, func(v Verdict, last bool) { got <- report{v, last} })
+		require.Equal(t, report{Unknown, false}, <-got)
+		require.LessOrEqual(t, time.Since(lost), 2*minPause)
+		<-got
+	})
+}
+
 // A process of which nothing is known is watched for a bounded time.
 func TestWatchIsBounded(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
