memory: Read and AwaitRead share the reading of a body of known size

They differed by how memory is reserved alone. No behavior changes; tests of memory and of answers and bodies in forward pass under the race detector.

--- a/memory/pool.go
+++ b/memory/pool.go
@@ -79,34 +79,27 @@
 // Read reads a body of a known size. Release returns its memory and must be called, also after an
 // error.
 func (p *Pool) Read(r io.Reader, size int) (data []byte, release func(), err error) {
-	if size <= FreeBytes {
-		data, err = readFull(r, size)
-		return data, func() {}, err
-	}
-	if !p.Take(size) {
-		return nil, func() {}, fmt.Errorf("%w: %d bytes", ErrExhausted, size)
-	}
-	data, err = readFull(r, size)
-	return data, func() { p.Give(size) }, err
+	return p.readFull(r, size, func() bool { return p.Take(size) })
 }
 
 // AwaitRead is Read for a body that is not refused for want of memory, but read later. It returns
 // ErrExhausted for one that exceeds the Pool, and once ctx ends.
 func (p *Pool) AwaitRead(ctx context.Context, r io.Reader, size int) (data []byte, release func(), err error) {
-	if size <= FreeBytes {
-		return p.Read(r, size)
-	}
-	if !p.await(ctx, size) {
-		return nil, func() {}, fmt.Errorf("%w: %d bytes", ErrExhausted, size)
-	}
-	data, err = readFull(r, size)
-	return data, func() { p.Give(size) }, err
+	return p.readFull(r, size, func() bool { return p.await(ctx, size) })
 }
 
-func readFull(r io.Reader, size int) ([]byte, error) {
-	data := make([]byte, size)
-	_, err := io.ReadFull(r, data)
-	return data, err
+// readFull reads a body of a known size. reserve reports whether memory for it was reserved.
+func (p *Pool) readFull(r io.Reader, size int, reserve func() bool) (data []byte, release func(), err error) {
+	release = func() {}
+	if size > FreeBytes {
+		if !reserve() {
+			return nil, release, fmt.Errorf("%w: %d bytes", ErrExhausted, size)
+		}
+		release = func() { p.Give(size) }
+	}
+	data = make([]byte, size)
+	_, err = io.ReadFull(r, data)
+	return data, release, err
 }
 
 // ReadAll reads a body to its end. It returns ErrExhausted for one that needs a buffer of more than
