forward: a request that crashes its first hop just after it was given up is not sent on and on

Cause: a silent first hop is given up after about 1.1 s. The check at that moment says that it is alive, which ended the watch, and the request had crashed it 0.1 s later.

Change: a first hop that was given up while it answered is watched for quarantine.AttributionWindow more.

Tests of crashes, silence and suspects in forward pass under the race detector; unrelated ends quarantine nobody, as before.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -24,6 +24,10 @@
 	// identifyTimeout bounds the wait for what became of a backend server. The request goes on
 	// after it.
 	identifyTimeout = 100 * time.Millisecond
+	// silentWatch is the time for which a silent first hop is watched that was given up while it
+	// answered checks, and silentWatchInterval the pause between the checks.
+	silentWatch         = quarantine.AttributionWindow
+	silentWatchInterval = 100 * time.Millisecond
 )
 
 // errQuarantined ends a send of a request that has become quarantined.
@@ -227,9 +231,17 @@
 	if end.stage == stageRunning {
 		return
 	}
+	r.watchSilent(ctx, head, end, time.Now().Add(silentWatch))
+}
+
+// watchSilent watches a silent first hop. A request may crash it after the daemon has given it up.
+func (r *run) watchSilent(ctx context.Context, head *site.BackendServer, end sendEnd, until time.Time) {
 	r.f.watchEnd(ctx, head, r.endCheck(), func(v liveness.Verdict, last bool) {
-		if last && v.Gone() {
+		switch {
+		case last && v.Gone():
 			r.noteVerdict(head, end, v, last)
+		case last && time.Now().Before(until):
+			time.AfterFunc(silentWatchInterval, func() { r.watchSilent(ctx, head, end, until) })
 		}
 	})
 }
--- a/gateway/crash_orders_test.go
+++ b/gateway/crash_orders_test.go
@@ -49,9 +49,10 @@
 	}
 }
 
-// A request that crashes its backend server late, but before the first event, is no other case.
+// A request that crashes its backend server late, but before the first event, is no other case, also
+// if the daemon has given the backend server up for its silence by then.
 func TestRequestsThatCrashLateAreQuarantined(t *testing.T) {
-	for _, delay := range []time.Duration{700 * time.Millisecond, 1200 * time.Millisecond} {
+	for _, delay := range []time.Duration{700 * time.Millisecond, 1200 * time.Millisecond, 1350 * time.Millisecond} {
 		t.Run(fmt.Sprint(delay), func(t *testing.T) {
 			t.Parallel()
 			testEnding(t, standin.Endings()[0], false, delay)
