--- a/shedding/hold.go
+++ b/shedding/hold.go
@@ -9,8 +9,8 @@
 // usage of the capacity. Requests take longer on busy servers: twice to four times as long.
 type Hold struct {
 	Idle, Full time.Duration
-	// Stages is how even the times of different requests are: 1 or less if they vary as much as
-	// those of random events, more if they vary less.
+	// Stages is the number of stages of an Erlang distribution that varies as much as the times of
+	// different requests, see HoldSpread. 1 or less is an exponential distribution.
 	Stages int
 }
 
--- a/shedding/holdspread.go
+++ b/shedding/holdspread.go
@@ -30,8 +30,8 @@
 	h.count, h.sum, h.sumSq, h.at = kept*h.count+1, kept*h.sum+relative, kept*h.sumSq+relative*relative, now
 }
 
-// Stages returns the number of equal steps of which the hold times consist that differ as much, from
-// 1 to maxStages.
+// Stages returns the number of stages of an Erlang distribution with the same variation, from 1 to
+// maxStages: the inverse of the squared coefficient of variation.
 func (h *HoldSpread) Stages() int {
 	mean := 1.0
 	if h.count > 0 {
--- a/shedding/projection.go
+++ b/shedding/projection.go
@@ -8,9 +8,10 @@
 // maxStages bounds the number of stages of a projection.
 const maxStages = 6
 
-// projection is a model of the usage of a service. A request passes through a number of stages, with
-// the same mean time for each, and then releases its memory. With a single stage, new requests would
-// release memory as soon as old ones do, and the usage of a burst would be underestimated.
+// projection is a model of the usage of a service whose hold times have an Erlang distribution: a
+// request passes through stages with the same mean time, and then releases its memory. With a single
+// stage, new requests would release memory as soon as old ones do, and the usage of a burst would be
+// underestimated.
 type projection struct {
 	capacity float64
 	hold     Hold
@@ -31,7 +32,7 @@
 
 // set sets the usage and keeps its distribution over the stages, which is even if nothing was in use.
 func (p *projection) set(used float64) {
-	before := p.used()
+	used, before := max(0, used), p.used()
 	for i := range p.stages {
 		if before > 0 {
 			p.stages[i] *= used / before
