health: contact ends the cooldown of a server that completed work meanwhile

What callers saw: streams refused with no_route for three seconds after a backend server that had been silent for a second went on, although it was reached again and answered.

Cause: a stream that was kept over its open connection finishes when the server goes on, before a new connection is made. Its success took the failure for a refusal and left the four seconds in place, so that the regained contact, which ends the cooldown of failures alone, ended nothing. The order was rare while streams were given up early; since they are kept it is the usual one.

Change: a cooldown remembers that it follows from a failure. Contact ends it, also after a success; a refusal that lasts longer stands.

Evidence: TestContactEndsTheCooldownOfAServerThatCompletedWorkMeanwhile fails before.

--- a/health/cooldown.go
+++ b/health/cooldown.go
@@ -24,6 +24,7 @@
 
 type cooldown struct {
 	until    time.Time
+	failed   bool // until follows from a failure
 	failures int  // consecutive
 	ended    bool // see Ended
 	replaced bool // see Replaced
@@ -40,7 +41,7 @@
 	defer c.mu.Unlock()
 	s := c.servers[name]
 	if until := now.Add(c.cfg.AfterRefusal); until.After(s.until) {
-		s.until = until
+		s.until, s.failed = until, false
 	}
 	c.servers[name] = s
 }
@@ -53,6 +54,7 @@
 	s := c.servers[name]
 	isNew := !now.Before(s.until)
 	s.failures++
+	s.failed = true
 	s.until = now.Add(min(c.cfg.MaxAfterFailures, c.cfg.AfterFailure*time.Duration(s.failures)))
 	c.servers[name] = s
 	return isNew
@@ -93,11 +95,12 @@
 	return c.servers[name].replaced
 }
 
-// Recover ends a cooldown because of failures, after contact with the backend server.
+// Recover ends a cooldown because of failures, after contact with the backend server. It does so also
+// if work that had begun before was completed since.
 func (c *Cooldowns) Recover(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.servers[name]; s.failures > 0 && !s.replaced {
+	if s := c.servers[name]; (s.failures > 0 || s.failed) && !s.replaced {
 		delete(c.servers, name)
 	}
 }
--- a/health/cooldown_test.go
+++ b/health/cooldown_test.go
@@ -40,6 +40,26 @@
 	require.True(t, c.Dead("a", now.Add(3*time.Second)))
 }
 
+// Guards against a backend server that gets no work for seconds after contact with it was regained.
+func TestContactEndsTheCooldownOfAServerThatCompletedWorkMeanwhile(t *testing.T) {
+	now := time.Now()
+	c := NewCooldowns(testCooldowns)
+	c.Fail("a", now)
+	c.Succeed("a")
+	require.True(t, c.Cooling("a", now), "completed work alone is no new contact")
+	c.Recover("a")
+	require.False(t, c.Cooling("a", now))
+
+	c.Refuse("b", now)
+	c.Recover("b")
+	require.True(t, c.Cooling("b", now), "a refusal stands")
+	c.Fail("b", now)
+	c.Refuse("b", now.Add(3500*time.Millisecond))
+	c.Succeed("b")
+	c.Recover("b")
+	require.True(t, c.Cooling("b", now.Add(3500*time.Millisecond)), "a later refusal stands")
+}
+
 func TestUnknownServersArePruned(t *testing.T) {
 	c := NewCooldowns(testCooldowns)
 	c.Fail("gone", time.Unix(1000, 0))
