--- a/shedding/history_test.go
+++ b/shedding/history_test.go
@@ -1,6 +1,7 @@
 package shedding
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -8,42 +9,58 @@
 	"time"
 )
 
-// Guards against a projection that does not follow a burst or its end while the known usage is
-// old: the usage of a service is simulated, and the demand is known demandDelay late.
-func TestHistoryProjectsUsage(t *testing.T) {
-	const (
-		step     = 100 * time.Millisecond
-		capacity = 1000.0
-		burst    = 5 * time.Second
-		burstEnd = 11 * time.Second
-	)
-	hold := Hold{Idle: time.Second, Full: 3 * time.Second}
-	demandAt := func(at time.Duration) float64 {
-		if at >= burst && at < burstEnd {
-			return 280
-		}
-		return 100
+// A burst of the demand on a service, and the bound of the error of a projection.
+const (
+	projectedStep     = 100 * time.Millisecond
+	projectedFor      = 20 * time.Second
+	projectedCapacity = 1000.0
+	burstBegin        = 5 * time.Second
+	burstEnd          = 11 * time.Second
+	maxError          = 0.08 * projectedCapacity
+)
+
+func burstDemand(at time.Duration) float64 {
+	if at >= burstBegin && at < burstEnd {
+		return 280
 	}
-	for _, age := range []time.Duration{step, 2 * time.Second, 4 * time.Second} {
+	return 100
+}
+
+// checkProjection compares the projections of usages of several ages with the usage at each step.
+func checkProjection(t *testing.T, name string, used []float64, hold Hold) {
+	t.Helper()
+	for _, age := range []time.Duration{projectedStep, 2 * time.Second, 4 * time.Second} {
 		var h History
-		used := []float64{0}
-		for at := time.Duration(0); at < 20*time.Second; at += step {
+		for i, want := range used {
+			at := time.Duration(i) * projectedStep
 			now := start.Add(at)
-			h.Add(demandAt(at-demandDelay), 1, now)
-			if from := at - age; from >= 0 {
-				got := h.Project(used[from/step], capacity, now.Add(-age), hold, 1, now)
-				// The demand of the last demandDelay is not known yet.
-				late := at >= burst && at < burst+demandDelay || at >= burstEnd && at < burstEnd+demandDelay
-				if want := used[at/step]; !late && math.Abs(got-want) > 0.08*capacity {
-					t.Errorf("usage %v old, at %v: projected %.0f, is %.0f", age, at, got, want)
-				}
+			h.Add(burstDemand(at-demandDelay), 1, now)
+			from := at - age
+			// The demand of the last demandDelay is not known yet.
+			late := at >= burstBegin && at < burstBegin+demandDelay || at >= burstEnd && at < burstEnd+demandDelay
+			if from < 0 || late {
+				continue
+			}
+			if got := h.Project(used[from/projectedStep], projectedCapacity, now.Add(-age), hold, 1, now); math.Abs(got-want) > maxError {
+				t.Errorf("%s, usage %v old, at %v: projected %.0f, is %.0f", name, age, at, got, want)
 			}
-			u := used[at/step]
-			used = append(used, u+step.Seconds()*(demandAt(at)-u/hold.At(u/capacity).Seconds()))
 		}
 	}
 }
 
+// Guards against a projection that does not follow a burst or its end while the known usage is
+// old: the usage of a service is simulated, and the demand is known demandDelay late.
+func TestHistoryProjectsUsage(t *testing.T) {
+	hold := Hold{Idle: time.Second, Full: 3 * time.Second}
+	var used []float64
+	u := 0.0
+	for at := time.Duration(0); at < projectedFor; at += projectedStep {
+		used = append(used, u)
+		u += projectedStep.Seconds() * (burstDemand(at) - u/hold.At(u/projectedCapacity).Seconds())
+	}
+	checkProjection(t, "random ends", used, hold)
+}
+
 // simulateStreams returns the usage at each step of streams that hold memory for longer if the usage
 // is high or their answers are long. answers are lengths relative to the mean.
 func simulateStreams(answers []float64, capacity float64, hold Hold, rate func(at time.Duration) float64, step, length time.Duration) (used []float64) {
@@ -69,43 +86,15 @@
 // Guards against a projection in which the streams of a burst release memory before their answers are
 // complete, so that the usage is underestimated while it grows.
 func TestHistoryProjectsUsageOfStreams(t *testing.T) {
-	const (
-		step     = 100 * time.Millisecond
-		capacity = 1000.0
-		burst    = 5 * time.Second
-		burstEnd = 11 * time.Second
-	)
 	hold := Hold{Idle: time.Second, Full: 3 * time.Second}
-	demandAt := func(at time.Duration) float64 {
-		if at >= burst && at < burstEnd {
-			return 280
-		}
-		return 100
-	}
 	for _, answers := range [][]float64{{0.3, 0.6, 0.9, 1.2, 2}, {0.4, 0.6, 0.7, 0.8, 2.5}, {0.2, 0.5, 0.9, 1.6, 1.8}} {
 		var spread HoldSpread
 		for i := range 200 {
 			spread.Observe(answers[i%len(answers)], start)
 		}
 		hold.Stages = spread.Stages()
-		used := simulateStreams(answers, capacity, hold, demandAt, step, 20*time.Second)
-		for _, age := range []time.Duration{step, 2 * time.Second, 4 * time.Second} {
-			var h History
-			for i, want := range used {
-				at := time.Duration(i) * step
-				now := start.Add(at)
-				h.Add(demandAt(at-demandDelay), 1, now)
-				from := at - age
-				// The demand of the last demandDelay is not known yet.
-				late := at >= burst && at < burst+demandDelay || at >= burstEnd && at < burstEnd+demandDelay
-				if from < 0 || late {
-					continue
-				}
-				if got := h.Project(used[from/step], capacity, now.Add(-age), hold, 1, now); math.Abs(got-want) > 0.08*capacity {
-					t.Errorf("answers %v, usage %v old, at %v: projected %.0f, is %.0f", answers, age, at, got, want)
-				}
-			}
-		}
+		used := simulateStreams(answers, projectedCapacity, hold, burstDemand, projectedStep, projectedFor)
+		checkProjection(t, fmt.Sprint("answers ", answers), used, hold)
 	}
 }
 
