--- a/review/standins-2/apart.go
+++ b/review/standins-2/apart.go
@@ -37,8 +37,11 @@
 	path, err := standin.NewProxy(store.Address())
 	p.check(err)
 	defer path.Close()
-	all := []*daemon{p.newDaemon(0, "front-a-1", "zone-a", path.Address()), p.newDaemon(1, "front-b-1", "zone-b", store.Address())}
-	apart, other := all[0], all[1]
+	all := []*daemon{
+		p.newDaemon(0, "front-a-1", "zone-a", path.Address()), p.newDaemon(1, "front-b-1", "zone-b", store.Address()),
+		p.newDaemon(2, "front-c-1", "zone-c", store.Address()),
+	}
+	apart := all[0]
 	p.awaitReady(all...)
 	for _, d := range all {
 		defer d.keep()
@@ -59,8 +62,10 @@
 		taken := time.Now()
 		at := func(d time.Duration) { time.Sleep(time.Until(taken.Add(d))) }
 		at(2100 * time.Millisecond)
-		if a := call(other, "GET", "/safe/x", takenKey, fmt.Sprintf("check-%d", round)); a.Status != 401 {
-			panic(notRun("the key is not refused"))
+		for _, d := range all[1:] {
+			if a := call(d, "GET", "/safe/x", takenKey, fmt.Sprintf("check-%d-%s", round, d.name)); a.Status != 401 {
+				panic(notRun("the key is not refused"))
+			}
 		}
 		if p.trouble {
 			at(awayAt)
--- a/review/standins-2/drill.go
+++ b/review/standins-2/drill.go
@@ -40,7 +40,10 @@
 		p.note("operator: version %d acknowledged, keys %v", version, append([]string{keptKey}, second...))
 	}
 	write(takenKey)
-	all := []*daemon{p.newDaemon(0, "front-a-1", "zone-a", store.Address()), p.newDaemon(1, "front-b-1", "zone-b", store.Address())}
+	all := []*daemon{
+		p.newDaemon(0, "front-a-1", "zone-a", store.Address()), p.newDaemon(1, "front-b-1", "zone-b", store.Address()),
+		p.newDaemon(2, "front-c-1", "zone-c", store.Address()),
+	}
 	p.awaitReady(all...)
 	for _, d := range all {
 		d.settings(false, store.Address())
