review: an entry of another writer names a runner of another service

The entry of a runner, written by another writer without four of its fields: the daemon uses it and sends requests of one service to the runner of another, which runs them.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -21,7 +21,7 @@
 const maxRun = 112 * time.Second
 
 func main() {
-	cases := map[string]func(*play){"drill": playDrill, "frozen": playFrozen, "born": playBorn, "apart": playApart}
+	cases := map[string]func(*play){"drill": playDrill, "frozen": playFrozen, "born": playBorn, "apart": playApart, "alien": playAlien}
 	if len(os.Args) > 1 && os.Args[1] == "runner" {
 		runRunner(os.Args[2:])
 		return
