review: a silent connection to the store hides that a runner drains

One connection of a daemon to the store goes silent, the one that waits for changes of the backend servers. A runner that is set to draining over contactMs later gets requests over drainMs after that.

--- a/review/standins-2/born.go
+++ b/review/standins-2/born.go
@@ -44,6 +44,7 @@
 		register("ready")
 	}
 	time.Sleep(4 * time.Second)
+	leaving.leave()
 	register("draining")
 	acknowledged := time.Now()
 	var wg sync.WaitGroup
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -90,6 +92,13 @@
 	_ = r.cmd.Wait()
 }
 
+// leave makes the runner say in all its answers that it leaves.
+func (r *runner) leave() {
+	r.p.note("runner %s says that it leaves", r.id)
+	_ = r.cmd.Process.Signal(syscall.SIGUSR1) // it may have ended
+	r.await("leaving")
+}
+
 // entry is the runner's entry in the store.
 func (r *runner) entry(zone, state string, born int64) map[string]any {
 	return map[string]any{
@@ -107,6 +116,9 @@
 	return b.String()
 }
 
+// leaving is set in the process of a runner that leaves.
+var leaving atomic.Bool
+
 // runRunner is the process of a runner.
 func runRunner(args []string) {
 	f := flag.NewFlagSet("runner", flag.ExitOnError)
@@ -118,6 +130,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
+	leave := make(chan os.Signal, 1)
+	signal.Notify(leave, syscall.SIGUSR1)
+	go func() {
+		<-leave
+		leaving.Store(true)
+		fmt.Println("leaving")
+	}()
 	fmt.Println("listening")
 	for {
 		c, err := l.Accept()
@@ -150,7 +169,11 @@
 // with "slow" takes a second, and its answer ends with its connection; "work" takes as long.
 func answerRunner(c net.Conn, req *http.Request, id string) bool {
 	head := func(status, rest string) { fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s\r\n", status, rest) }
-	own := "Snowspoke-Instance-Id: " + id + "\r\n"
+	stated := ""
+	if leaving.Load() {
+		stated = "Server-Leaving: 1\r\n"
+	}
+	own := stated + "Snowspoke-Instance-Id: " + id + "\r\n"
 	request := req.Header.Get("Snowspoke-Request-Id")
 	echoed := ""
 	if request != "" {
@@ -164,11 +187,11 @@
 		head("200 OK", own+"Content-Length: 0\r\n")
 		return true
 	case request == "":
-		head("400 Bad Request", "Snowspoke-Not-Run: 1\r\nContent-Length: 0\r\n")
+		head("400 Bad Request", stated+"Snowspoke-Not-Run: 1\r\nContent-Length: 0\r\n")
 		return true
 	}
 	fmt.Println("runs", request)
-	body, sealed := wholeBody(request), echoed+"Snowspoke-Server-Seal: "+id+"."+request+"\r\n"
+	body, sealed := wholeBody(request), stated+echoed+"Snowspoke-Server-Seal: "+id+"."+request+"\r\n"
 	if !strings.Contains(req.URL.Path, "slow") {
 		if strings.Contains(req.URL.Path, "work") {
 			time.Sleep(time.Second)
