review: half an answer looks complete when three runners crash at once

All four runners of a plain service are killed in the middle of answers that end with their connections. From the third refused address on a daemon takes its own network for the cause, and answers to unsafe requests count as whole. The two cases of a drill are one now.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -21,7 +21,7 @@
 const maxRun = 112 * time.Second
 
 func main() {
-	cases := map[string]func(*play){"drill": playDrill, "frozen": playFrozen, "apart": playApart, "alien": playAlien, "silent": playSilent}
+	cases := map[string]func(*play){"drill": playDrill, "frozen": playFrozen, "alien": playAlien, "silent": playSilent, "crashed": playCrashed}
 	if len(os.Args) > 1 && os.Args[1] == "runner" {
 		runRunner(os.Args[2:])
 		return
