review: one entry that can't be read hides all others

An entry whose bytes end within its spec makes each list and watch of the backend servers fail: a runner that drains gets requests over drainMs later, and a daemon that starts again is never ready. The case of a frozen daemon gives way to it. The stand-ins are test files now, since the layout tests hold for all others.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/standins-2 ./review/standins-2
+go test -c -o target/review-2/standins-2 ./review/standins-2
--- a/review/standins-2/alien.go
+++ b/review/standins-2/alien_test.go
@@ -1,4 +1,4 @@
-package main
+package standins
 
 import (
 	"fmt"
