--- a/review/standins-2/apart_test.go
+++ b/review/standins-2/apart_test.go
@@ -24,8 +24,9 @@
 	defer store.Close()
 	runner := standin.NewServer("runner-1")
 	defer runner.Kill()
-	runner.SetBorn(time.Now().UnixMilli())
-	enter := func() { store.Set("servers", runner.ID, runner.Record("plain", "zone-a", "")) }
+	born := time.Now().UnixMilli()
+	runner.SetBorn(born)
+	enter := func() { store.Set("servers", runner.ID, wholeEntry(runner.Address(), "zone-a", "ready", born)) }
 	enter()
 	version := 10
 	write := func(second ...string) {
@@ -105,4 +106,7 @@
 	}
 	a := call(apart, "GET", "/safe/x", keptKey, "last")
 	p.note("a request with the other key: %d, error %v", a.Status, a.Err)
+	for _, r := range runner.Runs() {
+		p.note("the runner ran %s for %s at %.3f", r.ID, r.Workspace, r.At.Sub(p.began).Seconds())
+	}
 }
--- a/review/standins-2/drill_test.go
+++ b/review/standins-2/drill_test.go
@@ -37,8 +37,9 @@
 	defer store.Close()
 	runner := standin.NewServer("runner-1")
 	defer runner.Kill()
-	runner.SetBorn(time.Now().UnixMilli())
-	store.Set("servers", runner.ID, runner.Record("plain", "zone-a", ""))
+	born := time.Now().UnixMilli()
+	runner.SetBorn(born)
+	store.Set("servers", runner.ID, wholeEntry(runner.Address(), "zone-a", "ready", born))
 	version := 10
 	write := func(second ...string) {
 		version += 3
@@ -100,7 +101,7 @@
 		}
 		if p.trouble {
 			store.Set("config", "main", config(version, []string{keptKey}, nil))
-			store.Set("servers", runner.ID, runner.Record("plain", "zone-a", ""))
+			store.Set("servers", runner.ID, wholeEntry(runner.Address(), "zone-a", "ready", born))
 			p.note("operator: version %d written again", version)
 		}
 		wg.Wait()
@@ -113,6 +114,9 @@
 	}
 	a := call(all[0], "GET", "/safe/x", keptKey, "last")
 	p.note("a request with the other key: %d, error %v", a.Status, a.Err)
+	for _, r := range runner.Runs() {
+		p.note("the runner ran %s for %s at %.3f", r.ID, r.Workspace, r.At.Sub(p.began).Seconds())
+	}
 	for _, d := range all {
 		d.kill()
 	}
--- a/review/standins-2/runner_test.go
+++ b/review/standins-2/runner_test.go
@@ -101,8 +101,13 @@
 
 // entry is the runner's entry in the store.
 func (r *runner) entry(zone, state string, born int64) map[string]any {
+	return wholeEntry(r.address, zone, state, born)
+}
+
+// wholeEntry is the entry of a runner of the plain service, with all fields.
+func wholeEntry(address, zone, state string, born int64) map[string]any {
 	return map[string]any{
-		"service": "plain", "address": r.address, "zone": zone, "version": "1", "slots": 20, "state": state,
+		"service": "plain", "address": address, "zone": zone, "version": "1", "slots": 20, "state": state,
 		"coldLeftMs": 0, "sequence": 1, "born": born,
 	}
 }
