--- a/inventory/follow.go
+++ b/inventory/follow.go
@@ -30,7 +30,7 @@
 	reachable := newGate()
 	wg.Go(func() {
 		follow(ctx, &follower[ConfigRecord]{
-			name: "configuration", logger: i.logger, first: first, longest: longest, watchTimeout: configWatchTimeout, batchDelay: configBatchDelay, list: i.feed.Config, watch: i.feed.ConfigChanges,
+			name: "configuration", logger: i.logger, first: first, longest: longest, batchDelay: configBatchDelay, list: i.feed.Config, watch: i.feed.ConfigChanges,
 			apply:  func(r Read[ConfigRecord], _ bool, fresh time.Time) { i.applyConfig(r, fresh) },
 			onBack: reachable.open,
 			onLost: func() {
@@ -43,7 +43,7 @@
 	})
 	wg.Go(func() {
 		follow(ctx, &follower[ServerRecord]{
-			name: "backend servers", logger: i.logger, first: first, longest: longest, watchTimeout: serverWatchTimeout, batchDelay: serverBatchDelay, relist: relist,
+			name: "backend servers", logger: i.logger, first: first, longest: longest, batchDelay: serverBatchDelay, relist: relist,
 			list: i.feed.Servers, watch: i.feed.ServerChanges, before: reachable.await, onLost: func() {}, onBack: func() {},
 			apply: func(r Read[ServerRecord], full bool, _ time.Time) { i.applyServers(r.At, r.Items, full) },
 		})
@@ -53,15 +53,14 @@
 
 // follower lists objects of a kind and then watches them.
 type follower[T any] struct {
-	name         string
-	logger       log.Logger
-	watchTimeout time.Duration   // of a watch
-	batchDelay   time.Duration   // pause after changes
-	first        time.Duration   // pause after the first failed call
-	longest      time.Duration   // longest pause after failed calls
-	relist       <-chan struct{} // ends a watch, so that the follower lists again; may be nil
-	list         func(context.Context) (Read[T], error)
-	watch        func(context.Context, store.Position, time.Duration) (Read[T], error)
+	name       string
+	logger     log.Logger
+	batchDelay time.Duration   // pause after changes
+	first      time.Duration   // pause after the first failed call
+	longest    time.Duration   // longest pause after failed calls
+	relist     <-chan struct{} // ends a watch, so that the follower lists again; may be nil
+	list       func(context.Context) (Read[T], error)
+	watch      func(context.Context, store.Position, time.Duration) (Read[T], error)
 	// apply applies a read; nothing newer existed at fresh.
 	apply    func(r Read[T], full bool, fresh time.Time)
 	onLost   func() // called when reads begin to fail
@@ -144,9 +143,9 @@
 			}
 		}()
 	}
-	r, err = f.watch(wctx, at, f.watchTimeout)
-	if err == nil && len(r.Items) == 0 && boottime.Since(sent) >= f.watchTimeout {
-		return r, sent.Add(f.watchTimeout - watchMargin), nil
+	r, err = f.watch(wctx, at, watchTimeout)
+	if err == nil && len(r.Items) == 0 && boottime.Since(sent) >= watchTimeout {
+		return r, sent.Add(watchTimeout - watchMargin), nil
 	}
 	return r, sent, err
 }
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -16,17 +16,15 @@
 )
 
 const (
-	// configWatchTimeout is how long a watch of the configuration waits for a change. An
-	// answer without one shows that the store is reachable and that the configuration was
-	// fresh watchMargin before. Followers leave this daemon when its last contact with the
-	// store is older than a little more than this timeout.
-	configWatchTimeout = 900 * time.Millisecond
+	// watchTimeout is how long a watch waits for a change. An answer without one shows that
+	// the store is reachable and that what is watched was current watchMargin before.
+	// Followers leave this daemon when its last contact with the store is older than a little
+	// more than this timeout. It applies to each watch: the connection of one may fall silent
+	// while the other is answered.
+	watchTimeout = 900 * time.Millisecond
 	// configBatchDelay is the pause after a change before the next watch of the
 	// configuration. It bounds how many versions a second are read and decoded.
 	configBatchDelay = 100 * time.Millisecond
-	// serverWatchTimeout is the corresponding timeout for backend servers. It is longer,
-	// since the watch of the configuration detects a lost store.
-	serverWatchTimeout = 9 * time.Second
 	// serverBatchDelay is the pause after a change before the next watch of backend
 	// servers, so that simultaneous changes take one call.
 	serverBatchDelay = 250 * time.Millisecond
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -331,7 +331,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go i.Follow(ctx, time.Second/8, time.Second)
 		time.Sleep(20 * time.Second)
-		require.Less(t, i.Age(time.Now()), configWatchTimeout+watchMargin+100*time.Millisecond)
+		require.Less(t, i.Age(time.Now()), watchTimeout+watchMargin+100*time.Millisecond)
 		close(away)
 		time.Sleep(10 * time.Second)
 		require.Greater(t, i.Age(time.Now()), 9*time.Second)
