--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -370,7 +370,7 @@
 // isUsable reports whether a backend server may be part of a path: it is not draining or
 // leaving, holds layers if the service has an engine, and is not known to have failed.
 func (f *Forwarder) isUsable(s *site.BackendServer, engine *site.Engine, now time.Time) bool {
-	return !s.Draining && !f.inv.View().Unlisted(s.ID) && !f.Leaving(s.ID) && (engine == nil || s.Held.Len() > 0) && !f.health.Dead(s.ID, now)
+	return !s.Draining && !f.Leaving(s.ID) && (engine == nil || s.Held.Len() > 0) && !f.health.Dead(s.ID, now)
 }
 
 // isLeaving reports whether the end of a backend server is planned, or its record is gone.
--- a/forward/refuse_test.go
+++ b/forward/refuse_test.go
@@ -7,11 +7,14 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/apierror"
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/virtual"
+	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/site"
 )
 
@@ -156,13 +159,32 @@
 	require.True(t, f.hasTerminated(s.ID))
 }
 
-// A backend server whose record the last list lacks gets no new requests.
-func TestUnlistedServerGetsNoRequests(t *testing.T) {
-	f := plainForwarder(2, &scriptedBackends{})
-	now, view := time.Now(), f.inv.View()
-	require.Len(t, f.candidates(view, "cards", nil, now), 2)
-	f.inv = fixed{view.WithUnlisted("b0")}
-	left := f.candidates(f.inv.View(), "cards", nil, now)
-	require.Len(t, left, 1)
-	require.Equal(t, "b1", left[0].Server.ID)
+// plainFeed decodes records of plain backend servers.
+type plainFeed struct{ inventory.Feed }
+
+func (plainFeed) DecodeServer(id string, _ []byte) (*site.BackendServer, error) {
+	return &site.BackendServer{ID: id, Service: "cards", Address: id}, nil
+}
+
+// Guards against new requests to a backend server that has left, whose record the list of a new
+// source lacks (review/3).
+func TestServerThatLeftBehindALostSourceGetsNoRequests(t *testing.T) {
+	f := plainForwarder(1, &scriptedBackends{})
+	inv := inventory.New(plainFeed{}, log.NewNopLogger())
+	f.inv = inv
+	ids := func() (ids []string) {
+		for _, p := range f.candidates(inv.View(), "cards", nil, time.Now()) {
+			ids = append(ids, p.Server.ID)
+		}
+		return ids
+	}
+	entry := inventory.Entry{At: 5}
+	inv.Apply(inventory.Update{Full: true, At: 5, Servers: map[string]inventory.Entry{"b0": entry, "b1": entry}})
+	require.ElementsMatch(t, []string{"b0", "b1"}, ids())
+	now := boottime.Now()
+	inv.NoteContact(inventory.Contact{Since: now.Add(-time.Minute), Last: now})
+	inv.Apply(inventory.Update{Full: true, At: 6, Servers: map[string]inventory.Entry{"b1": entry}})
+	require.Equal(t, []string{"b1"}, ids())
+	inv.Apply(inventory.Update{Full: true, At: 7})
+	require.Empty(t, ids(), "the last one of the service has left")
 }
--- a/inventory/era.go
+++ b/inventory/era.go
@@ -58,13 +58,6 @@
 	return restored.Era() >= i.restored.Era()
 }
 
-// noteListed records that a full list was received.
-func (i *Inventory) noteListed() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.listed, i.state = true, nil
-}
-
 // isUnconfirmed reports whether a record may come from the copy and be older than the
 // known record, which is of an earlier era. server is the known backend server, nil if it
 // was removed. A record that starts draining, or is of another incarnation, is never
@@ -103,10 +96,10 @@
 	for _, r := range unconfirmed {
 		i.applyRecord(r)
 	}
-	now, missing := time.Now(), 0
+	missing := 0
 	for id, r := range i.servers {
 		if r.at.Era() < era {
-			i.markMissing(id, 0, now)
+			i.markMissing(id, store.At(era, 0))
 			missing++
 		}
 	}
--- a/inventory/follow.go
+++ b/inventory/follow.go
@@ -32,7 +32,7 @@
 		follow(ctx, &follower[ConfigRecord]{
 			name: "configuration", logger: i.logger, first: first, longest: longest, batchDelay: configBatchDelay, list: i.feed.Config, watch: i.feed.ConfigChanges,
 			apply:  func(r Read[ConfigRecord], _ bool, fresh time.Time) { i.applyConfig(r, fresh) },
-			onBack: reachable.open,
+			onBack: reachable.open, onAnswer: i.noteAnswer, onStillLost: i.noteOutage,
 			onLost: func() {
 				i.clearLastContact()
 				reachable.shut()
@@ -44,7 +44,7 @@
 	wg.Go(func() {
 		follow(ctx, &follower[ServerRecord]{
 			name: "backend servers", logger: i.logger, first: first, longest: longest, batchDelay: serverBatchDelay, relist: relist,
-			list: i.feed.Servers, watch: i.feed.ServerChanges, before: reachable.await, onLost: func() {}, onBack: func() {},
+			list: i.feed.Servers, watch: i.feed.ServerChanges, before: reachable.await, onLost: func() {}, onBack: func() {}, onAnswer: i.noteAnswer, onStillLost: func() {},
 			apply: func(r Read[ServerRecord], full bool, _ time.Time) { i.applyServers(r.At, r.Items, full) },
 		})
 	})
@@ -65,8 +65,11 @@
 	apply    func(r Read[T], full bool, fresh time.Time)
 	onLost   func() // called when reads begin to fail
 	onBack   func() // called at the first successful read and at the first after onLost
-	isLost   bool
-	answered bool // a read has succeeded
+	onAnswer func() // called at each successful read before it is applied
+	// onStillLost is called at each failed read after another one.
+	onStillLost func()
+	isLost      bool
+	answered    bool // a read has succeeded
 	// before is called before each read. It may block, and may be nil.
 	before func(context.Context)
 	// onRestored is called when a read shows that the store was restored from an older
@@ -98,6 +101,7 @@
 		f.noteEra(r.At.Era())
 		f.noteResult(nil)
 		pause.Reset()
+		f.onAnswer()
 		f.apply(r, full, fresh)
 		at = max(at, r.At)
 		if len(r.Items) > 0 {
@@ -155,7 +159,9 @@
 	switch {
 	case errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored):
 		_ = level.Info(f.logger).Log("msg", "listing the store again", "of", f.name, "err", err)
-	case err != nil && !f.isLost:
+	case err != nil && f.isLost:
+		f.onStillLost()
+	case err != nil:
 		f.isLost = true
 		f.onLost()
 		_ = level.Warn(f.logger).Log("msg", "store lost", "of", f.name, "err", err)
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,7 +41,6 @@
 	Servers map[string]*site.BackendServer
 
 	byService map[string][]*site.BackendServer
-	unlisted  []string // sorted IDs, see Unlisted
 }
 
 // NewView returns a view of a configuration and of backend servers by ID.
@@ -56,22 +54,7 @@
 
 // withConfig returns a view of the same backend servers with another configuration.
 func (v *View) withConfig(c *site.Config) *View {
-	return &View{Config: c, Servers: v.Servers, byService: v.byService, unlisted: v.unlisted}
-}
-
-// Unlisted reports whether a backend server has probably left: the last list of the store lacks its
-// record, and has those of at least half of its service. If it lacks more, they have expired in an
-// outage of the store and are about to be written again.
-func (v *View) Unlisted(id string) bool {
-	_, found := slices.BinarySearch(v.unlisted, id)
-	return found
-}
-
-// WithUnlisted returns a view of the same state in which these backend servers are unlisted.
-func (v *View) WithUnlisted(ids ...string) *View {
-	out := v.withConfig(v.Config)
-	out.unlisted = slices.Sorted(slices.Values(ids))
-	return out
+	return &View{Config: c, Servers: v.Servers, byService: v.byService}
 }
 
 // OfService returns the backend servers of a service, in no particular order. The
@@ -97,6 +80,7 @@
 	gone      map[string]tombstone // removed backend servers, by ID
 
 	eraState
+	contactState
 }
 
 // tombstone marks a removed backend server, so that an older record does not add it again.
@@ -120,8 +104,8 @@
 	server       *site.BackendServer
 	raw          []byte
 	at           store.Position // of its last change
-	missingSince time.Time      // missing since an outage, zero while the store has it
-	missingAt    store.Position // of the list that lacked it, 0 if unknown
+	missingSince time.Time      // when a list lacked it, on the clock of package boottime; zero while the store has it
+	missingAt    store.Position // of that list, 0 if unknown
 }
 
 // New returns an empty inventory. Follow and Apply fill it.
@@ -206,14 +190,19 @@
 	i.publish(old.withConfig(newest.Config))
 }
 
-// applyServers applies records that were read from the store at a position, or received
-// from a daemon with that State.Restored. Records that a full list lacks are dropped only
-// after missingGrace, since they may have expired in an outage.
+// applyServers applies records that were read from the store at a position.
 func (i *Inventory) applyServers(at store.Position, items []ServerRecord, full bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.noteEra(at)
-	now := time.Now()
+	i.applyRecords(at, items, full)
+}
+
+// applyRecords applies records that were read from the store at a position, 0 if unknown, by this
+// daemon or by its source. Records that a full list lacks are dropped at once if the backend
+// servers have left, and after missingGrace if they may have expired in an outage.
+func (i *Inventory) applyRecords(at store.Position, items []ServerRecord, full bool) {
+	i.readAt = max(i.readAt, at)
 	listed := map[string]bool{}
 	var changed []*site.BackendServer
 	for _, r := range items {
@@ -225,7 +214,7 @@
 	i.logChanged(changed)
 	if full {
 		i.listed = true
-		i.markUnlisted(at, listed, now)
+		i.markUnlisted(at, listed)
 		maps.DeleteFunc(i.unconfirmed, func(id string, _ ServerRecord) bool { return !listed[id] })
 	}
 	i.publishServers()
@@ -357,42 +346,57 @@
 	}
 }
 
-// markUnlisted marks the records that a full list lacks. They are dropped after
-// missingGrace.
-func (i *Inventory) markUnlisted(at store.Position, listed map[string]bool, now time.Time) {
+// markUnlisted marks or drops the records that a full list lacks.
+func (i *Inventory) markUnlisted(at store.Position, listed map[string]bool) {
+	missing, left := 0, 0
 	for id, r := range i.servers {
-		if !listed[id] && !i.isAwaited(r.at) {
-			i.markMissing(id, at, now)
+		if listed[id] || i.isAwaited(r.at) || !r.missingSince.IsZero() {
+			continue
+		}
+		missing++
+		if i.markMissing(id, at) {
+			left++
 		}
 	}
+	i.logMissing(at, missing, left)
 }
 
-// markMissing marks a record that a list at a position lacks; at is 0 if the position is
-// unknown.
-func (i *Inventory) markMissing(id string, at store.Position, now time.Time) {
+// markMissing marks a record that a list at a position lacks, or drops it if the backend server
+// has left, and reports the latter. at is 0 if the position is unknown.
+func (i *Inventory) markMissing(id string, at store.Position) (left bool) {
 	r, known := i.servers[id]
 	if !known || !r.missingSince.IsZero() {
-		return
+		return false
 	}
-	r.missingSince, r.missingAt = now, at
+	r.missingSince, r.missingAt = boottime.Now(), at
 	i.servers[id] = r
 	i.state = nil
-	time.AfterFunc(missingGrace, func() { i.dropMissing(id) })
+	if i.hasLeft(r) {
+		i.drop(id, r, "not in the list of the store")
+		return true
+	}
+	time.AfterFunc(missingGrace, func() { i.dropMissing(id, r.missingSince) })
+	return false
 }
 
-func (i *Inventory) dropMissing(id string) {
+// dropMissing drops a record that has been missing since a time.
+func (i *Inventory) dropMissing(id string, since time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	r, ok := i.servers[id]
-	if !ok || r.missingSince.IsZero() {
+	if !ok || !r.missingSince.Equal(since) {
 		return
 	}
-	// The removal supersedes everything written up to the list, also records that were
-	// never received: a restored copy may have them.
+	i.drop(id, r, "record not back after an outage")
+	i.publishServers()
+}
+
+// drop removes a missing record. The removal supersedes everything written up to the list that
+// lacked it, also records that were never received: a restored copy may have them.
+func (i *Inventory) drop(id string, r record, reason string) {
 	r.at = max(r.at, r.missingAt)
 	i.remove(id, r)
-	_ = level.Info(i.logger).Log("msg", "backend server gone", "id", id, "address", r.server.Address, "reason", "record not back after an outage")
-	i.publishServers()
+	_ = level.Info(i.logger).Log("msg", "backend server gone", "id", id, "address", r.server.Address, "reason", reason)
 }
 
 func (i *Inventory) publishServers() {
@@ -401,31 +405,11 @@
 	for _, r := range i.servers {
 		servers[r.server.ID] = r.server
 	}
-	old, unlisted := i.view.Load(), i.unlisted()
-	if maps.Equal(servers, old.Servers) && slices.Equal(unlisted, old.unlisted) {
+	old := i.view.Load()
+	if maps.Equal(servers, old.Servers) {
 		return
 	}
-	i.publish(NewView(old.Config, servers).WithUnlisted(unlisted...))
-}
-
-// unlisted returns the IDs of the backend servers of View.Unlisted, sorted.
-func (i *Inventory) unlisted() []string {
-	known, missing := map[string]int{}, map[string][]string{}
-	for _, r := range i.servers {
-		service := r.server.Service
-		known[service]++
-		if !r.missingSince.IsZero() {
-			missing[service] = append(missing[service], r.server.ID)
-		}
-	}
-	var out []string
-	for service, ids := range missing {
-		if 2*len(ids) <= known[service] {
-			out = append(out, ids...)
-		}
-	}
-	slices.Sort(out)
-	return out
+	i.publish(NewView(old.Config, servers))
 }
 
 func (i *Inventory) publish(v *View) {
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -113,31 +113,6 @@
 	})
 }
 
-// A backend server that left while this daemon followed a lost source gets no new requests for the
-// grace of records that have expired in an outage. If most records are missing, it was an outage.
-func TestServerThatLeftBehindALostSourceIsUnlisted(t *testing.T) {
-	virtual.Test(t, func(t *testing.T) {
-		all := map[string]Entry{"a": entry(5), "b": entry(6), "c": entry(7)}
-		i := newTestInventory()
-		i.Apply(fullUpdate(all))
-		i.Apply(fullUpdate(map[string]Entry{"b": entry(6), "c": entry(7)}))
-		require.True(t, i.View().Unlisted("a"))
-		require.False(t, i.View().Unlisted("b"))
-		lapsed := entry(5)
-		lapsed.Lapsed = true
-		follower := newTestInventory()
-		follower.Apply(fullUpdate(all))
-		follower.Apply(Update{Servers: map[string]Entry{"a": lapsed}})
-		require.True(t, follower.View().Unlisted("a"), "a follower")
-		i.Apply(fullUpdate(all))
-		require.False(t, i.View().Unlisted("a"), "written again")
-		i.Apply(fullUpdate(map[string]Entry{"c": entry(7)}))
-		require.False(t, i.View().Unlisted("a"), "most records are missing")
-		require.Contains(t, i.View().Servers, "a")
-		time.Sleep(missingGrace + time.Millisecond)
-	})
-}
-
 func TestMissingRecordOfASourceIsNotAdded(t *testing.T) {
 	i := newTestInventory()
 	e := entry(5)
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -30,6 +30,9 @@
 	// Restored is the lowest position at which the daemon has read the store in its current
 	// era.
 	Restored store.Position
+	// At is the position up to which the backend servers are known, 0 if unknown. A record that
+	// is missing has not been written, or has been removed, up to it.
+	At store.Position
 }
 
 // State returns the current state. It is immutable, and cached until the next change,
@@ -40,7 +43,7 @@
 	if i.state != nil {
 		return i.state
 	}
-	s := &State{Config: i.rawConfig, Complete: i.listed, Restored: i.restored, Servers: make(map[string]Entry, len(i.servers))}
+	s := &State{Config: i.rawConfig, Complete: i.listed, Restored: i.restored, At: i.readAt, Servers: make(map[string]Entry, len(i.servers))}
 	if c := i.view.Load().Config; c != nil {
 		s.ConfigVersion = c.Version
 	}
@@ -60,6 +63,8 @@
 	// Restored is State.Restored of the sender, 0 for unchanged. It shows which era the
 	// sender knows.
 	Restored store.Position
+	// At is State.At of the sender.
+	At store.Position
 }
 
 // Apply applies an update of another daemon. A configuration or a record counts only if
@@ -93,18 +98,19 @@
 			records = append(records, ServerRecord{ID: id, Gone: true, At: maxPosition})
 		}
 	}
-	i.applyServers(u.Restored, records, u.Full && current)
-	if u.Full && !current {
-		i.noteListed()
-	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.noteEra(u.Restored)
+	// The sender keeps these records, so that they are not taken for left when its list is applied.
 	for _, id := range missing {
-		i.markMissing(id, 0, time.Now())
+		i.markMissing(id, 0)
 	}
-	if len(missing) > 0 {
-		i.publishServers()
+	at := u.At
+	if !current {
+		at = 0
 	}
+	i.applyRecords(at, records, u.Full && current)
+	i.listed = i.listed || u.Full
 	i.state = nil
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -90,6 +90,7 @@
 	c := l.conn
 	p := &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, HasLoads: withLoads, LoadsOnly: true, Suspects: n.conditions.drainOutbox(domain)}
 	p.Crashes = l.crashes.Next(n.opts.Quarantine)
+	sent := boottime.Now()
 	answer, err := exchange(ctx, c, p)
 	if err != nil {
 		_ = c.CloseNow()
@@ -97,6 +98,7 @@
 		n.dropDomain(domain)
 		return false
 	}
+	n.inv.NoteContact(answer.contact(sent, boottime.Now()))
 	if answer.Daemons > 0 {
 		l.loads = loadReport{at: boottime.Now(), domain: domain, loads: answer.report(&l.received, n.serverNames())}
 		l.loadChanges = len(answer.Loads)
@@ -147,5 +149,5 @@
 
 // toUpdate converts an update from its form on a link.
 func toUpdate(u *update) inventory.Update {
-	return inventory.Update{Config: u.Config, Servers: u.Servers, Gone: u.Gone, Full: u.Full, Restored: u.Restored}
+	return inventory.Update{Config: u.Config, Servers: u.Servers, Gone: u.Gone, Full: u.Full, Restored: u.Restored, At: u.At}
 }
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/internal/wait"
 )
 
@@ -122,7 +123,8 @@
 		return true
 	}
 	if followed {
-		_ = level.Info(n.logger).Log("msg", "source left", "source", source.Name, "address", source.Address, "err", err)
+		_ = level.Info(n.logger).Log("msg", "source left", "source", source.Name, "address", source.Address, "err", err,
+			"store_answered", boottime.Since(n.inv.Contact().Last).Round(time.Millisecond))
 	}
 	return followed
 }
--- a/relay/session.go
+++ b/relay/session.go
@@ -304,6 +304,7 @@
 	if !ok {
 		return nil
 	}
+	s.node.inv.NoteContact(p.contact(sent.at, boottime.Now()))
 	if p.SinceContact > contactTimeout(s.node.opts.MaxConfigDelay) {
 		return errStale
 	}
--- a/relay/source.go
+++ b/relay/source.go
@@ -29,6 +29,10 @@
 	// LastContact returns when the store last answered this daemon itself, the zero time
 	// if the store is lost.
 	LastContact() time.Time
+	// Contact returns when the store answered this daemon or another one, and NoteContact
+	// records when it answered another one.
+	Contact() inventory.Contact
+	NoteContact(c inventory.Contact)
 	// Apply applies an update received from another daemon.
 	Apply(u inventory.Update)
 	// ConfirmFresh records that no configuration newer than version existed at fresh.
@@ -221,7 +225,7 @@
 // diff returns the update from one state to another, nil if nothing changed. From nil it
 // is the full state.
 func diff(old, now *inventory.State) *update {
-	u := &update{Full: old == nil, Restored: now.Restored, Servers: map[string]inventory.Entry{}}
+	u := &update{Full: old == nil, Restored: now.Restored, At: now.At, Servers: map[string]inventory.Entry{}}
 	if old == nil {
 		old = &inventory.State{}
 	}
@@ -346,6 +350,7 @@
 			return // closes the link, so that the follower leaves at once
 		}
 		answer := &pong{Number: p.Number, Age: n.inv.Age(now), SinceContact: sinceContact, Version: n.inv.State().ConfigVersion, CrossesDomains: n.crossesDomains()}
+		answer.setContact(n.inv.Contact(), now)
 		n.conditions.addSuspects(p.Suspects)
 		if !sameDomain {
 			conditionsVersion = n.addConditions(answer, conditionsVersion)
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -77,6 +77,7 @@
 
 	mu            sync.Mutex
 	state         *inventory.State
+	contact       inventory.Contact
 	lastContact   time.Time
 	fresh         time.Time
 	changed       chan struct{}
@@ -135,6 +136,18 @@
 	return f.lastContact
 }
 
+func (f *fakeInventory) Contact() inventory.Contact {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contact
+}
+
+func (f *fakeInventory) NoteContact(c inventory.Contact) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contact = f.contact.Join(c)
+}
+
 func (f *fakeInventory) Apply(u inventory.Update) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -164,6 +177,7 @@
 		if !unavailable && !f.cut {
 			f.set(version)
 			f.lastContact, f.fresh = time.Now(), time.Now()
+			f.contact = f.contact.Join(inventory.Contact{Since: f.fresh, Last: f.fresh})
 		}
 		f.mu.Unlock()
 		time.Sleep(10 * time.Millisecond)
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -71,8 +71,9 @@
 	Servers map[string]inventory.Entry `cbor:"2,keyasint,omitempty"`
 	Gone    []string                   `cbor:"3,keyasint,omitempty"`
 	Full    bool                       `cbor:"4,keyasint,omitempty"`
-	// Restored is copied from the source's inventory.State.
+	// Restored and At are copied from the source's inventory.State.
 	Restored store.Position `cbor:"6,keyasint,omitempty"`
+	At       store.Position `cbor:"7,keyasint,omitempty"`
 }
 
 // ping queries the freshness of the source and reports the sender's loads.
@@ -132,6 +133,10 @@
 	Demands packedDemands `cbor:"14,keyasint,omitempty"`
 	// Usage is Loads.Usage in percent.
 	Usage int `cbor:"15,keyasint,omitempty"`
+	// StoreSince and StoreLast are the ages of inventory.Contact of the sender. StoreSince is 0
+	// if the sender knows of no answer of the store.
+	StoreSince time.Duration `cbor:"16,keyasint,omitempty"`
+	StoreLast  time.Duration `cbor:"17,keyasint,omitempty"`
 }
 
 // report returns the reported loads, with IDs resolved by ids.
