--- a/inventory/follow.go
+++ b/inventory/follow.go
@@ -30,7 +30,7 @@
 	reachable := newGate()
 	wg.Go(func() {
 		follow(ctx, &follower[ConfigRecord]{
-			name: "configuration", logger: i.logger, first: first, longest: longest, batchDelay: configBatchDelay, list: i.feed.Config, watch: i.feed.ConfigChanges,
+			name: "configuration", logger: i.logger, first: first, longest: longest, batchDelay: configBatchDelay, list: hedged(i.feed.Config), watch: i.feed.ConfigChanges,
 			apply:  func(r Read[ConfigRecord], _ bool, fresh time.Time) { i.applyConfig(r, fresh) },
 			onBack: reachable.open, onAnswer: i.noteAnswer, onStillLost: i.noteOutage,
 			onLost: func() {
@@ -90,12 +90,13 @@
 		if f.takeRelist() {
 			at = 0
 		}
-		full := at == 0
+		full, called := at == 0, time.Now()
 		r, fresh, err := f.read(ctx, at)
 		if err != nil {
 			at = 0
 			f.noteResult(err)
-			wait.For(ctx, pause.NextBackOff())
+			// The time without an answer is part of the pause.
+			wait.For(ctx, max(0, pause.NextBackOff()-time.Since(called)))
 			continue
 		}
 		f.noteEra(r.At.Era())
