gateway: the delays of each way from the store to the last daemon are added up in one place

TestSilentConnectionsToTheStoreHideNoChange: the watch of the configuration, and all connections, silent at three levels of daemons.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,6 +150,7 @@
 		g.quarantineSync.wake()
 		_ = level.Info(g.log).Log("msg", "era of the store", "era", era)
 	})
+	g.warnOfDelays()
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
--- a/gateway/planned_test.go
+++ b/gateway/planned_test.go
@@ -80,7 +80,7 @@
 	time.Sleep(300 * time.Millisecond)
 	env.store.SetMode(standin.Healthy)
 	time.Sleep(700 * time.Millisecond)
-	require.Len(t, d.inv.View().Servers, 2, "kept for missingGrace")
+	require.Len(t, d.inv.View().Servers, 2, "kept for MissingGrace")
 	env.store.Set("servers", "plain-2", servers[1].Record("plain", "domain-1", ""))
 	require.Eventually(t, func() bool { return len(d.inv.View().Servers) == 1 }, 3*time.Second, 10*time.Millisecond)
 	require.NotNil(t, d.inv.View().Servers["plain-2"])
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -42,7 +42,7 @@
 	}
 
 	env.store.Restore(copied)
-	until := time.Now().Add(2500 * time.Millisecond) // longer than a watch and missingGrace
+	until := time.Now().Add(2500 * time.Millisecond) // longer than a watch and MissingGrace
 	for time.Now().Before(until) {
 		for _, d := range daemons {
 			v := d.inv.View()
--- a/gateway/silent_store_test.go
+++ b/gateway/silent_store_test.go
@@ -70,3 +70,25 @@
 			"daemon of level %d", level)
 	}
 }
+
+// Other connections to the store that fall silent while new ones work: all changes are known to the
+// daemons of all levels once the silence counts as over.
+func TestSilentConnectionsToTheStoreHideNoChange(t *testing.T) {
+	for name, text := range map[string]string{"watch of the configuration": "/objects/config?watch=", "all": "/objects/"} {
+		t.Run(name, func(t *testing.T) {
+			env := newConfiguredEnv(t)
+			servers := env.servers("plain", "", "plain-1", "plain-2")
+			levels, p := env.levelsOfDaemons(len(servers))
+			require.Eventually(t, func() bool { return p.SilenceLinks(text) > 0 }, time.Second, 5*time.Millisecond)
+			time.Sleep(silentContact)
+			env.setDraining(servers[0])
+			env.putConfig()
+			acknowledged := time.Now()
+			for level, d := range levels {
+				require.Eventually(t, func() bool {
+					return d.isDraining("plain-1") && d.inv.View().Config.Version == uint64(env.version)
+				}, silentDrain-time.Since(acknowledged), 5*time.Millisecond, "daemon of level %d", level)
+			}
+		})
+	}
+}
--- a/inventory/contact.go
+++ b/inventory/contact.go
@@ -92,7 +92,7 @@
 // list is not older than the record, and the store has answered for long enough that an expired
 // record would have been written again.
 func (i *Inventory) hasLeft(r record) bool {
-	return r.missingAt >= r.at && i.contact.covers(r.missingSince.Add(-missingGrace), r.missingSince)
+	return r.missingAt >= r.at && i.contact.covers(r.missingSince.Add(-MissingGrace), r.missingSince)
 }
 
 // dropLeft drops the records of the backend servers that are known to have left.
--- a/inventory/contact_test.go
+++ b/inventory/contact_test.go
@@ -68,7 +68,7 @@
 		require.Len(t, i.View().Servers, 3)
 		i.NoteContact(contactOf(time.Minute, 0))
 		require.Len(t, i.View().Servers, 1)
-		time.Sleep(missingGrace + time.Millisecond)
+		time.Sleep(MissingGrace + time.Millisecond)
 	})
 }
 
@@ -94,7 +94,7 @@
 					}
 					i.Apply(Update{Full: true, At: c.at, Servers: without(all, missing...)})
 					require.Len(t, i.View().Servers, 3)
-					time.Sleep(missingGrace + time.Millisecond)
+					time.Sleep(MissingGrace + time.Millisecond)
 					synctest.Wait()
 					require.Len(t, i.View().Servers, 3-len(missing))
 				})
@@ -114,7 +114,7 @@
 		lapsed["a"] = e
 		i.Apply(Update{Full: true, At: 20, Servers: lapsed})
 		require.Contains(t, i.View().Servers, "a")
-		time.Sleep(missingGrace + time.Millisecond)
+		time.Sleep(MissingGrace + time.Millisecond)
 	})
 }
 
@@ -174,7 +174,7 @@
 		synctest.Wait()
 		require.Contains(t, i.View().Servers, "a")
 		cancel()
-		time.Sleep(missingGrace)
+		time.Sleep(MissingGrace)
 		synctest.Wait()
 	})
 }
--- a/inventory/follow.go
+++ b/inventory/follow.go
@@ -43,7 +43,7 @@
 	})
 	wg.Go(func() {
 		follow(ctx, &follower[ServerRecord]{
-			name: "backend servers", logger: i.logger, first: first, longest: longest, batchDelay: serverBatchDelay, relist: relist,
+			name: "backend servers", logger: i.logger, first: first, longest: longest, batchDelay: ServerBatchDelay, relist: relist,
 			list: i.feed.Servers, watch: i.feed.ServerChanges, before: reachable.await, onLost: func() {}, onBack: func() {}, onAnswer: i.noteAnswer, onStillLost: func() {},
 			apply: func(r Read[ServerRecord], full bool, _ time.Time) { i.applyServers(r.At, r.Items, full) },
 		})
@@ -148,9 +148,9 @@
 			}
 		}()
 	}
-	r, err = f.watch(wctx, at, watchTimeout)
-	if err == nil && len(r.Items) == 0 && boottime.Since(sent) >= watchTimeout {
-		return r, sent.Add(watchTimeout - watchMargin), nil
+	r, err = f.watch(wctx, at, WatchTimeout)
+	if err == nil && len(r.Items) == 0 && boottime.Since(sent) >= WatchTimeout {
+		return r, sent.Add(WatchTimeout - watchMargin), nil
 	}
 	return r, sent, err
 }
--- a/inventory/hedge.go
+++ b/inventory/hedge.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// hedgeDelay is the time without an answer after which a list is requested a second time. A call to
+// HedgeDelay is the time without an answer after which a list is requested a second time. A call to
 // a store that was away, or over a silent connection, is not answered even once a new one would
 // be. A slow store takes 0.4 s.
-const hedgeDelay = 700 * time.Millisecond
+const HedgeDelay = 700 * time.Millisecond
 
-// hedged returns a call that is made a second time after hedgeDelay. The first outcome counts.
+// hedged returns a call that is made a second time after HedgeDelay. The first outcome counts.
 func hedged[T any](call func(context.Context) (T, error)) func(context.Context) (T, error) {
 	type outcome struct {
 		value T
@@ -25,7 +25,7 @@
 			outcomes <- outcome{value, err}
 		}
 		go start()
-		second := time.NewTimer(hedgeDelay)
+		second := time.NewTimer(HedgeDelay)
 		defer second.Stop()
 		select {
 		case o := <-outcomes:
--- a/inventory/hedge_test.go
+++ b/inventory/hedge_test.go
@@ -59,7 +59,6 @@
 // Guards against a list that is sent just before a silent store returns, and holds up the next one for
 // its timeout and a pause: the grace of expired records would come on top.
 func TestReturnOfASilentStoreIsNoticedSoon(t *testing.T) {
-	const maxDelay = hedgeDelay + 200*time.Millisecond
 	for away := 3 * time.Second; away < 6*time.Second; away += 100 * time.Millisecond {
 		virtual.Test(t, func(t *testing.T) {
 			start := time.Now().Add(5 * time.Second)
@@ -67,9 +66,9 @@
 			i := New(f, log.NewNopLogger())
 			ctx, cancel := context.WithCancel(t.Context())
 			go i.Follow(ctx, 50*time.Millisecond, 400*time.Millisecond)
-			time.Sleep(time.Until(f.end) + maxDelay)
+			time.Sleep(time.Until(f.end) + ReturnDelay)
 			require.False(t, i.LastContact().IsZero(), "away for %s", away)
-			require.WithinDuration(t, f.end, i.Contact().Since, maxDelay)
+			require.WithinDuration(t, f.end, i.Contact().Since, ReturnDelay)
 			cancel()
 			time.Sleep(2 * muteListTimeout)
 			synctest.Wait()
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -15,24 +15,27 @@
 )
 
 const (
-	// watchTimeout is how long a watch waits for a change. An answer without one shows that
+	// WatchTimeout is how long a watch waits for a change. An answer without one shows that
 	// the store is reachable and that what is watched was current watchMargin before.
 	// Followers leave this daemon when its last contact with the store is older than a little
 	// more than this timeout. It applies to each watch: the connection of one may fall silent
 	// while the other is answered.
-	watchTimeout = 900 * time.Millisecond
+	WatchTimeout = 900 * time.Millisecond
 	// configBatchDelay is the pause after a change before the next watch of the
 	// configuration. It bounds how many versions a second are read and decoded.
 	configBatchDelay = 100 * time.Millisecond
-	// serverBatchDelay is the pause after a change before the next watch of backend
+	// ServerBatchDelay is the pause after a change before the next watch of backend
 	// servers, so that simultaneous changes take one call.
-	serverBatchDelay = 250 * time.Millisecond
+	ServerBatchDelay = 250 * time.Millisecond
 	// watchMargin is subtracted from the time of an answer without changes, since a store
 	// that is about to compact its history may delay changes for a second.
 	watchMargin = time.Second
-	// missingGrace is how long a record that is missing after an outage of the store is
+	// MissingGrace is how long a record that is missing after an outage of the store is
 	// kept. Live backend servers write theirs again within two seconds.
-	missingGrace = 1800 * time.Millisecond
+	MissingGrace = 1800 * time.Millisecond
+	// ReturnDelay bounds the time from when a store answers again until a daemon that follows it
+	// has an answer.
+	ReturnDelay = HedgeDelay + 200*time.Millisecond
 )
 
 // View is a snapshot of the known state. It is immutable.
@@ -200,7 +203,7 @@
 
 // applyRecords applies records that were read from the store at a position, 0 if unknown, by this
 // daemon or by its source. Records that a full list lacks are dropped at once if the backend
-// servers have left, and after missingGrace if they may have expired in an outage.
+// servers have left, and after MissingGrace if they may have expired in an outage.
 func (i *Inventory) applyRecords(at store.Position, items []ServerRecord, full bool) {
 	i.readAt = max(i.readAt, at)
 	listed := map[string]bool{}
@@ -375,7 +378,7 @@
 		i.drop(id, r, "not in the list of the store")
 		return true
 	}
-	time.AfterFunc(missingGrace, func() { i.dropMissing(id, r.missingSince) })
+	time.AfterFunc(MissingGrace, func() { i.dropMissing(id, r.missingSince) })
 	return false
 }
 
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -13,7 +13,7 @@
 type Entry struct {
 	Raw    []byte
 	At     store.Position // of its last change
-	Lapsed bool           // missing after an outage of the store, and kept for missingGrace
+	Lapsed bool           // missing after an outage of the store, and kept for MissingGrace
 	// Server is the ID of the incarnation. It is not sent to other daemons.
 	Server string `cbor:"-"`
 }
--- a/relay/search.go
+++ b/relay/search.go
@@ -23,7 +23,7 @@
 // follow the store.
 func (n *Node) searchSource(ctx context.Context) (source Member, found bool) {
 	began := time.Now()
-	takeover := n.opts.MaxConfigDelay - contactTimeout(n.opts.MaxConfigDelay) - maxSwitchDelay
+	takeover := takeoverDelay(n.opts.MaxConfigDelay)
 	pause, isOutage, storeLost := minSearchPause, false, false
 	for ctx.Err() == nil && len(n.candidates()) > 0 {
 		source, found, lost := n.probeCandidates(ctx)
--- a/relay/times.go
+++ b/relay/times.go
@@ -75,6 +75,28 @@
 	maxSwitchDelay = 650 * time.Millisecond
 )
 
+// FindSourceDelay bounds the time from when a source is healthy until a daemon that follows the store
+// has found it.
+const FindSourceDelay = sourceCheckInterval + dialTimeout
+
+// takeoverDelay returns how long a daemon searches for a source before it may follow the store
+// itself, for a given bound on configurations.
+func takeoverDelay(configDelay time.Duration) time.Duration {
+	return configDelay - contactTimeout(configDelay) - maxSwitchDelay
+}
+
+// SilentSourceDelay returns the longest time from when a source falls silent until its follower has
+// another one or asks the store, for a given bound on configurations.
+func SilentSourceDelay(configDelay time.Duration) time.Duration {
+	return silenceTimeout + dialTimeout + takeoverDelay(configDelay)
+}
+
+// StaleSourceDelay returns the longest time from when a source loses the store until its followers
+// have read the store, for a given bound on configurations.
+func StaleSourceDelay(configDelay time.Duration) time.Duration {
+	return contactTimeout(configDelay) + maxSwitchDelay
+}
+
 // contactTimeout returns the time without an answer from the store after which a source is
 // not healthy, for a given bound on configurations.
 func contactTimeout(configDelay time.Duration) time.Duration {
