gateway: a request whose body arrives late in a planned stop is refused, not cut off

Callers of requests whose head came before the daemon refused new ones and whose body came later were cut off with no answer at the end of the grace, unsafe ones too. Cause: the stage of the stop was checked before the body was read only. Change: it is checked again after that; the refusal is true, as nothing was sent. Shown: TestRequestWithALateBodyIsRefusedByAPlannedStop failed before (connection closed after 8.0 s).

--- a/gateway/broken_answers_test.go
+++ b/gateway/broken_answers_test.go
@@ -298,7 +298,9 @@
 	}
 	t.Run("stream", func(t *testing.T) {
 		t.Parallel()
-		d, _ := untilCloseDoors(t, 1, func(d *door, _ *standin.Server) { d.interim = "HTTP/1.1 000 Trouble\r\nSnowspoke-Request-Id: req-1\r\n\r\n" })
+		d, _ := untilCloseDoors(t, 1, func(d *door, _ *standin.Server) {
+			d.interim = "HTTP/1.1 000 Trouble\r\nSnowspoke-Request-Id: req-1\r\n\r\n"
+		})
 		a := d.call(t, call{method: "POST", path: "/stream/"})
 		require.NoError(t, a.Err)
 		require.Equal(t, 502, a.Status)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,6 +196,7 @@
 	g.forward.Loads().SetOwnUsage(g.overload.Usage)
 	stalls.SetLag(g.overload.WaitingSince)
 	g.ingress = platform.NewIngress(g.forward, memory.NewPool(bodyMemory(set)))
+	g.ingress.SetStopping(g.isRefusing)
 	g.callers = &http.Server{
 		Handler: g.refuseWhenStopping(g.ingress), ReadHeaderTimeout: headerTimeout, ConnState: g.trackState,
 		// Errors of the server itself, such as a handler that panicked.
--- a/gateway/planned_test.go
+++ b/gateway/planned_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,6 +118,33 @@
 	require.Less(t, time.Since(began), d.set.Grace)
 }
 
+// Guards against a request that is passed on late in the grace of a planned stop, since its body took until
+// then, and is cut off at the end of the grace: an unsafe request would be lost.
+func TestRequestWithALateBodyIsRefusedByAPlannedStop(t *testing.T) {
+	env := newConfiguredEnv(t)
+	for _, r := range env.config["routes"].([]map[string]any) {
+		r["timeoutMs"] = 20_000
+	}
+	env.putConfig()
+	servers := env.servers("plain", "", "plain-1")
+	servers[0].PlainGap = 6 * time.Second
+	d := env.daemon("daemon-1", nil).ready(t, 1)
+	c := d.dial(t)
+	require.NoError(t, c.SetDeadline(time.Now().Add(d.set.Grace+5*time.Second)))
+	request := strings.Replace(head("POST", "/once/", "late", "Content-Length: 4"), "Deadline-Ms: 3000", "Deadline-Ms: 20000", 1)
+	_, err := io.WriteString(c, request+"bo")
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	d.stop()
+	time.Sleep(balancerDelay + 300*time.Millisecond)
+	_, err = io.WriteString(c, "dy")
+	require.NoError(t, err)
+	status, _ := c.answer(t)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NoError(t, <-d.done)
+	require.Zero(t, totalRuns(servers), "the refusal promises that it did not run")
+}
+
 // A request that arrived together with the one before it is not taken for an idle connection, neither
 // by a planned stop nor by the bound on idle connections.
 func TestPipelinedRequestIsNotCutOffAsIdle(t *testing.T) {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -55,16 +55,18 @@
 	_ = level.Warn(g.log).Log("msg", "grace period is over", "cut_off", g.forward.InFlight(), "carried", g.carrier.Carried())
 }
 
+// isRefusing reports whether new requests are refused because the daemon is stopping.
+func (g *Gateway) isRefusing() bool { return stage(g.stage.Load()) >= refusing }
+
 // refuseWhenStopping closes connections with their responses once the daemon stops, and
 // refuses requests that arrive after balancerDelay, since a stream might not end within
 // the grace.
 func (g *Gateway) refuseWhenStopping(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		at := stage(g.stage.Load())
-		if at >= closing {
+		if stage(g.stage.Load()) >= closing {
 			w.Header()["Connection"] = []string{"close"}
 		}
-		if at >= refusing {
+		if g.isRefusing() {
 			g.ingress.RefuseStopping(w, r)
 			return
 		}
