--- a/gateway/invalid_records_test.go
+++ b/gateway/invalid_records_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,6 +60,8 @@
 	for _, raw := range []string{
 		`{"metadata":{"name":7,"revision":"x"},"spec":{}}`, `"bytes"`, `null`, `[]`, `{}`, `{"metadata":{"name":"odd","revision":9},"spec":"\x00"}`,
 		`{"metadata":{"name":"odd"},"spec":tru}`, "{\"metadata\":{\"name\":\"odd\"},\"spec\":\"\xff\x01\"}",
+		`{"metadata":{"name":"odd","revision":9},"spec":{"service":"pl`, `{"metadata":{"name":"odd","revision":9},"spec":[[[[`,
+		`{"metadata":{"name":"odd","revision":9},"spec":` + strings.Repeat("[", 2_000_000) + strings.Repeat("]", 2_000_000) + `}`,
 	} {
 		env := newTestEnv(t)
 		env.putConfig()
@@ -67,11 +70,11 @@
 		env.store.SetForeign("snowspoke-daemons", raw)
 		d := env.daemon("daemon-1", nil).ready(t, 2)
 		env.servers("plain", "", "plain-3")
-		require.Eventually(t, func() bool { return len(d.inv.View().Servers) == 3 }, 2*time.Second, 5*time.Millisecond, "%s", raw)
+		require.Eventually(t, func() bool { return len(d.inv.View().Servers) == 3 }, 2*time.Second, 5*time.Millisecond, "%.80s", raw)
 		env.store.SetForeign("servers", raw)
 		env.servers("plain", "", "plain-4")
-		require.Eventually(t, func() bool { return len(d.inv.View().Servers) == 4 }, 2*time.Second, 5*time.Millisecond, "%s", raw)
-		require.Positive(t, d.members.Daemons(), "%s", raw)
+		require.Eventually(t, func() bool { return len(d.inv.View().Servers) == 4 }, 2*time.Second, 5*time.Millisecond, "%.80s", raw)
+		require.Positive(t, d.members.Daemons(), "%.80s", raw)
 	}
 }
 
