--- a/gateway/invalid_records_test.go
+++ b/gateway/invalid_records_test.go
@@ -21,6 +21,17 @@
 		"missing state":                func(r map[string]any) { delete(r, "state") },
 		"address of another type":      func(r map[string]any) { r["address"] = 7 },
 		"address without a port":       func(r map[string]any) { r["address"] = "10.0.0.1" },
+		"port 0":                       func(r map[string]any) { r["address"] = "127.0.0.1:0" },
+		"port -1":                      func(r map[string]any) { r["address"] = "127.0.0.1:-1" },
+		"port out of range":            func(r map[string]any) { r["address"] = "127.0.0.1:70000" },
+		"port of twenty digits":        func(r map[string]any) { r["address"] = "127.0.0.1:12345678901234567890" },
+		"port by name":                 func(r map[string]any) { r["address"] = "127.0.0.1:http" },
+		"address without a host":       func(r map[string]any) { r["address"] = ":80" },
+		"missing version":              func(r map[string]any) { delete(r, "version") },
+		"missing time until warm":      func(r map[string]any) { delete(r, "coldLeftMs") },
+		"missing sequence":             func(r map[string]any) { delete(r, "sequence") },
+		"missing start":                func(r map[string]any) { delete(r, "born") },
+		"another service":              func(r map[string]any) { r["service"] = "other" },
 		"slots of another type":        func(r map[string]any) { r["slots"] = "many" },
 		"start that is not an integer": func(r map[string]any) { r["born"] = 1.5 },
 		"reversed layers":              func(r map[string]any) { r["layers"] = map[string]any{"from": 9, "targetVersion": 3} },
@@ -31,7 +42,10 @@
 	good := env.servers("plain", "", "plain-good")[0]
 	var all []*standin.Server
 	for i := range len(invalidate) {
-		all = append(all, env.servers("plain", "", fmt.Sprint("plain-", i))...)
+		s := env.servers("plain", "", fmt.Sprint("plain-", i))[0]
+		s.SetBorn(1_790_000_000_000)
+		env.store.Set("servers", s.ID, s.Record("plain", "domain-1", ""))
+		all = append(all, s)
 	}
 	d := env.daemon("daemon-1", nil).ready(t, 1+len(invalidate))
 	i := 0
@@ -43,7 +57,7 @@
 			record = r
 		}
 		env.store.Set("servers", all[i].ID, record)
-		require.Eventually(t, func() bool { return d.inv.View().Servers[all[i].ID] == nil }, 2*time.Second, 5*time.Millisecond, what)
+		require.Eventually(t, func() bool { return len(d.inv.View().Servers) == len(invalidate)-i }, 2*time.Second, 5*time.Millisecond, what)
 		i++
 	}
 	require.Len(t, d.inv.View().Servers, 1)
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -1,6 +1,8 @@
 package inventory
 
 import (
+	"errors"
+	"fmt"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -256,6 +258,9 @@
 		return false
 	}
 	delete(i.unconfirmed, r.ID)
+	if known && !r.Gone && r.Err == nil {
+		r.Err = contradiction(old.server, r.Server)
+	}
 	switch {
 	case known && !r.Gone && r.At == old.at:
 		old.missingSince = time.Time{}
@@ -280,6 +285,21 @@
 	return false
 }
 
+// errContradiction is the reason to refuse a record that the backend server cannot have written.
+var errContradiction = errors.New("inventory: record contradicts the earlier one")
+
+// contradiction returns an error if a record cannot be of the backend server that wrote the earlier one:
+// each incarnation has one service, and a backend server that reports its start always does.
+func contradiction(old, now *site.BackendServer) error {
+	switch {
+	case old.Incarnation.Born > 0 && now.Incarnation.Born == 0:
+		return fmt.Errorf("%w: it has no start", errContradiction)
+	case old.Incarnation == now.Incarnation && old.Service != now.Service:
+		return fmt.Errorf("%w: its service was %q and is %q", errContradiction, old.Service, now.Service)
+	}
+	return nil
+}
+
 // refuse drops an invalid record, and the earlier record of the same name.
 func (i *Inventory) refuse(r ServerRecord, old record, known bool) {
 	old.at = r.At
