--- a/forward/answerend_test.go
+++ b/forward/answerend_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/snowspoke/snowspoke/detour"
 	"github.com/snowspoke/snowspoke/framing"
 	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/inventory"
@@ -74,7 +75,8 @@
 		"until close, server ended":       {kind: site.Safe, probe: errRefused, probes: 1},
 		"until close, once, server ended": {kind: site.Unsafe, probe: errRefused, probes: 1},
 		"until close, no response":        {kind: site.Safe, probe: context.DeadlineExceeded, probes: 16},
-		"until close, once, no response":  {kind: site.Unsafe, probe: context.DeadlineExceeded, complete: true, probes: 16},
+		"until close, once, no response":  {kind: site.Unsafe, probe: context.DeadlineExceeded, probes: 16},
+		"until close, once, isolated":     {kind: site.Unsafe, probe: fmt.Errorf("%w: %w", detour.ErrIsolated, errRefused), probes: 16},
 	} {
 		t.Run(name, virtually(func(t *testing.T) {
 			b := &reachBackends{results: []error{c.probe}}
@@ -115,7 +117,8 @@
 		"no process":                    {health: []error{errRefused}, kind: site.Unsafe, checks: 1},
 		"another process, later":        {health: []error{unclear, ErrRestarted}, kind: site.Unsafe, checks: 2},
 		"unclear":                       {health: []error{unclear}, kind: site.Safe, checks: 16},
-		"unclear, once":                 {health: []error{unclear}, kind: site.Unsafe, complete: true, checks: 16},
+		"unclear, once, but it listens": {health: []error{unclear}, kind: site.Unsafe, complete: true, checks: 16, probes: 1},
+		"unclear, once, no response":    {health: []error{unclear}, listens: context.DeadlineExceeded, kind: site.Unsafe, checks: 16, probes: 1},
 		"not allowed, but it listens":   {health: []error{ErrNotAccepting}, kind: site.Safe, complete: true, checks: 1, probes: 1},
 		"no permit, and nobody listens": {health: []error{ErrNoPermit}, listens: errRefused, kind: site.Safe, checks: 1, probes: 1},
 	} {
--- a/forward/endcheck.go
+++ b/forward/endcheck.go
@@ -23,8 +23,8 @@
 )
 
 // checkPath returns an error if a hop of a path has ended or has started again. If there is no
-// response, a request that may be repeated goes on elsewhere. For another one the answer
-// stands, because the network alone may be at fault.
+// conclusive response, a request that may be repeated goes on elsewhere. For another one the answer
+// stands only if the hop accepts a connection: an answer that ends early must not look complete.
 func (r *run) checkPath(ctx context.Context, path site.Path) error {
 	since := time.Now()
 	// A head closes streams when it loses another hop.
@@ -39,13 +39,22 @@
 	}
 	wg.Wait()
 	for i, v := range verdicts {
-		if v.Gone() || !v.Conclusive() && r.req.Route.Repeatable() {
+		if v.Conclusive() && !v.Gone() {
+			continue
+		}
+		if v.Gone() || r.req.Route.Repeatable() || !r.f.listensNow(ctx, path[i].Server) {
 			return fmt.Errorf("%w: %s, %w", errServerGone, v, errs[i])
 		}
 	}
 	return nil
 }
 
+// listensNow reports whether a backend server accepts a connection.
+func (f *Forwarder) listensNow(ctx context.Context, s *site.BackendServer) bool {
+	v, _ := f.checkListening(ctx, s, time.Now())
+	return v == liveness.Listening
+}
+
 // errSuperseded is the evidence of a process whose successor has registered.
 var errSuperseded = errors.New("forward: another process has registered with its name or address")
 
