--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/boottime"
+	"github.com/snowspoke/snowspoke/platform/sitetrial"
 	"github.com/snowspoke/snowspoke/platform/standin"
 	"github.com/snowspoke/snowspoke/site"
 )
@@ -104,3 +106,40 @@
 		return again.inv.Age(boottime.Now()) < 950*time.Millisecond
 	}, 3*time.Second, 100*time.Millisecond)
 }
+
+// Guards against a key that had been taken away and works again at a daemon that the store did not answer
+// from before that on until it was restored from a copy (review/8). The other daemon still waits for the
+// store as it is asked.
+func TestKeyTakenAwayIsRefusedAfterARestore(t *testing.T) {
+	const taken = "key-taken"
+	env := newTestEnv(t)
+	setKeys := func(keys ...string) {
+		env.config["tenants"] = []map[string]any{{"name": sitetrial.Workspace, "apiKeys": keys}}
+		env.putConfig()
+	}
+	setKeys(sitetrial.Key, taken)
+	env.servers("plain", "", "p")
+	p, err := standin.NewProxy(env.store.Address())
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	env.daemon("vm-1", func(s *site.Settings) { s.FailureDomain = "domain-2" }).ready(t, 1)
+	apart := env.daemon("vm-2", func(s *site.Settings) { s.Store = p.Address() }).ready(t, 1)
+	require.Eventually(t, func() bool { return len(apart.members.All()) == 2 }, 5*time.Second, 5*time.Millisecond)
+	status := func(key string) int { return apart.call(t, call{method: "GET", path: "/plain/", key: key}).Status }
+	require.Equal(t, http.StatusOK, status(taken))
+	copied := env.store.Snapshot()
+	p.Set(standin.Silence)
+	setKeys(sitetrial.Key)
+	time.Sleep(5 * time.Second)
+	env.store.SetMode(standin.Silent)
+	time.Sleep(time.Second)
+	env.store.Restore(copied)
+	env.store.SetMode(standin.Healthy)
+	p.Set(standin.Pass)
+	for until := time.Now().Add(2 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		require.NotEqual(t, http.StatusOK, status(taken))
+	}
+	env.store.Set("config", "main", env.config)
+	require.Eventually(t, func() bool { return status(sitetrial.Key) == http.StatusOK }, 3*time.Second, 20*time.Millisecond)
+	require.Equal(t, http.StatusUnauthorized, status(taken))
+}
--- a/inventory/era.go
+++ b/inventory/era.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/site"
 	"github.com/snowspoke/snowspoke/store"
 )
@@ -27,8 +28,16 @@
 	reconcileAt   time.Time               // until then records of the copy are unconfirmed; zero once reconciled
 	unconfirmed   map[string]ServerRecord // records of the copy that are older than the known ones, by ID
 	storedVersion uint64                  // newest version of the configuration read from the store in this era
+	// doubtedUntil is when a configuration read from the store of this era counts as current, unless that
+	// is shown before; zero if it does.
+	doubtedUntil time.Time
 }
 
+// maxProofAge is the age of a proof that the configuration is current up to which the configuration in
+// force before a restore is the newest one that was acknowledged. It allows for the time between two
+// proofs and for the absence of the store.
+const maxProofAge = 3500 * time.Millisecond
+
 func newEraState() eraState { return eraState{unconfirmed: map[string]ServerRecord{}} }
 
 // noteEra records a position at which the store was read. In a new era it starts the
@@ -39,12 +48,16 @@
 	case at == 0 || at.Era() < known.Era():
 	case known == 0:
 		i.restored = at
+		if at.Era() > store.FirstEra {
+			i.doubtConfig()
+		}
 	case at.Era() == known.Era():
 		i.restored = min(known, at)
 	default:
 		i.restored, i.storedVersion, i.state = at, 0, nil
 		i.reconcileAt = time.Now().Add(reconcileDelay)
 		clear(i.unconfirmed)
+		i.doubtConfig()
 		time.AfterFunc(reconcileDelay, func() { i.reconcile(at.Era()) })
 		_ = level.Warn(i.logger).Log("msg", "decision", "kind", "store restored", "era_before", known.Era(), "era", at.Era(),
 			"revision", at.Revision(), "known", len(i.servers), "gone", len(i.gone))
@@ -107,6 +120,36 @@
 	i.publishServers()
 }
 
+// doubtConfig withholds proofs by the store that the configuration is current: the copy from which it was
+// restored may lack the newest one, and this daemon does not know that one if it had no recent proof.
+func (i *Inventory) doubtConfig() {
+	if i.fresh.IsZero() || boottime.Since(i.fresh) > maxProofAge {
+		i.doubtedUntil = time.Now().Add(reconcileDelay)
+	}
+}
+
+// DoubtsConfig reports whether the store may lack the newest configuration, since it was restored
+// from a copy and this daemon had no recent proof before.
+func (i *Inventory) DoubtsConfig() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.doubtsConfig()
+}
+
+func (i *Inventory) doubtsConfig() bool { return time.Now().Before(i.doubtedUntil) }
+
+// ApplyConfirmed applies the configuration in force at another daemon, which was known to be current
+// before age.
+func (i *Inventory) ApplyConfirmed(config []byte, age time.Duration) {
+	i.Apply(Update{Config: config})
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if age <= maxProofAge && i.doubtsConfig() {
+		i.doubtedUntil = time.Time{}
+		_ = level.Info(i.logger).Log("msg", "decision", "kind", "configuration confirmed", "by", "another daemon", "age", age)
+	}
+}
+
 // noteStored records the newest version of the configuration read from the store.
 func (i *Inventory) noteStored(items []ConfigRecord) {
 	for _, c := range items {
--- a/inventory/era_test.go
+++ b/inventory/era_test.go
@@ -113,7 +113,7 @@
 		for _, v := range versions {
 			r.Items = append(r.Items, ConfigRecord{Raw: []byte(fmt.Sprint(v)), Config: site.NewConfig(v, site.Limits{}, nil, nil, nil)})
 		}
-		i.applyConfig(r, fresh)
+		i.applyConfig(r, true, fresh)
 	}
 	began := boottime.Now()
 	at := func(s int) time.Time { return began.Add(time.Duration(s) * time.Second) }
@@ -158,3 +158,66 @@
 		require.Empty(t, i.View().Servers)
 	})
 }
+
+// configRead returns a read of one version of the configuration at a position.
+func configRead(at store.Position, version uint64) Read[ConfigRecord] {
+	return Read[ConfigRecord]{At: at, Items: []ConfigRecord{{Raw: []byte(fmt.Sprint(version)), Config: site.NewConfig(version, site.Limits{}, nil, nil, nil)}}}
+}
+
+// Guards against keys that are accepted although they had been taken away: a store that was restored from a
+// copy proves nothing to a daemon that starts, or that the store had not answered before (review/8).
+func TestCopyProvesNothingToADaemonWithoutARecentProof(t *testing.T) {
+	for name, turnedAway := range map[string]bool{"starts": false, "was turned away": true} {
+		t.Run(name, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				doubting := func() *Inventory {
+					i := newTestInventory()
+					if turnedAway {
+						i.applyConfig(configRead(store.At(1, 10), 3), true, boottime.Now())
+						time.Sleep(maxProofAge + time.Millisecond)
+					}
+					i.applyConfig(configRead(store.At(2, 10), 3), true, boottime.Now())
+					require.True(t, i.DoubtsConfig())
+					require.Greater(t, i.Age(boottime.Now()), maxProofAge)
+					return i
+				}
+				confirmed := doubting()
+				confirmed.ApplyConfirmed([]byte("7"), time.Second)
+				require.EqualValues(t, 7, confirmed.View().Config.Version)
+				confirmed.applyConfig(configRead(store.At(2, 10), 3), true, boottime.Now())
+				require.Greater(t, confirmed.Age(boottime.Now()), maxProofAge, "the copy lacks the newest version")
+				confirmed.applyConfig(configRead(store.At(2, 12), 7), false, boottime.Now())
+				require.Less(t, confirmed.Age(boottime.Now()), time.Millisecond)
+
+				outdated := doubting()
+				outdated.ApplyConfirmed([]byte("3"), maxProofAge+time.Second)
+				require.True(t, outdated.DoubtsConfig(), "the other daemon had no recent proof either")
+
+				written := doubting()
+				written.applyConfig(configRead(store.At(2, 12), 7), false, boottime.Now())
+				require.Less(t, written.Age(boottime.Now()), time.Millisecond, "written since the restore")
+
+				alone := doubting()
+				time.Sleep(reconcileDelay)
+				alone.applyConfig(configRead(store.At(2, 10), 3), true, boottime.Now())
+				require.Less(t, alone.Age(boottime.Now()), time.Millisecond, "what was lost has been written again")
+				time.Sleep(reconcileDelay)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// A daemon that the store answered until it was restored knows the newest configuration.
+func TestDaemonWithARecentProofDoesNotDoubtACopy(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		i := newTestInventory()
+		i.applyConfig(configRead(store.At(1, 10), 3), true, boottime.Now())
+		time.Sleep(2 * time.Second)
+		i.applyConfig(configRead(store.At(2, 9), 3), true, boottime.Now())
+		require.False(t, i.DoubtsConfig())
+		require.Less(t, i.Age(boottime.Now()), time.Millisecond)
+		time.Sleep(reconcileDelay)
+		synctest.Wait()
+	})
+}
--- a/inventory/follow.go
+++ b/inventory/follow.go
@@ -31,7 +31,7 @@
 	wg.Go(func() {
 		follow(ctx, &follower[ConfigRecord]{
 			name: "configuration", logger: i.logger, first: first, longest: longest, batchDelay: configBatchDelay, list: hedged(i.feed.Config), watch: i.feed.ConfigChanges,
-			apply:  func(r Read[ConfigRecord], _ bool, fresh time.Time) { i.applyConfig(r, fresh) },
+			apply:  i.applyConfig,
 			onBack: reachable.open, onAnswer: i.noteAnswer, onStillLost: i.noteOutage,
 			onLost: func() {
 				i.clearLastContact()
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -168,8 +168,8 @@
 }
 
 // applyConfig applies versions of the configuration. fresh is zero unless they were read
-// from the store itself.
-func (i *Inventory) applyConfig(r Read[ConfigRecord], fresh time.Time) {
+// from the store itself; full is set if they were listed.
+func (i *Inventory) applyConfig(r Read[ConfigRecord], full bool, fresh time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	old := i.view.Load()
@@ -183,7 +183,10 @@
 		i.noteEra(r.At)
 		i.lastContact = boottime.Now()
 		i.noteStored(r.Items)
-		if fresh.After(i.fresh) && !i.storeBehind(newest.Config) {
+		if !full && len(r.Items) > 0 {
+			i.doubtedUntil = time.Time{} // written in this era
+		}
+		if fresh.After(i.fresh) && !i.storeBehind(newest.Config) && !i.doubtsConfig() {
 			i.fresh = fresh
 		}
 	}
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -76,7 +76,7 @@
 		if err != nil {
 			_ = level.Error(i.logger).Log("msg", "configuration ignored", "err", err)
 		} else {
-			i.applyConfig(Read[ConfigRecord]{Items: []ConfigRecord{{Raw: u.Config, Config: c}}}, time.Time{})
+			i.applyConfig(Read[ConfigRecord]{Items: []ConfigRecord{{Raw: u.Config, Config: c}}}, true, time.Time{})
 		}
 	}
 	records := make([]ServerRecord, 0, len(u.Servers)+len(u.Gone))
--- a/relay/eras_test.go
+++ b/relay/eras_test.go
@@ -117,6 +117,12 @@
 	return &site.BackendServer{ID: id, Incarnation: site.Incarnation{Name: id}, Service: "s", Address: id, Draining: o.Draining}, err
 }
 
+func (s *eraStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // read makes a call: collect gathers the changes after a revision and returns their
 // number. A watch waits for changes up to wait.
 func (s *eraStore) read(ctx context.Context, since store.Position, wait time.Duration, collect func(after uint64) int) (store.Position, error) {
@@ -486,7 +492,7 @@
 					time.Sleep(100 * time.Millisecond)
 				}
 				f.awaitConverged(3 * time.Second)
-				before := f.store.calls
+				before := f.store.callCount()
 				restore()
 				time.Sleep(500 * time.Millisecond)
 				f.check()
@@ -494,7 +500,7 @@
 				w.version++
 				f.store.putConfig(w.version)
 				took := f.awaitConverged(2 * time.Second)
-				calls := f.store.calls - before
+				calls := f.store.callCount() - before
 				t.Logf("%d daemons: all up to date after %s, %d calls", daemons, took, calls)
 				require.LessOrEqual(t, calls, 12*sources, "only sources call the store")
 			})
--- a/relay/restored.go
+++ b/relay/restored.go
@@ -3,22 +3,31 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
 
-	"github.com/snowspoke/snowspoke/inventory"
+	"github.com/snowspoke/snowspoke/boottime"
+	"github.com/snowspoke/snowspoke/internal/readall"
+	"github.com/snowspoke/snowspoke/internal/wait"
 )
 
-// A daemon that starts after the store was restored from a copy, and before the
-// configuration in force is written again, would read an outdated configuration. It
-// therefore queries other daemons before it reads the store.
+// A daemon that starts after the store was restored from a copy, or that the store did not answer
+// before, would take an outdated configuration for current until the configuration in force is written
+// again. It therefore queries other daemons.
 
-// configQueryTimeout bounds how long a starting daemon waits for the configuration of
-// other daemons, while callers wait.
-const configQueryTimeout = 300 * time.Millisecond
+const (
+	// configQueryTimeout bounds how long a daemon waits for the configuration of other daemons, while
+	// callers wait.
+	configQueryTimeout = 300 * time.Millisecond
+	// configQueryPause is the pause between two queries of all daemons.
+	configQueryPause = 200 * time.Millisecond
+	// maxConfigBytes bounds the answer to a query.
+	maxConfigBytes = maxFrameBytes
+)
 
 // prepare runs once before this daemon first follows the store.
 func (n *Node) prepare(ctx context.Context) {
@@ -30,6 +39,23 @@
 	}
 }
 
+// NoteEra queries other daemons for the configuration in force while this daemon follows a store that may
+// lack it. It must be called when the era of the store changes.
+func (n *Node) NoteEra() {
+	n.mu.Lock()
+	ctx := n.runCtx
+	n.mu.Unlock()
+	if ctx == nil {
+		return // not started; prepare queries
+	}
+	go func() {
+		// The answer that shows the era is applied after it was received.
+		for wait.For(ctx, configQueryPause) && n.followsStore.Load() && n.inv.DoubtsConfig() {
+			n.queryConfigs(ctx)
+		}
+	}()
+}
+
 // queryConfigs queries the daemons that may follow the store for the configuration in
 // force, and applies the newest.
 func (n *Node) queryConfigs(ctx context.Context) {
@@ -42,17 +68,43 @@
 	}
 	wg.Wait()
 	_ = level.Info(n.logger).Log("msg", "decision", "kind", "configuration asked for", "reason", "the store came back from a copy",
-		"asked", len(queried), "version", n.inv.State().ConfigVersion)
+		"asked", len(queried), "version", n.inv.State().ConfigVersion, "doubted", n.inv.DoubtsConfig())
 }
 
 func (n *Node) queryConfig(ctx context.Context, m Member) {
-	c, err := n.dial(ctx, m, probeParam)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Address+Path+"?"+configParam, nil)
+	if err != nil {
+		return
+	}
+	resp, err := n.dialer.Do(req)
 	if err != nil {
 		return // starting as well, or gone
 	}
-	defer func() { _ = c.CloseNow() }()
-	answer, err := exchange(ctx, c, &ping{Number: 1, Sender: n.opts.Name, Domain: n.opts.Domain, LoadsOnly: true, RequestsConfig: true})
-	if err == nil && answer.Config != nil {
-		n.inv.Apply(inventory.Update{Config: answer.Config})
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return
+	}
+	data, err := readall.AtMost(resp.Body, maxConfigBytes)
+	if err != nil {
+		return
+	}
+	if f, err := unpackFrame(data); err == nil && f.Pong != nil && f.Pong.Config != nil {
+		n.inv.ApplyConfirmed(f.Pong.Config, f.Pong.Age)
+	}
+}
+
+// serveConfig answers a query for the configuration in force, also while the store is lost: a daemon that
+// asks may know less.
+func (n *Node) serveConfig(w http.ResponseWriter) {
+	s := n.inv.State()
+	if s.ConfigVersion == 0 {
+		http.Error(w, "no configuration", http.StatusServiceUnavailable)
+		return
+	}
+	data, err := encodeFrame(&frame{Pong: &pong{Version: s.ConfigVersion, Age: n.inv.Age(boottime.Now()), Config: s.Config}})
+	if err != nil {
+		http.Error(w, "not encoded", http.StatusInternalServerError)
+		return
 	}
+	_, _ = w.Write(data) // the other daemon may be gone
 }
--- a/relay/source.go
+++ b/relay/source.go
@@ -35,6 +35,10 @@
 	NoteContact(c inventory.Contact)
 	// Apply applies an update received from another daemon.
 	Apply(u inventory.Update)
+	// ApplyConfirmed applies the configuration of another daemon, which was known to be current before
+	// age, and DoubtsConfig reports whether the store may lack the newest one.
+	ApplyConfirmed(config []byte, age time.Duration)
+	DoubtsConfig() bool
 	// ConfirmFresh records that no configuration newer than version existed at fresh.
 	ConfirmFresh(version uint64, fresh time.Time)
 	// Follow follows the store until ctx ends. Retry delays after failed calls are between
@@ -73,6 +77,10 @@
 		n.serveCrashes(w, r)
 		return
 	}
+	if query.Has(configParam) {
+		n.serveConfig(w)
+		return
+	}
 	sameDomain := query.Get(domainParam) == n.opts.Domain
 	now := boottime.Now()
 	switch {
--- a/relay/tree_test.go
+++ b/relay/tree_test.go
@@ -160,6 +160,12 @@
 	}
 }
 
+func (f *fakeInventory) ApplyConfirmed(config []byte, _ time.Duration) {
+	f.Apply(inventory.Update{Config: config})
+}
+
+func (f *fakeInventory) DoubtsConfig() bool { return false }
+
 func (f *fakeInventory) ConfirmFresh(version uint64, fresh time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -24,7 +24,7 @@
 // Path is the URL path at which a daemon serves its links. In the query, domainParam,
 // nameParam and fanOutParam are those of the follower, and probeParam marks a probe, which
 // checks whether this daemon is a healthy source and receives no state. crashesParam marks a
-// link for crashes alone.
+// link for crashes alone, and configParam a query for the configuration in force, which is no link.
 const (
 	Path        = "/relay"
 	domainParam = "domain"
@@ -33,6 +33,7 @@
 	probeParam  = "probe"
 
 	crashesParam = "crashes"
+	configParam  = "config"
 )
 
 // maxFrameBytes bounds a frame: a full state with a large configuration.
@@ -96,7 +97,7 @@
 	Suspects []uint32 `cbor:"9,keyasint,omitempty"`
 	// Crashes are set only between sources of different domains.
 	Crashes []quarantine.PackedEntry `cbor:"10,keyasint,omitempty"`
-	// RequestsConfig requests the configuration in force.
+	// RequestsConfig requests the configuration in force, in daemons of earlier versions.
 	RequestsConfig bool `cbor:"11,keyasint,omitempty"`
 	// Demands are those of the daemons that Loads include: all if HasLoads is set, changes
 	// otherwise.
