--- a/forward/answerend_test.go
+++ b/forward/answerend_test.go
@@ -17,6 +17,7 @@
 	"github.com/snowspoke/snowspoke/internal/virtual"
 	"github.com/snowspoke/snowspoke/inventory"
 	"github.com/snowspoke/snowspoke/site"
+	"github.com/snowspoke/snowspoke/stall"
 )
 
 // reachBackends answers each probe with the next result of a script, then with the last one.
@@ -135,6 +136,32 @@
 	}
 }
 
+// Guards against half an answer that looks complete: a daemon that stood still for longer than a plain
+// backend server needs to be back under its ID cannot tell the two processes apart. Short pauses, as under
+// a processor quota, do not count.
+func TestEndOfAnAnswerAfterThisDaemonStoodStill(t *testing.T) {
+	for name, c := range map[string]struct {
+		stall, between time.Duration
+		complete       bool
+	}{"long stall": {2700 * time.Millisecond, 0, false}, "many short ones": {80 * time.Millisecond, 20 * time.Millisecond, true}} {
+		for _, kind := range []site.RequestKind{site.Safe, site.Unsafe} {
+			t.Run(name, virtually(func(t *testing.T) {
+				r, path := endedRun(&reachBackends{}, kind)
+				r.f.stalls = stall.New(nil)
+				r.req.Received = time.Now()
+				for time.Since(r.req.Received) < 2*time.Second {
+					began := time.Now()
+					time.Sleep(c.stall)
+					r.f.stalls.NoteLag(began, time.Now())
+					time.Sleep(c.between)
+				}
+				err := r.checkEnd(t.Context(), path, answerEnd{framing: framing.UntilClose})
+				require.Equal(t, c.complete, err == nil, "%v", err)
+			}))
+		}
+	}
+}
+
 // A connection that was accepted before the end of an answer says nothing about that end.
 func TestEndOfAnAnswerIsCheckedWithANewProbe(t *testing.T) {
 	b := &reachBackends{results: []error{nil, errRefused}}
--- a/forward/endcheck.go
+++ b/forward/endcheck.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/snowspoke/snowspoke/boottime"
 	"github.com/snowspoke/snowspoke/detour"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/wait"
@@ -20,8 +21,13 @@
 	// queue of new connections full.
 	endCheckTimeout  = 1500 * time.Millisecond
 	endCheckInterval = 100 * time.Millisecond
+	// minRestartTime is the least time in which a process ends and another one is there under its ID.
+	minRestartTime = time.Second
 )
 
+// errUnseen is the evidence of a process whose end and restart this daemon may have missed.
+var errUnseen = errors.New("forward: this daemon stood still during the answer")
+
 // checkPath returns an error if a hop of a path has ended or has started again. If there is no
 // conclusive response, a request that may be repeated goes on elsewhere. For another one the answer
 // stands only if the hop accepts a connection: an answer that ends early must not look complete.
@@ -31,6 +37,10 @@
 	if failed := r.f.failedHop(path[1:], since); failed != nil {
 		return fmt.Errorf("%w: hop %s", errServerGone, failed.ID)
 	}
+	// The check of a plain backend server does not tell incarnations of one ID apart.
+	if r.engine == nil && r.f.stalls.LongestStall(since.Add(-boottime.Since(r.req.Received)), since) >= minRestartTime {
+		return fmt.Errorf("%w: %w", errServerGone, errUnseen)
+	}
 	check := r.endCheck()
 	verdicts, errs := make([]liveness.Verdict, len(path)), make([]error, len(path))
 	var wg sync.WaitGroup
--- a/stall/stall.go
+++ b/stall/stall.go
@@ -229,3 +229,16 @@
 	}
 	return max(0, to.Sub(from))
 }
+
+// LongestStall returns the longest stall between two times, 0 for a nil Monitor.
+func (m *Monitor) LongestStall(since, now time.Time) (longest time.Duration) {
+	if m == nil {
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.stalls {
+		longest = max(longest, s.within(since, now))
+	}
+	return max(longest, m.current(now).within(since, now))
+}
