relay: a daemon asks others while it doubts the store's configuration, not when the era is first seen

Callers with keys were refused for 5.5 s (503) at a daemon that started any time after the store had been restored. Cause, in: the others were asked once before the store was read, when there was no doubt yet to end, and after that only on the first answer with an era, which at a start comes before the daemon follows the store. Change: a daemon that follows the store checks every 0.2 s whether it doubts the configuration, and asks then; NoteEra and its hook are gone. Shown: TestDaemonStartedLongAfterARestoreServesSoon failed before (5.5 s, 1.5 s allowed).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,7 +148,6 @@
 	g.store.OnEra(func(era uint64) {
 		m.StoreEra(era)
 		g.quarantineSync.wake()
-		g.relay.NoteEra()
 		_ = level.Info(g.log).Log("msg", "era of the store", "era", era)
 	})
 	g.warnOfDelays()
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -143,3 +143,24 @@
 	require.Eventually(t, func() bool { return status(sitetrial.Key) == http.StatusOK }, 3*time.Second, 20*time.Millisecond)
 	require.Equal(t, http.StatusUnauthorized, status(taken))
 }
+
+// Guards against a daemon that refuses keys for seconds after its start, long after the store was restored,
+// because it does not ask the others once it doubts the store's configuration.
+func TestDaemonStartedLongAfterARestoreServesSoon(t *testing.T) {
+	env := newTestEnv(t)
+	env.putConfig()
+	env.servers("plain", "", "p")
+	inDomain := func(domain string, first bool) func(*site.Settings) {
+		return func(s *site.Settings) { s.FailureDomain, s.FirstStart = domain, first }
+	}
+	other := env.daemon("vm-2", inDomain("domain-2", true)).ready(t, 1)
+	env.store.Restore(env.store.Snapshot())
+	require.Eventually(t, func() bool { return other.inv.Age(boottime.Now()) < 1500*time.Millisecond }, 8*time.Second, 20*time.Millisecond)
+	time.Sleep(6 * time.Second)
+	started := env.daemon("vm-1", inDomain("domain-1", false)).ready(t, 1)
+	began := time.Now()
+	require.Eventually(t, func() bool {
+		return started.call(t, call{method: "GET", path: "/plain/"}).Status == http.StatusOK
+	}, 8*time.Second, 20*time.Millisecond)
+	require.Less(t, time.Since(began), 1500*time.Millisecond)
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -166,6 +166,7 @@
 	}
 	wg.Go(func() { n.inv.Follow(sctx, first, longest) })
 	wg.Go(func() { n.exchangeLoads(sctx) })
+	wg.Go(func() { n.confirmConfig(sctx) })
 	if n.opts.ConditionReader != nil {
 		wg.Go(func() { n.pollConditions(sctx) })
 	}
--- a/relay/restored.go
+++ b/relay/restored.go
@@ -23,10 +23,8 @@
 	// configQueryTimeout bounds how long a daemon waits for the configuration of other daemons, while
 	// callers wait.
 	configQueryTimeout = 300 * time.Millisecond
-	// configQueryPause is the pause between two queries of all daemons.
+	// configQueryPause is the pause between two checks whether to query them.
 	configQueryPause = 200 * time.Millisecond
-	// maxConfigBytes bounds the answer to a query.
-	maxConfigBytes = maxFrameBytes
 )
 
 // prepare runs once before this daemon first follows the store.
@@ -39,21 +37,14 @@
 	}
 }
 
-// NoteEra queries other daemons for the configuration in force while this daemon follows a store that may
-// lack it. It must be called when the era of the store changes.
-func (n *Node) NoteEra() {
-	n.mu.Lock()
-	ctx := n.runCtx
-	n.mu.Unlock()
-	if ctx == nil {
-		return // not started; prepare queries
-	}
-	go func() {
-		// The answer that shows the era is applied after it was received.
-		for wait.For(ctx, configQueryPause) && n.followsStore.Load() && n.inv.DoubtsConfig() {
+// confirmConfig queries other daemons for the configuration in force whenever the store that this daemon
+// follows may lack it, until ctx ends.
+func (n *Node) confirmConfig(ctx context.Context) {
+	for wait.For(ctx, configQueryPause) {
+		if n.inv.DoubtsConfig() {
 			n.queryConfigs(ctx)
 		}
-	}()
+	}
 }
 
 // queryConfigs queries the daemons that may follow the store for the configuration in
@@ -84,7 +75,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return
 	}
-	data, err := readall.AtMost(resp.Body, maxConfigBytes)
+	data, err := readall.AtMost(resp.Body, maxFrameBytes)
 	if err != nil {
 		return
 	}
