detour: a carried connection ends in order only if the whole upload was written to the backend server

Cause: a carrier copies both ways over one socket of the backend server, which reports a reset once. The copy of the upload received it; the copy of the answer read a plain end and passed it on as an orderly one. Evidence: TestResetDuringAnUploadIsNoOrderlyEndOfACarriedConnection, with an upload that the daemon has written whole when the connection ends, so that its own check does not notice. All four cases failed before at the first of ten connections, and pass now: 20 runs, and 10 under the race detector. TestCarriedAnswerToAnUploadEndsInOrder passed before and passes. Change: at the end of the answer the carrier ends the upload, and ends the daemon's connection in order only if no write has failed and no byte of the daemon is left to write. Remembering the failed write alone was tried and not enough: a backend server that ends its side first leaves bytes at the carrier without a failed write (the fourth case failed once under the race detector).

--- a/detour/server.go
+++ b/detour/server.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -22,6 +24,11 @@
 	lingerTimeout = 2 * time.Second
 	// unackedTimeout is how long bytes sent to the other daemon may stay unacknowledged.
 	unackedTimeout = time.Second
+	// writeEndTimeout bounds a write after the backend server has ended its side. If it has closed the
+	// connection, the write fails at once.
+	writeEndTimeout = time.Second
+	// unreadTimeout is the time for a read that finds bytes which have arrived.
+	unreadTimeout = time.Millisecond
 )
 
 // ServerOptions configure a Server.
@@ -86,7 +93,7 @@
 		return statusCarried, err // the other daemon sees the connection end
 	}
 	defer daemon.Close()
-	t := &tunnel{daemon: daemon, server: server}
+	t := newTunnel(daemon, server)
 	s.add(t)
 	defer s.remove(t)
 	t.run()
@@ -185,26 +192,55 @@
 }
 
 // tunnel is one carried connection.
-type tunnel struct{ daemon, server net.Conn }
+type tunnel struct {
+	daemon, server net.Conn
+	uploadEnded    chan struct{}
+	uploadErr      error // valid once uploadEnded is closed
+}
+
+func newTunnel(daemon, server net.Conn) *tunnel {
+	return &tunnel{daemon: daemon, server: server, uploadEnded: make(chan struct{})}
+}
 
 // run copies bytes in both directions until the connection ends. If the backend server closes
-// its connection in order, so does the one to the daemon; otherwise that one is reset.
+// its connection in order after all bytes of the daemon were written to it, so does the one to the
+// daemon; otherwise that one is reset.
 func (t *tunnel) run() {
-	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		// Once the daemon has closed its connection, no one waits for the answer.
-		_ = copyBytes(t.server, t.daemon)
-		_ = t.server.Close()
-	}()
-	if copyBytes(t.daemon, t.server) == nil && closeWrite(t.daemon) {
-		select {
-		case <-closed:
-		case <-time.After(lingerTimeout):
-		}
+	go t.upload()
+	if copyBytes(t.daemon, t.server) == nil && t.isUploadWritten() && closeWrite(t.daemon) {
+		t.awaitDaemon(lingerTimeout)
 	}
 	_ = t.daemon.Close()
-	<-closed
+	<-t.uploadEnded
+}
+
+// upload copies the bytes of the daemon. Once the daemon has closed its connection, no one waits for the
+// answer.
+func (t *tunnel) upload() {
+	defer close(t.uploadEnded)
+	t.uploadErr = copyBytes(t.server, t.daemon)
+	_ = t.server.Close()
+}
+
+// isUploadWritten ends the upload and reports whether all received bytes of the daemon were written to the
+// backend server. A reset is reported once: if a write has received it, the read of the answer saw an
+// orderly end.
+func (t *tunnel) isUploadWritten() bool {
+	now := time.Now()
+	_ = t.server.SetWriteDeadline(now.Add(writeEndTimeout))
+	_ = t.daemon.SetReadDeadline(now) // fails if the connection is closed, as reads do
+	<-t.uploadEnded
+	if errors.Is(t.uploadErr, errNotWritten) || !errors.Is(t.uploadErr, os.ErrDeadlineExceeded) {
+		return false
+	}
+	return !t.awaitDaemon(unreadTimeout)
+}
+
+// awaitDaemon waits until the daemon closes its connection, and reports whether it sent bytes instead.
+func (t *tunnel) awaitDaemon(timeout time.Duration) (sent bool) {
+	_ = t.daemon.SetReadDeadline(time.Now().Add(timeout))
+	n, _ := t.daemon.Read(make([]byte, 1))
+	return n > 0
 }
 
 // closeWrite ends a connection in order after all bytes written to it, and reports whether the
@@ -217,14 +253,18 @@
 	return ok && t.CloseWrite() == nil
 }
 
-// copyBytes copies until the end of from. It returns nil if that was in order.
+// errNotWritten is returned if bytes that were read could not be written.
+var errNotWritten = errors.New("detour: bytes not written")
+
+// copyBytes copies until the end of from. It returns nil if that was in order, and an error that wraps
+// errNotWritten if bytes were lost.
 func copyBytes(to io.Writer, from io.Reader) error {
 	buf := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
-				return werr
+				return fmt.Errorf("%w: %w", errNotWritten, werr)
 			}
 		}
 		if errors.Is(err, io.EOF) {
