framing, network: HTTP clients of our own interface, the store and links accept only valid heads too

An answer of the store with an invalid status to a write counted as a definite failure, although the write may have taken effect. These clients read through http.Transport, and what net/http has skipped can't be checked after it. A layout test holds that each transport is made so.

--- a/internal/layout/reads_test.go
+++ b/internal/layout/reads_test.go
@@ -24,11 +24,11 @@
 }
 
 // transportsWithoutBound lists the files whose transports may leave MaxResponseHeaderBytes at its
-// default: programs that end after a few calls.
+// default and their heads unchecked: programs that end after a few calls.
 var transportsWithoutBound = []string{"cmd/snowspoke/route.go", "trial/site.go"}
 
 // Bytes of backend servers, the store and other daemons may have no end, so each reader of them has
-// a bound.
+// a bound. Their heads may not be valid, so each transport checks them.
 func TestReadersHaveBounds(t *testing.T) {
 	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
@@ -37,9 +37,13 @@
 		f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
 		require.NoError(t, err)
 		file := strings.TrimPrefix(filepath.ToSlash(path), "../../")
+		checked := map[ast.Expr]bool{} // literals of transports
 		ast.Inspect(f, func(n ast.Node) bool {
 			switch v := n.(type) {
 			case *ast.CallExpr:
+				if qualifiedName(v.Fun) == "framing.CheckHeads" {
+					checked[literal(v.Args[0])] = true
+				}
 				if allowed, known := unboundedReads[qualifiedName(v.Fun)]; known {
 					require.Contains(t, allowed, file, "%s calls %s", file, qualifiedName(v.Fun))
 				}
@@ -47,6 +51,9 @@
 				if qualifiedName(v.Type) == "http.Transport" && !hasField(v, "MaxResponseHeaderBytes") {
 					require.Contains(t, transportsWithoutBound, file, "%s sets no bound on heads", file)
 				}
+				if qualifiedName(v.Type) == "http.Transport" && !checked[v] {
+					require.Contains(t, transportsWithoutBound, file, "%s does not check heads", file)
+				}
 			}
 			return true
 		})
@@ -55,6 +62,14 @@
 	require.NoError(t, err)
 }
 
+// literal returns the literal whose address an expression is.
+func literal(e ast.Expr) ast.Expr {
+	if u, ok := e.(*ast.UnaryExpr); ok {
+		return u.X
+	}
+	return e
+}
+
 // qualifiedName returns an expression of the form package.Name as text, "" for others.
 func qualifiedName(e ast.Expr) string {
 	s, ok := e.(*ast.SelectorExpr)
--- a/network/network.go
+++ b/network/network.go
@@ -49,10 +49,10 @@
 // default.
 func TLSClient(n Network, perHost int, c *tls.Config) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: framing.CheckHeads(&http.Transport{
 			DialContext: reportingResets(n.DialContext), MaxIdleConnsPerHost: perHost, IdleConnTimeout: idleTimeout, DisableCompression: true,
 			TLSClientConfig: c, MaxResponseHeaderBytes: framing.MaxHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/relay/session.go
+++ b/relay/session.go
@@ -63,12 +63,11 @@
 	if connect == nil {
 		connect = new(net.Dialer).DialContext
 	}
-	t := &http.Transport{MaxResponseHeaderBytes: framing.MaxHeadBytes, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+	return &http.Client{Transport: framing.CheckHeads(&http.Transport{MaxResponseHeaderBytes: framing.MaxHeadBytes, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := stalls.WithTimeout(ctx, connectTimeout)
 		defer cancel()
 		return connect(ctx, network, address)
-	}, IdleConnTimeout: sourceCheckInterval}
-	return &http.Client{Transport: t}
+	}, IdleConnTimeout: sourceCheckInterval})}
 }
 
 // dial opens a link, with parameters that mark its kind.
