--- a/backend/httpbackend/heads_test.go
+++ b/backend/httpbackend/heads_test.go
@@ -109,3 +109,20 @@
 		}
 	}
 }
+
+// Guards against a head that stops in its middle and counts as that of a reply with an empty or a short body
+// (MIXED), at each of its bytes.
+func TestHeadThatStopsInItsMiddleIsNoReply(t *testing.T) {
+	for _, fields := range []string{"Content-Length: 16\r\n", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "\r\n"
+		for name, read := range replyReaders {
+			t.Run(name+"/"+fields, func(t *testing.T) {
+				t.Parallel()
+				for cut := range len(head) {
+					err := read(t.Context(), network.NewSystem(0), serveResponse(t, head[:cut]))
+					require.ErrorIs(t, err, execution.ErrLost, "cut at byte %d", cut)
+				}
+			})
+		}
+	}
+}
--- a/gateway/early_answers_test.go
+++ b/gateway/early_answers_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/snowspoke/snowspoke/framing"
+	"github.com/snowspoke/snowspoke/platform/standin"
 )
 
 // longBody exceeds the buffers of the sockets between a daemon and a backend server.
@@ -160,3 +161,29 @@
 		}
 	}
 }
+
+// The same over a connection that another daemon carries, with uploads that the daemon writes whole and with
+// longer ones.
+func TestEarlyAnswerBehindACarrierIsNotComplete(t *testing.T) {
+	t.Parallel()
+	for name, end := range earlyEnds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			env := newUploadEnv(t)
+			newPlainScriptedServer(env, "a", func(c *scriptedConn) {
+				c.send(c.okHead("") + partOfAnswer)
+				end(c)
+			})
+			partition := standin.NewPartition()
+			d := env.daemonWith("daemon-1", nil, Options{Connect: partition.Dial}).ready(t, 1)
+			env.daemon("daemon-2", nil).ready(t, 1)
+			require.Eventually(t, func() bool { return len(d.members.All()) == 2 }, 10*time.Second, 20*time.Millisecond)
+			partition.Set(standin.RefuseNew)
+			for n, size := range []int{6 << 20, 10 << 20, len(longBody)} {
+				a := d.call(t, call{method: "POST", path: "/once/", body: longBody[:size], id: fmt.Sprint("req-", n)})
+				require.NoError(t, a.Err)
+				require.Equal(t, 502, a.Status, "%d bytes: %q", size, a.Body)
+			}
+		})
+	}
+}
