Tests of broken answers: a call that its server has not received is repeated

A loaded machine failed TestInvalidStreamsReachNoCallerAsComplete four times (503 no_route, a true refusal of a call that was not sent, while the only head cooled down) and TestHeadCutBehindACarrierIsNoAnswer once (a new connection closed unread by the overloaded daemon), beside eight busy loops under the race detector. What these tests ask of an answer is unchanged; they now require that the server has received the call.

--- a/gateway/scripted_server_test.go
+++ b/gateway/scripted_server_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -104,6 +106,24 @@
 	return resp.Write(c) == nil && !resp.Close
 }
 
+// received returns the number of requests.
+func (s *scriptedServer) received() int { return int(s.requests.Load()) }
+
+// callUntilReceived repeats a call until a server has received it. A daemon may refuse a call for want of a
+// server soon after one was lost, and closes new connections unread while its processor is overloaded.
+func (d *testDaemon) callUntilReceived(t *testing.T, received func() int, c call) answer {
+	t.Helper()
+	before := received()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		a := d.call(t, c)
+		if received() > before {
+			return a
+		}
+		require.True(t, a.Err != nil || a.Status == 503, "%d %q", a.Status, a.Body)
+		require.True(t, time.Now().Before(deadline), "refused for too long")
+	}
+}
+
 // okHead returns the head of a signed answer to the request, with further headers.
 func (c *scriptedConn) okHead(headers string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nSnowspoke-Request-Id: %s\r\nSnowspoke-Server-Seal: s\r\n%s\r\n",
