httpbackend: the transport may tell of the end of two writes of one request

A fault of this branch, seen by reading, that no caller has met: the transport sends a request without a body again if a kept connection fails, and the end of its first write may come after the second connection was obtained. The trace of the write would have closed its channel twice, which ends the daemon. Evidence: TestSecondEndOfAnUploadIsIgnored panicked before. Change: a second end is ignored.

--- a/backend/httpbackend/early_reply_test.go
+++ b/backend/httpbackend/early_reply_test.go
@@ -173,3 +173,14 @@
 		})
 	}
 }
+
+// Guards against a panic when the transport tells of the end of two writes of one request: it sends a request
+// without a body again if a kept connection fails, before the first write may have ended.
+func TestSecondEndOfAnUploadIsIgnored(t *testing.T) {
+	var u uploadTrace
+	u.begin()
+	u.begin()
+	u.end(nil)
+	require.NotPanics(t, func() { u.end(io.ErrClosedPipe) })
+	require.NoError(t, u.await(t.Context()))
+}
--- a/backend/httpbackend/upload.go
+++ b/backend/httpbackend/upload.go
@@ -41,11 +41,17 @@
 	u.ended, u.err = make(chan struct{}), nil
 }
 
+// end records the end of a write. After the transport has sent a request without a body again, the end of its
+// first write may come late.
 func (u *uploadTrace) end(err error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.err = err
-	close(u.ended)
+	select {
+	case <-u.ended:
+	default:
+		u.err = err
+		close(u.ended)
+	}
 }
 
 // await waits for the end of the upload, for at most uploadEndTimeout. It returns an error that wraps
