Tests of broken answers: one TCP server for tests

No assertion changes; the tests of platform, detour, httpbackend and the gateway's tests of broken answers pass.

--- a/backend/httpbackend/early_reply_test.go
+++ b/backend/httpbackend/early_reply_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/framing"
+	"github.com/snowspoke/snowspoke/internal/tcptest"
 	"github.com/snowspoke/snowspoke/network"
 )
 
@@ -23,27 +24,14 @@
 // what end says. It closes connections without a request only with its listener.
 func newEarlyEndpoint(t *testing.T, reply string, end func(c *net.TCPConn, r io.Reader)) backend.Target {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // closed
-			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				if _, err := http.ReadRequest(r); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, reply)
-				end(c.(*net.TCPConn), r)
-			}()
+	return backend.Target{Address: tcptest.Serve(t, func(c *net.TCPConn) {
+		r := bufio.NewReader(c)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
 		}
-	}()
-	return backend.Target{Address: l.Addr().String()}
+		_, _ = io.WriteString(c, reply)
+		end(c, r)
+	})}
 }
 
 // earlyEnds are the ways in which an endpoint ends the connection before it has read the request.
@@ -92,27 +80,17 @@
 
 // A reset that arrives before the request is written is received by the write of the request.
 func TestReplyResetBeforeTheRequestIsNotComplete(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // closed
-			}
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
-		}
-	}()
+	address := tcptest.Serve(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = c.SetLinger(0)
+	})
 	n := network.NewSystem(time.Second)
 	alive := newEarlyEndpoint(t, "", nil)
 	s := NewServices(network.Client(slowNetwork{n}, 1), func(ctx context.Context, kind, _ string) (net.Conn, error) {
 		return n.DialContext(ctx, kind, alive.Address) // other connections of the endpoint stay open
 	}, "http")
 	for range 40 {
-		reply, err := s.Call(t.Context(), backend.Target{Address: l.Addr().String()}, &backend.ServiceCall{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+		reply, err := s.Call(t.Context(), backend.Target{Address: address}, &backend.ServiceCall{Method: http.MethodPost, Path: "/", Body: []byte("x")})
 		if err != nil {
 			continue
 		}
--- a/backend/httpbackend/heads_test.go
+++ b/backend/httpbackend/heads_test.go
@@ -13,6 +13,7 @@
 	"github.com/snowspoke/snowspoke/backend"
 	"github.com/snowspoke/snowspoke/execution"
 	"github.com/snowspoke/snowspoke/internal/rfc9112"
+	"github.com/snowspoke/snowspoke/internal/tcptest"
 	"github.com/snowspoke/snowspoke/network"
 )
 
@@ -20,27 +21,14 @@
 // a request stay open. It returns the endpoint.
 func serveResponse(t *testing.T, text string) backend.Target {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // closed
-			}
-			go func() {
-				defer c.Close()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(c, text)
-			}()
+	return backend.Target{Address: tcptest.Serve(t, func(c *net.TCPConn) {
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
 		}
-	}()
-	return backend.Target{Address: l.Addr().String()}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, text)
+	})}
 }
 
 // replyReaders are calls that read replies. Each returns an error if the reply was not complete.
--- a/detour/upload_test.go
+++ b/detour/upload_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/snowspoke/snowspoke/internal/tcptest"
 )
 
 const (
@@ -52,12 +54,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			address := backend(t, func(c *net.TCPConn) {
+			address := tcptest.Serve(t, func(c *net.TCPConn) {
 				_ = c.SetReadBuffer(smallBuffer)
 				_, _ = io.WriteString(c, "part")
 				time.Sleep(50 * time.Millisecond)
 				end(c)
-				_ = c.Close()
 			})
 			d := newUploadFleet(t)
 			for range 10 {
@@ -70,11 +71,10 @@
 
 // A connection that ends in order after the upload does so at the daemon.
 func TestCarriedAnswerToAnUploadEndsInOrder(t *testing.T) {
-	address := backend(t, func(c *net.TCPConn) {
+	address := tcptest.Serve(t, func(c *net.TCPConn) {
 		_ = c.SetReadBuffer(smallBuffer)
 		_, _ = io.CopyN(io.Discard, c, carriedUpload)
 		_, _ = io.WriteString(c, "answer")
-		_ = c.Close()
 	})
 	d := newUploadFleet(t)
 	for range 10 {
--- a/gateway/scripted_server_test.go
+++ b/gateway/scripted_server_test.go
@@ -12,13 +12,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/snowspoke/snowspoke/internal/tcptest"
 	"github.com/snowspoke/snowspoke/platform/standin"
 )
 
 // scriptedServer answers callers' requests with the bytes of a script. The calls of daemons of their
 // own, such as health checks, go to a stand-in, so that it looks alive and well.
 type scriptedServer struct {
-	net.Listener
 	control  *standin.Server
 	script   func(c *scriptedConn)
 	requests atomic.Int32
@@ -34,22 +34,10 @@
 // newScriptedServer starts a server and registers it. The connection is closed when script returns.
 func newScriptedServer(env *testEnv, service, kind string, control *standin.Server, script func(c *scriptedConn)) *scriptedServer {
 	env.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(env.t, err)
-	env.t.Cleanup(func() { _ = l.Close() })
-	s := &scriptedServer{Listener: l, control: control, script: script}
+	s := &scriptedServer{control: control, script: script}
 	record := control.Record(service, "domain-1", kind)
-	record["address"] = l.Addr().String()
+	record["address"] = tcptest.Serve(env.t, s.serve)
 	env.store.Set("servers", control.ID, record)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // closed
-			}
-			go s.serve(c.(*net.TCPConn))
-		}
-	}()
 	return s
 }
 
@@ -69,7 +57,6 @@
 }
 
 func (s *scriptedServer) serve(c *net.TCPConn) {
-	defer c.Close()
 	r := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(r)
