detour: whether bytes of the daemon are left is asked of the socket, not by a read with a short deadline

Without unread bytes a close is no reset. A read with a deadline of a millisecond returns the timeout without looking at the socket if the goroutine runs late. Change: network.IsQuiet peeks at the socket, as the pool of platform did by itself.

--- a/detour/server.go
+++ b/detour/server.go
@@ -27,8 +27,6 @@
 	// writeEndTimeout bounds a write after the backend server has ended its side. If it has closed the
 	// connection, the write fails at once.
 	writeEndTimeout = time.Second
-	// unreadTimeout is the time for a read that finds bytes which have arrived.
-	unreadTimeout = time.Millisecond
 )
 
 // ServerOptions configure a Server.
@@ -208,7 +206,7 @@
 func (t *tunnel) run() {
 	go t.upload()
 	if copyBytes(t.daemon, t.server) == nil && t.isUploadWritten() && closeWrite(t.daemon) {
-		t.awaitDaemon(lingerTimeout)
+		t.awaitDaemon()
 	}
 	_ = t.daemon.Close()
 	<-t.uploadEnded
@@ -233,14 +231,13 @@
 	if errors.Is(t.uploadErr, errNotWritten) || !errors.Is(t.uploadErr, os.ErrDeadlineExceeded) {
 		return false
 	}
-	return !t.awaitDaemon(unreadTimeout)
+	return t.daemon.SetReadDeadline(time.Time{}) == nil && network.IsQuiet(t.daemon)
 }
 
-// awaitDaemon waits until the daemon closes its connection, and reports whether it sent bytes instead.
-func (t *tunnel) awaitDaemon(timeout time.Duration) (sent bool) {
-	_ = t.daemon.SetReadDeadline(time.Now().Add(timeout))
-	n, _ := t.daemon.Read(make([]byte, 1))
-	return n > 0
+// awaitDaemon waits until the daemon closes its connection, for at most lingerTimeout.
+func (t *tunnel) awaitDaemon() {
+	_ = t.daemon.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = t.daemon.Read(make([]byte, 1))
 }
 
 // closeWrite ends a connection in order after all bytes written to it, and reports whether the
--- a/detour/upload_test.go
+++ b/detour/upload_test.go
@@ -29,12 +29,19 @@
 	return f.daemons[0]
 }
 
-// carryUpload sends an upload over a carried connection and reads to the end of that.
-func carryUpload(t *testing.T, d *testDaemon, address string) (string, error) {
+// carryUpload sends an upload over a carried connection, sends to written once the daemon has written all of
+// it, and reads to the end of the connection.
+func carryUpload(t *testing.T, d *testDaemon, address string, written chan<- struct{}) (string, error) {
 	t.Helper()
 	c, err := d.Connect(t.Context(), address)
 	require.NoError(t, err)
-	return exchange(t, c, strings.Repeat("x", carriedUpload))
+	defer c.Close()
+	require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(c, strings.Repeat("x", carriedUpload))
+	require.NoError(t, err)
+	written <- struct{}{}
+	answer, err := io.ReadAll(c)
+	return string(answer), err
 }
 
 // Guards against an orderly end of a carried connection that the backend server has reset (MIXED): the
@@ -54,15 +61,17 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			written := make(chan struct{})
 			address := tcptest.Serve(t, func(c *net.TCPConn) {
 				_ = c.SetReadBuffer(smallBuffer)
+				_, _ = io.ReadFull(c, make([]byte, 64))
 				_, _ = io.WriteString(c, "part")
-				time.Sleep(50 * time.Millisecond)
+				<-written
 				end(c)
 			})
 			d := newUploadFleet(t)
 			for range 10 {
-				answer, err := carryUpload(t, d, address)
+				answer, err := carryUpload(t, d, address, written)
 				require.Error(t, err, "an orderly end after %q", answer)
 			}
 		})
@@ -71,14 +80,16 @@
 
 // A connection that ends in order after the upload does so at the daemon.
 func TestCarriedAnswerToAnUploadEndsInOrder(t *testing.T) {
+	written := make(chan struct{}, 1)
 	address := tcptest.Serve(t, func(c *net.TCPConn) {
 		_ = c.SetReadBuffer(smallBuffer)
 		_, _ = io.CopyN(io.Discard, c, carriedUpload)
+		<-written
 		_, _ = io.WriteString(c, "answer")
 	})
 	d := newUploadFleet(t)
 	for range 10 {
-		answer, err := carryUpload(t, d, address)
+		answer, err := carryUpload(t, d, address, written)
 		require.NoError(t, err)
 		require.Equal(t, "answer", answer)
 	}
